--- /dev/null
+++ b/crates/pulley_bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Bench.
+fn main() {}
--- /dev/null
+++ b/crates/pulley_core/src/process/quantities.rs
@@ -0,0 +1,168 @@
+//! Sizes, rates and numbers with a unit.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Why a text is no quantity.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{text:?} is not {wanted}")]
+pub struct QuantityFault {
+    /// The text as given.
+    pub text: String,
+    /// What would have been allowed.
+    pub wanted: &'static str,
+}
+
+fn fault(text: &str, wanted: &'static str) -> QuantityFault {
+    QuantityFault { text: text.to_owned(), wanted }
+}
+
+/// How many requests an upstream works on at once.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct SlotCount(pub u32);
+
+/// A part of a whole, in ten-thousandths: 2,500 is a quarter.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ShareFraction(u16);
+
+impl ShareFraction {
+    /// The whole, in ten-thousandths.
+    pub const WHOLE: Self = Self(10_000);
+
+    /// Makes a share from ten-thousandths, if it is at most the whole.
+    #[must_use]
+    pub const fn from_parts(parts: u16) -> Option<Self> {
+        if parts <= Self::WHOLE.0 { Some(Self(parts)) } else { None }
+    }
+
+    /// The share in ten-thousandths.
+    #[must_use]
+    pub const fn parts(self) -> u16 {
+        self.0
+    }
+
+    /// The share as a number from 0 to 1.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::WHOLE.0)
+    }
+}
+
+/// Probes a second, in thousandths, so that slow budgets stay exact.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ProbeRate(pub u32);
+
+impl ProbeRate {
+    /// The rate in probes a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+/// Numbers one voter or learner of the replicated log; never used again after removal.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MemberId(pub u64);
+
+impl fmt::Display for SlotCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for SlotCount {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        text.parse().map(Self).map_err(|_| fault(text, "a count of slots"))
+    }
+}
+
+impl fmt::Display for ShareFraction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}%", self.0 / 100, self.0 % 100)
+    }
+}
+
+impl FromStr for ShareFraction {
+    type Err = QuantityFault;
+
+    /// Reads `25%`, `0.25` or `0,25`.
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        const WANTED: &str = "a share such as 25%, 0.25 or 0,25, at most the whole";
+        let trimmed = text.trim();
+        let (digits, scale) = match trimmed.strip_suffix('%') {
+            Some(percent) => (percent.trim_end(), 100.0),
+            None => (trimmed, 10_000.0),
+        };
+        let plain = digits.replacen(',', ".", 1);
+        if !plain.chars().all(|c| c.is_ascii_digit() || c == '.') {
+            return Err(fault(text, WANTED));
+        }
+        let value: f64 = plain.parse().map_err(|_| fault(text, WANTED))?;
+        let parts = (value * scale).round();
+        if !(0.0..=10_000.0).contains(&parts) {
+            return Err(fault(text, WANTED));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "range checked above"
+        )]
+        Ok(Self(parts as u16))
+    }
+}
+
+impl fmt::Display for ProbeRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
+impl FromStr for ProbeRate {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        const WANTED: &str = "a number of probes a second, from 0 to 100000";
+        let plain = text.trim().replacen(',', ".", 1);
+        if plain.is_empty() || !plain.chars().all(|c| c.is_ascii_digit() || c == '.') {
+            return Err(fault(text, WANTED));
+        }
+        let value: f64 = plain.parse().map_err(|_| fault(text, WANTED))?;
+        if !(0.0..=100_000.0).contains(&value) {
+            return Err(fault(text, WANTED));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "range checked above"
+        )]
+        Ok(Self((value * 1_000.0).round() as u32))
+    }
+}
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "m{}", self.0)
+    }
+}
+
+impl FromStr for MemberId {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        let digits = text.strip_prefix('m').unwrap_or(text);
+        digits.parse().map(Self).map_err(|_| fault(text, "a member id such as m3"))
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -0,0 +1,110 @@
+//! Whether a request may have run.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::QuantityFault;
+
+/// Says whether a request may have run on an upstream.
+///
+/// It travels on every answer that the system itself makes, in the header
+/// `jacinthpulley-verdict`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestVerdict {
+    /// No byte of it can have been acted on; sending it again is safe.
+    NotRun,
+    /// It may or may not have run; only an idempotent request may be sent again.
+    MayHaveRun,
+    /// It ran, and the answer is the upstream's own.
+    Ran,
+}
+
+impl RequestVerdict {
+    /// The value as it stands in the header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for RequestVerdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for RequestVerdict {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        match text {
+            "not-run" => Ok(Self::NotRun),
+            "may-have-run" => Ok(Self::MayHaveRun),
+            "ran" => Ok(Self::Ran),
+            _ => {
+                Err(QuantityFault { text: text.to_owned(), wanted: "not-run, may-have-run or ran" })
+            }
+        }
+    }
+}
+
+/// Why the system refused a request before any upstream saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalCause {
+    /// No row of the plan matches it.
+    NoSuchKind,
+    /// This host has no configuration that it knows to be current.
+    NotReady,
+    /// The host is shutting down.
+    ShuttingDown,
+    /// No upstream of the pool takes work.
+    NoUpstream,
+    /// The wait would be longer than the deadline allows.
+    DeadlineTooClose,
+    /// Its queue is full.
+    QueueFull,
+    /// Its service has used its share and the pool has nothing to lend.
+    ShareUsedUp,
+    /// The process is at its own limits.
+    HostFull,
+    /// The claim on the idempotency key could not be made.
+    LedgerUnavailable,
+    /// The same idempotency key came with a different request.
+    KeyConflict,
+    /// The request is malformed or over a size limit.
+    BadRequest,
+}
+
+impl RefusalCause {
+    /// The cause as it stands in headers, logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoSuchKind => "no-such-kind",
+            Self::NotReady => "not-ready",
+            Self::ShuttingDown => "shutting-down",
+            Self::NoUpstream => "no-upstream",
+            Self::DeadlineTooClose => "deadline-too-close",
+            Self::QueueFull => "queue-full",
+            Self::ShareUsedUp => "share-used-up",
+            Self::HostFull => "host-full",
+            Self::LedgerUnavailable => "ledger-unavailable",
+            Self::KeyConflict => "key-conflict",
+            Self::BadRequest => "bad-request",
+        }
+    }
+}
+
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/pulley_wire/examples/generate_wire.rs
@@ -0,0 +1,10 @@
+//! Makes the Rust code of the peer protocol from its schema into the folder given.
+
+fn main() -> Result<(), capnp::Error> {
+    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
+    capnpc::CompilerCommand::new()
+        .src_prefix("crates/pulley_wire/schema")
+        .file("crates/pulley_wire/schema/peer.capnp")
+        .output_path(folder)
+        .run()
+}
--- /dev/null
+++ b/crates/pulleyctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Tool.
+fn main() {}
--- /dev/null
+++ b/crates/pulleyd/src/main.rs
@@ -0,0 +1,2 @@
+//! Daemon.
+fn main() {}
--- /dev/null
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -0,0 +1,142 @@
+//! How the traffic side and the operators' listener speak to the control thread.
+
+use bytes::Bytes;
+use pulley_core::process::Announcement;
+use pulley_core::version::{AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, StoredPlan};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+
+/// What the control thread's callers get back.
+pub type Result<T> = std::result::Result<T, ControlFault>;
+
+/// Why the control thread gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ControlFault {
+    /// Its queue is full; nothing was done.
+    #[error("the control thread is busy; nothing was done")]
+    Busy,
+    /// It has ended, or dropped the question; what was done is unknown.
+    #[error("the control thread gave no answer")]
+    NoAnswer,
+    /// No quorum can be reached; nothing was done.
+    #[error("no quorum: {0}")]
+    NoQuorum(String),
+    /// The request was looked at and refused; nothing was done.
+    #[error("{0}")]
+    Refused(String),
+}
+
+/// Orders the holders of one idempotency key: a later holder's token is higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct FencingToken(pub u64);
+
+/// Asks to be the one who runs a non-idempotent request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// The caller's `Idempotency-Key`, scoped by service and kind.
+    pub key: String,
+    /// Digest of method, path and body.
+    pub digest: [u8; 32],
+}
+
+/// The answer recorded for a request that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// The content type, if there was one.
+    pub content_type: Option<String>,
+    /// The body, if it was small enough to keep.
+    pub body: Option<Bytes>,
+}
+
+/// What became of a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The asker may send the request, once.
+    Granted(FencingToken),
+    /// It ran before; this is what came of it.
+    AlreadyRan(RecordedAnswer),
+    /// Somebody claimed it and no outcome is known.
+    MayHaveRun,
+    /// The key stands for a different request.
+    Conflict,
+    /// No quorum, or no room: nothing was claimed.
+    Unavailable,
+}
+
+/// A question to the control thread, with where its answer goes.
+#[derive(Debug)]
+pub enum ControlRequest {
+    /// An upstream's announcement.
+    Announce(Announcement, oneshot::Sender<Result<()>>),
+    /// An upstream said in a reply that it drains.
+    ObservedDrain(pulley_core::UpstreamId),
+    /// An operator's change.
+    Apply(Box<ChangeRequest>, oneshot::Sender<ChangeAnswer>),
+    /// The configuration that a quorum confirms to be current.
+    CurrentPlan(oneshot::Sender<Result<StoredPlan>>),
+    /// The audit trail.
+    Audit(AuditFilter, oneshot::Sender<Result<Vec<AuditRecord>>>),
+    /// The host's status as JSON.
+    Status(oneshot::Sender<Result<serde_json::Value>>),
+    /// Adds or removes a replica.
+    Replica(ReplicaChange, oneshot::Sender<Result<serde_json::Value>>),
+    /// An operator drains an upstream.
+    Drain(pulley_core::UpstreamId, oneshot::Sender<Result<()>>),
+    /// A claim on an idempotency key.
+    Claim(ClaimRequest, oneshot::Sender<ClaimAnswer>),
+    /// The outcome of a claimed request; no answer means that it may have run.
+    Record(ClaimRequest, FencingToken, Option<RecordedAnswer>, oneshot::Sender<Result<()>>),
+    /// Gives a claim back, because not a byte was sent.
+    Release(ClaimRequest, FencingToken, oneshot::Sender<Result<()>>),
+    /// The host is to leave: hand over leadership, give back shares.
+    ShutDown(oneshot::Sender<()>),
+}
+
+/// A change of who holds the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaChange {
+    /// A host joins, as a learner first.
+    Add(pulley_core::HostId),
+    /// A member leaves for good.
+    Remove(pulley_core::process::MemberId),
+}
+
+/// The way to the control thread; its queue is bounded.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    requests: mpsc::Sender<ControlRequest>,
+}
+
+impl ControlHandle {
+    /// Makes a handle and the receiver that the control thread reads.
+    #[must_use]
+    pub fn channel(depth: usize) -> (Self, mpsc::Receiver<ControlRequest>) {
+        let (requests, receiver) = mpsc::channel(depth);
+        (Self { requests }, receiver)
+    }
+
+    /// Asks a question and waits for its answer.
+    ///
+    /// ```ignore
+    /// let plan = handle.ask(ControlRequest::CurrentPlan).await??;
+    /// ```
+    ///
+    /// # Errors
+    /// `Busy` if the queue is full (nothing was done), `NoAnswer` if the control thread is gone.
+    pub async fn ask<T>(
+        &self,
+        question: impl FnOnce(oneshot::Sender<T>) -> ControlRequest,
+    ) -> Result<T> {
+        let (reply, answer) = oneshot::channel();
+        self.requests.try_send(question(reply)).map_err(|_| ControlFault::Busy)?;
+        answer.await.map_err(|_| ControlFault::NoAnswer)
+    }
+
+    /// Tells the control thread something that needs no answer; dropped if it is busy.
+    pub fn tell(&self, request: ControlRequest) {
+        let _ = self.requests.try_send(request);
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/process_clock.rs
@@ -0,0 +1,39 @@
+//! The process's monotonic clock.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use pulley_core::Moment;
+
+/// Turns the operating system's monotonic clock into moments since the process began.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessClock {
+    origin: Instant,
+}
+
+impl ProcessClock {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    /// The time since the clock was started.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        let micros = self.origin.elapsed().as_micros();
+        Moment::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// The operating system's `Instant` at a moment, for timers.
+    #[must_use]
+    pub fn instant_at(&self, moment: Moment) -> Instant {
+        self.origin + moment.since(Moment::ZERO)
+    }
+
+    /// Milliseconds of Unix time; for people to read, never to decide by.
+    #[must_use]
+    pub fn unix_ms() -> u64 {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! State that lives as long as one request.
--- /dev/null
+++ b/crates/pulleyd/src/version/mod.rs
@@ -0,0 +1,1 @@
+//! State that belongs to the replicated log and its versions.
