--- /dev/null
+++ b/crates/pulley_core/src/process/member_roster.rs
@@ -0,0 +1,189 @@
+//! The table proper: who is known, in which state, and what of it is still to be told.
+
+use std::hash::{BuildHasher, BuildHasherDefault};
+
+use super::member_message::{DIGEST_PARTS, MemberUpdate};
+use super::{FastMap, HostId, MemberState, Moment};
+
+/// One known host.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberEntry {
+    pub(crate) update: MemberUpdate,
+    /// When its state last changed.
+    pub(crate) since: Moment,
+    /// How many more messages tell of it.
+    pub(crate) tellings: u32,
+}
+
+/// What became of an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpdateOutcome {
+    /// Known already, or outranked.
+    Old,
+    /// Taken over.
+    Taken,
+    /// There is no room for another host.
+    Full,
+}
+
+/// The known hosts, bounded in number.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberRoster {
+    entries: FastMap<HostId, MemberEntry>,
+    limit: usize,
+    changes: u64,
+}
+
+impl MemberRoster {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self { entries: FastMap::default(), limit, changes: 0 }
+    }
+
+    pub(crate) fn find(&self, host: &HostId) -> Option<&MemberEntry> {
+        self.entries.get(host)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.values()
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.values().filter(|entry| entry.update.state.is_live())
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Counts every change of what is known of live hosts.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Takes an update over if it outranks what is known.
+    pub(crate) fn merge(&mut self, now: Moment, update: MemberUpdate) -> UpdateOutcome {
+        let tellings = self.tellings();
+        let live = update.state.is_live();
+        if let Some(entry) = self.entries.get_mut(&update.record.host) {
+            if !update.outranks(&entry.update) {
+                return UpdateOutcome::Old;
+            }
+            let was_live = entry.update.state.is_live();
+            if live != was_live || update.record != entry.update.record {
+                self.changes += 1;
+            }
+            *entry = MemberEntry { update, since: now, tellings };
+            return UpdateOutcome::Taken;
+        }
+        // News of the death of a host never heard of: there is nothing to forget.
+        if !live {
+            return UpdateOutcome::Old;
+        }
+        if self.entries.len() >= self.limit && !self.forget_oldest_dead() {
+            return UpdateOutcome::Full;
+        }
+        self.changes += 1;
+        let host = update.record.host.clone();
+        self.entries.insert(host, MemberEntry { update, since: now, tellings });
+        UpdateOutcome::Taken
+    }
+
+    /// Adds the own host, for a comparison with another's table.
+    pub(crate) fn admit_own(&mut self, update: MemberUpdate) {
+        let host = update.record.host.clone();
+        self.entries.insert(host, MemberEntry { update, since: Moment::ZERO, tellings: 0 });
+    }
+
+    /// Drops hosts that have been dead for longer than the retention.
+    pub(crate) fn forget_dead(&mut self, before: Moment) {
+        self.entries.retain(|_, entry| entry.update.state.is_live() || entry.since >= before);
+    }
+
+    /// The hosts whose suspicion began before a moment.
+    pub(crate) fn overdue_suspects(&self, before: Moment) -> Vec<MemberUpdate> {
+        let overdue = |entry: &&MemberEntry| {
+            entry.update.state == MemberState::Suspect && entry.since <= before
+        };
+        self.entries.values().filter(overdue).map(|entry| entry.update.clone()).collect()
+    }
+
+    /// Shifts the start of every suspicion, after a pause in which no answer could be heard.
+    pub(crate) fn postpone_suspicions(&mut self, now: Moment) {
+        for entry in self.entries.values_mut() {
+            if entry.update.state == MemberState::Suspect {
+                entry.since = now;
+            }
+        }
+    }
+
+    /// What is still to be told, the least told first.
+    pub(crate) fn news(&self) -> Vec<MemberUpdate> {
+        let mut news: Vec<&MemberEntry> =
+            self.entries.values().filter(|entry| entry.tellings > 0).collect();
+        news.sort_by(|a, b| {
+            let rank = |entry: &MemberEntry| std::cmp::Reverse(entry.tellings);
+            rank(a).cmp(&rank(b)).then_with(|| a.update.record.host.cmp(&b.update.record.host))
+        });
+        news.into_iter().map(|entry| entry.update.clone()).collect()
+    }
+
+    /// Notes that a host's update was told once more.
+    pub(crate) fn count_telling(&mut self, host: &HostId) {
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.tellings = entry.tellings.saturating_sub(1);
+        }
+    }
+
+    /// One digest for each part of the live hosts; equal parts have equal digests.
+    pub(crate) fn digests(&self) -> Vec<u32> {
+        let mut digests = vec![0_u32; DIGEST_PARTS];
+        for entry in self.live() {
+            let record = &entry.update.record;
+            digests[part(&record.host)] ^= fold(hash(&(&record.host, record.incarnation)));
+        }
+        digests
+    }
+
+    /// All that is known of the hosts in parts whose digests differ from another's.
+    pub(crate) fn differing(&self, theirs: &[u32]) -> Vec<MemberUpdate> {
+        let ours = self.digests();
+        let differs = |index: usize| theirs.get(index) != Some(&ours[index]);
+        let mut updates: Vec<MemberUpdate> = self
+            .entries
+            .values()
+            .filter(|entry| differs(part(&entry.update.record.host)))
+            .map(|entry| entry.update.clone())
+            .collect();
+        updates.sort_by(|a, b| a.record.host.cmp(&b.record.host));
+        updates
+    }
+
+    /// How many messages tell of a change: enough that each host is told a few times.
+    fn tellings(&self) -> u32 {
+        3 * (usize::BITS - self.entries.len().leading_zeros()).max(1)
+    }
+
+    fn forget_oldest_dead(&mut self) -> bool {
+        let oldest = self
+            .entries
+            .values()
+            .filter(|entry| !entry.update.state.is_live())
+            .min_by_key(|entry| entry.since)
+            .map(|entry| entry.update.record.host.clone());
+        oldest.is_some_and(|host| self.entries.remove(&host).is_some())
+    }
+}
+
+fn hash<T: std::hash::Hash>(value: &T) -> u64 {
+    BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(value)
+}
+
+fn fold(hash: u64) -> u32 {
+    #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
+    let folded = (hash ^ (hash >> 32)) as u32;
+    folded
+}
+
+fn part(host: &HostId) -> usize {
+    fold(hash(host)) as usize % DIGEST_PARTS
+}
