--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -11,6 +11,13 @@
 mod names;
 mod quantities;
 mod upstream;
+mod upstream_registry;
+mod upstream_registry_bucket;
+mod upstream_registry_clock;
+mod upstream_registry_gossip;
+mod upstream_registry_message;
+mod upstream_registry_record;
+mod upstream_registry_table;
 
 pub use fast_map::{FastMap, FastSet};
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
@@ -25,3 +32,7 @@
 };
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
 pub use upstream::{Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence};
+pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
+pub(crate) use upstream_registry_clock::{SharedClock, SharedTime};
+pub use upstream_registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
+pub use upstream_registry_table::UPSTREAM_LIMIT;
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry.rs
@@ -0,0 +1,309 @@
+//! The upstreams that announce themselves, as leases shared by all hosts.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use super::upstream_registry_bucket::BUCKETS;
+use super::upstream_registry_clock::SharedClock;
+use super::upstream_registry_message::AgedRecord;
+use super::upstream_registry_record::{LeaseRecord, phase_rank};
+use super::upstream_registry_table::LeaseTable;
+use super::{
+    Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
+    UpstreamRecord,
+};
+
+/// The time in which news reaches all hosts on its way round the ring.
+const CYCLE: Duration = Duration::from_secs(1);
+/// The shortest pause between two rounds; with 1,000 hosts there are ten in a cycle.
+const ROUND_FLOOR: Duration = Duration::from_millis(100);
+/// The longest pause between two rounds.
+const ROUND_CEILING: Duration = Duration::from_millis(250);
+/// How long news waits for more, so that one message carries a burst.
+pub(crate) const NEWS_PAUSE: Duration = Duration::from_millis(5);
+/// The pause between bursts of waiting messages.
+const PAGE_PAUSE: Duration = Duration::from_millis(20);
+/// How many waiting messages leave at once.
+const PAGES_PER_TICK: usize = 8;
+/// How many slots one upstream may announce; more is a mistake in its settings.
+const SLOT_LIMIT: u32 = 10_000;
+/// How many connections one upstream may announce.
+const CONNECTION_LIMIT: u32 = 1_000_000;
+
+/// What the registry's methods return.
+pub type RegistryResult<T> = Result<T, RegistryFault>;
+
+/// Why an announcement or a drain was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum RegistryFault {
+    /// The address can't be reached by others.
+    #[error("{0} is no address to send requests to")]
+    BadAddress(SocketAddr),
+    /// The number of slots is zero or absurd.
+    #[error("an upstream has 1 to {SLOT_LIMIT} slots, not {0}")]
+    BadSlots(u32),
+    /// The number of connections is zero or absurd.
+    #[error("an upstream accepts 1 to {CONNECTION_LIMIT} connections, not {0}")]
+    BadConnections(u32),
+    /// Another process uses the id.
+    #[error("{id} is in use by {holder}, whose lease holds")]
+    AddressTaken {
+        /// The id in question.
+        id: UpstreamId,
+        /// Who holds it.
+        holder: SocketAddr,
+    },
+    /// A later start of the upstream is known.
+    #[error("{id} has since started as incarnation {}", current.0)]
+    Outranked {
+        /// The id in question.
+        id: UpstreamId,
+        /// The incarnation known.
+        current: Incarnation,
+    },
+    /// There is no room for another upstream.
+    #[error("the registry is full")]
+    Full,
+    /// Nobody has announced this id.
+    #[error("no upstream {0} is known")]
+    UnknownUpstream(UpstreamId),
+}
+
+/// What became of an accepted announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnounceOutcome {
+    /// The upstream or this start of it was not known.
+    Registered,
+    /// It is known and lives on.
+    Renewed,
+    /// It announced a change.
+    Changed,
+    /// A later announcement was heard before; this one changes nothing.
+    Late,
+    /// It drains and stays so until it starts anew, whatever this announcement says.
+    Draining,
+}
+
+/// The registry of one host.
+///
+/// Upstreams announce themselves each second to any host. Instead of passing on each heartbeat,
+/// hosts share one table of lease ages, three bits an upstream, which each merges by taking the
+/// latest renewal. Upstreams are numbered by their order among the known ids; a digest shows
+/// whether two hosts number alike. Changes go out at once, ahead of that.
+#[derive(Clone, Debug)]
+pub struct UpstreamRegistry {
+    pub(crate) clock: SharedClock,
+    pub(crate) table: LeaseTable,
+    /// Records to tell of at the next tick.
+    pub(crate) news: Vec<AgedRecord>,
+    pub(crate) news_budget: f64,
+    pub(crate) pages: VecDeque<RegistrySend>,
+    /// When each bucket was last compared record by record.
+    pub(crate) compared: Vec<Option<Moment>>,
+    /// When a digest that differs was last answered.
+    pub(crate) answered: Option<Moment>,
+    /// Until when messages carry each bucket's digest, as a change may not have reached everybody.
+    pub(crate) unsettled: Moment,
+    pub(crate) last_tick: Moment,
+    next_epoch: Moment,
+    next_round: Moment,
+    pub(crate) round: u32,
+}
+
+impl Default for UpstreamRegistry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UpstreamRegistry {
+    /// Makes a registry that knows nobody.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            clock: SharedClock::default(),
+            table: LeaseTable::new(),
+            news: Vec::new(),
+            news_budget: 0.0,
+            pages: VecDeque::new(),
+            compared: vec![None; BUCKETS],
+            answered: None,
+            unsettled: Moment::ZERO,
+            last_tick: Moment::ZERO,
+            next_epoch: Moment::ZERO,
+            next_round: Moment::ZERO,
+            round: 0,
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Queries
+
+    /// Grows with every change of what [`Self::pool_records`] returns.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.table.changes
+    }
+
+    /// How many upstreams are known, expired ones included.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.table.len()
+    }
+
+    /// The upstreams of each pool; those without a lease, or draining, take no work.
+    #[must_use]
+    pub fn pool_records(&self, now: Moment) -> FastMap<PoolName, Arc<[UpstreamRecord]>> {
+        self.table.pool_records(self.clock.epoch(now))
+    }
+
+    /// Whether new work may go to an upstream.
+    #[must_use]
+    pub fn takes_work(&self, now: Moment, id: &UpstreamId) -> bool {
+        let epoch = self.clock.epoch(now);
+        self.table.find(id).is_some_and(|entry| entry.takes_work(epoch))
+    }
+
+    /// When [`Self::tick`] next has something to do.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Moment {
+        let mut next = self.next_round.min(self.next_epoch);
+        if !self.news.is_empty() {
+            next = next.min(self.last_tick + NEWS_PAUSE);
+        }
+        if !self.pages.is_empty() {
+            next = next.min(self.last_tick + PAGE_PAUSE);
+        }
+        next
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Announcements and drains
+
+    /// Takes in what an upstream announced to this host.
+    ///
+    /// # Errors
+    /// [`RegistryFault`] if the announcement is impossible, the id is held by another address, a
+    /// later start is known, or there is no room.
+    pub fn announce(
+        &mut self,
+        now: Moment,
+        announcement: Announcement,
+    ) -> RegistryResult<AnnounceOutcome> {
+        check(&announcement)?;
+        let epoch = self.clock.epoch(now);
+        let id = announcement.id.clone();
+        if let Some(holder) = self.table.holder(&id, announcement.address, epoch) {
+            return Err(RegistryFault::AddressTaken { id, holder });
+        }
+        let Some(entry) = self.table.find(&id) else {
+            return self.register(now, announcement);
+        };
+        let known = &entry.record.announcement;
+        if announcement.incarnation < known.incarnation {
+            return Err(RegistryFault::Outranked { id, current: known.incarnation });
+        }
+        let same_start = entry.record.is_same_start(&LeaseRecord::new(announcement.clone()));
+        if !same_start {
+            return self.register(now, announcement);
+        }
+        if announcement.sequence <= entry.heard {
+            return Ok(AnnounceOutcome::Late);
+        }
+        let leaves = !entry.record.takes_work();
+        let backward = phase_rank(announcement.phase) < phase_rank(known.phase);
+        let renewed = entry.record.is_renewed_by(&announcement);
+        self.table.renew(&id, epoch, announcement.sequence);
+        if renewed {
+            return Ok(if leaves { AnnounceOutcome::Draining } else { AnnounceOutcome::Renewed });
+        }
+        if backward {
+            return Ok(AnnounceOutcome::Draining);
+        }
+        self.register(now, announcement).map(|_| AnnounceOutcome::Changed)
+    }
+
+    /// Notes that an upstream said in a reply that it drains. It counts at once, for this start.
+    pub fn observe_drain(&mut self, now: Moment, id: &UpstreamId) {
+        // A reply of an upstream that is not known any more needs no drain.
+        let _ = self.drain(now, id);
+    }
+
+    /// Drains an upstream on an operator's word, until it starts anew.
+    ///
+    /// # Errors
+    /// [`RegistryFault::UnknownUpstream`] if nobody announced the id.
+    pub fn operator_drain(&mut self, now: Moment, id: &UpstreamId) -> RegistryResult<()> {
+        self.drain(now, id)
+    }
+
+    fn drain(&mut self, now: Moment, id: &UpstreamId) -> RegistryResult<()> {
+        let Some(entry) = self.table.find(id) else {
+            return Err(RegistryFault::UnknownUpstream(id.clone()));
+        };
+        let drained = LeaseRecord { drained: true, ..entry.record.clone() };
+        let renewed = entry.renewed;
+        self.take_record(now, drained, renewed, true);
+        Ok(())
+    }
+
+    fn register(
+        &mut self,
+        now: Moment,
+        announcement: Announcement,
+    ) -> RegistryResult<AnnounceOutcome> {
+        let epoch = self.clock.epoch(now);
+        let record = LeaseRecord::new(announcement);
+        let id = record.announcement.id.clone();
+        if self.take_record(now, record, epoch, true) {
+            Ok(AnnounceOutcome::Registered)
+        } else if self.table.find(&id).is_none() {
+            Err(RegistryFault::Full)
+        } else {
+            Ok(AnnounceOutcome::Late)
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Time
+
+    /// Does what is due by now; the ring is that of the live hosts.
+    pub fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<RegistrySend> {
+        self.refill_budget(now);
+        self.last_tick = now;
+        if now >= self.next_epoch {
+            self.table.expire(self.clock.epoch(now));
+            self.next_epoch = self.clock.next_epoch(now);
+        }
+        let burst = self.pages.len().min(PAGES_PER_TICK);
+        let mut sends: Vec<RegistrySend> = self.pages.drain(..burst).collect();
+        self.tell_news(now, ring, &mut sends);
+        if now >= self.next_round {
+            self.tell_leases(now, ring, &mut sends);
+            self.round = self.round.wrapping_add(1);
+            let pause = CYCLE / ring.rounds().max(1);
+            self.next_round = now + pause.clamp(ROUND_FLOOR, ROUND_CEILING);
+        }
+        sends
+    }
+}
+
+/// Checks an announcement's numbers; names were checked when it was decoded.
+fn check(announcement: &Announcement) -> RegistryResult<()> {
+    let address = announcement.address;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        return Err(RegistryFault::BadAddress(address));
+    }
+    let slots = announcement.slots.0;
+    if !(1..=SLOT_LIMIT).contains(&slots) {
+        return Err(RegistryFault::BadSlots(slots));
+    }
+    if !(1..=CONNECTION_LIMIT).contains(&announcement.connections) {
+        return Err(RegistryFault::BadConnections(announcement.connections));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry_bucket.rs
@@ -0,0 +1,106 @@
+//! A part of the registry whose upstreams are numbered by the order of their ids.
+
+use std::collections::BTreeMap;
+
+use super::upstream_registry_clock::LeaseEpoch;
+use super::upstream_registry_record::{LeaseRecord, id_hash};
+use super::{UpstreamId, UpstreamSequence};
+
+/// How many buckets the registry has.
+pub(crate) const BUCKETS: usize = 64;
+/// The code of a lease that ran out, or never was.
+pub(crate) const CODE_EXPIRED: u8 = 7;
+
+/// One upstream with its lease.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseEntry {
+    pub(crate) record: LeaseRecord,
+    /// In which epoch somebody last heard from it.
+    pub(crate) renewed: LeaseEpoch,
+    /// The latest sequence number this host heard itself.
+    pub(crate) heard: UpstreamSequence,
+    /// Whether it took work when last looked at; a difference is a change of the view.
+    pub(crate) took_work: bool,
+}
+
+impl LeaseEntry {
+    pub(crate) fn takes_work(&self, at: LeaseEpoch) -> bool {
+        self.record.takes_work() && self.renewed.holds(at)
+    }
+}
+
+/// The upstreams of one bucket.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaseBucket {
+    entries: BTreeMap<UpstreamId, LeaseEntry>,
+    digest: u32,
+}
+
+impl LeaseBucket {
+    /// The bucket an upstream belongs to.
+    pub(crate) fn place(id: &UpstreamId) -> usize {
+        (id_hash(id) >> 32) as usize % BUCKETS
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// A digest of the records; hosts with equal digests number the upstreams alike.
+    pub(crate) fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    pub(crate) fn find(&self, id: &UpstreamId) -> Option<&LeaseEntry> {
+        self.entries.get(id)
+    }
+
+    pub(crate) fn find_hash(&self, hash: u64) -> Option<&LeaseEntry> {
+        self.entries().find(|entry| id_hash(&entry.record.announcement.id) == hash)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &LeaseEntry> {
+        self.entries.values()
+    }
+
+    /// The entries, for a change of leases only: a change of a record must go through `insert`.
+    pub(crate) fn leases_mut(&mut self) -> impl Iterator<Item = &mut LeaseEntry> {
+        self.entries.values_mut()
+    }
+
+    pub(crate) fn lease_mut(&mut self, id: &UpstreamId) -> Option<&mut LeaseEntry> {
+        self.entries.get_mut(id)
+    }
+
+    pub(crate) fn insert(&mut self, entry: LeaseEntry) {
+        self.entries.insert(entry.record.announcement.id.clone(), entry);
+        self.renew_digest();
+    }
+
+    /// Drops entries not renewed since an epoch; returns how many.
+    pub(crate) fn forget(&mut self, before: LeaseEpoch) -> usize {
+        let count = self.entries.len();
+        self.entries.retain(|_, entry| entry.renewed >= before);
+        if self.entries.len() < count {
+            self.renew_digest();
+        }
+        count - self.entries.len()
+    }
+
+    /// The age of each lease in epochs, in the order of the ids.
+    pub(crate) fn codes(&self, at: LeaseEpoch) -> impl Iterator<Item = u8> {
+        self.entries.values().map(move |entry| {
+            let age = entry.renewed.age(at).min(u32::from(CODE_EXPIRED));
+            u8::try_from(age).unwrap_or(CODE_EXPIRED)
+        })
+    }
+
+    fn renew_digest(&mut self) {
+        let hash = |entry: &LeaseEntry| entry.record.hash();
+        let whole =
+            self.entries.values().fold(0_u64, |all, entry| all.rotate_left(5) ^ hash(entry));
+        #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
+        let folded = (whole ^ (whole >> 32)) as u32;
+        self.digest = folded;
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry_clock.rs
@@ -0,0 +1,87 @@
+//! A time that hosts share without a common clock.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Moment;
+
+/// How long an epoch is.
+pub(crate) const EPOCH: Duration = Duration::from_millis(500);
+/// How many epochs a lease lasts, the one of its renewal included: 2.5 to 3 s.
+pub(crate) const LEASE_EPOCHS: u32 = 6;
+
+/// A number of epochs since the installation's longest-running clock began.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub(crate) struct LeaseEpoch(pub(crate) u32);
+
+impl LeaseEpoch {
+    /// How many epochs ago this was, seen from a later one.
+    pub(crate) const fn age(self, at: Self) -> u32 {
+        at.0.saturating_sub(self.0)
+    }
+
+    /// Whether a lease renewed in this epoch still holds in a later one.
+    pub(crate) const fn holds(self, at: Self) -> bool {
+        self.age(at) < LEASE_EPOCHS
+    }
+
+    pub(crate) const fn minus(self, epochs: u32) -> Self {
+        Self(self.0.saturating_sub(epochs))
+    }
+}
+
+/// A reading of the shared time, in milliseconds, as messages carry it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub(crate) struct SharedTime(pub(crate) u64);
+
+impl SharedTime {
+    pub(crate) fn epoch(self) -> LeaseEpoch {
+        let epochs = u128::from(self.0) / EPOCH.as_millis();
+        LeaseEpoch(u32::try_from(epochs).unwrap_or(u32::MAX))
+    }
+}
+
+/// Time shared by taking the highest reading heard of: every host follows the earliest clock, late
+/// by the message's way at most. Between readings each host's own monotonic clock counts on, so
+/// that leases run out in a host that hears nobody.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SharedClock {
+    ahead_ms: u64,
+    adopted: bool,
+}
+
+impl SharedClock {
+    pub(crate) fn read(&self, now: Moment) -> SharedTime {
+        SharedTime((now.micros() / 1_000).saturating_add(self.ahead_ms))
+    }
+
+    pub(crate) fn epoch(&self, now: Moment) -> LeaseEpoch {
+        self.read(now).epoch()
+    }
+
+    /// Whether another host's reading was ever taken in.
+    pub(crate) fn is_adopted(&self) -> bool {
+        self.adopted
+    }
+
+    /// Takes in another host's reading; returns by how many epochs the own time has jumped.
+    pub(crate) fn adopt(&mut self, now: Moment, theirs: SharedTime) -> u32 {
+        let before = self.epoch(now);
+        let ahead = theirs.0.saturating_sub(now.micros() / 1_000);
+        self.ahead_ms = self.ahead_ms.max(ahead);
+        self.adopted = true;
+        before.age(self.epoch(now))
+    }
+
+    /// When the next epoch begins.
+    pub(crate) fn next_epoch(&self, now: Moment) -> Moment {
+        let length = u64::try_from(EPOCH.as_millis()).unwrap_or(1);
+        let rest = length - self.read(now).0 % length;
+        now + Duration::from_millis(rest)
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry_gossip.rs
@@ -0,0 +1,321 @@
+//! What the registry tells other hosts, and what it takes from them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::upstream_registry_bucket::{CODE_EXPIRED, LeaseBucket};
+use super::upstream_registry_clock::LeaseEpoch;
+use super::upstream_registry_message::{
+    AgedRecord, BucketCodes, BucketSummary, PackedCodes, RegistryContent, RegistryMessage,
+    SummaryItem, parts_of,
+};
+use super::upstream_registry_record::{LeaseRecord, id_hash};
+use super::{Moment, PeerRing, RegistrySend, UpstreamRegistry};
+
+/// How many hosts each host tells of a change at once. Told by four, about one host in fifty
+/// learns of it only by the next comparison.
+const NEWS_TARGETS: u32 = 4;
+/// Changes a second that are told at once; more wait for the comparison of buckets, so that a
+/// thousand upstreams starting together don't fill the links. Drains are never held back.
+const NEWS_RATE: f64 = 40.0;
+/// How many changes may be told in one burst.
+const NEWS_BURST: f64 = 80.0;
+/// For how long after a change messages carry each bucket's digest.
+const UNSETTLED: Duration = Duration::from_secs(3);
+/// How often one bucket is compared record by record.
+const COMPARE_PAUSE: Duration = Duration::from_millis(250);
+/// How often a digest that differs is answered.
+const ANSWER_PAUSE: Duration = Duration::from_millis(50);
+/// How many messages may wait; more belong to a comparison that is repeated.
+const PAGE_LIMIT: usize = 256;
+
+impl UpstreamRegistry {
+    /// Takes in a message that was authenticated as one of this installation.
+    pub fn receive(&mut self, now: Moment, from: SocketAddr, body: &[u8]) -> Vec<RegistrySend> {
+        let Some(message) = RegistryMessage::unpack(body) else {
+            return Vec::new();
+        };
+        let first = !self.clock.is_adopted();
+        let jump = self.clock.adopt(now, message.time);
+        if first && jump > 0 {
+            self.table.shift(jump);
+        }
+        let sent = message.time.epoch();
+        match message.content {
+            RegistryContent::Leases { digest, codes } => {
+                self.take_leases(now, from, sent, (digest, &codes))
+            }
+            RegistryContent::BucketLeases { buckets } => {
+                self.take_bucket_leases(now, from, sent, &buckets)
+            }
+            RegistryContent::News { records } => {
+                self.take_records(now, sent, records, true);
+                Vec::new()
+            }
+            RegistryContent::Summaries { buckets } => {
+                self.answer_summaries(now, from, &buckets);
+                Vec::new()
+            }
+            RegistryContent::Records { records, wanted } => {
+                self.take_records(now, sent, records, false);
+                self.send_wanted(now, from, &wanted);
+                Vec::new()
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Telling
+
+    pub(crate) fn refill_budget(&mut self, now: Moment) {
+        let refill = now.since(self.last_tick).as_secs_f64() * NEWS_RATE;
+        self.news_budget = (self.news_budget + refill).min(NEWS_BURST);
+    }
+
+    /// Tells some hosts of the changes that were heard of since.
+    pub(crate) fn tell_news(
+        &mut self,
+        now: Moment,
+        ring: &PeerRing,
+        sends: &mut Vec<RegistrySend>,
+    ) {
+        let mut news = std::mem::take(&mut self.news);
+        news.retain(|aged| {
+            let leaves = !aged.record.takes_work();
+            let afford = self.news_budget >= 1.0;
+            if !leaves && afford {
+                self.news_budget -= 1.0;
+            }
+            leaves || afford
+        });
+        for records in parts_of(news) {
+            let body = self.pack(now, RegistryContent::News { records });
+            let count = NEWS_TARGETS.min(ring.rounds());
+            let targets = (0..count).filter_map(|step| {
+                // Spread over the cycle, so that near and far hosts are told.
+                ring.target(self.round + step * ring.rounds() / count)
+            });
+            sends.extend(targets.map(|(_, to)| RegistrySend { to: *to, body: body.clone() }));
+        }
+    }
+
+    /// Tells the round's host the ages of all leases.
+    pub(crate) fn tell_leases(
+        &mut self,
+        now: Moment,
+        ring: &PeerRing,
+        sends: &mut Vec<RegistrySend>,
+    ) {
+        let Some((_, to)) = ring.target(self.round) else {
+            return;
+        };
+        if now < self.unsettled {
+            sends.extend(self.bucket_leases(now, *to));
+            return;
+        }
+        let epoch = self.clock.epoch(now);
+        let codes = self.table.buckets().iter().flat_map(|bucket| bucket.codes(epoch));
+        let codes = PackedCodes::pack(codes);
+        let digest = self.table.digest();
+        let body = self.pack(now, RegistryContent::Leases { digest, codes });
+        sends.push(RegistrySend { to: *to, body });
+    }
+
+    fn bucket_leases(&self, now: Moment, to: SocketAddr) -> Vec<RegistrySend> {
+        let epoch = self.clock.epoch(now);
+        let filled = self.table.buckets().iter().enumerate().filter(|(_, b)| b.len() > 0);
+        let buckets: Vec<BucketCodes> = filled
+            .map(|(place, bucket)| BucketCodes {
+                bucket: number(place),
+                digest: bucket.digest(),
+                codes: PackedCodes::pack(bucket.codes(epoch)),
+            })
+            .collect();
+        // An empty list still shows that nothing is known, to which others answer.
+        let parts = if buckets.is_empty() { vec![Vec::new()] } else { parts_of(buckets) };
+        parts
+            .into_iter()
+            .map(|buckets| self.pack(now, RegistryContent::BucketLeases { buckets }))
+            .map(|body| RegistrySend { to, body })
+            .collect()
+    }
+
+    fn pack(&self, now: Moment, content: RegistryContent) -> Bytes {
+        RegistryMessage::pack(self.clock.read(now), content)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Taking leases
+
+    fn take_leases(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        sent: LeaseEpoch,
+        (digest, codes): (u32, &PackedCodes),
+    ) -> Vec<RegistrySend> {
+        if digest != self.table.digest() {
+            if self.answered.is_some_and(|at| now.since(at) < ANSWER_PAUSE) {
+                return Vec::new();
+            }
+            self.answered = Some(now);
+            return self.bucket_leases(now, from);
+        }
+        let epoch = self.clock.epoch(now);
+        let mut place = 0;
+        for bucket in 0..self.table.buckets().len() {
+            let count = self.table.buckets()[bucket].len();
+            let codes = (place..place + count).map(|place| renewal(codes, place, sent));
+            self.table.merge_ages(bucket, epoch, codes);
+            place += count;
+        }
+        Vec::new()
+    }
+
+    fn take_bucket_leases(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        sent: LeaseEpoch,
+        buckets: &[BucketCodes],
+    ) -> Vec<RegistrySend> {
+        let epoch = self.clock.epoch(now);
+        let mut differing = Vec::new();
+        for theirs in buckets {
+            let place = usize::from(theirs.bucket);
+            let Some(ours) = self.table.bucket(place) else {
+                continue;
+            };
+            if ours.digest() == theirs.digest {
+                let codes = (0..ours.len()).map(|place| renewal(&theirs.codes, place, sent));
+                self.table.merge_ages(place, epoch, codes);
+            } else {
+                differing.push(place);
+            }
+        }
+        if buckets.is_empty() && self.table.len() > 0 {
+            // They know nobody: as good as a summary of empty buckets.
+            let all: Vec<BucketSummary> = (0..self.table.buckets().len())
+                .map(|place| BucketSummary { bucket: number(place), items: Vec::new() })
+                .collect();
+            self.answer_summaries(now, from, &all);
+        }
+        self.summarize(now, from, &differing)
+    }
+
+    /// Shows record by record what is held of some buckets, each at most so often.
+    fn summarize(&mut self, now: Moment, to: SocketAddr, places: &[usize]) -> Vec<RegistrySend> {
+        let mut summaries = Vec::new();
+        for place in places {
+            let last = self.compared[*place];
+            if last.is_some_and(|at| now.since(at) < COMPARE_PAUSE) {
+                continue;
+            }
+            self.compared[*place] = Some(now);
+            let items = self.table.buckets()[*place].entries().map(summary_item).collect();
+            summaries.push(BucketSummary { bucket: number(*place), items });
+        }
+        parts_of(summaries)
+            .into_iter()
+            .map(|buckets| self.pack(now, RegistryContent::Summaries { buckets }))
+            .map(|body| RegistrySend { to, body })
+            .collect()
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Exchanging records
+
+    /// Sends what another host lacks or holds otherwise, and asks for what this one lacks.
+    fn answer_summaries(&mut self, now: Moment, to: SocketAddr, summaries: &[BucketSummary]) {
+        let epoch = self.clock.epoch(now);
+        let mut records = Vec::new();
+        let mut wanted = Vec::new();
+        for summary in summaries {
+            let Some(bucket) = self.table.bucket(usize::from(summary.bucket)) else {
+                continue;
+            };
+            let ours: Vec<SummaryItem> = bucket.entries().map(summary_item).collect();
+            let missing = summary.items.iter().filter(|item| !ours.contains(item));
+            wanted.extend(missing.map(|item| (summary.bucket, item.id_hash)));
+            let differing =
+                bucket.entries().filter(|entry| !summary.items.contains(&summary_item(entry)));
+            records.extend(differing.map(|entry| self.table.aged(entry, epoch)));
+        }
+        for wanted in parts_of(wanted) {
+            self.queue(now, to, RegistryContent::Records { records: Vec::new(), wanted });
+        }
+        for records in parts_of(records) {
+            self.queue(now, to, RegistryContent::Records { records, wanted: Vec::new() });
+        }
+    }
+
+    fn send_wanted(&mut self, now: Moment, to: SocketAddr, wanted: &[(u8, u64)]) {
+        let epoch = self.clock.epoch(now);
+        let find = |(bucket, hash): &(u8, u64)| {
+            let bucket: &LeaseBucket = self.table.bucket(usize::from(*bucket))?;
+            bucket.find_hash(*hash).map(|entry| self.table.aged(entry, epoch))
+        };
+        let records: Vec<AgedRecord> = wanted.iter().filter_map(find).collect();
+        for records in parts_of(records) {
+            self.queue(now, to, RegistryContent::Records { records, wanted: Vec::new() });
+        }
+    }
+
+    fn queue(&mut self, now: Moment, to: SocketAddr, content: RegistryContent) {
+        if self.pages.len() < PAGE_LIMIT {
+            let body = self.pack(now, content);
+            self.pages.push_back(RegistrySend { to, body });
+        }
+    }
+
+    fn take_records(
+        &mut self,
+        now: Moment,
+        sent: LeaseEpoch,
+        records: Vec<AgedRecord>,
+        pass_on: bool,
+    ) {
+        for aged in records {
+            self.take_record(now, aged.record, sent.minus(aged.age), pass_on);
+        }
+    }
+
+    /// Merges one record; a change is told to others, if it is to be passed on.
+    pub(crate) fn take_record(
+        &mut self,
+        now: Moment,
+        record: LeaseRecord,
+        renewed: LeaseEpoch,
+        pass_on: bool,
+    ) -> bool {
+        let epoch = self.clock.epoch(now);
+        let id = record.announcement.id.clone();
+        if !self.table.merge(epoch, record, renewed) {
+            return false;
+        }
+        self.unsettled = now + UNSETTLED;
+        if pass_on && let Some(entry) = self.table.find(&id) {
+            self.news.push(self.table.aged(entry, epoch));
+        }
+        true
+    }
+}
+
+/// When a lease was renewed by the code a message gives it.
+fn renewal(codes: &PackedCodes, place: usize, sent: LeaseEpoch) -> Option<LeaseEpoch> {
+    let code = codes.code(place)?;
+    (code < CODE_EXPIRED).then(|| sent.minus(u32::from(code)))
+}
+
+fn summary_item(entry: &super::upstream_registry_bucket::LeaseEntry) -> SummaryItem {
+    let hash = entry.record.hash();
+    #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
+    let record_hash = (hash ^ (hash >> 32)) as u32;
+    SummaryItem { id_hash: id_hash(&entry.record.announcement.id), record_hash }
+}
+
+fn number(place: usize) -> u8 {
+    u8::try_from(place).unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry_message.rs
@@ -0,0 +1,144 @@
+//! The messages by which hosts share upstream leases.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::member_message::encoded;
+use super::upstream_registry_clock::SharedTime;
+use super::upstream_registry_record::LeaseRecord;
+
+/// The largest body of a message of the registry, in bytes; see `MEMBER_BODY_LIMIT`.
+pub const REGISTRY_BODY_LIMIT: usize = 1_200;
+/// What is left for a message's list after its other fields.
+pub(crate) const LIST_LIMIT: usize = REGISTRY_BODY_LIMIT - 32;
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegistrySend {
+    /// Where to.
+    pub to: SocketAddr,
+    /// The encoded message.
+    pub body: Bytes,
+}
+
+/// The leases of some buckets with each bucket's digest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BucketCodes {
+    pub(crate) bucket: u8,
+    pub(crate) digest: u32,
+    pub(crate) codes: PackedCodes,
+}
+
+/// Ages of leases, three bits each.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PackedCodes(pub(crate) Bytes);
+
+/// What a host holds of one upstream, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SummaryItem {
+    pub(crate) id_hash: u64,
+    pub(crate) record_hash: u32,
+}
+
+/// What a host holds of one bucket, in short.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BucketSummary {
+    pub(crate) bucket: u8,
+    pub(crate) items: Vec<SummaryItem>,
+}
+
+/// A record with the age of its lease in epochs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AgedRecord {
+    pub(crate) record: LeaseRecord,
+    pub(crate) age: u32,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RegistryContent {
+    /// All leases, numbered by the order of bucket and id, for a host with the same records.
+    Leases { digest: u32, codes: PackedCodes },
+    /// Leases of some buckets, for a host that may lack a change; sent while changes spread.
+    BucketLeases { buckets: Vec<BucketCodes> },
+    /// Records that have just changed; passed on by whoever had not heard of them.
+    News { records: Vec<AgedRecord> },
+    /// What the sender holds of buckets in which the receiver holds something else.
+    Summaries { buckets: Vec<BucketSummary> },
+    /// Records that the receiver lacks, and the hashes of those that the sender lacks.
+    Records { records: Vec<AgedRecord>, wanted: Vec<(u8, u64)> },
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RegistryMessage {
+    pub(crate) time: SharedTime,
+    pub(crate) content: RegistryContent,
+}
+
+impl RegistryMessage {
+    pub(crate) fn pack(time: SharedTime, content: RegistryContent) -> Bytes {
+        Bytes::from(encoded(&Self { time, content }))
+    }
+
+    pub(crate) fn unpack(body: &[u8]) -> Option<Self> {
+        if body.len() > REGISTRY_BODY_LIMIT {
+            return None;
+        }
+        match postcard::take_from_bytes(body) {
+            Ok((message, [])) => Some(message),
+            _ => None,
+        }
+    }
+}
+
+impl PackedCodes {
+    pub(crate) fn pack(codes: impl Iterator<Item = u8>) -> Self {
+        let mut bytes = Vec::new();
+        let (mut held, mut bits) = (0_u32, 0);
+        for code in codes {
+            held |= u32::from(code) << bits;
+            bits += 3;
+            while bits >= 8 {
+                bytes.push((held & 0xff) as u8);
+                held >>= 8;
+                bits -= 8;
+            }
+        }
+        if bits > 0 {
+            bytes.push((held & 0xff) as u8);
+        }
+        Self(Bytes::from(bytes))
+    }
+
+    /// The code at a place; a place past the end has none.
+    pub(crate) fn code(&self, place: usize) -> Option<u8> {
+        let bit = place * 3;
+        let low = u16::from(*self.0.get(bit / 8)?);
+        let high = self.0.get(bit / 8 + 1).map_or(0, |byte| u16::from(*byte));
+        Some((((high << 8) | low) >> (bit % 8) & 0x7) as u8)
+    }
+}
+
+/// Splits a list so that each part's encoding stays under the limit; a single item never exceeds
+/// it, as names are bounded.
+pub(crate) fn parts_of<T: Serialize>(items: Vec<T>) -> Vec<Vec<T>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut size = 0;
+    for item in items {
+        let length = encoded(&item).len();
+        if size + length > LIST_LIMIT && !part.is_empty() {
+            parts.push(std::mem::take(&mut part));
+            size = 0;
+        }
+        size += length;
+        part.push(item);
+    }
+    if !part.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
--- /dev/null
+++ b/crates/pulley_core/src/process/upstream_registry_table.rs
@@ -0,0 +1,208 @@
+//! The registry's upstreams in their buckets, bounded in number.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::upstream_registry_bucket::{BUCKETS, LeaseBucket, LeaseEntry};
+use super::upstream_registry_clock::LeaseEpoch;
+use super::upstream_registry_message::AgedRecord;
+use super::upstream_registry_record::LeaseRecord;
+use super::{FastMap, PoolName, UpstreamId, UpstreamRecord, UpstreamSequence};
+
+/// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
+/// every one of them may be replaced under a new id within the retention.
+pub const UPSTREAM_LIMIT: usize = 2_400;
+/// For how many epochs an expired upstream is remembered: 10 minutes. Until then a late message
+/// can't bring back what drained.
+const RETENTION_EPOCHS: u32 = 1_200;
+
+/// All known upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseTable {
+    buckets: Vec<LeaseBucket>,
+    count: usize,
+    /// Grows with every change of what traffic may use.
+    pub(crate) changes: u64,
+}
+
+impl LeaseTable {
+    pub(crate) fn new() -> Self {
+        Self { buckets: vec![LeaseBucket::default(); BUCKETS], count: 0, changes: 0 }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn bucket(&self, bucket: usize) -> Option<&LeaseBucket> {
+        self.buckets.get(bucket)
+    }
+
+    pub(crate) fn buckets(&self) -> &[LeaseBucket] {
+        &self.buckets
+    }
+
+    pub(crate) fn find(&self, id: &UpstreamId) -> Option<&LeaseEntry> {
+        self.buckets[LeaseBucket::place(id)].find(id)
+    }
+
+    pub(crate) fn digest(&self) -> u32 {
+        self.buckets.iter().fold(0, |all: u32, bucket| all.rotate_left(7) ^ bucket.digest())
+    }
+
+    /// Notes that an upstream was heard from directly.
+    pub(crate) fn renew(&mut self, id: &UpstreamId, at: LeaseEpoch, heard: UpstreamSequence) {
+        let Some(entry) = self.buckets[LeaseBucket::place(id)].lease_mut(id) else {
+            return;
+        };
+        entry.renewed = entry.renewed.max(at);
+        entry.heard = entry.heard.max(heard);
+        self.changes += u64::from(refresh(entry, at));
+    }
+
+    /// Merges a record that was last renewed in an epoch; returns whether the record changed.
+    pub(crate) fn merge(
+        &mut self,
+        now: LeaseEpoch,
+        theirs: LeaseRecord,
+        renewed: LeaseEpoch,
+    ) -> bool {
+        let id = theirs.announcement.id.clone();
+        let place = LeaseBucket::place(&id);
+        let Some(entry) = self.buckets[place].find(&id) else {
+            return self.admit(now, theirs, renewed);
+        };
+        let merged = entry.record.merged(&theirs);
+        let changed = merged != entry.record;
+        let heard = entry.heard;
+        // A lease belongs to one start of one process: what renewed another renews nothing here.
+        let renewed = match (merged.is_same_start(&entry.record), merged.is_same_start(&theirs)) {
+            (true, true) => entry.renewed.max(renewed),
+            (true, false) => entry.renewed,
+            _ => renewed,
+        };
+        let heard = if merged.is_same_start(&entry.record) { heard } else { UpstreamSequence(0) };
+        let heard = heard.max(merged.announcement.sequence);
+        let mut entry = LeaseEntry { renewed, heard, took_work: entry.took_work, record: merged };
+        let turned = refresh(&mut entry, now);
+        self.changes += u64::from(changed || turned);
+        if changed {
+            self.buckets[place].insert(entry);
+        } else if let Some(lease) = self.buckets[place].lease_mut(&id) {
+            *lease = entry;
+        }
+        changed
+    }
+
+    /// Takes in the ages of one bucket's leases, numbered as here.
+    pub(crate) fn merge_ages(
+        &mut self,
+        bucket: usize,
+        now: LeaseEpoch,
+        renewed: impl Iterator<Item = Option<LeaseEpoch>>,
+    ) {
+        let Some(bucket) = self.buckets.get_mut(bucket) else {
+            return;
+        };
+        for (entry, renewed) in bucket.leases_mut().zip(renewed) {
+            let Some(renewed) = renewed else {
+                continue;
+            };
+            if renewed > entry.renewed {
+                entry.renewed = renewed;
+                self.changes += u64::from(refresh(entry, now));
+            }
+        }
+    }
+
+    /// Looks which leases have run out, and drops what expired long ago.
+    pub(crate) fn expire(&mut self, now: LeaseEpoch) {
+        for bucket in &mut self.buckets {
+            for entry in bucket.leases_mut() {
+                self.changes += u64::from(refresh(entry, now));
+            }
+            let forgotten = bucket.forget(now.minus(RETENTION_EPOCHS));
+            self.count -= forgotten;
+            self.changes += u64::from(forgotten > 0);
+        }
+    }
+
+    /// Shifts every lease, when the shared time of others is first heard of: until then all were
+    /// renewed by the own clock's reading.
+    pub(crate) fn shift(&mut self, epochs: u32) {
+        for entry in self.buckets.iter_mut().flat_map(LeaseBucket::leases_mut) {
+            entry.renewed = LeaseEpoch(entry.renewed.0.saturating_add(epochs));
+        }
+    }
+
+    pub(crate) fn aged(&self, entry: &LeaseEntry, now: LeaseEpoch) -> AgedRecord {
+        AgedRecord { record: entry.record.clone(), age: entry.renewed.age(now) }
+    }
+
+    /// The upstreams of each pool, in the order of their ids.
+    pub(crate) fn pool_records(&self, now: LeaseEpoch) -> FastMap<PoolName, Arc<[UpstreamRecord]>> {
+        let mut pools: FastMap<PoolName, Vec<UpstreamRecord>> = FastMap::default();
+        for entry in self.buckets.iter().flat_map(LeaseBucket::entries) {
+            let announcement = entry.record.announcement.clone();
+            let takes_work = entry.takes_work(now);
+            let pool = pools.entry(announcement.pool.clone()).or_default();
+            pool.push(UpstreamRecord { announcement, takes_work });
+        }
+        for records in pools.values_mut() {
+            records.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        }
+        pools.into_iter().map(|(pool, records)| (pool, Arc::from(records))).collect()
+    }
+
+    /// Whether another process's live lease on an id forbids an announcement from an address.
+    pub(crate) fn holder(
+        &self,
+        id: &UpstreamId,
+        from: SocketAddr,
+        now: LeaseEpoch,
+    ) -> Option<SocketAddr> {
+        let entry = self.find(id)?;
+        let held = entry.renewed.holds(now)
+            && entry.record.announcement.phase != super::UpstreamPhase::Gone;
+        (held && entry.record.announcement.address != from)
+            .then_some(entry.record.announcement.address)
+    }
+
+    fn admit(&mut self, now: LeaseEpoch, record: LeaseRecord, renewed: LeaseEpoch) -> bool {
+        if renewed.age(now) >= RETENTION_EPOCHS || !self.has_room(renewed) {
+            return false;
+        }
+        let heard = record.announcement.sequence;
+        let mut entry = LeaseEntry { record, renewed, heard, took_work: false };
+        refresh(&mut entry, now);
+        let place = LeaseBucket::place(&entry.record.announcement.id);
+        self.buckets[place].insert(entry);
+        self.count += 1;
+        self.changes += 1;
+        true
+    }
+
+    /// Whether there is room, if need be that of the lease that ran out first.
+    fn has_room(&mut self, renewed: LeaseEpoch) -> bool {
+        if self.count < UPSTREAM_LIMIT {
+            return true;
+        }
+        let entries = self.buckets.iter().flat_map(LeaseBucket::entries);
+        let Some(oldest) = entries.map(|entry| entry.renewed).min() else {
+            return false;
+        };
+        if oldest.holds(renewed) {
+            return false;
+        }
+        for bucket in &mut self.buckets {
+            self.count -= bucket.forget(LeaseEpoch(oldest.0 + 1));
+        }
+        self.count < UPSTREAM_LIMIT
+    }
+}
+
+/// Notes whether an upstream takes work now; returns whether that has changed.
+fn refresh(entry: &mut LeaseEntry, now: LeaseEpoch) -> bool {
+    let takes_work = entry.takes_work(now);
+    std::mem::replace(&mut entry.took_work, takes_work) != takes_work
+}
--- /dev/null
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -0,0 +1,482 @@
+//! What a host does to have the current configuration in force, and to know that it is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::plan_follower_fetch::{FetchStep, PlanFetch};
+use super::plan_follower_message::{HeldPlan, PlanContent, PlanLease, PlanMessage, ReplicaAnswer};
+use super::{ConfigVersion, PlanSend, ReplicaSet, StoredPlan};
+use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock};
+
+/// The time in which a lease reaches all hosts on its way round the ring.
+const CYCLE: Duration = Duration::from_secs(1);
+/// The shortest pause between two rounds.
+const ROUND_FLOOR: Duration = Duration::from_millis(100);
+/// The longest pause between two rounds.
+const ROUND_CEILING: Duration = Duration::from_millis(250);
+/// How often hosts are asked while there is no lease.
+const ASK_PAUSE: Duration = Duration::from_millis(250);
+/// How many peers are asked at a time while there is no lease, besides the replicas.
+const ASK_PEERS: usize = 2;
+/// How long a replica's answer counts. With the time an answer is under way it stays under the
+/// 4 s in which a change must be in force everywhere, or the host not ready.
+const ANSWER_TERM: Duration = Duration::from_secs(3);
+/// How long the version in force may be kept after a newer one was heard of.
+const LAG_LIMIT: Duration = Duration::from_secs(3);
+/// How many requests for chunks a host answers a second; who gets no answer asks another host.
+const SERVE_RATE: f64 = 64.0;
+/// How many requests for chunks may be answered in one burst.
+const SERVE_BURST: f64 = 128.0;
+
+/// How a host stands towards the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanStanding {
+    /// It has just started and doesn't know the current version yet: not ready.
+    Starting,
+    /// Its version is the latest accepted, by the leader's lease.
+    InForce(ConfigVersion),
+    /// There is no leader, but a majority of replicas holds nothing newer: it serves on.
+    Static(ConfigVersion),
+    /// It can't tell whether something newer was accepted, or lacks it: not ready.
+    Expired(ConfigVersion),
+}
+
+impl PlanStanding {
+    /// Whether new work may be taken.
+    #[must_use]
+    pub const fn is_ready(self) -> bool {
+        matches!(self, Self::InForce(_) | Self::Static(_))
+    }
+}
+
+/// The follower of one host; every host has one, replicas and the leader included.
+///
+/// A lease goes from host to host like upstream leases do, so the leader sends no more than others.
+/// A plan is announced by version and digest and pulled from whoever told of it, so that each host
+/// receives it once and sends it about once.
+#[derive(Clone, Debug)]
+pub struct PlanFollower {
+    host: HostId,
+    clock: SharedClock,
+    rng: SmallRng,
+    nonce: u64,
+    asked: Option<Moment>,
+    /// Whether a question of this process was answered, so that the shared time is known.
+    welcomed: bool,
+    lease: Option<PlanLease>,
+    held: Option<HeldPlan>,
+    fetch: Option<PlanFetch>,
+    replica: Option<ReplicaAnswer>,
+    answers: FastMap<HostId, (Moment, ReplicaAnswer)>,
+    holders: FastMap<HostId, ConfigVersion>,
+    serve_budget: f64,
+    last_tick: Moment,
+    next_round: Moment,
+    round: u32,
+    /// Whether a new version is to be told of at once.
+    flood: bool,
+}
+
+impl PlanFollower {
+    /// Makes the follower of a host that has just started.
+    #[must_use]
+    pub fn new(host: HostId, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Self {
+            host,
+            clock: SharedClock::default(),
+            nonce: rng.random(),
+            rng,
+            asked: None,
+            welcomed: false,
+            lease: None,
+            held: None,
+            fetch: None,
+            replica: None,
+            answers: FastMap::default(),
+            holders: FastMap::default(),
+            serve_budget: SERVE_BURST,
+            last_tick: Moment::ZERO,
+            next_round: Moment::ZERO,
+            round: 0,
+            flood: false,
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Queries
+
+    /// The configuration in force, if one is known; its version never goes down.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Arc<StoredPlan>> {
+        self.held.as_ref().map(|held| &held.plan)
+    }
+
+    /// The version in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.held.as_ref().map_or(ConfigVersion::default(), |held| held.plan.version)
+    }
+
+    /// How the host stands now.
+    #[must_use]
+    pub fn standing(&self, now: Moment) -> PlanStanding {
+        let Some(held) = self.held.as_ref().filter(|_| self.welcomed) else {
+            return PlanStanding::Starting;
+        };
+        let version = held.plan.version;
+        if self.lease_holds(now) {
+            let lagging = self.fetch.as_ref().is_some_and(|f| now.since(f.began) >= LAG_LIMIT);
+            return match lagging {
+                true => PlanStanding::Expired(version),
+                false => PlanStanding::InForce(version),
+            };
+        }
+        match self.is_static(now, version) {
+            true => PlanStanding::Static(version),
+            false => PlanStanding::Expired(version),
+        }
+    }
+
+    /// The leader by the freshest lease, if it holds.
+    #[must_use]
+    pub fn leader(&self, now: Moment) -> Option<&HostId> {
+        self.lease.as_ref().filter(|_| self.lease_holds(now)).map(|lease| &lease.leader)
+    }
+
+    /// The hosts that told this one, as the leader, which version is in force with them.
+    #[must_use]
+    pub fn holders(&self) -> &FastMap<HostId, ConfigVersion> {
+        &self.holders
+    }
+
+    /// When [`Self::tick`] next has something to do.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Moment {
+        let mut next = self.next_round;
+        if self.flood {
+            next = Moment::ZERO;
+        }
+        if let Some(at) = self.fetch.as_ref().and_then(PlanFetch::next_wakeup) {
+            next = next.min(at);
+        }
+        next
+    }
+
+    fn lease_holds(&self, now: Moment) -> bool {
+        let epoch = self.clock.epoch(now);
+        self.lease.as_ref().is_some_and(|lease| lease.confirmed.epoch().holds(epoch))
+    }
+
+    /// Whether a majority of replicas says that nothing past a version is in its logs.
+    ///
+    /// What was accepted is in the logs of a majority, and any two majorities share a replica: if
+    /// none of a majority holds an entry past the version, none was accepted. An entry that is
+    /// seen there may or may not have been accepted, so it forbids to serve on and is never put
+    /// in force. The same holds for changes of the replica set, so the latest set seen decides.
+    fn is_static(&self, now: Moment, version: ConfigVersion) -> bool {
+        let fresh = |at: &Moment| now.since(*at) < ANSWER_TERM;
+        let known = self.lease.as_ref().map(|lease| &lease.replicas);
+        let answered = self.answers.values().filter(|(at, _)| fresh(at));
+        let seen = answered.map(|(_, answer)| &answer.replicas);
+        let Some(latest) = known.into_iter().chain(seen).max_by_key(|set| set.index) else {
+            return false;
+        };
+        let answers: Vec<&ReplicaAnswer> = latest
+            .hosts
+            .iter()
+            .filter_map(|host| self.answers.get(host))
+            .filter(|(at, _)| fresh(at))
+            .map(|(_, answer)| answer)
+            .collect();
+        answers.len() >= latest.majority()
+            && answers.iter().all(|answer| answer.last_entry <= version)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // What the log says
+
+    /// Puts a version in force that this host's own replica knows to be committed.
+    pub fn committed(&mut self, plan: Arc<StoredPlan>) {
+        if self.held.as_ref().is_none_or(|held| held.plan.version < plan.version) {
+            self.hold(HeldPlan::new(plan));
+        }
+    }
+
+    /// Notes what this host's replica holds, to be told to hosts without a lease; `last_entry` is
+    /// the latest version in the log, committed or not.
+    pub fn set_replica(&mut self, replicas: ReplicaSet, last_entry: ConfigVersion) {
+        self.replica = Some(ReplicaAnswer { replicas, last_entry });
+    }
+
+    /// Notes that this host has no replica any more.
+    pub fn clear_replica(&mut self) {
+        self.replica = None;
+    }
+
+    /// Issues a lease as the leader. `confirmed` is when the round of heartbeats began that a
+    /// majority has answered; the version in force here must be all that was committed by then.
+    pub fn lead(&mut self, now: Moment, term: u64, replicas: ReplicaSet, confirmed: Moment) {
+        let held = self.held.get_or_insert_with(|| HeldPlan::new(Arc::default()));
+        let lease = PlanLease {
+            term,
+            confirmed: self.clock.read(confirmed),
+            version: held.plan.version,
+            digest: held.digest,
+            leader: self.host.clone(),
+            replicas,
+        };
+        // A majority's answers are as fresh as any host's.
+        self.welcomed = true;
+        self.take_lease(now, lease, None);
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Time
+
+    /// Does what is due by now; the ring is that of the live hosts.
+    pub fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<PlanSend> {
+        let refill = now.since(self.last_tick).as_secs_f64() * SERVE_RATE;
+        self.serve_budget = (self.serve_budget + refill).min(SERVE_BURST);
+        self.last_tick = now;
+        let mut sends = Vec::new();
+        if std::mem::take(&mut self.flood) {
+            let told: Vec<HostId> = ring.targets().map(|(host, _)| host.clone()).collect();
+            sends.extend(told.into_iter().filter_map(|to| self.tell_lease(now, to)));
+        }
+        if now >= self.next_round {
+            let target = ring.target(self.round).map(|(host, _)| host.clone());
+            sends.extend(target.and_then(|to| self.tell_lease(now, to)));
+            self.round = self.round.wrapping_add(1);
+            let pause = CYCLE / ring.rounds().max(1);
+            self.next_round = now + pause.clamp(ROUND_FLOOR, ROUND_CEILING);
+            self.ask_around(now, ring, &mut sends);
+        }
+        if let Some((to, content)) = self.fetch.as_mut().and_then(|fetch| fetch.ask(now)) {
+            sends.push(self.send(now, to, content));
+        }
+        sends
+    }
+
+    fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
+        let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
+        let held = self.version();
+        Some(self.send(now, to, PlanContent::Lease { lease, held }))
+    }
+
+    /// Asks replicas and some peers while there is no lease.
+    fn ask_around(&mut self, now: Moment, ring: &PeerRing, sends: &mut Vec<PlanSend>) {
+        let waiting = self.asked.is_some_and(|asked| now.since(asked) < ASK_PAUSE);
+        if waiting || (self.welcomed && self.lease_holds(now)) {
+            return;
+        }
+        self.asked = Some(now);
+        self.nonce = self.rng.random();
+        self.answers.retain(|_, (at, _)| now.since(*at) < ANSWER_TERM);
+        let mut asked: Vec<HostId> = self.known_replicas();
+        let peers = ring.peers();
+        for _ in 0..ASK_PEERS.min(peers.len()) {
+            asked.push(peers[self.rng.random_range(0..peers.len())].0.clone());
+        }
+        asked.sort();
+        asked.dedup();
+        asked.retain(|host| *host != self.host);
+        if let Some(answer) = &self.replica {
+            self.answers.insert(self.host.clone(), (now, answer.clone()));
+        }
+        let ask = PlanContent::Ask { nonce: self.nonce };
+        sends.extend(asked.into_iter().map(|to| self.send(now, to, ask.clone())));
+    }
+
+    fn known_replicas(&self) -> Vec<HostId> {
+        let known = self.lease.as_ref().map(|lease| &lease.replicas);
+        let seen = self.answers.values().map(|(_, answer)| &answer.replicas);
+        let own = self.replica.as_ref().map(|answer| &answer.replicas);
+        let latest = known.into_iter().chain(seen).chain(own).max_by_key(|set| set.index);
+        latest.map(|set| set.hosts.clone()).unwrap_or_default()
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Messages
+
+    /// Takes in a message that was authenticated as that of a host of this installation.
+    pub fn receive(&mut self, now: Moment, from: &HostId, body: &[u8]) -> Vec<PlanSend> {
+        let Some(PlanMessage { time, content }) = PlanMessage::unpack(body) else {
+            return Vec::new();
+        };
+        // A message that was under way for long would set the clock of a host that has just
+        // started to the past, and make an old lease look fresh: only an answer sets it first.
+        if self.welcomed {
+            self.clock.adopt(now, time);
+        }
+        match content {
+            PlanContent::Lease { lease, held } => {
+                if self.welcomed {
+                    self.take_lease(now, lease, Some((from, held)));
+                }
+            }
+            PlanContent::Ask { nonce } => return vec![self.answer(now, from, nonce)],
+            PlanContent::Answer { nonce, welcomed, lease, held, digest, replica } => {
+                if nonce == self.nonce {
+                    self.clock.adopt(now, time);
+                    self.take_answer(now, from, replica);
+                    self.welcomed |= welcomed;
+                    if let Some(lease) = lease {
+                        self.take_lease(now, lease, Some((from, held)));
+                    }
+                    self.take_committed(now, from, (held, digest));
+                }
+            }
+            PlanContent::Fetch { version, digest, first, count } => {
+                return self.serve(
+                    now,
+                    from,
+                    (version, digest),
+                    first..first.saturating_add(count),
+                );
+            }
+            PlanContent::Chunk { version, digest, index, total, body } => {
+                return self.take_chunk(now, (version, digest), (index, total), body);
+            }
+            PlanContent::Held { version } => {
+                let known = self.holders.entry(from.clone()).or_default();
+                *known = version.max(*known);
+            }
+        }
+        Vec::new()
+    }
+
+    fn send(&self, now: Moment, to: HostId, content: PlanContent) -> PlanSend {
+        PlanSend { to, body: PlanMessage::pack(self.clock.read(now), content) }
+    }
+
+    fn answer(&self, now: Moment, to: &HostId, nonce: u64) -> PlanSend {
+        let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now));
+        let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
+        let (welcomed, held, replica) = (self.welcomed, self.version(), self.replica.clone());
+        let answer = PlanContent::Answer { nonce, welcomed, lease, held, digest, replica };
+        self.send(now, to.clone(), answer)
+    }
+
+    fn take_answer(&mut self, now: Moment, from: &HostId, replica: Option<ReplicaAnswer>) {
+        if let Some(answer) = replica {
+            self.answers.insert(from.clone(), (now, answer));
+        }
+    }
+
+    /// Takes in a lease if it is the freshest.
+    fn take_lease(
+        &mut self,
+        now: Moment,
+        lease: PlanLease,
+        source: Option<(&HostId, ConfigVersion)>,
+    ) {
+        let news = self.lease.as_ref().is_none_or(|known| known.version < lease.version);
+        let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
+        if newer && lease.version >= self.version() {
+            self.want(now, &lease);
+            self.flood |= news;
+            self.lease = Some(lease);
+        }
+        if let (Some(fetch), Some((host, held))) = (self.fetch.as_mut(), source)
+            && held == fetch.version
+        {
+            fetch.add_source(host);
+        }
+    }
+
+    fn want(&mut self, now: Moment, lease: &PlanLease) {
+        if lease.version == ConfigVersion::default() && self.held.is_none() {
+            self.held = Some(HeldPlan::new(Arc::default()));
+        }
+        let held = self.held.as_ref().is_some_and(|held| held.plan.version == lease.version);
+        let wanted = self.fetch.as_ref().is_some_and(|fetch| fetch.version >= lease.version);
+        if !held && !wanted {
+            // The time is that of the first newer version heard of: a host that is always one
+            // version behind must not count as up to date.
+            let began = self.fetch.as_ref().map_or(now, |fetch| fetch.began);
+            self.fetch = Some(PlanFetch::new(began, lease.version, lease.digest));
+        }
+    }
+
+    /// Takes up what another host has in force. That is always committed, whoever leads now.
+    fn take_committed(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        (version, digest): (ConfigVersion, super::PlanDigest),
+    ) {
+        let held = self.held.as_ref().map(|held| held.plan.version);
+        let wanted = self.fetch.as_ref().map(|fetch| fetch.version);
+        if version > ConfigVersion::default() && held.max(wanted) < Some(version) {
+            self.fetch = Some(PlanFetch::new(now, version, digest));
+        }
+        if let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.version == version) {
+            fetch.add_source(from);
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Plans
+
+    fn serve(
+        &mut self,
+        now: Moment,
+        to: &HostId,
+        (version, digest): (ConfigVersion, super::PlanDigest),
+        wanted: std::ops::Range<u32>,
+    ) -> Vec<PlanSend> {
+        let held = self.held.as_ref().filter(|held| held.digest == digest);
+        let Some(held) = held.filter(|_| self.serve_budget >= 1.0) else {
+            return Vec::new();
+        };
+        self.serve_budget -= 1.0;
+        let total = held.chunk_count();
+        let last = wanted.end.min(wanted.start.saturating_add(32));
+        (wanted.start..last)
+            .filter_map(|index| held.chunk(index).map(|body| (index, body)))
+            .map(|(index, body)| PlanContent::Chunk { version, digest, index, total, body })
+            .map(|content| self.send(now, to.clone(), content))
+            .collect()
+    }
+
+    fn take_chunk(
+        &mut self,
+        now: Moment,
+        (version, digest): (ConfigVersion, super::PlanDigest),
+        place: (u32, u32),
+        body: bytes::Bytes,
+    ) -> Vec<PlanSend> {
+        let fetch = self.fetch.as_mut().filter(|f| f.version == version && f.digest == digest);
+        let Some(fetch) = fetch else {
+            return Vec::new();
+        };
+        match fetch.take(now, place, body) {
+            FetchStep::Wait => Vec::new(),
+            FetchStep::Ask(to, content) => vec![self.send(now, to, content)],
+            FetchStep::Done(plan) => {
+                self.hold(plan);
+                let leader = self.lease.as_ref().map(|lease| lease.leader.clone());
+                let leader = leader.filter(|leader| *leader != self.host);
+                let held = PlanContent::Held { version: self.version() };
+                leader.map(|to| self.send(now, to, held)).into_iter().collect()
+            }
+        }
+    }
+
+    /// Puts a plan in force, unless a later one is already.
+    fn hold(&mut self, plan: HeldPlan) {
+        if self.held.as_ref().is_some_and(|held| held.plan.version >= plan.plan.version) {
+            return;
+        }
+        let version = plan.plan.version;
+        self.held = Some(plan);
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.version <= version) {
+            self.fetch = None;
+        }
+        self.flood = true;
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/version/plan_follower_message.rs
@@ -0,0 +1,169 @@
+//! The messages that spread the configuration.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{ConfigVersion, StoredPlan};
+use crate::process::{HostId, MEMBER_BODY_LIMIT, SharedTime};
+
+/// How many bytes of a plan go into one message.
+pub(crate) const CHUNK_BYTES: usize = 1_100;
+/// The longest plan that is spread, in bytes; a sheet of 44 services takes about a tenth.
+pub(crate) const PLAN_LIMIT: usize = 1024 * 1024;
+
+/// A message to send, by datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlanSend {
+    /// To whom.
+    pub to: HostId,
+    /// The encoded message.
+    pub body: Bytes,
+}
+
+/// Tells plans of one version apart, should a replica ever hold a wrong one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanDigest([u8; 16]);
+
+impl PlanDigest {
+    /// The digest of an encoded plan.
+    #[must_use]
+    pub fn of(encoded: &[u8]) -> Self {
+        let whole: [u8; 32] = Sha256::digest(encoded).into();
+        let mut half = [0; 16];
+        half.copy_from_slice(&whole[..16]);
+        Self(half)
+    }
+}
+
+/// The replicas at one place of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaSet {
+    /// The log index of the entry that made it, committed or not.
+    pub index: u64,
+    /// The hosts that vote.
+    pub hosts: Vec<HostId>,
+}
+
+impl ReplicaSet {
+    /// How many hosts make a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.hosts.len() / 2 + 1
+    }
+}
+
+/// The leader's word that a version was the latest accepted when a majority last confirmed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlanLease {
+    pub(crate) term: u64,
+    pub(crate) confirmed: SharedTime,
+    pub(crate) version: ConfigVersion,
+    pub(crate) digest: PlanDigest,
+    pub(crate) leader: HostId,
+    pub(crate) replicas: ReplicaSet,
+}
+
+impl PlanLease {
+    /// Orders leases; the version counts before the time, so that none is ever taken back.
+    pub(crate) fn rank(&self) -> (u64, ConfigVersion, SharedTime) {
+        (self.term, self.version, self.confirmed)
+    }
+}
+
+/// What a replica says of its log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReplicaAnswer {
+    /// The latest replica set in its log.
+    pub(crate) replicas: ReplicaSet,
+    /// The latest version in its log, committed or not.
+    pub(crate) last_entry: ConfigVersion,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PlanContent {
+    /// The freshest lease known, and the version that the sender can pass on.
+    Lease { lease: PlanLease, held: ConfigVersion },
+    /// Asks for a lease; the nonce shows that the answer is no older than the question.
+    Ask { nonce: u64 },
+    /// Answers, with what the sender holds and, if it is a replica, what its log says.
+    Answer {
+        nonce: u64,
+        /// Whether the sender knows the shared time itself.
+        welcomed: bool,
+        lease: Option<PlanLease>,
+        held: ConfigVersion,
+        digest: PlanDigest,
+        replica: Option<ReplicaAnswer>,
+    },
+    /// Asks for some chunks of a plan.
+    Fetch { version: ConfigVersion, digest: PlanDigest, first: u32, count: u32 },
+    /// One chunk of a plan.
+    Chunk { version: ConfigVersion, digest: PlanDigest, index: u32, total: u32, body: Bytes },
+    /// Tells the leader that a version is in force at the sender.
+    Held { version: ConfigVersion },
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlanMessage {
+    pub(crate) time: SharedTime,
+    pub(crate) content: PlanContent,
+}
+
+impl PlanMessage {
+    pub(crate) fn pack(time: SharedTime, content: PlanContent) -> Bytes {
+        let body = postcard::to_stdvec(&Self { time, content });
+        Bytes::from(body.expect("plain data types always encode"))
+    }
+
+    pub(crate) fn unpack(body: &[u8]) -> Option<Self> {
+        if body.len() > MEMBER_BODY_LIMIT {
+            return None;
+        }
+        match postcard::take_from_bytes(body) {
+            Ok((message, [])) => Some(message),
+            _ => None,
+        }
+    }
+}
+
+/// A plan with its encoding, ready to be passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldPlan {
+    pub(crate) plan: std::sync::Arc<StoredPlan>,
+    pub(crate) digest: PlanDigest,
+    encoded: Bytes,
+}
+
+impl HeldPlan {
+    pub(crate) fn new(plan: std::sync::Arc<StoredPlan>) -> Self {
+        let encoded = postcard::to_stdvec(&*plan).expect("plain data types always encode");
+        Self { digest: PlanDigest::of(&encoded), encoded: Bytes::from(encoded), plan }
+    }
+
+    /// Decodes a plan that came in chunks, if it is the one meant.
+    pub(crate) fn decode(
+        version: ConfigVersion,
+        digest: PlanDigest,
+        body: Vec<u8>,
+    ) -> Option<Self> {
+        if PlanDigest::of(&body) != digest {
+            return None;
+        }
+        let plan: StoredPlan = postcard::from_bytes(&body).ok()?;
+        let same = plan.version == version;
+        same.then(|| Self { plan: std::sync::Arc::new(plan), digest, encoded: Bytes::from(body) })
+    }
+
+    pub(crate) fn chunk_count(&self) -> u32 {
+        u32::try_from(self.encoded.len().div_ceil(CHUNK_BYTES)).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn chunk(&self, index: u32) -> Option<Bytes> {
+        let start = usize::try_from(index).ok()?.checked_mul(CHUNK_BYTES)?;
+        let end = self.encoded.len().min(start.saturating_add(CHUNK_BYTES));
+        (start < end).then(|| self.encoded.slice(start..end))
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/tests/members/main.rs
@@ -0,0 +1,8 @@
+//! Membership, upstream leases and the spread of the configuration, in virtual time.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod member_table_tests;
+mod network;
+mod plan_follower_tests;
+mod upstream_registry_tests;
--- /dev/null
+++ b/crates/pulley_core/tests/members/network.rs
@@ -0,0 +1,356 @@
+//! Hosts with the real state machines on a fake network in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pulley_core::process::{
+    Announcement, HostRoles, Incarnation, MemberIncarnation, MemberRecord, MemberSettings,
+    MemberTable, SlotCount, UpstreamPhase, UpstreamRegistry, UpstreamSequence,
+};
+use pulley_core::version::{PlanFollower, ReplicaSet, StoredPlan};
+use pulley_core::{ConfigVersion, HostId, Moment};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// What a datagram costs besides its body: UDP and IP headers, format, name of 8 bytes, tag.
+pub(crate) const WIRE_OVERHEAD: usize = 28 + 3 + 8 + 16;
+
+/// Which state machine a message belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Kind {
+    Member,
+    Upstream,
+    Plan,
+}
+
+/// One host's state machines.
+pub(crate) struct Host {
+    pub(crate) address: SocketAddr,
+    pub(crate) members: MemberTable,
+    pub(crate) registry: UpstreamRegistry,
+    pub(crate) plans: PlanFollower,
+    pub(crate) up: bool,
+    /// A stopped process reads and sends nothing until then; messages wait in its socket.
+    pub(crate) paused_until: Moment,
+    pub(crate) sent: BTreeMap<Kind, (u64, u64)>,
+    pub(crate) received: u64,
+    scheduled: Option<Moment>,
+}
+
+/// How messages fare.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Weather {
+    pub(crate) loss: f64,
+    pub(crate) doubles: f64,
+    pub(crate) delay: (u64, u64),
+}
+
+impl Default for Weather {
+    fn default() -> Self {
+        Self { loss: 0.0, doubles: 0.0, delay: (250, 1_500) }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Wake(usize),
+    Deliver { to: usize, from: SocketAddr, kind: Kind, body: Bytes },
+}
+
+pub(crate) struct Network {
+    pub(crate) now: Moment,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) weather: Weather,
+    /// Pairs whose messages vanish, from the first to the second.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// The leader's index, if one issues leases.
+    pub(crate) leader: Option<(usize, u64)>,
+    pub(crate) replicas: ReplicaSet,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    number: u64,
+    rng: SmallRng,
+    next_lead: Moment,
+}
+
+pub(crate) fn host_name(index: usize) -> HostId {
+    format!("host{index:04}").parse().expect("a valid name")
+}
+
+pub(crate) fn address(index: usize) -> SocketAddr {
+    let index = u16::try_from(index).expect("a small index");
+    SocketAddr::from(([10, 0, (index >> 8) as u8, (index & 0xff) as u8], 7_000))
+}
+
+pub(crate) fn record(index: usize, start: u64) -> MemberRecord {
+    MemberRecord {
+        host: host_name(index),
+        zone: format!("zone{}", index % 5).parse().expect("a valid name"),
+        incarnation: MemberIncarnation(1_796_000_000_000 + start),
+        peer_address: address(index),
+        caller_address: address(index),
+        operator_address: address(index),
+        roles: HostRoles { entry: true, replica: index < 5 },
+    }
+}
+
+pub(crate) fn announcement(upstream: usize, incarnation: u64, sequence: u64) -> Announcement {
+    let place = u16::try_from(upstream).expect("a small index");
+    Announcement {
+        id: format!("upstream{upstream:04}").parse().expect("a valid name"),
+        address: SocketAddr::from(([10, 1, (place >> 8) as u8, (place & 0xff) as u8], 8_000)),
+        zone: format!("zone{}", upstream % 5).parse().expect("a valid name"),
+        pool: format!("pool{}", upstream % 44).parse().expect("a valid name"),
+        slots: SlotCount(6),
+        connections: 300,
+        incarnation: Incarnation(incarnation),
+        sequence: UpstreamSequence(sequence),
+        phase: UpstreamPhase::Ready,
+    }
+}
+
+impl Network {
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
+        let mut network = Self {
+            now: Moment::ZERO,
+            hosts: Vec::new(),
+            weather: Weather::default(),
+            cuts: BTreeSet::new(),
+            leader: None,
+            replicas: ReplicaSet::default(),
+            events: BinaryHeap::new(),
+            number: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            next_lead: Moment::ZERO,
+        };
+        for index in 0..count {
+            let host = network.fresh_host(index, 0);
+            network.hosts.push(host);
+            // Hosts don't start in the same instant.
+            let start = Moment::from_micros(network.rng.random_range(0..500_000));
+            network.wake_at(index, start);
+        }
+        network
+    }
+
+    fn fresh_host(&mut self, index: usize, start: u64) -> Host {
+        let seed = self.rng.random();
+        let mut members = MemberTable::new(record(index, start), MemberSettings::default(), seed);
+        for seed in 0..3 {
+            members.seed(address(seed));
+        }
+        Host {
+            address: address(index),
+            members,
+            registry: UpstreamRegistry::new(),
+            plans: PlanFollower::new(host_name(index), seed ^ 1),
+            up: true,
+            paused_until: Moment::ZERO,
+            sent: BTreeMap::new(),
+            received: 0,
+            scheduled: None,
+        }
+    }
+
+    /// Ends a host's process and starts it anew, with nothing kept.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let start = self.now.micros() / 1_000 + 1;
+        self.hosts[index] = self.fresh_host(index, start);
+        self.wake_at(index, self.now);
+    }
+
+    /// Cuts or mends the path between two groups, both ways.
+    pub(crate) fn split(&mut self, left: &[usize], right: &[usize], cut: bool) {
+        for a in left {
+            for b in right {
+                for pair in [(*a, *b), (*b, *a)] {
+                    if cut {
+                        self.cuts.insert(pair);
+                    } else {
+                        self.cuts.remove(&pair);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    pub(crate) fn run_until(&mut self, end: Moment) {
+        loop {
+            let next = self.events.peek().map_or(end, |Reverse((at, _, _))| *at);
+            if self.leader.is_some() && self.next_lead <= next.min(end) {
+                self.now = self.now.max(self.next_lead);
+                self.next_lead = self.now + Duration::from_millis(200);
+                self.lead();
+                continue;
+            }
+            if next >= end {
+                break;
+            }
+            if let Some(Reverse((at, _, event))) = self.events.pop() {
+                self.now = self.now.max(at);
+                self.handle(event);
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    pub(crate) fn announce(&mut self, host: usize, announcement: Announcement) {
+        let now = self.now;
+        let _ = self.hosts[host].registry.announce(now, announcement);
+        self.after(host);
+    }
+
+    pub(crate) fn publish(&mut self, version: u64, rows: usize) {
+        let Some((leader, _)) = self.leader else {
+            return;
+        };
+        let sheet = "kind,pool,share\n".repeat(rows);
+        let plan = StoredPlan { version: ConfigVersion(version), sheet, ..StoredPlan::default() };
+        self.hosts[leader].plans.committed(std::sync::Arc::new(plan));
+        self.lead();
+    }
+
+    /// The moment a leader confirms its majority: the fake takes it as given.
+    fn lead(&mut self) {
+        if let Some((leader, term)) = self.leader
+            && self.hosts[leader].up
+        {
+            let (now, replicas) = (self.now, self.replicas.clone());
+            self.hosts[leader].plans.lead(now, term, replicas, now);
+            self.after(leader);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Wake(index) => {
+                let now = self.now;
+                let host = &mut self.hosts[index];
+                if host.scheduled != Some(now) || !host.up {
+                    return;
+                }
+                host.scheduled = None;
+                if now < host.paused_until {
+                    let until = host.paused_until;
+                    return self.wake_at(index, until);
+                }
+                self.tick(index);
+            }
+            Event::Deliver { to, from, kind, body } => {
+                let host = &mut self.hosts[to];
+                if !host.up {
+                    return;
+                }
+                if self.now < host.paused_until {
+                    let at = host.paused_until + Duration::from_micros(1);
+                    return self.push(at, Event::Deliver { to, from, kind, body });
+                }
+                self.deliver(to, from, kind, &body);
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[index];
+        let member: Vec<_> =
+            host.members.tick(now).into_iter().map(|send| (send.to, send.body)).collect();
+        let ring = host.members.ring().clone();
+        let upstream: Vec<_> =
+            host.registry.tick(now, &ring).into_iter().map(|send| (send.to, send.body)).collect();
+        let plans = host.plans.tick(now, &ring);
+        self.send_all(index, Kind::Member, member);
+        self.send_all(index, Kind::Upstream, upstream);
+        self.send_plans(index, plans);
+        self.after(index);
+    }
+
+    fn deliver(&mut self, to: usize, from: SocketAddr, kind: Kind, body: &[u8]) {
+        let now = self.now;
+        let sender = index_of(from);
+        let host = &mut self.hosts[to];
+        host.received += (body.len() + WIRE_OVERHEAD) as u64;
+        match kind {
+            Kind::Member => {
+                let sends = host.members.receive(now, from, body);
+                self.send_all(to, kind, sends.into_iter().map(|s| (s.to, s.body)).collect());
+            }
+            Kind::Upstream => {
+                let sends = host.registry.receive(now, from, body);
+                self.send_all(to, kind, sends.into_iter().map(|s| (s.to, s.body)).collect());
+            }
+            Kind::Plan => {
+                let sends = host.plans.receive(now, &host_name(sender), body);
+                self.send_plans(to, sends);
+            }
+        }
+        self.after(to);
+    }
+
+    fn send_plans(&mut self, from: usize, sends: Vec<pulley_core::version::PlanSend>) {
+        let of = |host: &HostId| address(host.as_str()[4..].parse().expect("a host of this test"));
+        let sends = sends.into_iter().map(|send| (of(&send.to), send.body)).collect();
+        self.send_all(from, Kind::Plan, sends);
+    }
+
+    fn send_all(&mut self, from: usize, kind: Kind, sends: Vec<(SocketAddr, Bytes)>) {
+        for (to, body) in sends {
+            assert!(body.len() <= 1_200, "{kind:?} message of {} bytes", body.len());
+            let sent = self.hosts[from].sent.entry(kind).or_default();
+            sent.0 += 1;
+            sent.1 += (body.len() + WIRE_OVERHEAD) as u64;
+            let to = index_of(to);
+            let copies = 1 + usize::from(self.rng.random_bool(self.weather.doubles));
+            for _ in 0..copies {
+                let lost = self.rng.random_bool(self.weather.loss);
+                let delay = self.rng.random_range(self.weather.delay.0..=self.weather.delay.1);
+                if lost || to >= self.hosts.len() || self.cuts.contains(&(from, to)) {
+                    continue;
+                }
+                let at = self.now + Duration::from_micros(delay);
+                let from = self.hosts[from].address;
+                self.push(at, Event::Deliver { to, from, kind, body: body.clone() });
+            }
+        }
+    }
+
+    fn after(&mut self, index: usize) {
+        let host = &self.hosts[index];
+        let next = host
+            .members
+            .next_wakeup()
+            .min(host.registry.next_wakeup())
+            .min(host.plans.next_wakeup())
+            .max(self.now + Duration::from_micros(100));
+        self.wake_at(index, next);
+    }
+
+    fn wake_at(&mut self, index: usize, at: Moment) {
+        let host = &mut self.hosts[index];
+        if host.scheduled.is_none_or(|scheduled| at < scheduled || scheduled < self.now) {
+            host.scheduled = Some(at);
+            self.push(at, Event::Wake(index));
+        }
+    }
+
+    fn push(&mut self, at: Moment, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((at, self.number, event)));
+    }
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(v4) => {
+            let octets = v4.ip().octets();
+            usize::from(octets[2]) << 8 | usize::from(octets[3])
+        }
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -0,0 +1,104 @@
+//! Which configuration is in force where.
+
+use std::time::Duration;
+
+use pulley_core::ConfigVersion;
+use pulley_core::version::{PlanStanding, ReplicaSet};
+
+use crate::network::{Network, host_name};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn with_leader(count: usize, seed: u64) -> Network {
+    let mut network = Network::new(count, seed);
+    network.replicas = ReplicaSet { index: 1, hosts: (0..5).map(host_name).collect() };
+    network.leader = Some((0, 1));
+    network.run_for(5 * SECOND);
+    network
+}
+
+fn at_version(network: &Network, version: u64) -> usize {
+    let wanted = PlanStanding::InForce(ConfigVersion(version));
+    network.hosts.iter().filter(|host| host.plans.standing(network.now) == wanted).count()
+}
+
+#[test]
+fn a_new_version_is_in_force_everywhere_within_a_second() {
+    let mut network = with_leader(30, 21);
+    assert_eq!(at_version(&network, 0), 30);
+    for version in 1..=3 {
+        network.publish(version, 6_000);
+        network.run_for(SECOND);
+        assert_eq!(at_version(&network, version), 30, "version {version}");
+    }
+    assert_eq!(network.hosts[0].plans.holders().len(), 29);
+}
+
+/// The leader and two replicas are cut off from the rest without a signal. Changes may be accepted
+/// on their side; an entry that went on serving the old version would break what was promised.
+#[test]
+fn hosts_cut_off_from_a_leader_that_may_have_moved_on_are_not_ready() {
+    let mut network = with_leader(12, 22);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    let near: Vec<usize> = (0..3).collect();
+    let far: Vec<usize> = (3..12).collect();
+    for replica in 0..5 {
+        let replicas = network.replicas.clone();
+        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1));
+    }
+    network.split(&near, &far, true);
+    network.run_for(4 * SECOND);
+    network.publish(2, 10);
+    network.run_for(SECOND);
+    for index in far.clone() {
+        let standing = network.hosts[index].plans.standing(network.now);
+        assert_eq!(standing, PlanStanding::Expired(ConfigVersion(1)), "host {index}");
+    }
+    network.split(&near, &far, false);
+    network.run_for(10 * SECOND);
+    assert_eq!(at_version(&network, 2), 12);
+}
+
+/// All five replicas can be reached but there is no leader, as after the loss of one and a split
+/// vote. Nothing newer can have been accepted, so refusing every call would help nobody.
+#[test]
+fn without_a_leader_a_majority_with_nothing_newer_keeps_entries_serving() {
+    let mut network = with_leader(12, 23);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    for replica in 0..5 {
+        let replicas = network.replicas.clone();
+        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1));
+    }
+    network.leader = None;
+    network.run_for(6 * SECOND);
+    for host in &network.hosts {
+        assert_eq!(host.plans.standing(network.now), PlanStanding::Static(ConfigVersion(1)));
+    }
+    // One replica holds an entry past the version: nobody knows whether it was accepted.
+    let replicas = network.replicas.clone();
+    network.hosts[2].plans.set_replica(replicas, ConfigVersion(2));
+    network.run_for(2 * SECOND);
+    let entry = &network.hosts[9].plans;
+    assert_eq!(entry.standing(network.now), PlanStanding::Expired(ConfigVersion(1)));
+    assert_eq!(entry.version(), ConfigVersion(1));
+}
+
+/// A process restarts after many changes. If it served before it knew the current version, it
+/// would serve an old one.
+#[test]
+fn a_host_that_starts_serves_the_current_version_or_nothing() {
+    let mut network = with_leader(12, 24);
+    network.publish(7, 100);
+    network.run_for(SECOND);
+    network.restart(9);
+    assert_eq!(network.hosts[9].plans.standing(network.now), PlanStanding::Starting);
+    for _ in 0..300 {
+        network.run_for(Duration::from_millis(10));
+        let standing = network.hosts[9].plans.standing(network.now);
+        let current = PlanStanding::InForce(ConfigVersion(7));
+        assert!(!standing.is_ready() || standing == current, "{standing:?}");
+    }
+    assert_eq!(at_version(&network, 7), 12);
+}
--- /dev/null
+++ b/crates/pulley_core/tests/members/upstream_registry_tests.rs
@@ -0,0 +1,129 @@
+//! Which upstreams get new work.
+
+use std::time::Duration;
+
+use pulley_core::Moment;
+use pulley_core::process::{
+    AnnounceOutcome, Announcement, RegistryFault, UpstreamPhase, UpstreamRegistry,
+};
+
+use crate::network::{Network, announcement};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Announces upstreams `0..count` once a second, each time to the next of the hosts.
+fn announce_for(network: &mut Network, count: usize, from: u64, seconds: u64) {
+    for second in from..from + seconds {
+        for upstream in 0..count {
+            let host = (upstream * 7 + usize::try_from(second).unwrap()) % network.hosts.len();
+            if network.hosts[host].up {
+                network.announce(host, announcement(upstream, 1, second));
+            }
+        }
+        network.run_for(SECOND);
+    }
+}
+
+fn takers(network: &Network, upstream: usize) -> usize {
+    let id = announcement(upstream, 1, 1).id;
+    let hosts = network.hosts.iter().filter(|host| host.up);
+    hosts.filter(|host| host.registry.takes_work(network.now, &id)).count()
+}
+
+#[test]
+fn heartbeats_to_changing_hosts_keep_a_lease_everywhere() {
+    let mut network = Network::new(30, 11);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 40, 1, 3);
+    for second in 4..30 {
+        announce_for(&mut network, 40, second, 1);
+        for upstream in 0..40 {
+            assert_eq!(takers(&network, upstream), 30, "upstream {upstream} at {}", network.now);
+        }
+    }
+}
+
+/// An upstream loses power and announces nothing more. Work sent to it later than its lease would
+/// wait in vain.
+#[test]
+fn a_silent_upstream_gets_no_work_after_its_lease() {
+    let mut network = Network::new(30, 12);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 10, 1, 5);
+    assert_eq!(takers(&network, 9), 30);
+    // Upstreams 0 to 8 live on; the last announcement of 9 is a second old.
+    announce_for(&mut network, 9, 6, 2);
+    assert_eq!(takers(&network, 9), 0);
+    assert_eq!(takers(&network, 8), 30);
+}
+
+/// An upstream announces that it drains, and a late copy of an earlier announcement arrives at
+/// another host, even one that hadn't heard of the drain. If that brought it back, its callers
+/// would be cut off when it stops.
+#[test]
+fn a_late_announcement_does_not_undo_a_drain() {
+    let mut network = Network::new(10, 13);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 5, 1, 4);
+    let draining = Announcement { phase: UpstreamPhase::Draining, ..announcement(3, 1, 5) };
+    network.announce(2, draining);
+    network.announce(9, announcement(3, 1, 6));
+    network.run_for(SECOND);
+    assert_eq!(takers(&network, 3), 0);
+    announce_for(&mut network, 5, 7, 3);
+    assert_eq!(takers(&network, 3), 0);
+    assert_eq!(takers(&network, 2), 10);
+}
+
+/// A reply says that its upstream drains. The host that got it sends nothing more there at once,
+/// and the others follow within their gossip's time.
+#[test]
+fn a_drain_seen_in_a_reply_counts_at_once_and_everywhere() {
+    let mut network = Network::new(30, 14);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 5, 1, 4);
+    let (now, id) = (network.now, announcement(1, 1, 1).id);
+    network.hosts[4].registry.observe_drain(now, &id);
+    assert!(!network.hosts[4].registry.takes_work(now, &id));
+    network.run_for(Duration::from_millis(500));
+    assert_eq!(takers(&network, 1), 0);
+    // Its next start works again.
+    network.announce(0, announcement(1, 2, 1));
+    network.run_for(SECOND);
+    assert_eq!(takers(&network, 1), 30);
+}
+
+/// Two processes are started with one id by mistake. If both were taken in turn, each reply of one
+/// would be taken for the other's.
+#[test]
+fn one_id_from_two_addresses_is_refused_while_the_first_lives() {
+    let mut registry = UpstreamRegistry::new();
+    let now = Moment::ZERO + SECOND;
+    let first = announcement(1, 5, 1);
+    let second = Announcement { address: announcement(2, 6, 1).address, ..announcement(1, 6, 1) };
+    assert_eq!(registry.announce(now, first.clone()), Ok(AnnounceOutcome::Registered));
+    let refused = registry.announce(now, second.clone());
+    let fault = RegistryFault::AddressTaken { id: first.id.clone(), holder: first.address };
+    assert_eq!(refused, Err(fault));
+    // Once the first's lease has run out, the id is free.
+    let later = now + Duration::from_millis(3_100);
+    assert_eq!(registry.announce(later, second), Ok(AnnounceOutcome::Registered));
+    let outranked = registry.announce(later + 4 * SECOND, first);
+    assert!(matches!(outranked, Err(RegistryFault::Outranked { .. })));
+}
+
+#[test]
+fn a_host_that_joins_learns_every_upstream() {
+    let mut network = Network::new(10, 15);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 200, 1, 5);
+    network.restart(6);
+    let before = network.now;
+    while network.hosts[6].registry.known() < 200 {
+        network.run_for(Duration::from_millis(50));
+        assert!(network.now.since(before) < 2 * SECOND);
+    }
+    announce_for(&mut network, 200, 6, 3);
+    let all = (0..200).map(|upstream| takers(&network, upstream)).min();
+    assert_eq!(all, Some(10));
+}
--- a/crates/pulley_wire/schema/peer.capnp
+++ b/crates/pulley_wire/schema/peer.capnp
@@ -45,4 +45,5 @@
   configuration @3;
   ledger @4;
   operator @5;
+  upstreams @6;
 }
--- a/crates/pulley_wire/src/peer_capnp.rs
+++ b/crates/pulley_wire/src/peer_capnp.rs
@@ -2695,6 +2695,7 @@
     Configuration = 3,
     Ledger = 4,
     Operator = 5,
+    Upstreams = 6,
 }
 
 impl ::capnp::introspect::Introspect for FrameClass {
@@ -2713,6 +2714,7 @@
             3 => ::core::result::Result::Ok(Self::Configuration),
             4 => ::core::result::Result::Ok(Self::Ledger),
             5 => ::core::result::Result::Ok(Self::Operator),
+            6 => ::core::result::Result::Ok(Self::Upstreams),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -2725,7 +2727,7 @@
     const TYPE_ID: u64 = 0x9dde_05e0_bffb_f498u64;
 }
 mod frame_class {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 45] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(152, 244, 251, 191, 224, 5, 222, 157),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -2735,31 +2737,34 @@
     ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 151, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 70, 114, 97, 109, 101),
     ::capnp::word(67, 108, 97, 115, 115, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(28, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(65, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(77, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(61, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(57, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(49, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(61, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(57, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(37, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
     ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
@@ -2771,6 +2776,8 @@
     ::capnp::word(108, 101, 100, 103, 101, 114, 0, 0),
     ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+    ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- /dev/null
+++ b/crates/pulleyd/src/connection/peer_datagrams.rs
@@ -0,0 +1,217 @@
+//! Authenticated datagrams between hosts, for messages of which only the latest matters.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use pulley_core::HostId;
+use pulley_core::process::ClusterId;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::peer_frame::{DATAGRAM_LIMIT, FrameClass, InboundDatagram};
+use super::peer_key_ring::KeyRing;
+
+/// The first byte of every datagram; a later format gets another.
+const FORMAT: u8 = 1;
+/// The tag's length: HMAC-SHA256 cut to half, as RFC 2104 section 5 allows.
+const TAG_LENGTH: usize = 16;
+/// What tells a datagram's tag from a link's proof under the same key.
+const CONTEXT: &[u8] = b"datagram";
+/// Format, class, length of the sender's name, the longest name, and the tag.
+const OVERHEAD: usize = 3 + 64 + TAG_LENGTH;
+/// How many datagrams are read before other tasks of the control thread get their turn.
+const READ_BURST: usize = 64;
+
+/// How many datagrams went which way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DatagramCounts {
+    /// Sent.
+    pub sent: u64,
+    /// Bytes sent, without the headers of UDP and IP.
+    pub sent_bytes: u64,
+    /// Not sent: too large, or the socket's buffer was full.
+    pub unsent: u64,
+    /// Received and genuine.
+    pub received: u64,
+    /// Bytes received in genuine datagrams, without the headers of UDP and IP.
+    pub received_bytes: u64,
+    /// Received, but malformed or with a wrong tag.
+    pub refused: u64,
+    /// Genuine, but dropped as the control thread was behind.
+    pub dropped: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    unsent: AtomicU64,
+    received: AtomicU64,
+    received_bytes: AtomicU64,
+    refused: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// The UDP socket of one host.
+///
+/// Gossip and counts go this way: the latest message replaces earlier ones, so nothing is gained by
+/// waiting for a lost one behind a connection that has gone silent.
+#[derive(Debug)]
+pub struct PeerDatagrams {
+    socket: Arc<UdpSocket>,
+    seal: DatagramSeal,
+    counters: Arc<Counters>,
+    reader: JoinHandle<()>,
+}
+
+impl PeerDatagrams {
+    /// Binds the socket and passes on what comes in; must be called within a tokio runtime.
+    ///
+    /// # Errors
+    /// If the address can't be bound.
+    pub async fn bind(
+        listen: SocketAddr,
+        seal: DatagramSeal,
+        inbound: mpsc::Sender<InboundDatagram>,
+    ) -> io::Result<Self> {
+        let socket = Arc::new(UdpSocket::bind(listen).await?);
+        let counters = Arc::new(Counters::default());
+        let reader = read_all(Arc::clone(&socket), seal.clone(), Arc::clone(&counters), inbound);
+        let reader = tokio::spawn(reader);
+        Ok(Self { socket, seal, counters, reader })
+    }
+
+    /// The address bound.
+    ///
+    /// # Errors
+    /// If the operating system can't tell.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "a lost datagram is no error: a later one follows"
+    )]
+    /// Sends a message, or drops it if the socket takes none now; returns whether it was sent.
+    pub fn send(&self, to: SocketAddr, class: FrameClass, body: &[u8]) -> bool {
+        let sealed = (body.len() <= DATAGRAM_LIMIT).then(|| self.seal.seal(class, body));
+        let sent = sealed.and_then(|datagram| self.socket.try_send_to(&datagram, to).ok());
+        let Some(length) = sent else {
+            self.counters.unsent.fetch_add(1, Ordering::Relaxed);
+            return false;
+        };
+        self.counters.sent.fetch_add(1, Ordering::Relaxed);
+        self.counters.sent_bytes.fetch_add(length as u64, Ordering::Relaxed);
+        true
+    }
+
+    /// How many datagrams went which way so far.
+    #[must_use]
+    pub fn counts(&self) -> DatagramCounts {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        DatagramCounts {
+            sent: read(&self.counters.sent),
+            sent_bytes: read(&self.counters.sent_bytes),
+            unsent: read(&self.counters.unsent),
+            received: read(&self.counters.received),
+            received_bytes: read(&self.counters.received_bytes),
+            refused: read(&self.counters.refused),
+            dropped: read(&self.counters.dropped),
+        }
+    }
+}
+
+impl Drop for PeerDatagrams {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
+/// Puts the sender's name and a tag on datagrams, and takes them off.
+#[derive(Clone, Debug)]
+pub struct DatagramSeal {
+    host: HostId,
+    cluster: ClusterId,
+    key_ring: KeyRing,
+}
+
+impl DatagramSeal {
+    /// Makes the seal of one host.
+    #[must_use]
+    pub fn new(host: HostId, cluster: ClusterId, key_ring: KeyRing) -> Self {
+        Self { host, cluster, key_ring }
+    }
+
+    /// Makes a datagram: format, class, the sender's name, the body, and a tag over all of it and
+    /// the installation's name.
+    #[must_use]
+    pub fn seal(&self, class: FrameClass, body: &[u8]) -> Vec<u8> {
+        let name = self.host.as_str().as_bytes();
+        let mut datagram = Vec::with_capacity(OVERHEAD + body.len());
+        datagram.extend_from_slice(&[FORMAT, class as u8, name.len() as u8]);
+        datagram.extend_from_slice(name);
+        datagram.extend_from_slice(body);
+        let tag = self.key_ring.sign(&[CONTEXT, self.cluster.as_str().as_bytes(), &datagram]);
+        datagram.extend_from_slice(&tag[..TAG_LENGTH]);
+        datagram
+    }
+
+    /// Checks a datagram and takes it apart; nothing of it is looked at before its tag.
+    #[must_use]
+    pub fn open(&self, datagram: &[u8]) -> Option<(HostId, FrameClass, Bytes)> {
+        let length = datagram.len().checked_sub(TAG_LENGTH)?;
+        if datagram.len() > DATAGRAM_LIMIT + OVERHEAD {
+            return None;
+        }
+        let (signed, tag) = datagram.split_at(length);
+        let cluster = self.cluster.as_str().as_bytes();
+        if !self.key_ring.verify(&[CONTEXT, cluster, signed], tag) {
+            return None;
+        }
+        let [FORMAT, class, name_length, rest @ ..] = signed else {
+            return None;
+        };
+        let (name, body) = rest.split_at_checked(usize::from(*name_length))?;
+        let host = std::str::from_utf8(name).ok()?.parse().ok()?;
+        let class = FrameClass::try_from(u16::from(*class)).ok()?;
+        Some((host, class, Bytes::copy_from_slice(body)))
+    }
+}
+
+async fn read_all(
+    socket: Arc<UdpSocket>,
+    seal: DatagramSeal,
+    counters: Arc<Counters>,
+    inbound: mpsc::Sender<InboundDatagram>,
+) {
+    // One byte more than the largest, so that a larger one shows instead of being cut to size.
+    let mut buffer = vec![0_u8; DATAGRAM_LIMIT + OVERHEAD + 1];
+    let mut burst = 0;
+    while !inbound.is_closed() {
+        // An error here is a peer's refused port, reported by ICMP: it concerns no other peer.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let Some((sender, class, body)) = seal.open(&buffer[..length]) else {
+            counters.refused.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
+        counters.received.fetch_add(1, Ordering::Relaxed);
+        counters.received_bytes.fetch_add(length as u64, Ordering::Relaxed);
+        let datagram = InboundDatagram { sender, from, class, body };
+        if inbound.try_send(datagram).is_err() {
+            counters.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        burst += 1;
+        if burst == READ_BURST {
+            burst = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/connection/peer_frame.rs
@@ -0,0 +1,36 @@
+//! Messages between hosts, as links and datagrams carry them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use pulley_core::HostId;
+pub use pulley_wire::peer_capnp::FrameClass;
+
+/// The largest body of one frame on a link, in bytes; larger things go in chunks.
+pub const FRAME_LIMIT: usize = 256 * 1024;
+/// The largest body of a datagram, in bytes, so that with its header it fits an Ethernet frame.
+pub const DATAGRAM_LIMIT: usize = 1_200;
+
+/// A frame that an authenticated host sent over a link.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InboundFrame {
+    /// Who sent it.
+    pub from: HostId,
+    /// What it is about.
+    pub class: FrameClass,
+    /// The encoded message.
+    pub body: Bytes,
+}
+
+/// A datagram whose tag proves that a host of this installation sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InboundDatagram {
+    /// Who sent it.
+    pub sender: HostId,
+    /// Where it came from.
+    pub from: SocketAddr,
+    /// What it is about.
+    pub class: FrameClass,
+    /// The encoded message.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/pulleyd/src/connection/peer_gate.rs
@@ -0,0 +1,206 @@
+//! The side of a link that was called: proves, asks for proof, then takes frames.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use pulley_core::HostId;
+use pulley_core::process::ClusterId;
+use pulley_wire::peer_capnp::{gate, session};
+use tokio::sync::{Mutex, mpsc};
+
+use super::peer_frame::{FRAME_LIMIT, InboundFrame};
+use super::peer_key_ring::KeyRing;
+
+/// The length of the random numbers that make each proof good for one link only.
+pub(crate) const NONCE_LENGTH: usize = 32;
+
+/// Who proves what to whom; part of what is signed, so that no proof can be sent back as another.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ProofSide {
+    Caller,
+    Called,
+}
+
+/// Both nonces of a link, the caller's first.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinkNonces {
+    pub(crate) caller: [u8; NONCE_LENGTH],
+    pub(crate) called: [u8; NONCE_LENGTH],
+}
+
+/// What a proof is over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinkProof<'a> {
+    pub(crate) side: ProofSide,
+    pub(crate) cluster: &'a ClusterId,
+    pub(crate) host: &'a str,
+    pub(crate) process: u64,
+    pub(crate) nonces: LinkNonces,
+}
+
+impl LinkProof<'_> {
+    pub(crate) fn sign(&self, key_ring: &KeyRing) -> [u8; 32] {
+        self.with_parts(|parts| key_ring.sign(parts))
+    }
+
+    pub(crate) fn verify(&self, key_ring: &KeyRing, tag: &[u8]) -> bool {
+        tag.len() == 32 && self.with_parts(|parts| key_ring.verify(parts, tag))
+    }
+
+    fn with_parts<T>(&self, use_parts: impl FnOnce(&[&[u8]]) -> T) -> T {
+        let side: &[u8] = match self.side {
+            ProofSide::Caller => b"link caller",
+            ProofSide::Called => b"link called",
+        };
+        let process = self.process.to_le_bytes();
+        let (host, cluster) = (self.host.as_bytes(), self.cluster.as_str().as_bytes());
+        use_parts(&[side, cluster, host, &process, &self.nonces.caller, &self.nonces.called])
+    }
+}
+
+/// What every link that was accepted shares.
+#[derive(Debug)]
+pub(crate) struct GateContext {
+    pub(crate) host: HostId,
+    pub(crate) cluster: ClusterId,
+    pub(crate) process: u64,
+    pub(crate) key_ring: KeyRing,
+    pub(crate) inbound: mpsc::Sender<InboundFrame>,
+}
+
+/// What the owner of an accepted connection watches, to close it when its caller has gone.
+#[derive(Debug)]
+pub(crate) struct CallerActivity {
+    entered: Cell<bool>,
+    last: Cell<Instant>,
+}
+
+impl CallerActivity {
+    pub(crate) fn new() -> Self {
+        Self { entered: Cell::new(false), last: Cell::new(Instant::now()) }
+    }
+
+    /// Whether the caller has proved itself.
+    pub(crate) fn has_entered(&self) -> bool {
+        self.entered.get()
+    }
+
+    /// When the caller last sent something.
+    pub(crate) fn last(&self) -> Instant {
+        self.last.get()
+    }
+}
+
+/// What a caller meets first on a new connection.
+#[derive(Debug)]
+pub(crate) struct LinkGate {
+    context: Rc<GateContext>,
+    nonce: Cell<Option<[u8; NONCE_LENGTH]>>,
+    activity: Rc<CallerActivity>,
+}
+
+impl LinkGate {
+    pub(crate) fn new(context: Rc<GateContext>, activity: Rc<CallerActivity>) -> Self {
+        Self { context, nonce: Cell::new(None), activity }
+    }
+}
+
+impl gate::Server for LinkGate {
+    async fn challenge(
+        self: Rc<Self>,
+        _: gate::ChallengeParams,
+        mut results: gate::ChallengeResults,
+    ) -> Result<(), capnp::Error> {
+        let nonce: [u8; NONCE_LENGTH] = rand::random();
+        self.nonce.set(Some(nonce));
+        results.get().set_nonce(&nonce);
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        let refused = || capnp::Error::failed("refused".to_owned());
+        let context = &self.context;
+        let hello = params.get()?.get_hello()?;
+        // A nonce is good for one attempt: a wrong proof ends the link's chance.
+        let called = self.nonce.take().ok_or_else(refused)?;
+        let caller = hello.get_nonce()?.try_into().map_err(|_| refused())?;
+        let nonces = LinkNonces { caller, called };
+        let host = hello.get_host()?.to_str()?;
+        let process = hello.get_process();
+        let cluster = &context.cluster;
+        let theirs = LinkProof { side: ProofSide::Caller, cluster, host, process, nonces };
+        let genuine = hello.get_cluster()?.to_str()? == cluster.as_str()
+            && theirs.verify(&context.key_ring, hello.get_proof()?);
+        let from = HostId::from_str(host).map_err(|_| refused())?;
+        if !genuine {
+            return Err(refused());
+        }
+        self.activity.entered.set(true);
+        self.activity.last.set(Instant::now());
+        let (host, process) = (context.host.as_str(), context.process);
+        let ours = LinkProof { side: ProofSide::Called, cluster, host, process, nonces };
+        let mut accepted = results.get().init_accepted();
+        accepted.set_host(host);
+        accepted.set_process(process);
+        accepted.set_proof(&ours.sign(&context.key_ring));
+        let (inbound, activity) = (context.inbound.clone(), Rc::clone(&self.activity));
+        let session = LinkSession { from, inbound, activity, order: Mutex::new(()) };
+        accepted.set_session(capnp_rpc::new_client(session));
+        Ok(())
+    }
+}
+
+/// Takes an authenticated caller's frames.
+#[derive(Debug)]
+struct LinkSession {
+    from: HostId,
+    inbound: mpsc::Sender<InboundFrame>,
+    activity: Rc<CallerActivity>,
+    /// Keeps frames in order while several calls wait for room in the queue.
+    order: Mutex<()>,
+}
+
+impl session::Server for LinkSession {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: session::HeartbeatParams,
+        mut results: session::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        self.activity.last.set(Instant::now());
+        results.get().set_sequence(params.get()?.get_sequence());
+        Ok(())
+    }
+
+    /// Answered once the frames are in the control thread's queue: a caller that is ahead of it
+    /// waits, with a bounded number of frames under way.
+    async fn deliver(
+        self: Rc<Self>,
+        params: session::DeliverParams,
+        _: session::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        self.activity.last.set(Instant::now());
+        let _in_turn = self.order.lock().await;
+        for frame in params.get()?.get_frames()? {
+            let body = frame.get_body()?;
+            if body.len() > FRAME_LIMIT {
+                return Err(capnp::Error::failed("frame too large".to_owned()));
+            }
+            let body = Bytes::copy_from_slice(body);
+            // A class that a later version has added: whoever speaks it resends to those who know.
+            let Ok(class) = frame.get_class() else {
+                continue;
+            };
+            let frame = InboundFrame { from: self.from.clone(), class, body };
+            let gone = |_| capnp::Error::disconnected("shutting down".to_owned());
+            self.inbound.send(frame).await.map_err(gone)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/connection/peer_key_ring.rs
@@ -0,0 +1,164 @@
+//! The secret keys by which hosts of one installation know each other.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use thiserror::Error;
+
+/// The shortest key accepted, in characters.
+const KEY_FLOOR: usize = 32;
+/// How many keys a file may hold: the one that signs, and those of a rotation under way.
+const KEY_LIMIT: usize = 4;
+/// The shortest tag accepted; half of SHA-256's, as RFC 2104 section 5 allows.
+const TAG_FLOOR: usize = 16;
+
+/// What the key ring's methods return.
+pub type KeyResult<T> = Result<T, KeyFault>;
+
+/// Why a secret file can't be used; the text never holds a key.
+#[derive(Debug, Error)]
+pub enum KeyFault {
+    /// The file can't be read.
+    #[error("can't read the secret file {}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file holds no key.
+    #[error("the secret file holds no key")]
+    Empty,
+    /// The file holds too many keys.
+    #[error("the secret file holds more than {KEY_LIMIT} keys")]
+    TooMany,
+    /// A key is too short to be safe.
+    #[error("the key on line {line} of the secret file has fewer than {KEY_FLOOR} characters")]
+    TooShort {
+        /// The line, from 1.
+        line: usize,
+    },
+}
+
+/// The installation's keys: the first signs, every one verifies.
+///
+/// To rotate, add the new key as a second line everywhere, then put it first everywhere, then drop
+/// the old one; each step is taken over by [`Self::reload`] without a restart.
+#[derive(Clone)]
+pub struct KeyRing {
+    path: Option<Arc<Path>>,
+    keys: Arc<ArcSwap<Vec<Hmac<Sha256>>>>,
+    text: Arc<ArcSwap<String>>,
+}
+
+impl KeyRing {
+    /// Reads a secret file: a key a line; blank lines and lines that begin with `#` are skipped.
+    ///
+    /// # Errors
+    /// [`KeyFault`] if the file can't be read or holds no usable key.
+    pub fn load(path: impl Into<PathBuf>) -> KeyResult<Self> {
+        let path: PathBuf = path.into();
+        let text = read(&path)?;
+        let ring = Self::from_text(&text)?;
+        Ok(Self { path: Some(Arc::from(path)), ..ring })
+    }
+
+    /// Makes a ring from the text of a secret file.
+    ///
+    /// # Errors
+    /// [`KeyFault`] if the text holds no usable key.
+    pub fn from_text(text: &str) -> KeyResult<Self> {
+        let keys = parse(text)?;
+        Ok(Self {
+            path: None,
+            keys: Arc::new(ArcSwap::from_pointee(keys)),
+            text: Arc::new(ArcSwap::from_pointee(text.to_owned())),
+        })
+    }
+
+    /// Reads the file again; every clone of the ring then uses the new keys. Returns whether they
+    /// have changed. On an error the keys stay as they were.
+    ///
+    /// # Errors
+    /// [`KeyFault`] if the file can't be read or holds no usable key.
+    pub fn reload(&self) -> KeyResult<bool> {
+        let Some(path) = &self.path else {
+            return Ok(false);
+        };
+        let text = read(path)?;
+        if text == **self.text.load() {
+            return Ok(false);
+        }
+        let keys = parse(&text)?;
+        self.keys.store(Arc::new(keys));
+        self.text.store(Arc::new(text));
+        Ok(true)
+    }
+
+    /// Signs some parts with the first key.
+    ///
+    /// # Panics
+    /// Never: a ring is only made with a key.
+    #[must_use]
+    pub fn sign(&self, parts: &[&[u8]]) -> [u8; 32] {
+        let keys = self.keys.load();
+        let first = keys.first().expect("a ring is only made with a key");
+        digest(first, parts).finalize().into_bytes().into()
+    }
+
+    /// Whether a tag, whole or cut to 16 bytes at least, is one of the keys' for some parts. Takes
+    /// the same time wherever a wrong tag differs, so that no tag can be found byte by byte.
+    #[must_use]
+    pub fn verify(&self, parts: &[&[u8]], tag: &[u8]) -> bool {
+        if tag.len() < TAG_FLOOR {
+            return false;
+        }
+        let keys = self.keys.load();
+        keys.iter().any(|key| digest(key, parts).verify_truncated_left(tag).is_ok())
+    }
+}
+
+impl fmt::Debug for KeyRing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeyRing").field("keys", &self.keys.load().len()).finish_non_exhaustive()
+    }
+}
+
+fn read(path: &Path) -> KeyResult<String> {
+    std::fs::read_to_string(path)
+        .map_err(|source| KeyFault::Unreadable { path: path.to_owned(), source })
+}
+
+fn parse(text: &str) -> KeyResult<Vec<Hmac<Sha256>>> {
+    let mut keys = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let key = line.trim();
+        if key.is_empty() || key.starts_with('#') {
+            continue;
+        }
+        if key.len() < KEY_FLOOR {
+            return Err(KeyFault::TooShort { line: index + 1 });
+        }
+        keys.push(Hmac::new_from_slice(key.as_bytes()).expect("HMAC takes keys of any length"));
+    }
+    match keys.len() {
+        0 => Err(KeyFault::Empty),
+        1..=KEY_LIMIT => Ok(keys),
+        _ => Err(KeyFault::TooMany),
+    }
+}
+
+/// Each part goes in with its length, so that no two lists of parts give the same bytes.
+fn digest(key: &Hmac<Sha256>, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = key.clone();
+    for part in parts {
+        let length = u32::try_from(part.len()).unwrap_or(u32::MAX);
+        mac.update(&length.to_le_bytes());
+        mac.update(part);
+    }
+    mac
+}
--- /dev/null
+++ b/crates/pulleyd/src/connection/peer_link_queue.rs
@@ -0,0 +1,85 @@
+//! Frames that wait for one host.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use super::peer_frame::FrameClass;
+
+/// How many frames go into one call.
+const BATCH_FRAMES: usize = 64;
+/// How many bytes go into one call, its last frame aside.
+const BATCH_BYTES: usize = 128 * 1024;
+
+/// One frame that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedFrame {
+    pub(crate) class: FrameClass,
+    pub(crate) body: Bytes,
+}
+
+/// A queue bounded in frames and bytes: a host that takes nothing must not fill this one's memory.
+#[derive(Debug)]
+pub(crate) struct LinkQueue {
+    frames: RefCell<VecDeque<QueuedFrame>>,
+    bytes: Cell<usize>,
+    frame_limit: usize,
+    byte_limit: usize,
+    filled: Notify,
+}
+
+impl LinkQueue {
+    pub(crate) fn new(frame_limit: usize, byte_limit: usize) -> Self {
+        Self {
+            frames: RefCell::default(),
+            bytes: Cell::new(0),
+            frame_limit,
+            byte_limit,
+            filled: Notify::new(),
+        }
+    }
+
+    /// Appends a frame unless the queue is full.
+    pub(crate) fn push(&self, frame: QueuedFrame) -> bool {
+        let mut frames = self.frames.borrow_mut();
+        let bytes = self.bytes.get() + frame.body.len();
+        if frames.len() >= self.frame_limit || bytes > self.byte_limit {
+            return false;
+        }
+        frames.push_back(frame);
+        self.bytes.set(bytes);
+        self.filled.notify_one();
+        true
+    }
+
+    /// Takes the next frames that go together; none if the queue is empty.
+    pub(crate) fn take_batch(&self) -> Vec<QueuedFrame> {
+        let mut frames = self.frames.borrow_mut();
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        while batch.len() < BATCH_FRAMES && bytes < BATCH_BYTES {
+            let Some(frame) = frames.pop_front() else {
+                break;
+            };
+            bytes += frame.body.len();
+            batch.push(frame);
+        }
+        self.bytes.set(self.bytes.get() - bytes);
+        batch
+    }
+
+    /// Drops all frames; returns how many.
+    pub(crate) fn clear(&self) -> usize {
+        self.bytes.set(0);
+        std::mem::take(&mut *self.frames.borrow_mut()).len()
+    }
+
+    /// Waits until there is a frame.
+    pub(crate) async fn filled(&self) {
+        while self.frames.borrow().is_empty() {
+            self.filled.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/tests/peer_links.rs
@@ -0,0 +1,272 @@
+//! Links and datagrams between hosts, over real sockets on loopback.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pulley_core::HostId;
+use pulleyd::connection::{
+    DATAGRAM_LIMIT, DatagramSeal, FRAME_LIMIT, FrameClass, InboundFrame, KeyRing, LinkSettings,
+    PeerDatagrams, PeerLinks,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+const OLD: &str = "old-key-0123456789abcdef0123456789abcdef";
+const NEW: &str = "new-key-0123456789abcdef0123456789abcdef";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn settings(name: &str, keys: &str) -> LinkSettings {
+    let key_ring = KeyRing::from_text(keys).unwrap();
+    LinkSettings::new(host(name), "test".parse().unwrap(), loopback(), key_ring)
+        .with_heartbeat(Duration::from_millis(50))
+        .with_bind_ip([127, 0, 0, 1].into())
+}
+
+async fn links(settings: LinkSettings) -> (PeerLinks, mpsc::Receiver<InboundFrame>) {
+    let (inbound, frames) = mpsc::channel(64);
+    (PeerLinks::start(settings, inbound).await.unwrap(), frames)
+}
+
+/// Sends until a frame arrives, as every protocol above does; returns the frame.
+async fn send_until_received(
+    from: &PeerLinks,
+    to: &HostId,
+    frames: &mut mpsc::Receiver<InboundFrame>,
+) -> InboundFrame {
+    let sent = async {
+        loop {
+            from.send(to, FrameClass::Ledger, Bytes::from_static(b"again"));
+            if let Ok(Some(frame)) = timeout(Duration::from_millis(50), frames.recv()).await {
+                return frame;
+            }
+        }
+    };
+    timeout(PATIENCE, sent).await.unwrap()
+}
+
+async fn wait_for(mut condition: impl FnMut() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, waiting).await.unwrap();
+}
+
+/// A forwarder between two hosts that can stop passing bytes without closing anything.
+async fn forwarder(to: SocketAddr, stopped: Rc<Cell<bool>>) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            let far = TcpStream::connect(to).await.unwrap();
+            // Connections that begin after the stop work, as new ones do in the field.
+            let fated = Rc::new(Cell::new(!stopped.get()));
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            for (mut read, mut write) in [(near_read, far_write), (far_read, near_write)] {
+                let (stopped, fated) = (Rc::clone(&stopped), Rc::clone(&fated));
+                tokio::task::spawn_local(async move {
+                    let mut buffer = vec![0; 4_096];
+                    while let Ok(length @ 1..) = read.read(&mut buffer).await {
+                        if stopped.get() && fated.get() {
+                            std::future::pending::<()>().await;
+                        }
+                        if write.write_all(&buffer[..length]).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn frames_arrive_in_order_and_name_their_sender() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", OLD)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            one.set_address(&host("two"), two.local_address());
+            for number in 0..500_u32 {
+                let body = Bytes::copy_from_slice(&number.to_le_bytes());
+                assert!(one.send(&host("two"), FrameClass::Replication, body));
+            }
+            for number in 0..500_u32 {
+                let frame = timeout(PATIENCE, frames.recv()).await.unwrap().unwrap();
+                assert_eq!(frame.from, host("one"));
+                assert_eq!(frame.class, FrameClass::Replication);
+                assert_eq!(frame.body, Bytes::copy_from_slice(&number.to_le_bytes()));
+            }
+            assert_eq!(one.linked(), vec![host("two")]);
+        })
+        .await;
+}
+
+/// Something between two hosts loses track of an open connection: TCP calls it open, nothing gets
+/// through, new connections work. Without a replacement the hosts would not speak for minutes.
+#[tokio::test]
+async fn a_silent_link_is_replaced() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", OLD)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            let stopped = Rc::new(Cell::new(false));
+            let address = forwarder(two.local_address(), Rc::clone(&stopped)).await;
+            one.set_address(&host("two"), address);
+            send_until_received(&one, &host("two"), &mut frames).await;
+            stopped.set(true);
+            wait_for(|| one.counts().silent == 1).await;
+            assert_eq!(one.linked(), Vec::<HostId>::new());
+            let frame = send_until_received(&one, &host("two"), &mut frames).await;
+            assert_eq!(frame.from, host("one"));
+            assert_eq!(one.counts().opened, 2);
+        })
+        .await;
+}
+
+/// A host with another installation's key connects, by mistake or not. Its frames must not get in.
+#[tokio::test]
+async fn a_wrong_key_gets_no_link() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", NEW)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            one.set_address(&host("two"), two.local_address());
+            one.send(&host("two"), FrameClass::Ledger, Bytes::from_static(b"no"));
+            wait_for(|| one.counts().failed > 0).await;
+            assert!(frames.try_recv().is_err());
+            assert!(one.linked().is_empty());
+        })
+        .await;
+}
+
+/// Another host has taken over an address that is still known as the old one's.
+#[tokio::test]
+async fn a_link_to_the_wrong_host_is_not_used() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", OLD)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            one.set_address(&host("three"), two.local_address());
+            one.send(&host("three"), FrameClass::Ledger, Bytes::from_static(b"no"));
+            wait_for(|| one.counts().failed > 0).await;
+            assert!(frames.try_recv().is_err());
+        })
+        .await;
+}
+
+/// While keys are rotated, hosts sign with different ones. All must go on speaking.
+#[tokio::test]
+async fn hosts_in_the_middle_of_a_rotation_accept_each_other() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, mut one_frames) =
+                links(settings("one", &format!("{NEW}\n{OLD}\n"))).await;
+            let (mut two, mut two_frames) =
+                links(settings("two", &format!("# rotation\n{OLD}\n{NEW}\n"))).await;
+            one.set_address(&host("two"), two.local_address());
+            two.set_address(&host("one"), one.local_address());
+            send_until_received(&one, &host("two"), &mut two_frames).await;
+            send_until_received(&two, &host("one"), &mut one_frames).await;
+        })
+        .await;
+}
+
+#[test]
+fn a_changed_secret_file_is_taken_over_and_never_shown() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("secret");
+    std::fs::write(&path, OLD).unwrap();
+    let ring = KeyRing::load(&path).unwrap();
+    let other = KeyRing::from_text(NEW).unwrap();
+    let tag = other.sign(&[b"part"]);
+    assert!(!ring.verify(&[b"part"], &tag));
+    assert!(!ring.reload().unwrap());
+    std::fs::write(&path, format!("{OLD}\n{NEW}\n")).unwrap();
+    assert!(ring.reload().unwrap());
+    assert!(ring.verify(&[b"part"], &tag));
+    assert!(!ring.verify(&[b"part"], &tag[..8]), "a tag too short proves nothing");
+    assert!(!ring.verify(&[b"pa", b"rt"], &tag), "parts are told apart");
+    std::fs::write(&path, "short").unwrap();
+    let fault = ring.reload().unwrap_err();
+    assert!(ring.verify(&[b"part"], &tag), "a faulty file changes nothing");
+    let shown = format!("{ring:?} {fault:?} {fault}");
+    assert!(!shown.contains("key-0123") && !shown.contains("short\""), "{shown}");
+}
+
+/// A host takes nothing for a while. What others send it must not fill their memory.
+#[tokio::test]
+async fn queues_and_frames_are_bounded() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) =
+                links(settings("one", OLD).with_queue(10, 4 * FRAME_LIMIT)).await;
+            let nobody = TcpListener::bind(loopback()).await.unwrap();
+            one.set_address(&host("two"), nobody.local_addr().unwrap());
+            let body = Bytes::from(vec![0; FRAME_LIMIT + 1]);
+            assert!(!one.send(&host("two"), FrameClass::Replication, body));
+            let body = Bytes::from(vec![0; FRAME_LIMIT]);
+            let large = (0..10)
+                .filter(|_| one.send(&host("two"), FrameClass::Replication, body.clone()))
+                .count();
+            assert_eq!(large, 4, "bounded in bytes");
+            let small =
+                (0..20).filter(|_| one.send(&host("two"), FrameClass::Ledger, Bytes::new()));
+            assert_eq!(small.count(), 6, "bounded in frames");
+        })
+        .await;
+}
+
+/// Datagrams come from anybody: those of another installation, changed ones and oversized ones must
+/// not reach the state machines.
+#[tokio::test]
+async fn only_genuine_datagrams_pass() {
+    let (inbound, mut datagrams) = mpsc::channel(16);
+    let ring = || KeyRing::from_text(OLD).unwrap();
+    let seal = |name: &str, cluster: &str, ring: KeyRing| {
+        DatagramSeal::new(host(name), cluster.parse().unwrap(), ring)
+    };
+    let two = PeerDatagrams::bind(loopback(), seal("two", "test", ring()), inbound).await.unwrap();
+    let to = two.local_address().unwrap();
+    let raw = UdpSocket::bind(loopback()).await.unwrap();
+    let own = seal("one", "test", ring());
+    let mut changed = own.seal(FrameClass::Counts, b"counts");
+    changed[8] ^= 1;
+    let wrong = KeyRing::from_text(NEW).unwrap();
+    for bad in [
+        changed,
+        seal("one", "other", ring()).seal(FrameClass::Counts, b"counts"),
+        seal("one", "test", wrong).seal(FrameClass::Counts, b"counts"),
+        own.seal(FrameClass::Counts, &vec![0; DATAGRAM_LIMIT + 200]),
+        b"short".to_vec(),
+    ] {
+        raw.send_to(&bad, to).await.unwrap();
+    }
+    raw.send_to(&own.seal(FrameClass::Counts, b"genuine"), to).await.unwrap();
+    let first = timeout(PATIENCE, datagrams.recv()).await.unwrap().unwrap();
+    assert_eq!(first.sender, host("one"));
+    assert_eq!(first.class, FrameClass::Counts);
+    assert_eq!(&first.body[..], b"genuine");
+    assert_eq!(two.counts().refused, 5);
+    assert!(!two.send(to, FrameClass::Counts, &vec![0; DATAGRAM_LIMIT + 1]));
+}
