--- /dev/null
+++ b/crates/pulley_core/src/version/sheet_column.rs
@@ -0,0 +1,100 @@
+//! The columns of a sheet.
+
+use std::fmt;
+
+/// One column of a sheet; every sheet has each of them once, in any order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SheetColumn {
+    /// The pool whose upstreams answer.
+    Pool,
+    /// The service the capacity is given to.
+    Service,
+    /// The kind of request, unique within its service.
+    Kind,
+    /// The method that matches.
+    Method,
+    /// The path prefix that matches.
+    PathPrefix,
+    /// Who goes first.
+    Priority,
+    /// The part of the pool's slots.
+    Share,
+    /// Slots kept free for the kind.
+    ReservedSlots,
+    /// Default deadline, in milliseconds.
+    DeadlineMs,
+    /// Whether running twice does no harm.
+    Idempotent,
+    /// Whether the work holds a slot for long.
+    Length,
+    /// Probes a second that the row adds to its pool's budget.
+    ProbesPerS,
+}
+
+impl SheetColumn {
+    /// Every column, in the order in which sheets are printed.
+    pub const ALL: [Self; 12] = [
+        Self::Pool,
+        Self::Service,
+        Self::Kind,
+        Self::Method,
+        Self::PathPrefix,
+        Self::Priority,
+        Self::Share,
+        Self::ReservedSlots,
+        Self::DeadlineMs,
+        Self::Idempotent,
+        Self::Length,
+        Self::ProbesPerS,
+    ];
+
+    /// The column's name in the header row.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Pool => "pool",
+            Self::Service => "service",
+            Self::Kind => "kind",
+            Self::Method => "method",
+            Self::PathPrefix => "path_prefix",
+            Self::Priority => "priority",
+            Self::Share => "share",
+            Self::ReservedSlots => "reserved_slots",
+            Self::DeadlineMs => "deadline_ms",
+            Self::Idempotent => "idempotent",
+            Self::Length => "length",
+            Self::ProbesPerS => "probes_per_s",
+        }
+    }
+
+    /// What a cell of the column may hold, in words for the planner.
+    #[must_use]
+    pub const fn allowed(self) -> &'static str {
+        match self {
+            Self::Pool | Self::Service | Self::Kind => {
+                "1 to 64 letters, digits and . _ : - characters"
+            }
+            Self::Method => "any, or one of GET HEAD POST PUT PATCH DELETE OPTIONS",
+            Self::PathPrefix => {
+                "a path of 1 to 256 visible ASCII characters that starts with / and has no ? or #"
+            }
+            Self::Priority => "a whole number from 0 (first) to 9 (last)",
+            Self::Share => "a share such as 25%, 0.25 or 0,25, from 0 to 100%",
+            Self::ReservedSlots => "a whole number from 0 to 10000",
+            Self::DeadlineMs => "a whole number of milliseconds from 1 to 600000",
+            Self::Idempotent => "yes or no",
+            Self::Length => "short or long",
+            Self::ProbesPerS => "a number of probes a second, from 0 to 100000",
+        }
+    }
+
+    pub(crate) fn named(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|column| column.name().eq_ignore_ascii_case(text))
+    }
+}
+
+impl fmt::Display for SheetColumn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/tests/sheet.rs
@@ -0,0 +1,158 @@
+//! The sheet: what is read, what is refused, and that nothing makes the reader panic.
+
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value, reason = "a test may end there")]
+
+use pulley_core::version::{PolicyPlan, SheetColumn, SheetFaults, SheetPrinter, SheetReader};
+use quickcheck::{Gen, QuickCheck};
+
+const HEADER: &str = "pool,service,kind,method,path_prefix,priority,share,reserved_slots,\
+deadline_ms,idempotent,length,probes_per_s";
+const ROW: &str = "cover,brokers,check,GET,/cover,1,50%,2,400,yes,short,1";
+
+/// Cases a property is tried on.
+const CASES: u64 = 3_000;
+
+fn read(text: &str) -> Result<PolicyPlan, SheetFaults> {
+    SheetReader::read(text.as_bytes())
+}
+
+fn sheet(rows: &[&str]) -> String {
+    format!("{HEADER}\n{}\n", rows.join("\n"))
+}
+
+fn columns_of(faults: &SheetFaults) -> Vec<(u64, &str)> {
+    faults.faults.iter().map(|fault| (fault.row, fault.column.as_str())).collect()
+}
+
+#[test]
+fn the_examples_are_read_and_put_the_first_kinds_first() {
+    let abay = SheetReader::read(include_bytes!("../../../examples/abay.csv")).unwrap();
+    let kolkhi = SheetReader::read(include_bytes!("../../../examples/kolkhi.csv")).unwrap();
+    let first = abay.kinds.iter().min_by_key(|row| row.priority).unwrap();
+    assert_eq!(first.kind.as_str(), "hazard-lookup");
+    let once = |plan: &PolicyPlan| -> Vec<String> {
+        let rows = plan.kinds.iter().filter(|row| !row.idempotent);
+        rows.map(|row| row.kind.to_string()).collect()
+    };
+    assert_eq!(once(&abay), ["deposit-refund"]);
+    assert_eq!(once(&kolkhi), ["bind-policy"]);
+}
+
+#[test]
+fn every_form_that_planners_tools_export_gives_the_same_plan() {
+    let plain = read(&sheet(&[ROW])).unwrap();
+    let with_mark = read(&format!("\u{feff}{}", sheet(&[ROW]))).unwrap();
+    let crlf = read(&sheet(&[ROW]).replace('\n', "\r\n")).unwrap();
+    let semicolons = read(&sheet(&[ROW]).replace(',', ";").replace("50%", "0,5")).unwrap();
+    let quoted = read(&sheet(&[&ROW.replace("50%", "\"0,50\"")])).unwrap();
+    let blank_rows = read(&format!("{}\n,,,,,,,,,,,\n\n", sheet(&[ROW]))).unwrap();
+    let empty_columns = read(&format!("{HEADER},,\n{ROW},,\n")).unwrap();
+    for other in [with_mark, crlf, semicolons, quoted, blank_rows, empty_columns] {
+        assert_eq!(other, plain);
+    }
+}
+
+/// A planner mistypes several cells of one morning's sheet. Named one at a time, each would cost
+/// another round while the day runs on yesterday's shares.
+#[test]
+fn every_fault_is_named_at_once() {
+    let bad = "co ver,,che/ck,FETCH,cover,10,101%,-1,0,maybe,medium,x";
+    let faults = read(&sheet(&[bad, ROW])).unwrap_err();
+    let expected: Vec<(u64, &str)> =
+        SheetColumn::ALL.into_iter().map(|column| (2, column.name())).collect();
+    assert_eq!(columns_of(&faults), expected);
+    let share = faults.faults.iter().find(|fault| fault.column == "share").unwrap();
+    assert_eq!(
+        share.to_string(),
+        "row 2, column share: \"101%\" is not allowed; allowed: \
+         a share such as 25%, 0.25 or 0,25, from 0 to 100%"
+    );
+}
+
+#[test]
+fn shares_over_the_whole_are_refused_at_the_row_that_exceeds() {
+    let second = ROW.replace("check", "quote").replace("/cover", "/quote").replace("50%", "50.01%");
+    let faults = read(&sheet(&[ROW, &second])).unwrap_err();
+    assert_eq!(columns_of(&faults), [(3, "share")]);
+    assert!(faults.to_string().contains("at most 50.00%"), "{faults}");
+}
+
+#[test]
+fn duplicates_overlaps_and_unknown_columns_are_refused() {
+    let same_kind = ROW.replace("/cover", "/other").replace("50%", "1%");
+    let same_match = ROW.replace("check", "other").replace("50%", "1%");
+    let faults = read(&sheet(&[ROW, &same_kind, &same_match])).unwrap_err();
+    assert_eq!(columns_of(&faults), [(3, "kind"), (4, "path_prefix")]);
+
+    let faults = read(&format!("{HEADER},colour,pool\n{ROW},red,x\n")).unwrap_err();
+    assert_eq!(columns_of(&faults), [(1, "colour"), (1, "pool")]);
+
+    let faults = read(&format!("{}\n", HEADER.replace("share,", ""))).unwrap_err();
+    assert_eq!(columns_of(&faults), [(1, "share")]);
+
+    let faults = read(&sheet(&[&ROW.replace("50%", "0,5")])).unwrap_err();
+    assert!(faults.to_string().contains("unquoted"), "{faults}");
+}
+
+/// An export went wrong and the file holds a header only, or nothing. Applied, it would take all
+/// capacity from every service at once.
+#[test]
+fn a_sheet_without_rows_is_refused() {
+    for text in ["", "\n\n", HEADER] {
+        assert!(read(text).is_err(), "{text:?}");
+    }
+    assert_eq!(columns_of(&SheetReader::read(b"pool\n\xff\xfe").unwrap_err()), [(2, "sheet")]);
+}
+
+fn quickcheck() -> QuickCheck {
+    QuickCheck::new().tests(CASES).rng(Gen::from_size_and_seed(64, 1))
+}
+
+fn accepted_reads_back_equal(bytes: &[u8]) -> bool {
+    let Ok(plan) = SheetReader::read(bytes) else { return true };
+    SheetReader::read(SheetPrinter::print(&plan).as_bytes()).as_ref() == Ok(&plan)
+}
+
+#[test]
+fn no_bytes_make_the_reader_panic() {
+    fn property(bytes: Vec<u8>) -> bool {
+        accepted_reads_back_equal(&bytes)
+    }
+    quickcheck().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_good_sheet_with_any_damage_is_refused_or_reads_back_equal() {
+    fn property(damage: Vec<(u16, u8)>, cut: u16) -> bool {
+        let mut bytes = include_bytes!("../../../examples/kolkhi.csv").to_vec();
+        let length = bytes.len();
+        for (place, byte) in damage.into_iter().take(3) {
+            bytes[usize::from(place) % length] = byte;
+        }
+        if cut.is_multiple_of(2) {
+            bytes.truncate(usize::from(cut) % length);
+        }
+        accepted_reads_back_equal(&bytes)
+    }
+    quickcheck().quickcheck(property as fn(Vec<(u16, u8)>, u16) -> bool);
+}
+
+#[test]
+fn whatever_rows_are_accepted_read_back_equal() {
+    fn property(parts: u16, priority: u8, deadline: u32, probes: u32, yes: bool) -> bool {
+        let share = format!("{}.{:02}%", parts % 101, parts % 100);
+        let yes = if yes { "Yes" } else { "0" };
+        let row = format!(
+            "a,b,c,*,/x,{},{share},{},{},{yes},LONG,{}.{}",
+            priority % 10,
+            parts % 10_000,
+            deadline % 600_001,
+            probes % 100_000,
+            probes % 1_000
+        );
+        let text = sheet(&[&row]);
+        let refusable = deadline.is_multiple_of(600_001) || parts % 101 == 100;
+        (refusable || read(&text).is_ok()) && accepted_reads_back_equal(text.as_bytes())
+    }
+    quickcheck().quickcheck(property as fn(u16, u8, u32, u32, bool) -> bool);
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/announce_api.rs
@@ -0,0 +1,96 @@
+//! The listener for upstreams' announcements and the platform's health checks.
+
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use bytes::Bytes;
+use pulley_core::process::Announcement;
+use serde_json::json;
+
+use super::api_fault::{ApiFault, Result};
+use super::api_server::{ApiLimits, with_bounded_bodies};
+use super::{ControlHandle, ControlRequest, HostReadiness, ViewCell};
+
+/// Time the control thread has to take an announcement in; its sender tries again within the
+/// lease, through another host.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(1);
+
+/// Most slots an upstream may announce; an absurd number would draw all of its pool's work.
+const SLOTS_LIMIT: u32 = 4_096;
+
+/// Most connections an upstream may announce.
+const CONNECTIONS_LIMIT: u32 = 100_000;
+
+/// Takes announcements and answers health checks.
+#[derive(Clone, Debug)]
+pub struct AnnounceApi {
+    control: ControlHandle,
+    view: ViewCell,
+}
+
+impl AnnounceApi {
+    /// Limits of its listener: each entry may hear from every upstream, a few bytes at a time.
+    pub const LIMITS: ApiLimits = ApiLimits { connections: 2_048, body_bytes: 4 << 10 };
+
+    /// Makes the API over the control thread's handle and the current view.
+    #[must_use]
+    pub fn new(control: ControlHandle, view: ViewCell) -> Self {
+        Self { control, view }
+    }
+
+    /// The routes.
+    pub fn router(self) -> Router {
+        let router = Router::new()
+            .route("/v1/announce", post(announce))
+            .route("/healthz", get(health))
+            .with_state(self);
+        with_bounded_bodies(router, Self::LIMITS.body_bytes)
+    }
+}
+
+async fn announce(State(api): State<AnnounceApi>, body: Bytes) -> Result<Response> {
+    let announcement: Announcement = serde_json::from_slice(&body)
+        .map_err(|error| ApiFault::bad_request(format!("no announcement: {error}")))?;
+    check(&announcement)?;
+    let question = api.control.ask(|reply| ControlRequest::Announce(announcement, reply));
+    let answer = tokio::time::timeout(ANNOUNCE_TIME, question).await;
+    answer.map_err(|_| ApiFault::no_answer())???;
+    Ok(Json(json!({ "known": true })).into_response())
+}
+
+/// Refuses what no upstream can mean, so that one broken upstream cannot draw a pool's work to
+/// an address that does not answer.
+fn check(announcement: &Announcement) -> Result<()> {
+    let address = announcement.address;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        return Err(ApiFault::bad_request(format!("address {address} cannot be connected to")));
+    }
+    let slots = announcement.slots.0;
+    if !(1..=SLOTS_LIMIT).contains(&slots) {
+        return Err(ApiFault::bad_request(format!("slots {slots}: from 1 to {SLOTS_LIMIT}")));
+    }
+    let connections = announcement.connections;
+    if !(1..=CONNECTIONS_LIMIT).contains(&connections) {
+        let message = format!("connections {connections}: from 1 to {CONNECTIONS_LIMIT}");
+        return Err(ApiFault::bad_request(message));
+    }
+    Ok(())
+}
+
+async fn health(State(api): State<AnnounceApi>) -> Response {
+    let view = api.view.load();
+    let version = view.version.0;
+    let why = match &view.readiness {
+        HostReadiness::Ready => {
+            return Json(json!({ "ready": true, "version": version })).into_response();
+        }
+        HostReadiness::NotReady { why } => why.as_str(),
+        HostReadiness::ShuttingDown => "shutting down",
+    };
+    let body = Json(json!({ "ready": false, "version": version, "why": why }));
+    (StatusCode::SERVICE_UNAVAILABLE, body).into_response()
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/api_server.rs
@@ -0,0 +1,149 @@
+//! Serves the operators' and upstreams' listeners within limits.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::StatusCode;
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use slog::{Logger, debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use super::api_fault::{ApiFault, Result};
+
+/// Time a client has to send its headers; a client that dribbles them would hold a connection
+/// for ever.
+const HEADER_TIME: Duration = Duration::from_secs(5);
+
+/// Time a client has to send its body.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Largest header block, in bytes.
+const HEADER_BYTES: u32 = 16 << 10;
+
+/// Time that open connections have to end once the server stops.
+const STOP_TIME: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept; the process is then out of file descriptors, and trying again at
+/// once would only take a core as well.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How many connections a listener holds and how large its bodies are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ApiLimits {
+    /// Most connections at once; further ones wait in the system's accept queue.
+    pub connections: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+}
+
+/// Serves one router on one listener.
+#[derive(Debug)]
+pub struct ApiServer {
+    listener: TcpListener,
+    router: Router,
+    limits: ApiLimits,
+    logger: Logger,
+}
+
+impl ApiServer {
+    /// Makes a server; it accepts once it runs.
+    #[must_use]
+    pub fn new(listener: TcpListener, router: Router, limits: ApiLimits, logger: Logger) -> Self {
+        Self { listener, router, limits, logger }
+    }
+
+    /// Accepts and serves until `stop` is done, then lets open requests end for two seconds.
+    pub async fn run(self, stop: impl Future<Output = ()>) {
+        let connections = GracefulShutdown::new();
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        tokio::pin!(stop);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut stop => break,
+                accepted = self.accept(&permits) => accepted,
+            };
+            if let Some((stream, permit)) = accepted {
+                self.serve(stream, permit, &connections);
+            }
+        }
+        drop(self.listener);
+        let _ = tokio::time::timeout(STOP_TIME, connections.shutdown()).await;
+    }
+
+    async fn accept(&self, permits: &Arc<Semaphore>) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+        match self.listener.accept().await {
+            Ok((stream, _)) => Some((stream, permit)),
+            Err(error) => {
+                warn!(self.logger, "accept-failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    fn serve(
+        &self,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        connections: &GracefulShutdown,
+    ) {
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIME)
+            .max_buf_size(HEADER_BYTES as usize);
+        builder.http2().timer(TokioTimer::new()).max_header_list_size(HEADER_BYTES);
+        let service = TowerToHyperService::new(self.router.clone());
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = connections.watch(connection);
+        let logger = self.logger.clone();
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!(logger, "connection-ended"; "error" => %error);
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// Reads each body whole before the handler sees it, within a size and a time.
+pub(super) fn with_bounded_bodies(router: Router, body_bytes: usize) -> Router {
+    router.layer(middleware::from_fn_with_state(body_bytes, bound_body))
+}
+
+async fn bound_body(State(body_bytes): State<usize>, request: Request, next: Next) -> Response {
+    match read_body(request, body_bytes).await {
+        Ok(request) => next.run(request).await,
+        Err(fault) => fault.into_response(),
+    }
+}
+
+async fn read_body(request: Request, body_bytes: usize) -> Result<Request> {
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, body_bytes).collect();
+    let Ok(collected) = tokio::time::timeout(BODY_TIME, body).await else {
+        let message = format!("the body did not arrive within {}s", BODY_TIME.as_secs());
+        return Err(ApiFault::new(StatusCode::REQUEST_TIMEOUT, "too-slow", message));
+    };
+    match collected {
+        Ok(collected) => Ok(Request::from_parts(parts, Body::from(collected.to_bytes()))),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is over {body_bytes} bytes");
+            Err(ApiFault::new(StatusCode::PAYLOAD_TOO_LARGE, "too-large", message))
+        }
+        Err(error) => Err(ApiFault::bad_request(format!("the body is cut short: {error}"))),
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -0,0 +1,486 @@
+//! Reads the daemon's settings from flags and environment variables and checks them all at once.
+
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::{Fail, Options};
+use pulley_core::process::{ClusterId, FastMap, MemberId};
+use pulley_core::{HostId, ZoneName};
+use thiserror::Error;
+
+use super::setting_list::{SETTINGS, VARIABLE_PREFIX};
+
+/// What reading settings gives.
+type Result<T> = std::result::Result<T, SettingsFaults>;
+
+/// Longest time accepted in a setting: a day.
+const TIME_LIMIT: Duration = Duration::from_secs(86_400);
+
+/// Shortest lease; renewals come several times a lease and must outlast a scheduling pause.
+const SHORTEST_LEASE: Duration = Duration::from_millis(100);
+
+/// Which parts of the system a host plays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostRoles {
+    /// It serves callers.
+    pub entry: bool,
+    /// It holds the replicated log.
+    pub replica: bool,
+}
+
+/// One of the first members of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BootstrapReplica {
+    /// The host it runs on.
+    pub host: HostId,
+    /// Its number in the log.
+    pub member: MemberId,
+}
+
+/// The checked settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonSettings {
+    /// Name of this host.
+    pub host_id: HostId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Name of the installation.
+    pub cluster: ClusterId,
+    /// File with the keys for operators and peers.
+    pub secret_file: PathBuf,
+    /// Where callers connect.
+    pub callers_listen: SocketAddr,
+    /// Where upstreams announce themselves and the platform asks for health.
+    pub upstreams_listen: SocketAddr,
+    /// Where operators connect.
+    pub operators_listen: SocketAddr,
+    /// Where other hosts connect.
+    pub peers_listen: SocketAddr,
+    /// Peer addresses to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// What this host does.
+    pub roles: HostRoles,
+    /// The first members of the log.
+    pub replicas: Vec<BootstrapReplica>,
+    /// Where a replica keeps its state; present if and only if the host is a replica.
+    pub data_folder: Option<PathBuf>,
+    /// Longest wait for requests in flight at shutdown.
+    pub drain_grace: Duration,
+    /// How long a configuration holds without renewal.
+    pub config_lease: Duration,
+    /// How long an announcement holds without renewal.
+    pub announce_lease: Duration,
+    /// Least important level that is logged.
+    pub log_level: slog::Level,
+    /// Threads that carry requests.
+    pub traffic_threads: usize,
+    /// Most connections of callers.
+    pub callers_limit: usize,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsRequest {
+    /// To run with these settings.
+    Run(Box<DaemonSettings>),
+    /// To print this help text and end.
+    Help(String),
+    /// To print this version and end.
+    Version(String),
+    /// To print what would run, and end.
+    Check(Box<DaemonSettings>),
+}
+
+/// Every fault of the settings, a line each.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Error)]
+#[error("{}", .faults.join("\n"))]
+pub struct SettingsFaults {
+    /// The faults: which setting, its value, what is allowed.
+    pub faults: Vec<String>,
+}
+
+impl DaemonSettings {
+    /// Reads flags (without the program's name) and environment variables; a flag wins.
+    ///
+    /// # Errors
+    /// Every fault at once: unknown flags and `PULLEYD_` variables, missing and bad values,
+    /// values that do not fit together.
+    pub fn parse(
+        args: impl IntoIterator<Item = String>,
+        env: impl IntoIterator<Item = (String, String)>,
+    ) -> Result<SettingsRequest> {
+        let mut reader = SettingsReader::new(args, env);
+        if reader.help {
+            return Ok(SettingsRequest::Help(help_text()));
+        }
+        if reader.version {
+            return Ok(SettingsRequest::Version(version_text()));
+        }
+        let settings = reader.read();
+        let settings = settings.filter(|settings| reader.fits_together(settings));
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(if reader.check {
+                SettingsRequest::Check(Box::new(settings))
+            } else {
+                SettingsRequest::Run(Box::new(settings))
+            }),
+            _ => Err(SettingsFaults { faults: reader.faults }),
+        }
+    }
+
+    /// The address from which connections to other hosts and to upstreams leave.
+    #[must_use]
+    pub fn own_address(&self) -> IpAddr {
+        self.peers_listen.ip()
+    }
+}
+
+impl fmt::Display for DaemonSettings {
+    /// Prints a setting a line, as `--check` shows them; holds nothing secret.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "host-id={}", self.host_id)?;
+        writeln!(f, "zone={}", self.zone)?;
+        writeln!(f, "cluster={}", self.cluster)?;
+        writeln!(f, "secret-file={}", self.secret_file.display())?;
+        writeln!(f, "callers-listen={}", self.callers_listen)?;
+        writeln!(f, "upstreams-listen={}", self.upstreams_listen)?;
+        writeln!(f, "operators-listen={}", self.operators_listen)?;
+        writeln!(f, "peers-listen={}", self.peers_listen)?;
+        writeln!(f, "seeds={}", joined(&self.seeds))?;
+        writeln!(f, "roles={}", self.roles)?;
+        writeln!(f, "replicas={}", joined(&self.replicas))?;
+        let folder = self.data_folder.as_deref().unwrap_or("".as_ref());
+        writeln!(f, "data-folder={}", folder.display())?;
+        writeln!(f, "drain-grace={}ms", self.drain_grace.as_millis())?;
+        writeln!(f, "config-lease={}ms", self.config_lease.as_millis())?;
+        writeln!(f, "announce-lease={}ms", self.announce_lease.as_millis())?;
+        writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
+        writeln!(f, "traffic-threads={}", self.traffic_threads)?;
+        write!(f, "callers-limit={}", self.callers_limit)
+    }
+}
+
+impl fmt::Display for HostRoles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match (self.entry, self.replica) {
+            (true, true) => "entry,replica",
+            (true, false) => "entry",
+            (false, true) => "replica",
+            (false, false) => "",
+        })
+    }
+}
+
+impl FromStr for HostRoles {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        let mut roles = Self::default();
+        for role in text.split(',') {
+            match role.trim() {
+                "entry" => roles.entry = true,
+                "replica" => roles.replica = true,
+                _ => return Err("entry, replica or entry,replica"),
+            }
+        }
+        Ok(roles)
+    }
+}
+
+impl fmt::Display for BootstrapReplica {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}={}", self.host, self.member)
+    }
+}
+
+impl FromStr for BootstrapReplica {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        const WANTED: &str = "a list such as host-a=m1,host-b=m2";
+        let (host, member) = text.split_once('=').ok_or(WANTED)?;
+        let host = host.trim().parse().map_err(|_| WANTED)?;
+        let member = member.trim().parse().map_err(|_| WANTED)?;
+        Ok(Self { host, member })
+    }
+}
+
+// -----------------------------------------------------------------------------------------
+// Reading
+
+/// Collects values and faults while the settings are read.
+struct SettingsReader {
+    values: FastMap<&'static str, String>,
+    faults: Vec<String>,
+    help: bool,
+    version: bool,
+    check: bool,
+}
+
+impl SettingsReader {
+    fn new(
+        args: impl IntoIterator<Item = String>,
+        env: impl IntoIterator<Item = (String, String)>,
+    ) -> Self {
+        let mut reader = Self {
+            values: FastMap::default(),
+            faults: Vec::new(),
+            help: false,
+            version: false,
+            check: false,
+        };
+        reader.take_variables(env);
+        reader.take_flags(args.into_iter().collect());
+        reader
+    }
+
+    fn take_variables(&mut self, env: impl IntoIterator<Item = (String, String)>) {
+        let ours = env.into_iter().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
+        let mut ours: Vec<(String, String)> = ours.collect();
+        ours.sort();
+        for (name, value) in ours {
+            match SETTINGS.iter().find(|entry| entry.variable() == name) {
+                Some(entry) => drop(self.values.insert(entry.flag, value)),
+                None => self.faults.push(format!("{name}: no such variable; see --help")),
+            }
+        }
+    }
+
+    /// `getopts` stops at its first fault; the faulty argument is taken out and the rest read
+    /// again, so that an operator sees all faults in one go.
+    fn take_flags(&mut self, mut args: Vec<String>) {
+        let options = options();
+        let matches = loop {
+            let fault = match options.parse(&args) {
+                Ok(matches) => break matches,
+                Err(fault) => fault,
+            };
+            let name = match &fault {
+                Fail::UnrecognizedOption(name)
+                | Fail::ArgumentMissing(name)
+                | Fail::UnexpectedArgument(name)
+                | Fail::OptionMissing(name)
+                | Fail::OptionDuplicated(name) => name,
+            };
+            let flag = format!("--{name}");
+            let is_faulty = |arg: &String| arg.split('=').next() == Some(flag.as_str());
+            let place = args.iter().rposition(is_faulty);
+            self.faults.push(format!("{flag}: {fault}; see --help"));
+            let Some(place) = place else { return };
+            args.remove(place);
+        };
+        self.help = matches.opt_present("help");
+        self.version = matches.opt_present("version");
+        self.check = matches.opt_present("check");
+        for free in &matches.free {
+            self.faults.push(format!("{free}: not a flag; see --help"));
+        }
+        for entry in SETTINGS {
+            let given = matches.opt_strs(entry.flag);
+            if given.len() > 1 {
+                self.faults.push(format!("--{}: given more than once", entry.flag));
+            }
+            if let Some(value) = given.into_iter().next() {
+                self.values.insert(entry.flag, value);
+            }
+        }
+    }
+
+    fn read(&mut self) -> Option<DaemonSettings> {
+        let host_id = self.name("host-id");
+        let zone = self.name("zone");
+        let cluster = self.name("cluster");
+        let secret_file = self.checked("secret-file", "a file", path);
+        let callers_listen = self.address("callers-listen");
+        let upstreams_listen = self.address("upstreams-listen");
+        let operators_listen = self.address("operators-listen");
+        let peers_listen = self.address("peers-listen");
+        let seeds = self.checked("seeds", "a list such as 10.0.0.1:8083,10.0.0.2:8083", list);
+        let roles = self.parsed("roles", "entry, replica or entry,replica");
+        let replicas = self.checked("replicas", "a list such as host-a=m1,host-b=m2", list);
+        let data_folder = self.checked("data-folder", "a folder", |text| Some(path(text)));
+        let drain_grace = self.time("drain-grace", Duration::ZERO);
+        let config_lease = self.time("config-lease", SHORTEST_LEASE);
+        let announce_lease = self.time("announce-lease", SHORTEST_LEASE);
+        let log_level = self.checked("log-level", "error, warning, info or debug", level);
+        let traffic_threads = self.count("traffic-threads", 64);
+        let callers_limit = self.count("callers-limit", 100_000);
+        Some(DaemonSettings {
+            host_id: host_id?,
+            zone: zone?,
+            cluster: cluster?,
+            secret_file: secret_file?,
+            callers_listen: callers_listen?,
+            upstreams_listen: upstreams_listen?,
+            operators_listen: operators_listen?,
+            peers_listen: peers_listen?,
+            seeds: seeds?,
+            roles: roles?,
+            replicas: replicas?,
+            data_folder: data_folder?,
+            drain_grace: drain_grace?,
+            config_lease: config_lease?,
+            announce_lease: announce_lease?,
+            log_level: log_level?,
+            traffic_threads: traffic_threads?,
+            callers_limit: callers_limit?,
+        })
+    }
+
+    /// Checks what no single setting shows.
+    fn fits_together(&mut self, settings: &DaemonSettings) -> bool {
+        let before = self.faults.len();
+        if settings.roles.replica != settings.data_folder.is_some() {
+            self.faults.push(format!(
+                "--data-folder: needed for the role replica and for no other; roles are {}",
+                settings.roles
+            ));
+        }
+        let listeners = [
+            ("--callers-listen", settings.callers_listen),
+            ("--upstreams-listen", settings.upstreams_listen),
+            ("--operators-listen", settings.operators_listen),
+            ("--peers-listen", settings.peers_listen),
+        ];
+        for (place, (flag, address)) in listeners.iter().enumerate() {
+            let taken = listeners[..place].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = taken.filter(|_| address.port() != 0) {
+                self.faults.push(format!("{flag}: {address} is also that of {other}"));
+            }
+        }
+        if settings.peers_listen.ip().is_unspecified() {
+            self.faults.push(format!(
+                "--peers-listen: {} is no address that other hosts can connect to",
+                settings.peers_listen
+            ));
+        }
+        for (place, replica) in settings.replicas.iter().enumerate() {
+            let same = |other: &&BootstrapReplica| {
+                other.host == replica.host || other.member == replica.member
+            };
+            if settings.replicas[..place].iter().any(|other| same(&other)) {
+                self.faults.push(format!("--replicas: {replica} repeats a host or a member"));
+            }
+        }
+        self.faults.len() == before
+    }
+
+    // -------------------------------------------------------------------------------------
+    // Values
+
+    fn checked<T>(
+        &mut self,
+        flag: &'static str,
+        wanted: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let entry = SETTINGS.iter().find(|entry| entry.flag == flag)?;
+        let given = self.values.get(flag).map(String::as_str).or(entry.default);
+        let Some(text) = given else {
+            let variable = entry.variable();
+            self.faults.push(format!("--{flag}: missing, as is {variable}; wanted: {wanted}"));
+            return None;
+        };
+        let value = parse(text.trim());
+        if value.is_none() {
+            self.faults.push(format!("--{flag}: {text:?} is not allowed; wanted: {wanted}"));
+        }
+        value
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &'static str, wanted: &str) -> Option<T> {
+        self.checked(flag, wanted, |text| text.parse().ok())
+    }
+
+    fn name<T: FromStr>(&mut self, flag: &'static str) -> Option<T> {
+        self.parsed(flag, "1 to 64 letters, digits and . _ : -")
+    }
+
+    fn address(&mut self, flag: &'static str) -> Option<SocketAddr> {
+        self.parsed(flag, "an IP address and a port, such as 10.0.0.1:8080")
+    }
+
+    fn time(&mut self, flag: &'static str, least: Duration) -> Option<Duration> {
+        let wanted = format!("a time such as 500ms, 3s or 2m, from {}ms to 24h", least.as_millis());
+        let allowed = least..=TIME_LIMIT;
+        self.checked(flag, &wanted, |text| time_span(text).filter(|span| allowed.contains(span)))
+    }
+
+    fn count(&mut self, flag: &'static str, most: usize) -> Option<usize> {
+        let wanted = format!("a whole number from 1 to {most}");
+        self.checked(flag, &wanted, |text| {
+            text.parse().ok().filter(|count| (1..=most).contains(count))
+        })
+    }
+}
+
+// -----------------------------------------------------------------------------------------
+// Helpers
+
+fn options() -> Options {
+    let mut options = Options::new();
+    for entry in SETTINGS {
+        let help = match entry.default {
+            None => format!("{} (needed; {})", entry.help, entry.variable()),
+            Some("") => format!("{} ({})", entry.help, entry.variable()),
+            Some(default) => format!("{} (default {default}; {})", entry.help, entry.variable()),
+        };
+        options.optmulti("", entry.flag, &help, entry.hint);
+    }
+    options.optflagmulti("", "check", "print what would run, and end");
+    options.optflagmulti("h", "help", "print this text, and end");
+    options.optflagmulti("V", "version", "print the version, and end");
+    options
+}
+
+fn help_text() -> String {
+    let brief = "Usage: pulleyd [FLAGS]\n\nRuns one host of the load balancer. Each flag has an \
+                 environment variable; the flag wins. Port 0 takes any free port; the one bound \
+                 is logged.\n\nExit codes: 0 ended as asked, 1 failed or cut off requests at \
+                 shutdown, 2 settings faulty.";
+    options().usage(brief)
+}
+
+fn version_text() -> String {
+    format!("pulleyd {}", env!("CARGO_PKG_VERSION"))
+}
+
+fn joined<T: ToString>(items: &[T]) -> String {
+    items.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
+
+fn list<T: FromStr>(text: &str) -> Option<Vec<T>> {
+    let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+    items.map(|item| item.parse().ok()).collect()
+}
+
+fn path(text: &str) -> Option<PathBuf> {
+    (!text.is_empty()).then(|| PathBuf::from(text))
+}
+
+fn level(text: &str) -> Option<slog::Level> {
+    match text {
+        "error" => Some(slog::Level::Error),
+        "warning" => Some(slog::Level::Warning),
+        "info" => Some(slog::Level::Info),
+        "debug" => Some(slog::Level::Debug),
+        _ => None,
+    }
+}
+
+fn time_span(text: &str) -> Option<Duration> {
+    let unit_at = text.find(|c: char| !c.is_ascii_digit())?;
+    let (digits, unit) = text.split_at(unit_at);
+    let count: u64 = digits.parse().ok()?;
+    let unit_ms = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return None,
+    };
+    count.checked_mul(unit_ms).map(Duration::from_millis)
+}
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -1,12 +1,28 @@
 //! State that lives as long as the process.
 
+mod announce_api;
+mod api_fault;
+mod api_server;
 mod control_handle;
+mod daemon_settings;
+mod event_log;
+mod operator_api;
 mod process_clock;
+mod process_metrics;
 mod running_view;
+mod setting_list;
 
+pub use announce_api::AnnounceApi;
+pub use api_server::{ApiLimits, ApiServer};
 pub use control_handle::{
     ClaimAnswer, ClaimRequest, ControlFault, ControlHandle, ControlRequest, FencingToken,
     RecordedAnswer, ReplicaChange, Result,
 };
+pub use daemon_settings::{
+    BootstrapReplica, DaemonSettings, HostRoles, SettingsFaults, SettingsRequest,
+};
+pub use event_log::EventLog;
+pub use operator_api::{OperatorApi, OperatorKeys};
 pub use process_clock::ProcessClock;
+pub use process_metrics::ProcessMetrics;
 pub use running_view::{HostReadiness, RunningView, ViewCell};
--- /dev/null
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -0,0 +1,310 @@
+//! The operators' listener: sheets, audit trail, status, drains, replicas and metrics, by key.
+
+use std::fmt;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::rejection::QueryRejection;
+use axum::extract::{Path, Query, Request, State};
+use axum::http::{StatusCode, header};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use axum::{Json, Router};
+use bytes::Bytes;
+use pulley_core::HostId;
+use pulley_core::process::{ActorName, ChangeId, MemberId, UpstreamId, UpstreamRecord};
+use pulley_core::version::{
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, SheetReader, SheetUpload,
+    SheetView,
+};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+use smol_str::SmolStr;
+
+use super::api_fault::{ApiFault, Result};
+use super::api_server::{ApiLimits, with_bounded_bodies};
+use super::{ControlHandle, ControlRequest, ProcessClock, ProcessMetrics, ReplicaChange, ViewCell};
+
+/// Time the control thread has for an answer; a quorum that takes longer is a failed one.
+const ANSWER_TIME: Duration = Duration::from_secs(5);
+
+/// Audit records given when the operator names no limit.
+const AUDIT_DEFAULT: u32 = 100;
+
+/// Most audit records given at once.
+const AUDIT_LIMIT: u32 = 1_000;
+
+/// Says whether a presented key is one of the operators' keys, in constant time.
+pub trait OperatorKeys: Send + Sync + 'static {
+    /// Whether the key is accepted.
+    fn accepts(&self, presented: &[u8]) -> bool;
+}
+
+impl<F: Fn(&[u8]) -> bool + Send + Sync + 'static> OperatorKeys for F {
+    fn accepts(&self, presented: &[u8]) -> bool {
+        self(presented)
+    }
+}
+
+/// What operators may ask of a host.
+#[derive(Clone)]
+pub struct OperatorApi {
+    control: ControlHandle,
+    view: ViewCell,
+    metrics: ProcessMetrics,
+    keys: Arc<dyn OperatorKeys>,
+    logger: Logger,
+}
+
+impl OperatorApi {
+    /// Limits of its listener: a sheet has at most 1 MiB, which JSON may double.
+    pub const LIMITS: ApiLimits = ApiLimits { connections: 64, body_bytes: 2 << 20 };
+
+    /// Makes the API; whoever holds one of `keys` may ask everything.
+    #[must_use]
+    pub fn new(
+        control: ControlHandle,
+        view: ViewCell,
+        metrics: ProcessMetrics,
+        keys: Arc<dyn OperatorKeys>,
+        logger: Logger,
+    ) -> Self {
+        Self { control, view, metrics, keys, logger }
+    }
+
+    /// The routes; each asks for the key before it reads a body.
+    pub fn router(self) -> Router {
+        let router = Router::new()
+            .route("/v1/sheet", get(show_sheet).post(apply_sheet))
+            .route("/v1/audit", get(show_audit))
+            .route("/v1/status", get(show_status))
+            .route("/v1/upstreams", get(show_upstreams))
+            .route("/v1/drain", post(drain_upstream))
+            .route("/v1/replicas", get(list_replicas).post(add_replica))
+            .route("/v1/replicas/{member}", delete(remove_replica))
+            .route("/status", get(show_status))
+            .route("/metrics", get(show_metrics))
+            .with_state(self.clone());
+        with_bounded_bodies(router, Self::LIMITS.body_bytes)
+            .layer(middleware::from_fn_with_state(self, check_key))
+    }
+
+    async fn within<T>(&self, question: impl Future<Output = super::Result<T>>) -> Result<T> {
+        let answer = tokio::time::timeout(ANSWER_TIME, question).await;
+        Ok(answer.map_err(|_| ApiFault::no_answer())??)
+    }
+
+    async fn status(&self) -> Result<Value> {
+        Ok(self.within(self.control.ask(ControlRequest::Status)).await??)
+    }
+}
+
+impl fmt::Debug for OperatorApi {
+    /// Leaves the keys out.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OperatorApi").field("control", &self.control).finish_non_exhaustive()
+    }
+}
+
+async fn check_key(State(api): State<OperatorApi>, request: Request, next: Next) -> Response {
+    let presented = request.headers().get(header::AUTHORIZATION);
+    let key = presented.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    if key.is_some_and(|key| api.keys.accepts(key)) {
+        return next.run(request).await;
+    }
+    warn!(api.logger, "operator-refused"; "path" => %request.uri().path());
+    let message = "an Authorization header with Bearer and one of the keys is needed";
+    let mut response =
+        ApiFault::new(StatusCode::UNAUTHORIZED, "unauthorized", message).into_response();
+    let challenge = header::HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, challenge);
+    response
+}
+
+// -----------------------------------------------------------------------------------------
+// Sheets
+
+async fn show_sheet(State(api): State<OperatorApi>) -> Result<Json<SheetView>> {
+    let plan = api.within(api.control.ask(ControlRequest::CurrentPlan)).await??;
+    Ok(Json(SheetView { version: plan.version, sheet: plan.sheet }))
+}
+
+async fn apply_sheet(State(api): State<OperatorApi>, body: Bytes) -> Result<Response> {
+    let upload: SheetUpload = parse(&body)?;
+    let change_id = upload.change_id.clone();
+    let actor = upload.actor.clone();
+    let answer = match SheetReader::read(upload.sheet.as_bytes()) {
+        Ok(plan) => {
+            let change = ChangeRequest {
+                change_id: upload.change_id,
+                actor: upload.actor,
+                expect: upload.expect,
+                received_unix_ms: ProcessClock::unix_ms(),
+                sheet: upload.sheet,
+                plan,
+            };
+            decide(&api, change).await?
+        }
+        Err(faults) => {
+            ChangeAnswer::Refused(ChangeRefusal::SheetFaulty { faults: faults.to_string() })
+        }
+    };
+    let outcome = outcome_of(&answer);
+    info!(api.logger, "sheet-apply"; "change_id" => %change_id, "actor" => %actor,
+        "outcome" => outcome);
+    Ok((status_of(&answer), Json(answer)).into_response())
+}
+
+/// Once the change is with the control thread, silence means that nobody knows: answering
+/// "refused" could hide an accepted change from the operator.
+async fn decide(api: &OperatorApi, change: ChangeRequest) -> Result<ChangeAnswer> {
+    let question = api.control.ask(|reply| ControlRequest::Apply(Box::new(change), reply));
+    match tokio::time::timeout(ANSWER_TIME, question).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(super::ControlFault::NoAnswer)) => {
+            Ok(ChangeAnswer::Unknown { why: SmolStr::new_static("the control thread ended") })
+        }
+        Ok(Err(fault)) => Err(fault.into()),
+        Err(_) => Ok(ChangeAnswer::Unknown {
+            why: SmolStr::new_static("no quorum confirmed it within 5s"),
+        }),
+    }
+}
+
+fn outcome_of(answer: &ChangeAnswer) -> &'static str {
+    match answer {
+        ChangeAnswer::Accepted { .. } => "accepted",
+        ChangeAnswer::Refused(_) => "refused",
+        ChangeAnswer::Unknown { .. } => "unknown",
+    }
+}
+
+fn status_of(answer: &ChangeAnswer) -> StatusCode {
+    match answer {
+        ChangeAnswer::Accepted { .. } => StatusCode::OK,
+        ChangeAnswer::Refused(ChangeRefusal::SheetFaulty { .. }) => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+        ChangeAnswer::Refused(_) => StatusCode::CONFLICT,
+        ChangeAnswer::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+// -----------------------------------------------------------------------------------------
+// Audit trail, status, upstreams and metrics
+
+/// The filters of the audit trail as they stand in the query.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AuditQuery {
+    since_unix_ms: Option<u64>,
+    until_unix_ms: Option<u64>,
+    actor: Option<ActorName>,
+    change_id: Option<ChangeId>,
+    outcome: Option<SmolStr>,
+    limit: Option<u32>,
+}
+
+async fn show_audit(
+    State(api): State<OperatorApi>,
+    query: std::result::Result<Query<AuditQuery>, QueryRejection>,
+) -> Result<Json<Vec<AuditRecord>>> {
+    let Query(query) = query.map_err(|error| ApiFault::bad_request(error.body_text()))?;
+    let filter = AuditFilter {
+        since_unix_ms: query.since_unix_ms,
+        until_unix_ms: query.until_unix_ms,
+        actor: query.actor,
+        change_id: query.change_id,
+        outcome: query.outcome,
+        limit: query.limit.unwrap_or(AUDIT_DEFAULT).min(AUDIT_LIMIT),
+    };
+    let question = api.control.ask(|reply| ControlRequest::Audit(filter, reply));
+    Ok(Json(api.within(question).await??))
+}
+
+async fn show_status(State(api): State<OperatorApi>) -> Result<Json<Value>> {
+    Ok(Json(api.status().await?))
+}
+
+async fn show_upstreams(State(api): State<OperatorApi>) -> Json<Value> {
+    let view = api.view.load();
+    let mut records: Vec<&UpstreamRecord> =
+        view.upstreams.values().flat_map(|all| &**all).collect();
+    records.sort_by(|a, b| {
+        let key = |record: &UpstreamRecord| {
+            (record.announcement.pool.clone(), record.announcement.id.clone())
+        };
+        key(a).cmp(&key(b))
+    });
+    let upstreams: Vec<Value> = records
+        .into_iter()
+        .map(|record| {
+            json!({ "announcement": record.announcement, "takes_work": record.takes_work })
+        })
+        .collect();
+    Json(json!({ "upstreams": upstreams }))
+}
+
+async fn show_metrics(State(api): State<OperatorApi>) -> Response {
+    let content_type = [(header::CONTENT_TYPE, ProcessMetrics::CONTENT_TYPE)];
+    (content_type, api.metrics.render()).into_response()
+}
+
+// -----------------------------------------------------------------------------------------
+// Drains and replicas
+
+/// Names the upstream to drain.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainOrder {
+    upstream: UpstreamId,
+}
+
+async fn drain_upstream(State(api): State<OperatorApi>, body: Bytes) -> Result<Json<Value>> {
+    let DrainOrder { upstream } = parse(&body)?;
+    info!(api.logger, "upstream-drain"; "upstream" => %upstream);
+    let answer = json!({ "draining": upstream });
+    let question = api.control.ask(|reply| ControlRequest::Drain(upstream, reply));
+    api.within(question).await??;
+    Ok(Json(answer))
+}
+
+/// Names the host that joins.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ReplicaOrder {
+    host: HostId,
+}
+
+async fn list_replicas(State(api): State<OperatorApi>) -> Result<Json<Value>> {
+    let status = api.status().await?;
+    Ok(Json(json!({ "replicas": status.get("replicas").cloned().unwrap_or_default() })))
+}
+
+async fn add_replica(State(api): State<OperatorApi>, body: Bytes) -> Result<Json<Value>> {
+    let ReplicaOrder { host } = parse(&body)?;
+    change_replicas(&api, ReplicaChange::Add(host)).await
+}
+
+async fn remove_replica(
+    State(api): State<OperatorApi>,
+    Path(member): Path<String>,
+) -> Result<Json<Value>> {
+    let member: MemberId =
+        member.parse().map_err(|error| ApiFault::bad_request(format!("{error}")))?;
+    change_replicas(&api, ReplicaChange::Remove(member)).await
+}
+
+async fn change_replicas(api: &OperatorApi, change: ReplicaChange) -> Result<Json<Value>> {
+    info!(api.logger, "replica-change"; "change" => ?change);
+    let question = api.control.ask(|reply| ControlRequest::Replica(change, reply));
+    Ok(Json(api.within(question).await??))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| ApiFault::bad_request(error.to_string()))
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -0,0 +1,153 @@
+//! The process's metrics, by the conventions of prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use pulley_core::RefusalCause;
+
+/// Why metrics could not be made: a name is taken or malformed.
+pub(super) type Result<T> = std::result::Result<T, prometheus::Error>;
+
+/// Bounds of the latency that the system adds, in seconds; the goal is 1 ms for 99 in 100.
+const ADDED_BOUNDS: [f64; 10] = [0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1, 0.5, 2.0];
+
+/// Bounds of the upstreams' own latency, in seconds.
+const UPSTREAM_BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 5.0, 30.0];
+
+/// Metrics of one process; clones share their values.
+///
+/// Label values come from the sheet in force or from fixed lists, never from callers, so that no
+/// caller can make the number of series grow.
+#[derive(Clone, Debug)]
+pub struct ProcessMetrics {
+    registry: Registry,
+    answered: IntCounterVec,
+    refused: IntCounterVec,
+    retried: IntCounterVec,
+    added_seconds: Histogram,
+    upstream_seconds: HistogramVec,
+    callers_connections: IntGauge,
+    config_version: IntGauge,
+    ready: IntGauge,
+}
+
+impl ProcessMetrics {
+    /// Content type of [`Self::render`].
+    pub const CONTENT_TYPE: &'static str = "text/plain; version=0.0.4";
+
+    /// Makes the metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// If two metrics have one name; the names are fixed, so a test would show it.
+    pub fn new() -> Result<Self> {
+        let answered = IntCounterVec::new(
+            Opts::new("pulley_answers_total", "Answers of upstreams passed on."),
+            &["service", "kind", "status_class"],
+        )?;
+        let refused = IntCounterVec::new(
+            Opts::new("pulley_refusals_total", "Requests refused by this host."),
+            &["service", "kind", "cause"],
+        )?;
+        let retried = IntCounterVec::new(
+            Opts::new("pulley_retries_total", "Further attempts at requests."),
+            &["service", "kind"],
+        )?;
+        let added = HistogramOpts::new(
+            "pulley_added_latency_seconds",
+            "Time a request spent in this host, the upstream's own time left out.",
+        );
+        let upstream = HistogramOpts::new(
+            "pulley_upstream_latency_seconds",
+            "Time from the request sent to the head of the upstream's answer.",
+        );
+        let callers = IntGauge::new("pulley_callers_connections", "Open connections of callers.")?;
+        let version = IntGauge::new("pulley_config_version", "Version of the configuration.")?;
+        let ready = IntGauge::new("pulley_ready", "1 if this host takes work.")?;
+        let metrics = Self {
+            registry: Registry::new(),
+            answered,
+            refused,
+            retried,
+            added_seconds: Histogram::with_opts(added.buckets(ADDED_BOUNDS.to_vec()))?,
+            upstream_seconds: HistogramVec::new(
+                upstream.buckets(UPSTREAM_BOUNDS.to_vec()),
+                &["pool"],
+            )?,
+            callers_connections: callers,
+            config_version: version,
+            ready,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<()> {
+        self.registry.register(Box::new(self.answered.clone()))?;
+        self.registry.register(Box::new(self.refused.clone()))?;
+        self.registry.register(Box::new(self.retried.clone()))?;
+        self.registry.register(Box::new(self.added_seconds.clone()))?;
+        self.registry.register(Box::new(self.upstream_seconds.clone()))?;
+        self.registry.register(Box::new(self.callers_connections.clone()))?;
+        self.registry.register(Box::new(self.config_version.clone()))?;
+        self.registry.register(Box::new(self.ready.clone()))
+    }
+
+    // -------------------------------------------------------------------------------------
+    // Recording
+
+    /// Counts an upstream's answer; `status` is its HTTP status.
+    pub fn record_answer(&self, service: &str, kind: &str, status: u16) {
+        let class = match status / 100 {
+            1 => "1xx",
+            2 => "2xx",
+            3 => "3xx",
+            4 => "4xx",
+            _ => "5xx",
+        };
+        self.answered.with_label_values(&[service, kind, class]).inc();
+    }
+
+    /// Counts a refusal; `None` stands for a request that no row of the sheet matches.
+    pub fn record_refusal(&self, row: Option<(&str, &str)>, cause: RefusalCause) {
+        let (service, kind) = row.unwrap_or(("none", "none"));
+        self.refused.with_label_values(&[service, kind, cause.as_str()]).inc();
+    }
+
+    /// Counts a further attempt.
+    pub fn record_retry(&self, service: &str, kind: &str) {
+        self.retried.with_label_values(&[service, kind]).inc();
+    }
+
+    /// Records how long a request was in this host and how long the upstream took of it.
+    pub fn record_latency(&self, pool: &str, added: Duration, upstream: Duration) {
+        self.added_seconds.observe(added.as_secs_f64());
+        self.upstream_seconds.with_label_values(&[pool]).observe(upstream.as_secs_f64());
+    }
+
+    /// The gauge of callers' open connections.
+    #[must_use]
+    pub fn callers_connections(&self) -> &IntGauge {
+        &self.callers_connections
+    }
+
+    /// Notes the configuration in force and whether this host takes work.
+    pub fn record_view(&self, version: u64, ready: bool) {
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.ready.set(i64::from(ready));
+    }
+
+    // -------------------------------------------------------------------------------------
+    // Reading
+
+    /// All metrics in prometheus' text format.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding to memory fails only on a malformed family, which registering has ruled out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -0,0 +1,67 @@
+//! The list of settings: flag, environment variable, default and help.
+
+/// One setting of the daemon.
+pub(super) struct SettingEntry {
+    /// The flag without its dashes; the variable is `PULLEYD_` and the flag in capitals.
+    pub(super) flag: &'static str,
+    /// What a value looks like.
+    pub(super) hint: &'static str,
+    /// The value when neither flag nor variable is given; `None` if there is none.
+    pub(super) default: Option<&'static str>,
+    /// What it is for.
+    pub(super) help: &'static str,
+}
+
+impl SettingEntry {
+    pub(super) fn variable(&self) -> String {
+        format!("{VARIABLE_PREFIX}{}", self.flag.to_ascii_uppercase().replace('-', "_"))
+    }
+}
+
+/// What every environment variable of the daemon starts with.
+pub(super) const VARIABLE_PREFIX: &str = "PULLEYD_";
+
+const fn required(flag: &'static str, hint: &'static str, help: &'static str) -> SettingEntry {
+    SettingEntry { flag, hint, default: None, help }
+}
+
+const fn optional(
+    flag: &'static str,
+    hint: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> SettingEntry {
+    SettingEntry { flag, hint, default: Some(default), help }
+}
+
+/// Every setting, in the order of the help text.
+pub(super) const SETTINGS: &[SettingEntry] = &[
+    required("host-id", "NAME", "name of this host, unique in the cluster"),
+    required("zone", "NAME", "availability zone of this host"),
+    required("cluster", "NAME", "name of the installation; hosts of another one are not let in"),
+    required("secret-file", "FILE", "file with one or two keys, a line each; the first is sent"),
+    optional("callers-listen", "IP:PORT", "127.0.0.1:8080", "where callers connect"),
+    optional(
+        "upstreams-listen",
+        "IP:PORT",
+        "127.0.0.1:8081",
+        "where upstreams announce themselves and the platform asks /healthz",
+    ),
+    optional("operators-listen", "IP:PORT", "127.0.0.1:8082", "where operators connect, by key"),
+    optional("peers-listen", "IP:PORT", "127.0.0.1:8083", "where other hosts connect, by key"),
+    optional("seeds", "IP:PORT,…", "", "peer addresses of hosts that this host asks first"),
+    optional("roles", "ROLE,…", "entry", "entry (serves callers), replica (holds the log)"),
+    optional(
+        "replicas",
+        "HOST=mN,…",
+        "",
+        "the first members of the log, the same on every host; used on an empty data folder only",
+    ),
+    optional("data-folder", "FOLDER", "", "where a replica keeps its state; one process only"),
+    optional("drain-grace", "TIME", "30s", "longest wait for requests in flight at shutdown"),
+    optional("config-lease", "TIME", "3s", "how long a configuration holds without renewal"),
+    optional("announce-lease", "TIME", "3s", "how long an announcement holds without renewal"),
+    optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
+    optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
+    optional("callers-limit", "COUNT", "10000", "most connections of callers, 1 to 100000"),
+];
--- /dev/null
+++ b/crates/pulleyd/tests/control_apis.rs
@@ -0,0 +1,239 @@
+//! The operators' and upstreams' listeners, over real sockets, with a stand-in control thread.
+
+#![allow(clippy::unwrap_used, clippy::panic, reason = "a test may end there")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pulley_core::ConfigVersion;
+use pulley_core::version::ChangeAnswer;
+use pulleyd::process::{
+    AnnounceApi, ApiServer, ControlFault, ControlHandle, ControlRequest, HostReadiness,
+    OperatorApi, ProcessMetrics, RunningView, ViewCell,
+};
+use slog::{Discard, Logger, o};
+use smol_str::SmolStr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+const ANNOUNCEMENT: &str = r#"{"id":"u1","address":"127.0.0.1:9","zone":"z","pool":"cover",
+"slots":2,"connections":500,"incarnation":1,"sequence":1,"phase":"ready"}"#;
+
+/// Longest wait for an answer; only a hang ends there.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct TestHost {
+    operators: SocketAddr,
+    upstreams: SocketAddr,
+    view: ViewCell,
+}
+
+/// Answers as a control thread would, and drops questions about version 99.
+async fn answer_questions(mut questions: mpsc::Receiver<ControlRequest>) {
+    while let Some(question) = questions.recv().await {
+        match question {
+            ControlRequest::Announce(announcement, reply) => {
+                let id = announcement.id.as_str();
+                let refusal = ControlFault::Refused("u2 has another address".to_owned());
+                let _ = reply.send(if id == "u2" { Err(refusal) } else { Ok(()) });
+            }
+            ControlRequest::Apply(change, reply) if change.expect != ConfigVersion(99) => {
+                let version = change.expect.next();
+                let _ = reply.send(ChangeAnswer::Accepted { version });
+            }
+            ControlRequest::CurrentPlan(reply) => {
+                let _ = reply.send(Err(ControlFault::NoQuorum("2 of 3 replicas".to_owned())));
+            }
+            ControlRequest::Audit(_, reply) => drop(reply.send(Ok(Vec::new()))),
+            ControlRequest::Status(reply) => {
+                let _ = reply.send(Ok(serde_json::json!({ "version": 7 })));
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn serve(router: axum::Router, limits: pulleyd::process::ApiLimits) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let logger = Logger::root(Discard, o!());
+    tokio::spawn(ApiServer::new(listener, router, limits, logger).run(std::future::pending()));
+    address
+}
+
+async fn test_host() -> TestHost {
+    let (control, questions) = ControlHandle::channel(16);
+    tokio::spawn(answer_questions(questions));
+    let view = ViewCell::default();
+    let keys = Arc::new(|key: &[u8]| key == b"secret");
+    let logger = Logger::root(Discard, o!());
+    let metrics = ProcessMetrics::new().unwrap();
+    metrics.record_view(7, true);
+    let operators = OperatorApi::new(control.clone(), view.clone(), metrics, keys, logger);
+    let upstreams = AnnounceApi::new(control, view.clone());
+    TestHost {
+        operators: serve(operators.router(), OperatorApi::LIMITS).await,
+        upstreams: serve(upstreams.router(), AnnounceApi::LIMITS).await,
+        view,
+    }
+}
+
+/// Sends raw bytes, keeps the sending side open, and reads until the server closes or the whole
+/// answer is there.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        // The server may answer and close before it has read everything.
+        let _ = stream.write_all(bytes).await;
+        let mut answer = Vec::new();
+        let mut chunk = [0_u8; 4096];
+        while let Ok(count @ 1..) = stream.read(&mut chunk).await {
+            answer.extend_from_slice(&chunk[..count]);
+        }
+        String::from_utf8_lossy(&answer).into_owned()
+    };
+    tokio::time::timeout(PATIENCE, exchange).await.unwrap()
+}
+
+fn request(method: &str, path: &str, key: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+         authorization: Bearer {key}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let answer = raw(address, &request(method, path, "secret", body)).await;
+    (status_of(&answer), answer.split_once("\r\n\r\n").unwrap().1.to_owned())
+}
+
+fn status_of(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
+    status.unwrap_or_else(|| panic!("no status in {answer:?}"))
+}
+
+fn upload(expect: u64, sheet: &str) -> String {
+    serde_json::json!({ "change_id": "c1", "actor": "ana", "expect": expect, "sheet": sheet })
+        .to_string()
+}
+
+#[tokio::test]
+async fn nobody_is_let_in_without_the_key() {
+    let host = test_host().await;
+    for path in ["/v1/sheet", "/v1/audit", "/v1/status", "/metrics", "/status", "/nowhere"] {
+        for key in ["wrong", "", "secret2"] {
+            let answer = raw(host.operators, &request("GET", path, key, "")).await;
+            assert_eq!(status_of(&answer), 401, "{path} with {key:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_sheet_is_accepted_refused_or_unknown() {
+    let host = test_host().await;
+    let good = include_str!("../../../examples/kolkhi.csv");
+    let accepted = call(host.operators, "POST", "/v1/sheet", &upload(4, good)).await;
+    assert_eq!(accepted, (200, r#"{"accepted":{"version":5}}"#.to_owned()));
+
+    let (status, body) = call(host.operators, "POST", "/v1/sheet", &upload(4, "pool\nx")).await;
+    assert_eq!(status, 422);
+    assert!(body.contains("column service"), "{body}");
+
+    // The control thread drops this question, as it would when it ends in the middle.
+    let (status, body) = call(host.operators, "POST", "/v1/sheet", &upload(99, good)).await;
+    assert_eq!(status, 504);
+    assert!(body.contains("unknown"), "{body}");
+
+    let (status, body) = call(host.operators, "GET", "/v1/sheet", "").await;
+    assert_eq!(status, 503);
+    assert!(body.contains("no-quorum"), "{body}");
+}
+
+#[tokio::test]
+async fn metrics_and_status_are_served() {
+    let host = test_host().await;
+    let (status, body) = call(host.operators, "GET", "/metrics", "").await;
+    assert_eq!(status, 200);
+    assert!(body.contains("pulley_config_version 7"), "{body}");
+    assert_eq!(call(host.operators, "GET", "/status", "").await.1, r#"{"version":7}"#);
+    assert_eq!(call(host.operators, "GET", "/v1/audit?limit=5", "").await.0, 200);
+    assert_eq!(call(host.operators, "GET", "/v1/audit?colour=red", "").await.0, 400);
+}
+
+#[tokio::test]
+async fn health_follows_the_view() {
+    let host = test_host().await;
+    let (status, body) = call(host.upstreams, "GET", "/healthz", "").await;
+    assert_eq!((status, body.contains("starting")), (503, true));
+    let ready = RunningView { readiness: HostReadiness::Ready, ..RunningView::default() };
+    host.view.store(ready);
+    assert_eq!(call(host.upstreams, "GET", "/healthz", "").await.0, 200);
+    let why = SmolStr::new("lease over");
+    let readiness = HostReadiness::NotReady { why };
+    host.view.store(RunningView { readiness, ..RunningView::default() });
+    let (status, body) = call(host.upstreams, "GET", "/healthz", "").await;
+    assert_eq!((status, body.contains("lease over")), (503, true));
+}
+
+/// A broken or hostile upstream announces nonsense. Taken in, an upstream with a million slots or
+/// with an address nobody can connect to would draw its pool's work.
+#[tokio::test]
+async fn announcements_are_checked() {
+    let host = test_host().await;
+    assert_eq!(call(host.upstreams, "POST", "/v1/announce", ANNOUNCEMENT).await.0, 200);
+    let (status, body) =
+        call(host.upstreams, "POST", "/v1/announce", &ANNOUNCEMENT.replace("u1", "u2")).await;
+    assert_eq!((status, body.contains("another address")), (409, true));
+    for (from, to) in [
+        ("127.0.0.1:9", "127.0.0.1:0"),
+        ("127.0.0.1:9", "0.0.0.0:9"),
+        ("127.0.0.1:9", "localhost:9"),
+        ("\"slots\":2", "\"slots\":0"),
+        ("\"slots\":2", "\"slots\":1000000"),
+        ("\"connections\":500", "\"connections\":0"),
+        ("\"u1\"", "\"u 1\""),
+        ("ready", "resting"),
+        ("{", "["),
+    ] {
+        let body = ANNOUNCEMENT.replacen(from, to, 1);
+        let (status, answer) = call(host.upstreams, "POST", "/v1/announce", &body).await;
+        assert_eq!(status, 400, "{body}: {answer}");
+    }
+}
+
+/// Clients that send too much, without end, or too slowly would each hold memory or a connection
+/// of the one process that also carries requests.
+#[tokio::test]
+async fn each_abuse_of_a_listener_meets_a_limit_with_a_status() {
+    let host = test_host().await;
+    let head = "POST /v1/announce HTTP/1.1\r\nhost: h\r\n";
+    let chunk = format!("400\r\n{}\r\n", "x".repeat(0x400));
+    let oversized = format!("{head}content-length: 5000\r\n\r\n{}", "x".repeat(5_000));
+    let endless = format!("{head}transfer-encoding: chunked\r\n\r\n{}", chunk.repeat(9));
+    let slow_body = format!("{head}content-length: 100\r\n\r\n{{");
+    let large_header = format!("{head}x: {}\r\n\r\n", "x".repeat(40_000));
+    let two_framings =
+        format!("{head}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n");
+    let two_lengths = format!("{head}content-length: 5\r\ncontent-length: 6\r\n\r\nabcdef");
+    let answers =
+        [&oversized, &endless, &slow_body, &large_header, head, &two_framings, &two_lengths]
+            .map(|bytes| raw(host.upstreams, bytes.as_bytes()));
+    let answers = futures::future::join_all(answers).await;
+    let [oversized, endless, slow_body, large_header, slow_header, two_framings, two_lengths] =
+        &answers[..]
+    else {
+        panic!("{answers:?}")
+    };
+    assert_eq!(status_of(oversized), 413);
+    assert_eq!(status_of(endless), 413);
+    assert_eq!(status_of(slow_body), 408);
+    assert_eq!(status_of(large_header), 431);
+    // With headers incomplete there is no request to answer: the connection is closed.
+    assert_eq!(slow_header, "");
+    assert_eq!(status_of(two_framings), 400);
+    assert_eq!(status_of(two_lengths), 400);
+}
