--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod control_handle;
 mod process_clock;
 mod running_view;
+mod timer_service;
 
 pub use control_handle::{
     ClaimAnswer, ClaimRequest, ControlFault, ControlHandle, ControlRequest, FencingToken,
@@ -10,3 +11,4 @@
 };
 pub use process_clock::ProcessClock;
 pub use running_view::{HostReadiness, RunningView, ViewCell};
+pub use timer_service::{TimerService, TimerSubscription};
--- /dev/null
+++ b/crates/pulleyd/src/request/attempt_guard.rs
@@ -0,0 +1,52 @@
+//! One started attempt, whose slot must be given back exactly once.
+
+use std::sync::Arc;
+
+use pulley_core::PoolName;
+use pulley_core::request::{AttemptOutcome, LoadReport, RequestNumber};
+
+use super::SchedulerSet;
+
+/// Holds an upstream's slot for one attempt and reports how the attempt ended.
+///
+/// If it is dropped unreported, the caller has left; without this the slot would stay counted and
+/// the pool would seem full for good.
+#[derive(Debug)]
+pub struct AttemptGuard {
+    schedulers: Arc<SchedulerSet>,
+    pool: PoolName,
+    number: RequestNumber,
+    report: Option<LoadReport>,
+    settled: bool,
+}
+
+impl AttemptGuard {
+    /// Takes charge of an attempt that a placement has started.
+    #[must_use]
+    pub fn new(schedulers: Arc<SchedulerSet>, pool: PoolName, number: RequestNumber) -> Self {
+        Self { schedulers, pool, number, report: None, settled: false }
+    }
+
+    /// Keeps the upstream's load report until the attempt ends.
+    pub fn note_report(&mut self, report: Option<LoadReport>) {
+        self.report = report;
+    }
+
+    /// Reports the attempt's end.
+    pub fn settle(mut self, outcome: AttemptOutcome) {
+        self.settle_as(outcome);
+    }
+
+    fn settle_as(&mut self, outcome: AttemptOutcome) {
+        self.settled = true;
+        self.schedulers.finish(&self.pool, self.number, outcome, self.report.take());
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.settle_as(AttemptOutcome::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -0,0 +1,302 @@
+//! The pool schedulers of one process, driven from its traffic threads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use pulley_core::process::{FastMap, UpstreamRecord};
+use pulley_core::request::{
+    AttemptOutcome, LoadReport, PoolScheduler, RequestNumber, RequestTicket, SchedulerEffect,
+    SchedulerEffects,
+};
+use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
+use tokio::sync::{Notify, oneshot};
+
+use crate::process::{ProcessClock, RunningView, TimerService};
+
+/// How long the ticking task sleeps when no scheduler asks to be woken.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// How soon a caller may come back when its pool is not in force.
+const UNKNOWN_POOL_RETRY: Duration = Duration::from_secs(1);
+
+/// What became of a request that asked for an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// Send it to this upstream; its slot is counted until [`SchedulerSet::finish`].
+    Start {
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Answer at once that it was not run.
+    Refuse {
+        /// Why.
+        cause: RefusalCause,
+        /// When the caller may usefully come back.
+        retry_after: Duration,
+    },
+}
+
+/// One [`PoolScheduler`] a pool, each behind its own lock, and the requests that wait in them.
+///
+/// Start it with [`SchedulerSet::new`], feed it every view with [`SchedulerSet::apply_view`], and
+/// spawn [`SchedulerSet::run`] once; the task ends when it is aborted.
+#[derive(Debug)]
+pub struct SchedulerSet {
+    host: HostId,
+    zone: ZoneName,
+    clock: ProcessClock,
+    seed: u64,
+    pools: RwLock<FastMap<PoolName, Arc<PoolCell>>>,
+    armed: AtomicU64,
+    rearmed: Notify,
+}
+
+#[derive(Debug)]
+struct PoolCell {
+    state: Mutex<PoolState>,
+}
+
+#[derive(Debug)]
+struct PoolState {
+    scheduler: PoolScheduler,
+    waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
+    plan: Arc<PolicyPlan>,
+    upstreams: Arc<[UpstreamRecord]>,
+}
+
+impl SchedulerSet {
+    /// Makes a set that knows no pool yet; `seed` makes its random choices repeatable.
+    #[must_use]
+    pub fn new(host: HostId, zone: ZoneName, clock: ProcessClock, seed: u64) -> Self {
+        Self {
+            host,
+            zone,
+            clock,
+            seed,
+            pools: RwLock::default(),
+            armed: AtomicU64::new(u64::MAX),
+            rearmed: Notify::new(),
+        }
+    }
+
+    /// Takes over a view: new pools, plans and upstreams. Unchanged parts cost a comparison.
+    pub fn apply_view(&self, view: &RunningView) {
+        let now = self.clock.now();
+        for pool in view.plan.pools() {
+            let cell = self.cell_or_new(&pool);
+            let upstreams = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            let effects = cell.apply(now, &view.plan, upstreams);
+            self.deliver(&cell, effects);
+        }
+        self.retire_pools(&view.plan);
+    }
+
+    /// Asks for an upstream and waits in the pool's queue until there is one or none can be had.
+    ///
+    /// Dropping the future takes the request out of the queue and gives back a slot that was
+    /// granted meanwhile.
+    pub async fn place(&self, pool: &PoolName, ticket: &RequestTicket) -> Placement {
+        let Some(cell) = self.cell(pool) else {
+            let cause = RefusalCause::NoUpstream;
+            return Placement::Refuse { cause, retry_after: UNKNOWN_POOL_RETRY };
+        };
+        let (sender, receiver) = oneshot::channel();
+        let effects = {
+            let mut state = cell.state.lock();
+            state.waiting.insert(ticket.number, sender);
+            state.scheduler.arrive(self.clock.now(), ticket)
+        };
+        let mut waiter = QueuedRequest { set: self, cell: &cell, number: ticket.number, receiver };
+        self.deliver(&cell, effects);
+        waiter.settle().await
+    }
+
+    /// Reports how an attempt that was started has ended.
+    pub fn finish(
+        &self,
+        pool: &PoolName,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+    ) {
+        let Some(cell) = self.cell(pool) else { return };
+        self.finish_in(&cell, number, outcome, report);
+    }
+
+    /// Ticks the schedulers whenever one asks to be woken; spawn it once a process.
+    pub async fn run(self: Arc<Self>, timer: TimerService) {
+        loop {
+            let rearmed = self.rearmed.notified();
+            let due = self.next_wakeup().unwrap_or(self.clock.now() + IDLE_TICK);
+            self.armed.store(due.micros(), Ordering::SeqCst);
+            tokio::select! {
+                _ = timer.at(due) => self.tick(),
+                () = rearmed => {}
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        for cell in cells {
+            let effects = cell.state.lock().scheduler.tick(self.clock.now());
+            self.deliver(&cell, effects);
+        }
+    }
+
+    fn next_wakeup(&self) -> Option<Moment> {
+        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        cells.iter().filter_map(|cell| cell.state.lock().scheduler.next_wakeup()).min()
+    }
+
+    fn cell(&self, pool: &PoolName) -> Option<Arc<PoolCell>> {
+        self.pools.read().get(pool).cloned()
+    }
+
+    fn cell_or_new(&self, pool: &PoolName) -> Arc<PoolCell> {
+        if let Some(cell) = self.cell(pool) {
+            return cell;
+        }
+        let (host, zone) = (self.host.clone(), self.zone.clone());
+        let scheduler = PoolScheduler::new(host, zone, pool.clone(), self.seed);
+        let state = PoolState {
+            scheduler,
+            waiting: FastMap::default(),
+            plan: Arc::default(),
+            upstreams: Arc::default(),
+        };
+        let cell = Arc::new(PoolCell { state: Mutex::new(state) });
+        Arc::clone(self.pools.write().entry(pool.clone()).or_insert(cell))
+    }
+
+    /// Drops pools that the plan no longer names, once nothing waits in them.
+    fn retire_pools(&self, plan: &PolicyPlan) {
+        let named = plan.pools();
+        let mut pools = self.pools.write();
+        pools.retain(|pool, cell| {
+            named.contains(pool)
+                || Arc::strong_count(cell) > 1
+                || !cell.state.lock().waiting.is_empty()
+        });
+    }
+
+    fn finish_in(
+        &self,
+        cell: &PoolCell,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+    ) {
+        let effects = cell.state.lock().scheduler.finish(self.clock.now(), number, outcome, report);
+        self.deliver(cell, effects);
+    }
+
+    /// Hands effects to those who wait for them.
+    ///
+    /// A start whose request has meanwhile gone is given back, as its slot would otherwise stay
+    /// counted for good; giving it back can start another request, hence the loop.
+    fn deliver(&self, cell: &PoolCell, mut effects: SchedulerEffects) {
+        while !effects.is_empty() {
+            let mut next = SchedulerEffects::new();
+            for effect in effects {
+                let (number, placement) = split_effect(effect);
+                let started = matches!(placement, Placement::Start { .. });
+                let mut state = cell.state.lock();
+                let waiter = state.waiting.remove(&number);
+                let taken = waiter.is_some_and(|waiter| waiter.send(placement).is_ok());
+                if started && !taken {
+                    let now = self.clock.now();
+                    let outcome = AttemptOutcome::Cancelled;
+                    next.extend(state.scheduler.finish(now, number, outcome, None));
+                }
+            }
+            effects = next;
+        }
+        self.rearm(cell);
+    }
+
+    fn rearm(&self, cell: &PoolCell) {
+        let Some(due) = cell.state.lock().scheduler.next_wakeup() else { return };
+        if due.micros() < self.armed.load(Ordering::SeqCst) {
+            self.armed.store(due.micros(), Ordering::SeqCst);
+            self.rearmed.notify_one();
+        }
+    }
+}
+
+impl PoolCell {
+    fn apply(
+        &self,
+        now: Moment,
+        plan: &Arc<PolicyPlan>,
+        upstreams: Arc<[UpstreamRecord]>,
+    ) -> SchedulerEffects {
+        let mut state = self.state.lock();
+        let mut effects = SchedulerEffects::new();
+        if !Arc::ptr_eq(&state.plan, plan) {
+            state.plan = Arc::clone(plan);
+            effects.extend(state.scheduler.apply_plan(now, Arc::clone(plan)));
+        }
+        if !Arc::ptr_eq(&state.upstreams, &upstreams) {
+            effects.extend(state.scheduler.apply_upstreams(now, &upstreams));
+            state.upstreams = upstreams;
+        }
+        effects
+    }
+}
+
+fn split_effect(effect: SchedulerEffect) -> (RequestNumber, Placement) {
+    match effect {
+        SchedulerEffect::Start { number, upstream, address } => {
+            (number, Placement::Start { upstream, address })
+        }
+        SchedulerEffect::Refuse { number, cause, retry_after } => {
+            (number, Placement::Refuse { cause, retry_after })
+        }
+    }
+}
+
+/// A request in a pool's queue; dropping it takes it out again.
+struct QueuedRequest<'a> {
+    set: &'a SchedulerSet,
+    cell: &'a PoolCell,
+    number: RequestNumber,
+    receiver: oneshot::Receiver<Placement>,
+}
+
+impl QueuedRequest<'_> {
+    async fn settle(&mut self) -> Placement {
+        let lost = Placement::Refuse { cause: RefusalCause::NotReady, retry_after: IDLE_TICK };
+        (&mut self.receiver).await.unwrap_or(lost)
+    }
+
+    fn leave_queue(&self) {
+        let effects = {
+            let mut state = self.cell.state.lock();
+            if state.waiting.remove(&self.number).is_none() {
+                return;
+            }
+            state.scheduler.cancel(self.set.clock.now(), self.number)
+        };
+        self.set.deliver(self.cell, effects);
+    }
+}
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        self.receiver.close();
+        match self.receiver.try_recv() {
+            // Granted, but the caller left before it heard: the slot must go back.
+            Ok(Placement::Start { .. }) => {
+                self.set.finish_in(self.cell, self.number, AttemptOutcome::Cancelled, None);
+            }
+            Ok(Placement::Refuse { .. }) => {}
+            Err(_) => self.leave_queue(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -0,0 +1,80 @@
+//! The answers that the system makes itself, each with its verdict.
+
+use std::time::Duration;
+
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use pulley_core::{RefusalCause, RequestVerdict};
+
+use super::AnswerBody;
+
+/// The header that says whether the request may have run.
+pub const VERDICT_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-verdict");
+
+/// The header that names the cause of a system answer.
+pub const CAUSE_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-cause");
+
+/// An answer that comes from the system and not from an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SystemAnswer {
+    /// Its HTTP status.
+    pub status: StatusCode,
+    /// Whether the request may have run.
+    pub verdict: RequestVerdict,
+    /// Why, in one word for headers and logs.
+    pub cause: &'static str,
+    /// When the caller may usefully come back, if waiting helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl SystemAnswer {
+    /// A refusal before anything was sent: the request was not run.
+    #[must_use]
+    pub fn refused(cause: RefusalCause, retry_after: Option<Duration>) -> Self {
+        let status = match cause {
+            RefusalCause::NoSuchKind => StatusCode::NOT_FOUND,
+            RefusalCause::BadRequest => StatusCode::BAD_REQUEST,
+            RefusalCause::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
+            RefusalCause::DeadlineTooClose => StatusCode::GATEWAY_TIMEOUT,
+            RefusalCause::QueueFull | RefusalCause::ShareUsedUp => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCause::NotReady
+            | RefusalCause::ShuttingDown
+            | RefusalCause::NoUpstream
+            | RefusalCause::HostFull
+            | RefusalCause::LedgerUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Self { status, verdict: RequestVerdict::NotRun, cause: cause.as_str(), retry_after }
+    }
+
+    /// A failure at a stage where the verdict is known exactly.
+    #[must_use]
+    pub const fn failed(
+        status: StatusCode,
+        verdict: RequestVerdict,
+        cause: &'static str,
+        retry_after: Option<Duration>,
+    ) -> Self {
+        Self { status, verdict, cause, retry_after }
+    }
+
+    /// The answer as HTTP.
+    #[must_use]
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let text = format!("verdict={} cause={}\n", self.verdict, self.cause);
+        let mut response = Response::new(AnswerBody::whole(text.into()));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(VERDICT_HEADER, HeaderValue::from_static(self.verdict.as_str()));
+        headers.insert(CAUSE_HEADER, HeaderValue::from_static(self.cause));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(delay) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(delay)));
+        }
+        response
+    }
+}
+
+/// `Retry-After` counts whole seconds; rounding up keeps callers from coming back too early.
+fn whole_seconds(delay: Duration) -> u64 {
+    delay.as_secs() + u64::from(delay.subsec_nanos() > 0)
+}
