--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod process_metrics;
 mod running_view;
 mod setting_list;
+mod timer_service;
 
 pub use announce_api::AnnounceApi;
 pub use api_server::{ApiLimits, ApiServer};
@@ -26,3 +27,4 @@
 pub use process_clock::ProcessClock;
 pub use process_metrics::ProcessMetrics;
 pub use running_view::{HostReadiness, RunningView, ViewCell};
+pub use timer_service::{TimerService, TimerSubscription};
