Give operators a command line

Cause: sheets could only be sent by hand-made HTTP. Change: pulleyctl with sheet check, apply and show, status, upstreams, drain, audit and replica; several hosts in turn, time-outs, JSON; a change id printed before it is sent; exit code 3 when an answer is lost. humantime reads and prints times (a new dependency).

--- /dev/null
+++ b/crates/pulleyctl/src/command_line.rs
@@ -0,0 +1,272 @@
+//! Reads what the operator typed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use getopts::{Matches, Options};
+use pulley_core::HostId;
+use pulley_core::process::{ActorName, ChangeId, MemberId, UpstreamId};
+use pulley_core::version::{AuditFilter, ConfigVersion};
+use smol_str::SmolStr;
+
+/// Time for a whole answer when the operator names none; a host itself gives up after 5 s.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Audit records shown when the operator names no limit.
+const DEFAULT_LIMIT: u32 = 50;
+
+/// Where the hosts' operator listener is by default.
+const DEFAULT_SERVER: &str = "127.0.0.1:8082";
+
+/// Why there is nothing to carry out.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum UsageEnd {
+    /// The operator asked for the help text or the version.
+    Text(String),
+    /// Every fault of the command line.
+    Faults(Vec<String>),
+}
+
+/// A change as the operator asks for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ApplyOrder {
+    /// The sheet's file.
+    pub(crate) file: PathBuf,
+    /// The version it is based on; the one in force if absent.
+    pub(crate) expect: Option<ConfigVersion>,
+    /// The id of an earlier try; a new one is made if absent.
+    pub(crate) change_id: Option<ChangeId>,
+    /// Who asks.
+    pub(crate) actor: ActorName,
+}
+
+/// One command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Command {
+    SheetCheck(PathBuf),
+    SheetApply(ApplyOrder),
+    SheetShow,
+    Status,
+    Upstreams,
+    Drain(UpstreamId),
+    Audit(AuditFilter),
+    ReplicaAdd(HostId),
+    ReplicaRemove(MemberId),
+    ReplicaList,
+}
+
+/// A checked command line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CommandLine {
+    /// Hosts to try, in this order.
+    pub(crate) servers: Vec<SocketAddr>,
+    /// The file whose first line is the key.
+    pub(crate) secret_file: Option<PathBuf>,
+    /// Longest wait for a whole answer.
+    pub(crate) timeout: Duration,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+    /// What to do.
+    pub(crate) command: Command,
+}
+
+impl CommandLine {
+    /// Reads arguments and environment; a flag wins over its variable.
+    pub(crate) fn parse(
+        args: impl IntoIterator<Item = String>,
+        env: impl IntoIterator<Item = (String, String)>,
+    ) -> Result<Self, UsageEnd> {
+        let args: Vec<String> = args.into_iter().collect();
+        let options = options();
+        let matches =
+            options.parse(&args).map_err(|fault| UsageEnd::Faults(vec![fault.to_string()]))?;
+        if matches.opt_present("help") {
+            return Err(UsageEnd::Text(options.usage(BRIEF)));
+        }
+        if matches.opt_present("version") {
+            return Err(UsageEnd::Text(format!("pulleyctl {}", env!("CARGO_PKG_VERSION"))));
+        }
+        let env = env.into_iter().collect();
+        let mut reader = LineReader { matches, env, faults: Vec::new() };
+        let servers = reader.servers();
+        let secret_file = reader.text("secret-file", Some("PULLEYCTL_SECRET_FILE"));
+        let timeout = reader.duration("timeout").unwrap_or(DEFAULT_TIMEOUT);
+        let command = reader.command();
+        match command {
+            Some(command) if reader.faults.is_empty() => Ok(Self {
+                servers,
+                secret_file: secret_file.map(PathBuf::from),
+                timeout,
+                json: reader.matches.opt_present("json"),
+                command,
+            }),
+            _ => Err(UsageEnd::Faults(reader.faults)),
+        }
+    }
+}
+
+const BRIEF: &str = "\
+Usage: pulleyctl [FLAGS] COMMAND
+
+Commands:
+    sheet check FILE       name every fault of a sheet; speaks to no host
+    sheet apply FILE       put a sheet in force (--expect, --change-id, --actor)
+    sheet show             print the sheet in force
+    status                 print what a host knows of the system
+    upstreams              print the upstreams a host knows
+    drain UPSTREAM         send an upstream no new work
+    audit                  print the trail of changes (--since, --until, --actor,
+                           --change-id, --outcome, --limit)
+    replica list           print who holds the log
+    replica add HOST       let a host join the log
+    replica remove MEMBER  take a member out of the log for good
+
+Exit codes: 0 done; 1 refused or failed, not done; 2 usage; 3 outcome unknown: send it
+again with the same change id.
+
+Variables: PULLEYCTL_SERVERS, PULLEYCTL_SECRET_FILE, PULLEYCTL_ACTOR; a flag wins.";
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optmulti("s", "server", "host to ask; several are tried in turn", "IP:PORT");
+    options.optopt("", "secret-file", "file whose first line is the key", "FILE");
+    options.optopt("", "timeout", "longest wait for an answer (default 10s)", "TIME");
+    options.optflag("", "json", "print JSON");
+    options.optopt("", "expect", "version that the sheet is based on", "VERSION");
+    options.optopt("", "change-id", "id of an earlier try, or of audit records", "ID");
+    options.optopt("", "actor", "who asks, or whose audit records", "NAME");
+    options.optopt("", "since", "audit: not before 2h ago, or 2026-12-02T08:00:00Z", "TIME");
+    options.optopt("", "until", "audit: not after", "TIME");
+    options.optopt("", "outcome", "audit: accepted, refused or member", "WORD");
+    options.optopt("", "limit", "audit: most records (default 50)", "COUNT");
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+struct LineReader {
+    matches: Matches,
+    env: BTreeMap<String, String>,
+    faults: Vec<String>,
+}
+
+impl LineReader {
+    fn command(&mut self) -> Option<Command> {
+        let words = self.matches.free.clone();
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        match words[..] {
+            ["sheet", "check", file] => Some(Command::SheetCheck(PathBuf::from(file))),
+            ["sheet", "apply", file] => self.apply_order(file).map(Command::SheetApply),
+            ["sheet", "show"] => Some(Command::SheetShow),
+            ["status"] => Some(Command::Status),
+            ["upstreams"] => Some(Command::Upstreams),
+            ["audit"] => Some(Command::Audit(self.audit_filter())),
+            ["drain", upstream] => self.parsed("drain", upstream).map(Command::Drain),
+            ["replica", "list"] => Some(Command::ReplicaList),
+            ["replica", "add", host] => self.parsed("replica add", host).map(Command::ReplicaAdd),
+            ["replica", "remove", member] => {
+                self.parsed("replica remove", member).map(Command::ReplicaRemove)
+            }
+            [] => self.fault("no command".to_owned()),
+            _ => self.fault(format!("no such command: {}", words.join(" "))),
+        }
+    }
+
+    fn apply_order(&mut self, file: &str) -> Option<ApplyOrder> {
+        let expect = self.option("expect");
+        let change_id = self.option("change-id");
+        // A resend has to be the same change. Based on whatever is in force by now, it would be
+        // another one under the same id.
+        if change_id.is_some() && expect.is_none() {
+            self.faults.push("--change-id needs the --expect of the first try".to_owned());
+        }
+        let name = self.text("actor", Some("PULLEYCTL_ACTOR"));
+        let Some(name) = name.or_else(|| self.env.get("USER").cloned()) else {
+            return self.fault("--actor: missing, as are PULLEYCTL_ACTOR and USER".to_owned());
+        };
+        let actor = self.parsed("--actor", &name)?;
+        Some(ApplyOrder { file: PathBuf::from(file), expect, change_id, actor })
+    }
+
+    fn audit_filter(&mut self) -> AuditFilter {
+        AuditFilter {
+            since_unix_ms: self.moment("since"),
+            until_unix_ms: self.moment("until"),
+            actor: self.option("actor"),
+            change_id: self.option("change-id"),
+            outcome: self.outcome(),
+            limit: self.option("limit").unwrap_or(DEFAULT_LIMIT),
+        }
+    }
+
+    fn outcome(&mut self) -> Option<SmolStr> {
+        let text = self.text("outcome", None)?;
+        match text.as_str() {
+            "accepted" | "refused" | "member" => Some(SmolStr::from(text)),
+            _ => self.fault(format!(
+                "--outcome: {text:?} is not allowed; wanted: accepted, refused or member"
+            )),
+        }
+    }
+
+    fn servers(&mut self) -> Vec<SocketAddr> {
+        let given = self.matches.opt_strs("server");
+        let variable = self.env.get("PULLEYCTL_SERVERS").cloned();
+        let lists = match (given.is_empty(), variable) {
+            (false, _) => given,
+            (true, Some(list)) => vec![list],
+            (true, None) => vec![DEFAULT_SERVER.to_owned()],
+        };
+        let servers = lists.iter().flat_map(|list| list.split(',')).map(str::trim);
+        let servers: Vec<&str> = servers.filter(|server| !server.is_empty()).collect();
+        servers.into_iter().filter_map(|server| self.parsed("--server", server)).collect()
+    }
+
+    /// Reads a time of day or how long ago it was, as milliseconds of Unix time.
+    fn moment(&mut self, flag: &str) -> Option<u64> {
+        let text = self.text(flag, None)?;
+        let ago = humantime::parse_duration(&text).ok();
+        let moment = ago.and_then(|ago| SystemTime::now().checked_sub(ago));
+        let moment = moment.or_else(|| humantime::parse_rfc3339_weak(&text).ok());
+        let Some(moment) = moment else {
+            return self.fault(format!(
+                "--{flag}: {text:?} is not allowed; wanted: 2h, 30m or 2026-12-02T08:00:00Z"
+            ));
+        };
+        let elapsed = moment.duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).ok()
+    }
+
+    fn duration(&mut self, flag: &str) -> Option<Duration> {
+        let text = self.text(flag, None)?;
+        match humantime::parse_duration(&text) {
+            Ok(span) if !span.is_zero() => Some(span),
+            _ => self.fault(format!("--{flag}: {text:?} is not allowed; wanted: 500ms, 10s")),
+        }
+    }
+
+    fn option<T: FromStr<Err: std::fmt::Display>>(&mut self, flag: &str) -> Option<T> {
+        let text = self.text(flag, None)?;
+        self.parsed(&format!("--{flag}"), &text)
+    }
+
+    fn text(&self, flag: &str, variable: Option<&str>) -> Option<String> {
+        let given = self.matches.opt_str(flag);
+        given.or_else(|| variable.and_then(|variable| self.env.get(variable).cloned()))
+    }
+
+    fn parsed<T: FromStr<Err: std::fmt::Display>>(&mut self, what: &str, text: &str) -> Option<T> {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(fault) => self.fault(format!("{what}: {text:?} is not allowed: {fault}")),
+        }
+    }
+
+    fn fault<T>(&mut self, fault: String) -> Option<T> {
+        self.faults.push(fault);
+        None
+    }
+}
--- /dev/null
+++ b/crates/pulleyctl/src/commands.rs
@@ -0,0 +1,267 @@
+//! Carries out one command.
+
+use std::fmt::Display;
+use std::fs;
+use std::io::{self, Write};
+use std::path::Path;
+
+use http::{Method, StatusCode};
+use pulley_core::process::ChangeId;
+use pulley_core::version::{
+    AuditFilter, AuditRecord, ChangeAnswer, ConfigVersion, SheetReader, SheetUpload, SheetView,
+};
+use serde_json::{Value, json};
+
+use crate::command_line::{ApplyOrder, Command, CommandLine};
+use crate::exit_outcome::ExitOutcome;
+use crate::operator_client::{ClientFault, HostAnswer, OperatorClient};
+use crate::printed_form;
+
+/// Carries out a checked command line.
+pub(crate) fn carry_out(line: &CommandLine) -> ExitOutcome {
+    if let Command::SheetCheck(file) = &line.command {
+        return check_sheet(file, line.json);
+    }
+    let key = match key_of(line.secret_file.as_deref()) {
+        Ok(key) => key,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return ExitOutcome::Usage;
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("not done; no runtime: {error}");
+            return ExitOutcome::NotDone;
+        }
+    };
+    let client = OperatorClient::new(&line.servers, &key, line.timeout);
+    runtime.block_on(ask_hosts(line, &client))
+}
+
+async fn ask_hosts(line: &CommandLine, client: &OperatorClient<'_>) -> ExitOutcome {
+    let json = line.json;
+    match &line.command {
+        Command::SheetCheck(file) => check_sheet(file, json),
+        Command::SheetApply(order) => apply_sheet(client, order, json).await,
+        Command::SheetShow => {
+            show(client, "/v1/sheet", json, |body| {
+                let view: SheetView = serde_json::from_value(body.clone()).ok()?;
+                // The version goes beside the sheet, so that the output can be saved as a file.
+                eprintln!("version {}", view.version);
+                Some(view.sheet.trim_end().to_owned())
+            })
+            .await
+        }
+        Command::Status => show(client, "/v1/status", json, |body| Some(pairs(body))).await,
+        Command::Upstreams => {
+            show(client, "/v1/upstreams", json, |body| Some(printed_form::upstreams(body))).await
+        }
+        Command::Audit(filter) => {
+            show(client, &audit_path(filter), json, |body| {
+                let records: Vec<AuditRecord> = serde_json::from_value(body.clone()).ok()?;
+                Some(printed_form::audit(&records))
+            })
+            .await
+        }
+        Command::ReplicaList => show(client, "/v1/replicas", json, |body| Some(pairs(body))).await,
+        Command::Drain(upstream) => {
+            change(client, &Method::POST, "/v1/drain", json!({ "upstream": upstream }), json).await
+        }
+        Command::ReplicaAdd(host) => {
+            change(client, &Method::POST, "/v1/replicas", json!({ "host": host }), json).await
+        }
+        Command::ReplicaRemove(member) => {
+            let path = format!("/v1/replicas/{member}");
+            change(client, &Method::DELETE, &path, Value::Null, json).await
+        }
+    }
+}
+
+// -----------------------------------------------------------------------------------------
+// Sheets
+
+fn check_sheet(file: &Path, json: bool) -> ExitOutcome {
+    let bytes = match fs::read(file) {
+        Ok(bytes) => bytes,
+        Err(error) => return cannot_read(file, &error),
+    };
+    let checked = SheetReader::read(&bytes);
+    match (&checked, json) {
+        (Ok(plan), true) => print_line(&json!({ "rows": plan.kinds.len(), "faults": [] })),
+        (Ok(plan), false) => print_line(&format_args!("no fault in {} rows", plan.kinds.len())),
+        (Err(faults), true) => print_line(&json!(faults)),
+        (Err(faults), false) => print_line(&faults),
+    }
+    if checked.is_ok() { ExitOutcome::Done } else { ExitOutcome::NotDone }
+}
+
+async fn apply_sheet(client: &OperatorClient<'_>, order: &ApplyOrder, json: bool) -> ExitOutcome {
+    let bytes = match fs::read(&order.file) {
+        Ok(bytes) => bytes,
+        Err(error) => return cannot_read(&order.file, &error),
+    };
+    if let Err(faults) = SheetReader::read(&bytes) {
+        eprintln!("not done; the sheet is faulty:");
+        print_line(&if json { json!(faults).to_string() } else { faults.to_string() });
+        return ExitOutcome::NotDone;
+    }
+    let expect = match order.expect {
+        Some(expect) => expect,
+        None => match version_in_force(client).await {
+            Ok(version) => version,
+            Err(outcome) => return outcome,
+        },
+    };
+    let change_id = order.change_id.clone().or_else(new_change_id);
+    let Some(change_id) = change_id else {
+        eprintln!("not done; no change id could be made");
+        return ExitOutcome::NotDone;
+    };
+    // Printed before it is sent: an operator whose answer is lost needs both to send it again.
+    eprintln!("change id {change_id}, based on version {expect}");
+    let sheet = String::from_utf8_lossy(&bytes).into_owned();
+    let upload = SheetUpload { change_id, actor: order.actor.clone(), expect, sheet };
+    let answer = client.write(&Method::POST, "/v1/sheet", &upload).await;
+    let outcome = report_change(answer, json);
+    if outcome == ExitOutcome::Unknown {
+        let file = order.file.display();
+        eprintln!(
+            "send it again: pulleyctl sheet apply {file} --change-id {} --expect {expect} --actor {}",
+            upload.change_id, upload.actor
+        );
+    }
+    outcome
+}
+
+async fn version_in_force(client: &OperatorClient<'_>) -> Result<ConfigVersion, ExitOutcome> {
+    let answer = client.read("/v1/sheet").await.map_err(|fault| report_fault(&fault))?;
+    let view: Option<SheetView> = serde_json::from_value(answer.body.clone()).ok();
+    view.map(|view| view.version).ok_or_else(|| report_refusal(&answer))
+}
+
+fn report_change(answer: Result<HostAnswer, ClientFault>, json: bool) -> ExitOutcome {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(fault) => return report_fault(&fault),
+    };
+    let Ok(change) = serde_json::from_value::<ChangeAnswer>(answer.body.clone()) else {
+        return report_refusal(&answer);
+    };
+    if json {
+        print_line(&answer.body);
+    } else {
+        print_line(&printed_form::answer(&change));
+    }
+    match change {
+        ChangeAnswer::Accepted { .. } => ExitOutcome::Done,
+        ChangeAnswer::Refused(_) => ExitOutcome::NotDone,
+        ChangeAnswer::Unknown { .. } => ExitOutcome::Unknown,
+    }
+}
+
+fn new_change_id() -> Option<ChangeId> {
+    format!("c-{:016x}", rand::random::<u64>()).parse().ok()
+}
+
+// -----------------------------------------------------------------------------------------
+// Other commands
+
+async fn show(
+    client: &OperatorClient<'_>,
+    path: &str,
+    json: bool,
+    print: impl FnOnce(&Value) -> Option<String>,
+) -> ExitOutcome {
+    let answer = match client.read(path).await {
+        Ok(answer) => answer,
+        Err(fault) => return report_fault(&fault),
+    };
+    if answer.status != StatusCode::OK {
+        return report_refusal(&answer);
+    }
+    let text = if json { Some(answer.body.to_string()) } else { print(&answer.body) };
+    let Some(text) = text else {
+        eprintln!("the answer has another form than this pulleyctl knows; try --json");
+        return ExitOutcome::NotDone;
+    };
+    print_line(&text);
+    ExitOutcome::Done
+}
+
+async fn change(
+    client: &OperatorClient<'_>,
+    method: &Method,
+    path: &str,
+    body: Value,
+    json: bool,
+) -> ExitOutcome {
+    match client.write(method, path, &body).await {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            print_line(&if json { answer.body.to_string() } else { pairs(&answer.body) });
+            ExitOutcome::Done
+        }
+        Ok(answer) => report_refusal(&answer),
+        Err(fault) => report_fault(&fault),
+    }
+}
+
+fn audit_path(filter: &AuditFilter) -> String {
+    let mut pairs = vec![format!("limit={}", filter.limit)];
+    let mut add = |name: &str, value: Option<String>| {
+        pairs.extend(value.map(|value| format!("{name}={value}")));
+    };
+    add("since_unix_ms", filter.since_unix_ms.map(|time| time.to_string()));
+    add("until_unix_ms", filter.until_unix_ms.map(|time| time.to_string()));
+    add("actor", filter.actor.as_ref().map(ToString::to_string));
+    add("change_id", filter.change_id.as_ref().map(ToString::to_string));
+    add("outcome", filter.outcome.as_ref().map(ToString::to_string));
+    format!("/v1/audit?{}", pairs.join("&"))
+}
+
+fn pairs(body: &Value) -> String {
+    printed_form::pairs(body)
+}
+
+// -----------------------------------------------------------------------------------------
+// Reports
+
+/// Prints a line on standard output. A reader that has left, such as `head`, is no failure, and
+/// `println!` would panic on it.
+fn print_line(line: &dyn Display) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
+fn report_fault(fault: &ClientFault) -> ExitOutcome {
+    eprintln!("{fault}");
+    match fault {
+        ClientFault::NotDone(_) => ExitOutcome::NotDone,
+        ClientFault::Lost { .. } => ExitOutcome::Unknown,
+    }
+}
+
+/// Reports an answer other than success. Status 504 says that the host itself does not know.
+fn report_refusal(answer: &HostAnswer) -> ExitOutcome {
+    if answer.status == StatusCode::GATEWAY_TIMEOUT {
+        eprintln!("unknown: {}", answer.message());
+        return ExitOutcome::Unknown;
+    }
+    eprintln!("refused, not done: {}", answer.message());
+    ExitOutcome::NotDone
+}
+
+fn cannot_read(file: &Path, error: &io::Error) -> ExitOutcome {
+    eprintln!("{}: {error}", file.display());
+    ExitOutcome::Usage
+}
+
+/// The first line of the secret file, which is the key that is sent.
+fn key_of(file: Option<&Path>) -> Result<String, String> {
+    let Some(file) = file else {
+        return Err("--secret-file: missing, as is PULLEYCTL_SECRET_FILE".to_owned());
+    };
+    let text = fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let key = text.lines().map(str::trim).find(|line| !line.is_empty());
+    key.map(str::to_owned).ok_or_else(|| format!("{}: holds no key", file.display()))
+}
--- /dev/null
+++ b/crates/pulleyctl/src/printed_form.rs
@@ -0,0 +1,125 @@
+//! Prints answers for people.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use pulley_core::version::{AuditRecord, ChangeAnswer, ChangeRefusal};
+use serde_json::Value;
+
+/// Prints rows as columns that line up.
+pub(crate) fn table(header: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |column: usize| {
+        let cells = rows.iter().map(|row| row[column].chars().count());
+        cells.chain([header[column].len()]).max().unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..header.len()).map(width).collect();
+    let line = |cells: Vec<&str>| {
+        let padded = cells.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        padded.collect::<Vec<_>>().join("  ").trim_end().to_owned()
+    };
+    let mut lines = vec![line(header.to_vec())];
+    lines.extend(rows.iter().map(|row| line(row.iter().map(String::as_str).collect())));
+    lines.join("\n")
+}
+
+/// Prints a JSON value as `path=value` lines, an array's places as numbers.
+pub(crate) fn pairs(value: &Value) -> String {
+    let mut lines = Vec::new();
+    add_pairs("", value, &mut lines);
+    lines.join("\n")
+}
+
+fn add_pairs(path: &str, value: &Value, lines: &mut Vec<String>) {
+    let below = |name: &str| {
+        if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+    };
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                add_pairs(&below(name), field, lines);
+            }
+        }
+        Value::Array(items) => {
+            for (place, item) in items.iter().enumerate() {
+                add_pairs(&below(&place.to_string()), item, lines);
+            }
+        }
+        Value::String(text) => lines.push(format!("{path}={text}")),
+        other => lines.push(format!("{path}={other}")),
+    }
+}
+
+/// Prints upstreams as a table.
+pub(crate) fn upstreams(body: &Value) -> String {
+    const FIELDS: [&str; 9] = [
+        "id",
+        "pool",
+        "zone",
+        "address",
+        "slots",
+        "connections",
+        "incarnation",
+        "sequence",
+        "phase",
+    ];
+    let mut header = FIELDS.to_vec();
+    header.push("takes_work");
+    let records = body.get("upstreams").and_then(Value::as_array);
+    let rows: Vec<Vec<String>> = records
+        .into_iter()
+        .flatten()
+        .map(|record| {
+            let announcement = record.get("announcement").unwrap_or(&Value::Null);
+            let fields = FIELDS.iter().map(|field| word(announcement.get(*field)));
+            fields.chain([word(record.get("takes_work"))]).collect()
+        })
+        .collect();
+    table(&header, &rows)
+}
+
+fn word(value: Option<&Value>) -> String {
+    match value {
+        None => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+/// Prints audit records as a table, with the rows' changes below each.
+pub(crate) fn audit(records: &[AuditRecord]) -> String {
+    let rows: Vec<Vec<String>> = records
+        .iter()
+        .map(|record| {
+            vec![
+                record.index.to_string(),
+                time(record.unix_ms),
+                record.actor.to_string(),
+                record.change_id.to_string(),
+                record.base.to_string(),
+                answer(&record.answer),
+                record.diff.replace('\n', "; "),
+            ]
+        })
+        .collect();
+    table(&["index", "time", "actor", "change_id", "base", "outcome", "diff"], &rows)
+}
+
+/// Prints what became of a change, in a few words.
+pub(crate) fn answer(answer: &ChangeAnswer) -> String {
+    match answer {
+        ChangeAnswer::Accepted { version } => format!("accepted as version {version}"),
+        ChangeAnswer::Refused(ChangeRefusal::VersionMoved { current }) => {
+            format!("refused, not done: version {current} is in force")
+        }
+        ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused) => {
+            "refused, not done: the change id stands for another change".to_owned()
+        }
+        ChangeAnswer::Refused(ChangeRefusal::SheetFaulty { faults }) => {
+            format!("refused, not done: the sheet is faulty\n{faults}")
+        }
+        ChangeAnswer::Unknown { why } => format!("unknown: {why}"),
+    }
+}
+
+fn time(unix_ms: u64) -> String {
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(unix_ms)).to_string()
+}
--- /dev/null
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -0,0 +1,196 @@
+//! The client's exit codes and messages against stand-in hosts on loopback.
+
+#![allow(clippy::unwrap_used, reason = "a test may end there")]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::thread;
+
+use tempfile::TempDir;
+
+const SHEET: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/kolkhi.csv");
+const ACCEPTED: &str = r#"{"accepted":{"version":5}}"#;
+const IN_FORCE: &str = r#"{"version":4,"sheet":"pool\n"}"#;
+
+/// What a stand-in host does with a request.
+enum HostReply {
+    Answer(u16, &'static str),
+    CloseAfterReading,
+    Silence,
+}
+
+/// Starts a host that answers requests in turn; the last reply stays.
+fn stand_in_host(replies: Vec<HostReply>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut silent = Vec::new();
+        for (place, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.unwrap();
+            read_request(&mut stream);
+            match &replies[place.min(replies.len() - 1)] {
+                HostReply::Answer(status, body) => {
+                    let length = body.len();
+                    let head = format!("HTTP/1.1 {status} x\r\ncontent-length: {length}\r\n\r\n");
+                    let _ = stream.write_all((head + body).as_bytes());
+                }
+                HostReply::CloseAfterReading => {}
+                HostReply::Silence => silent.push(stream),
+            }
+        }
+    });
+    address
+}
+
+fn read_request(stream: &mut TcpStream) {
+    let mut text = Vec::new();
+    let mut byte = [0_u8; 1];
+    while !text.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) > 0 {
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&text).to_ascii_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+    let mut body = vec![0_u8; length.unwrap_or(0)];
+    let _ = stream.read_exact(&mut body);
+}
+
+/// An address where nobody listens; a free port could be given to another test meanwhile.
+fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+struct Outcome {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn secret_file(folder: &TempDir) -> PathBuf {
+    let file = folder.path().join("secret");
+    std::fs::write(&file, "key-one\nkey-two\n").unwrap();
+    file
+}
+
+fn pulleyctl(servers: &[SocketAddr], args: &[&str]) -> Outcome {
+    let folder = TempDir::new().unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pulleyctl"));
+    command.env_clear().env("PULLEYCTL_SECRET_FILE", secret_file(&folder));
+    for server in servers {
+        command.arg(format!("--server={server}"));
+    }
+    let output = command.args(args).output().unwrap();
+    Outcome {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+const APPLY: [&str; 5] = ["sheet", "apply", SHEET, "--actor=ana", "--expect=4"];
+
+#[test]
+fn an_accepted_sheet_is_done_and_the_change_id_is_printed() {
+    let host = stand_in_host(vec![HostReply::Answer(200, ACCEPTED)]);
+    let outcome = pulleyctl(&[host], &APPLY);
+    assert_eq!((outcome.code, outcome.out.as_str()), (0, "accepted as version 5\n"));
+    assert!(outcome.err.starts_with("change id c-"), "{}", outcome.err);
+    assert!(outcome.err.contains("based on version 4"), "{}", outcome.err);
+}
+
+#[test]
+fn without_a_version_the_one_in_force_is_expected() {
+    let host =
+        stand_in_host(vec![HostReply::Answer(200, IN_FORCE), HostReply::Answer(200, ACCEPTED)]);
+    let outcome = pulleyctl(&[host], &APPLY[..4]);
+    assert_eq!((outcome.code, outcome.err.contains("version 4")), (0, true), "{}", outcome.err);
+}
+
+/// Two operators apply with the same version; the later one must learn that nothing was done.
+#[test]
+fn a_lost_race_is_refused_and_not_done() {
+    let body = r#"{"refused":{"version-moved":{"current":6}}}"#;
+    let host = stand_in_host(vec![HostReply::Answer(409, body)]);
+    let outcome = pulleyctl(&[host], &APPLY);
+    assert_eq!(outcome.code, 1);
+    assert_eq!(outcome.out, "refused, not done: version 6 is in force\n");
+}
+
+/// The host takes the change and the answer never arrives: closed, silent, or the host itself
+/// does not know. Reported as "not done", the operator would apply a second, different change.
+#[test]
+fn a_lost_answer_is_unknown_and_names_how_to_send_again() {
+    let unknown = r#"{"unknown":{"why":"no quorum"}}"#;
+    for reply in [
+        HostReply::CloseAfterReading,
+        HostReply::Silence,
+        HostReply::Answer(504, unknown),
+        HostReply::Answer(504, r#"{"error":"unknown","message":"m"}"#),
+        HostReply::Answer(200, "cut sh"),
+    ] {
+        let other = stand_in_host(vec![HostReply::Answer(200, ACCEPTED)]);
+        let args = [&APPLY[..], &["--change-id=c7", "--timeout=700ms"]].concat();
+        let outcome = pulleyctl(&[stand_in_host(vec![reply]), other], &args);
+        assert_eq!(outcome.code, 3, "{}{}", outcome.out, outcome.err);
+        assert!(outcome.err.contains("--change-id c7 --expect 4 --actor ana"), "{}", outcome.err);
+    }
+}
+
+#[test]
+fn hosts_that_are_away_or_without_quorum_are_passed_over() {
+    let busy = r#"{"error":"no-quorum","message":"no quorum: 1 of 3"}"#;
+    let without_quorum = stand_in_host(vec![HostReply::Answer(503, busy)]);
+    let good = stand_in_host(vec![HostReply::Answer(200, ACCEPTED)]);
+    assert_eq!(pulleyctl(&[nobody(), without_quorum, good], &APPLY).code, 0);
+
+    let outcome = pulleyctl(&[nobody(), without_quorum], &APPLY);
+    assert_eq!(outcome.code, 1);
+    assert!(outcome.err.contains("no quorum: 1 of 3"), "{}", outcome.err);
+}
+
+/// A read does nothing, so a lost answer only means that the next host is asked.
+#[test]
+fn a_read_goes_on_to_the_next_host() {
+    let status = stand_in_host(vec![HostReply::Answer(200, r#"{"host":"a","log":{"term":3}}"#)]);
+    let lost = stand_in_host(vec![HostReply::CloseAfterReading]);
+    let outcome = pulleyctl(&[lost, status], &["status"]);
+    assert_eq!((outcome.code, outcome.out.as_str()), (0, "host=a\nlog.term=3\n"));
+    assert_eq!(pulleyctl(&[lost], &["status"]).code, 1);
+    let refused = stand_in_host(vec![HostReply::Answer(401, r#"{"message":"the key"}"#)]);
+    assert_eq!(pulleyctl(&[refused], &["status"]).code, 1);
+}
+
+#[test]
+fn a_faulty_sheet_is_named_fault_by_fault_and_never_sent() {
+    let folder = TempDir::new().unwrap();
+    let file = folder.path().join("sheet.csv");
+    let text = std::fs::read_to_string(SHEET).unwrap();
+    std::fs::write(&file, text.replace("50%", "150%").replacen("yes", "perhaps", 1)).unwrap();
+    let file = file.to_str().unwrap();
+    let outcome = pulleyctl(&[], &["sheet", "check", file]);
+    assert_eq!((outcome.code, outcome.out.lines().count()), (1, 2), "{}", outcome.out);
+    let json = pulleyctl(&[], &["--json", "sheet", "check", file]).out;
+    let faults: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(faults["faults"][0]["column"], "share");
+    assert_eq!(faults["faults"][0]["row"], 2);
+    assert_eq!(pulleyctl(&[nobody()], &["sheet", "apply", file, "--actor=a"]).code, 1);
+}
+
+#[test]
+fn a_faulty_command_line_is_usage() {
+    for args in [
+        &[][..],
+        &["sheet"],
+        &["sheet", "apply", SHEET, "--actor=a", "--change-id=c1"],
+        &["sheet", "apply", "/nowhere", "--actor=a", "--expect=1"],
+        &["drain", "two words"],
+        &["audit", "--since=yesterday"],
+        &["--server=localhost", "status"],
+        &["--colour=red", "status"],
+    ] {
+        let outcome = pulleyctl(&[], args);
+        assert_eq!(outcome.code, 2, "{args:?}: {}", outcome.err);
+    }
+    assert_eq!(pulleyctl(&[], &["--help"]).code, 0);
+}
