Decide with shared counts, a bounded queue and early refusal

Cause: the scheduler knew only its own requests, never queued and never refused for time. Change: slots per upstream from own and shared counts, a queue by share, priority and deadline, refusals with cause and time to come back, the count messages, the coordinator with a byte-bound cadence and a probe budget that starts empty, rendezvous choice of coordinators, the retry budget, and the bench's dispatch. Outcomes under load are not measured yet.

--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,2 +1,35 @@
-//! Bench.
-fn main() {}
+//! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
+
+mod decisions;
+
+use std::process::ExitCode;
+
+use eyre::{Result, bail};
+
+const USAGE: &str = "usage: pulley_bench SUBCOMMAND [options]; each explains itself with --help
+
+subcommands:
+  decisions  policies under load, in virtual time";
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<()> {
+    let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
+    match subcommand.as_str() {
+        "decisions" => decisions::run(rest),
+        "--help" | "-h" => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        other => bail!("no subcommand {other}\n{USAGE}"),
+    }
+}
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -1,11 +1,22 @@
 //! State that lives as long as one request.
 
+mod kind_shares;
 mod pool_scheduler;
+mod retry_budget;
 mod ticket;
+mod upstream_slots;
+mod upstream_table;
 mod verdict;
+mod wait_queue;
 
 pub use pool_scheduler::PoolScheduler;
+pub use retry_budget::{GiveUpCause, RetryBudget, RetryDecision, RetryQuestion};
 pub use ticket::{
     AttemptOutcome, LoadReport, RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects,
 };
 pub use verdict::{RefusalCause, RequestVerdict};
+
+pub(crate) use kind_shares::KindShares;
+pub(crate) use upstream_slots::UpstreamSlots;
+pub(crate) use upstream_table::{UpstreamChoice, UpstreamTable};
+pub(crate) use wait_queue::{WaitQueue, WaitingRequest};
--- /dev/null
+++ b/crates/pulley_core/src/request/retry_budget.rs
@@ -0,0 +1,137 @@
+//! Whether a failed attempt is tried again.
+
+use std::time::Duration;
+
+use super::{AttemptOutcome, RequestVerdict};
+
+/// Retries allowed for each first attempt, in thousandths: one in ten.
+///
+/// When upstreams fail for want of capacity, each retry takes capacity from a request that has
+/// not had any. A tenth rides out single failures and cannot turn a partial failure into twice
+/// the load.
+const DEPOSIT: u32 = 100;
+
+/// One retry, in the same unit.
+const RETRY_COST: u32 = 1_000;
+
+/// Retries that may be saved up over quiet times, in the same unit.
+const MOST_SAVED: u32 = 10 * RETRY_COST;
+
+/// Attempts at one request at most, the first included.
+const MOST_ATTEMPTS: u8 = 3;
+
+/// Retries of one pool's requests at one entry, paid for by its first attempts.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    saved: u32,
+}
+
+/// What a decision about a retry depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryQuestion {
+    /// How the attempt ended.
+    pub outcome: AttemptOutcome,
+    /// Whether the request may have run.
+    pub verdict: RequestVerdict,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// 0 after the first attempt, as in the ticket.
+    pub attempt: u8,
+    /// Whether the answer says that another layer of this system gave up on it already.
+    pub retried_below: bool,
+    /// Time left until the deadline.
+    pub left: Duration,
+    /// The usual time of one answer.
+    pub typical: Duration,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Try another upstream.
+    Retry,
+    /// Pass the outcome on to the caller.
+    GiveUp(GiveUpCause),
+}
+
+/// Why there is no further attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUpCause {
+    /// It was answered.
+    Answered,
+    /// It may have run, and running it twice would do harm.
+    NotIdempotent,
+    /// It has had its attempts.
+    TooManyAttempts,
+    /// The layer next to the failure has retried already.
+    RetriedBelow,
+    /// No time is left for another attempt.
+    DeadlineTooClose,
+    /// The budget is used up.
+    BudgetUsedUp,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl RetryBudget {
+    /// Makes a budget with a few retries saved.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { saved: 3 * RETRY_COST }
+    }
+
+    /// Counts a first attempt.
+    pub const fn note_request(&mut self) {
+        let saved = self.saved + DEPOSIT;
+        self.saved = if saved < MOST_SAVED { saved } else { MOST_SAVED };
+    }
+
+    /// Decides, and pays for the retry if there is one.
+    ///
+    /// Calls are up to 7 deep. If each layer tried 3 times, one failing upstream at the bottom
+    /// would be called 3^7 times for one request at the top. Only the layer next to the failure
+    /// retries; what it passes up bears a mark that keeps the others from trying again.
+    #[must_use]
+    pub fn decide(&mut self, question: &RetryQuestion) -> RetryDecision {
+        if let Some(cause) = give_up_cause(question) {
+            return RetryDecision::GiveUp(cause);
+        }
+        if self.saved < RETRY_COST {
+            return RetryDecision::GiveUp(GiveUpCause::BudgetUsedUp);
+        }
+        self.saved -= RETRY_COST;
+        RetryDecision::Retry
+    }
+
+    /// Whole retries saved.
+    #[must_use]
+    pub const fn saved(&self) -> u32 {
+        self.saved / RETRY_COST
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn give_up_cause(question: &RetryQuestion) -> Option<GiveUpCause> {
+    if question.outcome == AttemptOutcome::Answered {
+        return Some(GiveUpCause::Answered);
+    }
+    if question.outcome == AttemptOutcome::Cancelled {
+        return Some(GiveUpCause::CallerLeft);
+    }
+    // A binding that may have run must not run again: two premiums for one cargo.
+    if question.verdict != RequestVerdict::NotRun && !question.idempotent {
+        return Some(GiveUpCause::NotIdempotent);
+    }
+    if question.retried_below {
+        return Some(GiveUpCause::RetriedBelow);
+    }
+    if question.attempt.saturating_add(1) >= MOST_ATTEMPTS {
+        return Some(GiveUpCause::TooManyAttempts);
+    }
+    (question.left <= question.typical).then_some(GiveUpCause::DeadlineTooClose)
+}
--- /dev/null
+++ b/crates/pulley_core/tests/pool_scheduler.rs
@@ -0,0 +1,160 @@
+//! What callers get from one pool's scheduler.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pulley_core::process::{
+    Announcement, CountEpoch, CountKey, CountSum, Incarnation, ProbeRate, ShareFraction, SlotCount,
+    UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamTotal,
+};
+use pulley_core::request::{
+    AttemptOutcome, PoolScheduler, RequestNumber, RequestTicket, SchedulerEffect,
+};
+use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, WorkLength};
+use pulley_core::{Moment, PolicyPlan, RefusalCause};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn row(kind: &str, priority: u8, parts: u16) -> KindPlan {
+    KindPlan {
+        pool: "cover".parse().expect("name"),
+        service: kind.parse().expect("name"),
+        kind: kind.parse().expect("name"),
+        method: MethodMatch::Any,
+        path_prefix: "/".into(),
+        priority: RequestPriority(priority),
+        share: ShareFraction::from_parts(parts).expect("share"),
+        reserved_slots: SlotCount(0),
+        deadline: Duration::from_secs(1),
+        idempotent: true,
+        length: WorkLength::Short,
+        probe_budget: ProbeRate(1_000),
+    }
+}
+
+fn upstream(index: u16, slots: u32) -> UpstreamRecord {
+    let announcement = Announcement {
+        id: format!("u{index}").parse().expect("name"),
+        address: ([127, 0, 0, 1], 9_000 + index).into(),
+        zone: "a".parse().expect("name"),
+        pool: "cover".parse().expect("name"),
+        slots: SlotCount(slots),
+        connections: 10,
+        incarnation: Incarnation(1),
+        sequence: UpstreamSequence(1),
+        phase: UpstreamPhase::Ready,
+    };
+    UpstreamRecord { announcement, takes_work: true }
+}
+
+fn scheduler(kinds: Vec<KindPlan>, upstreams: u16, slots: u32) -> PoolScheduler {
+    let host = "h1".parse().expect("name");
+    let zone = "a".parse().expect("name");
+    let mut scheduler = PoolScheduler::new(host, zone, "cover".parse().expect("name"), 7);
+    scheduler.apply_plan(Moment::ZERO, Arc::new(PolicyPlan { kinds }));
+    let records: Vec<_> = (0..upstreams).map(|index| upstream(index, slots)).collect();
+    scheduler.apply_upstreams(Moment::ZERO, &records);
+    scheduler
+}
+
+fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
+    RequestTicket { number: RequestNumber(number), kind, deadline, attempt: 0, avoid: Vec::new() }
+}
+
+fn started(effects: &[SchedulerEffect]) -> Vec<u64> {
+    let starts = effects.iter().filter_map(|effect| match effect {
+        SchedulerEffect::Start { number, .. } => Some(number.0),
+        SchedulerEffect::Refuse { .. } => None,
+    });
+    starts.collect()
+}
+
+// A burst of more calls than the upstreams have slots for arrives at one entry. Callers must not
+// all be sent at once: an urgent one that comes last still has to go first.
+#[test]
+fn finished_request_starts_the_most_urgent_waiting_one() {
+    let mut scheduler = scheduler(vec![row("low", 5, 5_000), row("first", 0, 5_000)], 1, 2);
+    let deadline = Moment::ZERO + 500 * MS;
+    let mut running = Vec::new();
+    for number in 0..6 {
+        running.extend(started(&scheduler.arrive(Moment::ZERO, &ticket(number, 0, deadline))));
+    }
+    assert_eq!(running, [0, 1, 2], "two slots and one ahead");
+    assert!(started(&scheduler.arrive(Moment::ZERO, &ticket(9, 1, deadline))).is_empty());
+    let now = Moment::ZERO + 5 * MS;
+    let next = scheduler.finish(now, RequestNumber(0), AttemptOutcome::Answered, None);
+    assert_eq!(started(&next), [9]);
+}
+
+// The pool has lost all of its upstreams. A caller must be told at once, not at its deadline.
+#[test]
+fn lost_upstreams_refuse_waiting_and_new_requests_at_once() {
+    let mut scheduler = scheduler(vec![row("low", 5, 5_000)], 1, 1);
+    let deadline = Moment::ZERO + 500 * MS;
+    scheduler.arrive(Moment::ZERO, &ticket(1, 0, deadline));
+    scheduler.arrive(Moment::ZERO, &ticket(2, 0, deadline));
+    scheduler.arrive(Moment::ZERO, &ticket(3, 0, deadline));
+    let waiting = scheduler.waiting();
+    assert!(waiting > 0);
+    let effects = scheduler.apply_upstreams(Moment::ZERO + MS, &[]);
+    assert_eq!(effects.len(), waiting);
+    assert!(effects.iter().all(|effect| matches!(
+        effect,
+        SchedulerEffect::Refuse { cause: RefusalCause::NoUpstream, .. }
+    )));
+    let refused = scheduler.arrive(Moment::ZERO + MS, &ticket(4, 0, deadline));
+    assert!(matches!(
+        refused[..],
+        [SchedulerEffect::Refuse { cause: RefusalCause::NoUpstream, .. }]
+    ));
+}
+
+// A request waits behind slow ones until nobody can answer it in time. Its caller must hear so
+// while time is left to act on it.
+#[test]
+fn request_that_cannot_make_its_deadline_is_refused_by_tick() {
+    let mut scheduler = scheduler(vec![row("low", 5, 5_000)], 1, 1);
+    for number in 0..4 {
+        scheduler.arrive(Moment::ZERO, &ticket(number, 0, Moment::ZERO + 100 * MS));
+    }
+    let waiting = scheduler.waiting();
+    assert!(waiting > 0);
+    let wakeup = scheduler.next_wakeup().expect("a request waits");
+    let effects = scheduler.tick(wakeup);
+    assert_eq!(effects.len(), waiting);
+    assert_eq!(scheduler.waiting(), 0);
+}
+
+// Datagrams are doubled and overtake each other on their way. An old sum must not bring back
+// counts of requests that have long ended.
+#[test]
+fn old_and_doubled_sums_change_nothing() {
+    let mut scheduler = scheduler(vec![row("low", 5, 5_000)], 1, 1);
+    let (_, delta) = scheduler.take_deltas(Moment::ZERO).remove(0);
+    let sum = |sequence, in_flight| CountSum {
+        pool: delta.pool.clone(),
+        zone: delta.zone.clone(),
+        coordinator: "h2".parse().expect("name"),
+        epoch: CountEpoch(1),
+        sequence,
+        generation: delta.generation,
+        echo: delta.sequence,
+        entries: 2,
+        interval_ms: 10,
+        upstreams: vec![UpstreamTotal {
+            upstream: CountKey::of("u0"),
+            in_flight,
+            latency: 0,
+            health: 255,
+        }],
+        kinds: Vec::new(),
+    };
+    let now = Moment::ZERO + MS;
+    scheduler.receive_sum(now, &sum(2, 5));
+    scheduler.receive_sum(now, &sum(1, 0));
+    let deadline = Moment::ZERO + 500 * MS;
+    let waits = scheduler.arrive(now, &ticket(1, 0, deadline));
+    assert_eq!(waits, [], "other entries hold the slot");
+    let starts = scheduler.receive_sum(now, &sum(3, 0));
+    assert_eq!(started(&starts), [1]);
+}
