--- a/crates/pulleyctl/src/lib.rs
+++ b/crates/pulleyctl/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command line, as a library that its binary and tests share.
 //!
-//! [`command_line`] reads what the operator typed, [`operator_client`] speaks to one of the
-//! hosts, [`commands`] carries each command out and [`exit_outcome`] says what became of it.
+//! `command_line` reads what the operator typed, `operator_client` speaks to one of the
+//! hosts, `commands` carries each command out and `exit_outcome` says what became of it.
 
 mod command_line;
 mod commands;
