--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -24,6 +24,11 @@
 mod replica_question;
 mod replica_sending;
 mod replica_settings;
+mod sheet_column;
+mod sheet_fault;
+mod sheet_printer;
+mod sheet_reader;
+mod sheet_upload;
 
 pub use change::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
@@ -52,3 +57,8 @@
     ReplicaRefusal,
 };
 pub use replica_settings::ReplicaSettings;
+pub use sheet_column::SheetColumn;
+pub use sheet_fault::{SheetFault, SheetFaults};
+pub use sheet_printer::SheetPrinter;
+pub use sheet_reader::SheetReader;
+pub use sheet_upload::{SheetUpload, SheetView};
