--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -1,5 +1,9 @@
 //! State that lives as long as the process.
 
+mod count_key;
+mod count_link;
+mod count_message;
+mod count_table;
 mod fast_map;
 mod member_message;
 mod member_record;
@@ -9,6 +13,9 @@
 mod member_table;
 mod moment;
 mod names;
+mod pool_coordinator;
+mod pool_coordinator_choice;
+mod probe_budget;
 mod quantities;
 mod upstream;
 mod upstream_registry;
@@ -19,6 +26,12 @@
 mod upstream_registry_record;
 mod upstream_registry_table;
 
+pub use count_key::CountKey;
+pub use count_message::{
+    COUNT_MESSAGE_LIMIT, CountDelta, CountEpoch, CountFault, CountSum, KindUse, UpstreamTotal,
+    UpstreamUse,
+};
+pub use count_table::COUNT_TERM;
 pub use fast_map::{FastMap, FastSet};
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
 pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
@@ -30,9 +43,16 @@
     ActorName, ChangeId, ClusterId, HostId, KindName, NameFault, PoolName, ServiceName, UpstreamId,
     ZoneName,
 };
+pub use pool_coordinator::{
+    CoordinatorOutput, PUBLISH_BYTES_PER_SECOND, PoolCoordinator, ProbeOutcome,
+};
+pub use pool_coordinator_choice::coordinator_for;
+pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
 pub use upstream::{Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence};
 pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
 pub(crate) use upstream_registry_clock::{SharedClock, SharedTime};
 pub use upstream_registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
 pub use upstream_registry_table::UPSTREAM_LIMIT;
+
+pub(crate) use count_link::CountLink;
--- a/crates/pulley_core/src/version/plan_follower.rs
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::plan_follower_fetch::{FetchStep, PlanFetch};
-use super::plan_follower_message::{HeldPlan, PlanContent, PlanLease, PlanMessage, ReplicaAnswer};
+use super::plan_follower_message::{HeldPlan, LogReport, PlanContent, PlanLease, PlanMessage};
 use super::{ConfigVersion, PlanSend, ReplicaSet, StoredPlan};
 use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock};
 
@@ -69,8 +69,8 @@
     lease: Option<PlanLease>,
     held: Option<HeldPlan>,
     fetch: Option<PlanFetch>,
-    replica: Option<ReplicaAnswer>,
-    answers: FastMap<HostId, (Moment, ReplicaAnswer)>,
+    replica: Option<LogReport>,
+    answers: FastMap<HostId, (Moment, LogReport)>,
     holders: FastMap<HostId, ConfigVersion>,
     serve_budget: f64,
     last_tick: Moment,
@@ -185,7 +185,7 @@
         let Some(latest) = known.into_iter().chain(seen).max_by_key(|set| set.index) else {
             return false;
         };
-        let answers: Vec<&ReplicaAnswer> = latest
+        let answers: Vec<&LogReport> = latest
             .hosts
             .iter()
             .filter_map(|host| self.answers.get(host))
@@ -209,7 +209,7 @@
     /// Notes what this host's replica holds, to be told to hosts without a lease; `last_entry` is
     /// the latest version in the log, committed or not.
     pub fn set_replica(&mut self, replicas: ReplicaSet, last_entry: ConfigVersion) {
-        self.replica = Some(ReplicaAnswer { replicas, last_entry });
+        self.replica = Some(LogReport { replicas, last_entry });
     }
 
     /// Notes that this host has no replica any more.
@@ -361,7 +361,7 @@
         self.send(now, to.clone(), answer)
     }
 
-    fn take_answer(&mut self, now: Moment, from: &HostId, replica: Option<ReplicaAnswer>) {
+    fn take_answer(&mut self, now: Moment, from: &HostId, replica: Option<LogReport>) {
         if let Some(answer) = replica {
             self.answers.insert(from.clone(), (now, answer));
         }
--- a/crates/pulley_core/src/version/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/plan_follower_message.rs
@@ -73,7 +73,7 @@
 
 /// What a replica says of its log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ReplicaAnswer {
+pub(crate) struct LogReport {
     /// The latest replica set in its log.
     pub(crate) replicas: ReplicaSet,
     /// The latest version in its log, committed or not.
@@ -95,7 +95,7 @@
         lease: Option<PlanLease>,
         held: ConfigVersion,
         digest: PlanDigest,
-        replica: Option<ReplicaAnswer>,
+        replica: Option<LogReport>,
     },
     /// Asks for some chunks of a plan.
     Fetch { version: ConfigVersion, digest: PlanDigest, first: u32, count: u32 },
--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -14,3 +14,12 @@
 pub use peer_key_ring::{KeyFault, KeyResult, KeyRing};
 pub use peer_link_settings::LinkSettings;
 pub use peer_links::{LinkCounts, PeerLinks};
+mod caller_listener;
+mod traffic_threads;
+mod upstream_connections;
+mod upstream_link;
+
+pub use caller_listener::{CallerListener, DrainReport};
+pub use traffic_threads::TrafficThreads;
+pub use upstream_connections::UpstreamConnections;
+pub use upstream_link::{LinkFault, UpstreamLink};
