--- a/crates/pulleyd/src/connection/caller_listener.rs
+++ b/crates/pulleyd/src/connection/caller_listener.rs
@@ -5,16 +5,20 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
-use slog::{debug, warn};
+use slog::{debug, info, warn};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
-use crate::request::{RequestForwarder, TrafficContext};
+use crate::request::{RequestForwarder, TrafficContext, TrafficCounters};
 
 /// What binding returns.
 type Result<T> = std::result::Result<T, io::Error>;
@@ -22,21 +26,42 @@
 /// How long accepting pauses after it failed, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a caller's connection is quiet before the system asks whether it is still there.
+const KEEPALIVE_QUIET: Duration = Duration::from_secs(30);
+
+/// How long sent bytes may stay unacknowledged by a caller.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(30);
+
+/// How often an HTTP/2 caller is asked whether it is still there, and how long it may take.
+const PING_PERIOD: Duration = Duration::from_secs(20);
+
+/// Requests at once on one HTTP/2 connection; a caller with more opens another one.
+const STREAM_LIMIT: u32 = 256;
+
+/// Connections beyond the limit that still get an answer, as a part of the limit: an eighth.
+const REFUSED_PART: usize = 8;
+
 /// How a drain has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DrainReport {
-    /// Callers' connections that were cut off, because the grace had ended.
-    pub cut: usize,
+    /// Callers' connections that were cut off.
+    pub connections: usize,
+    /// Requests in progress that were cut off; above 0 the process should end with a failure.
+    pub requests: usize,
 }
 
 /// The listener for callers: HTTP/1.1 and HTTP/2 on one port.
 ///
+/// Run it on the runtime of [`super::TrafficThreads`]:
+///
 /// ```ignore
 /// let listener = CallerListener::bind(address, context).await?;
-/// let report = listener.serve(shutdown_signal, grace).await;
+/// let address = listener.local_addr()?;
+/// let report = listener.serve(first_signal, grace).await;
 /// ```
 ///
-/// Run it on the runtime of [`super::TrafficThreads`].
+/// Before the shutdown signal the host should already be not ready for long enough that the
+/// platform's balancer has taken notice; [`Self::serve_until`] also ends early on a second signal.
 #[derive(Debug)]
 pub struct CallerListener {
     listener: TcpListener,
@@ -61,67 +86,210 @@
         self.listener.local_addr()
     }
 
-    /// Serves callers until `shutdown` is ready, then finishes what is in flight.
+    /// Serves callers until `shutdown` is ready, then finishes what is in flight for at most
+    /// `grace`.
+    pub async fn serve(self, shutdown: impl Future<Output = ()>, grace: Duration) -> DrainReport {
+        self.serve_until(shutdown, grace, std::future::pending()).await
+    }
+
+    /// Serves callers until `shutdown` is ready, then finishes what is in flight for at most
+    /// `grace` and only until `cut` is ready.
     ///
     /// After the signal nothing new is accepted, HTTP/2 callers get GOAWAY and HTTP/1.1 ones
-    /// `Connection: close`; when `grace` has passed, what is left is cut and counted.
-    pub async fn serve(self, shutdown: impl Future<Output = ()>, grace: Duration) -> DrainReport {
+    /// `Connection: close`. What is left in the end is cut off, counted and logged.
+    pub async fn serve_until(
+        self,
+        shutdown: impl Future<Output = ()>,
+        grace: Duration,
+        cut: impl Future<Output = ()>,
+    ) -> DrainReport {
         let Self { listener, context } = self;
-        let graceful = GracefulShutdown::new();
+        let callers = CallerSet::new(Arc::clone(&context));
+        let upkeep = tokio::spawn(Arc::clone(&context.connections).run());
         let mut shutdown = pin!(shutdown);
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, peer)) => serve_caller(&context, &graceful, stream, peer),
+                    Ok((stream, peer)) => callers.serve(stream, peer),
                     Err(fault) => pause_accepting(&context, &fault).await,
                 },
                 () = &mut shutdown => break,
             }
         }
+        // What the system has accepted on our behalf would be reset if the listener just closed.
+        while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+            callers.serve(stream, peer);
+        }
         drop(listener);
-        drain(&context, graceful, grace).await
+        let report = callers.drain(grace, cut).await;
+        upkeep.abort();
+        report
     }
 }
 
-async fn pause_accepting(context: &TrafficContext, fault: &io::Error) {
-    warn!(context.logger, "accept failed"; "error" => %fault);
-    let _ = context.timer.after(ACCEPT_PAUSE).await;
+/// The callers' connections of one listener.
+struct CallerSet {
+    context: Arc<TrafficContext>,
+    graceful: GracefulShutdown,
+    cut: CancellationToken,
 }
 
-fn serve_caller(
-    context: &Arc<TrafficContext>,
-    graceful: &GracefulShutdown,
-    stream: TcpStream,
-    peer: SocketAddr,
-) {
-    if let Err(fault) = stream.set_nodelay(true) {
-        debug!(context.logger, "caller gone"; "peer" => %peer, "error" => %fault);
-        return;
+impl CallerSet {
+    fn new(context: Arc<TrafficContext>) -> Self {
+        Self { context, graceful: GracefulShutdown::new(), cut: CancellationToken::new() }
+    }
+
+    /// Serves one connection, or refuses its first request if the process is at its limit.
+    ///
+    /// Load it is for: callers that reconnect all at once after a network fault. Each connection
+    /// costs memory; past the limit a refusal as not run costs the caller one round trip, where
+    /// accepting it could cost all callers their process. Far past it even that is too much, and
+    /// the connection is closed unanswered.
+    fn serve(&self, stream: TcpStream, peer: SocketAddr) {
+        let limit = self.context.limits.caller_connections;
+        let seat = ConnectionSeat::take(&self.context.counters);
+        if seat.before >= limit + limit / REFUSED_PART {
+            TrafficCounters::add(&self.context.counters.callers_refused);
+            return;
+        }
+        if let Err(fault) = set_options(&stream) {
+            debug!(self.context.logger, "caller gone"; "peer" => %peer, "error" => %fault);
+            return;
+        }
+        let mut forwarder = RequestForwarder::new(Arc::clone(&self.context)).with_caller(peer.ip());
+        if seat.before >= limit {
+            TrafficCounters::add(&self.context.counters.callers_refused);
+            forwarder = forwarder.refusing_all();
+        }
+        self.spawn(stream, peer, forwarder, seat);
+    }
+
+    fn spawn(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        forwarder: RequestForwarder,
+        seat: ConnectionSeat,
+    ) {
+        let arrival = forwarder.arrival();
+        let service = TowerToHyperService::new(forwarder);
+        let builder = server_builder(&self.context);
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let watched = self.graceful.watch(connection);
+        let context = Arc::clone(&self.context);
+        let cut = self.cut.clone();
+        tokio::spawn(async move {
+            let _seat = seat;
+            let mut watched = pin!(watched);
+            let first = context.timer.after(context.limits.header_timeout);
+            let ended = tokio::select! {
+                ended = &mut watched => ended,
+                () = cut.cancelled() => return,
+                // A caller that connects and says nothing would hold its connection for good.
+                _ = first, if !arrival.has_come() => {
+                    if !arrival.has_come() {
+                        return;
+                    }
+                    tokio::select! {
+                        ended = &mut watched => ended,
+                        () = cut.cancelled() => return,
+                    }
+                }
+            };
+            if let Err(fault) = ended {
+                debug!(context.logger, "caller connection ended"; "peer" => %peer, "error" => %fault);
+            }
+        });
+    }
+
+    async fn drain(self, grace: Duration, cut: impl Future<Output = ()>) -> DrainReport {
+        let Self { context, graceful, cut: token } = self;
+        let deadline = context.clock.now() + grace;
+        let ended = tokio::select! {
+            drained = context.timer.limit(deadline, graceful.shutdown()) => drained.is_some(),
+            () = cut => false,
+        };
+        let mut report = DrainReport::default();
+        if !ended {
+            report.connections = context.counters.caller_connections.load(Ordering::Relaxed);
+        }
+        // A keyed request goes on after its caller has left, so it is waited for as well.
+        report.requests = remaining_requests(&context, deadline, ended).await;
+        token.cancel();
+        info!(context.logger, "callers drained";
+            "cut_connections" => report.connections, "cut_requests" => report.requests);
+        report
     }
+}
+
+/// Waits for requests that go on without their callers; counts what is left in the end.
+async fn remaining_requests(
+    context: &TrafficContext,
+    deadline: pulley_core::Moment,
+    may_wait: bool,
+) -> usize {
+    /// How often the count is looked at.
+    const LOOK_PERIOD: Duration = Duration::from_millis(10);
+
+    loop {
+        let requests = context.counters.in_progress.load(Ordering::Relaxed);
+        if requests == 0 || !may_wait || context.clock.now() >= deadline {
+            return requests;
+        }
+        let _ = context.timer.after(LOOK_PERIOD).await;
+    }
+}
+
+/// A caller's connection among those counted.
+struct ConnectionSeat {
+    counters: Arc<TrafficCounters>,
+    before: usize,
+}
+
+impl ConnectionSeat {
+    fn take(counters: &Arc<TrafficCounters>) -> Self {
+        let before = counters.caller_connections.fetch_add(1, Ordering::Relaxed);
+        Self { counters: Arc::clone(counters), before }
+    }
+}
+
+impl Drop for ConnectionSeat {
+    fn drop(&mut self) {
+        self.counters.caller_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn server_builder(context: &TrafficContext) -> auto::Builder<TokioExecutor> {
+    let limits = context.limits;
+    let header_list = u32::try_from(limits.header_bytes).unwrap_or(u32::MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(context.limits.header_timeout)
-        .max_buf_size(context.limits.header_bytes.max(8 * 1024));
-    let service = TowerToHyperService::new(RequestForwarder::new(Arc::clone(context)));
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    let watched = graceful.watch(connection);
-    let logger = context.logger.clone();
-    tokio::spawn(async move {
-        if let Err(fault) = watched.await {
-            debug!(logger, "caller connection ended"; "peer" => %peer, "error" => %fault);
-        }
-    });
+        .header_read_timeout(limits.header_timeout)
+        // Up to the limit the answer is our own with its verdict; beyond twice it, the library's.
+        .max_buf_size((2 * limits.header_bytes).max(16 * 1024));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_PERIOD)
+        .keep_alive_timeout(PING_PERIOD)
+        .max_concurrent_streams(STREAM_LIMIT)
+        .max_header_list_size(header_list);
+    builder
 }
 
-async fn drain(
-    context: &TrafficContext,
-    graceful: GracefulShutdown,
-    grace: Duration,
-) -> DrainReport {
-    let open = graceful.count();
-    let deadline = context.clock.now() + grace;
-    let drained = context.timer.limit(deadline, graceful.shutdown()).await;
-    DrainReport { cut: if drained.is_some() { 0 } else { open } }
+/// Lets the system notice callers that are gone without a word.
+fn set_options(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_QUIET))?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    Ok(())
+}
+
+async fn pause_accepting(context: &TrafficContext, fault: &io::Error) {
+    warn!(context.logger, "accept failed"; "error" => %fault);
+    let _ = context.timer.after(ACCEPT_PAUSE).await;
 }
--- /dev/null
+++ b/crates/pulleyd/src/connection/metered_stream.rs
@@ -0,0 +1,76 @@
+//! A TCP stream whose writes are counted.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::LinkMeter;
+
+/// A TCP stream whose writes go through a [`LinkMeter`].
+#[derive(Debug)]
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    meter: LinkMeter,
+}
+
+impl MeteredStream {
+    pub(crate) const fn new(stream: TcpStream, meter: LinkMeter) -> Self {
+        Self { stream, meter }
+    }
+}
+
+fn counted(polled: &Poll<io::Result<usize>>) -> usize {
+    match polled {
+        Poll::Ready(Ok(count)) => *count,
+        Poll::Ready(Err(_)) | Poll::Pending => 0,
+    }
+}
+
+fn refused(fault: io::Error) -> Poll<io::Result<usize>> {
+    Poll::Ready(Err(fault))
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let Self { stream, meter } = self.get_mut();
+        meter.write(refused, || Pin::new(stream).poll_write(context, bytes), counted)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let Self { stream, meter } = self.get_mut();
+        meter.write(refused, || Pin::new(stream).poll_write_vectored(context, slices), counted)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -1,86 +1,143 @@
-//! The connections of this process to upstreams.
+//! The connections of this process to all upstreams.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
 
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use parking_lot::Mutex;
-use pulley_core::{FastMap, UpstreamId};
-use tokio::net::TcpStream;
+use parking_lot::RwLock;
+use pulley_core::connection::WorkSafety;
+use pulley_core::process::{FastMap, FastSet, UpstreamRecord};
+use pulley_core::{Moment, UpstreamId};
 
-use super::{LinkFault, UpstreamLink};
-use crate::process::ProcessClock;
-use crate::request::RequestBody;
+use super::upstream_links::UpstreamLinks;
+use super::{LinkFault, Unused, UpstreamLink};
+use crate::process::{ProcessClock, RunningView, TimerService, ViewCell};
 
 /// What checking out a connection gives.
 type Result<T> = std::result::Result<T, LinkFault>;
 
-type RequestSender = http1::SendRequest<RequestBody>;
+/// How often idle connections are looked through.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(1);
 
-/// The connections of this process to upstreams, idle ones first used again.
+/// How long after a pool's last request its upstreams are kept connected.
+const WARM_SPAN: Duration = Duration::from_secs(10);
+
+/// Asks for a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkRequest<'a> {
+    /// To which upstream.
+    pub upstream: &'a UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether the request may be sent again.
+    pub safety: WorkSafety,
+    /// When the connection is no longer of use.
+    pub deadline: Moment,
+}
+
+/// The connections of this process to all upstreams.
 #[derive(Debug)]
 pub struct UpstreamConnections {
-    _clock: ProcessClock,
-    idle: Mutex<FastMap<UpstreamId, Vec<RequestSender>>>,
+    clock: ProcessClock,
+    timer: TimerService,
+    view: ViewCell,
+    upstreams: RwLock<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
 }
 
 impl UpstreamConnections {
-    /// Makes a pool without connections.
+    /// Makes a set without connections; the view tells each upstream's limit.
     #[must_use]
-    pub fn new(clock: ProcessClock) -> Self {
-        Self { _clock: clock, idle: Mutex::default() }
+    pub fn new(clock: ProcessClock, timer: TimerService, view: ViewCell) -> Self {
+        Self { clock, timer, view, upstreams: RwLock::default() }
     }
 
-    /// Takes an idle connection or opens a new one.
+    /// Takes an idle connection or opens a new one, within the entry's share.
     ///
     /// # Errors
-    /// `Unreachable` if no connection can be made; nothing was sent.
-    pub async fn checkout(
-        self: &Arc<Self>,
-        upstream: &UpstreamId,
-        address: SocketAddr,
-    ) -> Result<UpstreamLink> {
-        while let Some(mut sender) = self.take_idle(upstream) {
-            if sender.ready().await.is_ok() {
-                return Ok(self.link(sender, upstream));
-            }
-        }
-        let sender = open(address).await?;
-        Ok(self.link(sender, upstream))
+    /// `Unreachable`, `ConnectTimeout`, `ShareInUse` or `ClosedUnsent`; nothing was sent.
+    pub async fn checkout(&self, request: LinkRequest<'_>) -> Result<UpstreamLink<Unused>> {
+        let links = self.links(request.upstream, request.address);
+        links.checkout(request.safety, request.deadline).await
+    }
+
+    /// Connections to all upstreams, open or being opened.
+    #[must_use]
+    pub fn open_links(&self) -> usize {
+        self.upstreams.read().values().map(|links| links.open_links()).sum()
     }
 
-    pub(super) fn give_back(&self, upstream: &UpstreamId, sender: RequestSender) {
-        if !sender.is_closed() {
-            self.idle.lock().entry(upstream.clone()).or_default().push(sender);
+    /// Closes idle connections in time, follows the view's limits and keeps spares; the caller
+    /// listener runs it.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let _ = self.timer.after(UPKEEP_PERIOD).await;
+            self.keep_up();
         }
     }
 
-    fn take_idle(&self, upstream: &UpstreamId) -> Option<RequestSender> {
-        let mut idle = self.idle.lock();
-        let senders = idle.get_mut(upstream)?;
-        while let Some(sender) = senders.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+    fn keep_up(&self) {
+        let view = self.view.load();
+        self.retire_unknown(&view);
+        for records in view.upstreams.values() {
+            let in_use = records.iter().any(|record| self.is_in_use(record));
+            for record in records.iter().filter(|record| record.takes_work && in_use) {
+                let announcement = &record.announcement;
+                let links = self.links(&announcement.id, announcement.address);
+                set_share(&links, record, view.live_entries);
+                links.expire();
+                links.keep_spare();
             }
         }
-        None
+        let all: Vec<_> = self.upstreams.read().values().cloned().collect();
+        all.iter().for_each(|links| links.expire());
     }
 
-    fn link(self: &Arc<Self>, sender: RequestSender, upstream: &UpstreamId) -> UpstreamLink {
-        let home: Weak<Self> = Arc::downgrade(self);
-        UpstreamLink::new(sender, upstream.clone(), home)
+    fn is_in_use(&self, record: &UpstreamRecord) -> bool {
+        let upstreams = self.upstreams.read();
+        let links = upstreams.get(&record.announcement.id);
+        links.is_some_and(|links| links.used_within(WARM_SPAN))
+    }
+
+    /// Drops what belongs to upstreams that the view no longer holds.
+    fn retire_unknown(&self, view: &RunningView) {
+        let records = view.upstreams.values().flat_map(|records| records.iter());
+        let known: FastSet<_> = records.map(|record| &record.announcement.id).collect();
+        let mut gone = Vec::new();
+        self.upstreams.write().retain(|id, links| {
+            if !known.contains(id) {
+                gone.push(Arc::clone(links));
+            }
+            known.contains(id)
+        });
+        gone.iter().for_each(|links| links.close());
+    }
+
+    fn links(&self, upstream: &UpstreamId, address: SocketAddr) -> Arc<UpstreamLinks> {
+        let known = self.upstreams.read().get(upstream).cloned();
+        if let Some(links) = known.filter(|links| links.address() == address) {
+            return links;
+        }
+        let links = Arc::new(UpstreamLinks::new(address, self.clock, self.timer.clone()));
+        let view = self.view.load();
+        let record = view
+            .upstreams
+            .values()
+            .flat_map(|records| records.iter())
+            .find(|record| record.announcement.id == *upstream);
+        if let Some(record) = record {
+            set_share(&links, record, view.live_entries);
+        }
+        let replaced = self.upstreams.write().insert(upstream.clone(), Arc::clone(&links));
+        if let Some(replaced) = replaced {
+            replaced.close();
+        }
+        links
     }
 }
 
-async fn open(address: SocketAddr) -> Result<RequestSender> {
-    let stream = TcpStream::connect(address).await.map_err(LinkFault::Unreachable)?;
-    stream.set_nodelay(true).map_err(LinkFault::Unreachable)?;
-    let io = TokioIo::new(stream);
-    let (sender, connection) = http1::handshake(io).await.map_err(LinkFault::Broken)?;
-    tokio::spawn(async move {
-        // Its end shows at the sender; there is nobody else to tell.
-        let _ = connection.await;
-    });
-    Ok(sender)
+/// More connections than slots are of no use: each carries one request.
+fn set_share(links: &UpstreamLinks, record: &UpstreamRecord, live_entries: u32) {
+    let announcement = &record.announcement;
+    let useful = usize::try_from(announcement.slots.0).unwrap_or(usize::MAX);
+    links.set_share(announcement.connections, live_entries, useful.max(1));
 }
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -1,15 +1,18 @@
 //! One connection to an upstream.
 
 use std::io;
-use std::sync::Weak;
+use std::sync::Arc;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use pulley_core::{RequestVerdict, UpstreamId};
+use pulley_core::connection::LinkNumber;
+use pulley_core::{Moment, RequestVerdict};
 use thiserror::Error;
+use tokio::task::AbortHandle;
 
-use super::UpstreamConnections;
+use super::LinkMeter;
+use super::upstream_links::UpstreamLinks;
 use crate::request::RequestBody;
 
 /// What a link's users get back.
@@ -21,10 +24,16 @@
     /// No connection could be made.
     #[error("cannot connect: {0}")]
     Unreachable(io::Error),
-    /// The connection was closed before the request was written to it.
-    #[error("the connection was closed before the request was sent")]
+    /// No connection came about in time.
+    #[error("connecting took too long")]
+    ConnectTimeout,
+    /// This entry's share of the upstream's connections is in use.
+    #[error("the share of the upstream's connections is in use")]
+    ShareInUse,
+    /// The connection ended before a byte of the request had left.
+    #[error("the connection ended before the request was sent")]
     ClosedUnsent,
-    /// The connection broke after the request may have been sent.
+    /// The connection broke after bytes of the request had left.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
 }
@@ -34,8 +43,10 @@
     #[must_use]
     pub const fn verdict(&self) -> RequestVerdict {
         match self {
-            Self::Unreachable(_) | Self::ClosedUnsent => RequestVerdict::NotRun,
             Self::Broken(_) => RequestVerdict::MayHaveRun,
+            Self::Unreachable(_) | Self::ConnectTimeout | Self::ShareInUse | Self::ClosedUnsent => {
+                RequestVerdict::NotRun
+            }
         }
     }
 
@@ -44,46 +55,127 @@
     pub const fn cause(&self) -> &'static str {
         match self {
             Self::Unreachable(_) => "unreachable",
+            Self::ConnectTimeout => "connect-timeout",
+            Self::ShareInUse => "connections-used-up",
             Self::ClosedUnsent => "closed-unsent",
             Self::Broken(_) => "connection-broken",
         }
     }
 }
 
-/// A connection that carries one request at a time, so no answer can meet another's request.
+/// State of a link over which no request of its present holder was sent.
+#[derive(Debug)]
+pub struct Unused;
+
+/// State of a link whose answer has begun and may not yet be read as a whole.
+#[derive(Debug)]
+pub struct Answering;
+
+/// A connection in the hands of one request; the type parameter is its state.
+///
+/// `Unused` → [`send`](UpstreamLink::send) → `Answering` → [`give_back`](UpstreamLink::give_back).
+/// It carries one request at a time, so no answer can meet another's request. Dropped in any state
+/// it closes its connection: that tells the upstream that the request is cancelled, and a late
+/// answer ends with the connection.
 #[derive(Debug)]
-pub struct UpstreamLink {
-    sender: http1::SendRequest<RequestBody>,
-    upstream: UpstreamId,
-    home: Weak<UpstreamConnections>,
+pub struct UpstreamLink<S> {
+    pub(super) sender: http1::SendRequest<RequestBody>,
+    pub(super) seat: LinkSeat,
+    _state: S,
 }
 
-impl UpstreamLink {
-    pub(super) fn new(
-        sender: http1::SendRequest<RequestBody>,
-        upstream: UpstreamId,
-        home: Weak<UpstreamConnections>,
-    ) -> Self {
-        Self { sender, upstream, home }
+impl UpstreamLink<Unused> {
+    pub(super) const fn new(sender: http1::SendRequest<RequestBody>, seat: LinkSeat) -> Self {
+        Self { sender, seat, _state: Unused }
+    }
+
+    /// The meter, for judging a request whose sending was given up.
+    #[must_use]
+    pub fn meter(&self) -> LinkMeter {
+        self.seat.meter.clone()
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. It is sent once, never again.
     ///
     /// # Errors
-    /// `ClosedUnsent` if nothing can have left, `Broken` otherwise.
-    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>> {
-        self.sender.try_send_request(request).await.map_err(|mut fault| {
-            // The request comes back only if it was never taken up for writing.
-            match fault.take_message() {
-                Some(_) => LinkFault::ClosedUnsent,
-                None => LinkFault::Broken(fault.into_error()),
+    /// `ClosedUnsent` if no byte has left, `Broken` otherwise.
+    pub async fn send(
+        mut self,
+        request: Request<RequestBody>,
+    ) -> Result<(Response<Incoming>, UpstreamLink<Answering>)> {
+        self.seat.meter.begin_request();
+        match self.sender.try_send_request(request).await {
+            Ok(response) => {
+                self.seat.prove();
+                let Self { sender, seat, .. } = self;
+                Ok((response, UpstreamLink { sender, seat, _state: Answering }))
             }
-        })
+            Err(fault) => {
+                let has_left = self.seat.meter.seal();
+                let error = fault.into_error();
+                Err(if has_left { LinkFault::Broken(error) } else { LinkFault::ClosedUnsent })
+            }
+        }
     }
+}
 
+impl UpstreamLink<Answering> {
     /// Gives the link back for other requests, after the whole answer has been read.
     pub fn give_back(self) {
-        let Some(home) = self.home.upgrade() else { return };
-        home.give_back(&self.upstream, self.sender);
+        let Self { sender, seat, .. } = self;
+        let links = Arc::clone(&seat.links);
+        links.put_back(sender, seat);
+    }
+}
+
+/// A connection's place in its upstream's book; dropping it closes the connection.
+#[derive(Debug)]
+pub(super) struct LinkSeat {
+    pub(super) links: Arc<UpstreamLinks>,
+    pub(super) number: LinkNumber,
+    pub(super) meter: LinkMeter,
+    pub(super) driver: Option<AbortHandle>,
+}
+
+impl LinkSeat {
+    pub(super) fn new(links: Arc<UpstreamLinks>, number: LinkNumber) -> Self {
+        Self { links, number, meter: LinkMeter::default(), driver: None }
+    }
+
+    fn prove(&self) {
+        self.links.prove(self.number);
+    }
+}
+
+impl Drop for LinkSeat {
+    fn drop(&mut self) {
+        let _ = self.meter.seal();
+        if let Some(driver) = &self.driver {
+            driver.abort();
+        }
+        self.links.forget(self.number);
+    }
+}
+
+/// Tells when a request went out over a link, for judging the other links of its upstream.
+#[derive(Clone, Debug)]
+pub struct SendRecord {
+    links: Arc<UpstreamLinks>,
+    sent: Moment,
+}
+
+impl UpstreamLink<Unused> {
+    /// Notes that a request goes out now.
+    #[must_use]
+    pub fn send_record(&self) -> SendRecord {
+        SendRecord { links: Arc::clone(&self.seat.links), sent: self.seat.links.now() }
+    }
+}
+
+impl SendRecord {
+    /// Says that the request is past its limit unanswered: its connection may have gone silent,
+    /// and idle ones that have not answered since are closed.
+    pub fn suspect(&self) {
+        self.links.suspect(self.sent);
     }
 }
--- a/crates/pulleyd/src/request/answer_body.rs
+++ b/crates/pulleyd/src/request/answer_body.rs
@@ -1,7 +1,9 @@
 //! The body that goes to the caller.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -9,8 +11,17 @@
 use pulley_core::request::AttemptOutcome;
 use thiserror::Error;
 
-use super::AttemptGuard;
-use crate::connection::UpstreamLink;
+use super::traffic_counters::RequestSeat;
+use super::{AttemptGuard, TrafficCounters};
+use crate::connection::{Answering, UpstreamLink};
+use crate::process::{TimerService, TimerSubscription};
+
+/// How long an upstream may leave its answer's body without a byte.
+///
+/// The deadline ends when the answer begins, as loss files stream for minutes. An upstream that
+/// stops in the middle would hold its slot and its caller for good; the caller sees a transfer
+/// that stands still. After this time the answer is aborted.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
 
 /// Why an answer's body ended early; the caller's connection is then aborted.
 #[derive(Debug, Error)]
@@ -18,21 +29,24 @@
     /// The upstream's connection broke in the body.
     #[error("the upstream's answer was cut short: {0}")]
     CutShort(#[from] hyper::Error),
+    /// The upstream sent nothing for too long.
+    #[error("the upstream stopped in the middle of its answer")]
+    Stalled,
 }
 
-/// What the stream of an answer from an upstream holds on to until its end.
+/// The stream of an answer from an upstream, and what it holds until its end.
 #[derive(Debug)]
-struct UpstreamAnswer {
-    body: Incoming,
-    attempt: AttemptGuard,
-    link: UpstreamLink,
-    outcome: AttemptOutcome,
+pub(super) struct UpstreamAnswer {
+    pub(super) body: Incoming,
+    pub(super) attempt: AttemptGuard,
+    pub(super) link: UpstreamLink<Answering>,
+    pub(super) outcome: AttemptOutcome,
+    pub(super) timer: TimerService,
 }
 
 #[derive(Debug)]
 enum AnswerSource {
     Ended,
-    Whole(Bytes),
     Upstream(Box<UpstreamAnswer>),
 }
 
@@ -43,33 +57,60 @@
 /// connection (HTTP/1.1) or reset the stream (HTTP/2).
 #[derive(Debug)]
 pub struct AnswerBody {
+    /// Frames that were read ahead.
+    ahead: VecDeque<Frame<Bytes>>,
     source: AnswerSource,
+    stall: Option<TimerSubscription>,
+    /// The request's place among those in progress; none for an answer of the system's own.
+    seat: Option<RequestSeat>,
 }
 
 impl AnswerBody {
     /// A body that is known as a whole.
     #[must_use]
     pub fn whole(bytes: Bytes) -> Self {
-        Self {
-            source: if bytes.is_empty() { AnswerSource::Ended } else { AnswerSource::Whole(bytes) },
-        }
+        let ahead = if bytes.is_empty() { None } else { Some(Frame::data(bytes)) };
+        let ahead = ahead.into_iter().collect();
+        Self { ahead, source: AnswerSource::Ended, stall: None, seat: None }
     }
 
     /// An upstream's body; the attempt ends and the link is given back when the body has ended.
-    #[must_use]
-    pub fn upstream(
-        body: Incoming,
-        attempt: AttemptGuard,
-        link: UpstreamLink,
-        outcome: AttemptOutcome,
-    ) -> Self {
-        let mut answer = UpstreamAnswer { body, attempt, link, outcome };
-        if answer.body.is_end_stream() {
-            answer.outcome = outcome;
+    pub(super) fn upstream(answer: UpstreamAnswer, seat: RequestSeat) -> Self {
+        let source = if answer.body.is_end_stream() {
             answer.complete();
-            return Self { source: AnswerSource::Ended };
+            AnswerSource::Ended
+        } else {
+            AnswerSource::Upstream(Box::new(answer))
+        };
+        Self { ahead: VecDeque::new(), source, stall: None, seat: Some(seat) }
+    }
+
+    /// Puts frames that were read from this body back in front of it.
+    pub(super) fn unread(&mut self, frames: impl IntoIterator<Item = Frame<Bytes>>) {
+        self.ahead = frames.into_iter().chain(std::mem::take(&mut self.ahead)).collect();
+    }
+
+    /// Ends with an error if the upstream leaves its body for too long without a byte.
+    fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<BodyFault> {
+        let AnswerSource::Upstream(answer) = &self.source else { return Poll::Pending };
+        let timer = &answer.timer;
+        let stall = self.stall.get_or_insert_with(|| timer.after(STALL_LIMIT));
+        ready!(Pin::new(stall).poll(context));
+        Poll::Ready(BodyFault::Stalled)
+    }
+
+    fn end(&mut self, is_whole: bool) {
+        self.stall = None;
+        let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
+        let AnswerSource::Upstream(answer) = source else { return };
+        if is_whole {
+            answer.complete();
+            return;
+        }
+        if let Some(seat) = &self.seat {
+            TrafficCounters::add(&seat.counters().cut_short);
         }
-        Self { source: AnswerSource::Upstream(Box::new(answer)) }
+        answer.attempt.settle(AttemptOutcome::Broken);
     }
 }
 
@@ -85,44 +126,54 @@
     type Error = BodyFault;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
-        let answer = match &mut self.source {
-            AnswerSource::Ended => return Poll::Ready(None),
-            AnswerSource::Whole(bytes) => {
-                let bytes = std::mem::take(bytes);
-                self.source = AnswerSource::Ended;
-                return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        let this = self.get_mut();
+        if let Some(frame) = this.ahead.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        let AnswerSource::Upstream(answer) = &mut this.source else { return Poll::Ready(None) };
+        match Pin::new(&mut answer.body).poll_frame(context) {
+            Poll::Pending => {
+                let fault = ready!(this.poll_stall(context));
+                this.end(false);
+                Poll::Ready(Some(Err(fault)))
             }
-            AnswerSource::Upstream(answer) => answer,
-        };
-        let polled = futures::ready!(Pin::new(&mut answer.body).poll_frame(context));
-        let ended = match &polled {
-            Some(Ok(_)) => answer.body.is_end_stream(),
-            Some(Err(_)) | None => true,
-        };
-        if ended
-            && let AnswerSource::Upstream(answer) =
-                std::mem::replace(&mut self.source, AnswerSource::Ended)
-        {
-            match &polled {
-                Some(Err(_)) => answer.attempt.settle(AttemptOutcome::Broken),
-                _ => answer.complete(),
+            Poll::Ready(Some(Ok(frame))) => {
+                this.stall = None;
+                let ended = answer.body.is_end_stream();
+                if ended {
+                    this.end(true);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(None) => {
+                this.end(true);
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(fault))) => {
+                this.end(false);
+                Poll::Ready(Some(Err(fault.into())))
             }
         }
-        Poll::Ready(polled.map(|frame| frame.map_err(BodyFault::from)))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.source, AnswerSource::Ended)
+        self.ahead.is_empty() && matches!(self.source, AnswerSource::Ended)
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.source {
+        let ahead: usize = self.ahead.iter().filter_map(Frame::data_ref).map(Bytes::len).sum();
+        let rest = match &self.source {
             AnswerSource::Ended => SizeHint::with_exact(0),
-            AnswerSource::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             AnswerSource::Upstream(answer) => answer.body.size_hint(),
+        };
+        let mut hint = SizeHint::new();
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + ahead as u64);
         }
+        hint.set_lower(rest.lower() + ahead as u64);
+        hint
     }
 }
--- /dev/null
+++ b/crates/pulleyd/src/request/keyed_run.rs
@@ -0,0 +1,127 @@
+//! Carries a non-idempotent request that has an idempotency key.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::response::Parts;
+use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use pulley_core::RequestVerdict;
+
+use super::ledger_claim::{ClaimRefusal, LedgerClaim};
+use super::protocol_headers::{CAUSE_HEADER, VERDICT_HEADER};
+use super::request_run::RequestRun;
+use super::traffic_counters::RequestSeat;
+use super::{AnswerBody, BodyFault, SystemAnswer};
+use crate::process::{ClaimRequest, RecordedAnswer};
+
+/// What carrying gives, or the answer that ends the request.
+type Result<T> = std::result::Result<T, SystemAnswer>;
+
+/// How soon a caller may ask with the same key what became of its request.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// The longest content type that is recorded, in bytes.
+const CONTENT_TYPE_LIMIT: usize = 256;
+
+/// Claims a request's key and carries the request to its end, also if its caller leaves.
+///
+/// A caller that gives up waiting sends the same key again. If its leaving cut the attempt off,
+/// nobody would ever know whether the refund was recorded; carried to the end, the resend gets the
+/// recorded outcome. Nor can a claim that is granted after its caller has left stay behind.
+pub(super) async fn carry_keyed(
+    run: RequestRun,
+    request: ClaimRequest,
+    seat: RequestSeat,
+) -> Result<Response<AnswerBody>> {
+    let carried = tokio::spawn(complete(run, request, seat)).await;
+    carried.unwrap_or_else(|_| Err(outcome_unknown("task-failed")))
+}
+
+/// What came of the same request before.
+pub(super) fn recorded_response(answer: RecordedAnswer) -> Response<AnswerBody> {
+    let cause = if answer.body.is_some() { "recorded" } else { "recorded-without-body" };
+    let mut response = Response::new(AnswerBody::whole(answer.body.unwrap_or_default()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    let verdict = RequestVerdict::Ran.as_str();
+    headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict));
+    headers.insert(CAUSE_HEADER, HeaderValue::from_static(cause));
+    let content_type = answer.content_type.and_then(|text| HeaderValue::try_from(text).ok());
+    if let Some(content_type) = content_type {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+async fn complete(
+    run: RequestRun,
+    request: ClaimRequest,
+    seat: RequestSeat,
+) -> Result<Response<AnswerBody>> {
+    let limit = run.context().limits.recorded_bytes;
+    let claim = match LedgerClaim::take(run.context(), request).await {
+        Ok(claim) => claim,
+        Err(ClaimRefusal::AlreadyRan(answer)) => return Ok(recorded_response(answer)),
+        Err(ClaimRefusal::Answer(answer)) => return Err(answer),
+    };
+    let mut run = run.with_claim(claim);
+    // If it fails, the claim, dropped with the run, tells the ledger whether anything may have run.
+    let response = run.run().await?;
+    let claim = run.take_claim();
+    let (parts, answer) = response.into_parts();
+    let mut body = AnswerBody::upstream(answer, seat);
+    let Ok(start) = AnswerStart::read(&mut body, limit).await else {
+        return Err(outcome_unknown("answer-cut-short"));
+    };
+    if let Some(claim) = claim {
+        claim.record(start.recorded(&parts));
+    }
+    body.unread(start.frames);
+    Ok(Response::from_parts(parts, body))
+}
+
+/// The beginning of an answer's body, or all of it.
+struct AnswerStart {
+    frames: VecDeque<Frame<Bytes>>,
+    is_whole: bool,
+}
+
+impl AnswerStart {
+    async fn read(body: &mut AnswerBody, limit: usize) -> std::result::Result<Self, BodyFault> {
+        let mut frames = VecDeque::new();
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let frame = frame?;
+            length += frame.data_ref().map_or(0, Bytes::len);
+            frames.push_back(frame);
+            if length > limit {
+                return Ok(Self { frames, is_whole: false });
+            }
+        }
+        Ok(Self { frames, is_whole: true })
+    }
+
+    fn recorded(&self, parts: &Parts) -> RecordedAnswer {
+        let mut body = BytesMut::new();
+        self.frames
+            .iter()
+            .filter_map(Frame::data_ref)
+            .for_each(|data| body.extend_from_slice(data));
+        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let content_type = content_type.filter(|text| text.len() <= CONTENT_TYPE_LIMIT);
+        RecordedAnswer {
+            status: parts.status.as_u16(),
+            content_type: content_type.map(str::to_owned),
+            body: self.is_whole.then(|| body.freeze()),
+        }
+    }
+}
+
+fn outcome_unknown(cause: &'static str) -> SystemAnswer {
+    let status = StatusCode::BAD_GATEWAY;
+    SystemAnswer::failed(status, RequestVerdict::MayHaveRun, cause, Some(ASK_AGAIN))
+}
--- /dev/null
+++ b/crates/pulleyd/src/request/load_report.rs
@@ -0,0 +1,52 @@
+//! Reads upstreams' load reports.
+
+use http::HeaderValue;
+use pulley_core::request::LoadReport;
+
+/// The longest report looked at, in bytes; a real one has a few dozen.
+const REPORT_LIMIT: usize = 1_024;
+
+/// The highest utilization believed; an upstream that queues reports more than 1.
+const UTILIZATION_LIMIT: f32 = 100.0;
+
+/// Reads an `endpoint-load-metrics` header in its text form, as gRFC A51 describes it:
+/// `TEXT cpu_utilization=0.3, application_utilization=0.4, named_metrics.in_flight=2`.
+///
+/// The application's own utilization goes before that of the processor, as the gRFC says.
+/// Malformed reports give `None`: a report is a hint, and a wrong one must not fail the call whose
+/// answer it came with.
+#[must_use]
+pub fn read_load_report(value: &HeaderValue) -> Option<LoadReport> {
+    let text = value.to_str().ok().filter(|text| text.len() <= REPORT_LIMIT)?;
+    let pairs = text.trim_start().strip_prefix("TEXT")?;
+    if !pairs.starts_with([' ', '\t']) {
+        return None;
+    }
+    let mut cpu = None;
+    let mut application = None;
+    let mut in_flight = None;
+    for pair in pairs.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
+        let (name, number) = pair.split_once('=')?;
+        let number: f32 = number.trim().parse().ok()?;
+        if !number.is_finite() || number < 0.0 {
+            return None;
+        }
+        match name.trim() {
+            "cpu_utilization" => cpu = Some(number),
+            "application_utilization" => application = Some(number),
+            "named_metrics.in_flight" => in_flight = Some(whole(number)),
+            _ => {}
+        }
+    }
+    let utilization = application.filter(|used| *used > 0.0).or(cpu).or(application)?;
+    (utilization <= UTILIZATION_LIMIT).then_some(LoadReport { utilization, in_flight })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "finite and not negative; a cast of a larger float saturates"
+)]
+fn whole(number: f32) -> u32 {
+    number as u32
+}
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -2,17 +2,32 @@
 
 mod answer_body;
 mod attempt_guard;
+mod call_terms;
+mod keyed_run;
+mod ledger_claim;
+mod load_report;
+mod protocol_headers;
 mod request_body;
 mod request_forwarder;
 mod request_headers;
+mod request_run;
 mod scheduler_set;
 mod system_answer;
 mod traffic_context;
+mod traffic_counters;
+mod upstream_answer;
 
 pub use answer_body::{AnswerBody, BodyFault};
 pub use attempt_guard::AttemptGuard;
-pub use request_body::RequestBody;
+pub use call_terms::TrustedCallers;
+pub use load_report::read_load_report;
+pub use protocol_headers::{
+    ATTEMPT_HEADER, CAUSE_HEADER, DEADLINE_HEADER, DRAINING_HEADER, KEY_HEADER, LOAD_HEADER,
+    PRIORITY_HEADER, VERDICT_HEADER,
+};
+pub use request_body::{BodyCursor, BodySource, RequestBody, RequestFault};
 pub use request_forwarder::RequestForwarder;
 pub use scheduler_set::{Placement, SchedulerSet};
-pub use system_answer::{CAUSE_HEADER, SystemAnswer, VERDICT_HEADER};
+pub use system_answer::SystemAnswer;
 pub use traffic_context::{TrafficContext, TrafficLimits};
+pub use traffic_counters::TrafficCounters;
--- a/crates/pulleyd/src/request/request_body.rs
+++ b/crates/pulleyd/src/request/request_body.rs
@@ -1,52 +1,278 @@
-//! The body that goes to the upstream.
+//! The body that goes to the upstream, and what is kept of it for another attempt.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
+use thiserror::Error;
+
+/// What reading a body gives.
+type Result<T> = std::result::Result<T, RequestFault>;
+
+/// Why a request's body could not be passed on as a whole.
+#[derive(Debug, Error)]
+pub enum RequestFault {
+    /// The caller's side broke.
+    #[error("the caller's body was cut short: {0}")]
+    CallerBroke(#[from] hyper::Error),
+    /// The attempt was given up; its body goes to a later one.
+    #[error("the attempt was given up")]
+    GivenUp,
+    /// It is larger than a request with an idempotency key may be.
+    #[error("the body is too large for a request with an idempotency key")]
+    TooLarge,
+}
+
+/// A caller's body, streamed to one attempt after another.
+///
+/// What has passed is kept up to a limit, so that a later attempt can start from the beginning;
+/// beyond the limit the body is only streamed, and the request cannot be tried again.
+#[derive(Clone, Debug)]
+pub struct BodySource {
+    state: Option<Arc<Mutex<SourceState>>>,
+}
+
+#[derive(Debug)]
+struct SourceState {
+    incoming: Option<Incoming>,
+    kept: Vec<KeptFrame>,
+    kept_bytes: usize,
+    limit: usize,
+    /// False once frames have passed that were not kept.
+    is_complete: bool,
+    caller_broke: bool,
+    /// The attempt that may read; earlier ones get `GivenUp`, lest they take frames away.
+    attempt: u32,
+}
+
+#[derive(Clone, Debug)]
+enum KeptFrame {
+    Data(Bytes),
+    Trailers(HeaderMap),
+}
+
+impl BodySource {
+    /// Takes a caller's body and keeps up to `limit` bytes of it.
+    #[must_use]
+    pub fn new(incoming: Incoming, limit: usize) -> Self {
+        if incoming.is_end_stream() {
+            return Self { state: None };
+        }
+        let state = SourceState {
+            incoming: Some(incoming),
+            kept: Vec::new(),
+            kept_bytes: 0,
+            limit,
+            is_complete: true,
+            caller_broke: false,
+            attempt: 0,
+        };
+        Self { state: Some(Arc::new(Mutex::new(state))) }
+    }
+
+    /// Reads the whole body before it is sent, up to `limit` bytes.
+    ///
+    /// # Errors
+    /// `TooLarge` beyond the limit, `CallerBroke` if the caller ends it early.
+    pub async fn gather(incoming: Incoming, limit: usize) -> Result<(Self, Vec<Bytes>)> {
+        let mut body = incoming;
+        let (mut kept, mut kept_bytes) = (Vec::new(), 0);
+        while let Some(frame) = body.frame().await {
+            let frame = KeptFrame::from(frame?);
+            kept_bytes += frame.len();
+            if kept_bytes > limit {
+                return Err(RequestFault::TooLarge);
+            }
+            kept.push(frame);
+        }
+        let data = kept.iter().filter_map(KeptFrame::data).collect();
+        let state = SourceState {
+            incoming: None,
+            kept,
+            kept_bytes,
+            limit,
+            is_complete: true,
+            caller_broke: false,
+            attempt: 0,
+        };
+        Ok((Self { state: Some(Arc::new(Mutex::new(state))) }, data))
+    }
+
+    /// The body for a new attempt, from the beginning; earlier attempts can read no further.
+    #[must_use]
+    pub fn restart(&self) -> RequestBody {
+        let Some(state) = &self.state else { return RequestBody::Empty };
+        let attempt = {
+            let mut state = state.lock();
+            state.attempt += 1;
+            state.attempt
+        };
+        RequestBody::Stream(BodyCursor { state: Arc::clone(state), attempt, position: 0 })
+    }
+
+    /// Whether another attempt can get the whole body.
+    #[must_use]
+    pub fn can_restart(&self) -> bool {
+        self.state.as_ref().is_none_or(|state| {
+            let state = state.lock();
+            state.is_complete && !state.caller_broke
+        })
+    }
+
+    /// Whether the caller broke off its body.
+    #[must_use]
+    pub fn caller_broke(&self) -> bool {
+        self.state.as_ref().is_some_and(|state| state.lock().caller_broke)
+    }
+}
 
 /// A request's body on its way to the upstream; it is streamed, never gathered.
 #[derive(Debug)]
 pub enum RequestBody {
     /// No body.
     Empty,
-    /// The caller's body as it arrives.
-    Stream(Incoming),
+    /// A body read from its source.
+    Stream(BodyCursor),
 }
 
-impl From<Incoming> for RequestBody {
-    fn from(incoming: Incoming) -> Self {
-        if incoming.is_end_stream() { Self::Empty } else { Self::Stream(incoming) }
-    }
+/// One attempt's place in a body.
+#[derive(Debug)]
+pub struct BodyCursor {
+    state: Arc<Mutex<SourceState>>,
+    attempt: u32,
+    position: usize,
 }
 
 impl Body for RequestBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = RequestFault;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
         match self.get_mut() {
             Self::Empty => Poll::Ready(None),
-            Self::Stream(incoming) => Pin::new(incoming).poll_frame(context),
+            Self::Stream(cursor) => cursor.poll_next(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Empty => true,
-            Self::Stream(incoming) => incoming.is_end_stream(),
+            Self::Stream(cursor) => cursor.state.lock().is_end(cursor.position),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Empty => SizeHint::with_exact(0),
-            Self::Stream(incoming) => incoming.size_hint(),
+            Self::Stream(cursor) => cursor.state.lock().size_after(cursor.position),
+        }
+    }
+}
+
+impl BodyCursor {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let mut state = self.state.lock();
+        if state.attempt != self.attempt {
+            return Poll::Ready(Some(Err(RequestFault::GivenUp)));
+        }
+        if let Some(kept) = state.kept.get(self.position) {
+            let frame = kept.clone().into();
+            self.position += 1;
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        let polled = futures::ready!(state.poll_incoming(context));
+        if matches!(polled, Some(Ok(_))) && state.is_complete {
+            self.position += 1;
+        }
+        Poll::Ready(polled)
+    }
+}
+
+impl SourceState {
+    fn poll_incoming(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let Some(incoming) = &mut self.incoming else { return Poll::Ready(None) };
+        match futures::ready!(Pin::new(incoming).poll_frame(context)) {
+            None => {
+                self.incoming = None;
+                Poll::Ready(None)
+            }
+            Some(Ok(frame)) => {
+                let frame = KeptFrame::from(frame);
+                self.keep(&frame);
+                Poll::Ready(Some(Ok(frame.into())))
+            }
+            Some(Err(fault)) => {
+                self.caller_broke = true;
+                Poll::Ready(Some(Err(fault.into())))
+            }
+        }
+    }
+
+    fn keep(&mut self, frame: &KeptFrame) {
+        self.kept_bytes += frame.len();
+        if self.kept_bytes <= self.limit {
+            self.kept.push(frame.clone());
+        } else {
+            self.is_complete = false;
+            self.kept = Vec::new();
+        }
+    }
+
+    fn is_end(&self, position: usize) -> bool {
+        position >= self.kept.len() && self.incoming.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_after(&self, position: usize) -> SizeHint {
+        let kept: usize = self.kept.iter().skip(position).map(KeptFrame::len).sum();
+        let rest = self.incoming.as_ref().map_or(SizeHint::with_exact(0), Body::size_hint);
+        let mut hint = SizeHint::new();
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + kept as u64);
+        }
+        hint.set_lower(rest.lower() + kept as u64);
+        hint
+    }
+}
+
+impl KeptFrame {
+    fn len(&self) -> usize {
+        match self {
+            Self::Data(bytes) => bytes.len(),
+            Self::Trailers(trailers) => super::request_headers::header_bytes(trailers),
+        }
+    }
+
+    fn data(&self) -> Option<Bytes> {
+        match self {
+            Self::Data(bytes) => Some(bytes.clone()),
+            Self::Trailers(_) => None,
+        }
+    }
+}
+
+impl From<Frame<Bytes>> for KeptFrame {
+    fn from(frame: Frame<Bytes>) -> Self {
+        match frame.into_data() {
+            Ok(bytes) => Self::Data(bytes),
+            Err(frame) => Self::Trailers(frame.into_trailers().unwrap_or_default()),
+        }
+    }
+}
+
+impl From<KeptFrame> for Frame<Bytes> {
+    fn from(frame: KeptFrame) -> Self {
+        match frame {
+            KeptFrame::Data(bytes) => Self::data(bytes),
+            KeptFrame::Trailers(trailers) => Self::trailers(trailers),
         }
     }
 }
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -1,126 +1,217 @@
-//! Carries one request from its caller to an upstream and its answer back.
+//! The service that takes callers' requests.
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
-use http::uri::{PathAndQuery, Uri};
-use http::{HeaderValue, Request, Response, StatusCode, Version, header};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use pulley_core::request::{AttemptOutcome, RequestTicket};
 use pulley_core::version::KindPlan;
-use pulley_core::{Moment, RefusalCause, RequestVerdict};
+use pulley_core::{RefusalCause, RequestVerdict};
+use slog::debug;
 use tower::Service;
 
-use super::request_headers::strip_hop_by_hop;
-use super::{AnswerBody, AttemptGuard, Placement, RequestBody, SystemAnswer, TrafficContext};
-use crate::connection::{LinkFault, UpstreamLink};
+use super::call_terms::CallTerms;
+use super::keyed_run::carry_keyed;
+use super::ledger_claim::{claim_request, read_key};
+use super::request_headers::{header_bytes, is_ambiguous};
+use super::request_run::RequestRun;
+use super::traffic_counters::RequestSeat;
+use super::{AnswerBody, BodySource, RequestFault, SystemAnswer, TrafficContext, TrafficCounters};
 use crate::process::{HostReadiness, RunningView};
 
-/// How soon a caller may come back to a host that is not ready.
-const NOT_READY_RETRY: Duration = Duration::from_secs(1);
-
 /// What a step of a request's way gives, or the answer that ends it.
 type Result<T> = std::result::Result<T, SystemAnswer>;
 
+/// How soon a caller may come back to a host that is not ready or full.
+const HOST_RETRY: Duration = Duration::from_secs(1);
+
 /// The service that carries requests; one clone a caller's connection.
 ///
 /// Each answer of its own carries `jacinthpulley-verdict`, and `Retry-After` where waiting helps.
+///
+/// ```ignore
+/// let forwarder = RequestForwarder::new(context).with_caller(peer.ip());
+/// ```
 #[derive(Clone, Debug)]
 pub struct RequestForwarder {
     context: Arc<TrafficContext>,
+    caller: Option<IpAddr>,
+    refuses_all: bool,
+    arrival: FirstArrival,
+}
+
+/// Tells whether a connection has carried a request yet.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FirstArrival(Arc<AtomicBool>);
+
+impl FirstArrival {
+    /// Whether a request has come.
+    pub(crate) fn has_come(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn note(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
 }
 
 /// A request that has been looked at and may be placed.
 struct AdmittedRequest {
     parts: Parts,
-    body: RequestBody,
-    kind: usize,
-    row: KindPlan,
-    deadline: Moment,
+    body: Incoming,
+    kind: (usize, KindPlan),
+    terms: CallTerms,
 }
 
 impl RequestForwarder {
     /// Makes a forwarder over what all requests share.
     #[must_use]
     pub fn new(context: Arc<TrafficContext>) -> Self {
-        Self { context }
+        Self { context, caller: None, refuses_all: false, arrival: FirstArrival::default() }
+    }
+
+    /// Says which caller's connection it serves.
+    #[must_use]
+    pub const fn with_caller(mut self, caller: IpAddr) -> Self {
+        self.caller = Some(caller);
+        self
+    }
+
+    /// Refuses each request as not run, because the process has no room for its connection.
+    #[must_use]
+    pub(crate) const fn refusing_all(mut self) -> Self {
+        self.refuses_all = true;
+        self
+    }
+
+    /// Where to see whether the connection has carried a request yet.
+    pub(crate) fn arrival(&self) -> FirstArrival {
+        self.arrival.clone()
     }
 
     /// Carries one request and answers it.
     pub async fn forward(self, request: Request<Incoming>) -> Response<AnswerBody> {
         match self.carry(request).await {
             Ok(response) => response,
-            Err(answer) => answer.into_response(),
+            Err(answer) => self.refuse(answer),
         }
     }
 
     async fn carry(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>> {
-        let view = self.context.view.load();
-        check_readiness(&view)?;
-        let admitted = self.admit(&view, request)?;
-        let ticket = RequestTicket {
-            number: self.context.next_number(),
-            kind: admitted.kind,
-            deadline: admitted.deadline,
-            attempt: 0,
-            avoid: Vec::new(),
-        };
-        let pool = admitted.row.pool.clone();
-        let placement = self.context.schedulers.place(&pool, &ticket).await;
-        let (upstream, address) = match placement {
-            Placement::Start { upstream, address } => (upstream, address),
-            Placement::Refuse { cause, retry_after } => {
-                return Err(SystemAnswer::refused(cause, Some(retry_after)));
-            }
+        self.arrival.note();
+        let seat = self.enter()?;
+        let admitted = self.admit(request)?;
+        let row = &admitted.kind.1;
+        let key = match read_key(&admitted.parts) {
+            Ok(key) => key.filter(|_| !row.idempotent).map(str::to_owned),
+            Err(cause) => return Err(SystemAnswer::refused(cause, None)),
         };
-        let schedulers = Arc::clone(&self.context.schedulers);
-        let attempt = AttemptGuard::new(schedulers, pool, ticket.number);
-        match self.context.connections.checkout(&upstream, address).await {
-            Ok(link) => self.send(admitted, attempt, link).await,
-            Err(fault) => {
-                attempt.settle(AttemptOutcome::Unreachable);
-                Err(unreachable(&fault))
-            }
+        match key {
+            Some(key) => self.carry_once(admitted, seat, &key).await,
+            None => self.carry_plain(admitted, seat).await,
         }
     }
 
-    fn admit(&self, view: &RunningView, request: Request<Incoming>) -> Result<AdmittedRequest> {
+    /// Refuses at once when the process is at its limit.
+    ///
+    /// Load it is for: a burst beyond what memory holds. Taken on, each further request would slow
+    /// down all others until the process is killed with them; refused, its caller can go to
+    /// another host at once, as nothing has run.
+    fn enter(&self) -> Result<RequestSeat> {
+        let limit = if self.refuses_all { 0 } else { self.context.limits.requests };
+        let seat = self.context.counters.enter(limit);
+        seat.ok_or_else(|| SystemAnswer::refused(RefusalCause::HostFull, Some(HOST_RETRY)))
+    }
+
+    fn admit(&self, request: Request<Incoming>) -> Result<AdmittedRequest> {
+        let view = self.context.view.load();
+        check_readiness(&view)?;
         let (parts, body) = request.into_parts();
+        self.check_shape(&parts)?;
         let found = view.plan.find(parts.method.as_str(), parts.uri.path());
         let Some((kind, row)) = found else {
             return Err(SystemAnswer::refused(RefusalCause::NoSuchKind, None));
         };
-        let deadline = self.context.clock.now() + row.deadline;
-        let row = row.clone();
-        Ok(AdmittedRequest { parts, body: RequestBody::from(body), kind, row, deadline })
+        let now = self.context.clock.now();
+        let is_trusted = self.context.is_trusted(self.caller);
+        let terms = CallTerms::read(now, &parts.headers, row, is_trusted)
+            .map_err(|cause| SystemAnswer::refused(cause, None))?;
+        Ok(AdmittedRequest { parts, body, kind: (kind, row.clone()), terms })
     }
 
-    async fn send(
+    fn check_shape(&self, parts: &Parts) -> Result<()> {
+        let is_oversized = header_bytes(&parts.headers) > self.context.limits.header_bytes;
+        if is_oversized {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            let verdict = RequestVerdict::NotRun;
+            return Err(SystemAnswer::failed(status, verdict, "headers-too-large", None));
+        }
+        if is_ambiguous(parts) {
+            return Err(SystemAnswer::refused(RefusalCause::BadRequest, None));
+        }
+        Ok(())
+    }
+
+    async fn carry_plain(
+        &self,
+        admitted: AdmittedRequest,
+        seat: RequestSeat,
+    ) -> Result<Response<AnswerBody>> {
+        let body = BodySource::new(admitted.body, self.context.limits.replay_bytes);
+        let context = Arc::clone(&self.context);
+        let mut run = RequestRun::new(context, admitted.parts, body, admitted.kind, admitted.terms);
+        let response = run.run().await?;
+        Ok(response.map(|answer| AnswerBody::upstream(answer, seat)))
+    }
+
+    /// Carries a request with an idempotency key; its key is claimed before a byte leaves.
+    ///
+    /// The claim comes before the place in the queue: a resend of what ran gets its recorded
+    /// outcome even while the pool is full, and no slot stands idle while a quorum syncs.
+    async fn carry_once(
         &self,
         admitted: AdmittedRequest,
-        attempt: AttemptGuard,
-        mut link: UpstreamLink,
+        seat: RequestSeat,
+        key: &str,
     ) -> Result<Response<AnswerBody>> {
-        let deadline = admitted.deadline;
-        let request = upstream_request(admitted);
-        let answer = self.context.timer.limit(deadline, link.send(request)).await;
-        match answer {
-            Some(Ok(response)) => Ok(caller_response(response, attempt, link)),
-            Some(Err(fault)) => {
-                attempt.settle(AttemptOutcome::Broken);
-                Err(broken(&fault))
-            }
-            None => {
-                attempt.settle(AttemptOutcome::Broken);
-                let verdict = RequestVerdict::MayHaveRun;
-                Err(SystemAnswer::failed(StatusCode::GATEWAY_TIMEOUT, verdict, "deadline", None))
-            }
+        let (context, limits) = (&self.context, &self.context.limits);
+        let AdmittedRequest { parts, body, kind, terms } = admitted;
+        let gathering = BodySource::gather(body, limits.keyed_bytes);
+        let gathered = context.timer.limit(terms.deadline, gathering).await;
+        let (body, data) = match gathered {
+            Some(Ok(gathered)) => gathered,
+            Some(Err(fault)) => return Err(ungathered(&fault)),
+            None => return Err(SystemAnswer::refused(RefusalCause::DeadlineTooClose, None)),
+        };
+        let request = claim_request(&kind.1, key, &parts, &data);
+        let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms);
+        carry_keyed(run, request, seat).await
+    }
+
+    fn refuse(&self, answer: SystemAnswer) -> Response<AnswerBody> {
+        let counters = &self.context.counters;
+        match answer.verdict {
+            RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
+            RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
+            RequestVerdict::Ran => {}
         }
+        debug!(self.context.logger, "request ended without an upstream's answer";
+            "status" => answer.status.as_u16(), "cause" => answer.cause,
+            "verdict" => %answer.verdict);
+        let mut response = answer.into_response();
+        let leaves = self.refuses_all || answer.cause == RefusalCause::ShuttingDown.as_str();
+        if leaves {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 }
 
@@ -146,44 +237,17 @@
         HostReadiness::NotReady { .. } => RefusalCause::NotReady,
         HostReadiness::ShuttingDown => RefusalCause::ShuttingDown,
     };
-    Err(SystemAnswer::refused(cause, Some(NOT_READY_RETRY)))
-}
-
-fn upstream_request(admitted: AdmittedRequest) -> Request<RequestBody> {
-    let mut parts = admitted.parts;
-    strip_hop_by_hop(&mut parts.headers);
-    if let Some(authority) = parts.uri.authority()
-        && let Ok(host) = HeaderValue::from_str(authority.as_str())
-    {
-        parts.headers.insert(header::HOST, host);
-    }
-    let path = parts.uri.path_and_query().cloned();
-    parts.uri = Uri::from(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
-    parts.version = Version::HTTP_11;
-    Request::from_parts(parts, admitted.body)
-}
-
-fn caller_response(
-    response: Response<Incoming>,
-    attempt: AttemptGuard,
-    link: UpstreamLink,
-) -> Response<AnswerBody> {
-    let (mut parts, body) = response.into_parts();
-    strip_hop_by_hop(&mut parts.headers);
-    parts.version = Version::default();
-    let outcome = if parts.status.is_server_error() {
-        AttemptOutcome::Failed
-    } else {
-        AttemptOutcome::Answered
-    };
-    Response::from_parts(parts, AnswerBody::upstream(body, attempt, link, outcome))
+    Err(SystemAnswer::refused(cause, Some(HOST_RETRY)))
 }
 
-fn unreachable(fault: &LinkFault) -> SystemAnswer {
-    let verdict = RequestVerdict::NotRun;
-    SystemAnswer::failed(StatusCode::BAD_GATEWAY, verdict, fault.cause(), Some(NOT_READY_RETRY))
-}
-
-fn broken(fault: &LinkFault) -> SystemAnswer {
-    SystemAnswer::failed(StatusCode::BAD_GATEWAY, fault.verdict(), fault.cause(), None)
+fn ungathered(fault: &RequestFault) -> SystemAnswer {
+    match fault {
+        RequestFault::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            SystemAnswer::failed(status, RequestVerdict::NotRun, "body-too-large", None)
+        }
+        RequestFault::CallerBroke(_) | RequestFault::GivenUp => {
+            SystemAnswer::refused(RefusalCause::BadRequest, None)
+        }
+    }
 }
--- a/crates/pulleyd/src/request/request_headers.rs
+++ b/crates/pulleyd/src/request/request_headers.rs
@@ -1,9 +1,15 @@
-//! Which headers pass through, by RFC 9110 section 7.6.1.
+//! Which headers pass through, by RFC 9110 section 7.6.1, and which requests are refused for them.
+
+use std::time::Duration;
 
 use http::header::{
-    CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
 };
+use http::request::Parts;
+use http::{Method, Version};
+
+use super::protocol_headers::OWN_PREFIX;
 
 /// Headers that belong to one connection and are never passed on.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -20,14 +26,66 @@
 /// Removes what belongs to the connection a message came over: the standard headers and those
 /// that its own `Connection` header names.
 pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    for name in connection_options(headers) {
+    if headers.contains_key(CONNECTION) {
+        for name in connection_options(headers) {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_BY_HOP {
         headers.remove(name);
     }
-    for name in HOP_BY_HOP {
+}
+
+/// Removes the system's own headers, so that neither side can speak in its name to the other.
+pub(super) fn strip_own(headers: &mut HeaderMap) {
+    let own: Vec<_> =
+        headers.keys().filter(|name| name.as_str().starts_with(OWN_PREFIX)).cloned().collect();
+    for name in own {
         headers.remove(name);
     }
 }
 
+/// Whether the caller takes trailers.
+pub(super) fn takes_trailers(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(TE).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|coding| coding.trim() == "trailers")
+}
+
+/// The bytes of all header names and values, as HTTP/2 counts them without its overhead.
+pub(super) fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
+/// Whether the upstream could read a request differently than this process did.
+///
+/// A host named twice, a path that an upstream may normalize to one of another kind, or a method
+/// that turns the connection into a tunnel lets a caller get a request past the plan: a refund
+/// taken for an idempotent lookup would be sent twice. Such requests are refused before anything
+/// is sent.
+pub(super) fn is_ambiguous(parts: &Parts) -> bool {
+    let hosts = parts.headers.get_all(HOST).iter().count();
+    let lacks_host = parts.version == Version::HTTP_11 && hosts != 1;
+    let bad_expectation = parts
+        .headers
+        .get(EXPECT)
+        .is_some_and(|value| !value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    parts.method == Method::CONNECT
+        || hosts > 1
+        || lacks_host
+        || bad_expectation
+        || has_dot_segment(parts.uri.path())
+}
+
+/// Reads a duration in whole milliseconds.
+pub(super) fn read_millis(value: &HeaderValue) -> Option<Duration> {
+    value.to_str().ok()?.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Reads a small number.
+pub(super) fn read_number(value: &HeaderValue) -> Option<u8> {
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
     headers
         .get_all(CONNECTION)
@@ -37,3 +95,21 @@
         .filter_map(|option| option.trim().parse().ok())
         .collect()
 }
+
+/// Whether a path has a `.` or `..` segment, plain or percent-encoded, or does not start at the
+/// root.
+fn has_dot_segment(path: &str) -> bool {
+    if !path.starts_with('/') {
+        return true;
+    }
+    if !path.contains(['.', '%', '\\']) {
+        return false;
+    }
+    let plain = path
+        .to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/")
+        .replace("%5c", "/")
+        .replace('\\', "/");
+    plain.split('/').any(|segment| segment == "." || segment == "..")
+}
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use pulley_core::process::{FastMap, UpstreamRecord};
+use pulley_core::process::{FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
-    AttemptOutcome, LoadReport, PoolScheduler, RequestNumber, RequestTicket, SchedulerEffect,
-    SchedulerEffects,
+    AttemptOutcome, LoadReport, PoolScheduler, RequestNumber, RequestTicket, RetryBudget,
+    RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
 use tokio::sync::{Notify, oneshot};
@@ -67,6 +67,9 @@
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
     plan: Arc<PolicyPlan>,
     upstreams: Arc<[UpstreamRecord]>,
+    /// Upstreams that said in an answer that they drain, with the start that said so.
+    drained: FastMap<UpstreamId, Incarnation>,
+    retries: RetryBudget,
 }
 
 impl SchedulerSet {
@@ -109,6 +112,9 @@
         let effects = {
             let mut state = cell.state.lock();
             state.waiting.insert(ticket.number, sender);
+            if ticket.attempt == 0 {
+                state.retries.note_request();
+            }
             state.scheduler.arrive(self.clock.now(), ticket)
         };
         let mut waiter = QueuedRequest { set: self, cell: &cell, number: ticket.number, receiver };
@@ -128,6 +134,27 @@
         self.finish_in(&cell, number, outcome, report);
     }
 
+    /// Gives an upstream no more new work, because it said in an answer that it drains.
+    ///
+    /// The announcement that says the same may take a heartbeat to come round; until then each
+    /// request sent there could be cut off. A later start of the upstream takes work again.
+    /// Returns whether this is news.
+    pub fn observe_drain(&self, pool: &PoolName, upstream: &UpstreamId) -> bool {
+        let Some(cell) = self.cell(pool) else { return false };
+        let Some(effects) = cell.observe_drain(self.clock.now(), upstream) else { return false };
+        self.deliver(&cell, effects);
+        true
+    }
+
+    /// Decides whether a failed attempt is tried again, and pays for it from the pool's budget.
+    #[must_use]
+    pub fn decide_retry(&self, pool: &PoolName, question: &RetryQuestion) -> RetryDecision {
+        match self.cell(pool) {
+            Some(cell) => cell.state.lock().retries.decide(question),
+            None => RetryBudget::new().decide(question),
+        }
+    }
+
     /// Ticks the schedulers whenever one asks to be woken; spawn it once a process.
     pub async fn run(self: Arc<Self>, timer: TimerService) {
         loop {
@@ -169,6 +196,8 @@
             waiting: FastMap::default(),
             plan: Arc::default(),
             upstreams: Arc::default(),
+            drained: FastMap::default(),
+            retries: RetryBudget::new(),
         };
         let cell = Arc::new(PoolCell { state: Mutex::new(state) });
         Arc::clone(self.pools.write().entry(pool.clone()).or_insert(cell))
@@ -243,11 +272,38 @@
             effects.extend(state.scheduler.apply_plan(now, Arc::clone(plan)));
         }
         if !Arc::ptr_eq(&state.upstreams, &upstreams) {
-            effects.extend(state.scheduler.apply_upstreams(now, &upstreams));
             state.upstreams = upstreams;
+            effects.extend(state.apply_upstreams(now));
         }
         effects
     }
+
+    fn observe_drain(&self, now: Moment, upstream: &UpstreamId) -> Option<SchedulerEffects> {
+        let mut state = self.state.lock();
+        let mut records = state.upstreams.iter();
+        let record = records.find(|record| record.announcement.id == *upstream)?;
+        let incarnation = record.announcement.incarnation;
+        let before = state.drained.insert(upstream.clone(), incarnation);
+        (before != Some(incarnation)).then(|| state.apply_upstreams(now))
+    }
+}
+
+impl PoolState {
+    fn apply_upstreams(&mut self, now: Moment) -> SchedulerEffects {
+        if self.drained.is_empty() {
+            return self.scheduler.apply_upstreams(now, &self.upstreams);
+        }
+        let mut records = self.upstreams.to_vec();
+        self.drained.retain(|id, _| records.iter().any(|record| record.announcement.id == *id));
+        for record in &mut records {
+            let announcement = &record.announcement;
+            let drained = self.drained.get(&announcement.id);
+            if drained.is_some_and(|start| announcement.incarnation <= *start) {
+                record.takes_work = false;
+            }
+        }
+        self.scheduler.apply_upstreams(now, &records)
+    }
 }
 
 fn split_effect(effect: SchedulerEffect) -> (RequestNumber, Placement) {
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -2,17 +2,12 @@
 
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use pulley_core::{RefusalCause, RequestVerdict};
 
 use super::AnswerBody;
-
-/// The header that says whether the request may have run.
-pub const VERDICT_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-verdict");
-
-/// The header that names the cause of a system answer.
-pub const CAUSE_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-cause");
+use super::protocol_headers::{CAUSE_HEADER, VERDICT_HEADER};
 
 /// An answer that comes from the system and not from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -1,5 +1,6 @@
 //! What every request on the traffic side shares.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use pulley_core::request::RequestNumber;
 use slog::Logger;
 
-use super::SchedulerSet;
+use super::{SchedulerSet, TrafficCounters, TrustedCallers};
 use crate::connection::UpstreamConnections;
 use crate::process::{ControlHandle, ProcessClock, TimerService, ViewCell};
 
@@ -17,14 +18,19 @@
     /// Requests in this process at once; beyond it new ones are refused as not run, because a
     /// process short of memory would slow down or lose all of them.
     pub requests: usize,
-    /// Callers' connections at once.
+    /// Callers' connections at once; beyond it a connection's first request is refused.
     pub caller_connections: usize,
-    /// Bytes of a request's or answer's headers.
+    /// Bytes of a request's headers.
     pub header_bytes: usize,
-    /// How long a caller may take to send a request's headers.
+    /// How long a caller may take to send a request's headers, idle time before them included.
     pub header_timeout: Duration,
-    /// Bytes of an idempotent request's body kept for a retry.
+    /// Bytes of a request's body kept for another attempt.
     pub replay_bytes: usize,
+    /// Bytes of the body of a request with an idempotency key; its digest is needed before it is
+    /// sent, so it is held as a whole.
+    pub keyed_bytes: usize,
+    /// Bytes of an answer's body that the ledger keeps.
+    pub recorded_bytes: usize,
 }
 
 impl Default for TrafficLimits {
@@ -33,8 +39,10 @@
             requests: 20_000,
             caller_connections: 20_000,
             header_bytes: 32 * 1024,
-            header_timeout: Duration::from_secs(10),
+            header_timeout: Duration::from_secs(60),
             replay_bytes: 64 * 1024,
+            keyed_bytes: 1024 * 1024,
+            recorded_bytes: 16 * 1024,
         }
     }
 }
@@ -58,11 +66,15 @@
     pub logger: Logger,
     /// What the process refuses beyond.
     pub limits: TrafficLimits,
+    /// Whose attempt and priority headers are believed.
+    pub trusted: TrustedCallers,
+    /// What is counted for metrics.
+    pub counters: Arc<TrafficCounters>,
     next_number: AtomicU64,
 }
 
 impl TrafficContext {
-    /// Makes a context with default limits.
+    /// Makes a context with default limits that trusts no caller.
     #[must_use]
     pub fn new(
         view: ViewCell,
@@ -72,15 +84,18 @@
         timer: TimerService,
         logger: Logger,
     ) -> Self {
+        let connections = UpstreamConnections::new(clock, timer.clone(), view.clone());
         Self {
             view,
             schedulers,
             control,
-            connections: Arc::new(UpstreamConnections::new(clock)),
+            connections: Arc::new(connections),
             clock,
             timer,
             logger,
             limits: TrafficLimits::default(),
+            trusted: TrustedCallers::default(),
+            counters: Arc::default(),
             next_number: AtomicU64::new(0),
         }
     }
@@ -92,6 +107,18 @@
         self
     }
 
+    /// Believes the attempt and priority headers of these callers.
+    #[must_use]
+    pub fn with_trusted_callers(mut self, trusted: TrustedCallers) -> Self {
+        self.trusted = trusted;
+        self
+    }
+
+    /// Whether a caller's attempt and priority headers are believed.
+    pub(super) fn is_trusted(&self, caller: Option<IpAddr>) -> bool {
+        caller.is_some_and(|caller| self.trusted.addresses.contains(&caller))
+    }
+
     /// A number that no other request of this process has.
     pub(super) fn next_number(&self) -> RequestNumber {
         RequestNumber(self.next_number.fetch_add(1, Ordering::Relaxed))
--- /dev/null
+++ b/crates/pulleyd/src/request/upstream_answer.rs
@@ -0,0 +1,75 @@
+//! What an upstream's answer says besides its body.
+
+use std::time::Duration;
+
+use http::header::{HeaderMap, RETRY_AFTER};
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
+use pulley_core::RequestVerdict;
+use pulley_core::request::LoadReport;
+
+use super::protocol_headers::{CAUSE_HEADER, DRAINING_HEADER, LOAD_HEADER, VERDICT_HEADER};
+use super::request_headers::{strip_hop_by_hop, strip_own};
+use super::{TrafficCounters, read_load_report};
+
+/// The longest `Retry-After` taken over from an upstream.
+const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(60);
+
+/// The shortest; an upstream that sheds says how long it will be busy in whole seconds at best.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
+/// What an upstream's answer tells this entry; the headers that say so go no further.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct AnswerSigns {
+    /// It shed the request unrun.
+    pub(super) has_shed: bool,
+    /// It passes on an answer of this system's own: another layer has given up below.
+    pub(super) retried_below: bool,
+    /// It takes no new work from now on.
+    pub(super) is_draining: bool,
+    /// Its load, if it said so.
+    pub(super) report: Option<LoadReport>,
+    /// When it may be asked again, if it shed the request.
+    pub(super) retry_after: Duration,
+}
+
+impl AnswerSigns {
+    /// Reads the signs and removes what belongs to the upstream's connection.
+    ///
+    /// Only status 429 or 503 together with the verdict `not-run` counts as shed: a bare 503 may
+    /// come from an upstream that failed half-way.
+    pub(super) fn take(response: &mut Response<Incoming>, counters: &TrafficCounters) -> Self {
+        let status = response.status();
+        let headers = response.headers_mut();
+        let says_not_run = headers
+            .get(VERDICT_HEADER)
+            .is_some_and(|value| value == RequestVerdict::NotRun.as_str());
+        let may_shed =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        let signs = Self {
+            has_shed: says_not_run && may_shed,
+            retried_below: headers.contains_key(CAUSE_HEADER),
+            is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
+            report: take_report(headers, counters),
+            retry_after: retry_after(headers),
+        };
+        strip_hop_by_hop(headers);
+        strip_own(headers);
+        signs
+    }
+}
+
+fn take_report(headers: &mut HeaderMap, counters: &TrafficCounters) -> Option<LoadReport> {
+    let value = headers.remove(LOAD_HEADER)?;
+    let report = read_load_report(&value);
+    if report.is_none() {
+        TrafficCounters::add(&counters.malformed_reports);
+    }
+    report
+}
+
+fn retry_after(headers: &HeaderMap) -> Duration {
+    let value = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let seconds = value.and_then(|value| value.trim().parse().ok());
+    seconds.map_or(RETRY_AFTER_DEFAULT, Duration::from_secs).min(RETRY_AFTER_LIMIT)
+}
