Hand the control thread the counts of all pools

Cause: entries share counts through coordinators, which the control thread speaks to. Change: SchedulerSet gives the deltas that are due and takes in sums. Conclusion: the control thread needs no other way into the schedulers.

--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use pulley_core::process::{FastMap, Incarnation, UpstreamRecord};
+use pulley_core::process::{CountDelta, CountSum, FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, RequestNumber, RequestTicket, RetryBudget,
     RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
@@ -155,6 +155,42 @@
         }
     }
 
+    /// The counts that are due to coordinators: the pool, the upstreams' zone, the message.
+    pub fn take_deltas(&self, now: Moment) -> Vec<(PoolName, ZoneName, CountDelta)> {
+        let cells: Vec<_> = self.pools.read().clone().into_iter().collect();
+        let due = |(pool, cell): (PoolName, Arc<PoolCell>)| {
+            let deltas = cell.state.lock().scheduler.take_deltas(now);
+            deltas.into_iter().map(move |(zone, delta)| (pool.clone(), zone, delta))
+        };
+        cells.into_iter().flat_map(due).collect()
+    }
+
+    /// When [`Self::take_deltas`] next has something, if ever.
+    #[must_use]
+    pub fn next_delta_at(&self) -> Option<Moment> {
+        let pools = self.pools.read();
+        pools.values().filter_map(|cell| cell.state.lock().scheduler.next_delta_at()).min()
+    }
+
+    /// Takes in the entries' counts as a coordinator has added them up.
+    pub fn receive_sum(&self, now: Moment, sum: &CountSum) {
+        let Some(cell) = self.cell(&sum.pool) else { return };
+        let effects = cell.state.lock().scheduler.receive_sum(now, sum);
+        self.deliver(&cell, effects);
+    }
+
+    /// Requests that wait in all pools' queues.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.pools.read().values().map(|cell| cell.state.lock().scheduler.waiting()).sum()
+    }
+
+    /// Requests that are started and not finished, in all pools.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.pools.read().values().map(|cell| cell.state.lock().scheduler.running()).sum()
+    }
+
     /// Ticks the schedulers whenever one asks to be woken; spawn it once a process.
     pub async fn run(self: Arc<Self>, timer: TimerService) {
         loop {
