Spread membership at less cost after a mass start

Cause: 15 s after 1,000 hosts start at once every membership message was still full of news: 2,881 B/s a host, 148 us a message, one host at 16,475 B/s over all gossip (virtual time, release). Change: what came in a comparison of tables is told on twice only, a found difference brings the next comparison forward, news wait in a queue instead of being sorted for each message, digests are worked out without a copy of the table.

--- /dev/null
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -0,0 +1,31 @@
+//! What control costs: bytes and processor time a host, an upstream, a change.
+
+mod gossip_cost;
+#[path = "../../../pulley_core/tests/members/network.rs"]
+#[allow(
+    dead_code,
+    unreachable_pub,
+    reason = "shared with pulley_core's tests, which use more of it"
+)]
+mod network;
+
+use eyre::{Result, bail};
+
+const USAGE: &str = "usage: pulley_bench capacity gossip [--hosts N] [--upstreams N] [--seconds N]
+         [--plan-rows N] [--seed N]
+
+gossip: bytes and time of membership, upstream leases and configuration in virtual time,
+        over the real state machines; --plan-rows publishes a plan of so many rows half way";
+
+/// Runs one of the measurements.
+pub(crate) fn run(arguments: &[String]) -> Result<()> {
+    let Some((scenario, rest)) = arguments.split_first() else { bail!("{USAGE}") };
+    match scenario.as_str() {
+        "gossip" => gossip_cost::run(rest),
+        "--help" | "-h" => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        other => bail!("no scenario {other}\n{USAGE}"),
+    }
+}
--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
+mod capacity;
 mod decisions;
 
 use std::process::ExitCode;
@@ -9,6 +10,7 @@
 const USAGE: &str = "usage: pulley_bench SUBCOMMAND [options]; each explains itself with --help
 
 subcommands:
+  capacity   what control costs a host, an upstream, a change
   decisions  policies under load, in virtual time";
 
 fn main() -> ExitCode {
@@ -25,6 +27,7 @@
 fn run(arguments: &[String]) -> Result<()> {
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
+        "capacity" => capacity::run(rest),
         "decisions" => decisions::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulley_core/src/process/member_message.rs
+++ b/crates/pulley_core/src/process/member_message.rs
@@ -50,8 +50,10 @@
     PingRequest { sequence: u32, target: HostId, address: SocketAddr },
     /// Shows the sender's digests, to be sent what differs.
     SyncAsk { digests: Vec<u32>, reply: bool },
-    /// Carries updates only.
+    /// Carries what differed in a comparison.
     SyncPage,
+    /// Carries news only.
+    News,
 }
 
 /// A gossip message.
--- a/crates/pulley_core/src/process/member_roster.rs
+++ b/crates/pulley_core/src/process/member_roster.rs
@@ -1,9 +1,16 @@
 //! The table proper: who is known, in which state, and what of it is still to be told.
 
+use std::collections::VecDeque;
 use std::hash::{BuildHasher, BuildHasherDefault};
 
 use super::member_message::{DIGEST_PARTS, MemberUpdate};
-use super::{FastMap, HostId, MemberState, Moment};
+use super::{FastMap, HostId, MemberRecord, MemberState, Moment};
+
+/// How many updates are looked at for one message; about 20 fit.
+const NEWS_LIMIT: usize = 24;
+/// How many messages tell of what came in a comparison of tables: others compare as well, and a
+/// thousand hosts that all start at once would else fill every message for minutes.
+pub(crate) const PAGE_TELLINGS: u32 = 2;
 
 /// One known host.
 #[derive(Clone, Debug)]
@@ -30,13 +37,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MemberRoster {
     entries: FastMap<HostId, MemberEntry>,
+    /// The hosts of which there is something to tell, those to be told of first in front.
+    news: VecDeque<HostId>,
     limit: usize,
     changes: u64,
 }
 
 impl MemberRoster {
     pub(crate) fn new(limit: usize) -> Self {
-        Self { entries: FastMap::default(), limit, changes: 0 }
+        Self { entries: FastMap::default(), news: VecDeque::new(), limit, changes: 0 }
     }
 
     pub(crate) fn find(&self, host: &HostId) -> Option<&MemberEntry> {
@@ -60,9 +69,13 @@
         self.changes
     }
 
-    /// Takes an update over if it outranks what is known.
-    pub(crate) fn merge(&mut self, now: Moment, update: MemberUpdate) -> UpdateOutcome {
-        let tellings = self.tellings();
+    /// Takes an update over if it outranks what is known, to be told so many times.
+    pub(crate) fn merge(
+        &mut self,
+        now: Moment,
+        update: MemberUpdate,
+        tellings: u32,
+    ) -> UpdateOutcome {
         let live = update.state.is_live();
         if let Some(entry) = self.entries.get_mut(&update.record.host) {
             if !update.outranks(&entry.update) {
@@ -72,7 +85,10 @@
             if live != was_live || update.record != entry.update.record {
                 self.changes += 1;
             }
+            let queued = entry.tellings > 0;
+            let host = update.record.host.clone();
             *entry = MemberEntry { update, since: now, tellings };
+            self.queue_news(host, queued);
             return UpdateOutcome::Taken;
         }
         // News of the death of a host never heard of: there is nothing to forget.
@@ -84,14 +100,16 @@
         }
         self.changes += 1;
         let host = update.record.host.clone();
-        self.entries.insert(host, MemberEntry { update, since: now, tellings });
+        self.entries.insert(host.clone(), MemberEntry { update, since: now, tellings });
+        self.queue_news(host, false);
         UpdateOutcome::Taken
     }
 
-    /// Adds the own host, for a comparison with another's table.
-    pub(crate) fn admit_own(&mut self, update: MemberUpdate) {
-        let host = update.record.host.clone();
-        self.entries.insert(host, MemberEntry { update, since: Moment::ZERO, tellings: 0 });
+    fn queue_news(&mut self, host: HostId, queued: bool) {
+        if queued {
+            self.news.retain(|other| *other != host);
+        }
+        self.news.push_front(host);
     }
 
     /// Drops hosts that have been dead for longer than the retention.
@@ -116,38 +134,41 @@
         }
     }
 
-    /// What is still to be told, the least told first.
+    /// What is to be told next, the newest first; at most as much as a message may hold.
     pub(crate) fn news(&self) -> Vec<MemberUpdate> {
-        let mut news: Vec<&MemberEntry> =
-            self.entries.values().filter(|entry| entry.tellings > 0).collect();
-        news.sort_by(|a, b| {
-            let rank = |entry: &MemberEntry| std::cmp::Reverse(entry.tellings);
-            rank(a).cmp(&rank(b)).then_with(|| a.update.record.host.cmp(&b.update.record.host))
-        });
-        news.into_iter().map(|entry| entry.update.clone()).collect()
-    }
-
-    /// Notes that a host's update was told once more.
-    pub(crate) fn count_telling(&mut self, host: &HostId) {
-        if let Some(entry) = self.entries.get_mut(host) {
+        let next = self.news.iter().take(NEWS_LIMIT);
+        next.filter_map(|host| self.entries.get(host)).map(|entry| entry.update.clone()).collect()
+    }
+
+    /// Notes that the first of the news were told once more.
+    pub(crate) fn count_tellings(&mut self, count: usize) {
+        for _ in 0..count {
+            let Some(host) = self.news.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get_mut(&host) else {
+                continue;
+            };
             entry.tellings = entry.tellings.saturating_sub(1);
+            if entry.tellings > 0 {
+                self.news.push_back(host);
+            }
         }
     }
 
-    /// One digest for each part of the live hosts; equal parts have equal digests.
-    pub(crate) fn digests(&self) -> Vec<u32> {
+    /// One digest for each part of the live hosts and the own one; equal parts have equal digests.
+    pub(crate) fn digests(&self, own: &MemberRecord) -> Vec<u32> {
         let mut digests = vec![0_u32; DIGEST_PARTS];
-        for entry in self.live() {
-            let record = &entry.update.record;
+        let others = self.live().map(|entry| &entry.update.record);
+        for record in others.chain(std::iter::once(own)) {
             digests[part(&record.host)] ^= fold(hash(&(&record.host, record.incarnation)));
         }
         digests
     }
 
     /// All that is known of the hosts in parts whose digests differ from another's.
-    pub(crate) fn differing(&self, theirs: &[u32]) -> Vec<MemberUpdate> {
-        let ours = self.digests();
-        let differs = |index: usize| theirs.get(index) != Some(&ours[index]);
+    pub(crate) fn differing(&self, ours: &[u32], theirs: &[u32]) -> Vec<MemberUpdate> {
+        let differs = |index: usize| theirs.get(index) != ours.get(index);
         let mut updates: Vec<MemberUpdate> = self
             .entries
             .values()
@@ -159,7 +180,7 @@
     }
 
     /// How many messages tell of a change: enough that each host is told a few times.
-    fn tellings(&self) -> u32 {
+    pub(crate) fn usual_tellings(&self) -> u32 {
         3 * (usize::BITS - self.entries.len().leading_zeros()).max(1)
     }
 
--- a/crates/pulley_core/src/process/member_table.rs
+++ b/crates/pulley_core/src/process/member_table.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::member_message::{MemberMessage, MemberPurpose, MemberUpdate};
-use super::member_roster::{MemberRoster, UpdateOutcome};
+use super::member_roster::{MemberRoster, PAGE_TELLINGS, UpdateOutcome};
 use super::{HostId, MemberRecord, MemberSend, MemberSettings, MemberState, Moment, PeerRing};
 
 /// How many waiting pages leave at once, so that a full sync doesn't flood a socket's buffer.
@@ -18,7 +18,7 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many pages may wait; more belong to a sync that the next comparison repeats.
 const PAGE_LIMIT: usize = 256;
-/// How often a host that is alone calls on its seeds.
+/// How often a host compares tables while it is alone, or has just found a difference.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 /// How many pings on others' behalf may be open at once.
 const RELAY_LIMIT: usize = 64;
@@ -208,7 +208,7 @@
             self.roster.live().map(|entry| entry.update.record.peer_address).collect();
         live.sort();
         live.shuffle(&mut self.rng);
-        let (body, _) = MemberMessage::pack(&MemberPurpose::SyncPage, std::iter::once(&farewell));
+        let (body, _) = MemberMessage::pack(&MemberPurpose::News, std::iter::once(&farewell));
         live.into_iter().take(FAREWELLS).map(|to| MemberSend { to, body: body.clone() }).collect()
     }
 
@@ -231,7 +231,7 @@
         if now.since(Moment::ZERO) >= timeout {
             for mut update in self.roster.overdue_suspects(now - timeout) {
                 update.state = MemberState::Dead;
-                self.roster.merge(now, update);
+                self.roster.merge(now, update, self.roster.usual_tellings());
             }
         }
         if now.since(Moment::ZERO) >= self.settings.dead_retention {
@@ -310,7 +310,7 @@
         if let Some(entry) = self.roster.find(&probe.host) {
             let mut update = entry.update.clone();
             update.state = MemberState::Suspect;
-            self.roster.merge(now, update);
+            self.roster.merge(now, update, self.roster.usual_tellings());
         }
     }
 
@@ -335,41 +335,40 @@
             choice.sort();
             if !choice.is_empty() {
                 let to = choice[self.rng.random_range(0..choice.len())];
-                let purpose =
-                    MemberPurpose::SyncAsk { digests: self.roster_digests(), reply: false };
+                let digests = self.roster.digests(&self.own);
+                let purpose = MemberPurpose::SyncAsk { digests, reply: false };
                 sends.push(self.message(to, &purpose, None));
             }
         }
     }
 
-    fn answer_sync(&mut self, to: SocketAddr, theirs: &[u32], reply: bool) -> Vec<MemberSend> {
-        let differing = self.differing(theirs);
+    fn answer_sync(
+        &mut self,
+        now: Moment,
+        to: SocketAddr,
+        theirs: &[u32],
+        reply: bool,
+    ) -> Vec<MemberSend> {
+        let ours = self.roster.digests(&self.own);
+        let mut differing = self.roster.differing(&ours, theirs);
+        if ours == theirs {
+            return Vec::new();
+        }
+        // Where one host differs others may: the next comparison follows soon.
+        self.next_sync = self.next_sync.min(now + JOIN_INTERVAL);
+        // The own description goes along: the part it belongs to may be the one that differs.
+        differing.insert(0, self.own_update());
         let mut rest = differing.as_slice();
         while !rest.is_empty() && self.pages.len() < PAGE_LIMIT {
             let (body, count) = MemberMessage::pack(&MemberPurpose::SyncPage, rest.iter());
             self.pages.push_back(MemberSend { to, body });
             rest = &rest[count.max(1)..];
         }
-        let purpose = MemberPurpose::SyncAsk { digests: self.roster_digests(), reply: true };
-        match (differing.is_empty() && theirs == self.roster_digests(), reply) {
-            (false, false) => vec![self.message(to, &purpose, None)],
-            _ => Vec::new(),
+        if reply {
+            return Vec::new();
         }
-    }
-
-    /// The digests of the others and the own host, as another host's table has them.
-    fn roster_digests(&self) -> Vec<u32> {
-        self.whole_roster().digests()
-    }
-
-    fn differing(&self, theirs: &[u32]) -> Vec<MemberUpdate> {
-        self.whole_roster().differing(theirs)
-    }
-
-    fn whole_roster(&self) -> MemberRoster {
-        let mut whole = self.roster.clone();
-        whole.admit_own(self.own_update());
-        whole
+        let purpose = MemberPurpose::SyncAsk { digests: ours, reply: true };
+        vec![self.message(to, &purpose, None)]
     }
 
     fn own_update(&self) -> MemberUpdate {
@@ -387,8 +386,12 @@
         if self.left {
             return Vec::new();
         }
+        let tellings = match message.purpose {
+            MemberPurpose::SyncPage => PAGE_TELLINGS,
+            _ => self.roster.usual_tellings(),
+        };
         for update in message.updates {
-            self.merge(now, update);
+            self.merge(now, update, tellings);
         }
         match message.purpose {
             MemberPurpose::Ping { sequence, target } => {
@@ -401,8 +404,10 @@
             MemberPurpose::PingRequest { sequence, target, address } => {
                 self.ping_for(now, (from, sequence), target, address)
             }
-            MemberPurpose::SyncAsk { digests, reply } => self.answer_sync(from, &digests, reply),
-            MemberPurpose::SyncPage => Vec::new(),
+            MemberPurpose::SyncAsk { digests, reply } => {
+                self.answer_sync(now, from, &digests, reply)
+            }
+            MemberPurpose::SyncPage | MemberPurpose::News => Vec::new(),
         }
     }
 
@@ -439,11 +444,11 @@
         vec![self.message(address, &purpose, Some(&about))]
     }
 
-    fn merge(&mut self, now: Moment, update: MemberUpdate) {
+    fn merge(&mut self, now: Moment, update: MemberUpdate, tellings: u32) {
         if update.record.host == self.own.host {
             self.refute(&update);
         } else {
-            let _: UpdateOutcome = self.roster.merge(now, update);
+            let _: UpdateOutcome = self.roster.merge(now, update, tellings);
         }
     }
 
@@ -470,9 +475,7 @@
         let fixed = updates.len();
         updates.extend(self.roster.news());
         let (body, count) = MemberMessage::pack(purpose, updates.iter());
-        for update in updates.iter().take(count).skip(fixed) {
-            self.roster.count_telling(&update.record.host);
-        }
+        self.roster.count_tellings(count.saturating_sub(fixed));
         MemberSend { to, body }
     }
 }
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use pulley_core::process::{
@@ -37,9 +37,20 @@
     pub(crate) paused_until: Moment,
     pub(crate) sent: BTreeMap<Kind, (u64, u64)>,
     pub(crate) received: u64,
+    /// Real time spent in each state machine: ticks, and messages with their number.
+    pub(crate) spent: BTreeMap<Kind, Spent>,
     scheduled: Option<Moment>,
 }
 
+/// Real time spent in a state machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Spent {
+    pub(crate) ticks: u64,
+    pub(crate) tick_time: Duration,
+    pub(crate) messages: u64,
+    pub(crate) message_time: Duration,
+}
+
 /// How messages fare.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Weather {
@@ -150,6 +161,7 @@
             paused_until: Moment::ZERO,
             sent: BTreeMap::new(),
             received: 0,
+            spent: BTreeMap::new(),
             scheduled: None,
         }
     }
@@ -259,12 +271,23 @@
     fn tick(&mut self, index: usize) {
         let now = self.now;
         let host = &mut self.hosts[index];
-        let member: Vec<_> =
-            host.members.tick(now).into_iter().map(|send| (send.to, send.body)).collect();
+        let begun = Instant::now();
+        let member = host.members.tick(now);
         let ring = host.members.ring().clone();
-        let upstream: Vec<_> =
-            host.registry.tick(now, &ring).into_iter().map(|send| (send.to, send.body)).collect();
+        let member_time = begun.elapsed();
+        let upstream = host.registry.tick(now, &ring);
+        let upstream_time = begun.elapsed() - member_time;
         let plans = host.plans.tick(now, &ring);
+        let plan_time = begun.elapsed() - member_time - upstream_time;
+        for (kind, time) in
+            [(Kind::Member, member_time), (Kind::Upstream, upstream_time), (Kind::Plan, plan_time)]
+        {
+            let spent = host.spent.entry(kind).or_default();
+            spent.ticks += 1;
+            spent.tick_time += time;
+        }
+        let member = member.into_iter().map(|send| (send.to, send.body)).collect();
+        let upstream = upstream.into_iter().map(|send| (send.to, send.body)).collect();
         self.send_all(index, Kind::Member, member);
         self.send_all(index, Kind::Upstream, upstream);
         self.send_plans(index, plans);
@@ -276,20 +299,23 @@
         let sender = index_of(from);
         let host = &mut self.hosts[to];
         host.received += (body.len() + WIRE_OVERHEAD) as u64;
-        match kind {
+        let begun = Instant::now();
+        let (sends, plans) = match kind {
             Kind::Member => {
                 let sends = host.members.receive(now, from, body);
-                self.send_all(to, kind, sends.into_iter().map(|s| (s.to, s.body)).collect());
+                (sends.into_iter().map(|send| (send.to, send.body)).collect(), Vec::new())
             }
             Kind::Upstream => {
                 let sends = host.registry.receive(now, from, body);
-                self.send_all(to, kind, sends.into_iter().map(|s| (s.to, s.body)).collect());
+                (sends.into_iter().map(|send| (send.to, send.body)).collect(), Vec::new())
             }
-            Kind::Plan => {
-                let sends = host.plans.receive(now, &host_name(sender), body);
-                self.send_plans(to, sends);
-            }
-        }
+            Kind::Plan => (Vec::new(), host.plans.receive(now, &host_name(sender), body)),
+        };
+        let spent = host.spent.entry(kind).or_default();
+        spent.messages += 1;
+        spent.message_time += begun.elapsed();
+        self.send_all(to, kind, sends);
+        self.send_plans(to, plans);
         self.after(to);
     }
 
