Send a plan from few hosts, compressed

Change: three hosts are told at once, the rest by the next rounds; plans go compressed by lz4_flex (new dependency, pure Rust, safe code). The measured sheet has varying rows now.

--- a/crates/pulley_core/src/version/plan_follower.rs
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -26,6 +26,8 @@
 const ANSWER_TERM: Duration = Duration::from_secs(3);
 /// How long the version in force may be kept after a newer one was heard of.
 const LAG_LIMIT: Duration = Duration::from_secs(3);
+/// How many hosts are told of a new version as soon as it is in force here.
+const FLOOD_TARGETS: u32 = 3;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
 const SERVE_RATE: f64 = 64.0;
 /// How many requests for chunks may be answered in one burst.
@@ -244,7 +246,7 @@
         self.last_tick = now;
         let mut sends = Vec::new();
         if std::mem::take(&mut self.flood) {
-            let told: Vec<HostId> = ring.targets().map(|(host, _)| host.clone()).collect();
+            let told: Vec<HostId> = self.flood_targets(ring);
             sends.extend(told.into_iter().filter_map(|to| self.tell_lease(now, to)));
         }
         if now >= self.next_round {
@@ -261,6 +263,14 @@
         sends
     }
 
+    /// Whom to tell of a version as soon as it is in force here. Each of them pulls the plan from
+    /// here, so that few are told: with all of a cycle's hosts the leader would send ten copies.
+    fn flood_targets(&self, ring: &PeerRing) -> Vec<HostId> {
+        let count = FLOOD_TARGETS.min(ring.rounds());
+        let steps = (0..count).map(|step| self.round + step * ring.rounds() / count);
+        steps.filter_map(|round| ring.target(round)).map(|(host, _)| host.clone()).collect()
+    }
+
     fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
         let held = self.version();
@@ -374,11 +384,9 @@
         lease: PlanLease,
         source: Option<(&HostId, ConfigVersion)>,
     ) {
-        let news = self.lease.as_ref().is_none_or(|known| known.version < lease.version);
         let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
         if newer && lease.version >= self.version() {
             self.want(now, &lease);
-            self.flood |= news;
             self.lease = Some(lease);
         }
         if let (Some(fetch), Some((host, held))) = (self.fetch.as_mut(), source)
--- a/crates/pulley_core/src/version/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/plan_follower_message.rs
@@ -1,5 +1,7 @@
 //! The messages that spread the configuration.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -129,41 +131,49 @@
     }
 }
 
-/// A plan with its encoding, ready to be passed on.
+/// A plan with its compressed encoding, ready to be passed on.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldPlan {
-    pub(crate) plan: std::sync::Arc<StoredPlan>,
+    pub(crate) plan: Arc<StoredPlan>,
+    /// Over the encoding before compression, which may differ between releases.
     pub(crate) digest: PlanDigest,
-    encoded: Bytes,
+    packed: Bytes,
 }
 
 impl HeldPlan {
-    pub(crate) fn new(plan: std::sync::Arc<StoredPlan>) -> Self {
+    pub(crate) fn new(plan: Arc<StoredPlan>) -> Self {
         let encoded = postcard::to_stdvec(&*plan).expect("plain data types always encode");
-        Self { digest: PlanDigest::of(&encoded), encoded: Bytes::from(encoded), plan }
+        let packed = Bytes::from(lz4_flex::compress_prepend_size(&encoded));
+        Self { digest: PlanDigest::of(&encoded), packed, plan }
     }
 
     /// Decodes a plan that came in chunks, if it is the one meant.
     pub(crate) fn decode(
         version: ConfigVersion,
         digest: PlanDigest,
-        body: Vec<u8>,
+        packed: Vec<u8>,
     ) -> Option<Self> {
-        if PlanDigest::of(&body) != digest {
+        // The size that the packed form claims is memory to be set aside: it is checked first.
+        let claimed = u32::from_le_bytes(*packed.first_chunk()?);
+        if usize::try_from(claimed).ok()? > PLAN_LIMIT {
+            return None;
+        }
+        let encoded = lz4_flex::decompress_size_prepended(&packed).ok()?;
+        if PlanDigest::of(&encoded) != digest {
             return None;
         }
-        let plan: StoredPlan = postcard::from_bytes(&body).ok()?;
+        let plan: StoredPlan = postcard::from_bytes(&encoded).ok()?;
         let same = plan.version == version;
-        same.then(|| Self { plan: std::sync::Arc::new(plan), digest, encoded: Bytes::from(body) })
+        same.then(|| Self { plan: Arc::new(plan), digest, packed: Bytes::from(packed) })
     }
 
     pub(crate) fn chunk_count(&self) -> u32 {
-        u32::try_from(self.encoded.len().div_ceil(CHUNK_BYTES)).unwrap_or(u32::MAX)
+        u32::try_from(self.packed.len().div_ceil(CHUNK_BYTES)).unwrap_or(u32::MAX)
     }
 
     pub(crate) fn chunk(&self, index: u32) -> Option<Bytes> {
         let start = usize::try_from(index).ok()?.checked_mul(CHUNK_BYTES)?;
-        let end = self.encoded.len().min(start.saturating_add(CHUNK_BYTES));
-        (start < end).then(|| self.encoded.slice(start..end))
+        let end = self.packed.len().min(start.saturating_add(CHUNK_BYTES));
+        (start < end).then(|| self.packed.slice(start..end))
     }
 }
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -222,12 +222,23 @@
         let Some((leader, _)) = self.leader else {
             return;
         };
-        let sheet = "kind,pool,share\n".repeat(rows);
+        let sheet: String = (0..rows).map(|row| self.sheet_row(row)).collect();
         let plan = StoredPlan { version: ConfigVersion(version), sheet, ..StoredPlan::default() };
         self.hosts[leader].plans.committed(std::sync::Arc::new(plan));
         self.lead();
     }
 
+    fn sheet_row(&mut self, row: usize) -> String {
+        let (service, kind) = (row % 44, row / 44);
+        let mut number = |end: u32| self.rng.random_range(0..end);
+        let (priority, share, slots) = (number(10), number(100), number(8));
+        let (deadline, probes) = (number(5_000), number(1_000));
+        format!(
+            "pool{service},service{service},kind{kind},GET,/service{service}/kind{kind},\
+             {priority},{share}%,{slots},{deadline},yes,short,0.{probes}\n"
+        )
+    }
+
     /// The moment a leader confirms its majority: the fake takes it as given.
     fn lead(&mut self) {
         if let Some((leader, term)) = self.leader
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -27,7 +27,7 @@
     let mut network = with_leader(30, 21);
     assert_eq!(at_version(&network, 0), 30);
     for version in 1..=3 {
-        network.publish(version, 6_000);
+        network.publish(version, 1_500);
         network.run_for(SECOND);
         assert_eq!(at_version(&network, version), 30, "version {version}");
     }
