Accept the key ring's keys; show the traffic side's counts as metrics

Cause: the operators' listener took a closure for its keys, and the counts of the traffic side could not be read from outside. Change: KeyRing accepts operators by comparing signatures in constant time; ProcessMetrics takes the counters over at each read; the log's time is RFC 3339.

--- a/crates/pulleyd/src/process/event_log.rs
+++ b/crates/pulleyd/src/process/event_log.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Write as _};
 use std::io::{self, Write};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime};
 
 use pulley_core::process::FastMap;
 use slog::{Drain, KV, Key, Level, Logger, OwnedKVList, Record, Serializer, o};
@@ -107,8 +107,8 @@
 impl EventLine {
     fn begin(record: &Record<'_>) -> Self {
         let mut line = Self(String::with_capacity(160));
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let _ = write!(line.0, "ts={}.{:03}", unix.as_secs(), unix.subsec_millis());
+        let time = humantime::format_rfc3339_millis(SystemTime::now());
+        let _ = write!(line.0, "ts={time}");
         line.pair("level", &record.level().as_str().to_ascii_lowercase());
         line.pair("event", &record.msg().to_string());
         line
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -28,6 +28,7 @@
 use super::api_fault::{ApiFault, Result};
 use super::api_server::{ApiLimits, with_bounded_bodies};
 use super::{ControlHandle, ControlRequest, ProcessClock, ProcessMetrics, ReplicaChange, ViewCell};
+use crate::connection::KeyRing;
 
 /// Time the control thread has for an answer; a quorum that takes longer is a failed one.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
@@ -44,6 +45,19 @@
     fn accepts(&self, presented: &[u8]) -> bool;
 }
 
+/// What the keys sign to be compared; no message between hosts begins with it.
+const KEY_LABEL: &[&[u8]] = &[b"operator key"];
+
+impl OperatorKeys for KeyRing {
+    /// Compares signatures instead of keys: it takes the same time wherever the two differ, and
+    /// the ring need not give its keys away.
+    fn accepts(&self, presented: &[u8]) -> bool {
+        let presented = std::str::from_utf8(presented).ok();
+        let presented = presented.and_then(|text| Self::from_text(text).ok());
+        presented.is_some_and(|ring| self.verify(KEY_LABEL, &ring.sign(KEY_LABEL)))
+    }
+}
+
 impl<F: Fn(&[u8]) -> bool + Send + Sync + 'static> OperatorKeys for F {
     fn accepts(&self, presented: &[u8]) -> bool {
         self(presented)
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -1,13 +1,18 @@
 //! The process's metrics, by the conventions of prometheus.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use pulley_core::RefusalCause;
 
+use crate::request::TrafficCounters;
+
 /// Why metrics could not be made: a name is taken or malformed.
 pub(super) type Result<T> = std::result::Result<T, prometheus::Error>;
 
@@ -30,6 +35,10 @@
     added_seconds: Histogram,
     upstream_seconds: HistogramVec,
     callers_connections: IntGauge,
+    in_progress: IntGauge,
+    traffic: TrafficSeries,
+    counters: Arc<TrafficCounters>,
+    reading: Arc<Mutex<()>>,
     config_version: IntGauge,
     ready: IntGauge,
 }
@@ -63,6 +72,8 @@
             "pulley_upstream_latency_seconds",
             "Time from the request sent to the head of the upstream's answer.",
         );
+        let in_progress =
+            IntGauge::new("pulley_requests_in_progress", "Requests in this process.")?;
         let callers = IntGauge::new("pulley_callers_connections", "Open connections of callers.")?;
         let version = IntGauge::new("pulley_config_version", "Version of the configuration.")?;
         let ready = IntGauge::new("pulley_ready", "1 if this host takes work.")?;
@@ -77,6 +88,10 @@
                 &["pool"],
             )?,
             callers_connections: callers,
+            in_progress,
+            traffic: TrafficSeries::new()?,
+            counters: Arc::default(),
+            reading: Arc::default(),
             config_version: version,
             ready,
         };
@@ -91,10 +106,21 @@
         self.registry.register(Box::new(self.added_seconds.clone()))?;
         self.registry.register(Box::new(self.upstream_seconds.clone()))?;
         self.registry.register(Box::new(self.callers_connections.clone()))?;
+        self.registry.register(Box::new(self.in_progress.clone()))?;
+        for series in self.traffic.all() {
+            self.registry.register(Box::new(series.clone()))?;
+        }
         self.registry.register(Box::new(self.config_version.clone()))?;
         self.registry.register(Box::new(self.ready.clone()))
     }
 
+    /// Takes the traffic side's counts over when the metrics are read.
+    #[must_use]
+    pub fn with_traffic(mut self, counters: Arc<TrafficCounters>) -> Self {
+        self.counters = counters;
+        self
+    }
+
     // -------------------------------------------------------------------------------------
     // Recording
 
@@ -127,12 +153,6 @@
         self.upstream_seconds.with_label_values(&[pool]).observe(upstream.as_secs_f64());
     }
 
-    /// The gauge of callers' open connections.
-    #[must_use]
-    pub fn callers_connections(&self) -> &IntGauge {
-        &self.callers_connections
-    }
-
     /// Notes the configuration in force and whether this host takes work.
     pub fn record_view(&self, version: u64, ready: bool) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -145,9 +165,97 @@
     /// All metrics in prometheus' text format.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
+        let _reading = self.reading.lock();
+        self.traffic.take_over(&self.counters);
+        self.in_progress.set(gauge(&self.counters.in_progress));
+        self.callers_connections.set(gauge(&self.counters.caller_connections));
         let mut text = Vec::new();
         // Encoding to memory fails only on a malformed family, which registering has ruled out.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
         text
     }
 }
+
+/// The counts that the traffic side keeps in plain atomics, as series.
+#[derive(Clone, Debug)]
+struct TrafficSeries {
+    requests: IntCounter,
+    not_run: IntCounter,
+    may_have_run: IntCounter,
+    retries_denied: IntCounter,
+    cut_short: IntCounter,
+    malformed_reports: IntCounter,
+    unrecorded: IntCounter,
+    callers_refused: IntCounter,
+}
+
+impl TrafficSeries {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            requests: IntCounter::new("pulley_requests_total", "Requests taken up.")?,
+            not_run: IntCounter::new(
+                "pulley_not_run_total",
+                "Requests that ended with the verdict not-run.",
+            )?,
+            may_have_run: IntCounter::new(
+                "pulley_may_have_run_total",
+                "Requests that ended with the verdict may-have-run.",
+            )?,
+            retries_denied: IntCounter::new(
+                "pulley_retries_denied_total",
+                "Further attempts that the retry budget did not allow.",
+            )?,
+            cut_short: IntCounter::new(
+                "pulley_answers_cut_short_total",
+                "Answers that an upstream began and did not finish.",
+            )?,
+            malformed_reports: IntCounter::new(
+                "pulley_malformed_load_reports_total",
+                "Load reports that could not be read.",
+            )?,
+            unrecorded: IntCounter::new(
+                "pulley_unrecorded_outcomes_total",
+                "Outcomes of claimed requests that the ledger did not take.",
+            )?,
+            callers_refused: IntCounter::new(
+                "pulley_callers_refused_total",
+                "Connections of callers refused because the process is full.",
+            )?,
+        })
+    }
+
+    fn all(&self) -> [&IntCounter; 8] {
+        [
+            &self.requests,
+            &self.not_run,
+            &self.may_have_run,
+            &self.retries_denied,
+            &self.cut_short,
+            &self.malformed_reports,
+            &self.unrecorded,
+            &self.callers_refused,
+        ]
+    }
+
+    fn take_over(&self, counters: &TrafficCounters) {
+        raise(&self.requests, &counters.requests);
+        raise(&self.not_run, &counters.refused);
+        raise(&self.may_have_run, &counters.may_have_run);
+        raise(&self.retries_denied, &counters.retries_denied);
+        raise(&self.cut_short, &counters.cut_short);
+        raise(&self.malformed_reports, &counters.malformed_reports);
+        raise(&self.unrecorded, &counters.unrecorded);
+        raise(&self.callers_refused, &counters.callers_refused);
+    }
+}
+
+/// Raises a series to a count. [`ProcessMetrics::render`] holds a lock meanwhile: two readers at
+/// once would both add the same step.
+fn raise(series: &IntCounter, count: &AtomicU64) {
+    let missing = count.load(Ordering::Relaxed).saturating_sub(series.get());
+    series.inc_by(missing);
+}
+
+fn gauge(count: &AtomicUsize) -> i64 {
+    i64::try_from(count.load(Ordering::Relaxed)).unwrap_or(i64::MAX)
+}
--- a/crates/pulleyd/tests/control_apis.rs
+++ b/crates/pulleyd/tests/control_apis.rs
@@ -8,9 +8,10 @@
 
 use pulley_core::ConfigVersion;
 use pulley_core::version::ChangeAnswer;
+use pulleyd::connection::KeyRing;
 use pulleyd::process::{
     AnnounceApi, ApiServer, ControlFault, ControlHandle, ControlRequest, HostReadiness,
-    OperatorApi, ProcessMetrics, RunningView, ViewCell,
+    OperatorApi, OperatorKeys, ProcessMetrics, RunningView, ViewCell,
 };
 use slog::{Discard, Logger, o};
 use smol_str::SmolStr;
@@ -132,6 +133,20 @@
     }
 }
 
+/// During a rotation the file holds the old and the new key, and operators send either.
+#[test]
+fn each_key_of_the_ring_is_accepted_and_no_other() {
+    let (old, new) = ("o".repeat(32), "n".repeat(40));
+    let ring = KeyRing::from_text(&format!("# rotation\n{new}\n{old}\n")).unwrap();
+    let accepts = |key: &str| OperatorKeys::accepts(&ring, key.as_bytes());
+    assert!(accepts(&old) && accepts(&new));
+    let both = format!("{}\n{old}", "x".repeat(32));
+    for wrong in ["", "short", &"o".repeat(33), &"O".repeat(32), &"# rotation".repeat(4), &both] {
+        assert!(!accepts(wrong), "{wrong}");
+    }
+    assert!(!OperatorKeys::accepts(&ring, &[0xff; 32]));
+}
+
 #[tokio::test]
 async fn a_sheet_is_accepted_refused_or_unknown() {
     let host = test_host().await;
