--- /dev/null
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -0,0 +1,211 @@
+//! Carries counts between the schedulers of this host and the pools' coordinators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pulley_core::process::{
+    CoordinatorOutput, CountDelta, CountSum, FastMap, PoolCoordinator, ProbeOutcome,
+    UpstreamRecord, coordinator_for,
+};
+use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use super::RunningView;
+use crate::request::SchedulerSet;
+
+/// Bytes a second that all coordinators of one host may publish together: a host's 17 KB/s for
+/// control less its deltas, membership, leases and replication.
+const PUBLISH_BYTES: u32 = 10_000;
+
+/// The shortest sleep between two looks at the counts, so that a pool of many changes cannot make
+/// a busy loop of the control thread.
+const COUNT_PACE: Duration = Duration::from_millis(2);
+
+/// Which pool's upstreams in which zone.
+type CountScope = (PoolName, ZoneName);
+
+/// What goes over the wire.
+#[derive(Debug, Serialize, Deserialize)]
+enum CountFrame {
+    Delta(CountDelta),
+    Sum(CountSum),
+}
+
+/// What became of a probe that a coordinator asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeReport {
+    /// The pool.
+    pub(crate) pool: PoolName,
+    /// The upstream's zone.
+    pub(crate) zone: ZoneName,
+    /// The upstream.
+    pub(crate) upstream: UpstreamId,
+    /// The outcome.
+    pub(crate) outcome: ProbeOutcome,
+}
+
+/// What a look at the counts brought about.
+#[derive(Debug, Default)]
+pub(crate) struct CarriedCounts {
+    /// Encoded messages for other hosts.
+    pub(crate) sends: Vec<(HostId, Bytes)>,
+    /// Probes that coordinators want made.
+    pub(crate) probes: Vec<(PoolName, ZoneName, CoordinatorOutput)>,
+}
+
+/// The coordinators that live on this host, and who coordinates the rest.
+pub(crate) struct CountCarrier {
+    host: HostId,
+    coordinators: FastMap<CountScope, PoolCoordinator>,
+    assigned: FastMap<CountScope, HostId>,
+    not_before: Moment,
+}
+
+impl CountCarrier {
+    pub(crate) fn new(host: HostId) -> Self {
+        Self {
+            host,
+            coordinators: FastMap::default(),
+            assigned: FastMap::default(),
+            not_before: Moment::ZERO,
+        }
+    }
+
+    /// Takes over a view and the live entries: who coordinates what may have moved.
+    pub(crate) fn apply_view(&mut self, now: Moment, view: &RunningView, live: &[HostId]) {
+        let mut assigned: FastMap<CountScope, HostId> = FastMap::default();
+        for pool in view.plan.pools() {
+            let records = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            for zone in zones_of(&records) {
+                let Some(coordinator) = coordinator_for(&pool, &zone, live) else { continue };
+                let scope = (pool.clone(), zone);
+                if *coordinator == self.host {
+                    self.coordinate(now, &scope, &view.plan, &records);
+                }
+                assigned.insert(scope, coordinator.clone());
+            }
+        }
+        self.coordinators.retain(|scope, _| assigned.get(scope) == Some(&self.host));
+        let count = u32::try_from(self.coordinators.len()).unwrap_or(u32::MAX).max(1);
+        for coordinator in self.coordinators.values_mut() {
+            coordinator.set_bytes_per_second(PUBLISH_BYTES / count);
+        }
+        self.assigned = assigned;
+    }
+
+    /// Sends what changed and what is due.
+    pub(crate) fn tick(&mut self, now: Moment, schedulers: &SchedulerSet) -> CarriedCounts {
+        let mut carried = CarriedCounts::default();
+        if now < self.not_before {
+            return carried;
+        }
+        self.not_before = now + COUNT_PACE;
+        for (pool, zone, delta) in schedulers.take_deltas(now) {
+            self.carry_delta(now, (pool, zone), delta, &mut carried);
+        }
+        let mut sums: Vec<CountSum> = Vec::new();
+        for ((pool, zone), coordinator) in &mut self.coordinators {
+            for output in coordinator.tick(now) {
+                match output {
+                    CoordinatorOutput::Publish { to, sum } if to == self.host => sums.push(sum),
+                    CoordinatorOutput::Publish { to, sum } => {
+                        carried.sends.extend(encode(&CountFrame::Sum(sum)).map(|body| (to, body)));
+                    }
+                    probe @ CoordinatorOutput::Probe { .. } => {
+                        carried.probes.push((pool.clone(), zone.clone(), probe));
+                    }
+                }
+            }
+        }
+        for sum in &sums {
+            schedulers.receive_sum(now, sum);
+        }
+        carried
+    }
+
+    /// Takes a count message of another host; what cannot be read is dropped.
+    pub(crate) fn receive(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        body: &[u8],
+        schedulers: &SchedulerSet,
+    ) {
+        let Ok(frame) = postcard::from_bytes::<CountFrame>(body) else { return };
+        match frame {
+            CountFrame::Delta(delta) => {
+                let scope = (delta.pool.clone(), delta.zone.clone());
+                if let Some(coordinator) = self.coordinators.get_mut(&scope) {
+                    coordinator.receive(now, from, &delta);
+                }
+            }
+            // A host may publish in its own name only.
+            CountFrame::Sum(sum) if sum.coordinator == *from => schedulers.receive_sum(now, &sum),
+            CountFrame::Sum(_) => {}
+        }
+    }
+
+    /// Hands a probe's outcome to the coordinator that asked for it, if it still is one.
+    pub(crate) fn probed(&mut self, now: Moment, probe: &ProbeReport) {
+        let scope = (probe.pool.clone(), probe.zone.clone());
+        if let Some(coordinator) = self.coordinators.get_mut(&scope) {
+            coordinator.probed(now, &probe.upstream, probe.outcome);
+        }
+    }
+
+    pub(crate) fn next_wakeup(&self, schedulers: &SchedulerSet) -> Option<Moment> {
+        let own = self.coordinators.values().map(PoolCoordinator::next_wakeup).min();
+        let deltas = schedulers.next_delta_at();
+        own.into_iter().chain(deltas).min().map(|due| due.max(self.not_before))
+    }
+
+    /// The pools and zones that this host coordinates.
+    pub(crate) fn scopes(&self) -> Vec<String> {
+        let mut scopes: Vec<String> =
+            self.coordinators.keys().map(|(pool, zone)| format!("{pool}/{zone}")).collect();
+        scopes.sort();
+        scopes
+    }
+
+    fn coordinate(
+        &mut self,
+        now: Moment,
+        scope: &CountScope,
+        plan: &Arc<PolicyPlan>,
+        records: &[UpstreamRecord],
+    ) {
+        let coordinator = self.coordinators.entry(scope.clone()).or_insert_with(|| {
+            PoolCoordinator::new(scope.0.clone(), scope.1.clone(), self.host.clone(), now)
+        });
+        coordinator.apply_plan(now, Arc::clone(plan));
+        coordinator.apply_upstreams(now, records);
+    }
+
+    fn carry_delta(
+        &mut self,
+        now: Moment,
+        scope: CountScope,
+        delta: CountDelta,
+        carried: &mut CarriedCounts,
+    ) {
+        if let Some(coordinator) = self.coordinators.get_mut(&scope) {
+            coordinator.receive(now, &self.host, &delta);
+            return;
+        }
+        let Some(to) = self.assigned.get(&scope).cloned() else { return };
+        carried.sends.extend(encode(&CountFrame::Delta(delta)).map(|body| (to, body)));
+    }
+}
+
+fn zones_of(records: &[UpstreamRecord]) -> Vec<ZoneName> {
+    let mut zones: Vec<ZoneName> =
+        records.iter().map(|record| record.announcement.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
+fn encode(frame: &CountFrame) -> Option<Bytes> {
+    postcard::to_stdvec(frame).ok().map(Bytes::from)
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -0,0 +1,79 @@
+//! What a host says of itself: its view for the traffic side, its status for operators.
+
+use std::sync::Arc;
+
+use pulley_core::Moment;
+use pulley_core::process::FastMap;
+use pulley_core::version::{PlanStanding, ReplicaDriver};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+
+use super::control_core::ControlCore;
+use super::{HostReadiness, RunningView};
+
+impl ControlCore {
+    /// The view that holds now.
+    pub(super) fn build_view(&self, now: Moment, standing: PlanStanding) -> RunningView {
+        let plan = self.follower.in_force();
+        let live = self.members.live().filter(|record| record.roles.entry).count();
+        let mut upstreams = FastMap::default();
+        upstreams.extend(self.registry.pool_records(now));
+        RunningView {
+            version: self.follower.version(),
+            plan: plan.map(|stored| Arc::new(stored.plan.clone())).unwrap_or_default(),
+            upstreams,
+            readiness: self.readiness(standing),
+            live_entries: u32::try_from(live).unwrap_or(u32::MAX).max(1),
+        }
+    }
+
+    fn readiness(&self, standing: PlanStanding) -> HostReadiness {
+        if self.shutting_down {
+            return HostReadiness::ShuttingDown;
+        }
+        let why = match standing {
+            PlanStanding::InForce(version) | PlanStanding::Static(version) if version.0 > 0 => {
+                return HostReadiness::Ready;
+            }
+            PlanStanding::InForce(_) | PlanStanding::Static(_) => "no sheet has been applied yet",
+            PlanStanding::Starting => "the current configuration is not known yet",
+            PlanStanding::Expired(_) => "cannot tell whether the configuration is current",
+        };
+        HostReadiness::NotReady { why: SmolStr::new_static(why) }
+    }
+
+    /// The host's status, as the operators' listener shows it.
+    pub(super) fn status(&self, now: Moment) -> Value {
+        let standing = self.follower.standing(now);
+        let hosts: Vec<Value> = self
+            .members
+            .live()
+            .map(|record| {
+                json!({
+                    "host": record.host,
+                    "zone": record.zone,
+                    "peer": record.peer_address,
+                    "roles": record.roles,
+                    "version": self.follower.holders().get(&record.host),
+                })
+            })
+            .collect();
+        let replica = self.replica.as_ref().map(ReplicaDriver::status);
+        json!({
+            "host": self.members.own().host,
+            "zone": self.members.own().zone,
+            "version": self.follower.version(),
+            "ready": standing.is_ready() && !self.shutting_down,
+            "standing": format!("{standing:?}"),
+            "leader": self.follower.leader(now),
+            "hosts": hosts,
+            "upstreams": self.registry.known(),
+            "replica": replica,
+            "replicas": replica.as_ref().map(|status| &status.members),
+            "coordinates": self.counts.scopes(),
+            "running": self.schedulers.running(),
+            "waiting": self.schedulers.waiting(),
+            "questions": self.router.waiting(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -0,0 +1,444 @@
+//! The one thread that holds control state, and what it needs of sockets and timers.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use pulley_core::process::{
+    HostRoles, MemberIncarnation, MemberRecord, ProbeOutcome,
+};
+use pulley_core::version::{
+    PersistTicket, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
+};
+use pulley_core::{HostId, Moment};
+use slog::{Logger, error, info, warn};
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+use super::control_core::{ControlCore, ControlOutput, CoreParts};
+use super::control_counts::ProbeReport;
+use super::control_handle::ControlRequest;
+use super::{DaemonSettings, ProcessClock, ViewCell};
+use crate::connection::{
+    DatagramSeal, InboundDatagram, InboundFrame, KeyRing, LinkSettings, PeerDatagrams, PeerLinks,
+};
+use crate::request::SchedulerSet;
+use crate::version::{LogStorage, StorageFault, StorageWorker};
+
+/// Messages that may wait for the control thread, of each sort. Datagrams past it are dropped
+/// and replaced by later ones; links are held back.
+const QUEUE_DEPTH: usize = 4_096;
+
+/// The longest sleep of the control thread.
+const LONGEST_SLEEP: Duration = Duration::from_millis(250);
+
+/// How often the secret file is looked at for changed keys.
+const KEY_CHECK: Duration = Duration::from_secs(2);
+
+/// Events handled between two looks at what is due, so that a flood of messages cannot hold up
+/// heartbeats.
+const EVENT_BURST: usize = 64;
+
+/// Why the control thread could not start.
+#[derive(Debug, Error)]
+pub enum ControlStartFault {
+    /// The peers' address could not be bound.
+    #[error("the peers' listener: {0}")]
+    Listen(#[from] io::Error),
+    /// The data folder could not be opened.
+    #[error("the data folder: {0}")]
+    Storage(#[from] StorageFault),
+    /// A replica's host is not among the founders and has no folder yet.
+    #[error("host {0} is a replica but not in the list of replicas")]
+    NoMember(HostId),
+}
+
+/// What starting the control thread returns.
+pub type StartResult<T> = std::result::Result<T, ControlStartFault>;
+
+/// What the control thread is started with.
+#[derive(Debug)]
+pub struct ControlParts {
+    /// The daemon's settings.
+    pub settings: DaemonSettings,
+    /// Where callers reach this host, once bound.
+    pub caller_address: SocketAddr,
+    /// Where operators reach this host, once bound.
+    pub operator_address: SocketAddr,
+    /// The installation's keys.
+    pub key_ring: KeyRing,
+    /// Where it publishes its view.
+    pub view: ViewCell,
+    /// The schedulers whose counts it carries.
+    pub schedulers: Arc<SchedulerSet>,
+    /// Requests of the traffic side and the operators.
+    pub requests: mpsc::Receiver<ControlRequest>,
+    /// Asks an upstream how loaded it is; runs on the traffic threads.
+    pub prober: crate::connection::UpstreamProber,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// Where events go.
+    pub logger: Logger,
+}
+
+/// The running control thread.
+#[derive(Debug)]
+pub struct ControlThread {
+    /// Where other hosts reach this one.
+    pub peer_address: SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Opens the data folder and the peers' sockets, then runs until [`Self::stop`].
+    ///
+    /// # Errors
+    /// Whatever kept it from starting; nothing runs then.
+    pub fn start(parts: ControlParts) -> StartResult<Self> {
+        let (stop, stopped) = watch::channel(false);
+        let (started, start) = std::sync::mpsc::sync_channel(1);
+        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            match runtime {
+                Ok(runtime) => {
+                    LocalSet::new().block_on(&runtime, run(parts, stopped, started));
+                }
+                Err(fault) => drop(started.send(Err(fault.into()))),
+            }
+        })?;
+        let ended = || io::Error::other("the control thread ended while it started");
+        let peer_address = start.recv().map_err(|_| ended())??;
+        Ok(Self { peer_address, stop, thread })
+    }
+
+    /// Leaves the membership, closes the data folder and ends the thread.
+    pub fn stop(self) {
+        let _ = self.stop.send(true);
+        let _ = self.thread.join();
+    }
+}
+
+/// A write's end, as the storage thread reports it.
+struct PersistDone {
+    ticket: PersistTicket,
+    ok: bool,
+}
+
+struct ControlLoop {
+    core: ControlCore,
+    links: PeerLinks,
+    datagrams: PeerDatagrams,
+    storage: Option<StorageWorker>,
+    clock: ProcessClock,
+    logger: Logger,
+    key_ring: KeyRing,
+    prober: crate::connection::UpstreamProber,
+    probed: mpsc::Sender<ProbeReport>,
+    known: Vec<(HostId, SocketAddr)>,
+    known_mark: u64,
+    next_key_check: Moment,
+}
+
+struct ControlInbox {
+    requests: mpsc::Receiver<ControlRequest>,
+    frames: mpsc::Receiver<InboundFrame>,
+    datagrams: mpsc::Receiver<InboundDatagram>,
+    persisted: mpsc::UnboundedReceiver<PersistDone>,
+    probes: mpsc::Receiver<ProbeReport>,
+}
+
+async fn run(
+    parts: ControlParts,
+    mut stopped: watch::Receiver<bool>,
+    started: std::sync::mpsc::SyncSender<StartResult<SocketAddr>>,
+) {
+    let (mut control, mut inbox) = match open(parts).await {
+        Ok(opened) => opened,
+        Err(fault) => {
+            let _ = started.send(Err(fault));
+            return;
+        }
+    };
+    let _ = started.send(Ok(control.links.local_address()));
+    loop {
+        control.look_after();
+        let due = control.core.next_wakeup().min(control.clock.now() + LONGEST_SLEEP);
+        let wake = tokio::time::Instant::from_std(control.clock.instant_at(due));
+        tokio::select! {
+            biased;
+            _ = stopped.changed() => break,
+            () = tokio::time::sleep_until(wake) => {}
+            () = control.next_event(&mut inbox) => {}
+        }
+        let now = control.clock.now();
+        let outputs = control.core.tick(now);
+        control.carry_out(outputs);
+    }
+    let farewells = control.core.leave(control.clock.now());
+    control.carry_out(farewells);
+}
+
+async fn open(parts: ControlParts) -> StartResult<(ControlLoop, ControlInbox)> {
+    let settings = &parts.settings;
+    let (frame_sender, frames) = mpsc::channel(QUEUE_DEPTH);
+    let (datagram_sender, datagrams_in) = mpsc::channel(QUEUE_DEPTH);
+    let (probe_sender, probes) = mpsc::channel(QUEUE_DEPTH);
+    let (links, datagrams) =
+        open_sockets(settings, &parts.key_ring, frame_sender, datagram_sender).await?;
+    let (persist_sender, persisted) = mpsc::unbounded_channel();
+    let seed = rand::random();
+    let now = parts.clock.now();
+    let opened = open_replica(settings, now, seed, persist_sender, &parts.logger)?;
+    let (replica, storage) = opened.map_or((None, None), |(r, s)| (Some(r), Some(s)));
+    let own = own_record(&parts, links.local_address());
+    info!(parts.logger, "control-started"; "peers" => %own.peer_address, "replica" => replica.is_some());
+    let core = ControlCore::new(CoreParts {
+        own,
+        seeds: settings.seeds.clone(),
+        replica,
+        founders: settings.replicas.iter().map(|founder| founder.host.clone()).collect(),
+        view: parts.view,
+        schedulers: parts.schedulers,
+        seed,
+    });
+    let control = ControlLoop {
+        core,
+        links,
+        datagrams,
+        storage,
+        clock: parts.clock,
+        logger: parts.logger,
+        key_ring: parts.key_ring,
+        prober: parts.prober,
+        probed: probe_sender,
+        known: Vec::new(),
+        known_mark: u64::MAX,
+        next_key_check: now + KEY_CHECK,
+    };
+    let requests = parts.requests;
+    let inbox = ControlInbox { requests, frames, datagrams: datagrams_in, persisted, probes };
+    Ok((control, inbox))
+}
+
+async fn open_sockets(
+    settings: &DaemonSettings,
+    key_ring: &KeyRing,
+    frames: mpsc::Sender<InboundFrame>,
+    datagrams: mpsc::Sender<InboundDatagram>,
+) -> StartResult<(PeerLinks, PeerDatagrams)> {
+    let host = settings.host_id.clone();
+    let cluster = settings.cluster.clone();
+    let listen = settings.peers_listen;
+    let mut link_settings =
+        LinkSettings::new(host.clone(), cluster.clone(), listen, key_ring.clone())
+            .with_process(rand::random());
+    let own: IpAddr = settings.own_address();
+    if !own.is_unspecified() {
+        link_settings = link_settings.with_bind_ip(own);
+    }
+    let links = PeerLinks::start(link_settings, frames).await?;
+    let seal = DatagramSeal::new(host, cluster, key_ring.clone());
+    let sockets = PeerDatagrams::bind(links.local_address(), seal, datagrams).await?;
+    Ok((links, sockets))
+}
+
+fn own_record(parts: &ControlParts, peer_address: SocketAddr) -> MemberRecord {
+    let settings = &parts.settings;
+    MemberRecord {
+        host: settings.host_id.clone(),
+        zone: settings.zone.clone(),
+        incarnation: MemberIncarnation(ProcessClock::unix_ms()),
+        peer_address,
+        caller_address: parts.caller_address,
+        operator_address: parts.operator_address,
+        roles: HostRoles { entry: settings.roles.entry, replica: settings.roles.replica },
+    }
+}
+
+fn open_replica(
+    settings: &DaemonSettings,
+    now: Moment,
+    seed: u64,
+    persisted: mpsc::UnboundedSender<PersistDone>,
+    logger: &Logger,
+) -> StartResult<Option<(ReplicaDriver, StorageWorker)>> {
+    let Some(folder) = &settings.data_folder else { return Ok(None) };
+    let host = settings.host_id.clone();
+    let founder = settings.replicas.iter().find(|founder| founder.host == host);
+    let Some(founder) = founder else { return Err(ControlStartFault::NoMember(host)) };
+    let identity =
+        ReplicaIdentity { host, member: founder.member, cluster: settings.cluster.clone() };
+    let (storage, recovered) = LogStorage::open(folder, &identity)?;
+    log_recovery(logger, &recovered);
+    let founders = settings.replicas.iter().map(|f| (f.host.clone(), f.member)).collect();
+    let mut replica_settings = ReplicaSettings::founded_by(founders);
+    replica_settings.unix_origin_ms =
+        ProcessClock::unix_ms().saturating_sub(now.micros() / 1_000);
+    let driver = ReplicaDriver::new(identity, recovered, replica_settings, now, seed);
+    let logger = logger.clone();
+    let worker = StorageWorker::start(storage, move |ticket, outcome| {
+        if let Err(fault) = &outcome {
+            error!(logger, "storage-failed"; "error" => %fault);
+        }
+        let _ = persisted.send(PersistDone { ticket, ok: outcome.is_ok() });
+    })?;
+    Ok(Some((driver, worker)))
+}
+
+fn log_recovery(logger: &Logger, recovered: &RecoveredState) {
+    let snapshot = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.place.index.0);
+    info!(logger, "log-recovered"; "entries" => recovered.entries.len(), "snapshot" => snapshot);
+}
+
+impl ControlLoop {
+    /// Handles what has come in, up to a burst.
+    async fn next_event(&mut self, inbox: &mut ControlInbox) {
+        let first = wait_event(inbox).await;
+        self.handle(first);
+        for _ in 1..EVENT_BURST {
+            let Some(event) = poll_event(inbox) else { break };
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let now = self.clock.now();
+        let outputs = match event {
+            ControlEvent::Request(request) => self.core.request(now, request),
+            ControlEvent::Frame(frame) => {
+                self.core.frame(now, &frame.from, frame.class, frame.body)
+            }
+            ControlEvent::Datagram(datagram) => self.core.datagram_in(
+                now,
+                &datagram.sender,
+                datagram.from,
+                datagram.class,
+                &datagram.body,
+            ),
+            ControlEvent::Persisted(done) => self.core.persisted(now, done.ticket, done.ok),
+            ControlEvent::Probed(report) => {
+                self.core.probed(now, &report);
+                Vec::new()
+            }
+            ControlEvent::Closed => Vec::new(),
+        };
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&mut self, outputs: Vec<ControlOutput>) {
+        let mut outputs = std::collections::VecDeque::from(outputs);
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                ControlOutput::Link { to, class, body } => {
+                    self.links.send(&to, class, body);
+                }
+                ControlOutput::Datagram { to, class, body } => {
+                    self.datagrams.send(to, class, &body);
+                }
+                ControlOutput::Persist(batch) => outputs.extend(self.persist(batch)),
+                ControlOutput::Probe { pool, zone, upstream, address } => {
+                    let reports = self.probed.clone();
+                    let report = move |outcome: ProbeOutcome| {
+                        let _ = reports.try_send(ProbeReport { pool, zone, upstream, outcome });
+                    };
+                    self.prober.probe(address, report);
+                }
+            }
+        }
+    }
+
+    fn persist(&mut self, batch: pulley_core::version::PersistBatch) -> Vec<ControlOutput> {
+        let ticket = batch.ticket;
+        let submitted = self.storage.as_ref().map(|storage| storage.submit(batch));
+        if matches!(submitted, Some(Ok(()))) {
+            return Vec::new();
+        }
+        error!(self.logger, "storage-stalled"; "ticket" => %ticket);
+        self.core.persisted(self.clock.now(), ticket, false)
+    }
+
+    /// Keeps addresses and keys up to date.
+    fn look_after(&mut self) {
+        let mark = self.core.members.changes();
+        if mark != self.known_mark {
+            self.known_mark = mark;
+            self.apply_addresses();
+        }
+        let now = self.clock.now();
+        if now < self.next_key_check {
+            return;
+        }
+        self.next_key_check = now + KEY_CHECK;
+        match self.key_ring.reload() {
+            Ok(true) => info!(self.logger, "keys-reloaded"),
+            Ok(false) => {}
+            Err(fault) => warn!(self.logger, "keys-unreadable"; "error" => %fault),
+        }
+    }
+
+    fn apply_addresses(&mut self) {
+        let own = self.core.members.own().host.clone();
+        let live: Vec<(HostId, SocketAddr)> = self
+            .core
+            .members
+            .live()
+            .filter(|record| record.host != own)
+            .map(|record| (record.host.clone(), record.peer_address))
+            .collect();
+        for (gone, _) in &self.known {
+            if !live.iter().any(|(host, _)| host == gone) {
+                self.links.forget(gone);
+            }
+        }
+        for (host, address) in &live {
+            self.links.set_address(host, *address);
+        }
+        info!(self.logger, "membership"; "live" => live.len() + 1);
+        self.known = live;
+    }
+}
+
+enum ControlEvent {
+    Request(ControlRequest),
+    Frame(InboundFrame),
+    Datagram(InboundDatagram),
+    Persisted(PersistDone),
+    Probed(ProbeReport),
+    Closed,
+}
+
+async fn wait_event(inbox: &mut ControlInbox) -> ControlEvent {
+    tokio::select! {
+        Some(done) = inbox.persisted.recv() => ControlEvent::Persisted(done),
+        Some(frame) = inbox.frames.recv() => ControlEvent::Frame(frame),
+        Some(datagram) = inbox.datagrams.recv() => ControlEvent::Datagram(datagram),
+        Some(request) = inbox.requests.recv() => ControlEvent::Request(request),
+        Some(report) = inbox.probes.recv() => ControlEvent::Probed(report),
+        else => ControlEvent::Closed,
+    }
+}
+
+fn poll_event(inbox: &mut ControlInbox) -> Option<ControlEvent> {
+    if let Ok(done) = inbox.persisted.try_recv() {
+        return Some(ControlEvent::Persisted(done));
+    }
+    if let Ok(frame) = inbox.frames.try_recv() {
+        return Some(ControlEvent::Frame(frame));
+    }
+    if let Ok(datagram) = inbox.datagrams.try_recv() {
+        return Some(ControlEvent::Datagram(datagram));
+    }
+    if let Ok(request) = inbox.requests.try_recv() {
+        return Some(ControlEvent::Request(request));
+    }
+    inbox.probes.try_recv().ok().map(ControlEvent::Probed)
+}
+
+/// Tells the control thread to hand over what it leads, and waits until it has.
+pub async fn hand_over(handle: &super::ControlHandle) {
+    let _ = handle.ask(|reply: oneshot::Sender<()>| ControlRequest::ShutDown(reply)).await;
+}
