--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -11,6 +11,9 @@
 mod persist_gate;
 mod plan;
 mod plan_diff;
+mod plan_follower;
+mod plan_follower_fetch;
+mod plan_follower_message;
 mod replica_driver;
 mod replica_election;
 mod replica_following;
@@ -43,6 +46,8 @@
 pub use log_entry::{LogCommand, LogEntry};
 pub use persist_batch::{PersistBatch, RecoveredState, ReplicaSnapshot, SnapshotPlace, VoteRecord};
 pub use plan::{KindPlan, MethodMatch, PolicyPlan, RequestPriority, WorkLength};
+pub use plan_follower::{PlanFollower, PlanStanding};
+pub use plan_follower_message::{PlanDigest, PlanSend, ReplicaSet};
 pub use replica_driver::ReplicaDriver;
 pub use replica_identity::{LogIndex, LogTime, PersistTicket, ReplicaIdentity, Term};
 pub use replica_machines::{MachineOutcome, ReplicaMachines};
