Join the parts into a daemon: the thin path works end to end

Cause: parts stood side by side; nothing ran. Change: ControlCore holds membership, leases, follower, replica, router and coordinators without sockets; ControlThread carries its messages; Daemon binds listeners and shuts down in the order that loses nothing; UpstreamProber makes the coordinators' probes.

--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -14,6 +14,7 @@
 mod plan_follower;
 mod plan_follower_fetch;
 mod plan_follower_message;
+mod question_router;
 mod replica_driver;
 mod replica_election;
 mod replica_following;
@@ -48,6 +49,7 @@
 pub use plan::{KindPlan, MethodMatch, PolicyPlan, RequestPriority, WorkLength};
 pub use plan_follower::{PlanFollower, PlanStanding};
 pub use plan_follower_message::{PlanDigest, PlanSend, ReplicaSet};
+pub use question_router::{QuestionNumber, QuestionRouter, RouterOutput};
 pub use replica_driver::ReplicaDriver;
 pub use replica_identity::{LogIndex, LogTime, PersistTicket, ReplicaIdentity, Term};
 pub use replica_machines::{MachineOutcome, ReplicaMachines};
--- a/crates/pulley_core/src/version/question_router.rs
+++ b/crates/pulley_core/src/version/question_router.rs
@@ -24,9 +24,7 @@
 const PENDING_LIMIT: usize = 8_192;
 
 /// Numbers the questions of one process.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct QuestionNumber(pub u64);
 
 /// What hosts send each other about questions.
@@ -98,13 +96,7 @@
     /// not taken for an answer to this one.
     #[must_use]
     pub fn new(host: HostId, first: u64) -> Self {
-        Self {
-            host,
-            replicas: Vec::new(),
-            leader: None,
-            next: first,
-            pending: FastMap::default(),
-        }
+        Self { host, replicas: Vec::new(), leader: None, next: first, pending: FastMap::default() }
     }
 
     /// Says which hosts hold a replica.
@@ -152,7 +144,8 @@
                 self.forwarded(now, from, number, question)
             }
             RouterMessage::Answer { number, answer } => {
-                let expected = self.pending.get(&number).and_then(|pending| pending.asked_of.as_ref());
+                let expected =
+                    self.pending.get(&number).and_then(|pending| pending.asked_of.as_ref());
                 // A late answer of a replica asked earlier is as true as one of the replica asked
                 // last, unless it only says that it does not lead.
                 if expected != Some(from) && matches!(answer, ReplicaAnswer::NotLeader { .. }) {
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -332,6 +332,12 @@
         self.log.members()
     }
 
+    /// The entry that made the membership, or one after it that a snapshot covers.
+    #[must_use]
+    pub fn members_index(&self) -> LogIndex {
+        self.log.members_index()
+    }
+
     /// Why it no longer takes part.
     #[must_use]
     pub fn failure(&self) -> Option<&SmolStr> {
--- a/crates/pulleyd/src/connection/peer_key_ring.rs
+++ b/crates/pulleyd/src/connection/peer_key_ring.rs
@@ -120,6 +120,16 @@
         let keys = self.keys.load();
         keys.iter().any(|key| digest(key, parts).verify_truncated_left(tag).is_ok())
     }
+
+    /// Whether a text is one of the keys. Takes the same time wherever a wrong one differs: what
+    /// is compared are digests under the presented key and under the ring's.
+    #[must_use]
+    pub fn accepts(&self, presented: &[u8]) -> bool {
+        const CONTEXT: &[u8] = b"operator";
+        let Ok(key) = Hmac::<Sha256>::new_from_slice(presented) else { return false };
+        let tag = digest(&key, &[CONTEXT]).finalize().into_bytes();
+        self.verify(&[CONTEXT], &tag)
+    }
 }
 
 impl fmt::Debug for KeyRing {
--- /dev/null
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -0,0 +1,69 @@
+//! Asks upstreams how loaded they are, on behalf of the coordinators of this host.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use pulley_core::process::ProbeOutcome;
+use pulley_core::request::LoadReport;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+
+use crate::request::{LOAD_HEADER, read_load_report};
+
+/// Where upstreams answer probes; the answer is empty, its load report stands in the header.
+const PROBE_PATH: &str = "/load";
+
+/// How long a probe may take. A usual one takes about 6 ms; one that takes fifty times as long
+/// tells no more than that the upstream does not answer.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Makes probes on the traffic threads, so that none holds up the control thread.
+#[derive(Clone, Debug)]
+pub struct UpstreamProber {
+    threads: Handle,
+}
+
+impl UpstreamProber {
+    /// Makes a prober that works on the threads of a runtime.
+    #[must_use]
+    pub fn new(threads: Handle) -> Self {
+        Self { threads }
+    }
+
+    /// Probes an upstream and calls `report` with what came of it.
+    ///
+    /// Each probe has a connection of its own: it must not wait behind a caller's request, and a
+    /// pooled connection that has gone silent would make a live upstream look dead.
+    pub fn probe(&self, address: SocketAddr, report: impl FnOnce(ProbeOutcome) + Send + 'static) {
+        self.threads.spawn(async move {
+            let began = Instant::now();
+            let asked = tokio::time::timeout(PROBE_LIMIT, ask(address)).await;
+            let outcome = match asked.ok().flatten() {
+                Some(load) => ProbeOutcome::Answered { latency: began.elapsed(), report: load },
+                None => ProbeOutcome::Failed,
+            };
+            report(outcome);
+        });
+    }
+}
+
+/// One probe; `None` if it failed, else the report that came with the answer, if any.
+async fn ask(address: SocketAddr) -> Option<Option<LoadReport>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(connection);
+    let request = Request::get(PROBE_PATH)
+        .header(hyper::header::HOST, address.to_string())
+        .header(hyper::header::CONNECTION, "close")
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    let answer = sender.send_request(request).await.ok();
+    driver.abort();
+    let answer = answer.filter(|answer| answer.status().is_success())?;
+    Some(answer.headers().get(LOAD_HEADER).and_then(read_load_report))
+}
--- a/crates/pulleyd/src/main.rs
+++ b/crates/pulleyd/src/main.rs
@@ -1,2 +1,67 @@
-//! Daemon.
-fn main() {}
+//! The daemon's program: reads settings, runs until told to stop.
+
+use std::process::ExitCode;
+
+use pulleyd::process::{Daemon, DaemonSettings, EventLog, SettingsRequest};
+use slog::{Logger, error, info};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Bad settings; nothing was started or written.
+const EXIT_USAGE: u8 = 2;
+/// The daemon could not start, or cut connections off when it stopped.
+const EXIT_FAILED: u8 = 1;
+
+fn main() -> ExitCode {
+    let settings = match DaemonSettings::parse(std::env::args().skip(1), std::env::vars()) {
+        Ok(SettingsRequest::Run(settings)) => *settings,
+        Ok(SettingsRequest::Check(settings)) => {
+            print!("{settings}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(SettingsRequest::Help(text) | SettingsRequest::Version(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let (logger, _guard) = EventLog::start(settings.log_level);
+    run(settings, &logger)
+}
+
+fn run(settings: DaemonSettings, logger: &Logger) -> ExitCode {
+    let daemon = match Daemon::start(settings, logger.clone()) {
+        Ok(daemon) => daemon,
+        Err(fault) => {
+            error!(logger, "start-failed"; "error" => %fault);
+            eprintln!("pulleyd: {fault}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let signals = daemon.runtime().block_on(async { (terminate(), interrupt()) });
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        error!(logger, "start-failed"; "error" => "signals cannot be received");
+        return ExitCode::from(EXIT_FAILED);
+    };
+    daemon.runtime().block_on(async { either(&mut terminate, &mut interrupt).await });
+    info!(logger, "signal-received");
+    let cut = daemon.shut_down(async move { either(&mut terminate, &mut interrupt).await });
+    if cut > 0 { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS }
+}
+
+fn terminate() -> std::io::Result<Signal> {
+    signal(SignalKind::terminate())
+}
+
+fn interrupt() -> std::io::Result<Signal> {
+    signal(SignalKind::interrupt())
+}
+
+async fn either(one: &mut Signal, other: &mut Signal) {
+    tokio::select! {
+        _ = one.recv() => {}
+        _ = other.recv() => {}
+    }
+}
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -34,11 +34,13 @@
                 ReplicaAnswer::Audit(records) => Ok(records),
                 other => Err(fault_of(other)),
             })),
-            Self::Replica(reply) => drop(reply.send(match answer {
-                ReplicaAnswer::Members(members) => serde_json::to_value(members)
-                    .map_err(|fault| ControlFault::Refused(fault.to_string())),
-                other => Err(fault_of(other)),
-            })),
+            Self::Replica(reply) => drop(
+                reply.send(match answer {
+                    ReplicaAnswer::Members(members) => serde_json::to_value(members)
+                        .map_err(|fault| ControlFault::Refused(fault.to_string())),
+                    other => Err(fault_of(other)),
+                }),
+            ),
             Self::Claim(reply) => drop(reply.send(match answer {
                 ReplicaAnswer::Claim(claim) => claim,
                 _ => ClaimAnswer::Unavailable,
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -280,9 +280,15 @@
     pub(super) fn route(&mut self, now: Moment, routed: Vec<RouterOutput>) {
         for output in routed {
             match output {
-                RouterOutput::AskLocal { number, question } => self.ask_local(now, number, question),
+                RouterOutput::AskLocal { number, question } => {
+                    self.ask_local(now, number, question);
+                }
                 RouterOutput::Send { to, body } => {
-                    self.outputs.push(ControlOutput::Link { to, class: FrameClass::Operator, body });
+                    self.outputs.push(ControlOutput::Link {
+                        to,
+                        class: FrameClass::Operator,
+                        body,
+                    });
                 }
                 RouterOutput::Answer { number, answer } => {
                     if let Some(slot) = self.answers.remove(&number) {
@@ -310,8 +316,8 @@
             return;
         }
         self.next_lease_round = now + LEASE_ROUND;
-        let Some(replica) = &self.replica else { return };
         self.report_log();
+        let Some(replica) = &self.replica else { return };
         if !replica.node().is_leader() {
             self.lease_round = None;
             return;
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -102,7 +102,7 @@
         }
         self.not_before = now + COUNT_PACE;
         for (pool, zone, delta) in schedulers.take_deltas(now) {
-            self.carry_delta(now, (pool, zone), delta, &mut carried);
+            self.carry_delta(now, &(pool, zone), delta, &mut carried);
         }
         let mut sums: Vec<CountSum> = Vec::new();
         for ((pool, zone), coordinator) in &mut self.coordinators {
@@ -185,15 +185,15 @@
     fn carry_delta(
         &mut self,
         now: Moment,
-        scope: CountScope,
+        scope: &CountScope,
         delta: CountDelta,
         carried: &mut CarriedCounts,
     ) {
-        if let Some(coordinator) = self.coordinators.get_mut(&scope) {
+        if let Some(coordinator) = self.coordinators.get_mut(scope) {
             coordinator.receive(now, &self.host, &delta);
             return;
         }
-        let Some(to) = self.assigned.get(&scope).cloned() else { return };
+        let Some(to) = self.assigned.get(scope).cloned() else { return };
         carried.sends.extend(encode(&CountFrame::Delta(delta)).map(|body| (to, body)));
     }
 }
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -6,9 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use pulley_core::process::{
-    HostRoles, MemberIncarnation, MemberRecord, ProbeOutcome,
-};
+use pulley_core::process::{HostRoles, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
     PersistTicket, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
 };
@@ -57,7 +55,7 @@
 }
 
 /// What starting the control thread returns.
-pub type StartResult<T> = std::result::Result<T, ControlStartFault>;
+pub type StartResult<T> = Result<T, ControlStartFault>;
 
 /// What the control thread is started with.
 #[derive(Debug)]
@@ -276,8 +274,7 @@
     log_recovery(logger, &recovered);
     let founders = settings.replicas.iter().map(|f| (f.host.clone(), f.member)).collect();
     let mut replica_settings = ReplicaSettings::founded_by(founders);
-    replica_settings.unix_origin_ms =
-        ProcessClock::unix_ms().saturating_sub(now.micros() / 1_000);
+    replica_settings.unix_origin_ms = ProcessClock::unix_ms().saturating_sub(now.micros() / 1_000);
     let driver = ReplicaDriver::new(identity, recovered, replica_settings, now, seed);
     let logger = logger.clone();
     let worker = StorageWorker::start(storage, move |ticket, outcome| {
@@ -439,6 +436,6 @@
 }
 
 /// Tells the control thread to hand over what it leads, and waits until it has.
-pub async fn hand_over(handle: &super::ControlHandle) {
+pub(super) async fn hand_over(handle: &super::ControlHandle) {
     let _ = handle.ask(|reply: oneshot::Sender<()>| ControlRequest::ShutDown(reply)).await;
 }
--- /dev/null
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -0,0 +1,310 @@
+//! Puts the parts of one daemon together and takes them apart again.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use slog::{Logger, info, warn};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use super::control_thread::{ControlParts, ControlStartFault, ControlThread, hand_over};
+use super::{
+    AnnounceApi, ApiServer, ControlHandle, ControlRequest, DaemonSettings, HostReadiness,
+    OperatorApi, ProcessClock, ProcessMetrics, TimerService, ViewCell,
+};
+use crate::connection::{
+    CallerListener, DrainReport, KeyFault, KeyRing, TrafficThreads, UpstreamProber,
+};
+use crate::request::{SchedulerSet, TrafficContext, TrafficLimits};
+
+/// Questions that may wait for the control thread.
+const CONTROL_DEPTH: usize = 8_192;
+
+/// How often the metrics take over the view.
+const METRICS_PACE: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Why a daemon could not start.
+#[derive(Debug, Error)]
+pub enum DaemonFault {
+    /// A listener could not be bound.
+    #[error("the {which} listener at {address}: {fault}")]
+    Listen {
+        /// Which.
+        which: &'static str,
+        /// Where it was to listen.
+        address: SocketAddr,
+        /// The operating system's word.
+        fault: io::Error,
+    },
+    /// The secret file is of no use.
+    #[error("the secret file: {0}")]
+    Keys(#[from] KeyFault),
+    /// The control thread did not start.
+    #[error(transparent)]
+    Control(#[from] ControlStartFault),
+    /// A thread or timer could not be had.
+    #[error("the operating system: {0}")]
+    System(#[from] io::Error),
+    /// The metrics could not be registered.
+    #[error("the metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// What starting a daemon returns.
+pub type DaemonResult<T> = Result<T, DaemonFault>;
+
+/// Where a running daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For upstreams and the platform's balancer.
+    pub upstreams: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+}
+
+/// A running daemon.
+///
+/// ```ignore
+/// let daemon = Daemon::start(settings, logger)?;
+/// let report = daemon.shut_down(std::future::pending());
+/// ```
+#[derive(Debug)]
+pub struct Daemon {
+    addresses: DaemonAddresses,
+    parts: SharedParts,
+    control: ControlThread,
+    servers: DaemonServers,
+}
+
+impl Daemon {
+    /// Binds every listener, starts the threads and begins to serve as soon as the configuration
+    /// in force is known.
+    ///
+    /// # Errors
+    /// Whatever kept it from starting; nothing runs then.
+    pub fn start(settings: DaemonSettings, logger: Logger) -> DaemonResult<Self> {
+        let (parts, requests) = SharedParts::new(settings, logger)?;
+        let runtime = parts.threads.handle().clone();
+        let listeners = runtime.block_on(Listeners::bind(&parts))?;
+        let control = ControlThread::start(ControlParts {
+            settings: parts.settings.clone(),
+            caller_address: listeners.addresses.0,
+            operator_address: listeners.addresses.2,
+            key_ring: parts.key_ring.clone(),
+            view: parts.view.clone(),
+            schedulers: Arc::clone(&parts.schedulers),
+            requests,
+            prober: UpstreamProber::new(runtime.clone()),
+            clock: parts.clock,
+            logger: parts.logger.clone(),
+        })?;
+        let (callers, upstreams, operators) = listeners.addresses;
+        let peers = control.peer_address;
+        let addresses = DaemonAddresses { callers, upstreams, operators, peers };
+        let servers = DaemonServers::start(&parts, listeners)?;
+        runtime.spawn(Arc::clone(&parts.schedulers).run(parts.timer.clone()));
+        info!(parts.logger, "listening"; "callers" => %addresses.callers,
+            "upstreams" => %addresses.upstreams, "operators" => %addresses.operators,
+            "peers" => %addresses.peers);
+        Ok(Self { addresses, parts, control, servers })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Where to spawn tasks that live as long as the daemon.
+    #[must_use]
+    pub fn runtime(&self) -> &tokio::runtime::Handle {
+        self.parts.threads.handle()
+    }
+
+    /// Shuts down in the order in which nothing is lost: turns health to not ready, waits for the
+    /// platform's balancer to notice, stops accepting, lets requests in flight end, hands over
+    /// leadership, leaves the membership.
+    ///
+    /// `hurry` ends the wait early. Returns how many connections were cut off.
+    pub fn shut_down(self, hurry: impl Future<Output = ()> + Send + 'static) -> usize {
+        let Self { parts, control, servers, .. } = self;
+        let runtime = parts.threads.handle().clone();
+        info!(parts.logger, "shutdown-began"; "running" => parts.schedulers.running());
+        let cut = runtime.block_on(async {
+            hand_over(&parts.handle).await;
+            let mut hurry = std::pin::pin!(hurry);
+            tokio::select! {
+                () = tokio::time::sleep(ready_grace(parts.settings.drain_grace)) => {}
+                () = &mut hurry => {}
+            }
+            servers.stop(&parts.schedulers, hurry).await
+        });
+        control.stop();
+        parts.threads.stop();
+        if cut > 0 {
+            warn!(parts.logger, "shutdown-cut"; "connections" => cut);
+        }
+        info!(parts.logger, "shutdown-ended"; "cut" => cut);
+        cut
+    }
+}
+
+/// What several parts of the daemon share.
+#[derive(Debug)]
+struct SharedParts {
+    settings: DaemonSettings,
+    clock: ProcessClock,
+    key_ring: KeyRing,
+    threads: TrafficThreads,
+    timer: TimerService,
+    handle: ControlHandle,
+    view: ViewCell,
+    schedulers: Arc<SchedulerSet>,
+    logger: Logger,
+}
+
+impl SharedParts {
+    fn new(
+        settings: DaemonSettings,
+        logger: Logger,
+    ) -> DaemonResult<(Self, mpsc::Receiver<ControlRequest>)> {
+        let clock = ProcessClock::start();
+        let key_ring = KeyRing::load(&settings.secret_file)?;
+        let threads = TrafficThreads::start(settings.traffic_threads)?;
+        let timer = TimerService::start(clock)?;
+        let (handle, requests) = ControlHandle::channel(CONTROL_DEPTH);
+        let view = ViewCell::default();
+        let (host, zone) = (settings.host_id.clone(), settings.zone.clone());
+        let schedulers = Arc::new(SchedulerSet::new(host, zone, clock, rand::random()));
+        let parts =
+            Self { settings, clock, key_ring, threads, timer, handle, view, schedulers, logger };
+        Ok((parts, requests))
+    }
+
+    fn traffic_context(&self) -> TrafficContext {
+        let limits = TrafficLimits {
+            caller_connections: self.settings.callers_limit,
+            ..TrafficLimits::default()
+        };
+        TrafficContext::new(
+            self.view.clone(),
+            Arc::clone(&self.schedulers),
+            self.handle.clone(),
+            self.clock,
+            self.timer.clone(),
+            self.logger.clone(),
+        )
+        .with_limits(limits)
+    }
+}
+
+/// The listeners while they serve.
+#[derive(Debug)]
+struct DaemonServers {
+    stop_callers: watch::Sender<bool>,
+    stop_apis: watch::Sender<bool>,
+    callers: JoinHandle<DrainReport>,
+    apis: Vec<JoinHandle<()>>,
+}
+
+impl DaemonServers {
+    fn start(parts: &SharedParts, listeners: Listeners) -> DaemonResult<Self> {
+        let runtime = parts.threads.handle();
+        let metrics = ProcessMetrics::new()?;
+        runtime.spawn(record_views(metrics.clone(), parts.view.clone()));
+        let key_ring = parts.key_ring.clone();
+        let operators = OperatorApi::new(
+            parts.handle.clone(),
+            parts.view.clone(),
+            metrics,
+            Arc::new(move |key: &[u8]| key_ring.accepts(key)),
+            parts.logger.clone(),
+        );
+        let announces = AnnounceApi::new(parts.handle.clone(), parts.view.clone());
+        let (stop_callers, callers_stopped) = watch::channel(false);
+        let (stop_apis, apis_stopped) = watch::channel(false);
+        let grace = parts.settings.drain_grace;
+        let callers = runtime.spawn(listeners.callers.serve(until(callers_stopped), grace));
+        let routers = [
+            (listeners.upstreams, announces.router(), AnnounceApi::LIMITS),
+            (listeners.operators, operators.router(), OperatorApi::LIMITS),
+        ];
+        let apis = routers
+            .into_iter()
+            .map(|(listener, router, limits)| {
+                let server = ApiServer::new(listener, router, limits, parts.logger.clone());
+                runtime.spawn(server.run(until(apis_stopped.clone())))
+            })
+            .collect();
+        Ok(Self { stop_callers, stop_apis, callers, apis })
+    }
+
+    /// Lets callers' requests end, then stops the other listeners: health and announcements are
+    /// still wanted while requests run. Returns how many connections were cut off.
+    async fn stop(self, schedulers: &SchedulerSet, hurry: impl Future<Output = ()>) -> usize {
+        let _ = self.stop_callers.send(true);
+        let cut = tokio::select! {
+            report = self.callers => {
+                report.map_or(0, |report| report.connections.max(report.requests))
+            }
+            () = hurry => schedulers.running().max(1),
+        };
+        let _ = self.stop_apis.send(true);
+        for api in self.apis {
+            let _ = api.await;
+        }
+        cut
+    }
+}
+
+struct Listeners {
+    callers: CallerListener,
+    upstreams: TcpListener,
+    operators: TcpListener,
+    addresses: (SocketAddr, SocketAddr, SocketAddr),
+}
+
+impl Listeners {
+    async fn bind(parts: &SharedParts) -> DaemonResult<Self> {
+        let settings = &parts.settings;
+        let context = Arc::new(parts.traffic_context());
+        let fault = |which, address| move |fault| DaemonFault::Listen { which, address, fault };
+        let callers = CallerListener::bind(settings.callers_listen, context)
+            .await
+            .map_err(fault("callers'", settings.callers_listen))?;
+        let upstreams = TcpListener::bind(settings.upstreams_listen)
+            .await
+            .map_err(fault("upstreams'", settings.upstreams_listen))?;
+        let operators = TcpListener::bind(settings.operators_listen)
+            .await
+            .map_err(fault("operators'", settings.operators_listen))?;
+        let addresses = (callers.local_addr()?, upstreams.local_addr()?, operators.local_addr()?);
+        Ok(Self { callers, upstreams, operators, addresses })
+    }
+}
+
+/// How long the platform's balancer has to notice that the host is not ready, before callers'
+/// connections are closed: a fifth of the grace, at most its usual three checks a second apart.
+fn ready_grace(drain_grace: std::time::Duration) -> std::time::Duration {
+    (drain_grace / 5).min(std::time::Duration::from_secs(3))
+}
+
+async fn until(mut stopped: watch::Receiver<bool>) {
+    let _ = stopped.wait_for(|stop| *stop).await;
+}
+
+async fn record_views(metrics: ProcessMetrics, view: ViewCell) {
+    loop {
+        let current = view.load();
+        metrics.record_view(current.version.0, current.readiness == HostReadiness::Ready);
+        tokio::time::sleep(METRICS_PACE).await;
+    }
+}
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -3,7 +3,13 @@
 mod announce_api;
 mod api_fault;
 mod api_server;
+mod control_answer;
+mod control_core;
+mod control_counts;
 mod control_handle;
+mod control_status;
+mod control_thread;
+mod daemon;
 mod daemon_settings;
 mod event_log;
 mod operator_api;
@@ -19,6 +25,8 @@
     ClaimAnswer, ClaimRequest, ControlFault, ControlHandle, ControlRequest, FencingToken,
     RecordedAnswer, ReplicaChange, Result,
 };
+pub use control_thread::{ControlParts, ControlStartFault, ControlThread, StartResult};
+pub use daemon::{Daemon, DaemonAddresses, DaemonFault, DaemonResult};
 pub use daemon_settings::{
     BootstrapReplica, DaemonSettings, HostRoles, SettingsFaults, SettingsRequest,
 };
