Prove the daemon under kills, pauses and races; never serve an old version after a pause

Cause: no test ran real processes. Ten do now: leader killed under changes, 500 changes then all hosts killed, racing operators, a resend after a lost answer, hosts and leaders frozen past their leases, an entry cut off, refunds resent over a killed host, a drain, a shutdown with a call under way. (1) A host frozen past its lease served by its old version when it woke: traffic threads used the view before the control thread ran again, and the follower took a fresh lease that names a newer version for proof of its own. (2) A cluster of one host never found its leader: the router heard of replicas only after a change of membership. Ruled out: the process's clock standing still in a pause (it does not).

--- a/crates/pulley_core/src/version/plan_follower.rs
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -1,5 +1,6 @@
 //! What a host does to have the current configuration in force, and to know that it is.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use super::plan_follower_fetch::{FetchStep, PlanFetch};
 use super::plan_follower_message::{HeldPlan, LogReport, PlanContent, PlanLease, PlanMessage};
 use super::{ConfigVersion, PlanSend, ReplicaSet, StoredPlan};
-use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock};
+use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock, SharedTime};
 
 /// The time in which a lease reaches all hosts on its way round the ring.
 const CYCLE: Duration = Duration::from_secs(1);
@@ -24,8 +25,8 @@
 /// How long a replica's answer counts. With the time an answer is under way it stays under the
 /// 4 s in which a change must be in force everywhere, or the host not ready.
 const ANSWER_TERM: Duration = Duration::from_secs(3);
-/// How long the version in force may be kept after a newer one was heard of.
-const LAG_LIMIT: Duration = Duration::from_secs(3);
+/// How many versions' last confirmations are remembered; a host further behind is not ready.
+const CONFIRMATIONS: usize = 32;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
 const SERVE_RATE: f64 = 64.0;
 /// How many requests for chunks may be answered in one burst.
@@ -67,6 +68,8 @@
     /// Whether a question of this process was answered, so that the shared time is known.
     welcomed: bool,
     lease: Option<PlanLease>,
+    /// When each of the last versions was confirmed to be the latest, for the last time heard of.
+    confirmations: VecDeque<(ConfigVersion, SharedTime)>,
     held: Option<HeldPlan>,
     fetch: Option<PlanFetch>,
     replica: Option<LogReport>,
@@ -93,6 +96,7 @@
             asked: None,
             welcomed: false,
             lease: None,
+            confirmations: VecDeque::new(),
             held: None,
             fetch: None,
             replica: None,
@@ -128,12 +132,8 @@
             return PlanStanding::Starting;
         };
         let version = held.plan.version;
-        if self.lease_holds(now) {
-            let lagging = self.fetch.as_ref().is_some_and(|f| now.since(f.began) >= LAG_LIMIT);
-            return match lagging {
-                true => PlanStanding::Expired(version),
-                false => PlanStanding::InForce(version),
-            };
+        if self.is_confirmed(now, version) {
+            return PlanStanding::InForce(version);
         }
         match self.is_static(now, version) {
             true => PlanStanding::Static(version),
@@ -171,6 +171,27 @@
         self.lease.as_ref().is_some_and(|lease| lease.confirmed.epoch().holds(epoch))
     }
 
+    /// Whether a version, or one before it, was the latest accepted within a lease's time.
+    ///
+    /// A fresh lease that names a newer version proves nothing about the one in force here. Were it
+    /// taken for a proof, a host that was frozen for long would wake up, hear of the newer version
+    /// and go on serving callers by the old one until it has fetched the new.
+    fn is_confirmed(&self, now: Moment, version: ConfigVersion) -> bool {
+        let epoch = self.clock.epoch(now);
+        let proofs = self.confirmations.iter().filter(|(confirmed, _)| *confirmed <= version);
+        proofs.map(|(_, at)| at.epoch()).any(|at| at.holds(epoch))
+    }
+
+    fn note_confirmation(&mut self, version: ConfigVersion, at: SharedTime) {
+        if self.confirmations.back().is_some_and(|(last, _)| *last == version) {
+            self.confirmations.pop_back();
+        }
+        self.confirmations.push_back((version, at));
+        if self.confirmations.len() > CONFIRMATIONS {
+            self.confirmations.pop_front();
+        }
+    }
+
     /// Whether a majority of replicas says that nothing past a version is in its logs.
     ///
     /// What was accepted is in the logs of a majority, and any two majorities share a replica: if
@@ -219,7 +240,7 @@
 
     /// Issues a lease as the leader. `confirmed` is when the round of heartbeats began that a
     /// majority has answered; the version in force here must be all that was committed by then.
-    pub fn lead(&mut self, now: Moment, term: u64, replicas: ReplicaSet, confirmed: Moment) {
+    pub fn lead(&mut self, term: u64, replicas: ReplicaSet, confirmed: Moment) {
         let held = self.held.get_or_insert_with(|| HeldPlan::new(Arc::default()));
         let lease = PlanLease {
             term,
@@ -231,7 +252,7 @@
         };
         // A majority's answers are as fresh as any host's.
         self.welcomed = true;
-        self.take_lease(now, lease, None);
+        self.take_lease(lease, None);
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -315,7 +336,7 @@
         match content {
             PlanContent::Lease { lease, held } => {
                 if self.welcomed {
-                    self.take_lease(now, lease, Some((from, held)));
+                    self.take_lease(lease, Some((from, held)));
                 }
             }
             PlanContent::Ask { nonce } => return vec![self.answer(now, from, nonce)],
@@ -325,9 +346,9 @@
                     self.take_answer(now, from, replica);
                     self.welcomed |= welcomed;
                     if let Some(lease) = lease {
-                        self.take_lease(now, lease, Some((from, held)));
+                        self.take_lease(lease, Some((from, held)));
                     }
-                    self.take_committed(now, from, (held, digest));
+                    self.take_committed(from, (held, digest));
                 }
             }
             PlanContent::Fetch { version, digest, first, count } => {
@@ -368,17 +389,13 @@
     }
 
     /// Takes in a lease if it is the freshest.
-    fn take_lease(
-        &mut self,
-        now: Moment,
-        lease: PlanLease,
-        source: Option<(&HostId, ConfigVersion)>,
-    ) {
+    fn take_lease(&mut self, lease: PlanLease, source: Option<(&HostId, ConfigVersion)>) {
         let news = self.lease.as_ref().is_none_or(|known| known.version < lease.version);
         let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
         if newer && lease.version >= self.version() {
-            self.want(now, &lease);
+            self.want(&lease);
             self.flood |= news;
+            self.note_confirmation(lease.version, lease.confirmed);
             self.lease = Some(lease);
         }
         if let (Some(fetch), Some((host, held))) = (self.fetch.as_mut(), source)
@@ -388,31 +405,27 @@
         }
     }
 
-    fn want(&mut self, now: Moment, lease: &PlanLease) {
+    fn want(&mut self, lease: &PlanLease) {
         if lease.version == ConfigVersion::default() && self.held.is_none() {
             self.held = Some(HeldPlan::new(Arc::default()));
         }
         let held = self.held.as_ref().is_some_and(|held| held.plan.version == lease.version);
         let wanted = self.fetch.as_ref().is_some_and(|fetch| fetch.version >= lease.version);
         if !held && !wanted {
-            // The time is that of the first newer version heard of: a host that is always one
-            // version behind must not count as up to date.
-            let began = self.fetch.as_ref().map_or(now, |fetch| fetch.began);
-            self.fetch = Some(PlanFetch::new(began, lease.version, lease.digest));
+            self.fetch = Some(PlanFetch::new(lease.version, lease.digest));
         }
     }
 
     /// Takes up what another host has in force. That is always committed, whoever leads now.
     fn take_committed(
         &mut self,
-        now: Moment,
         from: &HostId,
         (version, digest): (ConfigVersion, super::PlanDigest),
     ) {
         let held = self.held.as_ref().map(|held| held.plan.version);
         let wanted = self.fetch.as_ref().map(|fetch| fetch.version);
         if version > ConfigVersion::default() && held.max(wanted) < Some(version) {
-            self.fetch = Some(PlanFetch::new(now, version, digest));
+            self.fetch = Some(PlanFetch::new(version, digest));
         }
         if let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.version == version) {
             fetch.add_source(from);
--- a/crates/pulley_core/src/version/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/plan_follower_fetch.rs
@@ -21,7 +21,6 @@
 pub(crate) struct PlanFetch {
     pub(crate) version: ConfigVersion,
     pub(crate) digest: PlanDigest,
-    pub(crate) began: Moment,
     sources: Vec<HostId>,
     source: usize,
     chunks: Vec<Option<Bytes>>,
@@ -30,11 +29,10 @@
 }
 
 impl PlanFetch {
-    pub(crate) fn new(now: Moment, version: ConfigVersion, digest: PlanDigest) -> Self {
+    pub(crate) fn new(version: ConfigVersion, digest: PlanDigest) -> Self {
         Self {
             version,
             digest,
-            began: now,
             sources: Vec::new(),
             source: 0,
             chunks: vec![None],
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -222,7 +222,7 @@
             && self.hosts[leader].up
         {
             let (now, replicas) = (self.now, self.replicas.clone());
-            self.hosts[leader].plans.lead(now, term, replicas, now);
+            self.hosts[leader].plans.lead(term, replicas, now);
             self.after(leader);
         }
     }
--- a/crates/pulleyd/src/process/announce_api.rs
+++ b/crates/pulleyd/src/process/announce_api.rs
@@ -82,9 +82,9 @@
 }
 
 async fn health(State(api): State<AnnounceApi>) -> Response {
-    let view = api.view.load();
-    let version = view.version.0;
-    let why = match &view.readiness {
+    let version = api.view.load().version.0;
+    let readiness = api.view.readiness();
+    let why = match &readiness {
         HostReadiness::Ready => {
             return Json(json!({ "ready": true, "version": version })).into_response();
         }
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -65,14 +65,14 @@
     pub(super) view: ViewCell,
     pub(super) schedulers: Arc<SchedulerSet>,
     pub(super) shutting_down: bool,
-    seen: ViewMarks,
+    seen: Option<ViewMarks>,
     lease_round: Option<(u64, Moment)>,
     next_lease_round: Moment,
     next_lease_token: u64,
 }
 
 /// What the last view was built from; a new one is built when any of it has moved.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ViewMarks {
     members: u64,
     upstreams: u64,
@@ -101,7 +101,7 @@
             view: parts.view,
             schedulers: parts.schedulers,
             shutting_down: false,
-            seen: ViewMarks::default(),
+            seen: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
             next_lease_token: LEASE_TOKENS,
@@ -343,7 +343,7 @@
         let term = replica.node().term().0;
         self.follower.committed(Arc::clone(replica.machines().configuration.current()));
         let set = replica_set(replica);
-        self.follower.lead(now, term, set, began);
+        self.follower.lead(term, set, began);
     }
 
     /// Tells the follower what this host's log holds past what is committed: hosts without a
@@ -398,11 +398,12 @@
             ready: standing.is_ready(),
             leaving: self.shutting_down,
         };
-        if marks == self.seen {
+        self.view.confirm(now);
+        if self.seen == Some(marks) {
             return;
         }
-        let moved_members = marks.members != self.seen.members;
-        self.seen = marks;
+        let moved_members = self.seen.is_none_or(|seen| seen.members != marks.members);
+        self.seen = Some(marks);
         if moved_members {
             self.apply_members();
         }
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -181,7 +181,7 @@
         let threads = TrafficThreads::start(settings.traffic_threads)?;
         let timer = TimerService::start(clock)?;
         let (handle, requests) = ControlHandle::channel(CONTROL_DEPTH);
-        let view = ViewCell::default();
+        let view = ViewCell::new(clock);
         let (host, zone) = (settings.host_id.clone(), settings.zone.clone());
         let schedulers = Arc::new(SchedulerSet::new(host, zone, clock, rand::random()));
         let parts =
@@ -304,7 +304,7 @@
 async fn record_views(metrics: ProcessMetrics, view: ViewCell) {
     loop {
         let current = view.load();
-        metrics.record_view(current.version.0, current.readiness == HostReadiness::Ready);
+        metrics.record_view(current.version.0, view.readiness() == HostReadiness::Ready);
         tokio::time::sleep(METRICS_PACE).await;
     }
 }
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -25,7 +25,7 @@
 use super::request_run::RequestRun;
 use super::traffic_counters::RequestSeat;
 use super::{AnswerBody, BodySource, RequestFault, SystemAnswer, TrafficContext, TrafficCounters};
-use crate::process::{HostReadiness, RunningView};
+use crate::process::HostReadiness;
 
 /// What a step of a request's way gives, or the answer that ends it.
 type Result<T> = std::result::Result<T, SystemAnswer>;
@@ -132,8 +132,8 @@
     }
 
     fn admit(&self, request: Request<Incoming>) -> Result<AdmittedRequest> {
+        check_readiness(&self.context.view.readiness())?;
         let view = self.context.view.load();
-        check_readiness(&view)?;
         let (parts, body) = request.into_parts();
         self.check_shape(&parts)?;
         let found = view.plan.find(parts.method.as_str(), parts.uri.path());
@@ -231,8 +231,8 @@
     }
 }
 
-fn check_readiness(view: &RunningView) -> Result<()> {
-    let cause = match view.readiness {
+fn check_readiness(readiness: &HostReadiness) -> Result<()> {
+    let cause = match readiness {
         HostReadiness::Ready => return Ok(()),
         HostReadiness::NotReady { .. } => RefusalCause::NotReady,
         HostReadiness::ShuttingDown => RefusalCause::ShuttingDown,
--- /dev/null
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -0,0 +1,325 @@
+//! What must hold while real processes are killed, paused and raced.
+
+mod process_support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use process_support::{HttpClient, KEY, StandInUpstream, TestCluster, wait_until};
+use serde_json::json;
+
+const ABAY: &str = include_str!("../../../examples/abay.csv");
+const KOLKHI: &str = include_str!("../../../examples/kolkhi.csv");
+
+/// Within this time an accepted configuration is in force, or the host is not ready.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+
+fn accepted(answer: &serde_json::Value) -> u64 {
+    let version = answer.pointer("/accepted/version").and_then(serde_json::Value::as_u64);
+    version.unwrap_or_else(|| panic!("not accepted: {answer}"))
+}
+
+// The leader's machine dies while operators send one change after the other. An operator whose
+// answer is lost sends the change again by its id; were it counted twice, or an accepted one lost,
+// the day would run on the wrong sheet.
+#[test]
+fn a_leader_killed_under_changes_loses_and_doubles_none() {
+    let mut cluster = TestCluster::start(3, 0);
+    for number in 0..40 {
+        let alive: Vec<usize> = match number {
+            12.. => (0..3).filter(|host| cluster.health(*host).is_some()).collect(),
+            _ => vec![0, 1, 2],
+        };
+        let answer = cluster.apply_surely(&alive, &format!("change-{number}"), number, KOLKHI);
+        assert_eq!(accepted(&answer), number + 1);
+        if number == 12 {
+            let leader = cluster.leader(&[0, 1, 2]).expect("a leader answers");
+            cluster.hosts[leader].end(Signal::SIGKILL);
+        }
+    }
+    let dead = (0..3).find(|host| cluster.health(*host).is_none()).expect("one was killed");
+    cluster.hosts[dead].restart();
+    cluster.await_version(&[0, 1, 2], 40);
+    let again = cluster.apply_surely(&[dead], "change-5", 5, KOLKHI);
+    assert_eq!(accepted(&again), 6, "a resend gets its first answer");
+}
+
+// All hosts lose power at once after a long day of changes. They must come back to the newest
+// configuration, and a change that was answered in the morning keeps that answer.
+#[test]
+fn hundreds_of_changes_outlive_a_restart_of_all_hosts() {
+    let mut cluster = TestCluster::start(3, 1);
+    for number in 0..500 {
+        let sheet = if number % 2 == 0 { ABAY } else { KOLKHI };
+        let answer = cluster.apply_surely(&[0, 1, 2], &format!("c{number}"), number, sheet);
+        assert_eq!(accepted(&answer), number + 1);
+    }
+    for host in &mut cluster.hosts {
+        host.end(Signal::SIGKILL);
+    }
+    for host in &mut cluster.hosts {
+        host.restart();
+    }
+    cluster.await_version(&[0, 1, 2, 3], 500);
+    let again = cluster.apply_surely(&[3], "c0", 0, ABAY);
+    assert_eq!(accepted(&again), 1);
+    let next = cluster.apply_surely(&[3], "c500", 500, ABAY);
+    assert_eq!(accepted(&next), 501);
+}
+
+// Two operators change the same version at the same moment through different hosts. If both were
+// told that theirs was accepted, one would work all day by a sheet that is not in force.
+#[test]
+fn of_racing_changes_to_one_version_exactly_one_is_accepted() {
+    let cluster = TestCluster::start(3, 0);
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    for round in 1..=10_u64 {
+        let answers: Vec<serde_json::Value> = std::thread::scope(|scope| {
+            let racers: Vec<_> = (0..3)
+                .map(|host| {
+                    let id = format!("race-{round}-{host}");
+                    let cluster = &cluster;
+                    scope.spawn(move || cluster.apply_surely(&[host], &id, round, KOLKHI))
+                })
+                .collect();
+            racers.into_iter().map(|racer| racer.join().expect("no panic")).collect()
+        });
+        let won = answers.iter().filter(|answer| answer.get("accepted").is_some()).count();
+        assert_eq!(won, 1, "round {round}: {answers:?}");
+    }
+    cluster.await_version(&[0, 1, 2], 11);
+}
+
+// A host is frozen by its neighbours for longer than its configuration lease while the others
+// accept a change. When it goes on it must not serve a single call by the old sheet as if nothing
+// had happened; callers would see old rules in force long after the change.
+#[test]
+fn a_host_frozen_past_its_lease_never_serves_the_old_version() {
+    let cluster = TestCluster::start(3, 1);
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    cluster.await_version(&[0, 1, 2, 3], 1);
+    cluster.hosts[3].signal(Signal::SIGSTOP);
+    accepted(&cluster.apply_surely(&[0, 1, 2], "second", 1, KOLKHI));
+    let frozen = Instant::now();
+    assert!(wait_until(Duration::from_secs(20), || frozen.elapsed() > IN_FORCE_LIMIT));
+    cluster.hosts[3].signal(Signal::SIGCONT);
+    for _ in 0..200 {
+        let health = cluster.health(3);
+        assert_ne!(health, Some((1, true)), "the old version served after the pause");
+        if health == Some((2, true)) {
+            return;
+        }
+    }
+    cluster.await_version(&[3], 2);
+}
+
+// The leader is frozen without a sign, and the others elect another and accept changes. When the
+// old leader goes on it believes for a moment that it leads. Nothing that it says then may undo
+// what was accepted.
+#[test]
+fn a_leader_that_wakes_up_reverts_nothing() {
+    let cluster = TestCluster::start(3, 0);
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    cluster.await_version(&[0, 1, 2], 1);
+    let old = cluster.leader(&[0, 1, 2]).expect("a leader");
+    let others: Vec<usize> = (0..3).filter(|host| *host != old).collect();
+    cluster.hosts[old].signal(Signal::SIGSTOP);
+    for version in 1..4 {
+        let id = format!("meanwhile-{version}");
+        accepted(&cluster.apply_surely(&others, &id, version, KOLKHI));
+    }
+    cluster.hosts[old].signal(Signal::SIGCONT);
+    let late = cluster.apply_surely(&[old], "late", 1, ABAY);
+    assert!(late.get("refused").is_some(), "{late}");
+    cluster.await_version(&[0, 1, 2], 4);
+}
+
+// All replicas are cut off from an entry without a signal. The entry cannot know whether a newer
+// configuration was accepted, so within seconds it must tell the platform's balancer that it is
+// not ready, and callers that their requests were not run.
+#[test]
+fn an_entry_cut_off_from_all_replicas_refuses_as_not_run() {
+    let cluster = TestCluster::start(3, 1);
+    let upstream = StandInUpstream::start("u1", "balances", 2, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    cluster.await_version(&[0, 1, 2, 3], 1);
+    cluster.await_that("a call runs", &[3], |cluster| {
+        cluster.caller(3).get("/balances/7").is_ok_and(|answer| answer.status == 200)
+    });
+    for host in 0..3 {
+        cluster.hosts[host].signal(Signal::SIGSTOP);
+    }
+    cluster.await_that("not ready", &[3], |cluster| cluster.health(3) == Some((1, false)));
+    let before = upstream.total();
+    let answer = cluster.caller(3).get("/balances/7").expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("jacinthpulley-verdict"), Some("not-run"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(upstream.total(), before);
+    for host in 0..3 {
+        cluster.hosts[host].signal(Signal::SIGCONT);
+    }
+    cluster.await_version(&[0, 1, 2, 3], 1);
+}
+
+// Callers send refunds, lose answers and send them again through other hosts, while one host is
+// killed. A refund that ran twice takes money from a neighbour; one answered "not run" must not
+// have run.
+#[test]
+fn resent_refunds_run_at_most_once_over_killed_hosts() {
+    let mut cluster = TestCluster::start(3, 1);
+    let upstream = StandInUpstream::start("r1", "refunds", 6, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    cluster.await_version(&[0, 1, 2, 3], 1);
+    cluster.await_that("refund upstream known", &[0, 1, 2, 3], |cluster| {
+        (0..4).all(|host| {
+            cluster.caller(host).get("/refunds/status").is_ok_and(|answer| answer.status == 200)
+        })
+    });
+    upstream.set_delay(Duration::from_millis(15));
+    let killed = AtomicBool::new(false);
+    let callers: Vec<HttpClient> = (0..4).map(|host| cluster.caller(host)).collect();
+    let victim = 3;
+    let (ran, not_run) = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..4)
+            .map(|thread| {
+                let callers = &callers;
+                scope.spawn(move || send_refunds(callers, thread))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        cluster.hosts[victim].end(Signal::SIGKILL);
+        killed.store(true, Ordering::SeqCst);
+        let mut ran = BTreeSet::new();
+        let mut not_run = BTreeSet::new();
+        for thread in threads {
+            let (done, refused) = thread.join().expect("no panic");
+            ran.extend(done);
+            not_run.extend(refused);
+        }
+        (ran, not_run)
+    });
+    assert!(killed.load(Ordering::SeqCst));
+    let runs = upstream.runs();
+    for (work, count) in runs.iter().filter(|(work, _)| work.starts_with("refund-")) {
+        assert_eq!(*count, 1, "{work} ran {count} times");
+    }
+    for work in &ran {
+        assert!(runs.contains_key(work), "{work} was answered and did not run");
+    }
+    for work in &not_run {
+        assert!(!runs.contains_key(work), "{work} ran and was answered as not run");
+    }
+    assert!(ran.len() > 100, "only {} of 200 ran", ran.len());
+}
+
+/// Sends fifty refunds, each again through the next host until an answer says what became of it.
+/// Returns those answered with success and those whose every answer said "not run".
+fn send_refunds(callers: &[HttpClient], thread: usize) -> (Vec<String>, Vec<String>) {
+    let (mut ran, mut not_run) = (Vec::new(), Vec::new());
+    for number in 0..50 {
+        let work = format!("refund-{thread}-{number}");
+        let mut certain = true;
+        for attempt in 0..6 {
+            let caller = callers[(thread + number + attempt) % callers.len()]
+                .clone()
+                .with_header("x-work", &work)
+                .with_header("idempotency-key", &work);
+            let Ok(answer) = caller.send("POST", "/refunds/new", b"amount=5") else {
+                certain = false;
+                continue;
+            };
+            match (answer.status, answer.header("jacinthpulley-verdict")) {
+                (200, _) => {
+                    ran.push(work.clone());
+                    certain = false;
+                    break;
+                }
+                (_, Some("not-run")) => std::thread::sleep(Duration::from_millis(50)),
+                _ => certain = false,
+            }
+        }
+        if certain {
+            not_run.push(work);
+        }
+    }
+    (ran, not_run)
+}
+
+// An upstream says through one host that it is leaving. Work that still reaches it from other
+// hosts seconds later is cut off when it goes.
+#[test]
+fn a_draining_upstream_gets_no_new_work_from_any_host() {
+    let cluster = TestCluster::start(3, 2);
+    let leaving = StandInUpstream::start("u1", "balances", 6, cluster.announce_addresses());
+    let staying = StandInUpstream::start("u2", "balances", 6, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    let hosts = [0, 1, 2, 3, 4];
+    cluster.await_version(&hosts, 1);
+    let call_all = || {
+        hosts.iter().all(|host| {
+            cluster.caller(*host).get("/balances/1").is_ok_and(|answer| answer.status == 200)
+        })
+    };
+    assert!(wait_until(Duration::from_secs(30), || call_all()
+        && leaving.total() > 0
+        && staying.total() > 0));
+    leaving.set_phase("draining");
+    std::thread::sleep(Duration::from_secs(4));
+    let before = leaving.total();
+    for _ in 0..20 {
+        assert!(call_all());
+    }
+    assert_eq!(leaving.total(), before);
+}
+
+// A host is told to stop while a long call is under way. Its caller gets the whole answer, the
+// platform's balancer learns at once that the host is leaving, and the process ends with success.
+#[test]
+fn a_host_told_to_stop_finishes_what_is_under_way() {
+    let mut cluster = TestCluster::start(1, 0);
+    let upstream = StandInUpstream::start("m1", "manifests", 6, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0], "first", 0, ABAY));
+    cluster.await_version(&[0], 1);
+    cluster.await_that("a call runs", &[0], |cluster| {
+        cluster.caller(0).get("/manifests/1").is_ok_and(|answer| answer.status == 200)
+    });
+    upstream.set_delay(Duration::from_millis(2_500));
+    let caller = cluster.caller(0);
+    let began = upstream.total();
+    let slow = Arc::new(std::thread::spawn(move || caller.get("/manifests/2")));
+    assert!(wait_until(Duration::from_secs(10), || upstream.total() > began));
+    cluster.hosts[0].signal(Signal::SIGTERM);
+    let not_ready = || cluster.health(0).is_none_or(|(_, ready)| !ready);
+    assert!(wait_until(Duration::from_secs(2), not_ready));
+    let slow = Arc::into_inner(slow).expect("the only owner");
+    let answer = slow.join().expect("no panic").expect("a whole answer");
+    assert_eq!((answer.status, answer.text().as_str()), (200, "done none /manifests/2"));
+    assert_eq!(cluster.hosts[0].end(Signal::SIGTERM), Some(0));
+}
+
+// An operator's machine loses the connection after the change was sent. The resend, through another
+// host, must be known as the same change.
+#[test]
+fn a_resend_after_a_lost_answer_is_the_same_change() {
+    use std::io::Write;
+    let cluster = TestCluster::start(3, 0);
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    let body = json!({ "change_id": "lost", "actor": "tester", "expect": 1, "sheet": KOLKHI });
+    let body = body.to_string();
+    let mut stream = std::net::TcpStream::connect(cluster.hosts[0].addresses[2]).expect("a host");
+    write!(
+        stream,
+        "POST /v1/sheet HTTP/1.1\r\nhost: t\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("sent");
+    drop(stream);
+    let again = cluster.apply_surely(&[1], "lost", 1, KOLKHI);
+    assert_eq!(accepted(&again), 2);
+    cluster.await_version(&[0, 1, 2], 2);
+}
--- /dev/null
+++ b/crates/pulleyd/tests/process_support/daemon_process.rs
@@ -0,0 +1,127 @@
+//! One daemon process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::test_cluster::wait_until;
+
+/// The listeners of one daemon.
+const LISTENERS: [&str; 4] = ["callers", "upstreams", "operators", "peers"];
+
+/// One daemon process and what is needed to start it again.
+#[derive(Debug)]
+pub(crate) struct DaemonProcess {
+    /// Its host id.
+    pub(crate) host: String,
+    /// Where it listens: callers, upstreams, operators, peers; kept over restarts.
+    pub(crate) addresses: [SocketAddr; 4],
+    folder: PathBuf,
+    flags: Vec<String>,
+    child: Option<Child>,
+    starts: u32,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon; `flags` holds all that is not about its listeners and data folder.
+    pub(crate) fn start(host: &str, folder: &Path, flags: Vec<String>) -> Self {
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let mut process = Self {
+            host: host.to_owned(),
+            addresses: [any; 4],
+            folder: folder.to_owned(),
+            flags,
+            child: None,
+            starts: 0,
+        };
+        process.launch();
+        process
+    }
+
+    /// Starts it again where it listened before.
+    pub(crate) fn restart(&mut self) {
+        self.end(Signal::SIGKILL);
+        self.launch();
+    }
+
+    /// Adds flags for later starts; a flag given twice counts as given last.
+    pub(crate) fn set_flag(&mut self, name: &str, value: &str) {
+        if let Some(at) = self.flags.iter().position(|flag| flag == name) {
+            self.flags[at + 1] = value.to_owned();
+        } else {
+            self.flags.extend([name.to_owned(), value.to_owned()]);
+        }
+    }
+
+    /// Sends a signal and goes on.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_raw(i32::try_from(child.id()).expect("a process id"));
+        kill(pid, signal).expect("the process is ours");
+    }
+
+    /// Sends a signal and waits for the end; returns the exit code, if there is one.
+    pub(crate) fn end(&mut self, signal: Signal) -> Option<i32> {
+        self.signal(signal);
+        let mut child = self.child.take()?;
+        child.wait().expect("a child").code()
+    }
+
+    /// Where it keeps its data.
+    pub(crate) fn data_folder(&self) -> PathBuf {
+        self.folder.join(format!("{}-data", self.host))
+    }
+
+    /// All it has logged since its last start.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.log_path()).unwrap_or_default()
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.join(format!("{}-{}.log", self.host, self.starts))
+    }
+
+    fn launch(&mut self) {
+        self.starts += 1;
+        let log = fs::File::create(self.log_path()).expect("a log file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pulleyd"));
+        command.args(&self.flags).args(["--host-id", &self.host]);
+        for (name, address) in LISTENERS.iter().zip(&self.addresses) {
+            command.args([format!("--{name}-listen"), address.to_string()]);
+        }
+        if self.flags.iter().any(|flag| flag.contains("replica,") || flag.ends_with("replica")) {
+            command.arg("--data-folder").arg(self.data_folder());
+        }
+        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.child = Some(command.spawn().expect("the daemon starts"));
+        let listens = wait_until(Duration::from_secs(20), || self.read_addresses().is_some());
+        assert!(listens, "{} does not listen: {}", self.host, self.log());
+        self.addresses = self.read_addresses().expect("just read");
+    }
+
+    fn read_addresses(&self) -> Option<[SocketAddr; 4]> {
+        let log = self.log();
+        let line = log.lines().find(|line| line.contains("event=listening"))?;
+        let mut addresses = self.addresses;
+        for (name, address) in LISTENERS.iter().zip(&mut addresses) {
+            let key = format!("{name}=");
+            let word = line.split(' ').find_map(|word| word.strip_prefix(key.as_str()))?;
+            *address = word.parse().ok()?;
+        }
+        Some(addresses)
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/tests/process_support/mod.rs
@@ -0,0 +1,11 @@
+//! Starts real daemons on loopback for tests, with ports from the system, and talks to them.
+
+mod daemon_process;
+mod http_client;
+mod stand_in_upstream;
+mod test_cluster;
+
+pub(crate) use daemon_process::DaemonProcess;
+pub(crate) use http_client::{HttpAnswer, HttpClient};
+pub(crate) use stand_in_upstream::StandInUpstream;
+pub(crate) use test_cluster::{KEY, TestCluster, wait_until};
--- /dev/null
+++ b/crates/pulleyd/tests/process_support/stand_in_upstream.rs
@@ -0,0 +1,106 @@
+//! An upstream inside the test process: announces itself, answers, counts what it ran.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::{Request, State};
+use axum::response::IntoResponse;
+use serde_json::json;
+use tokio::runtime::Runtime;
+
+use super::HttpClient;
+
+/// How often it announces itself: several times within a lease.
+const ANNOUNCE_PACE: Duration = Duration::from_millis(400);
+
+#[derive(Debug, Default)]
+struct UpstreamState {
+    runs: Mutex<BTreeMap<String, u64>>,
+    total: AtomicU64,
+    delay_ms: AtomicU64,
+    phase: Mutex<&'static str>,
+}
+
+/// A running stand-in; it ends when dropped.
+#[derive(Debug)]
+pub(crate) struct StandInUpstream {
+    state: Arc<UpstreamState>,
+    _runtime: Runtime,
+}
+
+impl StandInUpstream {
+    /// Starts one that announces itself to one of these hosts after the other.
+    pub(crate) fn start(id: &str, pool: &str, slots: u32, hosts: Vec<SocketAddr>) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let state = Arc::new(UpstreamState { phase: Mutex::new("ready"), ..Default::default() });
+        let listener = runtime
+            .block_on(tokio::net::TcpListener::bind("127.0.0.1:0"))
+            .expect("a port from the system");
+        let address = listener.local_addr().expect("an address");
+        let router = Router::new().fallback(answer).with_state(Arc::clone(&state));
+        runtime.spawn(async move { axum::serve(listener, router).await });
+        let told = Arc::clone(&state);
+        let (id, pool) = (id.to_owned(), pool.to_owned());
+        runtime.spawn(async move {
+            for sequence in 1_u64.. {
+                let phase = *told.phase.lock().expect("no panic holds it");
+                let announcement = json!({
+                    "id": id, "address": address, "zone": "z1", "pool": pool, "slots": slots,
+                    "connections": 300, "incarnation": 1, "sequence": sequence, "phase": phase,
+                });
+                let target = hosts[usize::try_from(sequence).unwrap_or(0) % hosts.len()];
+                let body = announcement.to_string();
+                let _ =
+                    tokio::task::spawn_blocking(move || {
+                        HttpClient::new(target)
+                            .with_header("content-type", "application/json")
+                            .send("POST", "/v1/announce", body.as_bytes())
+                    })
+                    .await;
+                tokio::time::sleep(ANNOUNCE_PACE).await;
+            }
+        });
+        Self { state, _runtime: runtime }
+    }
+
+    /// Makes every answer take this long.
+    pub(crate) fn set_delay(&self, delay: Duration) {
+        let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.state.delay_ms.store(millis, Ordering::SeqCst);
+    }
+
+    /// Announces another phase from now on.
+    pub(crate) fn set_phase(&self, phase: &'static str) {
+        *self.state.phase.lock().expect("no panic holds it") = phase;
+    }
+
+    /// How many requests it ran.
+    pub(crate) fn total(&self) -> u64 {
+        self.state.total.load(Ordering::SeqCst)
+    }
+
+    /// How often it ran each value of the header `x-work`.
+    pub(crate) fn runs(&self) -> BTreeMap<String, u64> {
+        self.state.runs.lock().expect("no panic holds it").clone()
+    }
+}
+
+async fn answer(State(state): State<Arc<UpstreamState>>, request: Request) -> impl IntoResponse {
+    let work = request.headers().get("x-work").and_then(|value| value.to_str().ok());
+    let work = work.unwrap_or("none").to_owned();
+    *state.runs.lock().expect("no panic holds it").entry(work.clone()).or_default() += 1;
+    state.total.fetch_add(1, Ordering::SeqCst);
+    let delay = state.delay_ms.load(Ordering::SeqCst);
+    if delay > 0 {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+    format!("done {work} {}", request.uri().path())
+}
