--- /dev/null
+++ b/crates/pulleyd/tests/path_support/fake_upstream.rs
@@ -0,0 +1,135 @@
+//! An upstream made of raw connections, so that it can fail at any byte.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What all connections of a fake upstream have seen.
+#[derive(Default)]
+pub(crate) struct UpstreamLog {
+    pub(crate) connections: AtomicUsize,
+    pub(crate) ended: AtomicUsize,
+    pub(crate) requests: Mutex<Vec<String>>,
+}
+
+#[derive(Clone)]
+pub(crate) struct FakeUpstream {
+    pub(crate) address: SocketAddr,
+    pub(crate) log: Arc<UpstreamLog>,
+}
+
+impl FakeUpstream {
+    /// Hands each connection, with its number, to a script.
+    pub(crate) async fn scripted<F, W>(script: F) -> Self
+    where
+        F: Fn(TcpStream, usize, Arc<UpstreamLog>) -> W + Send + Sync + 'static,
+        W: Future<Output = Option<()>> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let log = Arc::new(UpstreamLog::default());
+        let (seen, script) = (Arc::clone(&log), Arc::new(script));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = seen.connections.fetch_add(1, Ordering::SeqCst);
+                let (log, script) = (Arc::clone(&seen), Arc::clone(&script));
+                tokio::spawn(async move {
+                    script(stream, number, Arc::clone(&log)).await;
+                    log.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Self { address, log }
+    }
+
+    /// Answers each request with raw bytes.
+    pub(crate) async fn answering(
+        answer: impl Fn(&str) -> Vec<u8> + Send + Sync + 'static,
+    ) -> Self {
+        let answer = Arc::new(answer);
+        Self::scripted(move |mut stream, _, log| {
+            let answer = Arc::clone(&answer);
+            async move {
+                loop {
+                    let request = read_request(&mut stream, &log).await?;
+                    stream.write_all(&answer(&request)).await.ok()?;
+                }
+            }
+        })
+        .await
+    }
+
+    /// Reads a request, writes some bytes and resets the connection.
+    pub(crate) async fn breaking_after(bytes: &'static str) -> Self {
+        Self::scripted(move |mut stream, _, log| async move {
+            read_request(&mut stream, &log).await?;
+            stream.write_all(bytes.as_bytes()).await.ok()?;
+            stream.set_zero_linger().ok()
+        })
+        .await
+    }
+
+    /// Answers every request with `200` and a text.
+    pub(crate) async fn healthy(text: &'static str) -> Self {
+        Self::answering(move |_| whole_answer(text)).await
+    }
+
+    /// Reads requests and never answers.
+    pub(crate) async fn silent() -> Self {
+        Self::scripted(|mut stream, _, log| async move {
+            loop {
+                read_request(&mut stream, &log).await?;
+            }
+        })
+        .await
+    }
+
+    pub(crate) fn runs(&self) -> usize {
+        self.log.requests.lock().len()
+    }
+
+    pub(crate) fn connections(&self) -> usize {
+        self.log.connections.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn ended(&self) -> usize {
+        self.log.ended.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn last_request(&self) -> String {
+        self.log.requests.lock().last().cloned().unwrap_or_default()
+    }
+}
+
+pub(crate) fn whole_answer(text: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).into_bytes()
+}
+
+/// Reads one whole request and notes it; `None` once the connection has ended.
+pub(crate) async fn read_request(stream: &mut TcpStream, log: &UpstreamLog) -> Option<String> {
+    let mut text = String::new();
+    loop {
+        if is_whole(&text) {
+            log.requests.lock().push(text.clone());
+            return Some(text);
+        }
+        let mut chunk = [0_u8; 16 * 1024];
+        let read = stream.read(&mut chunk).await.ok().filter(|read| *read > 0)?;
+        text.push_str(&String::from_utf8_lossy(&chunk[..read]));
+    }
+}
+
+fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let head = head.to_ascii_lowercase();
+    if head.contains("transfer-encoding: chunked") {
+        return body.starts_with("0\r\n") || body.contains("\r\n0\r\n");
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    body.len() >= length.and_then(|length| length.parse().ok()).unwrap_or(0)
+}
