--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -24,17 +24,21 @@
     Write { host: usize, life: u64, batch: PersistBatch },
 }
 
-/// How the network treats messages.
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// How the network treats messages and the disks treat writes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NetworkFaults {
     pub(crate) loss: f64,
     pub(crate) doubled: f64,
     pub(crate) slowest: Duration,
+    /// The longest time that a write takes.
+    pub(crate) slowest_write: Duration,
 }
 
 impl NetworkFaults {
     pub(crate) const NONE: Self =
-        Self { loss: 0.0, doubled: 0.0, slowest: Duration::from_millis(1) };
+        Self { loss: 0.0, doubled: 0.0, slowest: MILLISECOND, slowest_write: MILLISECOND };
 }
 
 #[derive(Debug)]
@@ -44,6 +48,8 @@
     pub(crate) driver: Option<ReplicaDriver>,
     storage: Option<LogStorage<FakeDisk>>,
     life: u64,
+    /// Loses its power as soon as it has sent something.
+    pub(crate) dies_on_send: bool,
 }
 
 /// Replicas over a network and disks in memory.
@@ -99,7 +105,14 @@
         let cluster = "test".parse().expect("a valid name");
         let identity = ReplicaIdentity { host, member, cluster };
         let disk = FakeDisk::default();
-        self.hosts.push(FakeHost { identity, disk, driver: None, storage: None, life: 0 });
+        self.hosts.push(FakeHost {
+            identity,
+            disk,
+            driver: None,
+            storage: None,
+            life: 0,
+            dies_on_send: false,
+        });
         let number = self.hosts.len() - 1;
         self.start(number);
         number
@@ -136,11 +149,17 @@
             let _ = storage.write(&[batch]);
         }
         host.driver = None;
+        host.dies_on_send = false;
         host.storage = None;
         host.life += 1;
         host.disk.crash(&mut self.random);
     }
 
+    /// Lets a host lose its power right after the next message it sends.
+    pub(crate) fn kill_on_send(&mut self, number: usize) {
+        self.hosts[number].dies_on_send = true;
+    }
+
     pub(crate) fn is_up(&self, number: usize) -> bool {
         self.hosts[number].driver.is_some()
     }
@@ -234,9 +253,14 @@
         let now = self.now;
         let Some(driver) = &mut self.hosts[number].driver else { return };
         let outputs = driver.handle(now, input);
+        let mut sent = false;
         for output in outputs {
+            sent |= matches!(output, DriverOutput::Send { .. });
             self.carry_out(number, output);
         }
+        if sent && self.hosts[number].dies_on_send {
+            self.kill(number);
+        }
         if let Some(driver) = &self.hosts[number].driver {
             self.invariants.check_host(number, driver);
         }
@@ -246,7 +270,7 @@
         match output {
             DriverOutput::Send { to, body } => self.send(number, &to, &body),
             DriverOutput::Persist { batch, .. } => {
-                let at = self.now + self.delay(Duration::from_millis(2));
+                let at = self.now + self.delay(self.faults.slowest_write);
                 // One disk writes in order.
                 let last = self.queue.iter().rev().find_map(|(key, event)| match event {
                     FakeEvent::Write { host, .. } if *host == number => Some(key.0),
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -11,7 +11,7 @@
 use super::fake_cluster::{FakeCluster, NetworkFaults, change};
 
 /// How many schedules each test runs.
-const SCHEDULES: u64 = 600;
+const SCHEDULES: u64 = 700;
 
 /// One thing that happens in a schedule.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +23,8 @@
     Read { host: usize },
     Transfer { host: usize },
     Kill { host: usize },
+    KillOnSend { host: usize },
+    Restart { host: usize },
     Start { host: usize },
     CutOneWay { from: usize, to: usize },
     Isolate { host: usize },
@@ -34,7 +36,7 @@
     fn arbitrary(random: &mut Gen) -> Self {
         let host = usize::arbitrary(random) % 5;
         let to = usize::arbitrary(random) % 5;
-        match u8::arbitrary(random) % 24 {
+        match u8::arbitrary(random) % 36 {
             0..=5 => Self::Change {
                 host,
                 id: u16::arbitrary(random) % 40,
@@ -46,11 +48,13 @@
             11 => Self::Read { host },
             12 => Self::Transfer { host },
             13 => Self::Kill { host },
-            14 | 15 => Self::Start { host },
+            14 | 15 | 28..=30 => Self::Start { host },
             16 => Self::CutOneWay { from: host, to },
             17 => Self::Isolate { host },
-            18 => Self::Heal,
-            _ => Self::Wait { millis: u64::arbitrary(random) % 700 },
+            18 | 31 => Self::Heal,
+            19 | 20 => Self::KillOnSend { host },
+            21 | 22 => Self::Restart { host },
+            _ => Self::Wait { millis: u64::arbitrary(random) % 500 },
         }
     }
 }
@@ -66,8 +70,12 @@
         let ledger = LedgerLimits { capacity: 4, ..LedgerLimits::default() };
         let settings = ReplicaSettings::default().with_ledger(ledger).with_snapshot_weight(2_000);
         let mut cluster = FakeCluster::with_settings(size, seed, settings);
-        cluster.faults =
-            NetworkFaults { loss: 0.05, doubled: 0.05, slowest: Duration::from_millis(40) };
+        cluster.faults = NetworkFaults {
+            loss: 0.05,
+            doubled: 0.05,
+            slowest: Duration::from_millis(40),
+            slowest_write: Duration::from_millis(60),
+        };
         cluster.run(Duration::from_secs(2));
         Self { cluster, claims: Vec::new() }
     }
@@ -96,6 +104,13 @@
             }
             ScheduleStep::Transfer { host } => cluster.transfer(host % size),
             ScheduleStep::Kill { host } if cluster.is_up(host % size) => cluster.kill(host % size),
+            ScheduleStep::KillOnSend { host } => cluster.kill_on_send(host % size),
+            ScheduleStep::Restart { host } => {
+                if cluster.is_up(host % size) {
+                    cluster.kill(host % size);
+                }
+                cluster.start(host % size);
+            }
             ScheduleStep::Start { host } if !cluster.is_up(host % size) => {
                 cluster.start(host % size);
             }
@@ -139,6 +154,7 @@
         cluster.heal();
         cluster.faults = NetworkFaults::NONE;
         for number in 0..cluster.hosts.len() {
+            cluster.hosts[number].dies_on_send = false;
             if !cluster.is_up(number) {
                 cluster.start(number);
             }
@@ -156,7 +172,7 @@
 fn run_schedules(size: usize, first_seed: u64) -> (u64, u64) {
     let (mut accepted, mut granted) = (0, 0);
     for seed in first_seed..first_seed + SCHEDULES {
-        let mut random = Gen::from_size_and_seed(60, seed);
+        let mut random = Gen::from_size_and_seed(140, seed);
         let steps = Vec::<ScheduleStep>::arbitrary(&mut random);
         let mut run = ScheduleRun::new(size, seed);
         for step in steps {
