Let no empty disk vote: found once, join under a new id

Cause: a host whose disk was lost would restart with its first settings and vote as the member it was, without what that member had acknowledged. Change: each data folder draws a disk id. Replicas with empty disks found a cluster only when all founders agreed, on disk, on one list of disks; any other empty disk joins as a learner under a new member id and votes once caught up.

--- /dev/null
+++ b/crates/pulley_core/src/version/cluster_founding.rs
@@ -0,0 +1,262 @@
+//! How a replica with an empty disk finds out whether to found a cluster or to join one.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{
+    DiskId, FoundingMessage, PersistBatch, PersistTicket, RecoveredState, ReplicaIdentity,
+    ReplicaMachines, ReplicaMember, ReplicaMembership, SnapshotPlace,
+};
+use crate::process::{HostId, MemberId, Moment};
+
+/// How often a replica without a log asks around.
+const HELLO_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How old a founder's word may be when a promise is made.
+const HELLO_LIFETIME: Duration = Duration::from_secs(2);
+
+/// What a founder said last.
+#[derive(Debug)]
+struct FounderWord {
+    disk: DiskId,
+    promise: Option<ReplicaMembership>,
+    heard: Moment,
+}
+
+/// How a replica begins once its founding write is on disk.
+#[derive(Debug)]
+struct FoundingEnd {
+    ticket: PersistTicket,
+    member: MemberId,
+    state: RecoveredState,
+}
+
+/// What a founding step brings about.
+#[derive(Debug, Default)]
+pub(crate) struct FoundingEffects {
+    pub(crate) sends: Vec<(HostId, FoundingMessage)>,
+    pub(crate) batches: Vec<PersistBatch>,
+    /// The replica begins as this member with this state.
+    pub(crate) start: Option<(MemberId, RecoveredState)>,
+}
+
+/// How a replica with an empty disk finds out whether to found a cluster or to join one.
+///
+/// What goes wrong without it: a host whose disk was lost restarts with the settings it was first
+/// started with, and votes as the member it was, without what that member had acknowledged; an
+/// accepted change is lost. An empty disk looks the same on the first day and after a loss. So the
+/// founders found only when all of them have an empty disk and have agreed, on disk, on one list of
+/// disks; whoever is not in that list joins as a learner under a new id.
+#[derive(Debug)]
+pub(crate) struct ClusterFounding {
+    identity: ReplicaIdentity,
+    founders: Vec<(HostId, MemberId)>,
+    disk: DiskId,
+    words: BTreeMap<MemberId, FounderWord>,
+    promise: Option<ReplicaMembership>,
+    promise_write: Option<(PersistTicket, ReplicaMembership)>,
+    end: Option<FoundingEnd>,
+    /// The host to ask for a new id, once it is clear that the cluster exists without this disk.
+    join_at: Option<HostId>,
+    next_hello: Moment,
+    last_ticket: PersistTicket,
+    effects: FoundingEffects,
+}
+
+impl ClusterFounding {
+    pub(crate) fn new(
+        identity: ReplicaIdentity,
+        founders: Vec<(HostId, MemberId)>,
+        recovered: &RecoveredState,
+        now: Moment,
+    ) -> Self {
+        Self {
+            identity,
+            founders,
+            disk: recovered.disk,
+            words: BTreeMap::new(),
+            promise: recovered.promise.clone(),
+            promise_write: None,
+            end: None,
+            join_at: None,
+            next_hello: now,
+            last_ticket: PersistTicket::default(),
+            effects: FoundingEffects::default(),
+        }
+    }
+
+    pub(crate) fn next_wakeup(&self) -> Moment {
+        self.next_hello
+    }
+
+    pub(crate) fn leader(&self) -> Option<&HostId> {
+        self.join_at.as_ref()
+    }
+
+    pub(crate) fn take_effects(&mut self) -> FoundingEffects {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment) {
+        if now < self.next_hello {
+            return;
+        }
+        self.next_hello = now + HELLO_INTERVAL;
+        self.say_hello();
+        if let Some(leader) = self.join_at.clone() {
+            let message = FoundingMessage::Join { disk: self.disk };
+            self.effects.sends.push((leader, message));
+        }
+        self.advance(now);
+    }
+
+    pub(crate) fn receive(&mut self, now: Moment, from: &HostId, message: FoundingMessage) {
+        match message {
+            FoundingMessage::Hello { member, disk, promise } => {
+                self.on_hello(now, from, member, disk, promise);
+            }
+            FoundingMessage::Founded { members, leader } => self.on_founded(&members, leader),
+            FoundingMessage::Joined { member } => self.begin_as_learner(member),
+            FoundingMessage::Join { .. } => {}
+        }
+    }
+
+    pub(crate) fn persisted(&mut self, now: Moment, ticket: PersistTicket) {
+        if let Some((of, promise)) = self.promise_write.take() {
+            if of == ticket {
+                self.promise = Some(promise);
+                self.say_hello();
+                self.advance(now);
+            } else {
+                self.promise_write = Some((of, promise));
+            }
+        }
+        if self.end.as_ref().is_some_and(|end| end.ticket == ticket)
+            && let Some(end) = self.end.take()
+        {
+            self.effects.start = Some((end.member, end.state));
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Helpers
+
+    fn on_hello(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        member: MemberId,
+        disk: DiskId,
+        promise: Option<ReplicaMembership>,
+    ) {
+        let is_founder = self.founders.iter().any(|(host, id)| host == from && *id == member);
+        if !is_founder || member == self.identity.member {
+            return;
+        }
+        let word = FounderWord { disk, promise, heard: now };
+        if self.words.insert(member, word).is_none() {
+            self.say_hello();
+        }
+        self.advance(now);
+    }
+
+    fn on_founded(&mut self, members: &ReplicaMembership, leader: Option<HostId>) {
+        let own = members.find_host(&self.identity.host);
+        let Some(own) = own.filter(|own| own.disk == Some(self.disk)) else {
+            self.join_at = leader.or(self.join_at.take());
+            return;
+        };
+        match self.promise.clone() {
+            Some(promise) if own.member == self.identity.member => self.begin_as_founder(&promise),
+            _ => self.begin_as_learner(own.member),
+        }
+    }
+
+    /// Takes the next step of founding, if this replica is a founder and the others are ready.
+    fn advance(&mut self, now: Moment) {
+        let is_founder = self
+            .founders
+            .iter()
+            .any(|(host, member)| *host == self.identity.host && *member == self.identity.member);
+        if !is_founder || self.join_at.is_some() {
+            return;
+        }
+        match self.promise.clone() {
+            None => self.make_promise(now),
+            Some(promise) if self.all_promised(&promise) => self.begin_as_founder(&promise),
+            Some(_) => {}
+        }
+    }
+
+    fn make_promise(&mut self, now: Moment) {
+        if self.promise_write.is_some() {
+            return;
+        }
+        let mut members = ReplicaMembership::of_voters(&self.founders);
+        for member in &mut members.members {
+            let Some(disk) = self.disk_of(member, now) else { return };
+            member.disk = Some(disk);
+        }
+        let batch = PersistBatch { promise: Some(members.clone()), ..PersistBatch::default() };
+        let ticket = self.write(batch);
+        self.promise_write = Some((ticket, members));
+    }
+
+    fn disk_of(&self, member: &ReplicaMember, now: Moment) -> Option<DiskId> {
+        if member.member == self.identity.member {
+            return Some(self.disk);
+        }
+        let word = self.words.get(&member.member)?;
+        (now.since(word.heard) <= HELLO_LIFETIME).then_some(word.disk)
+    }
+
+    fn all_promised(&self, promise: &ReplicaMembership) -> bool {
+        self.founders.iter().all(|(_, member)| {
+            *member == self.identity.member
+                || self.words.get(member).is_some_and(|word| word.promise.as_ref() == Some(promise))
+        })
+    }
+
+    fn begin_as_founder(&mut self, founders: &ReplicaMembership) {
+        let place = SnapshotPlace { members: founders.clone(), ..SnapshotPlace::default() };
+        let Ok(snapshot) = ReplicaMachines::default().snapshot(place) else { return };
+        let batch =
+            PersistBatch { snapshot: Some(Arc::clone(&snapshot)), ..PersistBatch::default() };
+        let state = RecoveredState { snapshot: Some(snapshot), ..RecoveredState::default() };
+        self.begin(self.identity.member, batch, state);
+    }
+
+    fn begin_as_learner(&mut self, member: MemberId) {
+        let batch = PersistBatch { member: Some(member), ..PersistBatch::default() };
+        self.begin(member, batch, RecoveredState::default());
+    }
+
+    fn begin(&mut self, member: MemberId, batch: PersistBatch, state: RecoveredState) {
+        if self.end.is_some() {
+            return;
+        }
+        let ticket = self.write(batch);
+        self.end = Some(FoundingEnd { ticket, member, state });
+    }
+
+    fn write(&mut self, mut batch: PersistBatch) -> PersistTicket {
+        self.last_ticket = self.last_ticket.next();
+        batch.ticket = self.last_ticket;
+        self.effects.batches.push(batch);
+        self.last_ticket
+    }
+
+    fn say_hello(&mut self) {
+        let hello = FoundingMessage::Hello {
+            member: self.identity.member,
+            disk: self.disk,
+            promise: self.promise.clone(),
+        };
+        for (host, _) in &self.founders {
+            if *host != self.identity.host {
+                self.effects.sends.push((host.clone(), hello.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/version/driver_founding.rs
@@ -0,0 +1,119 @@
+//! How a driver founds or joins a cluster, and answers hosts that want to.
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+
+use super::{
+    DiskId, DriverOutput, FoundingMessage, LogCommand, PeerMessage, PersistTicket, RecoveredState,
+    ReplicaDriver, ReplicaMember, ReplicaNode,
+};
+use crate::process::{HostId, MemberId, Moment};
+
+impl ReplicaDriver {
+    /// Takes a step while there is no log yet.
+    pub(crate) fn tick_founding(&mut self, now: Moment) {
+        if let Some(founding) = &mut self.founding {
+            founding.tick(now);
+        }
+        self.settle_founding(now);
+    }
+
+    pub(crate) fn persisted_founding(&mut self, now: Moment, ticket: PersistTicket, ok: bool) {
+        if !ok {
+            self.founding = None;
+            self.node.fail(SmolStr::new_static("the storage failed to write"));
+            return;
+        }
+        if let Some(founding) = &mut self.founding {
+            founding.persisted(now, ticket);
+        }
+        self.settle_founding(now);
+    }
+
+    pub(crate) fn receive_founding(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        message: FoundingMessage,
+    ) {
+        if let Some(founding) = &mut self.founding {
+            founding.receive(now, from, message);
+            self.settle_founding(now);
+            return;
+        }
+        match message {
+            FoundingMessage::Hello { .. } => self.tell_founded(from),
+            FoundingMessage::Join { disk } => self.let_join(now, from, disk),
+            FoundingMessage::Founded { .. } | FoundingMessage::Joined { .. } => {}
+        }
+    }
+
+    fn settle_founding(&mut self, now: Moment) {
+        let Some(founding) = &mut self.founding else { return };
+        let effects = founding.take_effects();
+        for (to, message) in effects.sends {
+            self.send_founding(to, message);
+        }
+        for batch in effects.batches {
+            self.outputs.push(DriverOutput::Persist { ticket: batch.ticket, batch });
+        }
+        if let Some((member, state)) = effects.start {
+            self.begin(now, member, &state);
+        }
+    }
+
+    fn begin(&mut self, now: Moment, member: MemberId, state: &RecoveredState) {
+        self.founding = None;
+        self.identity.member = member;
+        let settings = self.node_settings();
+        self.node = ReplicaNode::new(member, state, settings, now, self.seed);
+    }
+
+    /// Tells a host with an empty disk that there is a cluster already.
+    fn tell_founded(&mut self, to: &HostId) {
+        let members = self.node.members().clone();
+        if members.members.is_empty() || self.node.failure().is_some() {
+            return;
+        }
+        let leader = self.leader();
+        self.send_founding(to.clone(), FoundingMessage::Founded { members, leader });
+    }
+
+    /// Gives a host with an empty disk a new member id, if it is to hold the log.
+    fn let_join(&mut self, now: Moment, from: &HostId, disk: DiskId) {
+        if !self.node.may_change_members() {
+            return;
+        }
+        let Some(known) = self.node.members().find_host(from).cloned() else { return };
+        if known.disk == Some(disk) {
+            let message = FoundingMessage::Joined { member: known.member };
+            self.send_founding(from.clone(), message);
+            return;
+        }
+        if let Some(command) = self.plan_join(now, &known, disk) {
+            let _ = self.node.propose_members(now, command);
+        }
+    }
+
+    fn plan_join(&self, now: Moment, known: &ReplicaMember, disk: DiskId) -> Option<LogCommand> {
+        let members = self.node.members();
+        if known.disk.is_none() {
+            let what = format!("disk {disk} of {} {}", known.member, known.host);
+            return self.members_command(now, members.with_disk(known.member, disk), what);
+        }
+        // Two processes that claim to be one host must not throw each other out by turns: only a
+        // member that has fallen silent is replaced.
+        let last_voter = known.voter && members.voters().count() == 1;
+        if last_voter || !self.node.is_silent(known.member) {
+            return None;
+        }
+        let (next, member) = members.without(known.member).with_learner(&known.host, Some(disk));
+        let what = format!("learner {member} {} replaces {} (lost disk)", known.host, known.member);
+        self.members_command(now, next, what)
+    }
+
+    fn send_founding(&mut self, to: HostId, message: FoundingMessage) {
+        let Ok(body) = postcard::to_allocvec(&PeerMessage::Founding(message)) else { return };
+        self.outputs.push(DriverOutput::Send { to, body: Bytes::from(body) });
+    }
+}
--- a/crates/pulley_core/src/version/driver_message.rs
+++ b/crates/pulley_core/src/version/driver_message.rs
@@ -77,7 +77,7 @@
     pub host: HostId,
     /// Its member id.
     pub member: MemberId,
-    /// `leader`, `follower`, `candidate`, `learner`, `outsider` or `failed`.
+    /// `founding`, `leader`, `follower`, `candidate`, `learner`, `outsider` or `failed`.
     pub role: SmolStr,
     /// The host that leads, if it is known.
     pub leader: Option<HostId>,
--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -120,10 +120,10 @@
 
     fn plan_addition(&self, now: Moment, host: &HostId) -> Result<LogCommand, ReplicaRefusal> {
         let members = self.node.members();
-        if members.members.iter().any(|member| member.host == *host) {
+        if members.find_host(host).is_some() {
             return Err(ReplicaRefusal::AlreadyMember(host.clone()));
         }
-        let (next, member) = members.with_learner(host);
+        let (next, member) = members.with_learner(host, None);
         self.members_command(now, next, format!("learner {member} {host}"))
             .ok_or(ReplicaRefusal::ChangeUnderWay)
     }
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -1,10 +1,13 @@
 //! State that belongs to one version of the configuration, and the log that orders versions.
 
 mod change;
+mod cluster_founding;
 mod configuration_machine;
+mod driver_founding;
 mod driver_message;
 mod driver_question;
 mod follower_progress;
+mod founding_message;
 mod ledger_machine;
 mod log_entry;
 mod persist_batch;
@@ -37,6 +40,7 @@
     AUDIT_ANSWER_LIMIT, AUDIT_KEPT, ConfigurationMachine, OUTCOMES_KEPT,
 };
 pub use driver_message::{DriverInput, DriverOutput, ReplicaStatus};
+pub use founding_message::{FoundingMessage, PeerMessage};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
 };
@@ -44,7 +48,7 @@
 pub use persist_batch::{PersistBatch, RecoveredState, ReplicaSnapshot, SnapshotPlace, VoteRecord};
 pub use plan::{KindPlan, MethodMatch, PolicyPlan, RequestPriority, WorkLength};
 pub use replica_driver::ReplicaDriver;
-pub use replica_identity::{LogIndex, LogTime, PersistTicket, ReplicaIdentity, Term};
+pub use replica_identity::{DiskId, LogIndex, LogTime, PersistTicket, ReplicaIdentity, Term};
 pub use replica_machines::{MachineOutcome, ReplicaMachines};
 pub use replica_membership::{ReplicaMember, ReplicaMembership};
 pub use replica_message::{
--- a/crates/pulley_core/src/version/persist_batch.rs
+++ b/crates/pulley_core/src/version/persist_batch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{LogEntry, LogIndex, LogTime, PersistTicket, ReplicaMembership, Term};
+use super::{DiskId, LogEntry, LogIndex, LogTime, PersistTicket, ReplicaMembership, Term};
 use crate::process::MemberId;
 
 /// What a replica must never forget about elections.
@@ -52,6 +52,10 @@
     pub cut_from: Option<LogIndex>,
     /// The election state, if it has changed.
     pub vote: Option<VoteRecord>,
+    /// The member id that this disk has from here on.
+    pub member: Option<MemberId>,
+    /// The founding membership that this disk has agreed to; it never agrees to another.
+    pub promise: Option<ReplicaMembership>,
     /// Entries that follow what is already there.
     pub entries: Vec<Arc<LogEntry>>,
 }
@@ -63,6 +67,8 @@
         self.snapshot.is_none()
             && self.cut_from.is_none()
             && self.vote.is_none()
+            && self.member.is_none()
+            && self.promise.is_none()
             && self.entries.is_empty()
     }
 }
@@ -70,6 +76,12 @@
 /// What storage found when it was opened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RecoveredState {
+    /// The disk's own id.
+    pub disk: DiskId,
+    /// The member id that the disk has been given, if it is not the founding one.
+    pub member: Option<MemberId>,
+    /// The founding membership that the disk has agreed to.
+    pub promise: Option<ReplicaMembership>,
     /// The election state.
     pub vote: VoteRecord,
     /// The newest snapshot.
--- a/crates/pulley_core/src/version/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica_driver.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use super::cluster_founding::ClusterFounding;
 use super::driver_question::{WaitingQuestion, WaitingRead};
 use super::{
     DriverInput, DriverOutput, LogCommand, LogEntry, LogIndex, MachineOutcome, NodeEffects,
-    RecoveredState, ReplicaAnswer, ReplicaEnvelope, ReplicaIdentity, ReplicaMachines, ReplicaNode,
-    ReplicaQuestion, ReplicaSettings, ReplicaSnapshot, ReplicaStatus,
+    PeerMessage, RecoveredState, ReplicaAnswer, ReplicaEnvelope, ReplicaIdentity, ReplicaMachines,
+    ReplicaNode, ReplicaQuestion, ReplicaSettings, ReplicaSnapshot, ReplicaStatus,
 };
 use crate::process::{FastMap, HostId, MemberId, Moment};
 
@@ -24,6 +25,9 @@
 pub struct ReplicaDriver {
     pub(crate) identity: ReplicaIdentity,
     pub(crate) settings: ReplicaSettings,
+    pub(crate) seed: u64,
+    /// Present until this replica has founded a cluster or joined one.
+    pub(crate) founding: Option<ClusterFounding>,
     pub(crate) node: ReplicaNode,
     pub(crate) machines: ReplicaMachines,
     pub(crate) waiting: BTreeMap<LogIndex, WaitingQuestion>,
@@ -47,13 +51,19 @@
     /// Makes a driver from what the storage holds.
     #[must_use]
     pub fn new(
-        identity: ReplicaIdentity,
+        mut identity: ReplicaIdentity,
         recovered: RecoveredState,
         settings: ReplicaSettings,
         now: Moment,
         seed: u64,
     ) -> Self {
-        let mut node = ReplicaNode::new(identity.member, &recovered, settings.clone(), now, seed);
+        let founding = (recovered.is_empty() && recovered.member.is_none()).then(|| {
+            let founders = settings.bootstrap.clone();
+            ClusterFounding::new(identity.clone(), founders, &recovered, now)
+        });
+        identity.member = recovered.member.unwrap_or(identity.member);
+        let mut node =
+            ReplicaNode::new(identity.member, &recovered, node_settings(&settings), now, seed);
         let restored = recovered.snapshot.as_deref().map(ReplicaMachines::restore);
         let machines = match restored {
             None => ReplicaMachines::default(),
@@ -68,6 +78,8 @@
         Self {
             identity,
             settings,
+            seed,
+            founding,
             node,
             machines,
             waiting: BTreeMap::new(),
@@ -87,6 +99,10 @@
     /// Takes one input; returns what is to be done.
     pub fn handle(&mut self, now: Moment, input: DriverInput) -> Vec<DriverOutput> {
         match input {
+            DriverInput::Tick if self.founding.is_some() => self.tick_founding(now),
+            DriverInput::Persisted { ticket, ok } if self.founding.is_some() => {
+                self.persisted_founding(now, ticket, ok);
+            }
             DriverInput::Tick => {
                 self.node.tick(now);
                 self.promote_learner(now);
@@ -106,13 +122,19 @@
     /// When [`DriverInput::Tick`] is next needed.
     #[must_use]
     pub fn next_wakeup(&self) -> Moment {
-        self.node.next_wakeup()
+        match &self.founding {
+            Some(founding) => founding.next_wakeup(),
+            None => self.node.next_wakeup(),
+        }
     }
 
     /// The host that leads, as far as this replica knows.
     #[must_use]
     pub fn leader(&self) -> Option<HostId> {
-        self.node.leader().and_then(|member| self.host_of(member))
+        match &self.founding {
+            Some(founding) => founding.leader().cloned(),
+            None => self.node.leader().and_then(|member| self.host_of(member)),
+        }
     }
 
     /// The log engine, for tests and status pages.
@@ -151,6 +173,9 @@
         if self.node.failure().is_some() {
             return "failed";
         }
+        if self.founding.is_some() {
+            return "founding";
+        }
         match self.node.members().find(self.identity.member) {
             None => "outsider",
             Some(member) if !member.voter => "learner",
@@ -162,10 +187,20 @@
     // Messages
 
     fn receive(&mut self, now: Moment, from: &HostId, body: &Bytes) {
-        let Ok(envelope) = postcard::from_bytes::<ReplicaEnvelope>(body) else {
-            self.unreadable_messages += 1;
-            return;
+        let envelope = match postcard::from_bytes::<PeerMessage>(body) {
+            Ok(PeerMessage::Replica(envelope)) => envelope,
+            Ok(PeerMessage::Founding(message)) => {
+                self.receive_founding(now, from, message);
+                return;
+            }
+            Err(_) => {
+                self.unreadable_messages += 1;
+                return;
+            }
         };
+        if self.founding.is_some() {
+            return;
+        }
         match self.node.members().find(envelope.from) {
             // A member speaks from its own host only.
             Some(member) if member.host != *from => return,
@@ -189,9 +224,9 @@
         }
     }
 
-    fn push_send(&mut self, envelope: &ReplicaEnvelope) {
+    fn push_send(&mut self, envelope: ReplicaEnvelope) {
         let Some(to) = self.host_of(envelope.to) else { return };
-        let Ok(body) = postcard::to_allocvec(envelope) else { return };
+        let Ok(body) = postcard::to_allocvec(&PeerMessage::Replica(envelope)) else { return };
         self.outputs.push(DriverOutput::Send { to, body: Bytes::from(body) });
     }
 
@@ -253,7 +288,7 @@
         if let Some(batch) = effects.batch {
             self.outputs.push(DriverOutput::Persist { ticket: batch.ticket, batch });
         }
-        for envelope in &effects.sends {
+        for envelope in effects.sends {
             self.push_send(envelope);
         }
         for read in effects.failed_reads {
@@ -354,11 +389,14 @@
     ) -> Option<LogCommand> {
         let actor = format!("replica:{}", self.identity.host);
         let actor = actor.get(..actor.len().min(64))?.parse().ok()?;
-        let passed = u64::try_from(now.since(Moment::ZERO).as_millis()).unwrap_or(u64::MAX);
-        let unix_ms = self.settings.unix_origin_ms.saturating_add(passed);
+        let unix_ms = self.settings.unix_ms(now);
         Some(LogCommand::Members { members, actor, unix_ms, what })
     }
 
+    pub(crate) fn node_settings(&self) -> ReplicaSettings {
+        node_settings(&self.settings)
+    }
+
     fn ask(&mut self, now: Moment, token: u64, question: ReplicaQuestion) {
         if !self.node.is_leader() {
             let answer = ReplicaAnswer::NotLeader { leader: self.leader() };
@@ -368,3 +406,9 @@
         self.ask_leader(now, token, question);
     }
 }
+
+/// Settings for the log engine: it learns the founders from its snapshot or its log, never from
+/// settings, which may have changed since.
+fn node_settings(settings: &ReplicaSettings) -> ReplicaSettings {
+    ReplicaSettings { bootstrap: Vec::new(), ..settings.clone() }
+}
--- a/crates/pulley_core/src/version/replica_identity.rs
+++ b/crates/pulley_core/src/version/replica_identity.rs
@@ -18,6 +18,31 @@
     pub cluster: ClusterId,
 }
 
+/// Tells one disk from another; drawn at random when a data folder is made.
+///
+/// A host whose disk was lost or exchanged comes back with another id, and so cannot pass for the
+/// member it was: that one may have voted and acknowledged what the new disk knows nothing of.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct DiskId(pub u64);
+
+impl fmt::Display for DiskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for DiskId {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| QuantityFault { text: text.to_owned(), wanted: "a disk id in hex" })
+    }
+}
+
 macro_rules! number_types {
     ($($(#[$doc:meta])* $name:ident, $wanted:literal;)*) => {$(
         $(#[$doc])*
--- a/crates/pulley_core/src/version/replica_leading.rs
+++ b/crates/pulley_core/src/version/replica_leading.rs
@@ -177,10 +177,35 @@
         };
         self.role = ReplicaRole::Leader(Box::new(leader));
         self.sync_followers();
-        self.append_command(LogCommand::Blank);
+        let command = self.first_command();
+        self.append_command(command);
         self.replicate();
     }
 
+    /// The first entry of a term; the very first of the log names the founders, so that a replica
+    /// that begins with nothing learns them from the log itself.
+    fn first_command(&self) -> LogCommand {
+        let Ok(actor) = "founders".parse() else { return LogCommand::Blank };
+        if self.log.last_index() > LogIndex(0) {
+            return LogCommand::Blank;
+        }
+        LogCommand::Members {
+            members: self.log.members().clone(),
+            actor,
+            unix_ms: self.settings.unix_ms(self.now),
+            what: "founded".to_owned(),
+        }
+    }
+
+    /// Whether a member has not answered for two election timeouts.
+    #[must_use]
+    pub fn is_silent(&self, member: MemberId) -> bool {
+        let ReplicaRole::Leader(leader) = &self.role else { return false };
+        let limit = 2 * self.settings.election_timeout;
+        let silent = |progress: &FollowerProgress| self.now.since(progress.heard) > limit;
+        leader.followers.get(&member).is_some_and(silent)
+    }
+
     pub(crate) fn tick_leader(&mut self) {
         let now = self.now;
         let heartbeat = self.settings.heartbeat;
--- a/crates/pulley_core/src/version/replica_membership.rs
+++ b/crates/pulley_core/src/version/replica_membership.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DiskId;
 use crate::process::{HostId, MemberId};
 
 /// One holder of the log.
@@ -11,6 +12,8 @@
     pub member: MemberId,
     /// The host it runs on.
     pub host: HostId,
+    /// The disk it lives on; unknown until a learner that was asked for has come.
+    pub disk: Option<DiskId>,
     /// Whether it votes; learners only receive the log.
     pub voter: bool,
 }
@@ -33,6 +36,7 @@
             .map(|(host, member)| ReplicaMember {
                 member: *member,
                 host: host.clone(),
+                disk: None,
                 voter: true,
             })
             .collect();
@@ -43,10 +47,10 @@
 
     /// The membership with a new learner, and the learner's id.
     #[must_use]
-    pub fn with_learner(&self, host: &HostId) -> (Self, MemberId) {
+    pub fn with_learner(&self, host: &HostId, disk: Option<DiskId>) -> (Self, MemberId) {
         let mut next = self.clone();
         let member = self.next_member;
-        next.members.push(ReplicaMember { member, host: host.clone(), voter: false });
+        next.members.push(ReplicaMember { member, host: host.clone(), disk, voter: false });
         next.next_member = MemberId(member.0 + 1);
         (next, member)
     }
@@ -63,6 +67,18 @@
         next
     }
 
+    /// The membership with the disk that a member lives on.
+    #[must_use]
+    pub fn with_disk(&self, bound: MemberId, disk: DiskId) -> Self {
+        let mut next = self.clone();
+        for member in &mut next.members {
+            if member.member == bound {
+                member.disk = Some(disk);
+            }
+        }
+        next
+    }
+
     /// The membership without one member.
     #[must_use]
     pub fn without(&self, removed: MemberId) -> Self {
@@ -77,6 +93,12 @@
         self.members.iter().find(|member| member.member == wanted)
     }
 
+    /// Finds a host's member.
+    #[must_use]
+    pub fn find_host(&self, wanted: &HostId) -> Option<&ReplicaMember> {
+        self.members.iter().find(|member| member.host == *wanted)
+    }
+
     /// Whether a member votes.
     #[must_use]
     pub fn is_voter(&self, wanted: MemberId) -> bool {
--- a/crates/pulley_core/src/version/replica_settings.rs
+++ b/crates/pulley_core/src/version/replica_settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::LedgerLimits;
-use crate::process::{HostId, MemberId};
+use crate::process::{HostId, MemberId, Moment};
 
 /// What may be set of a replica.
 #[derive(Clone, Debug)]
@@ -46,6 +46,13 @@
         Self { bootstrap, ..Self::default() }
     }
 
+    /// Unix time in milliseconds at a moment; for the audit trail only.
+    #[must_use]
+    pub fn unix_ms(&self, now: Moment) -> u64 {
+        let passed = u64::try_from(now.since(Moment::ZERO).as_millis()).unwrap_or(u64::MAX);
+        self.unix_origin_ms.saturating_add(passed)
+    }
+
     /// Sets how often a leader tells its followers that it lives.
     #[must_use]
     pub fn with_heartbeat(mut self, heartbeat: Duration) -> Self {
--- a/crates/pulley_core/tests/replica_promises.rs
+++ b/crates/pulley_core/tests/replica_promises.rs
@@ -152,8 +152,8 @@
 fn entries_of_earlier_terms_do_not_commit_by_count() {
     let recovered = RecoveredState {
         vote: VoteRecord { term: Term(4), voted_for: None },
-        snapshot: None,
         entries: vec![entry(1, 1), entry(2, 2)],
+        ..RecoveredState::default()
     };
     let mut node = node(&recovered);
     let later = elect(&mut node);
--- a/crates/pulleyd/src/version/disk_folder.rs
+++ b/crates/pulleyd/src/version/disk_folder.rs
@@ -61,6 +61,9 @@
     /// Whatever the file system reports.
     fn names(&self) -> io::Result<Vec<String>>;
 
+    /// Draws an id for a folder that is new.
+    fn draw_id(&mut self) -> u64;
+
     /// Makes creations, renames and removals last through a power loss.
     ///
     /// # Errors
@@ -143,6 +146,10 @@
         Ok(names)
     }
 
+    fn draw_id(&mut self) -> u64 {
+        rand::random()
+    }
+
     fn sync(&mut self) -> io::Result<()> {
         File::open(&self.path)?.sync_all()
     }
--- a/crates/pulleyd/src/version/log_recovery.rs
+++ b/crates/pulleyd/src/version/log_recovery.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use pulley_core::version::{LogEntry, LogIndex, RecoveredState, ReplicaSnapshot, VoteRecord};
+use pulley_core::version::{
+    LogEntry, LogIndex, RecoveredState, ReplicaMembership, ReplicaSnapshot, VoteRecord,
+};
 use serde::{Deserialize, Serialize};
 
 use super::disk_folder::DiskFolder;
@@ -21,6 +23,8 @@
     Vote(VoteRecord),
     /// Entries from here on are no longer part of the log.
     Cut(LogIndex),
+    /// The founding membership that this disk has agreed to.
+    Promise(ReplicaMembership),
     /// The next entry.
     Entry(Arc<LogEntry>),
 }
@@ -137,6 +141,7 @@
     let base = recovered.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.place.index);
     match record {
         LogRecord::Vote(vote) => recovered.vote = vote,
+        LogRecord::Promise(members) => recovered.promise = Some(members),
         LogRecord::Cut(index) => recovered.entries.retain(|entry| entry.index < index),
         LogRecord::Entry(entry) => {
             segment.highest = segment.highest.max(entry.index);
--- a/crates/pulleyd/src/version/log_storage.rs
+++ b/crates/pulleyd/src/version/log_storage.rs
@@ -4,10 +4,13 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use pulley_core::process::{ClusterId, HostId, MemberId};
 use pulley_core::version::{
-    LogIndex, PersistBatch, RecoveredState, ReplicaIdentity, ReplicaSnapshot, VoteRecord,
+    DiskId, LogIndex, PersistBatch, RecoveredState, ReplicaIdentity, ReplicaSnapshot, VoteRecord,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::disk_folder::{DiskFile, DiskFolder, SystemFolder};
 use super::log_recovery::{
     LogRecord, SegmentFile, read_folder, segment_name, segment_number, snapshot_name,
@@ -23,6 +26,16 @@
 const LOCK_FILE: &str = "lock";
 const TEMPORARY_SUFFIX: &str = ".new";
 
+/// Whose a folder is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct FolderIdentity {
+    host: HostId,
+    cluster: ClusterId,
+    disk: DiskId,
+    /// The member id given to this disk, if it is not the founding one.
+    member: Option<MemberId>,
+}
+
 /// The replica's data folder.
 ///
 /// After the first failed write or sync it refuses all others: the kernel reports a failed sync
@@ -30,6 +43,7 @@
 #[derive(Debug)]
 pub struct LogStorage<D: DiskFolder = SystemFolder> {
     folder: D,
+    owner: FolderIdentity,
     /// Holds the lock for as long as the storage lives.
     _lock: Option<File>,
     closed: Vec<SegmentFile>,
@@ -71,7 +85,7 @@
         identity: &ReplicaIdentity,
         lock: Option<File>,
     ) -> Result<(Self, RecoveredState)> {
-        check_identity(&mut folder, identity)?;
+        let owner = check_identity(&mut folder, identity)?;
         let contents = read_folder(&folder)?;
         let mut closed = contents.segments;
         let group = WriteGroup(contents.group.0 + 1);
@@ -83,9 +97,12 @@
             }
             None => first_segment(&mut folder)?,
         };
-        let recovered = contents.recovered;
+        let mut recovered = contents.recovered;
+        recovered.disk = owner.disk;
+        recovered.member = owner.member;
         let storage = Self {
             folder,
+            owner,
             _lock: lock,
             closed,
             open,
@@ -146,6 +163,13 @@
                 self.write_records(&std::mem::take(&mut pending))?;
                 self.write_snapshot(snapshot)?;
             }
+            if let Some(member) = batch.member {
+                self.owner.member = Some(member);
+                write_identity(&mut self.folder, &self.owner)?;
+            }
+            if let Some(promise) = &batch.promise {
+                pending.push(LogRecord::Promise(promise.clone()));
+            }
             if let Some(vote) = batch.vote {
                 self.vote = vote;
                 pending.push(LogRecord::Vote(vote));
@@ -236,25 +260,42 @@
 }
 
 /// Checks whose folder it is; an empty one becomes this replica's.
-fn check_identity<D: DiskFolder>(folder: &mut D, wanted: &ReplicaIdentity) -> Result<()> {
+fn check_identity<D: DiskFolder>(
+    folder: &mut D,
+    wanted: &ReplicaIdentity,
+) -> Result<FolderIdentity> {
     let bytes = folder.read(IDENTITY_FILE).map_err(StorageFault::disk(IDENTITY_FILE))?;
-    let Some(bytes) = bytes else {
-        let names = folder.names().map_err(StorageFault::disk("data folder"))?;
-        let ours =
-            |name: &&String| segment_number(name).is_some() || snapshot_number(name).is_some();
-        if let Some(file) = names.iter().find(ours) {
-            return Err(StorageFault::NoIdentity { file: file.clone() });
-        }
-        let mut buffer = Vec::new();
-        push_frame(&mut buffer, WriteGroup(0), true, wanted)?;
-        return replace_file(folder, IDENTITY_FILE, &buffer);
-    };
+    let Some(bytes) = bytes else { return new_identity(folder, wanted) };
     let found = read_frame(&bytes, 0)
-        .and_then(|frame| frame.decode::<ReplicaIdentity>().ok())
+        .and_then(|frame| frame.decode::<FolderIdentity>().ok())
         .ok_or_else(|| StorageFault::damaged(IDENTITY_FILE, 0, "the checksum does not fit"))?;
-    if found != *wanted {
-        let (found, wanted) = (Box::new(found), Box::new(wanted.clone()));
-        return Err(StorageFault::Foreign { found, wanted });
+    if found.host != wanted.host || found.cluster != wanted.cluster {
+        return Err(StorageFault::Foreign {
+            found: format!("host {} of cluster {}", found.host, found.cluster),
+            wanted: format!("host {} of cluster {}", wanted.host, wanted.cluster),
+        });
+    }
+    Ok(found)
+}
+
+fn new_identity<D: DiskFolder>(folder: &mut D, wanted: &ReplicaIdentity) -> Result<FolderIdentity> {
+    let names = folder.names().map_err(StorageFault::disk("data folder"))?;
+    let ours = |name: &&String| segment_number(name).is_some() || snapshot_number(name).is_some();
+    if let Some(file) = names.iter().find(ours) {
+        return Err(StorageFault::NoIdentity { file: file.clone() });
     }
-    Ok(())
+    let identity = FolderIdentity {
+        host: wanted.host.clone(),
+        cluster: wanted.cluster.clone(),
+        disk: DiskId(folder.draw_id()),
+        member: None,
+    };
+    write_identity(folder, &identity)?;
+    Ok(identity)
+}
+
+fn write_identity<D: DiskFolder>(folder: &mut D, identity: &FolderIdentity) -> Result<()> {
+    let mut buffer = Vec::new();
+    push_frame(&mut buffer, WriteGroup(0), true, identity)?;
+    replace_file(folder, IDENTITY_FILE, &buffer)
 }
--- a/crates/pulleyd/src/version/storage_fault.rs
+++ b/crates/pulleyd/src/version/storage_fault.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 
-use pulley_core::version::ReplicaIdentity;
 use thiserror::Error;
 
 /// What storage calls return.
@@ -14,17 +13,13 @@
     /// Another process has the folder open.
     #[error("another process uses this data folder")]
     Locked,
-    /// The folder belongs to another replica.
-    #[error(
-        "this data folder belongs to host {} member {} of cluster {}, not to host {} member {} of \
-         cluster {}",
-        found.host, found.member, found.cluster, wanted.host, wanted.member, wanted.cluster
-    )]
+    /// The folder belongs to another host or cluster.
+    #[error("this data folder belongs to {found}, not to {wanted}")]
     Foreign {
         /// Whose it is.
-        found: Box<ReplicaIdentity>,
+        found: String,
         /// Who opened it.
-        wanted: Box<ReplicaIdentity>,
+        wanted: String,
     },
     /// The folder holds a log but no identity.
     #[error("this data folder holds {file} but no identity file; it is not one of ours or damaged")]
--- a/crates/pulleyd/tests/replica/failure_tests.rs
+++ b/crates/pulleyd/tests/replica/failure_tests.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use pulley_core::ConfigVersion;
-use pulley_core::version::{ChangeAnswer, ChangeRefusal, ReplicaAnswer, ReplicaQuestion};
+use pulley_core::process::MemberId;
+use pulley_core::version::{
+    ChangeAnswer, ChangeRefusal, ReplicaAnswer, ReplicaChange, ReplicaQuestion, ReplicaSettings,
+};
 
-use super::fake_cluster::{FakeCluster, change};
+use super::fake_cluster::{FakeCluster, change, host_name};
 
 fn accepted(version: u64) -> ReplicaAnswer {
     ReplicaAnswer::Change(ChangeAnswer::Accepted { version: ConfigVersion(version) })
@@ -102,3 +105,110 @@
         assert_eq!(cluster.version(leader), ConfigVersion(1));
     }
 }
+
+// A host's disk is lost while another replica is behind, and the host restarts with the settings
+// of its first day. Together the two are a majority by count, and know nothing of the last change:
+// electing a leader would lose it. They must wait for the replica that has it.
+#[test]
+fn an_empty_disk_never_votes() {
+    let mut cluster = FakeCluster::new(3, 5);
+    let leader = cluster.wait_for_leader();
+    cluster.run_until(Duration::from_secs(10), FakeCluster::all_vote);
+    let (wiped, behind) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.kill(behind);
+    assert_eq!(cluster.settle(&change("kept", 0)), accepted(1));
+    cluster.kill(leader);
+    cluster.wipe(wiped);
+    cluster.start(wiped);
+    cluster.start(behind);
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(cluster.leader(), None);
+    assert_eq!(cluster.driver(wiped).status().role, "founding");
+    cluster.start(leader);
+    cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+    for number in 0..3 {
+        assert_eq!(cluster.version(number), ConfigVersion(1));
+    }
+    assert_eq!(cluster.driver(wiped).status().member, MemberId(4));
+}
+
+// A second host is lost for good right after the first was replaced, before its successor has all.
+// Nothing accepted may be missing, and both successors come to vote under new ids.
+#[test]
+fn two_losses_in_a_row_lose_nothing() {
+    let mut cluster = FakeCluster::new(5, 6);
+    cluster.run_until(Duration::from_secs(10), FakeCluster::all_vote);
+    for version in 0..30 {
+        assert_eq!(
+            cluster.settle(&change(&format!("change-{version}"), version)),
+            accepted(version + 1)
+        );
+    }
+    let leader = cluster.wait_for_leader();
+    let (first, second) = ((leader + 1) % 5, leader);
+    cluster.wipe(first);
+    cluster.start(first);
+    cluster.run(Duration::from_secs(2));
+    cluster.wipe(second);
+    cluster.start(second);
+    assert_eq!(cluster.settle(&change("after", 30)), accepted(31));
+    cluster.run_until(Duration::from_secs(60), FakeCluster::all_vote);
+    cluster.run(Duration::from_secs(1));
+    for number in 0..5 {
+        cluster.invariants.check_nothing_lost(cluster.driver(number));
+    }
+    let members: Vec<u64> =
+        cluster.driver(first).node().members().voters().map(|member| member.0).collect();
+    assert_eq!(members.len(), 5);
+    assert!(members.contains(&6) && members.contains(&7), "{members:?}");
+}
+
+// The log has been cut behind a snapshot when a new host joins. It must get the snapshot, in parts,
+// and only then a vote.
+#[test]
+fn a_new_host_joins_by_snapshot() {
+    let settings = ReplicaSettings::default().with_snapshot_weight(2_000);
+    let mut cluster = FakeCluster::with_settings(3, 7, settings);
+    cluster.run_until(Duration::from_secs(10), FakeCluster::all_vote);
+    for version in 0..400 {
+        cluster.settle_quickly(&change(&format!("change-{version}"), version));
+    }
+    let host = host_name(3);
+    let added = cluster.settle(&ReplicaQuestion::Change(ReplicaChange::Add(host.clone())));
+    let ReplicaAnswer::Members(members) = added else { panic!("{added:?}") };
+    let member = members.find_host(&host).expect("was added").clone();
+    assert!(!member.voter);
+    cluster.add_host(host, MemberId(0));
+    cluster.run_until(Duration::from_secs(60), FakeCluster::all_vote);
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(cluster.version(3), ConfigVersion(400));
+    let removed = cluster.settle(&ReplicaQuestion::Change(ReplicaChange::Remove(MemberId(1))));
+    assert!(matches!(removed, ReplicaAnswer::Members(_)), "{removed:?}");
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.settle(&change("last", 400)), accepted(401));
+    assert_eq!(cluster.driver(0).status().role, "outsider");
+}
+
+// Hundreds of changes and several restarts later an operator's tool, which never saw the answer,
+// sends its change again. It must get the answer of the first time and change nothing.
+#[test]
+fn a_resend_gets_its_first_answer_after_hundreds_of_changes_and_restarts() {
+    let settings = ReplicaSettings::default().with_snapshot_weight(4_000);
+    let mut cluster = FakeCluster::with_settings(3, 8, settings);
+    cluster.run_until(Duration::from_secs(10), FakeCluster::all_vote);
+    for version in 0..500 {
+        cluster.settle_quickly(&change(&format!("change-{version}"), version));
+        if version % 100 == 99 {
+            for number in 0..3 {
+                cluster.kill(number);
+            }
+            for number in 0..3 {
+                cluster.start(number);
+            }
+        }
+    }
+    assert_eq!(cluster.settle(&change("change-7", 7)), accepted(8));
+    let refusal = ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused);
+    assert_eq!(cluster.settle(&change("change-7", 500)), ReplicaAnswer::Change(refusal));
+    assert_eq!(cluster.settle(&change("next", 500)), accepted(501));
+}
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -104,7 +104,7 @@
     pub(crate) fn add_host(&mut self, host: HostId, member: MemberId) -> usize {
         let cluster = "test".parse().expect("a valid name");
         let identity = ReplicaIdentity { host, member, cluster };
-        let disk = FakeDisk::default();
+        let disk = FakeDisk::new(self.random.random());
         self.hosts.push(FakeHost {
             identity,
             disk,
@@ -155,6 +155,25 @@
         host.disk.crash(&mut self.random);
     }
 
+    /// Ends a host's process and gives it an empty disk.
+    pub(crate) fn wipe(&mut self, number: usize) {
+        self.kill(number);
+        self.hosts[number].disk = FakeDisk::new(self.random.random());
+    }
+
+    /// Whether a host's present disk has a vote, in the eyes of the leader.
+    pub(crate) fn votes(&self, number: usize) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let member = self.driver(number).node().member();
+        self.is_up(number)
+            && self.driver(number).status().role != "founding"
+            && self.driver(leader).node().members().is_voter(member)
+    }
+
+    pub(crate) fn all_vote(&self) -> bool {
+        (0..self.hosts.len()).all(|number| self.is_up(number) && self.votes(number))
+    }
+
     /// Lets a host lose its power right after the next message it sends.
     pub(crate) fn kill_on_send(&mut self, number: usize) {
         self.hosts[number].dies_on_send = true;
@@ -345,6 +364,19 @@
         panic!("no answer to {question:?}");
     }
 
+    /// Asks the leader and runs only until its answer is there.
+    pub(crate) fn settle_quickly(&mut self, question: &ReplicaQuestion) -> ReplicaAnswer {
+        loop {
+            let leader = self.wait_for_leader();
+            let token = self.ask(leader, question.clone());
+            self.run_until(Duration::from_secs(10), |cluster| cluster.answers.contains_key(&token));
+            match &self.answers[&token] {
+                ReplicaAnswer::NotLeader { .. } | ReplicaAnswer::Unknown { .. } => {}
+                answer => return answer.clone(),
+            }
+        }
+    }
+
     /// A host that leads in the highest term that is led.
     pub(crate) fn leader(&self) -> Option<usize> {
         let leads = |number: &usize| self.is_up(*number) && self.driver(*number).node().is_leader();
--- a/crates/pulleyd/tests/replica/fake_disk.rs
+++ b/crates/pulleyd/tests/replica/fake_disk.rs
@@ -16,6 +16,7 @@
 
 #[derive(Debug, Default)]
 struct DiskState {
+    id: u64,
     files: BTreeMap<u64, FileContent>,
     next_file: u64,
     names: BTreeMap<String, u64>,
@@ -41,6 +42,13 @@
         act(&mut self.0.lock().expect("no test thread panicked while holding it"))
     }
 
+    /// Makes an empty disk.
+    pub(crate) fn new(id: u64) -> Self {
+        let disk = Self::default();
+        disk.with(|state| state.id = id);
+        disk
+    }
+
     /// Loses what was not synced: of each file's unsynced bytes a part may remain, damaged or not,
     /// and names may be as before or after the last change.
     pub(crate) fn crash(&self, random: &mut StdRng) {
@@ -161,6 +169,10 @@
         Ok(self.with(|state| state.names.keys().cloned().collect()))
     }
 
+    fn draw_id(&mut self) -> u64 {
+        self.with(|state| state.id)
+    }
+
     fn sync(&mut self) -> io::Result<()> {
         self.with(|state| {
             if state.fail_syncs {
--- a/crates/pulleyd/tests/replica/invariants.rs
+++ b/crates/pulleyd/tests/replica/invariants.rs
@@ -20,7 +20,8 @@
     checked: BTreeMap<usize, LogIndex>,
     in_force: BTreeMap<usize, ConfigVersion>,
     questions: BTreeMap<u64, ReplicaQuestion>,
-    outcomes: BTreeMap<ChangeId, ChangeAnswer>,
+    /// A change is the same one if its id and its base are.
+    outcomes: BTreeMap<(ChangeId, ConfigVersion), ChangeAnswer>,
     grants: BTreeMap<SmolStr, FencingToken>,
     releases: Vec<(SmolStr, FencingToken)>,
     pub(crate) accepted: BTreeMap<ConfigVersion, ChangeId>,
@@ -85,7 +86,7 @@
         };
         match (question, answer) {
             (ReplicaQuestion::Apply(request), ReplicaAnswer::Change(answer)) => {
-                self.note_change(&request.change_id, answer);
+                self.note_change(&request.change_id, request.expect, answer);
             }
             (
                 ReplicaQuestion::Claim { key, .. },
@@ -108,12 +109,12 @@
         !self.questions.is_empty()
     }
 
-    fn note_change(&mut self, id: &ChangeId, answer: &ChangeAnswer) {
+    fn note_change(&mut self, id: &ChangeId, base: ConfigVersion, answer: &ChangeAnswer) {
         if let ChangeAnswer::Accepted { version } = answer {
             let owner = self.accepted.entry(*version).or_insert_with(|| id.clone());
             assert_eq!(owner, id, "version {version} was accepted twice");
         }
-        let first = self.outcomes.entry(id.clone()).or_insert_with(|| answer.clone());
+        let first = self.outcomes.entry((id.clone(), base)).or_insert_with(|| answer.clone());
         assert_eq!(first, answer, "change {id} has two outcomes");
     }
 
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -25,6 +25,7 @@
     Kill { host: usize },
     KillOnSend { host: usize },
     Restart { host: usize },
+    Wipe { host: usize },
     Start { host: usize },
     CutOneWay { from: usize, to: usize },
     Isolate { host: usize },
@@ -36,7 +37,7 @@
     fn arbitrary(random: &mut Gen) -> Self {
         let host = usize::arbitrary(random) % 5;
         let to = usize::arbitrary(random) % 5;
-        match u8::arbitrary(random) % 36 {
+        match u8::arbitrary(random) % 37 {
             0..=5 => Self::Change {
                 host,
                 id: u16::arbitrary(random) % 40,
@@ -52,6 +53,7 @@
             16 => Self::CutOneWay { from: host, to },
             17 => Self::Isolate { host },
             18 | 31 => Self::Heal,
+            32 => Self::Wipe { host },
             19 | 20 => Self::KillOnSend { host },
             21 | 22 => Self::Restart { host },
             _ => Self::Wait { millis: u64::arbitrary(random) % 500 },
@@ -63,6 +65,7 @@
 struct ScheduleRun {
     cluster: FakeCluster,
     claims: Vec<(u64, u8)>,
+    disks_to_lose: usize,
 }
 
 impl ScheduleRun {
@@ -76,8 +79,10 @@
             slowest: Duration::from_millis(40),
             slowest_write: Duration::from_millis(60),
         };
-        cluster.run(Duration::from_secs(2));
-        Self { cluster, claims: Vec::new() }
+        cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+        // As many disks may be lost as the cluster can do without.
+        let disks_to_lose = (size - 1) / 2;
+        Self { cluster, claims: Vec::new(), disks_to_lose }
     }
 
     fn take(&mut self, step: ScheduleStep) {
@@ -111,10 +116,15 @@
                 }
                 cluster.start(host % size);
             }
+            ScheduleStep::Wipe { host } if self.disks_to_lose > 0 => {
+                self.disks_to_lose -= 1;
+                cluster.wipe(host % size);
+                cluster.start(host % size);
+            }
             ScheduleStep::Start { host } if !cluster.is_up(host % size) => {
                 cluster.start(host % size);
             }
-            ScheduleStep::Kill { .. } | ScheduleStep::Start { .. } => {}
+            ScheduleStep::Kill { .. } | ScheduleStep::Start { .. } | ScheduleStep::Wipe { .. } => {}
             ScheduleStep::CutOneWay { from, to } => cluster.cut(from % size, to % size),
             ScheduleStep::Isolate { host } => cluster.isolate(host % size),
             ScheduleStep::Heal => cluster.heal(),
@@ -159,6 +169,7 @@
                 cluster.start(number);
             }
         }
+        cluster.run_until(Duration::from_secs(30), FakeCluster::all_vote);
         cluster.run(Duration::from_secs(6));
         let leader = cluster.leader().expect("a healed cluster has a leader");
         for number in 0..cluster.hosts.len() {
