--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -1,11 +1,33 @@
 //! State that lives as long as one connection.
 
+mod peer_datagrams;
+mod peer_frame;
+mod peer_gate;
+mod peer_key_ring;
+mod peer_link_caller;
+mod peer_link_queue;
+mod peer_link_settings;
+mod peer_links;
+
+pub use peer_datagrams::{DatagramCounts, DatagramSeal, PeerDatagrams};
+pub use peer_frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameClass, InboundDatagram, InboundFrame};
+pub use peer_key_ring::{KeyFault, KeyResult, KeyRing};
+pub use peer_link_settings::LinkSettings;
+pub use peer_links::{LinkCounts, PeerLinks};
 mod caller_listener;
+mod link_meter;
+mod metered_stream;
 mod traffic_threads;
 mod upstream_connections;
 mod upstream_link;
+mod upstream_links;
+mod upstream_prober;
 
 pub use caller_listener::{CallerListener, DrainReport};
+pub use link_meter::LinkMeter;
 pub use traffic_threads::TrafficThreads;
-pub use upstream_connections::UpstreamConnections;
-pub use upstream_link::{LinkFault, UpstreamLink};
+pub use upstream_connections::{LinkRequest, UpstreamConnections};
+pub use upstream_link::{Answering, LinkFault, Unused, UpstreamLink};
+pub use upstream_prober::UpstreamProber;
+
+pub(crate) use metered_stream::MeteredStream;
