--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -270,7 +270,7 @@
         answer: pulley_core::version::ReplicaAnswer,
     ) {
         if token >= LEASE_TOKENS {
-            self.lease_confirmed(now, token, &answer);
+            self.lease_confirmed(token, &answer);
             return;
         }
         let routed = self.router.local_answer(now, QuestionNumber(token), answer);
@@ -328,12 +328,7 @@
         self.drive(now, DriverInput::Ask { token: self.next_lease_token, question });
     }
 
-    fn lease_confirmed(
-        &mut self,
-        now: Moment,
-        token: u64,
-        answer: &pulley_core::version::ReplicaAnswer,
-    ) {
+    fn lease_confirmed(&mut self, token: u64, answer: &pulley_core::version::ReplicaAnswer) {
         let Some((expected, began)) = self.lease_round else { return };
         if token != expected || !matches!(answer, pulley_core::version::ReplicaAnswer::Plan(_)) {
             return;
