--- a/crates/pulley_core/src/process/member_ring.rs
+++ b/crates/pulley_core/src/process/member_ring.rs
@@ -1,6 +1,7 @@
 //! The order of live hosts, and whom each tells in which round.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::HostId;
 
@@ -11,7 +12,8 @@
 /// choice needs nearly twice the rounds, as late messages mostly meet hosts that know already.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeerRing {
-    peers: Vec<(HostId, SocketAddr)>,
+    /// Shared, as a thousand hosts would else be copied with each copy of the ring.
+    peers: Arc<[(HostId, SocketAddr)]>,
     own: usize,
 }
 
@@ -21,7 +23,7 @@
     pub fn new(own: &HostId, mut others: Vec<(HostId, SocketAddr)>) -> Self {
         others.sort();
         let place = others.partition_point(|(host, _)| host < own);
-        Self { peers: others, own: place }
+        Self { peers: Arc::from(others), own: place }
     }
 
     /// How many live hosts there are, the own one included.
--- a/crates/pulley_core/src/process/member_table.rs
+++ b/crates/pulley_core/src/process/member_table.rs
@@ -20,6 +20,8 @@
 const PAGE_LIMIT: usize = 256;
 /// How often a host compares tables while it is alone, or has just found a difference.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the table is searched for suspects whose time has run out.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// How many pings on others' behalf may be open at once.
 const RELAY_LIMIT: usize = 64;
 /// How many seeds are kept.
@@ -64,6 +66,7 @@
     last_tick: Option<Moment>,
     next_probe: Moment,
     next_sync: Moment,
+    next_sweep: Moment,
     left: bool,
     ring: (u64, PeerRing),
 }
@@ -86,6 +89,7 @@
             last_tick: None,
             next_probe: Moment::ZERO,
             next_sync: Moment::ZERO,
+            next_sweep: Moment::ZERO,
             left: false,
             ring: (0, PeerRing::default()),
         }
@@ -182,7 +186,10 @@
         let mut sends: Vec<MemberSend> = Vec::new();
         let burst = self.pages.len().min(PAGES_PER_TICK);
         sends.extend(self.pages.drain(..burst));
-        self.declare_dead(now);
+        if now >= self.next_sweep {
+            self.declare_dead(now);
+            self.next_sweep = now + SWEEP_INTERVAL;
+        }
         self.relay_probe(now, &mut sends);
         if now >= self.next_probe {
             self.end_probe(now);
--- a/crates/pulley_core/src/process/upstream_registry_gossip.rs
+++ b/crates/pulley_core/src/process/upstream_registry_gossip.rs
@@ -40,7 +40,8 @@
         let first = !self.clock.is_adopted();
         let jump = self.clock.adopt(now, message.time);
         if first && jump > 0 {
-            self.table.shift(jump);
+            // Epochs begin elsewhere by the new time: one fewer, so that no lease grows longer.
+            self.table.shift(jump - 1);
         }
         let sent = message.time.epoch();
         match message.content {
--- a/crates/pulley_core/tests/members/member_table_tests.rs
+++ b/crates/pulley_core/tests/members/member_table_tests.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use pulley_core::process::MemberState;
+use pulley_core::Moment;
+use pulley_core::process::{MEMBER_BODY_LIMIT, MemberSettings, MemberState, MemberTable};
 
-use crate::network::{Network, host_name};
+use crate::network::{Network, address, host_name, record};
 
 fn live_counts(network: &Network) -> Vec<usize> {
     let up = network.hosts.iter().filter(|host| host.up);
@@ -41,3 +42,53 @@
         assert_eq!(live_counts(&network), vec![10; 10], "at {}", network.now);
     }
 }
+
+/// A host restarts again and again, as a faulty one does. Were each start remembered as another
+/// host, tables and messages would grow until nothing fits.
+#[test]
+fn a_hundred_restarts_leave_no_residue() {
+    let mut network = Network::new(6, 4);
+    network.run_for(Duration::from_secs(5));
+    for _ in 0..100 {
+        network.restart(5);
+        network.run_for(Duration::from_millis(700));
+    }
+    network.run_for(Duration::from_secs(10));
+    assert_eq!(live_counts(&network), vec![6; 6]);
+    for host in &network.hosts {
+        assert_eq!(host.members.remembered(), 6);
+    }
+}
+
+/// Hosts are replaced under new names for weeks, or somebody starts far too many. Each host's
+/// memory and messages must stay bounded.
+#[test]
+fn the_table_is_bounded() {
+    let settings = MemberSettings::default().with_host_limit(100);
+    let mut table = MemberTable::new(record(0, 0), settings, 5);
+    for index in 1..3_000 {
+        let mut other = MemberTable::new(record(index, 0), MemberSettings::default(), 6);
+        other.seed(address(0));
+        for send in other.tick(Moment::ZERO) {
+            table.receive(Moment::ZERO, address(index), &send.body);
+        }
+    }
+    assert_eq!(table.remembered(), 100);
+    let sends = (0..100).flat_map(|second| table.tick(Moment::from_micros(second * 1_000_000)));
+    assert!(sends.map(|send| send.body.len()).all(|length| length <= MEMBER_BODY_LIMIT));
+}
+
+/// The clock of a host goes back before it starts again, so that its new start has a lower number
+/// than what others hold. It would be taken for an old message and never be a member again.
+#[test]
+fn a_start_with_an_earlier_clock_is_a_member_again() {
+    let mut network = Network::new(6, 7);
+    network.run_for(Duration::from_secs(60));
+    network.restart(4);
+    network.run_for(Duration::from_secs(5));
+    let earlier = MemberTable::new(record(4, 0), MemberSettings::default(), 8);
+    network.hosts[4].members = earlier;
+    network.hosts[4].members.seed(address(0));
+    network.run_for(Duration::from_secs(30));
+    assert_eq!(live_counts(&network), vec![6; 6]);
+}
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -243,6 +243,7 @@
     fn lead(&mut self) {
         if let Some((leader, term)) = self.leader
             && self.hosts[leader].up
+            && self.hosts[leader].paused_until <= self.now
         {
             let (now, replicas) = (self.now, self.replicas.clone());
             self.hosts[leader].plans.lead(term, replicas, now);
