--- /dev/null
+++ b/crates/pulleyd/tests/sessions/main.rs
@@ -0,0 +1,232 @@
+//! Golden files of whole sessions: three real daemons, `pulleyctl`, stand-in upstreams.
+//!
+//! Update the files with `INSTA_UPDATE=always cargo test -p pulleyd --test sessions`, then read
+//! the difference before committing it.
+
+#![allow(clippy::panic, reason = "a test may end there")]
+
+mod http_caller;
+mod session_record;
+mod stand_in_upstream;
+mod test_cluster;
+
+use std::fs;
+
+use nix::sys::signal::Signal;
+use session_record::SessionRecord;
+use test_cluster::TestCluster;
+
+const KOLKHI: &str = include_str!("../../../../examples/kolkhi.csv");
+
+const APPLY: [&str; 5] = ["sheet", "apply", "kolkhi.csv", "--actor=ana", "--change-id=morning-1"];
+
+/// The Kolkhi sheet with deadlines that a call meets on a busy machine, too.
+fn patient_sheet() -> String {
+    let deadlines = [",400,", ",300,", ",800,", ",2000,"];
+    deadlines.iter().fold(KOLKHI.to_owned(), |sheet, text| sheet.replace(text, ",20000,"))
+}
+
+/// Starts three daemons with the Kolkhi sheet in force as version 1.
+async fn cluster_with_sheet() -> TestCluster {
+    let cluster = TestCluster::start(3).await;
+    fs::write(cluster.folder().join("kolkhi.csv"), patient_sheet()).expect("the sheet is written");
+    let applied = cluster.pulleyctl(&[&APPLY[..], &["--expect=0"]].concat());
+    assert_eq!(applied.code, 0, "{}{}", applied.out, applied.err);
+    cluster.wait_for_version(1).await;
+    cluster
+}
+
+/// A morning as operators have it: a faulty sheet, a good one, a race lost with an equal version,
+/// a resend after a lost answer, and a look at what is in force and who did it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_morning() {
+    let cluster = TestCluster::start(3).await;
+    let faulty = KOLKHI.replacen("50%", "90%", 1).replacen("GET", "FETCH", 1);
+    fs::write(cluster.folder().join("faulty.csv"), faulty).expect("the sheet is written");
+    fs::write(cluster.folder().join("kolkhi.csv"), KOLKHI).expect("the sheet is written");
+    let other = KOLKHI.replacen("50%", "45%", 1);
+    fs::write(cluster.folder().join("other.csv"), other).expect("the sheet is written");
+
+    let mut record = SessionRecord::default();
+    record.pulleyctl(&cluster, &["sheet", "check", "faulty.csv"]);
+    record.pulleyctl(&cluster, &["sheet", "check", "kolkhi.csv"]);
+    record.pulleyctl(&cluster, &["sheet", "apply", "faulty.csv", "--actor=ana", "--expect=0"]);
+    let apply = [&APPLY[..], &["--expect=0"]].concat();
+    record.pulleyctl(&cluster, &apply);
+    cluster.wait_for_version(1).await;
+    record.note("bela had read version 0 too and comes second");
+    let race = ["sheet", "apply", "other.csv", "--actor=bela", "--change-id=b-1", "--expect=0"];
+    record.pulleyctl(&cluster, &race);
+    record.note("ana lost the answer and sends the same change again");
+    record.pulleyctl(&cluster, &apply);
+    record.note("bela looks again and applies on top");
+    let again = ["sheet", "apply", "other.csv", "--actor=bela", "--change-id=b-2", "--expect=1"];
+    record.pulleyctl(&cluster, &again);
+    cluster.wait_for_version(2).await;
+    record.note("ana's first try, sent once more, still has its first outcome");
+    record.pulleyctl(&cluster, &apply);
+    record.note("her change id for another sheet is refused");
+    let reused =
+        ["sheet", "apply", "other.csv", "--actor=ana", "--change-id=morning-1", "--expect=0"];
+    record.pulleyctl(&cluster, &reused);
+    record.pulleyctl(&cluster, &["sheet", "show"]);
+    record.pulleyctl(&cluster, &["audit"]);
+    record.pulleyctl(&cluster, &["audit", "--actor=bela", "--outcome=refused"]);
+    record.check("operators_morning");
+}
+
+/// One call of each kind of the sheet, each by another host in turn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_day() {
+    let cluster = cluster_with_sheet().await;
+    let mut upstreams = Vec::new();
+    for pool in ["cover", "binding", "loss-files"] {
+        for number in 1..=2 {
+            upstreams.push(cluster.start_upstream(&format!("{pool}-{number}"), pool, 2).await);
+        }
+    }
+    cluster.wait_for_upstreams(upstreams.len()).await;
+    let mut record = SessionRecord::default();
+    let calls = [
+        ("GET", "/cover/check?ship=1", ""),
+        ("POST", "/cover/quote", "cargo=tea"),
+        ("GET", "/vessels/9", ""),
+        ("POST", "/bindings", "policy=7"),
+        ("GET", "/bindings/7", ""),
+        ("GET", "/loss-files/3", ""),
+        ("GET", "/surveys/3", ""),
+    ];
+    for (place, (method, path, body)) in calls.into_iter().enumerate() {
+        record.call(&cluster.hosts[place % 3], method, path, &[], body).await;
+    }
+    record.check("callers_day");
+    assert_eq!(upstreams.iter().map(|upstream| upstream.runs()).sum::<u64>(), 7);
+}
+
+/// A refusal of each cause that callers meet, with its verdict: the request was not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals() {
+    let mut cluster = cluster_with_sheet().await;
+    let mut record = SessionRecord::default();
+    record.note("no upstream of the pool has announced itself");
+    record.call(&cluster.hosts[0], "GET", "/cover/check", &[], "").await;
+    let _cover = cluster.start_upstream("cover-1", "cover", 2).await;
+    let loss_files = cluster.start_upstream("loss-files-1", "loss-files", 1).await;
+    let binding = cluster.start_upstream("binding-1", "binding", 2).await;
+    cluster.wait_for_upstreams(3).await;
+    record.note("no row of the sheet matches");
+    record.call(&cluster.hosts[0], "GET", "/weather", &[], "").await;
+    record.note("the upstream could read the path as one of another kind");
+    record.call(&cluster.hosts[0], "GET", "/cover/check/../../refunds", &[], "").await;
+    record.note("a deadline that is none");
+    let bad = [("jacinthpulley-deadline-ms", "soon")];
+    record.call(&cluster.hosts[0], "GET", "/cover/check", &bad, "").await;
+    record.note("a key, sent again, gives the recorded answer; with another body it is refused");
+    let key = [("idempotency-key", "policy-7")];
+    record.call(&cluster.hosts[0], "POST", "/bindings", &key, "policy=7").await;
+    record.call(&cluster.hosts[1], "POST", "/bindings", &key, "policy=7").await;
+    record.call(&cluster.hosts[2], "POST", "/bindings", &key, "policy=8").await;
+    assert_eq!(binding.runs(), 1, "a binding runs at most once");
+
+    record.note("the only slot is taken for longer than the deadline allows");
+    let callers = cluster.hosts[0].callers();
+    let held = tokio::spawn(async move {
+        http_caller::call(callers, "GET", "/loss-files/held", &[], "").await
+    });
+    loss_files.until_held(1).await;
+    let short = [("jacinthpulley-deadline-ms", "200")];
+    record.call(&cluster.hosts[0], "GET", "/loss-files/1", &short, "").await;
+    loss_files.let_go();
+    let held = held.await.expect("the caller ends").expect("a whole answer");
+    record.write_request("GET", "/loss-files/held", &[], "");
+    record.write_answer(&held);
+
+    record.note("two of three replicas are lost: nothing newer can be ruled out");
+    cluster.hosts[1].kill();
+    cluster.hosts[2].kill();
+    cluster
+        .wait_for("a host that is not ready", async |cluster| {
+            cluster.hosts[0].health().await.is_some_and(|health| health.status == 503)
+        })
+        .await;
+    record.call(&cluster.hosts[0], "GET", "/cover/check", &[], "").await;
+    record.check("refusals");
+}
+
+/// An upstream leaves by its own word, another by an operator's, and then a host of the system
+/// with a call in flight.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drains() {
+    let mut cluster = cluster_with_sheet().await;
+    let first = cluster.start_upstream("cover-1", "cover", 2).await;
+    let second = cluster.start_upstream("cover-2", "cover", 2).await;
+    let loss_files = cluster.start_upstream("loss-files-1", "loss-files", 2).await;
+    cluster.wait_for_upstreams(3).await;
+    let mut record = SessionRecord::default();
+    record.note("cover-1 says that it drains");
+    first.drain().await;
+    cluster.wait_for_upstreams(2).await;
+    let before = first.runs();
+    for place in 0..3 {
+        record.call(&cluster.hosts[place], "GET", "/cover/check", &[], "").await;
+    }
+    assert_eq!((first.runs(), second.runs()), (before, 3));
+
+    record.note("host-1 is told to end while it carries a call");
+    let callers = cluster.hosts[0].callers();
+    let held = tokio::spawn(async move {
+        http_caller::call(callers, "GET", "/loss-files/held", &[], "").await
+    });
+    loss_files.until_held(1).await;
+    cluster.hosts[0].signal(Signal::SIGTERM);
+    cluster
+        .wait_for("host-1 to be not ready", async |cluster| {
+            cluster.hosts[0].health().await.is_none_or(|health| health.status == 503)
+        })
+        .await;
+    loss_files.let_go();
+    let held = held.await.expect("the caller ends").expect("a whole answer");
+    record.write_request("GET", "/loss-files/held", &[], "");
+    record.write_answer(&held);
+    let status = cluster.hosts[0].ended().await;
+    let code = status.code().expect("it ends by itself");
+    record.note(&format!("host-1 ended with exit code {code}"));
+
+    record.note("an operator drains cover-2 as well");
+    record.pulleyctl(&cluster, &["drain", "cover-2"]);
+    cluster.wait_for_upstreams(1).await;
+    record.call(&cluster.hosts[1], "GET", "/cover/check", &[], "").await;
+    record.check("drains");
+}
+
+/// All hosts lose power at once after some changes, and come back to the newest configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart() {
+    let mut cluster = cluster_with_sheet().await;
+    for version in 1..=5 {
+        let file = format!("sheet-{version}.csv");
+        let sheet = patient_sheet().replacen("50%", &format!("{}%", 40 + version), 1);
+        fs::write(cluster.folder().join(&file), sheet).expect("the sheet is written");
+        let expect = format!("--expect={version}");
+        let applied = cluster.pulleyctl(&["sheet", "apply", &file, "--actor=ana", &expect]);
+        assert_eq!(applied.code, 0, "{}{}", applied.out, applied.err);
+    }
+    cluster.wait_for_version(6).await;
+    for host in &mut cluster.hosts {
+        host.kill();
+    }
+    for place in 0..3 {
+        cluster.start_host(place);
+    }
+    cluster.wait_for_version(6).await;
+    let upstream = cluster.start_upstream("cover-1", "cover", 2).await;
+    cluster.wait_for_upstreams(1).await;
+    let mut record = SessionRecord::default();
+    record.note("after five changes, all three hosts were killed and started again");
+    record.pulleyctl(&cluster, &["sheet", "show"]);
+    record.call(&cluster.hosts[2], "GET", "/cover/check", &[], "").await;
+    record.note("the first change, sent again, still has its first outcome");
+    record.pulleyctl(&cluster, &[&APPLY[..], &["--expect=0"]].concat());
+    assert_eq!(upstream.runs(), 1);
+    record.check("restart");
+}
--- /dev/null
+++ b/crates/pulleyd/tests/sessions/session_record.rs
@@ -0,0 +1,93 @@
+//! Writes a session down as its golden file has it.
+
+use std::fmt::Write;
+
+use crate::http_caller::{self, CallerAnswer};
+use crate::test_cluster::{TestCluster, TestHost};
+
+/// Response headers that golden files show; the others depend on the machine or the time.
+const SHOWN_HEADERS: [&str; 3] = ["jacinthpulley-verdict", "jacinthpulley-cause", "retry-after"];
+
+/// The record of one session: what was typed or sent, and what came back.
+#[derive(Debug, Default)]
+pub(crate) struct SessionRecord {
+    text: String,
+}
+
+impl SessionRecord {
+    /// Notes what the test does itself.
+    pub(crate) fn note(&mut self, text: &str) {
+        let _ = writeln!(self.text, "# {text}\n");
+    }
+
+    /// Runs `pulleyctl` against the cluster and writes down all of it.
+    pub(crate) fn pulleyctl(&mut self, cluster: &TestCluster, args: &[&str]) {
+        let output = cluster.pulleyctl(args);
+        let _ = writeln!(self.text, "$ pulleyctl {}", args.join(" "));
+        self.text.push_str(&output.err);
+        self.text.push_str(&output.out);
+        let _ = writeln!(self.text, "[exit code {}]\n", output.code);
+    }
+
+    /// Sends a request to a host and writes down the answer.
+    pub(crate) async fn call(
+        &mut self,
+        host: &TestHost,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) {
+        let answer = http_caller::call(host.callers(), method, path, headers, body).await;
+        self.write_request(method, path, headers, body);
+        match answer {
+            Ok(answer) => self.write_answer(&answer),
+            Err(fault) => {
+                let _ = writeln!(self.text, "< no whole answer: {fault}\n");
+            }
+        }
+    }
+
+    /// Writes down a request.
+    pub(crate) fn write_request(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) {
+        let _ = writeln!(self.text, "> {method} {path}");
+        for (name, value) in headers {
+            let _ = writeln!(self.text, "> {name}: {value}");
+        }
+        if !body.is_empty() {
+            let _ = writeln!(self.text, "> {body}");
+        }
+    }
+
+    /// Writes down an answer.
+    pub(crate) fn write_answer(&mut self, answer: &CallerAnswer) {
+        let _ = writeln!(self.text, "< {}", answer.status);
+        for (name, value) in &answer.headers {
+            if SHOWN_HEADERS.contains(&name.as_str()) {
+                let _ = writeln!(self.text, "< {name}: {value}");
+            }
+        }
+        let _ = writeln!(self.text, "< {}\n", answer.body.trim_end());
+    }
+
+    /// Compares the record with its golden file, times and addresses left out.
+    pub(crate) fn check(self, name: &str) {
+        let mut settings = insta::Settings::clone_current();
+        settings.set_snapshot_path("golden");
+        settings.set_prepend_module_to_snapshot(false);
+        settings.set_omit_expression(true);
+        settings.add_filter(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z", "[time]");
+        // A leader's own entries take places in the log, one more for each election.
+        settings.add_filter(r"(?m)^\d+ +\[time\]", "[index]  [time]");
+        settings.add_filter(r"retry-after: \d+", "retry-after: [seconds]");
+        settings.add_filter(r"127\.\d+\.\d+\.\d+:\d+", "[address]");
+        settings.add_filter(r"c-[0-9a-f]{16}", "[change id]");
+        settings.bind(|| insta::assert_snapshot!(name, self.text));
+    }
+}
--- /dev/null
+++ b/crates/pulleyd/tests/sessions/test_cluster.rs
@@ -0,0 +1,295 @@
+//! Real daemons on loopback, with stand-in upstreams in the test's own process.
+
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tempfile::TempDir;
+
+use crate::http_caller::{self, CallerAnswer};
+use crate::stand_in_upstream::{StandInRole, StandInUpstream};
+
+/// Longest wait for a condition; only a fault ends there, also on a busy machine.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// The key of all test clusters.
+const SECRET: &str = "test-key-test-key-test-key-test-key\n";
+
+/// Ports of each daemon. The hosts have loopback addresses of their own, so that no other test
+/// can take a port while a daemon restarts; these ports lie outside the range that the system
+/// gives to outgoing connections.
+const CALLERS_PORT: u16 = 8080;
+const UPSTREAMS_PORT: u16 = 8081;
+const OPERATORS_PORT: u16 = 8082;
+const PEERS_PORT: u16 = 8083;
+
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// A loopback address that no other test process and no other host of this one has.
+fn own_address() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high, low, NEXT_HOST.fetch_add(1, Ordering::Relaxed)))
+}
+
+/// One daemon.
+#[derive(Debug)]
+pub(crate) struct TestHost {
+    name: String,
+    address: IpAddr,
+    child: Option<Child>,
+}
+
+impl TestHost {
+    /// Where callers connect.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, CALLERS_PORT)
+    }
+
+    /// Where upstreams announce themselves.
+    pub(crate) fn upstreams(&self) -> SocketAddr {
+        SocketAddr::new(self.address, UPSTREAMS_PORT)
+    }
+
+    /// Where operators connect.
+    pub(crate) fn operators(&self) -> SocketAddr {
+        SocketAddr::new(self.address, OPERATORS_PORT)
+    }
+
+    fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, PEERS_PORT)
+    }
+
+    /// What `/healthz` says; nothing if it does not answer.
+    pub(crate) async fn health(&self) -> Option<CallerAnswer> {
+        http_caller::call(self.upstreams(), "GET", "/healthz", &[], "").await.ok()
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("the daemon runs");
+        let pid = i32::try_from(child.id()).expect("process ids are small");
+        kill(Pid::from_raw(pid), signal).expect("the daemon is there");
+    }
+
+    /// Waits until the daemon has ended by itself.
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
+        let mut child = self.child.take().expect("the daemon runs");
+        let begin = Instant::now();
+        loop {
+            if let Some(status) = child.try_wait().expect("a child can be waited for") {
+                return status;
+            }
+            assert!(begin.elapsed() < PATIENCE, "{} does not end", self.name);
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Ends the daemon at once, as a power loss would.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for TestHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Some daemons that hold the log, each also an entry.
+#[derive(Debug)]
+pub(crate) struct TestCluster {
+    /// The daemons.
+    pub(crate) hosts: Vec<TestHost>,
+    folder: TempDir,
+}
+
+impl TestCluster {
+    /// Starts daemons and waits until an operator can read the configuration.
+    pub(crate) async fn start(count: usize) -> Self {
+        let folder = TempDir::new().expect("a folder for the test");
+        fs::write(folder.path().join("secret"), SECRET).expect("the secret is written");
+        let hosts = (0..count).map(|place| TestHost {
+            name: format!("host-{}", place + 1),
+            address: own_address(),
+            child: None,
+        });
+        let mut cluster = Self { hosts: hosts.collect(), folder };
+        for place in 0..count {
+            cluster.start_host(place);
+        }
+        cluster
+            .wait_for("a leader", async |cluster| cluster.pulleyctl(&["sheet", "show"]).code == 0)
+            .await;
+        cluster
+    }
+
+    /// Starts one daemon, again or for the first time.
+    pub(crate) fn start_host(&mut self, place: usize) {
+        let seeds: Vec<String> = self.hosts.iter().map(|host| host.peers().to_string()).collect();
+        let replicas: Vec<String> = (0..self.hosts.len())
+            .map(|place| format!("{}=m{}", self.hosts[place].name, place + 1))
+            .collect();
+        let host = &self.hosts[place];
+        let log = File::options().create(true).append(true).open(self.log_file(place));
+        let child = Command::new(env!("CARGO_BIN_EXE_pulleyd"))
+            .env_clear()
+            .env("PULLEYD_CLUSTER", "test")
+            .env("PULLEYD_ZONE", "zone-1")
+            .env("PULLEYD_SECRET_FILE", self.folder.path().join("secret"))
+            .env("PULLEYD_SEEDS", seeds.join(","))
+            .env("PULLEYD_REPLICAS", replicas.join(","))
+            .env("PULLEYD_ROLES", "entry,replica")
+            .env("PULLEYD_DATA_FOLDER", self.folder.path().join(&host.name))
+            .env("PULLEYD_HOST_ID", &host.name)
+            .env("PULLEYD_CALLERS_LISTEN", host.callers().to_string())
+            .env("PULLEYD_UPSTREAMS_LISTEN", host.upstreams().to_string())
+            .env("PULLEYD_OPERATORS_LISTEN", host.operators().to_string())
+            .env("PULLEYD_PEERS_LISTEN", host.peers().to_string())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.expect("the log can be opened"))
+            .spawn();
+        self.hosts[place].child = Some(child.expect("pulleyd starts"));
+    }
+
+    /// Starts a stand-in upstream that announces itself to all hosts in turn.
+    pub(crate) async fn start_upstream(&self, id: &str, pool: &str, slots: u32) -> StandInUpstream {
+        let role = StandInRole {
+            id: id.to_owned(),
+            pool: pool.to_owned(),
+            zone: "zone-1".to_owned(),
+            slots,
+            service_time: Duration::ZERO,
+            address: own_address(),
+            hosts: self.hosts.iter().map(TestHost::upstreams).collect(),
+        };
+        StandInUpstream::start(role).await.expect("the upstream starts")
+    }
+
+    /// The file of one daemon's log.
+    pub(crate) fn log_file(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("{}.log", self.hosts[place].name))
+    }
+
+    /// The test's own folder.
+    pub(crate) fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    // -------------------------------------------------------------------------------------
+    // Waiting
+
+    /// Waits until a condition holds; fails the test with the daemons' logs when it never does.
+    pub(crate) async fn wait_for(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
+        let begin = Instant::now();
+        while !holds(self).await {
+            if begin.elapsed() > PATIENCE {
+                panic!("waited in vain for {what}\n{}", self.logs());
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Waits until every running host is ready with a version, or a later one.
+    pub(crate) async fn wait_for_version(&self, version: u64) {
+        self.wait_for(&format!("version {version} everywhere"), async |cluster| {
+            for host in cluster.running() {
+                let Some(answer) = host.health().await else { return false };
+                let body: serde_json::Value =
+                    serde_json::from_str(&answer.body).unwrap_or_default();
+                if answer.status != 200 || body["version"].as_u64() < Some(version) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Waits until every running host knows so many upstreams that take work.
+    pub(crate) async fn wait_for_upstreams(&self, count: usize) {
+        self.wait_for(&format!("{count} upstreams everywhere"), async |cluster| {
+            cluster.running().all(|host| {
+                let server = format!("--server={}", host.operators());
+                let out = cluster.pulleyctl_alone(&[&server, "--json", "upstreams"]).out;
+                out.matches("\"takes_work\":true").count() == count
+            })
+        })
+        .await;
+    }
+
+    fn running(&self) -> impl Iterator<Item = &TestHost> {
+        self.hosts.iter().filter(|host| host.child.is_some())
+    }
+
+    fn logs(&self) -> String {
+        let log = |place| fs::read_to_string(self.log_file(place)).unwrap_or_default();
+        (0..self.hosts.len()).map(log).collect::<Vec<_>>().join("\n")
+    }
+
+    // -------------------------------------------------------------------------------------
+    // Operators
+
+    /// Runs `pulleyctl` against all hosts in turn.
+    pub(crate) fn pulleyctl(&self, args: &[&str]) -> ClientOutput {
+        let servers: Vec<String> =
+            self.hosts.iter().map(|host| format!("--server={}", host.operators())).collect();
+        let servers = servers.iter().map(String::as_str);
+        self.pulleyctl_alone(&servers.chain(args.iter().copied()).collect::<Vec<_>>())
+    }
+
+    /// Runs `pulleyctl` with exactly these arguments.
+    pub(crate) fn pulleyctl_alone(&self, args: &[&str]) -> ClientOutput {
+        let output = Command::new(client_binary())
+            .env_clear()
+            .env("PULLEYCTL_SECRET_FILE", self.folder.path().join("secret"))
+            .current_dir(self.folder.path())
+            .args(args)
+            .output()
+            .expect("pulleyctl runs");
+        ClientOutput {
+            code: output.status.code().expect("pulleyctl ends by itself"),
+            out: String::from_utf8_lossy(&output.stdout).into_owned(),
+            err: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+}
+
+/// What a run of `pulleyctl` printed.
+#[derive(Debug)]
+pub(crate) struct ClientOutput {
+    /// Its exit code.
+    pub(crate) code: i32,
+    /// What it printed on standard output.
+    pub(crate) out: String,
+    /// What it printed on standard error.
+    pub(crate) err: String,
+}
+
+/// The `pulleyctl` of this build. Cargo builds the binaries of a test's own package only, so that
+/// one of another package could be an old one.
+fn client_binary() -> &'static Path {
+    static BINARY: std::sync::OnceLock<PathBuf> = std::sync::OnceLock::new();
+    BINARY.get_or_init(|| {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet", "--locked", "--package", "pulleyctl"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        let built = build.current_dir(env!("CARGO_MANIFEST_DIR")).status();
+        assert!(built.is_ok_and(|status| status.success()), "pulleyctl cannot be built");
+        Path::new(env!("CARGO_BIN_EXE_pulleyd")).with_file_name("pulleyctl")
+    })
+}
