--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -48,7 +48,9 @@
             ReplicaQuestion::Record { key, token: claim, answer } => {
                 let key = KeyDigest::of(&key);
                 let answer = answer.map(|answer| self.trimmed(answer));
-                self.append_ledger(now, token, LedgerCommand::Record { key, token: claim, answer });
+                let budget = self.settings.ledger.answer_budget;
+                let command = LedgerCommand::Record { key, token: claim, answer, budget };
+                self.append_ledger(now, token, command);
             }
             ReplicaQuestion::Release { key, token: claim } => {
                 let key = KeyDigest::of(&key);
--- a/crates/pulley_core/src/version/ledger_machine.rs
+++ b/crates/pulley_core/src/version/ledger_machine.rs
@@ -16,17 +16,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerLimits {
     /// How many claims it holds at most; a full ledger refuses and never evicts early, since an
-    /// evicted claim could run a second time.
+    /// evicted claim could run a second time. A claim takes about 130 bytes of memory.
     pub capacity: u32,
-    /// How long a claim is kept.
+    /// How long a claim is kept, from when it was granted.
     pub retention: Duration,
     /// The largest answer body that is kept, in bytes.
     pub answer_limit: u32,
+    /// How many bytes of answer bodies are kept in all; beyond it an answer is kept without its
+    /// body, so that a resend still learns that it ran and with which status.
+    pub answer_budget: u32,
 }
 
 impl Default for LedgerLimits {
     fn default() -> Self {
-        Self { capacity: 200_000, retention: Duration::from_secs(24 * 3_600), answer_limit: 4_096 }
+        Self {
+            capacity: 200_000,
+            retention: Duration::from_secs(3_600),
+            answer_limit: 4_096,
+            answer_budget: 16 << 20,
+        }
     }
 }
 
@@ -50,6 +58,8 @@
         token: FencingToken,
         /// The answer; none means that it may have run.
         answer: Option<RecordedAnswer>,
+        /// How many bytes of answer bodies may be kept in all.
+        budget: u32,
     },
     /// Gives a claim back.
     Release {
@@ -139,7 +149,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct LedgerMachine {
     claims: FastMap<KeyDigest, ClaimRecord>,
-    expiries: VecDeque<(LogTime, KeyDigest, FencingToken)>,
+    expiries: VecDeque<(LogTime, KeyDigest)>,
+    answer_bytes: u64,
 }
 
 impl LedgerMachine {
@@ -156,7 +167,9 @@
                 let token = FencingToken(index.0);
                 LedgerOutcome::Claim(self.claim(*key, *request, token, time, *limits))
             }
-            LedgerCommand::Record { key, token, answer } => self.record(*key, *token, answer),
+            LedgerCommand::Record { key, token, answer, budget } => {
+                self.record(*key, *token, answer.as_ref(), *budget)
+            }
             LedgerCommand::Release { key, token } => self.release(*key, *token),
         }
     }
@@ -167,6 +180,12 @@
         self.claims.len()
     }
 
+    /// Bytes of answer bodies that are kept.
+    #[must_use]
+    pub fn answer_bytes(&self) -> u64 {
+        self.answer_bytes
+    }
+
     /// Whether no claim is kept.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -199,7 +218,7 @@
         let retention = u64::try_from(limits.retention.as_millis()).unwrap_or(u64::MAX);
         let expires = LogTime(time.0.saturating_add(retention));
         self.claims.insert(key, ClaimRecord { request, token, expires, state: ClaimState::Held });
-        self.expiries.push_back((expires, key, token));
+        self.expiries.push_back((expires, key));
         ClaimAnswer::Granted(token)
     }
 
@@ -207,7 +226,8 @@
         &mut self,
         key: KeyDigest,
         token: FencingToken,
-        answer: &Option<RecordedAnswer>,
+        answer: Option<&RecordedAnswer>,
+        budget: u32,
     ) -> LedgerOutcome {
         let Some(record) = self.claims.get_mut(&key).filter(|record| record.token == token) else {
             return LedgerOutcome::StaleToken;
@@ -215,7 +235,17 @@
         match (&record.state, answer) {
             // The first outcome stays: a resend of the record must not replace it.
             (ClaimState::Ran(_), _) => {}
-            (_, Some(answer)) => record.state = ClaimState::Ran(Box::new(answer.clone())),
+            (_, Some(answer)) => {
+                let mut kept = answer.clone();
+                let size = body_size(&kept);
+                // Load: many large answers within the retention. The claims themselves must stay,
+                // so the bodies are what gives way once the planned memory is full.
+                if self.answer_bytes + size > u64::from(budget) {
+                    kept.body = None;
+                }
+                self.answer_bytes += body_size(&kept);
+                record.state = ClaimState::Ran(Box::new(kept));
+            }
             (_, None) => record.state = ClaimState::MayHaveRun,
         }
         LedgerOutcome::Done
@@ -234,14 +264,23 @@
     }
 
     fn expire(&mut self, time: LogTime) {
-        while let Some((expires, key, token)) = self.expiries.front().copied() {
+        while let Some((expires, key)) = self.expiries.front().copied() {
             if expires > time {
                 return;
             }
             self.expiries.pop_front();
-            if self.claims.get(&key).is_some_and(|record| record.token == token) {
-                self.claims.remove(&key);
+            // A key that was released and claimed again has a later expiry of its own.
+            let Some(record) = self.claims.get(&key).filter(|record| record.expires <= time) else {
+                continue;
+            };
+            if let ClaimState::Ran(answer) = &record.state {
+                self.answer_bytes -= body_size(answer);
             }
+            self.claims.remove(&key);
         }
     }
 }
+
+fn body_size(answer: &RecordedAnswer) -> u64 {
+    answer.body.as_ref().map_or(0, |body| body.len() as u64)
+}
--- /dev/null
+++ b/crates/pulley_core/tests/ledger_machine.rs
@@ -0,0 +1,144 @@
+//! The at-most-once ledger by itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use pulley_core::version::{
+    ClaimAnswer, FencingToken, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine,
+    LedgerOutcome, LogIndex, LogTime, RecordedAnswer, RequestDigest,
+};
+
+const LIMITS: LedgerLimits = LedgerLimits {
+    capacity: 3,
+    retention: Duration::from_secs(60),
+    answer_limit: 1_000,
+    answer_budget: 1_500,
+};
+
+/// A ledger that counts the log's indices by itself.
+#[derive(Default)]
+struct TestLedger {
+    machine: LedgerMachine,
+    index: u64,
+    millis: u64,
+}
+
+impl TestLedger {
+    fn apply(&mut self, command: &LedgerCommand) -> LedgerOutcome {
+        self.index += 1;
+        self.machine.apply(LogIndex(self.index), LogTime(self.millis), command)
+    }
+
+    fn claim(&mut self, key: &str, request: u8) -> ClaimAnswer {
+        let request = RequestDigest::of(&[request; 32]);
+        let command = LedgerCommand::Claim { key: KeyDigest::of(key), request, limits: LIMITS };
+        match self.apply(&command) {
+            LedgerOutcome::Claim(answer) => answer,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn grant(&mut self, key: &str) -> FencingToken {
+        match self.claim(key, 1) {
+            ClaimAnswer::Granted(token) => token,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn record(&mut self, key: &str, token: FencingToken, body: Option<usize>) -> LedgerOutcome {
+        let answer = body.map(answer_of);
+        let budget = LIMITS.answer_budget;
+        self.apply(&LedgerCommand::Record { key: KeyDigest::of(key), token, answer, budget })
+    }
+
+    fn release(&mut self, key: &str, token: FencingToken) -> LedgerOutcome {
+        self.apply(&LedgerCommand::Release { key: KeyDigest::of(key), token })
+    }
+}
+
+fn answer_of(size: usize) -> RecordedAnswer {
+    RecordedAnswer { status: 201, content_type: None, body: Some(Bytes::from(vec![7; size])) }
+}
+
+// A broker's binding is sent again after its answer was lost. It gets the first answer, however
+// often it is sent, and the binding does not run again.
+#[test]
+fn a_resend_gets_the_recorded_answer() {
+    let mut ledger = TestLedger::default();
+    let token = ledger.grant("binding");
+    assert_eq!(ledger.claim("binding", 1), ClaimAnswer::MayHaveRun);
+    assert_eq!(ledger.record("binding", token, Some(10)), LedgerOutcome::Done);
+    assert_eq!(ledger.record("binding", token, None), LedgerOutcome::Done);
+    assert_eq!(ledger.claim("binding", 1), ClaimAnswer::AlreadyRan(answer_of(10)));
+}
+
+// The entry that sent a refund dies before the answer comes. Nobody knows whether it was recorded,
+// so no resend may run it; the caller is told that it may have run.
+#[test]
+fn a_claim_without_outcome_may_have_run() {
+    let mut ledger = TestLedger::default();
+    let token = ledger.grant("refund");
+    assert_eq!(ledger.claim("refund", 1), ClaimAnswer::MayHaveRun);
+    assert_eq!(ledger.record("refund", token, None), LedgerOutcome::Done);
+    assert_eq!(ledger.claim("refund", 1), ClaimAnswer::MayHaveRun);
+    assert_eq!(ledger.release("refund", token), LedgerOutcome::StaleToken);
+}
+
+// A shop's system uses one key for two different refunds. Answering the second with the first's
+// outcome would lose it silently.
+#[test]
+fn one_key_for_two_requests_is_a_conflict() {
+    let mut ledger = TestLedger::default();
+    ledger.grant("refund");
+    assert_eq!(ledger.claim("refund", 2), ClaimAnswer::Conflict);
+}
+
+// An entry was paused, its claim was released and another entry holds the key now. What the first
+// one still has to say must not touch the second one's claim.
+#[test]
+fn an_outdated_token_changes_nothing() {
+    let mut ledger = TestLedger::default();
+    let first = ledger.grant("refund");
+    assert_eq!(ledger.release("refund", first), LedgerOutcome::Done);
+    let second = ledger.grant("refund");
+    assert!(second > first);
+    assert_eq!(ledger.record("refund", first, Some(1)), LedgerOutcome::StaleToken);
+    assert_eq!(ledger.release("refund", first), LedgerOutcome::StaleToken);
+    assert_eq!(ledger.claim("refund", 1), ClaimAnswer::MayHaveRun);
+}
+
+// More claims come within the retention than there is room for. Dropping the oldest would let its
+// request run twice; so new ones are refused as not run until the oldest have expired.
+#[test]
+fn a_full_ledger_refuses_and_keeps_what_it_has() {
+    let mut ledger = TestLedger::default();
+    let tokens: Vec<FencingToken> = ["a", "b", "c"].map(|key| ledger.grant(key)).to_vec();
+    assert_eq!(ledger.claim("d", 1), ClaimAnswer::Unavailable);
+    assert_eq!(ledger.claim("a", 1), ClaimAnswer::MayHaveRun);
+    ledger.release("b", tokens[1]);
+    ledger.millis = 1_000;
+    ledger.grant("b");
+    assert_eq!(ledger.claim("d", 1), ClaimAnswer::Unavailable);
+    // "a" and "c" expire; "b" was claimed again later and stays.
+    ledger.millis = 60_000;
+    ledger.grant("d");
+    assert_eq!(ledger.claim("b", 1), ClaimAnswer::MayHaveRun);
+    assert_eq!(ledger.machine.len(), 2);
+}
+
+// Loss files are large. Their bodies may not push the replica over its memory; what ran is known
+// all the same.
+#[test]
+fn answer_bodies_stay_within_their_budget() {
+    let mut ledger = TestLedger::default();
+    for key in ["a", "b"] {
+        let token = ledger.grant(key);
+        ledger.record(key, token, Some(1_000));
+    }
+    assert_eq!(ledger.machine.answer_bytes(), 1_000);
+    let without = RecordedAnswer { body: None, ..answer_of(0) };
+    assert_eq!(ledger.claim("b", 1), ClaimAnswer::AlreadyRan(without));
+    ledger.millis = 60_000;
+    ledger.grant("c");
+    assert_eq!(ledger.machine.answer_bytes(), 0);
+}
--- a/crates/pulleyd/src/version/log_recovery.rs
+++ b/crates/pulleyd/src/version/log_recovery.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use pulley_core::version::{
-    LogEntry, LogIndex, RecoveredState, ReplicaMembership, ReplicaSnapshot, VoteRecord,
+    LogEntry, LogIndex, RecoveredState, ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
+    VoteRecord,
 };
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +31,14 @@
     Entry(Arc<LogEntry>),
 }
 
+/// The beginning of a snapshot file; the state follows as it is, so that a large one is not copied.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct SnapshotHead {
+    pub(crate) place: SnapshotPlace,
+    pub(crate) size: u64,
+    pub(crate) checksum: u32,
+}
+
 /// A segment that is on disk.
 #[derive(Clone, Debug)]
 pub(crate) struct SegmentFile {
@@ -95,10 +105,15 @@
     let Some(frame) = read_frame(&bytes, 0) else {
         return Err(StorageFault::damaged(&name, 0, "the snapshot's checksum does not fit"));
     };
-    let snapshot = frame
-        .decode::<ReplicaSnapshot>()
+    let head = frame
+        .decode::<SnapshotHead>()
         .map_err(|error| StorageFault::damaged(&name, 0, error.to_string()))?;
-    Ok(Some(Arc::new(snapshot)))
+    let begin = frame.end;
+    let state = Bytes::from(bytes).slice(begin..);
+    if state.len() as u64 != head.size || crc32c::crc32c(&state) != head.checksum {
+        return Err(StorageFault::damaged(&name, begin, "the state's checksum does not fit"));
+    }
+    Ok(Some(Arc::new(ReplicaSnapshot { place: head.place, state })))
 }
 
 fn read_segment<D: DiskFolder>(
--- a/crates/pulleyd/src/version/log_storage.rs
+++ b/crates/pulleyd/src/version/log_storage.rs
@@ -13,7 +13,7 @@
 
 use super::disk_folder::{DiskFile, DiskFolder, SystemFolder};
 use super::log_recovery::{
-    LogRecord, SegmentFile, read_folder, segment_name, segment_number, snapshot_name,
+    LogRecord, SegmentFile, SnapshotHead, read_folder, segment_name, segment_number, snapshot_name,
     snapshot_number,
 };
 use super::record_frame::{WriteGroup, push_frame, read_frame};
@@ -205,8 +205,13 @@
     fn write_snapshot(&mut self, snapshot: &Arc<ReplicaSnapshot>) -> Result<()> {
         let name = snapshot_name(snapshot.place.index);
         let mut buffer = Vec::new();
-        push_frame(&mut buffer, WriteGroup(0), true, snapshot.as_ref())?;
-        replace_file(&mut self.folder, &name, &buffer)?;
+        let head = SnapshotHead {
+            place: snapshot.place.clone(),
+            size: snapshot.state.len() as u64,
+            checksum: crc32c::crc32c(&snapshot.state),
+        };
+        push_frame(&mut buffer, WriteGroup(0), true, &head)?;
+        replace_file(&mut self.folder, &name, &[&buffer, &snapshot.state])?;
         self.begin_segment()?;
         self.remove_covered(snapshot.place.index)
     }
@@ -242,10 +247,12 @@
 }
 
 /// Writes a file so that a crash leaves either the old or the new one, never a part.
-fn replace_file<D: DiskFolder>(folder: &mut D, name: &str, bytes: &[u8]) -> Result<()> {
+fn replace_file<D: DiskFolder>(folder: &mut D, name: &str, parts: &[&[u8]]) -> Result<()> {
     let temporary = format!("{name}{TEMPORARY_SUFFIX}");
     let mut file = folder.create(&temporary).map_err(StorageFault::disk(&temporary))?;
-    file.append(bytes).map_err(StorageFault::disk(&temporary))?;
+    for part in parts {
+        file.append(part).map_err(StorageFault::disk(&temporary))?;
+    }
     file.sync().map_err(StorageFault::disk(&temporary))?;
     folder.rename(&temporary, name).map_err(StorageFault::disk(name))?;
     folder.sync().map_err(StorageFault::disk(name))
@@ -297,5 +304,5 @@
 fn write_identity<D: DiskFolder>(folder: &mut D, identity: &FolderIdentity) -> Result<()> {
     let mut buffer = Vec::new();
     push_frame(&mut buffer, WriteGroup(0), true, identity)?;
-    replace_file(folder, IDENTITY_FILE, &buffer)
+    replace_file(folder, IDENTITY_FILE, &[&buffer])
 }
