Measure the log, and elect the first leader sooner after a start

Change: pulley_bench recovery (changes, claims, start, traffic, memory); the first election timeout after a start is two to five heartbeats.

--- /dev/null
+++ b/crates/pulley_bench/src/recovery/memory_figures.rs
@@ -0,0 +1,80 @@
+//! What the state machines take in memory and in a snapshot.
+
+use std::time::Instant;
+
+use pulley_core::version::{
+    ChangeRequest, ConfigVersion, KeyDigest, LedgerCommand, LedgerLimits, LogIndex, LogTime,
+    PolicyPlan, ReplicaMachines, RequestDigest, SnapshotPlace,
+};
+
+const PAGE_BYTES: u64 = 4_096;
+
+/// Measures bytes a claim and bytes a change.
+pub(crate) fn measure_memory() {
+    // What was measured is kept, so that the next does not reuse its memory.
+    let mut kept = Vec::new();
+    for claims in [100_000, 200_000, 400_000] {
+        kept.push(measure_claims(claims));
+    }
+    for changes in [10_000, 100_000, 200_000] {
+        kept.extend(measure_changes(changes));
+    }
+}
+
+fn measure_claims(count: u64) -> ReplicaMachines {
+    let before = resident_bytes();
+    let mut machines = ReplicaMachines::default();
+    let limits = LedgerLimits { capacity: u32::MAX, ..LedgerLimits::default() };
+    for number in 0..count {
+        let key = KeyDigest::of(&format!("key-{number}"));
+        let request = RequestDigest::of(&[1; 32]);
+        let command = LedgerCommand::Claim { key, request, limits };
+        machines.ledger.apply(LogIndex(number + 1), LogTime(number), &command);
+    }
+    report("claims", count, before, &machines);
+    machines
+}
+
+fn measure_changes(count: u64) -> Option<ReplicaMachines> {
+    let before = resident_bytes();
+    let mut machines = ReplicaMachines::default();
+    for number in 0..count {
+        let (Ok(change_id), Ok(actor)) =
+            (format!("planner-2026-12-03-{number}").parse(), "planner".parse())
+        else {
+            return None;
+        };
+        let request = ChangeRequest {
+            change_id,
+            actor,
+            expect: ConfigVersion(number),
+            received_unix_ms: number,
+            sheet: String::new(),
+            plan: PolicyPlan::default(),
+        };
+        machines.configuration.apply(LogIndex(number + 1), &request);
+    }
+    report("changes", count, before, &machines);
+    Some(machines)
+}
+
+fn report(what: &str, count: u64, before: u64, machines: &ReplicaMachines) {
+    let after = resident_bytes();
+    let begin = Instant::now();
+    let snapshot = machines.snapshot(SnapshotPlace::default());
+    let elapsed = begin.elapsed();
+    let size = snapshot.map_or(0, |snapshot| snapshot.state.len());
+    println!(
+        "part=memory what={what} count={count} resident_bytes={} snapshot_bytes={size} \
+         snapshot_ms={:.1}",
+        after.saturating_sub(before),
+        elapsed.as_secs_f64() * 1e3,
+    );
+}
+
+/// Memory of this process that is in use, from the operating system.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- /dev/null
+++ b/crates/pulley_bench/src/recovery/mod.rs
@@ -0,0 +1,66 @@
+//! How fast the replicated log takes changes and claims, and how fast a replica comes back.
+//!
+//! Replicas run on a thread each with their real storage; their links are channels in memory, so
+//! that the figures show the log and the disk, not the network.
+
+mod memory_figures;
+mod replica_cluster;
+mod start_figures;
+mod stream_figures;
+mod traffic_figures;
+
+use eyre::{Result, bail};
+
+const USAGE: &str = "usage: pulley_bench recovery [--folder DIR] [PART...]
+
+parts (all if none is named):
+  changes  changes a second and latency, alone and batched
+  claims   claims a second and latency, by how many are under way
+  start    start-up time against log length, with and without snapshots
+  traffic  bytes between replicas, idle and a change
+  memory   bytes a claim, an audit record and a change id
+
+DIR holds the replicas' data folders; its disk decides the figures.";
+
+/// Runs the parts that are named.
+///
+/// # Errors
+/// If an argument is unknown or a data folder cannot be written.
+pub(crate) fn run(arguments: &[String]) -> Result<()> {
+    let mut folder = std::env::temp_dir();
+    let mut parts = Vec::new();
+    let mut rest = arguments.iter();
+    while let Some(argument) = rest.next() {
+        match (argument.as_str(), rest.as_slice().first()) {
+            ("--help" | "-h", _) => {
+                println!("{USAGE}");
+                return Ok(());
+            }
+            ("--folder", Some(path)) => {
+                folder = path.into();
+                rest.next();
+            }
+            ("changes" | "claims" | "start" | "traffic" | "memory", _) => {
+                parts.push(argument.as_str());
+            }
+            _ => bail!("cannot use {argument}\n{USAGE}"),
+        }
+    }
+    let wanted = |part| parts.is_empty() || parts.contains(&part);
+    if wanted("changes") {
+        stream_figures::measure_changes(&folder)?;
+    }
+    if wanted("claims") {
+        stream_figures::measure_claims(&folder)?;
+    }
+    if wanted("start") {
+        start_figures::measure_starts(&folder)?;
+    }
+    if wanted("traffic") {
+        traffic_figures::measure_traffic(&folder)?;
+    }
+    if wanted("memory") {
+        memory_figures::measure_memory();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pulley_bench/src/recovery/replica_cluster.rs
@@ -0,0 +1,187 @@
+//! Replicas on threads, with real storage and links in memory.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use eyre::{Result, bail};
+use pulley_core::Moment;
+use pulley_core::process::{HostId, MemberId};
+use pulley_core::version::{
+    DriverInput, DriverOutput, ReplicaAnswer, ReplicaDriver, ReplicaIdentity, ReplicaQuestion,
+    ReplicaSettings,
+};
+use pulleyd::process::ProcessClock;
+use pulleyd::version::{LogStorage, StorageWorker};
+
+/// How long a cluster may take to elect its first leader.
+const ELECTION_LIMIT: Duration = Duration::from_secs(20);
+
+/// What a replica's thread is told.
+enum ReplicaEvent {
+    Input(DriverInput),
+    Lead(Sender<bool>),
+    Stop,
+}
+
+/// An answer with the token of its question.
+pub(crate) type TokenAnswer = (u64, ReplicaAnswer);
+
+/// Replicas on threads, with real storage and links in memory.
+pub(crate) struct ReplicaCluster {
+    inboxes: Vec<Sender<ReplicaEvent>>,
+    threads: Vec<JoinHandle<()>>,
+    answers: Receiver<TokenAnswer>,
+    leader: usize,
+    traffic: Arc<LinkTraffic>,
+}
+
+/// What all replicas together have sent.
+#[derive(Debug, Default)]
+pub(crate) struct LinkTraffic {
+    pub(crate) messages: AtomicU64,
+    pub(crate) bytes: AtomicU64,
+}
+
+impl ReplicaCluster {
+    /// Starts replicas with data folders below `folder`, and waits for a leader.
+    pub(crate) fn start(size: usize, folder: &Path, settings: &ReplicaSettings) -> Result<Self> {
+        let founders: Vec<(HostId, MemberId)> = (0..size)
+            .map(|number| Ok((format!("host-{number}").parse()?, MemberId(number as u64 + 1))))
+            .collect::<Result<_>>()?;
+        let settings = ReplicaSettings { bootstrap: founders.clone(), ..settings.clone() };
+        let (answered, answers) = channel();
+        let traffic = Arc::new(LinkTraffic::default());
+        let (inboxes, queues): (Vec<_>, Vec<_>) = (0..size).map(|_| channel()).unzip();
+        let mut threads = Vec::new();
+        for (number, queue) in queues.into_iter().enumerate() {
+            let (host, member) = founders[number].clone();
+            let identity = ReplicaIdentity { host, member, cluster: "bench".parse()? };
+            let path = folder.join(format!("replica-{number}"));
+            let (storage, recovered) = LogStorage::open(&path, &identity)?;
+            let clock = ProcessClock::start();
+            let seed = number as u64;
+            let driver =
+                ReplicaDriver::new(identity, recovered, settings.clone(), clock.now(), seed);
+            let own: Sender<ReplicaEvent> = inboxes[number].clone();
+            let worker = StorageWorker::start(storage, move |ticket, result| {
+                let input = DriverInput::Persisted { ticket, ok: result.is_ok() };
+                let _ = own.send(ReplicaEvent::Input(input));
+            })?;
+            let peers =
+                founders.iter().map(|(host, _)| host.clone()).zip(inboxes.clone()).collect();
+            let answered = answered.clone();
+            let traffic = Arc::clone(&traffic);
+            let replica = RunningReplica { driver, worker, clock, peers, answered, traffic };
+            threads.push(thread::spawn(move || replica.run(&queue)));
+        }
+        let mut cluster = Self { inboxes, threads, answers, leader: 0, traffic };
+        cluster.leader = cluster.find_leader()?;
+        Ok(cluster)
+    }
+
+    /// Asks the leader.
+    pub(crate) fn ask(&self, token: u64, question: ReplicaQuestion) {
+        let input = DriverInput::Ask { token, question };
+        let _ = self.inboxes[self.leader].send(ReplicaEvent::Input(input));
+    }
+
+    /// What all replicas together have sent.
+    pub(crate) fn traffic(&self) -> &LinkTraffic {
+        &self.traffic
+    }
+
+    /// Waits for the next answer.
+    pub(crate) fn answer(&self) -> Result<TokenAnswer> {
+        Ok(self.answers.recv_timeout(Duration::from_secs(30))?)
+    }
+
+    fn find_leader(&self) -> Result<usize> {
+        let clock = ProcessClock::start();
+        while clock.now().since(Moment::ZERO) < ELECTION_LIMIT {
+            for (number, inbox) in self.inboxes.iter().enumerate() {
+                let (reply, leads) = channel();
+                let _ = inbox.send(ReplicaEvent::Lead(reply));
+                if leads.recv_timeout(Duration::from_secs(1)).unwrap_or(false) {
+                    return Ok(number);
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        bail!("no replica leads within {ELECTION_LIMIT:?}")
+    }
+}
+
+impl Drop for ReplicaCluster {
+    fn drop(&mut self) {
+        for inbox in &self.inboxes {
+            let _ = inbox.send(ReplicaEvent::Stop);
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// One replica on its thread.
+struct RunningReplica {
+    driver: ReplicaDriver,
+    worker: StorageWorker,
+    clock: ProcessClock,
+    peers: Vec<(HostId, Sender<ReplicaEvent>)>,
+    answered: Sender<TokenAnswer>,
+    traffic: Arc<LinkTraffic>,
+}
+
+impl RunningReplica {
+    fn run(mut self, queue: &Receiver<ReplicaEvent>) {
+        loop {
+            let now = self.clock.now();
+            let wait = self.driver.next_wakeup().since(now);
+            let event = queue.recv_timeout(wait);
+            let now = self.clock.now();
+            let outputs = match event {
+                Ok(ReplicaEvent::Input(input)) => self.driver.handle(now, input),
+                Ok(ReplicaEvent::Lead(reply)) => {
+                    let _ = reply.send(self.driver.node().is_leader());
+                    continue;
+                }
+                Err(RecvTimeoutError::Timeout) => self.driver.handle(now, DriverInput::Tick),
+                Ok(ReplicaEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            };
+            // A tick that is due must not starve behind a full queue.
+            let due = self.driver.next_wakeup() <= now;
+            let ticked = if due { self.driver.handle(now, DriverInput::Tick) } else { Vec::new() };
+            for output in outputs.into_iter().chain(ticked) {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: DriverOutput) {
+        match output {
+            DriverOutput::Send { to, body } => {
+                let from = self.driver.status().host;
+                let Some((_, peer)) = self.peers.iter().find(|(host, _)| *host == to) else {
+                    return;
+                };
+                self.traffic.messages.fetch_add(1, Ordering::Relaxed);
+                self.traffic.bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
+                let _ = peer.send(ReplicaEvent::Input(DriverInput::Peer { from, body }));
+            }
+            DriverOutput::Persist { ticket, batch } => {
+                if self.worker.submit(batch).is_err() {
+                    let now = self.clock.now();
+                    self.driver.handle(now, DriverInput::Persisted { ticket, ok: false });
+                }
+            }
+            DriverOutput::Answer { token, answer } => {
+                let _ = self.answered.send((token, answer));
+            }
+            DriverOutput::InForce(_) => {}
+        }
+    }
+}
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -114,7 +114,7 @@
             effects: NodeEffects::default(),
             failure: None,
         };
-        node.reset_election();
+        node.begin_election();
         node
     }
 
@@ -388,6 +388,17 @@
         self.leader = leader;
     }
 
+    /// Sets the first election timeout after a start, which is short.
+    ///
+    /// When all replicas restart at once nobody leads, and every host waits for a first leader.
+    /// Where there is one, the pre-vote keeps a replica that asks too early from disturbing it.
+    fn begin_election(&mut self) {
+        let beat = self.settings.heartbeat;
+        let micros = u64::try_from(beat.as_micros()).unwrap_or(u64::MAX / 4).max(1);
+        let more = Duration::from_micros(self.random.random_range(0..3 * micros));
+        self.election_at = self.now + 2 * beat + more;
+    }
+
     pub(crate) fn reset_election(&mut self) {
         let shortest = self.settings.election_timeout;
         let micros = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX / 2).max(1);
