Keep changes in the log as what differs from their base

Change: the leader appends lines and rows that differ from the version the change is based on, the whole sheet only if that is not in force yet, and no sheet if the change can only be refused. The schedules compare whole sheets on all replicas now.

--- a/crates/pulley_bench/src/recovery/memory_figures.rs
+++ b/crates/pulley_bench/src/recovery/memory_figures.rs
@@ -4,7 +4,7 @@
 
 use pulley_core::version::{
     ChangeRequest, ConfigVersion, KeyDigest, LedgerCommand, LedgerLimits, LogIndex, LogTime,
-    PolicyPlan, ReplicaMachines, RequestDigest, SnapshotPlace,
+    PolicyPlan, ReplicaMachines, RequestDigest, SnapshotPlace, StoredChange,
 };
 
 const PAGE_BYTES: u64 = 4_096;
@@ -52,7 +52,8 @@
             sheet: String::new(),
             plan: PolicyPlan::default(),
         };
-        machines.configuration.apply(LogIndex(number + 1), &request);
+        let change = StoredChange::new(request, machines.configuration.current());
+        machines.configuration.apply(LogIndex(number + 1), &change);
     }
     report("changes", count, before, &machines);
     Some(machines)
--- a/crates/pulley_core/src/version/configuration_machine.rs
+++ b/crates/pulley_core/src/version/configuration_machine.rs
@@ -9,7 +9,7 @@
 
 use super::plan_diff::plan_diff;
 use super::{
-    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, LogIndex,
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ConfigVersion, LogIndex, StoredChange,
     StoredPlan,
 };
 use crate::process::{ActorName, ChangeId, FastMap};
@@ -42,31 +42,20 @@
 
 impl ConfigurationMachine {
     /// Applies a change: compare-and-set on the version, once a change id.
-    pub fn apply(&mut self, index: LogIndex, request: &ChangeRequest) -> ChangeAnswer {
-        let id = id_digest(&request.change_id);
-        let fingerprint = request_fingerprint(request);
+    pub fn apply(&mut self, index: LogIndex, change: &StoredChange) -> ChangeAnswer {
+        let id = id_digest(&change.change_id);
+        let fingerprint = change.fingerprint;
         if let Some(outcome) = self.outcomes.get(&id) {
             if outcome.fingerprint == fingerprint {
                 return outcome.answer.clone();
             }
             let answer = ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused);
-            self.note(index, request, String::new(), &answer);
+            self.note(index, change, String::new(), &answer);
             return answer;
         }
-        let answer = self.decide(request);
-        let diff = match &answer {
-            ChangeAnswer::Accepted { .. } => plan_diff(&self.current.plan, &request.plan),
-            _ => String::new(),
-        };
-        self.note(index, request, diff, &answer);
+        let (answer, diff) = self.decide(change);
+        self.note(index, change, diff, &answer);
         self.remember(id, ChangeOutcome { fingerprint, answer: answer.clone() });
-        if let ChangeAnswer::Accepted { version } = answer {
-            self.current = Arc::new(StoredPlan {
-                version,
-                sheet: request.sheet.clone(),
-                plan: request.plan.clone(),
-            });
-        }
         answer
     }
 
@@ -114,18 +103,24 @@
             .collect()
     }
 
-    fn decide(&self, request: &ChangeRequest) -> ChangeAnswer {
+    /// Accepts or refuses a change; returns what it changed too.
+    fn decide(&mut self, change: &StoredChange) -> (ChangeAnswer, String) {
         let current = self.current.version;
-        if request.expect != current {
-            return ChangeAnswer::Refused(ChangeRefusal::VersionMoved { current });
-        }
-        ChangeAnswer::Accepted { version: current.next() }
+        let built = change.build(&self.current).filter(|_| change.expect == current);
+        let Some((sheet, plan)) = built else {
+            let refusal = ChangeRefusal::VersionMoved { current };
+            return (ChangeAnswer::Refused(refusal), String::new());
+        };
+        let version = current.next();
+        let diff = plan_diff(&self.current.plan, &plan);
+        self.current = Arc::new(StoredPlan { version, sheet, plan });
+        (ChangeAnswer::Accepted { version }, diff)
     }
 
     fn note(
         &mut self,
         index: LogIndex,
-        request: &ChangeRequest,
+        change: &StoredChange,
         diff: String,
         answer: &ChangeAnswer,
     ) {
@@ -135,10 +130,10 @@
         };
         self.push_audit(AuditRecord {
             index: index.0,
-            unix_ms: request.received_unix_ms,
-            actor: request.actor.clone(),
-            change_id: request.change_id.clone(),
-            base: request.expect,
+            unix_ms: change.received_unix_ms,
+            actor: change.actor.clone(),
+            change_id: change.change_id.clone(),
+            base: change.expect,
             diff,
             outcome: SmolStr::new_static(outcome),
             answer: answer.clone(),
@@ -175,14 +170,6 @@
     shortened(Sha256::digest(id.as_str().as_bytes()).into())
 }
 
-/// Tells whether two changes ask for the same thing; when they arrived plays no part.
-fn request_fingerprint(request: &ChangeRequest) -> u128 {
-    let mut hasher = Sha256::new();
-    hasher.update(request.expect.0.to_be_bytes());
-    hasher.update(request.sheet.as_bytes());
-    shortened(hasher.finalize().into())
-}
-
 fn shortened(digest: [u8; 32]) -> u128 {
     let mut half = [0_u8; 16];
     half.copy_from_slice(&digest[..16]);
--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -5,7 +5,7 @@
 use super::{
     ClaimAnswer, DriverOutput, KeyDigest, LedgerCommand, LedgerOutcome, LogCommand, MachineOutcome,
     RecordedAnswer, ReplicaAnswer, ReplicaChange, ReplicaDriver, ReplicaQuestion, ReplicaRefusal,
-    RequestDigest, Term,
+    RequestDigest, StoredChange, Term,
 };
 use crate::process::{HostId, MemberId, Moment};
 
@@ -37,7 +37,8 @@
                 self.begin_read(now, token, question);
             }
             ReplicaQuestion::Apply(request) => {
-                self.append(now, token, LogCommand::Change(Box::new(request)));
+                let change = StoredChange::new(request, self.machines.configuration.current());
+                self.append(now, token, LogCommand::Change(Box::new(change)));
             }
             ReplicaQuestion::Claim { key, digest } => {
                 let limits = self.settings.ledger;
--- a/crates/pulley_core/src/version/log_entry.rs
+++ b/crates/pulley_core/src/version/log_entry.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ChangeRequest, LedgerCommand, LogIndex, LogTime, ReplicaMembership, Term};
+use super::{LedgerCommand, LogIndex, LogTime, ReplicaMembership, StoredChange, Term};
 use crate::process::ActorName;
 
 /// Fixed part of an entry's size estimate, in bytes.
@@ -25,7 +25,7 @@
         what: String,
     },
     /// An operator's change of the configuration.
-    Change(Box<ChangeRequest>),
+    Change(Box<StoredChange>),
     /// A command to the at-most-once ledger.
     Ledger(LedgerCommand),
 }
@@ -53,10 +53,7 @@
                 LogCommand::Members { members, what, .. } => {
                     members.members.len() * ENTRY_OVERHEAD + what.len()
                 }
-                LogCommand::Change(request) => {
-                    // The checked plan is about as large as the sheet it was read from.
-                    2 * request.sheet.len() + request.plan.kinds.len() * ENTRY_OVERHEAD
-                }
+                LogCommand::Change(change) => change.weight(),
                 LogCommand::Ledger(command) => command.weight(),
             }
     }
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -31,11 +31,13 @@
 mod replica_question;
 mod replica_sending;
 mod replica_settings;
+mod sequence_edit;
 mod sheet_column;
 mod sheet_fault;
 mod sheet_printer;
 mod sheet_reader;
 mod sheet_upload;
+mod stored_change;
 
 pub use change::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
@@ -68,8 +70,10 @@
     ReplicaRefusal,
 };
 pub use replica_settings::ReplicaSettings;
+pub use sequence_edit::SequenceEdit;
 pub use sheet_column::SheetColumn;
 pub use sheet_fault::{SheetFault, SheetFaults};
 pub use sheet_printer::SheetPrinter;
 pub use sheet_reader::SheetReader;
 pub use sheet_upload::{SheetUpload, SheetView};
+pub use stored_change::{ChangeContent, StoredChange};
--- a/crates/pulley_core/src/version/replica_machines.rs
+++ b/crates/pulley_core/src/version/replica_machines.rs
@@ -58,8 +58,8 @@
                 self.configuration.note_members(entry.index, *unix_ms, actor, what);
                 MachineOutcome::Members(members.clone())
             }
-            LogCommand::Change(request) => {
-                MachineOutcome::Change(self.configuration.apply(entry.index, request))
+            LogCommand::Change(change) => {
+                MachineOutcome::Change(self.configuration.apply(entry.index, change))
             }
             LogCommand::Ledger(command) => {
                 MachineOutcome::Ledger(self.ledger.apply(entry.index, entry.time, command))
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -393,14 +393,19 @@
     }
 }
 
-/// A change with an empty sheet.
+/// A sheet that shares most of its lines with all others.
+pub(crate) fn sheet_of(id: &str) -> String {
+    format!("the first line of every sheet\r\nonly in {id}\r\nthe last line of every sheet\r\n")
+}
+
+/// A change with a small sheet and no rows.
 pub(crate) fn change(id: &str, expect: u64) -> ReplicaQuestion {
     ReplicaQuestion::Apply(ChangeRequest {
         change_id: id.parse().expect("a valid name"),
         actor: "planner".parse().expect("a valid name"),
         expect: ConfigVersion(expect),
         received_unix_ms: 1_700_000_000_000,
-        sheet: format!("sheet of {id}"),
+        sheet: sheet_of(id),
         plan: PolicyPlan::default(),
     })
 }
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -8,7 +8,7 @@
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
 
-use super::fake_cluster::{FakeCluster, NetworkFaults, change};
+use super::fake_cluster::{FakeCluster, NetworkFaults, change, sheet_of};
 
 /// How many schedules each test runs.
 const SCHEDULES: u64 = 700;
@@ -174,7 +174,12 @@
         let leader = cluster.leader().expect("a healed cluster has a leader");
         for number in 0..cluster.hosts.len() {
             cluster.invariants.check_nothing_lost(cluster.driver(number));
-            assert_eq!(cluster.version(number), cluster.version(leader));
+            let current = cluster.driver(number).machines().configuration.current();
+            assert_eq!(current, cluster.driver(leader).machines().configuration.current());
+        }
+        let current = cluster.driver(leader).machines().configuration.current();
+        if let Some(id) = cluster.invariants.accepted.get(&current.version) {
+            assert_eq!(current.sheet, sheet_of(id.as_str()));
         }
         self.cluster
     }
