Grant a claim again to whoever holds it

Cause: a claim whose answer is lost, by a leader's death or a dropped frame, was asked again and looked like a second request with the same key; its caller was told that a refund may have run that nobody had sent. Change: a claim names its claimant, drawn at random for each request; the ledger repeats a grant to the same claimant while no outcome is known.

--- a/crates/pulley_bench/src/recovery/memory_figures.rs
+++ b/crates/pulley_bench/src/recovery/memory_figures.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use pulley_core::version::{
-    ChangeRequest, ConfigVersion, KeyDigest, LedgerCommand, LedgerLimits, LogIndex, LogTime,
-    PolicyPlan, ReplicaMachines, RequestDigest, SnapshotPlace, StoredChange,
+    ChangeRequest, ClaimantId, ConfigVersion, KeyDigest, LedgerCommand, LedgerLimits, LogIndex,
+    LogTime, PolicyPlan, ReplicaMachines, RequestDigest, SnapshotPlace, StoredChange,
 };
 
 const PAGE_BYTES: u64 = 4_096;
@@ -28,7 +28,8 @@
     for number in 0..count {
         let key = KeyDigest::of(&format!("key-{number}"));
         let request = RequestDigest::of(&[1; 32]);
-        let command = LedgerCommand::Claim { key, request, limits };
+        let claimant = ClaimantId(number);
+        let command = LedgerCommand::Claim { key, request, claimant, limits };
         machines.ledger.apply(LogIndex(number + 1), LogTime(number), &command);
     }
     report("claims", count, before, &machines);
--- a/crates/pulley_bench/src/recovery/stream_figures.rs
+++ b/crates/pulley_bench/src/recovery/stream_figures.rs
@@ -9,8 +9,8 @@
 use pulley_core::ConfigVersion;
 use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
 use pulley_core::version::{
-    ChangeAnswer, ChangeRequest, ClaimAnswer, KindPlan, LedgerLimits, MethodMatch, PolicyPlan,
-    ReplicaAnswer, ReplicaQuestion, ReplicaSettings, RequestPriority, WorkLength,
+    ChangeAnswer, ChangeRequest, ClaimAnswer, ClaimantId, KindPlan, LedgerLimits, MethodMatch,
+    PolicyPlan, ReplicaAnswer, ReplicaQuestion, ReplicaSettings, RequestPriority, WorkLength,
 };
 
 use super::replica_cluster::ReplicaCluster;
@@ -98,7 +98,8 @@
 }
 
 fn claim(number: u64) -> Result<ReplicaQuestion> {
-    Ok(ReplicaQuestion::Claim { key: format!("key-{number}").into(), digest: [1; 32] })
+    let claimant = ClaimantId(number);
+    Ok(ReplicaQuestion::Claim { key: format!("key-{number}").into(), digest: [1; 32], claimant })
 }
 
 fn is_accepted(answer: &ReplicaAnswer) -> bool {
--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -40,11 +40,12 @@
                 let change = StoredChange::new(request, self.machines.configuration.current());
                 self.append(now, token, LogCommand::Change(Box::new(change)));
             }
-            ReplicaQuestion::Claim { key, digest } => {
+            ReplicaQuestion::Claim { key, digest, claimant } => {
                 let limits = self.settings.ledger;
                 let key = KeyDigest::of(&key);
                 let request = RequestDigest::of(&digest);
-                self.append_ledger(now, token, LedgerCommand::Claim { key, request, limits });
+                let claim = LedgerCommand::Claim { key, request, claimant, limits };
+                self.append_ledger(now, token, claim);
             }
             ReplicaQuestion::Record { key, token: claim, answer } => {
                 let key = KeyDigest::of(&key);
--- a/crates/pulley_core/src/version/ledger_machine.rs
+++ b/crates/pulley_core/src/version/ledger_machine.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use super::{ClaimAnswer, FencingToken, LogIndex, LogTime, RecordedAnswer};
+use super::{ClaimAnswer, ClaimantId, FencingToken, LogIndex, LogTime, RecordedAnswer};
 use crate::process::FastMap;
 
 /// How much the ledger keeps; the leader's settings travel in each claim.
@@ -47,6 +47,8 @@
         key: KeyDigest,
         /// Digest of the request, shortened.
         request: RequestDigest,
+        /// Who claims.
+        claimant: ClaimantId,
         /// The limits that hold for this claim.
         limits: LedgerLimits,
     },
@@ -75,7 +77,7 @@
     #[must_use]
     pub fn weight(&self) -> usize {
         match self {
-            Self::Claim { .. } => 48,
+            Self::Claim { .. } => 56,
             Self::Release { .. } => 32,
             Self::Record { answer, .. } => {
                 32 + answer.as_ref().map_or(0, |answer| answer.body.as_ref().map_or(0, |b| b.len()))
@@ -129,6 +131,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ClaimRecord {
     request: RequestDigest,
+    claimant: ClaimantId,
     token: FencingToken,
     expires: LogTime,
     state: ClaimState,
@@ -163,9 +166,16 @@
     ) -> LedgerOutcome {
         self.expire(time);
         match command {
-            LedgerCommand::Claim { key, request, limits } => {
+            LedgerCommand::Claim { key, request, claimant, limits } => {
                 let token = FencingToken(index.0);
-                LedgerOutcome::Claim(self.claim(*key, *request, token, time, *limits))
+                let fresh = ClaimRecord {
+                    request: *request,
+                    claimant: *claimant,
+                    token,
+                    expires: expiry(time, limits),
+                    state: ClaimState::Held,
+                };
+                LedgerOutcome::Claim(self.claim(*key, fresh, *limits))
             }
             LedgerCommand::Record { key, token, answer, budget } => {
                 self.record(*key, *token, answer.as_ref(), *budget)
@@ -192,19 +202,15 @@
         self.claims.is_empty()
     }
 
-    fn claim(
-        &mut self,
-        key: KeyDigest,
-        request: RequestDigest,
-        token: FencingToken,
-        time: LogTime,
-        limits: LedgerLimits,
-    ) -> ClaimAnswer {
+    fn claim(&mut self, key: KeyDigest, fresh: ClaimRecord, limits: LedgerLimits) -> ClaimAnswer {
         if let Some(record) = self.claims.get(&key) {
-            if record.request != request {
+            if record.request != fresh.request {
                 return ClaimAnswer::Conflict;
             }
             return match &record.state {
+                ClaimState::Held if record.claimant == fresh.claimant => {
+                    ClaimAnswer::Granted(record.token)
+                }
                 ClaimState::Ran(answer) => ClaimAnswer::AlreadyRan((**answer).clone()),
                 ClaimState::Held | ClaimState::MayHaveRun => ClaimAnswer::MayHaveRun,
             };
@@ -215,10 +221,9 @@
         if self.claims.len() >= limits.capacity as usize {
             return ClaimAnswer::Unavailable;
         }
-        let retention = u64::try_from(limits.retention.as_millis()).unwrap_or(u64::MAX);
-        let expires = LogTime(time.0.saturating_add(retention));
-        self.claims.insert(key, ClaimRecord { request, token, expires, state: ClaimState::Held });
-        self.expiries.push_back((expires, key));
+        let token = fresh.token;
+        self.expiries.push_back((fresh.expires, key));
+        self.claims.insert(key, fresh);
         ClaimAnswer::Granted(token)
     }
 
@@ -284,3 +289,8 @@
 fn body_size(answer: &RecordedAnswer) -> u64 {
     answer.body.as_ref().map_or(0, |body| body.len() as u64)
 }
+
+fn expiry(time: LogTime, limits: &LedgerLimits) -> LogTime {
+    let retention = u64::try_from(limits.retention.as_millis()).unwrap_or(u64::MAX);
+    LogTime(time.0.saturating_add(retention))
+}
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -66,8 +66,8 @@
 };
 pub use replica_node::{NodeEffects, ReplicaNode};
 pub use replica_question::{
-    ClaimAnswer, FencingToken, RecordedAnswer, ReplicaAnswer, ReplicaChange, ReplicaQuestion,
-    ReplicaRefusal,
+    ClaimAnswer, ClaimantId, FencingToken, RecordedAnswer, ReplicaAnswer, ReplicaChange,
+    ReplicaQuestion, ReplicaRefusal,
 };
 pub use replica_settings::ReplicaSettings;
 pub use sequence_edit::SequenceEdit;
--- a/crates/pulley_core/src/version/replica_question.rs
+++ b/crates/pulley_core/src/version/replica_question.rs
@@ -11,6 +11,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct FencingToken(pub u64);
 
+/// Tells who claims a key; drawn at random for each request.
+///
+/// A claim whose answer was lost is sent again, perhaps to another leader. Without this the second
+/// one would look like a second request with the same key, and be told that the first may have run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ClaimantId(pub u64);
+
 /// The answer recorded for a request that ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordedAnswer {
@@ -57,6 +64,8 @@
         key: SmolStr,
         /// Digest of method, path and body.
         digest: [u8; 32],
+        /// Who claims; the same for every resend of this question.
+        claimant: ClaimantId,
     },
     /// The outcome of a claimed request; no answer means that it may have run.
     Record {
--- a/crates/pulley_core/tests/ledger_machine.rs
+++ b/crates/pulley_core/tests/ledger_machine.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use pulley_core::version::{
-    ClaimAnswer, FencingToken, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine,
+    ClaimAnswer, ClaimantId, FencingToken, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine,
     LedgerOutcome, LogIndex, LogTime, RecordedAnswer, RequestDigest,
 };
 
@@ -30,8 +30,15 @@
     }
 
     fn claim(&mut self, key: &str, request: u8) -> ClaimAnswer {
+        // A new request each time, unless a test says otherwise.
+        let claimant = ClaimantId(self.index + 1);
+        self.claim_as(key, request, claimant)
+    }
+
+    fn claim_as(&mut self, key: &str, request: u8, claimant: ClaimantId) -> ClaimAnswer {
         let request = RequestDigest::of(&[request; 32]);
-        let command = LedgerCommand::Claim { key: KeyDigest::of(key), request, limits: LIMITS };
+        let key = KeyDigest::of(key);
+        let command = LedgerCommand::Claim { key, request, claimant, limits: LIMITS };
         match self.apply(&command) {
             LedgerOutcome::Claim(answer) => answer,
             other => panic!("{other:?}"),
@@ -142,3 +149,19 @@
     ledger.grant("c");
     assert_eq!(ledger.machine.answer_bytes(), 0);
 }
+
+// The leader grants a claim and dies before its answer arrives; the entry asks the next leader. Were
+// the entry told that the request may have run, its caller would have to look into a refund that
+// nobody had sent. Once an outcome is known, or somebody else asks, the grant is not repeated.
+#[test]
+fn a_claim_sent_again_by_its_claimant_is_granted_under_its_first_token() {
+    let mut ledger = TestLedger::default();
+    let first = ledger.claim_as("k", 1, ClaimantId(7));
+    assert!(matches!(first, ClaimAnswer::Granted(_)));
+    assert_eq!(ledger.claim_as("k", 1, ClaimantId(7)), first);
+    assert_eq!(ledger.claim_as("k", 1, ClaimantId(8)), ClaimAnswer::MayHaveRun);
+    assert_eq!(ledger.claim_as("k", 2, ClaimantId(7)), ClaimAnswer::Conflict);
+    let ClaimAnswer::Granted(token) = first else { unreachable!() };
+    ledger.record("k", token, None);
+    assert_eq!(ledger.claim_as("k", 1, ClaimantId(7)), ClaimAnswer::MayHaveRun);
+}
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -2,7 +2,8 @@
 
 use pulley_core::Moment;
 use pulley_core::version::{
-    AuditRecord, ChangeAnswer, ClaimAnswer, DriverInput, ReplicaAnswer, ReplicaQuestion, StoredPlan,
+    AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, ReplicaAnswer,
+    ReplicaQuestion, StoredPlan,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -111,7 +112,9 @@
             }
             ControlRequest::Claim(claim, reply) => {
                 let key = SmolStr::new(claim.key);
-                (ReplicaQuestion::Claim { key, digest: claim.digest }, AnswerSlot::Claim(reply))
+                let claimant = ClaimantId(rand::random());
+                let question = ReplicaQuestion::Claim { key, digest: claim.digest, claimant };
+                (question, AnswerSlot::Claim(reply))
             }
             ControlRequest::Record(claim, token, answer, reply) => {
                 let key = SmolStr::new(claim.key);
--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -169,7 +168,27 @@
 // killed. A refund that ran twice takes money from a neighbour; one answered "not run" must not
 // have run.
 #[test]
-fn resent_refunds_run_at_most_once_over_killed_hosts() {
+fn resent_refunds_run_at_most_once_over_a_killed_entry() {
+    let outcome = refunds_while_a_host_is_killed(|_| 3);
+    assert!(outcome.ran.len() > 100, "only {} of 200 ran", outcome.ran.len());
+}
+
+// The host that is killed leads the log in which claims are kept. Claims whose answers die with it
+// are asked again of its successor, so that few callers are told that a refund may have run.
+#[test]
+fn resent_refunds_run_at_most_once_over_a_killed_leader() {
+    let outcome = refunds_while_a_host_is_killed(|cluster| {
+        cluster.leader(&[0, 1, 2]).expect("a leader answers")
+    });
+    assert!(outcome.ran.len() > 100, "only {} of 200 ran", outcome.ran.len());
+}
+
+/// What callers were told of their refunds.
+struct RefundOutcome {
+    ran: BTreeSet<String>,
+}
+
+fn refunds_while_a_host_is_killed(choose: impl Fn(&TestCluster) -> usize) -> RefundOutcome {
     let mut cluster = TestCluster::start(3, 1);
     let upstream = StandInUpstream::start("r1", "refunds", 6, cluster.announce_addresses());
     accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
@@ -180,40 +199,27 @@
         })
     });
     upstream.set_delay(Duration::from_millis(15));
-    let killed = AtomicBool::new(false);
+    let victim = choose(&cluster);
     let callers: Vec<HttpClient> = (0..4).map(|host| cluster.caller(host)).collect();
-    let victim = 3;
-    let (ran, not_run) = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..4)
-            .map(|thread| {
-                let callers = &callers;
-                scope.spawn(move || send_refunds(callers, thread))
-            })
-            .collect();
+    let told: Vec<(Vec<String>, Vec<String>)> = std::thread::scope(|scope| {
+        let callers = &callers;
+        let threads: Vec<_> =
+            (0..4).map(|thread| scope.spawn(move || send_refunds(callers, thread))).collect();
         std::thread::sleep(Duration::from_millis(300));
         cluster.hosts[victim].end(Signal::SIGKILL);
-        killed.store(true, Ordering::SeqCst);
-        let mut ran = BTreeSet::new();
-        let mut not_run = BTreeSet::new();
-        for thread in threads {
-            let (done, refused) = thread.join().expect("no panic");
-            ran.extend(done);
-            not_run.extend(refused);
-        }
-        (ran, not_run)
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
     });
-    assert!(killed.load(Ordering::SeqCst));
     let runs = upstream.runs();
     for (work, count) in runs.iter().filter(|(work, _)| work.starts_with("refund-")) {
         assert_eq!(*count, 1, "{work} ran {count} times");
     }
-    for work in &ran {
+    for work in told.iter().flat_map(|(ran, _)| ran) {
         assert!(runs.contains_key(work), "{work} was answered and did not run");
     }
-    for work in &not_run {
+    for work in told.iter().flat_map(|(_, not_run)| not_run) {
         assert!(!runs.contains_key(work), "{work} ran and was answered as not run");
     }
-    assert!(ran.len() > 100, "only {} of 200 ran", ran.len());
+    RefundOutcome { ran: told.into_iter().flat_map(|(ran, _)| ran).collect() }
 }
 
 /// Sends fifty refunds, each again through the next host until an answer says what became of it.
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pulley_core::version::{
-    ClaimAnswer, LedgerLimits, ReplicaAnswer, ReplicaQuestion, ReplicaSettings,
+    ClaimAnswer, ClaimantId, LedgerLimits, ReplicaAnswer, ReplicaQuestion, ReplicaSettings,
 };
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
@@ -96,8 +96,11 @@
                 self.ask(host % size, change(&format!("change-{id}-{expect}"), expect));
             }
             ScheduleStep::Claim { host, key } => {
-                let question =
-                    ReplicaQuestion::Claim { key: format!("key-{key}").into(), digest: [key; 32] };
+                let question = ReplicaQuestion::Claim {
+                    key: format!("key-{key}").into(),
+                    digest: [key; 32],
+                    claimant: ClaimantId(self.claims.len() as u64 + 1),
+                };
                 if let Some(token) = self.ask(host % size, question) {
                     self.claims.push((token, key));
                 }
