--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use pulley_core::version::{
-    ClaimAnswer, LedgerLimits, ReplicaAnswer, ReplicaQuestion, ReplicaSettings,
+    ClaimAnswer, ClaimantId, LedgerLimits, ReplicaAnswer, ReplicaQuestion, ReplicaSettings,
 };
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
 
-use super::fake_cluster::{FakeCluster, NetworkFaults, change};
+use super::fake_cluster::{FakeCluster, NetworkFaults, change, sheet_of};
 
 /// How many schedules each test runs.
 const SCHEDULES: u64 = 700;
@@ -96,8 +96,11 @@
                 self.ask(host % size, change(&format!("change-{id}-{expect}"), expect));
             }
             ScheduleStep::Claim { host, key } => {
-                let question =
-                    ReplicaQuestion::Claim { key: format!("key-{key}").into(), digest: [key; 32] };
+                let question = ReplicaQuestion::Claim {
+                    key: format!("key-{key}").into(),
+                    digest: [key; 32],
+                    claimant: ClaimantId(self.claims.len() as u64 + 1),
+                };
                 if let Some(token) = self.ask(host % size, question) {
                     self.claims.push((token, key));
                 }
@@ -174,7 +177,12 @@
         let leader = cluster.leader().expect("a healed cluster has a leader");
         for number in 0..cluster.hosts.len() {
             cluster.invariants.check_nothing_lost(cluster.driver(number));
-            assert_eq!(cluster.version(number), cluster.version(leader));
+            let current = cluster.driver(number).machines().configuration.current();
+            assert_eq!(current, cluster.driver(leader).machines().configuration.current());
+        }
+        let current = cluster.driver(leader).machines().configuration.current();
+        if let Some(id) = cluster.invariants.accepted.get(&current.version) {
+            assert_eq!(current.sheet, sheet_of(id.as_str()));
         }
         self.cluster
     }
