Show who holds the log as a table; name trusted callers in a setting

Cause: replica list printed raw pairs with disk ids; an entry without a log answered it with nothing; the callers whose priority is believed could not be named.

--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -65,7 +65,12 @@
             })
             .await
         }
-        Command::ReplicaList => show(client, "/v1/replicas", json, |body| Some(pairs(body))).await,
+        Command::ReplicaList => {
+            show(client, "/v1/replicas", json, |body| {
+                body.get("replicas").map(printed_form::replicas)
+            })
+            .await
+        }
         Command::Drain(upstream) => {
             change(client, &Method::POST, "/v1/drain", json!({ "upstream": upstream }), json).await
         }
@@ -199,7 +204,12 @@
 ) -> ExitOutcome {
     match client.write(method, path, &body).await {
         Ok(answer) if answer.status == StatusCode::OK => {
-            print_line(&if json { answer.body.to_string() } else { pairs(&answer.body) });
+            let members = answer.body.get("members").filter(|_| !json);
+            print_line(&match members {
+                Some(members) => printed_form::replicas(members),
+                None if json => answer.body.to_string(),
+                None => pairs(&answer.body),
+            });
             ExitOutcome::Done
         }
         Ok(answer) => report_refusal(&answer),
--- a/crates/pulleyctl/src/printed_form.rs
+++ b/crates/pulleyctl/src/printed_form.rs
@@ -5,6 +5,9 @@
 use pulley_core::version::{AuditRecord, ChangeAnswer, ChangeRefusal};
 use serde_json::Value;
 
+/// The outcome of audit records about who holds the log.
+const MEMBER_OUTCOME: &str = "member";
+
 /// Prints rows as columns that line up.
 pub(crate) fn table(header: &[&str], rows: &[Vec<String>]) -> String {
     let width = |column: usize| {
@@ -76,6 +79,29 @@
     table(&header, &rows)
 }
 
+/// Prints the members of the log as a table.
+pub(crate) fn replicas(members: &Value) -> String {
+    let rows: Vec<Vec<String>> = members
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|member| {
+            let has_joined = member.get("disk").is_some_and(|disk| !disk.is_null());
+            vec![
+                format!("m{}", word(member.get("member"))),
+                word(member.get("host")),
+                yes_or_no(member.get("voter").and_then(Value::as_bool).unwrap_or_default()),
+                yes_or_no(has_joined),
+            ]
+        })
+        .collect();
+    table(&["member", "host", "votes", "joined"], &rows)
+}
+
+fn yes_or_no(yes: bool) -> String {
+    if yes { "yes" } else { "no" }.to_owned()
+}
+
 fn word(value: Option<&Value>) -> String {
     match value {
         None => "-".to_owned(),
@@ -95,7 +121,7 @@
                 record.actor.to_string(),
                 record.change_id.to_string(),
                 record.base.to_string(),
-                answer(&record.answer),
+                outcome(record),
                 record.diff.replace('\n', "; "),
             ]
         })
@@ -103,6 +129,15 @@
     table(&["index", "time", "actor", "change_id", "base", "outcome", "diff"], &rows)
 }
 
+/// A change of the members has no version of its own.
+fn outcome(record: &AuditRecord) -> String {
+    if record.outcome == MEMBER_OUTCOME {
+        record.outcome.to_string()
+    } else {
+        answer(&record.answer)
+    }
+}
+
 /// Prints what became of a change, in a few words.
 pub(crate) fn answer(answer: &ChangeAnswer) -> String {
     match answer {
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -19,7 +19,7 @@
 use crate::connection::{
     CallerListener, DrainReport, KeyFault, KeyRing, TrafficThreads, UpstreamProber,
 };
-use crate::request::{SchedulerSet, TrafficContext, TrafficLimits};
+use crate::request::{SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers};
 
 /// Questions that may wait for the control thread.
 const CONTROL_DEPTH: usize = 8_192;
@@ -203,6 +203,9 @@
             self.logger.clone(),
         )
         .with_limits(limits)
+        .with_trusted_callers(TrustedCallers {
+            addresses: self.settings.trusted_callers.iter().copied().collect(),
+        })
     }
 }
 
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -77,6 +77,8 @@
     pub log_level: slog::Level,
     /// Threads that carry requests.
     pub traffic_threads: usize,
+    /// Callers whose attempt and priority headers are believed.
+    pub trusted_callers: Vec<IpAddr>,
     /// Most connections of callers.
     pub callers_limit: usize,
 }
@@ -159,6 +161,7 @@
         writeln!(f, "announce-lease={}ms", self.announce_lease.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
         writeln!(f, "traffic-threads={}", self.traffic_threads)?;
+        writeln!(f, "trusted-callers={}", joined(&self.trusted_callers))?;
         write!(f, "callers-limit={}", self.callers_limit)
     }
 }
@@ -307,6 +310,8 @@
         let announce_lease = self.time("announce-lease", SHORTEST_LEASE);
         let log_level = self.checked("log-level", "error, warning, info or debug", level);
         let traffic_threads = self.count("traffic-threads", 64);
+        let trusted_callers =
+            self.checked("trusted-callers", "a list such as 10.0.0.7,10.0.0.8", list);
         let callers_limit = self.count("callers-limit", 100_000);
         Some(DaemonSettings {
             host_id: host_id?,
@@ -326,6 +331,7 @@
             announce_lease: announce_lease?,
             log_level: log_level?,
             traffic_threads: traffic_threads?,
+            trusted_callers: trusted_callers?,
             callers_limit: callers_limit?,
         })
     }
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -289,7 +289,13 @@
 
 async fn list_replicas(State(api): State<OperatorApi>) -> Result<Json<Value>> {
     let status = api.status().await?;
-    Ok(Json(json!({ "replicas": status.get("replicas").cloned().unwrap_or_default() })))
+    let replicas = status.get("replicas").filter(|replicas| replicas.is_array());
+    // Status 503 sends the operators' client on to the next host.
+    let replicas = replicas.ok_or_else(|| {
+        let message = "this host holds no log; ask a replica";
+        ApiFault::new(StatusCode::SERVICE_UNAVAILABLE, "no-replica", message)
+    })?;
+    Ok(Json(json!({ "replicas": replicas })))
 }
 
 async fn add_replica(State(api): State<OperatorApi>, body: Bytes) -> Result<Json<Value>> {
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -63,5 +63,11 @@
     optional("announce-lease", "TIME", "3s", "how long an announcement holds without renewal"),
     optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
     optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
+    optional(
+        "trusted-callers",
+        "IP,…",
+        "",
+        "callers whose attempt and priority headers are believed, such as upstreams that call on",
+    ),
     optional("callers-limit", "COUNT", "10000", "most connections of callers, 1 to 100000"),
 ];
--- a/crates/pulleyd/tests/sessions/main.rs
+++ b/crates/pulleyd/tests/sessions/main.rs
@@ -88,6 +88,39 @@
     record.check("operators_morning");
 }
 
+/// Who holds the log, as an operator changes it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas() {
+    let cluster = TestCluster::start(3).await;
+    let mut record = SessionRecord::default();
+    record.pulleyctl(&cluster, &["replica", "list"]);
+    record.note("host-4 is to join, and is not there yet");
+    record.pulleyctl(&cluster, &["replica", "add", "host-4"]);
+    wait_for_members(&cluster, 4).await;
+    record.pulleyctl(&cluster, &["replica", "list"]);
+    record.note("it was a mistake");
+    record.pulleyctl(&cluster, &["replica", "remove", "m4"]);
+    wait_for_members(&cluster, 3).await;
+    record.pulleyctl(&cluster, &["replica", "list"]);
+    record.pulleyctl(&cluster, &["replica", "remove", "m9"]);
+    record.pulleyctl(&cluster, &["audit", "--outcome=member"]);
+    record.check("replicas");
+}
+
+/// Waits until every host lists so many members; a host that does not lead learns of them a
+/// little later.
+async fn wait_for_members(cluster: &TestCluster, count: usize) {
+    cluster
+        .wait_for(&format!("{count} members everywhere"), async |cluster| {
+            cluster.hosts.iter().all(|host| {
+                let server = format!("--server={}", host.operators());
+                let out = cluster.pulleyctl_alone(&[&server, "replica", "list"]).out;
+                out.lines().count() == count + 1
+            })
+        })
+        .await;
+}
+
 /// One call of each kind of the sheet, each by another host in turn.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_day() {
--- a/crates/pulleyd/tests/sessions/session_record.rs
+++ b/crates/pulleyd/tests/sessions/session_record.rs
@@ -85,6 +85,7 @@
         settings.add_filter(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z", "[time]");
         // A leader's own entries take places in the log, one more for each election.
         settings.add_filter(r"(?m)^\d+ +\[time\]", "[index]  [time]");
+        settings.add_filter(r"replica:host-\d", "[leader]      ");
         settings.add_filter(r"retry-after: \d+", "retry-after: [seconds]");
         settings.add_filter(r"127\.\d+\.\d+\.\d+:\d+", "[address]");
         settings.add_filter(r"c-[0-9a-f]{16}", "[change id]");
