Measure from accepted to in force over real daemons

Cause: the goal is p99 under 1 s and 4 s at worst with a host lost, and nothing had measured it. Change: pulley_bench recovery in-force starts daemons on loopback.

--- /dev/null
+++ b/crates/pulley_bench/src/recovery/daemon_hosts.rs
@@ -0,0 +1,247 @@
+//! Real daemons on loopback, and the few requests the measurement makes of them.
+
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, bail, eyre};
+use serde_json::{Value, json};
+
+const KEY: &str = "a-key-for-measurements-only-0123456789";
+const LISTENERS: [&str; 4] = ["callers", "upstreams", "operators", "peers"];
+
+/// How long a daemon may take to listen, and a cluster to serve.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long an answer may take.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
+/// One daemon process; ends with its owner.
+pub(crate) struct DaemonHost {
+    child: Child,
+    /// Callers, upstreams, operators, peers.
+    addresses: [SocketAddr; 4],
+}
+
+/// Real daemons on loopback.
+pub(crate) struct DaemonHosts {
+    pub(crate) hosts: Vec<DaemonHost>,
+    folder: PathBuf,
+    program: PathBuf,
+}
+
+impl DaemonHosts {
+    /// Starts daemons, the first `replicas` of which hold the log, and waits until all serve
+    /// version 1, which holds `sheet`.
+    pub(crate) fn start(
+        program: &Path,
+        folder: &Path,
+        size: usize,
+        replicas: usize,
+        sheet: &str,
+    ) -> Result<Self> {
+        fs::write(folder.join("secret"), format!("{KEY}\n"))?;
+        let mut hosts =
+            Self { hosts: Vec::new(), folder: folder.to_owned(), program: program.to_owned() };
+        for number in 0..size {
+            hosts.launch(number, replicas)?;
+        }
+        let begin = Instant::now();
+        while hosts.apply(0, "first", 0, sheet).ok().and_then(|a| accepted(&a)).is_none() {
+            if begin.elapsed() > START_LIMIT {
+                bail!("no change is accepted within {START_LIMIT:?}");
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        for number in 0..size {
+            hosts.await_version(number, 1, START_LIMIT)?;
+        }
+        Ok(hosts)
+    }
+
+    fn launch(&mut self, number: usize, replicas: usize) -> Result<()> {
+        let is_replica = number < replicas;
+        let founders: Vec<String> = (0..replicas).map(|n| format!("h{n}=m{}", n + 1)).collect();
+        let seeds: Vec<String> =
+            self.hosts.iter().take(3).map(|host| host.addresses[3].to_string()).collect();
+        let log_path = self.folder.join(format!("h{number}.log"));
+        let mut command = Command::new(&self.program);
+        command
+            .args(["--host-id", &format!("h{number}"), "--zone", "z1", "--cluster", "bench"])
+            .arg("--secret-file")
+            .arg(self.folder.join("secret"))
+            .args(["--roles", if is_replica { "entry,replica" } else { "entry" }])
+            .args(["--replicas", &founders.join(","), "--seeds", &seeds.join(",")])
+            .args(["--traffic-threads", "1"]);
+        for name in LISTENERS {
+            command.args([&format!("--{name}-listen"), "127.0.0.1:0"]);
+        }
+        if is_replica {
+            command.arg("--data-folder").arg(self.folder.join(format!("h{number}-data")));
+        }
+        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null());
+        let child = command.stderr(File::create(&log_path)?).spawn()?;
+        let addresses = await_addresses(&log_path)?;
+        self.hosts.push(DaemonHost { child, addresses });
+        Ok(())
+    }
+
+    /// Asks a host to apply a sheet.
+    pub(crate) fn apply(
+        &self,
+        host: usize,
+        change_id: &str,
+        expect: u64,
+        sheet: &str,
+    ) -> Result<Value> {
+        let body = json!({
+            "change_id": change_id, "actor": "bench", "expect": expect, "sheet": sheet,
+        })
+        .to_string();
+        let mut link = HttpLink::connect(self.hosts[host].addresses[2])?;
+        link.send("POST", "/v1/sheet", &body)
+    }
+
+    /// Waits until a host serves a version; returns how often it was asked.
+    pub(crate) fn await_version(&self, host: usize, version: u64, limit: Duration) -> Result<u32> {
+        let begin = Instant::now();
+        let mut asked = 0;
+        let mut link = HttpLink::connect(self.hosts[host].addresses[1])?;
+        while begin.elapsed() < limit {
+            asked += 1;
+            let health = link.send("GET", "/healthz", "")?;
+            let at = health.get("version").and_then(Value::as_u64).unwrap_or(0);
+            if at >= version && health.get("ready").and_then(Value::as_bool) == Some(true) {
+                return Ok(asked);
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        bail!("host {host} does not serve version {version} within {limit:?}")
+    }
+
+    /// The host that leads.
+    pub(crate) fn leader(&self) -> Result<usize> {
+        for (number, host) in self.hosts.iter().enumerate() {
+            let mut link = HttpLink::connect(host.addresses[2])?;
+            let status = link.send("GET", "/status", "")?;
+            if status.pointer("/replica/role").and_then(Value::as_str) == Some("leader") {
+                return Ok(number);
+            }
+        }
+        bail!("no host leads")
+    }
+
+    /// Ends a host without warning.
+    pub(crate) fn kill(&mut self, host: usize) -> Result<()> {
+        self.hosts[host].child.kill()?;
+        self.hosts[host].child.wait()?;
+        Ok(())
+    }
+
+    /// Processor time that each host has used, in seconds.
+    pub(crate) fn processor_seconds(&self) -> Vec<f64> {
+        self.hosts.iter().map(|host| processor_seconds(host.child.id())).collect()
+    }
+}
+
+impl Drop for DaemonHost {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The version that a change was accepted as, if it was.
+pub(crate) fn accepted(answer: &Value) -> Option<u64> {
+    answer.pointer("/accepted/version").and_then(Value::as_u64)
+}
+
+fn await_addresses(log_path: &Path) -> Result<[SocketAddr; 4]> {
+    let begin = Instant::now();
+    while begin.elapsed() < START_LIMIT {
+        let log = fs::read_to_string(log_path)?;
+        if let Some(addresses) = read_addresses(&log) {
+            return Ok(addresses);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    bail!("a daemon does not listen: {}", fs::read_to_string(log_path)?)
+}
+
+fn read_addresses(log: &str) -> Option<[SocketAddr; 4]> {
+    let line = log.lines().find(|line| line.contains("event=listening"))?;
+    let find = |name: &str| {
+        let key = format!("{name}=");
+        line.split(' ').find_map(|word| word.strip_prefix(key.as_str()))?.parse().ok()
+    };
+    let [callers, upstreams, operators, peers] = LISTENERS;
+    Some([find(callers)?, find(upstreams)?, find(operators)?, find(peers)?])
+}
+
+fn processor_seconds(process: u32) -> f64 {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let text = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    // User and system time are fields 14 and 15; the name and what is before it are cut off.
+    let ticks: u64 = after_name
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    ticks as f64 / TICKS_PER_SECOND
+}
+
+/// A connection that is used again for each request.
+struct HttpLink {
+    stream: TcpStream,
+}
+
+impl HttpLink {
+    fn connect(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, ANSWER_LIMIT)?;
+        stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream })
+    }
+
+    fn send(&mut self, method: &str, path: &str, body: &str) -> Result<Value> {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: bench\r\nauthorization: Bearer {KEY}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.stream.write_all(request.as_bytes())?;
+        let mut raw = Vec::new();
+        let mut chunk = [0; 16_384];
+        loop {
+            let read = self.stream.read(&mut chunk)?;
+            if read == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+            raw.extend_from_slice(&chunk[..read]);
+            if let Some(body) = whole_body(&raw)? {
+                return Ok(serde_json::from_slice(body).unwrap_or(Value::Null));
+            }
+        }
+    }
+}
+
+/// The body, once all of it has come.
+fn whole_body(raw: &[u8]) -> Result<Option<&[u8]>> {
+    let Some(end) = raw.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return Ok(None);
+    };
+    let head = std::str::from_utf8(&raw[..end])?.to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"))
+        .ok_or_else(|| eyre!("an answer without a length: {head}"))?;
+    let body = &raw[end + 4..];
+    let length: usize = length.trim().parse()?;
+    Ok((body.len() >= length).then(|| &body[..length]))
+}
--- /dev/null
+++ b/crates/pulley_bench/src/recovery/in_force_figures.rs
@@ -0,0 +1,161 @@
+//! From accepted to in force, over real daemons.
+
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, bail, eyre};
+use hdrhistogram::Histogram;
+
+use super::daemon_hosts::{DaemonHosts, accepted};
+
+const CHANGES: u64 = 60;
+
+/// Time between two changes; at 2,100 a day it would be 41 s.
+const SPACING: Duration = Duration::from_millis(250);
+
+/// How long a version may take until it is in force, before the measurement gives up.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long hosts are watched while nothing happens.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// Measures clusters of several sizes; `program` is the daemon, `sheet` any valid sheet.
+pub(crate) fn measure_in_force(
+    folder: &Path,
+    program: &Path,
+    sheet: &str,
+    sizes: &[usize],
+) -> Result<()> {
+    for size in sizes {
+        let folder = tempfile::tempdir_in(folder)?;
+        let replicas = if *size < 5 { 3 } else { 5 };
+        let mut hosts = DaemonHosts::start(program, folder.path(), *size, replicas, sheet)?;
+        measure_idle(&hosts);
+        measure_changes(&hosts, sheet)?;
+        measure_lost_leader(&mut hosts, sheet)?;
+    }
+    Ok(())
+}
+
+/// The daemon that was built beside this program.
+///
+/// # Errors
+/// If this program's own place is unknown.
+pub(crate) fn daemon_beside() -> Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name("pulleyd"))
+}
+
+fn measure_idle(hosts: &DaemonHosts) {
+    let before = hosts.processor_seconds();
+    thread::sleep(IDLE_TIME);
+    let after = hosts.processor_seconds();
+    let mut shares: Vec<f64> = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| (after - before) / IDLE_TIME.as_secs_f64() * 100.0)
+        .collect();
+    shares.sort_by(f64::total_cmp);
+    println!(
+        "part=in-force hosts={} load=idle core_percent_median={:.2} core_percent_max={:.2}",
+        shares.len(),
+        shares[shares.len() / 2],
+        shares.last().copied().unwrap_or_default(),
+    );
+}
+
+fn measure_changes(hosts: &DaemonHosts, sheet: &str) -> Result<()> {
+    let mut acceptance = Histogram::<u64>::new(3)?;
+    let mut in_force = Histogram::<u64>::new(3)?;
+    for version in 2..2 + CHANGES {
+        let through = usize::try_from(version)? % hosts.hosts.len();
+        let asked = Instant::now();
+        let answer = hosts.apply(through, &format!("change-{version}"), version - 1, sheet)?;
+        let answered = Instant::now();
+        if accepted(&answer) != Some(version) {
+            bail!("change {version} was answered with {answer}");
+        }
+        acceptance.record(micros(answered - asked))?;
+        let everyone: Vec<usize> = (0..hosts.hosts.len()).collect();
+        for time in watch(hosts, &everyone, version, answered)? {
+            in_force.record(micros(time))?;
+        }
+        thread::sleep(SPACING);
+    }
+    println!(
+        "part=in-force hosts={} load=changes count={CHANGES} accepted_p50_ms={:.1} \
+         accepted_p99_ms={:.1} in_force_p50_ms={:.1} in_force_p99_ms={:.1} in_force_max_ms={:.1}",
+        hosts.hosts.len(),
+        millis(acceptance.value_at_quantile(0.5)),
+        millis(acceptance.value_at_quantile(0.99)),
+        millis(in_force.value_at_quantile(0.5)),
+        millis(in_force.value_at_quantile(0.99)),
+        millis(in_force.max()),
+    );
+    Ok(())
+}
+
+/// Ends the leader and asks for a change at once; the operator resends until it is answered.
+fn measure_lost_leader(hosts: &mut DaemonHosts, sheet: &str) -> Result<()> {
+    let leader = hosts.leader()?;
+    hosts.kill(leader)?;
+    let asked = Instant::now();
+    let left: Vec<usize> = (0..hosts.hosts.len()).filter(|host| *host != leader).collect();
+    let base = 1 + CHANGES;
+    let mut tries = 0;
+    let version = loop {
+        let through = left[tries % left.len()];
+        tries += 1;
+        let answer = hosts.apply(through, "after-the-loss", base, sheet);
+        if let Some(version) = answer.ok().as_ref().and_then(accepted) {
+            break version;
+        }
+        if asked.elapsed() > IN_FORCE_LIMIT {
+            bail!("no change is accepted within {IN_FORCE_LIMIT:?} after the leader was lost");
+        }
+        thread::sleep(Duration::from_millis(50));
+    };
+    let answered = Instant::now();
+    let times = watch(hosts, &left, version, answered)?;
+    let worst = times.into_iter().max().unwrap_or_default();
+    println!(
+        "part=in-force hosts={} load=leader-lost tries={tries} asked_to_accepted_ms={:.1} \
+         accepted_to_in_force_max_ms={:.1}",
+        hosts.hosts.len(),
+        millis(micros(answered - asked)),
+        millis(micros(worst)),
+    );
+    Ok(())
+}
+
+/// How long each of the hosts took, from `since`, until it served a version.
+fn watch(
+    hosts: &DaemonHosts,
+    watched: &[usize],
+    version: u64,
+    since: Instant,
+) -> Result<Vec<Duration>> {
+    thread::scope(|scope| {
+        let watchers: Vec<_> = watched
+            .iter()
+            .map(|host| {
+                scope.spawn(move || -> Result<Duration> {
+                    hosts.await_version(*host, version, IN_FORCE_LIMIT)?;
+                    Ok(since.elapsed())
+                })
+            })
+            .collect();
+        watchers
+            .into_iter()
+            .map(|watcher| watcher.join().map_err(|_| eyre!("a watcher panicked"))?)
+            .collect()
+    })
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn millis(micros: u64) -> f64 {
+    micros as f64 / 1e3
+}
--- a/crates/pulley_bench/src/recovery/mod.rs
+++ b/crates/pulley_bench/src/recovery/mod.rs
@@ -3,6 +3,8 @@
 //! Replicas run on a thread each with their real storage; their links are channels in memory, so
 //! that the figures show the log and the disk, not the network.
 
+mod daemon_hosts;
+mod in_force_figures;
 mod memory_figures;
 mod replica_cluster;
 mod start_figures;
@@ -11,16 +13,21 @@
 
 use eyre::{Result, bail};
 
-const USAGE: &str = "usage: pulley_bench recovery [--folder DIR] [PART...]
+/// A valid sheet.
+const SHEET: &str = include_str!("../../../../examples/kolkhi.csv");
+
+const USAGE: &str = "usage: pulley_bench recovery [--folder DIR] [--hosts N] [PART...]
 
 parts (all if none is named):
   changes  changes a second and latency, alone and batched
   claims   claims a second and latency, by how many are under way
   start    start-up time against log length, with and without snapshots
   traffic  bytes between replicas, idle and a change
+  in-force from accepted to in force, over real pulleyd processes built beside this program
   memory   bytes a claim, an audit record and a change id
 
-DIR holds the replicas' data folders; its disk decides the figures.";
+DIR holds the replicas' data folders; its disk decides the figures. N is the number of hosts for
+in-force; 3, 15 and 29 if it is not given.";
 
 /// Runs the parts that are named.
 ///
@@ -28,6 +35,7 @@
 /// If an argument is unknown or a data folder cannot be written.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
     let mut folder = std::env::temp_dir();
+    let mut sizes = vec![3, 15, 29];
     let mut parts = Vec::new();
     let mut rest = arguments.iter();
     while let Some(argument) = rest.next() {
@@ -40,7 +48,11 @@
                 folder = path.into();
                 rest.next();
             }
-            ("changes" | "claims" | "start" | "traffic" | "memory", _) => {
+            ("--hosts", Some(count)) => {
+                sizes = vec![count.parse()?];
+                rest.next();
+            }
+            ("in-force" | "changes" | "claims" | "start" | "traffic" | "memory", _) => {
                 parts.push(argument.as_str());
             }
             _ => bail!("cannot use {argument}\n{USAGE}"),
@@ -59,6 +71,10 @@
     if wanted("traffic") {
         traffic_figures::measure_traffic(&folder)?;
     }
+    if wanted("in-force") {
+        let program = in_force_figures::daemon_beside()?;
+        in_force_figures::measure_in_force(&folder, &program, SHEET, &sizes)?;
+    }
     if wanted("memory") {
         memory_figures::measure_memory();
     }
