--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod decisions;
+mod recovery;
 
 use std::process::ExitCode;
 
@@ -11,7 +12,8 @@
 
 subcommands:
   capacity   what control costs a host, an upstream, a change
-  decisions  policies under load, in virtual time";
+  decisions  policies under load, in virtual time
+  recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -29,6 +31,7 @@
     match subcommand.as_str() {
         "capacity" => capacity::run(rest),
         "decisions" => decisions::run(rest),
+        "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
             Ok(())
--- a/crates/pulleyd/src/connection/peer_links.rs
+++ b/crates/pulleyd/src/connection/peer_links.rs
@@ -10,6 +10,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use pulley_core::{FastMap, HostId};
 use pulley_wire::peer_capnp::gate;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
@@ -29,7 +30,7 @@
 const SILENCE_FACTOR: u32 = 10;
 
 /// How the links of one host fared.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct LinkCounts {
     /// Links opened.
     pub opened: u64,
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use pulley_core::process::{HostRoles, MemberIncarnation, MemberRecord, ProbeOutcome};
+use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
     PersistTicket, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
 };
@@ -49,9 +49,6 @@
     /// The data folder could not be opened.
     #[error("the data folder: {0}")]
     Storage(#[from] StorageFault),
-    /// A replica's host is not among the founders and has no folder yet.
-    #[error("host {0} is a replica but not in the list of replicas")]
-    NoMember(HostId),
 }
 
 /// What starting the control thread returns.
@@ -266,10 +263,10 @@
 ) -> StartResult<Option<(ReplicaDriver, StorageWorker)>> {
     let Some(folder) = &settings.data_folder else { return Ok(None) };
     let host = settings.host_id.clone();
+    // A host that is no founder, or whose disk was lost, is given its member id by the leader.
     let founder = settings.replicas.iter().find(|founder| founder.host == host);
-    let Some(founder) = founder else { return Err(ControlStartFault::NoMember(host)) };
-    let identity =
-        ReplicaIdentity { host, member: founder.member, cluster: settings.cluster.clone() };
+    let member = founder.map_or(MemberId::default(), |founder| founder.member);
+    let identity = ReplicaIdentity { host, member, cluster: settings.cluster.clone() };
     let (storage, recovered) = LogStorage::open(folder, &identity)?;
     log_recovery(logger, &recovered);
     let founders = settings.replicas.iter().map(|f| (f.host.clone(), f.member)).collect();
@@ -305,6 +302,10 @@
     fn handle(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         let outputs = match event {
+            ControlEvent::Request(ControlRequest::Status(reply)) => {
+                let _ = reply.send(Ok(self.status(now)));
+                Vec::new()
+            }
             ControlEvent::Request(request) => self.core.request(now, request),
             ControlEvent::Frame(frame) => {
                 self.core.frame(now, &frame.from, frame.class, frame.body)
@@ -358,6 +359,15 @@
         self.core.persisted(self.clock.now(), ticket, false)
     }
 
+    /// The host's status with what went over its sockets to other hosts.
+    fn status(&self, now: Moment) -> serde_json::Value {
+        let mut status = self.core.status(now);
+        status["links"] = serde_json::json!(self.links.counts());
+        status["linked"] = serde_json::json!(self.links.linked());
+        status["datagrams"] = serde_json::json!(self.datagrams.counts());
+        status
+    }
+
     /// Keeps addresses and keys up to date.
     fn look_after(&mut self) {
         let mark = self.core.members.changes();
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -19,7 +19,7 @@
 use crate::connection::{
     CallerListener, DrainReport, KeyFault, KeyRing, TrafficThreads, UpstreamProber,
 };
-use crate::request::{SchedulerSet, TrafficContext, TrafficLimits};
+use crate::request::{SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers};
 
 /// Questions that may wait for the control thread.
 const CONTROL_DEPTH: usize = 8_192;
@@ -203,6 +203,9 @@
             self.logger.clone(),
         )
         .with_limits(limits)
+        .with_trusted_callers(TrustedCallers {
+            addresses: self.settings.trusted_callers.iter().copied().collect(),
+        })
     }
 }
 
@@ -220,12 +223,11 @@
         let runtime = parts.threads.handle();
         let metrics = ProcessMetrics::new()?;
         runtime.spawn(record_views(metrics.clone(), parts.view.clone()));
-        let key_ring = parts.key_ring.clone();
         let operators = OperatorApi::new(
             parts.handle.clone(),
             parts.view.clone(),
             metrics,
-            Arc::new(move |key: &[u8]| key_ring.accepts(key)),
+            Arc::new(parts.key_ring.clone()),
             parts.logger.clone(),
         );
         let announces = AnnounceApi::new(parts.handle.clone(), parts.view.clone());
@@ -255,7 +257,7 @@
             report = self.callers => {
                 report.map_or(0, |report| report.connections.max(report.requests))
             }
-            () = hurry => schedulers.running().max(1),
+            () = hurry => schedulers.running(),
         };
         let _ = self.stop_apis.send(true);
         for api in self.apis {
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -45,16 +45,9 @@
     fn accepts(&self, presented: &[u8]) -> bool;
 }
 
-/// What the keys sign to be compared; no message between hosts begins with it.
-const KEY_LABEL: &[&[u8]] = &[b"operator key"];
-
 impl OperatorKeys for KeyRing {
-    /// Compares signatures instead of keys: it takes the same time wherever the two differ, and
-    /// the ring need not give its keys away.
     fn accepts(&self, presented: &[u8]) -> bool {
-        let presented = std::str::from_utf8(presented).ok();
-        let presented = presented.and_then(|text| Self::from_text(text).ok());
-        presented.is_some_and(|ring| self.verify(KEY_LABEL, &ring.sign(KEY_LABEL)))
+        Self::accepts(self, presented)
     }
 }
 
@@ -296,7 +289,13 @@
 
 async fn list_replicas(State(api): State<OperatorApi>) -> Result<Json<Value>> {
     let status = api.status().await?;
-    Ok(Json(json!({ "replicas": status.get("replicas").cloned().unwrap_or_default() })))
+    let replicas = status.get("replicas").filter(|replicas| replicas.is_array());
+    // Status 503 sends the operators' client on to the next host.
+    let replicas = replicas.ok_or_else(|| {
+        let message = "this host holds no log; ask a replica";
+        ApiFault::new(StatusCode::SERVICE_UNAVAILABLE, "no-replica", message)
+    })?;
+    Ok(Json(json!({ "replicas": replicas })))
 }
 
 async fn add_replica(State(api): State<OperatorApi>, body: Bytes) -> Result<Json<Value>> {
