--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -1,6 +1,8 @@
 //! What control costs: bytes and processor time a host, an upstream, a change.
 
+mod daemon_group;
 mod gossip_cost;
+mod linear_fit;
 #[path = "../../../pulley_core/tests/members/network.rs"]
 #[allow(
     dead_code,
@@ -8,20 +10,26 @@
     reason = "shared with pulley_core's tests, which use more of it"
 )]
 mod network;
+mod process_cost;
 
 use eyre::{Result, bail};
 
 const USAGE: &str = "usage: pulley_bench capacity gossip [--hosts N] [--upstreams N] [--seconds N]
          [--plan-rows N] [--seed N]
+       pulley_bench capacity processes [--daemon FILE] [--hosts N,…] [--upstreams N,…]
+         [--seconds N] [--changes N] [--sheet FILE]
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
-        over the real state machines; --plan-rows publishes a plan of so many rows half way";
+        over the real state machines; --plan-rows publishes a plan of so many rows at the end
+processes: processor time, memory and bytes of whole daemons with stand-in upstreams that only
+        announce themselves, and slopes fitted to them";
 
 /// Runs one of the measurements.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
     let Some((scenario, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match scenario.as_str() {
         "gossip" => gossip_cost::run(rest),
+        "processes" => process_cost::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
             Ok(())
