Count what links send on the wire

Cause: the bytes of bodies hide what capnp-rpc's calls, answers and heartbeats add. Change: a writer that counts under each connection (tokio-util's io-util feature); shown in the status.

--- a/crates/pulley_bench/src/capacity/daemon_group.rs
+++ b/crates/pulley_bench/src/capacity/daemon_group.rs
@@ -54,7 +54,7 @@
     pub(super) processor: f64,
     /// Resident memory, in bytes.
     pub(super) resident: f64,
-    /// Bytes sent to other hosts, with the headers of UDP and IP; links by their bodies.
+    /// Bytes sent to other hosts, with the headers of UDP and IP, but not of TCP.
     pub(super) sent: f64,
     /// Messages and frames sent to other hosts.
     pub(super) messages: f64,
@@ -90,7 +90,7 @@
         command.args(["--host-id", &name, "--zone", &format!("z{}", index % 3)]);
         command.args(["--cluster", "capacity", "--traffic-threads", "1"]);
         command.arg("--secret-file").arg(folder.join("secret"));
-        command.args(["--replicas", &founders.join(","), "--log-level", "warning"]);
+        command.args(["--replicas", &founders.join(",")]);
         for listener in ["callers", "upstreams", "operators", "peers"] {
             command.args([format!("--{listener}-listen"), "127.0.0.1:0".to_owned()]);
         }
@@ -103,7 +103,7 @@
         if !seeds.is_empty() {
             command.args(["--seeds", &seeds.join(",")]);
         }
-        command.args(["--log-level", "info"]);
+
         command.env_clear().stdin(Stdio::null()).stdout(Stdio::null());
         let child = command.stderr(fs::File::create(&log_path)?).spawn()?;
         // Guarded from here on, so that it ends even if it never listens.
@@ -171,7 +171,7 @@
             let (processor, resident) = read_process(daemon.child.id())?;
             let (datagrams, frames) = (read("/datagrams/sent"), read("/links/frames"));
             let datagram_bytes = read("/datagrams/sent_bytes") + datagrams * HEADERS;
-            let sent = datagram_bytes + read("/links/bytes");
+            let sent = datagram_bytes + read("/links/wire_bytes");
             list.push(ProcessUse { processor, resident, sent, messages: datagrams + frames });
         }
         Ok(list)
--- a/crates/pulleyd/src/connection/peer_link_caller.rs
+++ b/crates/pulleyd/src/connection/peer_link_caller.rs
@@ -9,7 +9,6 @@
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use futures::AsyncReadExt;
 use futures::io::{BufReader, BufWriter};
 use futures::stream::{FuturesUnordered, StreamExt};
 use pulley_core::HostId;
@@ -18,7 +17,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval_at, timeout};
-use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio_util::io::InspectWriter;
 
 use super::peer_frame::FRAME_LIMIT;
 use super::peer_gate::{LinkNonces, LinkProof, NONCE_LENGTH, ProofSide};
@@ -67,6 +67,7 @@
     pub(crate) failed: Cell<u64>,
     pub(crate) frames: Cell<u64>,
     pub(crate) bytes: Cell<u64>,
+    pub(crate) wire_bytes: Cell<u64>,
     pub(crate) dropped: Cell<u64>,
 }
 
@@ -95,13 +96,18 @@
     options
 }
 
-/// Makes the RPC system of one connection.
+/// Makes the RPC system of one connection, and counts the bytes that it sends.
 pub(crate) fn rpc_system(
     stream: TcpStream,
     side: Side,
     bootstrap: Option<capnp::capability::Client>,
+    counters: Rc<LinkCounters>,
 ) -> RpcSystem<Side> {
-    let (reader, writer) = stream.compat().split();
+    let (reader, writer) = stream.into_split();
+    let writer = InspectWriter::new(writer, move |bytes: &[u8]| {
+        add(&counters.wire_bytes, bytes.len());
+    });
+    let (reader, writer) = (reader.compat(), writer.compat_write());
     let (reader, writer) = (BufReader::new(reader), BufWriter::new(writer));
     let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
     RpcSystem::new(Box::new(network), bootstrap)
@@ -158,7 +164,7 @@
 
     async fn open(&self) -> Result<OpenLink, LinkEnd> {
         let stream = self.connect().await?;
-        let mut system = rpc_system(stream, Side::Client, None);
+        let mut system = rpc_system(stream, Side::Client, None, Rc::clone(&self.counters));
         let gate: gate::Client = system.bootstrap(Side::Server);
         let system = TaskGuard(tokio::task::spawn_local(async move {
             // The calls on the link fail when it does; they report it.
--- a/crates/pulleyd/src/connection/peer_links.rs
+++ b/crates/pulleyd/src/connection/peer_links.rs
@@ -42,6 +42,8 @@
     pub frames: u64,
     /// Bytes of their bodies.
     pub bytes: u64,
+    /// Bytes of everything sent over links, answers and heartbeats included, without TCP's headers.
+    pub wire_bytes: u64,
     /// Frames dropped from a queue.
     pub dropped: u64,
 }
@@ -94,14 +96,20 @@
             key_ring: settings.key_ring.clone(),
             inbound,
         };
+        let counters = Rc::<LinkCounters>::default();
         let silence = settings.heartbeat * SILENCE_FACTOR;
-        let acceptor = tokio::task::spawn_local(accept_all(listener, Rc::new(context), silence));
+        let acceptor = tokio::task::spawn_local(accept_all(
+            listener,
+            Rc::new(context),
+            silence,
+            Rc::clone(&counters),
+        ));
         Ok(Self {
             settings: Rc::new(settings),
             address,
             addresses: FastMap::default(),
             links: RefCell::default(),
-            counters: Rc::default(),
+            counters,
             acceptor,
         })
     }
@@ -165,6 +173,7 @@
             failed: self.counters.failed.get(),
             frames: self.counters.frames.get(),
             bytes: self.counters.bytes.get(),
+            wire_bytes: self.counters.wire_bytes.get(),
             dropped: self.counters.dropped.get(),
         }
     }
@@ -193,7 +202,12 @@
 }
 
 /// Accepts connections; all of them end with this task.
-async fn accept_all(listener: TcpListener, context: Rc<GateContext>, silence: Duration) {
+async fn accept_all(
+    listener: TcpListener,
+    context: Rc<GateContext>,
+    silence: Duration,
+    counters: Rc<LinkCounters>,
+) {
     const PAUSE: Duration = Duration::from_millis(50);
     let mut connections = JoinSet::new();
     loop {
@@ -204,16 +218,26 @@
             continue;
         };
         if connections.len() < ACCEPT_LIMIT && stream.set_nodelay(true).is_ok() {
-            connections.spawn_local(serve_caller(stream, Rc::clone(&context), silence));
+            connections.spawn_local(serve_caller(
+                stream,
+                Rc::clone(&context),
+                silence,
+                Rc::clone(&counters),
+            ));
         }
     }
 }
 
 /// Serves one caller until it closes, proves nothing in time, or falls silent.
-async fn serve_caller(stream: TcpStream, context: Rc<GateContext>, silence: Duration) {
+async fn serve_caller(
+    stream: TcpStream,
+    context: Rc<GateContext>,
+    silence: Duration,
+    counters: Rc<LinkCounters>,
+) {
     let activity = Rc::new(CallerActivity::new());
     let gate: gate::Client = capnp_rpc::new_client(LinkGate::new(context, Rc::clone(&activity)));
-    let system = rpc_system(stream, Side::Server, Some(gate.client));
+    let system = rpc_system(stream, Side::Server, Some(gate.client), counters);
     tokio::select! {
         _ = system => {}
         () = watch(&activity, silence) => {}
