Measure what the request path adds

Change: pulley_bench path: the three ways take turns under the same callers; saturation by a closed loop, latency by an open loop counted from when each call was due, processor time by thread, memory by idle connection.

--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
 mod decisions;
+mod path;
 
 use std::process::ExitCode;
 
@@ -9,7 +10,8 @@
 const USAGE: &str = "usage: pulley_bench SUBCOMMAND [options]; each explains itself with --help
 
 subcommands:
-  decisions  policies under load, in virtual time";
+  decisions  policies under load, in virtual time
+  path       what the request path adds, direct against forwarders";
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -26,6 +28,7 @@
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
+        "path" => path::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
             Ok(())
--- /dev/null
+++ b/crates/pulley_bench/src/path/caller_load.rs
@@ -0,0 +1,149 @@
+//! Callers that send at a fixed rate, or as fast as answers come.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eyre::{Result, eyre};
+use futures::future::join_all;
+use hdrhistogram::Histogram;
+use http::{Request, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use pulleyd::process::{ProcessClock, TimerService};
+use tokio::net::TcpStream;
+
+/// Latencies are kept from 1 µs to a minute with three digits.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// Calls before a turn that warm its connections and are not counted.
+const WARM_CALLS: usize = 50;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// What one turn gave.
+pub(super) struct LoadResult {
+    pub(super) latencies: Histogram<u64>,
+    pub(super) errors: u64,
+}
+
+/// Callers over a fixed number of connections.
+pub(super) struct CallerLoad {
+    connections: usize,
+    seconds: Duration,
+    clock: ProcessClock,
+    timer: TimerService,
+}
+
+/// Makes an empty histogram of microseconds.
+pub(super) fn new_histogram() -> Result<Histogram<u64>> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, 3).map_err(|fault| eyre!("{fault}"))
+}
+
+impl CallerLoad {
+    pub(super) fn new(connections: usize, seconds: Duration) -> Result<Self> {
+        let clock = ProcessClock::start();
+        Ok(Self { connections, seconds, clock, timer: TimerService::start(clock)? })
+    }
+
+    pub(super) const fn seconds(&self) -> Duration {
+        self.seconds
+    }
+
+    /// Each connection sends again as soon as it has its answer.
+    pub(super) async fn closed_loop(&self, address: SocketAddr) -> Result<LoadResult> {
+        let mut tasks = Vec::new();
+        for mut sender in self.connect(address).await? {
+            let end = Instant::now() + self.seconds;
+            tasks.push(tokio::spawn(async move {
+                let mut result = LoadResult { latencies: new_histogram()?, errors: 0 };
+                while Instant::now() < end {
+                    let began = Instant::now();
+                    let answered = call(&mut sender).await;
+                    result.note(began.elapsed(), answered.is_ok());
+                    answered?;
+                }
+                Ok(result)
+            }));
+        }
+        merge(join_all(tasks).await)
+    }
+
+    /// The calls of all connections together come at `rate`, evenly spread. A call is counted from
+    /// when it was due: if its connection is still held up by the one before, that wait is part of
+    /// it, or the slowest answers would hide the calls behind them.
+    pub(super) async fn open_loop(&self, address: SocketAddr, rate: u64) -> Result<LoadResult> {
+        let gap = Duration::from_secs_f64(self.connections as f64 / rate.max(1) as f64);
+        let calls = (self.seconds.as_secs_f64() / gap.as_secs_f64()) as u32;
+        let senders = self.connect(address).await?;
+        let start = self.clock.now() + Duration::from_millis(5);
+        let mut tasks = Vec::new();
+        for (place, mut sender) in senders.into_iter().enumerate() {
+            let first = start + gap.mul_f64(place as f64 / self.connections as f64);
+            let (clock, timer) = (self.clock, self.timer.clone());
+            tasks.push(tokio::spawn(async move {
+                let mut result = LoadResult { latencies: new_histogram()?, errors: 0 };
+                for number in 0..calls {
+                    let due = first + gap * number;
+                    let _ = timer.at(due).await;
+                    let answered = call(&mut sender).await;
+                    result.note(clock.now().since(due), answered.is_ok());
+                    answered?;
+                }
+                Ok(result)
+            }));
+        }
+        merge(join_all(tasks).await)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Vec<Sender>> {
+        let mut senders = Vec::new();
+        for _ in 0..self.connections {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+            tokio::spawn(connection);
+            senders.push(sender);
+        }
+        let warm = senders.iter_mut().map(|sender| async move {
+            for _ in 0..WARM_CALLS {
+                call(sender).await?;
+            }
+            Ok::<_, eyre::Report>(())
+        });
+        join_all(warm).await.into_iter().collect::<Result<()>>()?;
+        Ok(senders)
+    }
+}
+
+impl LoadResult {
+    fn note(&mut self, latency: Duration, is_answered: bool) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(LONGEST_MICROS);
+        self.latencies.saturating_record(micros.clamp(1, LONGEST_MICROS));
+        self.errors += u64::from(!is_answered);
+    }
+}
+
+type TurnEnd = Result<Result<LoadResult>, tokio::task::JoinError>;
+
+fn merge(results: Vec<TurnEnd>) -> Result<LoadResult> {
+    let mut total = LoadResult { latencies: new_histogram()?, errors: 0 };
+    for result in results {
+        let result = result??;
+        total.latencies.add(&result.latencies).map_err(|fault| eyre!("{fault}"))?;
+        total.errors += result.errors;
+    }
+    Ok(total)
+}
+
+async fn call(sender: &mut Sender) -> Result<()> {
+    sender.ready().await?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static("/cover/lookup?vessel=7");
+    request.headers_mut().insert("host", http::HeaderValue::from_static("bench"));
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let _ = response.into_body().collect().await?;
+    if status.is_success() { Ok(()) } else { Err(eyre!("status {status}")) }
+}
--- /dev/null
+++ b/crates/pulley_bench/src/path/forwarder_way.rs
@@ -0,0 +1,104 @@
+//! The forwarder of `pulleyd` with everything it has, without a control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use pulley_core::process::{
+    Announcement, FastMap, Incarnation, ProbeRate, SlotCount, UpstreamPhase, UpstreamRecord,
+    UpstreamSequence,
+};
+use pulley_core::version::{KindPlan, MethodMatch, PolicyPlan, RequestPriority, WorkLength};
+use pulley_core::{ConfigVersion, PoolName};
+use pulleyd::connection::{CallerListener, TrafficThreads};
+use pulleyd::process::{
+    ControlHandle, HostReadiness, ProcessClock, RunningView, TimerService, ViewCell,
+};
+use pulleyd::request::{SchedulerSet, TrafficContext, TrafficLimits};
+
+/// Slots of each stand-in: more than callers, as queueing is not what is measured here.
+const SLOTS: u32 = 256;
+
+/// The running forwarder.
+pub(super) struct ForwarderWay {
+    address: SocketAddr,
+    _threads: TrafficThreads,
+}
+
+impl ForwarderWay {
+    pub(super) fn start(threads: usize, upstreams: &[SocketAddr], idle: usize) -> Result<Self> {
+        let threads = TrafficThreads::start(threads)?;
+        let clock = ProcessClock::start();
+        let view = ViewCell::default();
+        view.store(running_view(upstreams)?);
+        let schedulers = SchedulerSet::new("entry-1".parse()?, "a".parse()?, clock, 7);
+        let schedulers = Arc::new(schedulers);
+        schedulers.apply_view(&view.load());
+        let (control, _) = ControlHandle::channel(1);
+        let timer = TimerService::start(clock)?;
+        threads.handle().spawn(Arc::clone(&schedulers).run(timer.clone()));
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let limits = TrafficLimits::default();
+        let caller_connections = limits.caller_connections.max(2 * idle);
+        let limits = TrafficLimits { caller_connections, ..limits };
+        let context = TrafficContext::new(view, schedulers, control, clock, timer, logger);
+        let context = Arc::new(context.with_limits(limits));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = threads.handle().block_on(CallerListener::bind(any, context))?;
+        let address = listener.local_addr()?;
+        threads.handle().spawn(listener.serve(std::future::pending(), Duration::ZERO));
+        Ok(Self { address, _threads: threads })
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+fn running_view(upstreams: &[SocketAddr]) -> Result<RunningView> {
+    let pool: PoolName = "cover".parse()?;
+    let kind = KindPlan {
+        pool: pool.clone(),
+        service: "gateway".parse()?,
+        kind: "lookup".parse()?,
+        method: MethodMatch::Any,
+        path_prefix: "/cover".into(),
+        priority: RequestPriority(1),
+        share: "100%".parse()?,
+        reserved_slots: SlotCount(0),
+        deadline: Duration::from_secs(30),
+        idempotent: true,
+        length: WorkLength::Short,
+        probe_budget: ProbeRate(0),
+    };
+    let records: Result<Vec<_>> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(place, address)| upstream_record(&pool, place, *address))
+        .collect();
+    let mut known = FastMap::default();
+    known.insert(pool, records?.into());
+    Ok(RunningView {
+        version: ConfigVersion::default(),
+        plan: Arc::new(PolicyPlan { kinds: vec![kind] }),
+        upstreams: known,
+        readiness: HostReadiness::Ready,
+        live_entries: 1,
+    })
+}
+
+fn upstream_record(pool: &PoolName, place: usize, address: SocketAddr) -> Result<UpstreamRecord> {
+    let announcement = Announcement {
+        id: format!("u{place}").parse()?,
+        address,
+        zone: "a".parse()?,
+        pool: pool.clone(),
+        slots: SlotCount(SLOTS),
+        connections: 500,
+        incarnation: Incarnation(1),
+        sequence: UpstreamSequence(1),
+        phase: UpstreamPhase::Ready,
+    };
+    Ok(UpstreamRecord { announcement, takes_work: true })
+}
