Keep a request's future small

Cause: the future of a request was 3,112 bytes, past what the allocator keeps for quick reuse, and was copied as it was boxed; perf showed malloc, free and memmove far above the bare forwarder's. Change: what can be refused is decided before there is a future; the request is handed to the connection without a copy; opening a connection is boxed; one-digit numbers in headers take no memory.

--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -95,25 +95,30 @@
         self.seat.meter.clone()
     }
 
-    /// Sends a request and waits for the head of its answer. It is sent once, never again.
+    /// Sends a request, at once; the future waits for the head of its answer. It is sent once,
+    /// never again.
     ///
     /// # Errors
     /// `ClosedUnsent` if no byte has left, `Broken` otherwise.
-    pub async fn send(
+    pub fn send(
         mut self,
         request: Request<RequestBody>,
-    ) -> Result<(Response<Incoming>, UpstreamLink<Answering>)> {
+    ) -> impl Future<Output = Result<(Response<Incoming>, UpstreamLink<Answering>)>> {
         self.seat.meter.begin_request();
-        match self.sender.try_send_request(request).await {
-            Ok(response) => {
-                self.seat.prove();
-                let Self { sender, seat, .. } = self;
-                Ok((response, UpstreamLink { sender, seat, _state: Answering }))
-            }
-            Err(fault) => {
-                let has_left = self.seat.meter.seal();
-                let error = fault.into_error();
-                Err(if has_left { LinkFault::Broken(error) } else { LinkFault::ClosedUnsent })
+        let sending = self.sender.try_send_request(request);
+        let Self { sender, seat, .. } = self;
+        async move {
+            match sending.await {
+                Ok(response) => {
+                    seat.prove();
+                    Ok((response, UpstreamLink { sender, seat, _state: Answering }))
+                }
+                Err(fault) => {
+                    let has_left = seat.meter.seal();
+                    let error = fault.into_error();
+                    let broken = LinkFault::Broken(error);
+                    Err(if has_left { broken } else { LinkFault::ClosedUnsent })
+                }
             }
         }
     }
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -101,7 +101,8 @@
                 CheckoutChoice::Full => return Err(LinkFault::ShareInUse),
                 CheckoutChoice::Open(number) | CheckoutChoice::Replace { open: number, .. } => {
                     let seat = LinkSeat::new(Arc::clone(self), number);
-                    return self.connect(seat, deadline).await;
+                    // Boxed, as a connection is rare and its future large.
+                    return Box::pin(self.connect(seat, deadline)).await;
                 }
                 CheckoutChoice::Reuse(number) => number,
             };
--- a/crates/pulleyd/src/request/call_terms.rs
+++ b/crates/pulleyd/src/request/call_terms.rs
@@ -61,8 +61,17 @@
         let left = u64::try_from(left).unwrap_or(u64::MAX);
         let attempt = self.earlier_attempts.saturating_add(attempt);
         headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
-        headers.insert(ATTEMPT_HEADER, HeaderValue::from(u16::from(attempt)));
-        headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(self.priority.0)));
+        headers.insert(ATTEMPT_HEADER, small_number(attempt));
+        headers.insert(PRIORITY_HEADER, small_number(self.priority.0));
+    }
+}
+
+/// A number as a header's value; those of one digit take no memory.
+fn small_number(number: u8) -> HeaderValue {
+    const DIGITS: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+    match DIGITS.get(usize::from(number)) {
+        Some(digit) => HeaderValue::from_static(digit),
+        None => HeaderValue::from(u16::from(number)),
     }
 }
 
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -27,7 +27,7 @@
 };
 pub use request_body::{BodyCursor, BodySource, RequestBody, RequestFault};
 pub(crate) use request_forwarder::FirstArrival;
-pub use request_forwarder::RequestForwarder;
+pub use request_forwarder::{ForwardFuture, RequestForwarder};
 pub use scheduler_set::{Placement, SchedulerSet};
 pub use system_answer::SystemAnswer;
 pub use traffic_context::{TrafficContext, TrafficLimits};
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -1,7 +1,7 @@
 //! The service that takes callers' requests.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, ready};
 use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -29,6 +29,10 @@
 /// What a step of a request's way gives, or the answer that ends it.
 type Result<T> = std::result::Result<T, SystemAnswer>;
 
+/// A request being carried.
+pub type ForwardFuture =
+    Pin<Box<dyn Future<Output = std::result::Result<Response<AnswerBody>, Infallible>> + Send>>;
+
 /// How soon a caller may come back to a host that is not ready or full.
 const HOST_RETRY: Duration = Duration::from_secs(1);
 
@@ -97,14 +101,16 @@
     }
 
     /// Carries one request and answers it.
-    pub async fn forward(self, request: Request<Incoming>) -> Response<AnswerBody> {
-        match self.carry(request).await {
-            Ok(response) => response,
-            Err(answer) => self.refuse(answer),
+    ///
+    /// What can be refused is refused before there is a future to run.
+    pub fn forward(&self, request: Request<Incoming>) -> ForwardFuture {
+        match self.take_up(request) {
+            Ok(future) => future,
+            Err(answer) => Box::pin(ready(Ok(refuse(&self.context, answer, self.refuses_all)))),
         }
     }
 
-    async fn carry(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>> {
+    fn take_up(&self, request: Request<Incoming>) -> Result<ForwardFuture> {
         self.arrival.note();
         let seat = self.enter()?;
         let admitted = self.admit(request)?;
@@ -113,10 +119,17 @@
             Ok(key) => key.filter(|_| !row.idempotent).map(str::to_owned),
             Err(cause) => return Err(SystemAnswer::refused(cause, None)),
         };
-        match key {
-            Some(key) => self.carry_once(admitted, seat, &key).await,
-            None => self.carry_plain(admitted, seat).await,
-        }
+        let context = Arc::clone(&self.context);
+        let Some(key) = key else {
+            let AdmittedRequest { parts, body, kind, terms } = admitted;
+            let body = BodySource::new(body, context.limits.replay_bytes);
+            let run = Box::new(RequestRun::new(context, parts, body, kind, terms));
+            return Ok(Box::pin(carry_plain(run, seat)));
+        };
+        Ok(Box::pin(async move {
+            let carried = carry_once(&context, admitted, seat, &key).await;
+            Ok(carried.unwrap_or_else(|answer| refuse(&context, answer, false)))
+        }))
     }
 
     /// Refuses at once when the process is at its limit.
@@ -159,75 +172,69 @@
         }
         Ok(())
     }
+}
 
-    async fn carry_plain(
-        &self,
-        admitted: AdmittedRequest,
-        seat: RequestSeat,
-    ) -> Result<Response<AnswerBody>> {
-        let body = BodySource::new(admitted.body, self.context.limits.replay_bytes);
-        let context = Arc::clone(&self.context);
-        let mut run = RequestRun::new(context, admitted.parts, body, admitted.kind, admitted.terms);
-        let response = run.run().await?;
-        Ok(response.map(|answer| AnswerBody::upstream(answer, seat)))
+async fn carry_plain(
+    mut run: Box<RequestRun>,
+    seat: RequestSeat,
+) -> std::result::Result<Response<AnswerBody>, Infallible> {
+    match run.run().await {
+        Ok(response) => Ok(response.map(|answer| AnswerBody::upstream(answer, seat))),
+        Err(answer) => Ok(refuse(run.context(), answer, false)),
     }
+}
 
-    /// Carries a request with an idempotency key; its key is claimed before a byte leaves.
-    ///
-    /// The claim comes before the place in the queue: a resend of what ran gets its recorded
-    /// outcome even while the pool is full, and no slot stands idle while a quorum syncs.
-    async fn carry_once(
-        &self,
-        admitted: AdmittedRequest,
-        seat: RequestSeat,
-        key: &str,
-    ) -> Result<Response<AnswerBody>> {
-        let (context, limits) = (&self.context, &self.context.limits);
-        let AdmittedRequest { parts, body, kind, terms } = admitted;
-        let gathering = BodySource::gather(body, limits.keyed_bytes);
-        let gathered = context.timer.limit(terms.deadline, gathering).await;
-        let (body, data) = match gathered {
-            Some(Ok(gathered)) => gathered,
-            Some(Err(fault)) => return Err(ungathered(&fault)),
-            None => return Err(SystemAnswer::refused(RefusalCause::DeadlineTooClose, None)),
-        };
-        let request = claim_request(kind.row(), key, &parts, &data);
-        let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms);
-        carry_keyed(run, request, seat).await
-    }
+/// Carries a request with an idempotency key; its key is claimed before a byte leaves.
+///
+/// The claim comes before the place in the queue: a resend of what ran gets its recorded
+/// outcome even while the pool is full, and no slot stands idle while a quorum syncs.
+async fn carry_once(
+    context: &Arc<TrafficContext>,
+    admitted: AdmittedRequest,
+    seat: RequestSeat,
+    key: &str,
+) -> Result<Response<AnswerBody>> {
+    let AdmittedRequest { parts, body, kind, terms } = admitted;
+    let gathering = BodySource::gather(body, context.limits.keyed_bytes);
+    let gathered = context.timer.limit(terms.deadline, gathering).await;
+    let (body, data) = match gathered {
+        Some(Ok(gathered)) => gathered,
+        Some(Err(fault)) => return Err(ungathered(&fault)),
+        None => return Err(SystemAnswer::refused(RefusalCause::DeadlineTooClose, None)),
+    };
+    let request = claim_request(kind.row(), key, &parts, &data);
+    let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms);
+    carry_keyed(run, request, seat).await
+}
 
-    fn refuse(&self, answer: SystemAnswer) -> Response<AnswerBody> {
-        let counters = &self.context.counters;
-        match answer.verdict {
-            RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
-            RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
-            RequestVerdict::Ran => {}
-        }
-        debug!(self.context.logger, "request ended without an upstream's answer";
-            "status" => answer.status.as_u16(), "cause" => answer.cause,
-            "verdict" => %answer.verdict);
-        let mut response = answer.into_response();
-        let leaves = self.refuses_all || answer.cause == RefusalCause::ShuttingDown.as_str();
-        if leaves {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
+fn refuse(context: &TrafficContext, answer: SystemAnswer, is_last: bool) -> Response<AnswerBody> {
+    let counters = &context.counters;
+    match answer.verdict {
+        RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
+        RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
+        RequestVerdict::Ran => {}
+    }
+    debug!(context.logger, "request ended without an upstream's answer";
+        "status" => answer.status.as_u16(), "cause" => answer.cause,
+        "verdict" => %answer.verdict);
+    let mut response = answer.into_response();
+    if is_last || answer.cause == RefusalCause::ShuttingDown.as_str() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 impl Service<Request<Incoming>> for RequestForwarder {
     type Response = Response<AnswerBody>;
     type Error = Infallible;
-    type Future =
-        Pin<Box<dyn Future<Output = std::result::Result<Self::Response, Infallible>> + Send>>;
+    type Future = ForwardFuture;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<std::result::Result<(), Infallible>> {
         Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let forwarder = self.clone();
-        Box::pin(async move { Ok(forwarder.forward(request).await) })
+        self.forward(request)
     }
 }
 
@@ -235,12 +242,10 @@
 impl hyper::service::Service<Request<Incoming>> for RequestForwarder {
     type Response = Response<AnswerBody>;
     type Error = Infallible;
-    type Future =
-        Pin<Box<dyn Future<Output = std::result::Result<Self::Response, Infallible>> + Send>>;
+    type Future = ForwardFuture;
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
-        let forwarder = self.clone();
-        Box::pin(async move { Ok(forwarder.forward(request).await) })
+        self.forward(request)
     }
 }
 
