--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod path;
+mod recovery;
 
 use std::process::ExitCode;
 
@@ -11,7 +12,8 @@
 
 subcommands:
   decisions  policies under load, in virtual time
-  path       what the request path adds, direct against forwarders";
+  path       what the request path adds, direct against forwarders
+  recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -29,6 +31,7 @@
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
         "path" => path::run(rest),
+        "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
             Ok(())
--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -5,7 +5,7 @@
 use super::{
     ClaimAnswer, DriverOutput, KeyDigest, LedgerCommand, LedgerOutcome, LogCommand, MachineOutcome,
     RecordedAnswer, ReplicaAnswer, ReplicaChange, ReplicaDriver, ReplicaQuestion, ReplicaRefusal,
-    RequestDigest, Term,
+    RequestDigest, StoredChange, Term,
 };
 use crate::process::{HostId, MemberId, Moment};
 
@@ -37,18 +37,22 @@
                 self.begin_read(now, token, question);
             }
             ReplicaQuestion::Apply(request) => {
-                self.append(now, token, LogCommand::Change(Box::new(request)));
+                let change = StoredChange::new(request, self.machines.configuration.current());
+                self.append(now, token, LogCommand::Change(Box::new(change)));
             }
-            ReplicaQuestion::Claim { key, digest } => {
+            ReplicaQuestion::Claim { key, digest, claimant } => {
                 let limits = self.settings.ledger;
                 let key = KeyDigest::of(&key);
                 let request = RequestDigest::of(&digest);
-                self.append_ledger(now, token, LedgerCommand::Claim { key, request, limits });
+                let claim = LedgerCommand::Claim { key, request, claimant, limits };
+                self.append_ledger(now, token, claim);
             }
             ReplicaQuestion::Record { key, token: claim, answer } => {
                 let key = KeyDigest::of(&key);
                 let answer = answer.map(|answer| self.trimmed(answer));
-                self.append_ledger(now, token, LedgerCommand::Record { key, token: claim, answer });
+                let budget = self.settings.ledger.answer_budget;
+                let command = LedgerCommand::Record { key, token: claim, answer, budget };
+                self.append_ledger(now, token, command);
             }
             ReplicaQuestion::Release { key, token: claim } => {
                 let key = KeyDigest::of(&key);
