Record answers and refusals by kind; freeze hosts for certain in the sessions

Cause: metrics by kind existed and nothing recorded them. One full run of the sessions failed: in the session about limits a binding ran once where none was expected. Likely cause: the call was sent right after SIGSTOP was sent, while a thread of the other daemons could still answer. Change: each answer and refusal is recorded with service, kind, cause and verdict, the time added by the host apart from the upstream's; counts of host-1 are in a golden file; the test waits until the system reports the stop.

--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -168,6 +168,7 @@
     handle: ControlHandle,
     view: ViewCell,
     schedulers: Arc<SchedulerSet>,
+    metrics: ProcessMetrics,
     logger: Logger,
 }
 
@@ -184,8 +185,19 @@
         let view = ViewCell::new(clock);
         let (host, zone) = (settings.host_id.clone(), settings.zone.clone());
         let schedulers = Arc::new(SchedulerSet::new(host, zone, clock, rand::random()));
-        let parts =
-            Self { settings, clock, key_ring, threads, timer, handle, view, schedulers, logger };
+        let metrics = ProcessMetrics::new()?;
+        let parts = Self {
+            settings,
+            clock,
+            key_ring,
+            threads,
+            timer,
+            handle,
+            view,
+            schedulers,
+            metrics,
+            logger,
+        };
         Ok((parts, requests))
     }
 
@@ -203,6 +215,7 @@
             self.logger.clone(),
         )
         .with_limits(limits)
+        .with_metrics(self.metrics.clone())
         .with_trusted_callers(TrustedCallers {
             addresses: self.settings.trusted_callers.iter().copied().collect(),
         })
@@ -221,7 +234,7 @@
 impl DaemonServers {
     fn start(parts: &SharedParts, listeners: Listeners) -> DaemonResult<Self> {
         let runtime = parts.threads.handle();
-        let metrics = ProcessMetrics::new()?;
+        let metrics = parts.metrics.clone();
         runtime.spawn(record_views(metrics.clone(), parts.view.clone()));
         let operators = OperatorApi::new(
             parts.handle.clone(),
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -9,7 +9,8 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use pulley_core::RefusalCause;
+use pulley_core::RequestVerdict;
+use pulley_core::version::KindPlan;
 
 use crate::request::TrafficCounters;
 
@@ -31,7 +32,6 @@
     registry: Registry,
     answered: IntCounterVec,
     refused: IntCounterVec,
-    retried: IntCounterVec,
     added_seconds: Histogram,
     upstream_seconds: HistogramVec,
     callers_connections: IntGauge,
@@ -57,12 +57,8 @@
             &["service", "kind", "status_class"],
         )?;
         let refused = IntCounterVec::new(
-            Opts::new("pulley_refusals_total", "Requests refused by this host."),
-            &["service", "kind", "cause"],
-        )?;
-        let retried = IntCounterVec::new(
-            Opts::new("pulley_retries_total", "Further attempts at requests."),
-            &["service", "kind"],
+            Opts::new("pulley_refusals_total", "Answers of this host's own, by cause."),
+            &["service", "kind", "cause", "verdict"],
         )?;
         let added = HistogramOpts::new(
             "pulley_added_latency_seconds",
@@ -81,7 +77,6 @@
             registry: Registry::new(),
             answered,
             refused,
-            retried,
             added_seconds: Histogram::with_opts(added.buckets(ADDED_BOUNDS.to_vec()))?,
             upstream_seconds: HistogramVec::new(
                 upstream.buckets(UPSTREAM_BOUNDS.to_vec()),
@@ -102,7 +97,6 @@
     fn register(&self) -> Result<()> {
         self.registry.register(Box::new(self.answered.clone()))?;
         self.registry.register(Box::new(self.refused.clone()))?;
-        self.registry.register(Box::new(self.retried.clone()))?;
         self.registry.register(Box::new(self.added_seconds.clone()))?;
         self.registry.register(Box::new(self.upstream_seconds.clone()))?;
         self.registry.register(Box::new(self.callers_connections.clone()))?;
@@ -114,18 +108,18 @@
         self.registry.register(Box::new(self.ready.clone()))
     }
 
-    /// Takes the traffic side's counts over when the metrics are read.
+    /// The traffic side's counts, which the metrics take over when they are read.
     #[must_use]
-    pub fn with_traffic(mut self, counters: Arc<TrafficCounters>) -> Self {
-        self.counters = counters;
-        self
+    pub fn traffic(&self) -> Arc<TrafficCounters> {
+        Arc::clone(&self.counters)
     }
 
     // -------------------------------------------------------------------------------------
     // Recording
 
-    /// Counts an upstream's answer; `status` is its HTTP status.
-    pub fn record_answer(&self, service: &str, kind: &str, status: u16) {
+    /// Records an upstream's answer: its HTTP status, how long the request was in this host, and
+    /// how long the upstream took besides.
+    pub fn record_answer(&self, row: &KindPlan, status: u16, added: Duration, upstream: Duration) {
         let class = match status / 100 {
             1 => "1xx",
             2 => "2xx",
@@ -133,24 +127,24 @@
             4 => "4xx",
             _ => "5xx",
         };
-        self.answered.with_label_values(&[service, kind, class]).inc();
-    }
-
-    /// Counts a refusal; `None` stands for a request that no row of the sheet matches.
-    pub fn record_refusal(&self, row: Option<(&str, &str)>, cause: RefusalCause) {
-        let (service, kind) = row.unwrap_or(("none", "none"));
-        self.refused.with_label_values(&[service, kind, cause.as_str()]).inc();
-    }
-
-    /// Counts a further attempt.
-    pub fn record_retry(&self, service: &str, kind: &str) {
-        self.retried.with_label_values(&[service, kind]).inc();
+        let labels = [row.service.as_str(), row.kind.as_str(), class];
+        self.answered.with_label_values(&labels).inc();
+        self.added_seconds.observe(added.as_secs_f64());
+        let pool = self.upstream_seconds.with_label_values(&[row.pool.as_str()]);
+        pool.observe(upstream.as_secs_f64());
     }
 
-    /// Records how long a request was in this host and how long the upstream took of it.
-    pub fn record_latency(&self, pool: &str, added: Duration, upstream: Duration) {
-        self.added_seconds.observe(added.as_secs_f64());
-        self.upstream_seconds.with_label_values(&[pool]).observe(upstream.as_secs_f64());
+    /// Counts an answer of the system's own; without a row the request matched none or was refused
+    /// before that was looked at.
+    pub fn record_refusal(
+        &self,
+        row: Option<&KindPlan>,
+        cause: &'static str,
+        verdict: RequestVerdict,
+    ) {
+        let (service, kind) = row.map_or(("", ""), |row| (row.service.as_str(), row.kind.as_str()));
+        let labels = [service, kind, cause, verdict.as_str()];
+        self.refused.with_label_values(&labels).inc();
     }
 
     /// Notes the configuration in force and whether this host takes work.
@@ -182,6 +176,7 @@
     requests: IntCounter,
     not_run: IntCounter,
     may_have_run: IntCounter,
+    retries: IntCounter,
     retries_denied: IntCounter,
     cut_short: IntCounter,
     malformed_reports: IntCounter,
@@ -201,6 +196,7 @@
                 "pulley_may_have_run_total",
                 "Requests that ended with the verdict may-have-run.",
             )?,
+            retries: IntCounter::new("pulley_retries_total", "Attempts after the first.")?,
             retries_denied: IntCounter::new(
                 "pulley_retries_denied_total",
                 "Further attempts that the retry budget did not allow.",
@@ -224,11 +220,12 @@
         })
     }
 
-    fn all(&self) -> [&IntCounter; 8] {
+    fn all(&self) -> [&IntCounter; 9] {
         [
             &self.requests,
             &self.not_run,
             &self.may_have_run,
+            &self.retries,
             &self.retries_denied,
             &self.cut_short,
             &self.malformed_reports,
@@ -241,6 +238,7 @@
         raise(&self.requests, &counters.requests);
         raise(&self.not_run, &counters.refused);
         raise(&self.may_have_run, &counters.may_have_run);
+        raise(&self.retries, &counters.retries);
         raise(&self.retries_denied, &counters.retries_denied);
         raise(&self.cut_short, &counters.cut_short);
         raise(&self.malformed_reports, &counters.malformed_reports);
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -13,6 +13,7 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use pulley_core::version::KindPlan;
 use pulley_core::{RefusalCause, RequestVerdict};
 use slog::debug;
 use tower::Service;
@@ -106,7 +107,9 @@
     pub fn forward(&self, request: Request<Incoming>) -> ForwardFuture {
         match self.take_up(request) {
             Ok(future) => future,
-            Err(answer) => Box::pin(ready(Ok(refuse(&self.context, answer, self.refuses_all)))),
+            Err(answer) => {
+                Box::pin(ready(Ok(refuse(&self.context, None, answer, self.refuses_all))))
+            }
         }
     }
 
@@ -127,8 +130,10 @@
             return Ok(Box::pin(carry_plain(run, seat)));
         };
         Ok(Box::pin(async move {
+            let kind = admitted.kind.clone();
             let carried = carry_once(&context, admitted, seat, &key).await;
-            Ok(carried.unwrap_or_else(|answer| refuse(&context, answer, false)))
+            let row = Some(kind.row());
+            Ok(carried.unwrap_or_else(|answer| refuse(&context, row, answer, false)))
         }))
     }
 
@@ -180,7 +185,7 @@
 ) -> std::result::Result<Response<AnswerBody>, Infallible> {
     match run.run().await {
         Ok(response) => Ok(response.map(|answer| AnswerBody::upstream(answer, seat))),
-        Err(answer) => Ok(refuse(run.context(), answer, false)),
+        Err(answer) => Ok(refuse(run.context(), Some(run.row()), answer, false)),
     }
 }
 
@@ -207,8 +212,16 @@
     carry_keyed(run, request, seat).await
 }
 
-fn refuse(context: &TrafficContext, answer: SystemAnswer, is_last: bool) -> Response<AnswerBody> {
+fn refuse(
+    context: &TrafficContext,
+    row: Option<&KindPlan>,
+    answer: SystemAnswer,
+    is_last: bool,
+) -> Response<AnswerBody> {
     let counters = &context.counters;
+    if let Some(metrics) = &context.metrics {
+        metrics.record_refusal(row, answer.cause, answer.verdict);
+    }
     match answer.verdict {
         RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
         RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -98,6 +98,10 @@
     tried: Vec<UpstreamId>,
     /// The worst verdict of the attempts so far.
     verdict: RequestVerdict,
+    /// When it was taken up.
+    begun: Moment,
+    /// When the latest attempt was sent.
+    sent: Moment,
 }
 
 impl RequestRun {
@@ -111,6 +115,7 @@
     ) -> Self {
         prepare_headers(&mut parts);
         let number = context.next_number();
+        let begun = context.clock.now();
         Self {
             context,
             parts,
@@ -122,6 +127,8 @@
             attempt: 0,
             tried: Vec::new(),
             verdict: RequestVerdict::NotRun,
+            begun,
+            sent: begun,
         }
     }
 
@@ -131,6 +138,11 @@
         self
     }
 
+    /// The row of the sheet that it falls under.
+    pub(super) fn row(&self) -> &KindPlan {
+        self.kind.row()
+    }
+
     /// What all requests share.
     pub(super) const fn context(&self) -> &Arc<TrafficContext> {
         &self.context
@@ -147,7 +159,10 @@
     ) -> std::result::Result<Response<UpstreamAnswer>, SystemAnswer> {
         loop {
             let fault = match self.make_attempt().await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.record_answer(response.status());
+                    return Ok(response);
+                }
                 Err(fault) => fault,
             };
             self.note_fault(&fault);
@@ -232,6 +247,7 @@
         if let Some(claim) = &mut self.claim {
             claim.note_sending();
         }
+        self.sent = self.context.clock.now();
         let mut sending = pin!(link.send(request));
         let timer = self.context.timer.clone();
         let mut next = NextAttempt::Possible;
@@ -330,6 +346,15 @@
         AttemptFault { answer, outcome, next: NextAttempt::Possible, retried_below: false }
     }
 
+    /// What is not the upstream's own time was added here, time in the queue included.
+    fn record_answer(&self, status: StatusCode) {
+        let Some(metrics) = &self.context.metrics else { return };
+        let now = self.context.clock.now();
+        let upstream = now.since(self.sent);
+        let added = now.since(self.begun).saturating_sub(upstream);
+        metrics.record_answer(self.row(), status.as_u16(), added, upstream);
+    }
+
     fn note_fault(&mut self, fault: &AttemptFault) {
         if fault.answer.verdict == RequestVerdict::MayHaveRun {
             self.verdict = RequestVerdict::MayHaveRun;
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -10,7 +10,7 @@
 
 use super::{SchedulerSet, TrafficCounters, TrustedCallers};
 use crate::connection::UpstreamConnections;
-use crate::process::{ControlHandle, ProcessClock, TimerService, ViewCell};
+use crate::process::{ControlHandle, ProcessClock, ProcessMetrics, TimerService, ViewCell};
 
 /// Limits of the traffic side, each against one way of being overwhelmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +70,8 @@
     pub trusted: TrustedCallers,
     /// What is counted for metrics.
     pub counters: Arc<TrafficCounters>,
+    /// Where answers and refusals are recorded by kind, if anybody reads them.
+    pub metrics: Option<ProcessMetrics>,
     next_number: AtomicU64,
 }
 
@@ -96,6 +98,7 @@
             limits: TrafficLimits::default(),
             trusted: TrustedCallers::default(),
             counters: Arc::default(),
+            metrics: None,
             next_number: AtomicU64::new(0),
         }
     }
@@ -107,6 +110,14 @@
         self
     }
 
+    /// Records answers and refusals in these metrics, which also take over the counts.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: ProcessMetrics) -> Self {
+        self.counters = metrics.traffic();
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Believes the attempt and priority headers of these callers.
     #[must_use]
     pub fn with_trusted_callers(mut self, trusted: TrustedCallers) -> Self {
--- a/crates/pulleyd/tests/sessions/main.rs
+++ b/crates/pulleyd/tests/sessions/main.rs
@@ -145,6 +145,9 @@
     for (place, (method, path, body)) in calls.into_iter().enumerate() {
         record.call(&cluster.hosts[place % 3], method, path, &[], body).await;
     }
+    record.call(&cluster.hosts[0], "GET", "/nowhere", &[], "").await;
+    record.note("what host-1 has counted");
+    record.metrics(&cluster, 0).await;
     record.check("callers_day");
     assert_eq!(upstreams.iter().map(|upstream| upstream.runs()).sum::<u64>(), 7);
 }
@@ -314,7 +317,7 @@
     let answer = refused_without_quorum(&cluster).await;
     record.write_request("POST", "/bindings", &[("idempotency-key", "policy-9")], "policy=9");
     record.write_answer(&answer);
-    assert_eq!(binding.runs(), 0, "not run means that it was not run");
+    assert_eq!(binding.runs(), 0, "not run means that it was not run: {answer:?}");
 
     record.note("host-2 is told to end");
     let answer = refused_while_leaving(&mut cluster).await;
@@ -328,8 +331,8 @@
     let callers = cluster.hosts[0].callers();
     for attempt in 0..ATTEMPTS {
         cluster.wait_for_version(1).await;
-        cluster.hosts[1].signal(Signal::SIGSTOP);
-        cluster.hosts[2].signal(Signal::SIGSTOP);
+        cluster.hosts[1].freeze();
+        cluster.hosts[2].freeze();
         let key = format!("policy-9-{attempt}");
         let headers = [("idempotency-key", key.as_str())];
         let answer = http_caller::call(callers, "POST", "/bindings", &headers, "policy=9").await;
--- a/crates/pulleyd/tests/sessions/session_record.rs
+++ b/crates/pulleyd/tests/sessions/session_record.rs
@@ -8,6 +8,15 @@
 /// Response headers that golden files show; the others depend on the machine or the time.
 const SHOWN_HEADERS: [&str; 3] = ["jacinthpulley-verdict", "jacinthpulley-cause", "retry-after"];
 
+/// Metrics that golden files show.
+const SHOWN_METRICS: [&str; 5] = [
+    "pulley_answers_total",
+    "pulley_refusals_total",
+    "pulley_requests_total",
+    "pulley_added_latency_seconds_count",
+    "pulley_upstream_latency_seconds_count",
+];
+
 /// The record of one session: what was typed or sent, and what came back.
 #[derive(Debug, Default)]
 pub(crate) struct SessionRecord {
@@ -48,6 +57,21 @@
         }
     }
 
+    /// Writes down a host's counts of requests; times and gauges differ from run to run.
+    pub(crate) async fn metrics(&mut self, cluster: &TestCluster, place: usize) {
+        let key = format!("Bearer {}", cluster.secret());
+        let headers = [("authorization", key.as_str())];
+        let operators = cluster.hosts[place].operators();
+        let answer = http_caller::call(operators, "GET", "/metrics", &headers, "").await;
+        let body = answer.map(|answer| answer.body).unwrap_or_default();
+        let counted = body.lines().filter(|line| {
+            SHOWN_METRICS.iter().any(|name| line.starts_with(name)) && !line.ends_with(" 0")
+        });
+        for line in counted {
+            let _ = writeln!(self.text, "{line}");
+        }
+    }
+
     /// Writes down a request.
     pub(crate) fn write_request(
         &mut self,
--- a/crates/pulleyd/tests/sessions/test_cluster.rs
+++ b/crates/pulleyd/tests/sessions/test_cluster.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
+use nix::sys::wait::{WaitPidFlag, WaitStatus, waitpid};
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
@@ -74,9 +75,20 @@
 
     /// Sends a signal.
     pub(crate) fn signal(&self, signal: Signal) {
+        kill(self.process_id(), signal).expect("the daemon is there");
+    }
+
+    /// Freezes the daemon. A signal is only on its way when it has been sent: until the system
+    /// reports the stop, a thread of the daemon may still answer.
+    pub(crate) fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        let stopped = waitpid(self.process_id(), Some(WaitPidFlag::WUNTRACED));
+        assert!(matches!(stopped, Ok(WaitStatus::Stopped(..))), "{stopped:?}");
+    }
+
+    fn process_id(&self) -> Pid {
         let child = self.child.as_ref().expect("the daemon runs");
-        let pid = i32::try_from(child.id()).expect("process ids are small");
-        kill(Pid::from_raw(pid), signal).expect("the daemon is there");
+        Pid::from_raw(i32::try_from(child.id()).expect("process ids are small"))
     }
 
     /// Waits until the daemon has ended by itself.
@@ -193,6 +205,11 @@
         self.folder.path().join(format!("{}.log", self.hosts[place].name))
     }
 
+    /// The key that operators send.
+    pub(crate) fn secret(&self) -> &'static str {
+        SECRET.trim_end()
+    }
+
     /// The test's own folder.
     pub(crate) fn folder(&self) -> &Path {
         self.folder.path()
