Show in the status what control has cost in messages

Cause: bytes a second a host are bounded, and nothing showed them. Change: the status gives datagrams, link frames and bytes since the start.

--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -20,7 +20,7 @@
 use super::control_counts::CountCarrier;
 use super::control_handle::ControlRequest;
 use super::{RunningView, ViewCell};
-use crate::connection::FrameClass;
+use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
 use crate::request::SchedulerSet;
 
 /// How often a leader confirms with a quorum that it still leads, and renews the configuration
@@ -40,6 +40,13 @@
     Probe { pool: PoolName, zone: ZoneName, upstream: UpstreamId, address: SocketAddr },
 }
 
+/// What the sockets have carried so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TransportCounts {
+    pub(crate) datagrams: DatagramCounts,
+    pub(crate) links: LinkCounts,
+}
+
 /// What the core is made from.
 pub(crate) struct CoreParts {
     pub(crate) own: MemberRecord,
@@ -65,6 +72,7 @@
     pub(super) view: ViewCell,
     pub(super) schedulers: Arc<SchedulerSet>,
     pub(super) shutting_down: bool,
+    pub(super) transport: TransportCounts,
     seen: Option<ViewMarks>,
     lease_round: Option<(u64, Moment)>,
     next_lease_round: Moment,
@@ -101,6 +109,7 @@
             view: parts.view,
             schedulers: parts.schedulers,
             shutting_down: false,
+            transport: TransportCounts::default(),
             seen: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
@@ -208,6 +217,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Notes what the sockets have carried, for the status.
+    pub(crate) fn note_transport(&mut self, counts: TransportCounts) {
+        self.transport = counts;
+    }
+
     /// Takes what became of a probe.
     pub(crate) fn probed(&mut self, now: Moment, probe: &super::control_counts::ProbeReport) {
         self.counts.probed(now, probe);
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
-use super::control_core::ControlCore;
+use super::control_core::{ControlCore, TransportCounts};
 use super::{HostReadiness, RunningView};
 
 impl ControlCore {
@@ -42,6 +42,23 @@
         HostReadiness::NotReady { why: SmolStr::new_static(why) }
     }
 
+    /// What control has cost in messages since the process began; bytes without IP's headers.
+    fn transport_status(&self) -> Value {
+        let TransportCounts { datagrams, links } = self.transport;
+        json!({
+            "datagrams_sent": datagrams.sent,
+            "datagrams_received": datagrams.received,
+            "datagrams_refused": datagrams.refused,
+            "datagrams_dropped": datagrams.dropped,
+            "sent_bytes": datagrams.sent_bytes + links.bytes,
+            "received_bytes": datagrams.received_bytes,
+            "link_frames": links.frames,
+            "links_opened": links.opened,
+            "links_silent": links.silent,
+            "link_frames_dropped": links.dropped,
+        })
+    }
+
     /// The host's status, as the operators' listener shows it.
     pub(super) fn status(&self, now: Moment) -> Value {
         let standing = self.follower.standing(now);
@@ -70,6 +87,7 @@
             "upstreams": self.registry.known(),
             "replica": replica,
             "replicas": replica.as_ref().map(|status| &status.members),
+            "control": self.transport_status(),
             "coordinates": self.counts.scopes(),
             "running": self.schedulers.running(),
             "waiting": self.schedulers.waiting(),
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-use super::control_core::{ControlCore, ControlOutput, CoreParts};
+use super::control_core::{ControlCore, ControlOutput, CoreParts, TransportCounts};
 use super::control_counts::ProbeReport;
 use super::control_handle::ControlRequest;
 use super::{DaemonSettings, ProcessClock, ViewCell};
@@ -302,7 +302,15 @@
     fn handle(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         let outputs = match event {
-            ControlEvent::Request(request) => self.core.request(now, request),
+            ControlEvent::Request(request) => {
+                if matches!(request, ControlRequest::Status(_)) {
+                    self.core.note_transport(TransportCounts {
+                        datagrams: self.datagrams.counts(),
+                        links: self.links.counts(),
+                    });
+                }
+                self.core.request(now, request)
+            }
             ControlEvent::Frame(frame) => {
                 self.core.frame(now, &frame.from, frame.class, frame.body)
             }
