Add a bench of whole installations: real daemons, slots, open load

Cause: decisions are measured in virtual time only; nobody had seen 25 real entries act on one pool. Suspected: nothing wakes the control thread when counts change, so sums are built from old deltas and look fresh. To be found before anything else.

--- /dev/null
+++ b/crates/pulley_bench/src/fleet/daemon_fleet.rs
@@ -0,0 +1,261 @@
+//! Daemons of one installation as processes of this machine.
+
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, bail, eyre};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// The installation's key; its hosts listen on loopback only and live as long as the bench.
+const KEY: &str = "the-key-of-a-bench-on-loopback-0123456789";
+
+/// How long anything may take to come about.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The listeners of one daemon, in the order of [`DaemonProcess::addresses`].
+const LISTENERS: [&str; 4] = ["callers", "upstreams", "operators", "peers"];
+
+/// What a fleet is made of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetPlan {
+    /// Daemons in all.
+    pub(crate) hosts: usize,
+    /// How many of them hold the log.
+    pub(crate) replicas: usize,
+    /// Whether entries share counts or go by their own.
+    pub(crate) share_counts: bool,
+}
+
+#[derive(Debug)]
+struct DaemonProcess {
+    addresses: [SocketAddr; 4],
+    child: Child,
+}
+
+/// Running daemons; they are ended when the fleet is dropped.
+#[derive(Debug)]
+pub(crate) struct DaemonFleet {
+    hosts: Vec<DaemonProcess>,
+    _folder: TempDir,
+}
+
+/// What a fleet has cost so far, or between two looks; one number a host.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetCost {
+    /// When it was looked at, in seconds.
+    pub(crate) at: f64,
+    /// Processor time, in seconds.
+    pub(crate) processor: Vec<f64>,
+    /// Bytes sent for control, without IP's headers.
+    pub(crate) control_bytes: Vec<f64>,
+    /// Resident memory, in MB.
+    pub(crate) resident_mb: Vec<f64>,
+}
+
+impl FleetCost {
+    /// What came on top since an earlier look; memory as it is now.
+    pub(crate) fn since(&self, earlier: &Self) -> Self {
+        let minus = |now: &[f64], then: &[f64]| -> Vec<f64> {
+            now.iter().zip(then).map(|(now, then)| now - then).collect()
+        };
+        Self {
+            at: self.at - earlier.at,
+            processor: minus(&self.processor, &earlier.processor),
+            control_bytes: minus(&self.control_bytes, &earlier.control_bytes),
+            resident_mb: self.resident_mb.clone(),
+        }
+    }
+}
+
+impl DaemonFleet {
+    /// Starts daemons and waits until they listen.
+    pub(crate) fn start(plan: FleetPlan) -> Result<Self> {
+        let folder = TempDir::new()?;
+        fs::write(folder.path().join("secret"), format!("{KEY}\n"))?;
+        let founders: Vec<String> = (1..=plan.replicas).map(|n| format!("h{n}=m{n}")).collect();
+        let mut hosts: Vec<DaemonProcess> = Vec::new();
+        for number in 1..=plan.hosts {
+            let seeds: Vec<String> =
+                hosts.iter().take(3).map(|host| host.addresses[3].to_string()).collect();
+            let mut command = Command::new(daemon_path()?);
+            command
+                .args(["--host-id", &format!("h{number}"), "--zone", &format!("z{}", number % 3)])
+                .args(["--cluster", "bench", "--traffic-threads", "1"])
+                .args(["--replicas", &founders.join(",")])
+                .args(["--share-counts", if plan.share_counts { "yes" } else { "no" }])
+                .arg("--secret-file")
+                .arg(folder.path().join("secret"));
+            for name in LISTENERS {
+                command.args([&format!("--{name}-listen"), "127.0.0.1:0"]);
+            }
+            if !seeds.is_empty() {
+                command.args(["--seeds", &seeds.join(",")]);
+            }
+            if number <= plan.replicas {
+                let data = folder.path().join(format!("data-{number}"));
+                command.args(["--roles", "entry,replica", "--data-folder"]).arg(data);
+            }
+            hosts.push(launch(command, &folder.path().join(format!("log-{number}")))?);
+        }
+        Ok(Self { hosts, _folder: folder })
+    }
+
+    /// Where callers reach the entries.
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.addresses[0]).collect()
+    }
+
+    /// Where upstreams announce themselves.
+    pub(crate) fn announce_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.addresses[1]).collect()
+    }
+
+    /// Puts a sheet in force as the first version, and waits until all hosts serve by it.
+    pub(crate) fn apply_sheet(&self, sheet: &str) -> Result<()> {
+        let body = json!({
+            "change_id": "bench-1", "actor": "bench", "expect": 0, "sheet": sheet,
+        });
+        await_that("the sheet is accepted", || {
+            let answer = ask(self.hosts[0].addresses[2], "POST", "/v1/sheet", &body.to_string());
+            answer.is_ok_and(|answer| answer.get("accepted").is_some())
+        })?;
+        await_that("all hosts serve", || {
+            self.hosts.iter().all(|host| {
+                ask(host.addresses[1], "GET", "/healthz", "")
+                    .is_ok_and(|answer| answer["ready"] == true)
+            })
+        })
+    }
+
+    /// Waits until every host knows this many upstreams.
+    pub(crate) fn await_upstreams(&self, count: usize) -> Result<()> {
+        await_that("all upstreams are known", || {
+            self.statuses().is_ok_and(|all| all.iter().all(|status| status["upstreams"] == count))
+        })
+    }
+
+    /// What the fleet has cost so far.
+    pub(crate) fn cost(&self) -> Result<FleetCost> {
+        let statuses = self.statuses()?;
+        let sent = |status: &Value| status.pointer("/control/sent_bytes").and_then(Value::as_f64);
+        Ok(FleetCost {
+            at: process_clock(),
+            processor: self.hosts.iter().map(|host| processor_time(host.child.id())).collect(),
+            control_bytes: statuses.iter().map(|status| sent(status).unwrap_or(0.0)).collect(),
+            resident_mb: self.hosts.iter().map(|host| resident_mb(host.child.id())).collect(),
+        })
+    }
+
+    fn statuses(&self) -> Result<Vec<Value>> {
+        self.hosts.iter().map(|host| ask(host.addresses[2], "GET", "/status", "")).collect()
+    }
+}
+
+impl Drop for DaemonFleet {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            let id = i32::try_from(host.child.id()).unwrap_or(i32::MAX);
+            let _ = kill(Pid::from_raw(id), Signal::SIGKILL);
+            let _ = host.child.wait();
+        }
+    }
+}
+
+// -------------------------------------------------------------------------------------------------
+// Processes
+
+/// The daemon that was built beside this program.
+fn daemon_path() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let path = own.with_file_name("pulleyd");
+    if !path.exists() {
+        bail!("{} is missing: build the package pulleyd in the same profile", path.display());
+    }
+    Ok(path)
+}
+
+fn launch(mut command: Command, log: &Path) -> Result<DaemonProcess> {
+    command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(log)?);
+    let child = command.spawn().wrap_err("the daemon does not start")?;
+    let mut host = DaemonProcess { addresses: [SocketAddr::from(([127, 0, 0, 1], 0)); 4], child };
+    let mut found = None;
+    let listens = await_that("the daemon listens", || {
+        found = fs::read_to_string(log).ok().and_then(|text| read_addresses(&text));
+        found.is_some()
+    });
+    if let Err(fault) = listens {
+        let _ = host.child.kill();
+        bail!("{fault}: {}", fs::read_to_string(log).unwrap_or_default());
+    }
+    host.addresses = found.unwrap_or(host.addresses);
+    Ok(host)
+}
+
+fn read_addresses(log: &str) -> Option<[SocketAddr; 4]> {
+    let line = log.lines().find(|line| line.contains("event=listening"))?;
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
+    for (name, address) in LISTENERS.iter().zip(&mut addresses) {
+        let key = format!("{name}=");
+        let word = line.split(' ').find_map(|word| word.strip_prefix(key.as_str()))?;
+        *address = word.parse().ok()?;
+    }
+    Some(addresses)
+}
+
+fn processor_time(id: u32) -> f64 {
+    /// The kernel counts in hundredths of a second on every platform this runs on.
+    const TICKS: f64 = 100.0;
+    let text = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+fn resident_mb(id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kilobytes.unwrap_or(0.0) / 1_024.0
+}
+
+fn process_clock() -> f64 {
+    use std::sync::OnceLock;
+    static ORIGIN: OnceLock<Instant> = OnceLock::new();
+    ORIGIN.get_or_init(Instant::now).elapsed().as_secs_f64()
+}
+
+// -------------------------------------------------------------------------------------------------
+// Questions
+
+fn await_that(what: &str, mut condition: impl FnMut() -> bool) -> Result<()> {
+    let began = Instant::now();
+    while !condition() {
+        if began.elapsed() > PATIENCE {
+            return Err(eyre!("not in time: {what}"));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
+fn ask(address: SocketAddr, method: &str, path: &str, body: &str) -> Result<Value> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: bench\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let (_, answer) = text.split_once("\r\n\r\n").ok_or_else(|| eyre!("no answer"))?;
+    Ok(serde_json::from_str(answer)?)
+}
--- /dev/null
+++ b/crates/pulley_bench/src/fleet/pool_upstreams.rs
@@ -0,0 +1,158 @@
+//! Stand-in upstreams that work on as many requests at once as they have slots.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand_distr::{Distribution, LogNormal};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+/// How often an upstream announces itself.
+const ANNOUNCE_PACE: Duration = Duration::from_secs(1);
+
+/// What the upstreams are like.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamPlan {
+    /// Their pool.
+    pub(crate) pool: String,
+    /// How many.
+    pub(crate) count: usize,
+    /// Requests that each works on at once; further ones wait inside.
+    pub(crate) slots: u32,
+    /// Mean service time; log-normal with a coefficient of variation of 1.
+    pub(crate) service: Duration,
+    /// The hosts they announce themselves to, one after the other.
+    pub(crate) announce_to: Vec<SocketAddr>,
+    /// Seed of the service times.
+    pub(crate) seed: u64,
+}
+
+/// What the upstreams saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct UpstreamCounts {
+    /// Requests that found a free slot or waited for one.
+    pub(crate) requests: u64,
+    /// Requests that found all slots of their upstream taken.
+    pub(crate) collisions: u64,
+}
+
+#[derive(Debug, Default)]
+struct UpstreamCounters {
+    requests: AtomicU64,
+    collisions: AtomicU64,
+}
+
+/// Running upstreams; they end with their runtime.
+#[derive(Debug)]
+pub(crate) struct PoolUpstreams {
+    counters: Arc<UpstreamCounters>,
+}
+
+#[derive(Debug)]
+struct StandIn {
+    slots: Semaphore,
+    random: Mutex<SmallRng>,
+    service: LogNormal<f64>,
+    counters: Arc<UpstreamCounters>,
+}
+
+impl PoolUpstreams {
+    /// Starts them on the current runtime.
+    pub(crate) async fn start(plan: UpstreamPlan) -> Result<Self> {
+        let counters = Arc::new(UpstreamCounters::default());
+        // For a log-normal with mean m and cv 1: sigma² = ln 2, mu = ln m - sigma²/2.
+        let sigma = 2_f64.ln().sqrt();
+        let service = LogNormal::new(plan.service.as_secs_f64().ln() - 2_f64.ln() / 2.0, sigma)?;
+        for number in 0..plan.count {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let address = listener.local_addr()?;
+            let stand_in = Arc::new(StandIn {
+                slots: Semaphore::new(plan.slots as usize),
+                random: Mutex::new(SmallRng::seed_from_u64(plan.seed ^ (number as u64) << 32)),
+                service,
+                counters: Arc::clone(&counters),
+            });
+            tokio::spawn(serve(listener, stand_in));
+            tokio::spawn(announce(plan.clone(), number, address));
+        }
+        Ok(Self { counters })
+    }
+
+    /// Starts counting anew.
+    pub(crate) fn reset(&self) {
+        self.counters.requests.store(0, Ordering::Relaxed);
+        self.counters.collisions.store(0, Ordering::Relaxed);
+    }
+
+    /// What they saw since.
+    pub(crate) fn counts(&self) -> UpstreamCounts {
+        UpstreamCounts {
+            requests: self.counters.requests.load(Ordering::Relaxed),
+            collisions: self.counters.collisions.load(Ordering::Relaxed),
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, stand_in: Arc<StandIn>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let stand_in = Arc::clone(&stand_in);
+        let service = service_fn(move |request| answer(request, Arc::clone(&stand_in)));
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    stand_in: Arc<StandIn>,
+) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    let body = Full::new(Bytes::from_static(b"covered\n"));
+    if request.uri().path() == "/load" {
+        return Ok(Response::new(body));
+    }
+    stand_in.counters.requests.fetch_add(1, Ordering::Relaxed);
+    if stand_in.slots.available_permits() == 0 {
+        stand_in.counters.collisions.fetch_add(1, Ordering::Relaxed);
+    }
+    let _slot = stand_in.slots.acquire().await;
+    let seconds = stand_in.service.sample(&mut *stand_in.random.lock());
+    tokio::time::sleep(Duration::from_secs_f64(seconds.min(1.0))).await;
+    Ok(Response::new(body))
+}
+
+async fn announce(plan: UpstreamPlan, number: usize, address: SocketAddr) {
+    let client: Client<_, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+    for sequence in 1_u64.. {
+        let body = json!({
+            "id": format!("u{number}"), "address": address, "zone": format!("z{}", number % 3),
+            "pool": plan.pool, "slots": plan.slots, "connections": 500,
+            "incarnation": 1, "sequence": sequence, "phase": "ready",
+        });
+        let index = usize::try_from(sequence).unwrap_or(0).wrapping_add(number);
+        let host = plan.announce_to[index % plan.announce_to.len()];
+        let request = Request::post(format!("http://{host}/v1/announce"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.to_string())));
+        if let Ok(request) = request {
+            let _ = client.request(request).await;
+        }
+        tokio::time::sleep(ANNOUNCE_PACE).await;
+    }
+}
--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
 mod decisions;
+mod fleet;
 mod recovery;
 
 use std::process::ExitCode;
@@ -11,6 +12,7 @@
 
 subcommands:
   decisions  policies under load, in virtual time
+  fleet      real daemons, stand-in upstreams, open load
   recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
@@ -28,6 +30,7 @@
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
+        "fleet" => fleet::run(rest),
         "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -55,6 +55,7 @@
     pub(crate) founders: Vec<HostId>,
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
+    pub(crate) share_counts: bool,
     pub(crate) seed: u64,
 }
 
@@ -102,7 +103,7 @@
             follower: PlanFollower::new(host.clone(), parts.seed ^ 1),
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 1),
-            counts: CountCarrier::new(host),
+            counts: CountCarrier::new(host, parts.share_counts),
             answers: FastMap::default(),
             founders: parts.founders,
             outputs: Vec::new(),
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -57,15 +57,18 @@
 /// The coordinators that live on this host, and who coordinates the rest.
 pub(crate) struct CountCarrier {
     host: HostId,
+    /// Whether counts go to and from other hosts; without them schedulers go by their own.
+    shares: bool,
     coordinators: FastMap<CountScope, PoolCoordinator>,
     assigned: FastMap<CountScope, HostId>,
     not_before: Moment,
 }
 
 impl CountCarrier {
-    pub(crate) fn new(host: HostId) -> Self {
+    pub(crate) fn new(host: HostId, shares: bool) -> Self {
         Self {
             host,
+            shares,
             coordinators: FastMap::default(),
             assigned: FastMap::default(),
             not_before: Moment::ZERO,
@@ -97,7 +100,7 @@
     /// Sends what changed and what is due.
     pub(crate) fn tick(&mut self, now: Moment, schedulers: &SchedulerSet) -> CarriedCounts {
         let mut carried = CarriedCounts::default();
-        if now < self.not_before {
+        if now < self.not_before || !self.shares {
             return carried;
         }
         self.not_before = now + COUNT_PACE;
@@ -132,6 +135,9 @@
         body: &[u8],
         schedulers: &SchedulerSet,
     ) {
+        if !self.shares {
+            return;
+        }
         let Ok(frame) = postcard::from_bytes::<CountFrame>(body) else { return };
         match frame {
             CountFrame::Delta(delta) => {
@@ -155,6 +161,9 @@
     }
 
     pub(crate) fn next_wakeup(&self, schedulers: &SchedulerSet) -> Option<Moment> {
+        if !self.shares {
+            return None;
+        }
         let own = self.coordinators.values().map(PoolCoordinator::next_wakeup).min();
         let deltas = schedulers.next_delta_at();
         own.into_iter().chain(deltas).min().map(|due| due.max(self.not_before))
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -198,6 +198,7 @@
         founders: settings.replicas.iter().map(|founder| founder.host.clone()).collect(),
         view: parts.view,
         schedulers: parts.schedulers,
+        share_counts: settings.share_counts,
         seed,
     });
     let control = ControlLoop {
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -79,6 +79,8 @@
     pub traffic_threads: usize,
     /// Most connections of callers.
     pub callers_limit: usize,
+    /// Whether this host shares counts with others or places by its own alone.
+    pub share_counts: bool,
 }
 
 /// What the command line asks for.
@@ -159,6 +161,7 @@
         writeln!(f, "announce-lease={}ms", self.announce_lease.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
         writeln!(f, "traffic-threads={}", self.traffic_threads)?;
+        writeln!(f, "share-counts={}", if self.share_counts { "yes" } else { "no" })?;
         write!(f, "callers-limit={}", self.callers_limit)
     }
 }
@@ -308,6 +311,7 @@
         let log_level = self.checked("log-level", "error, warning, info or debug", level);
         let traffic_threads = self.count("traffic-threads", 64);
         let callers_limit = self.count("callers-limit", 100_000);
+        let share_counts = self.checked("share-counts", "yes or no", yes_or_no);
         Some(DaemonSettings {
             host_id: host_id?,
             zone: zone?,
@@ -327,6 +331,7 @@
             log_level: log_level?,
             traffic_threads: traffic_threads?,
             callers_limit: callers_limit?,
+            share_counts: share_counts?,
         })
     }
 
@@ -420,6 +425,14 @@
 // -----------------------------------------------------------------------------------------
 // Helpers
 
+fn yes_or_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     for entry in SETTINGS {
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -63,5 +63,11 @@
     optional("announce-lease", "TIME", "3s", "how long an announcement holds without renewal"),
     optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
     optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
+    optional(
+        "share-counts",
+        "yes|no",
+        "yes",
+        "no: place by this host's own counts only, should shared ones ever do harm",
+    ),
     optional("callers-limit", "COUNT", "10000", "most connections of callers, 1 to 100000"),
 ];
