--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -69,5 +69,11 @@
         "yes",
         "no: place by this host's own counts only, should shared ones ever do harm",
     ),
+    optional(
+        "trusted-callers",
+        "IP,…",
+        "",
+        "callers whose attempt and priority headers are believed, such as upstreams that call on",
+    ),
     optional("callers-limit", "COUNT", "10000", "most connections of callers, 1 to 100000"),
 ];
