--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod fleet;
+mod path;
 mod recovery;
 
 use std::process::ExitCode;
@@ -13,6 +14,7 @@
 subcommands:
   decisions  policies under load, in virtual time
   fleet      real daemons, stand-in upstreams, open load
+  path       what the request path adds, direct against forwarders
   recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
@@ -31,6 +33,7 @@
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
         "fleet" => fleet::run(rest),
+        "path" => path::run(rest),
         "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
