Let a leader whose disk hangs give way

Cause: a disk that stops answering without an error left its host in office: heartbeats went on, nobody stood for election, and no question was answered. Change: a leader steps down when a write is under way for longer than an election timeout, and asks the follower that has most to stand at once. Schedules hang disks too. The disk in memory now finishes a host's writes in order after it hung; it had let a later one pass.

--- a/crates/pulley_core/src/version/persist_gate.rs
+++ b/crates/pulley_core/src/version/persist_gate.rs
@@ -7,7 +7,7 @@
     LogEntry, LogIndex, PersistBatch, PersistTicket, ReplicaMessage, ReplicaSnapshot, Term,
     VoteRecord,
 };
-use crate::process::MemberId;
+use crate::process::{MemberId, Moment};
 
 /// How many writes may be under way. While two are, further entries gather into the next one, so
 /// that under load one sync carries many entries and the queue to the storage stays short.
@@ -22,6 +22,7 @@
     ticket: PersistTicket,
     last: (LogIndex, Term),
     has_vote: bool,
+    begun: Moment,
     held: Vec<HeldMessage>,
 }
 
@@ -73,8 +74,17 @@
         self.building.vote.is_some() || self.flights.iter().any(|flight| flight.has_vote)
     }
 
+    /// When the oldest write that has not come back was begun.
+    pub(crate) fn oldest_write(&self) -> Option<Moment> {
+        self.flights.front().map(|flight| flight.begun)
+    }
+
     /// The next write, if there is something to write and few enough are under way.
-    pub(crate) fn take_batch(&mut self, last: (LogIndex, Term)) -> Option<PersistBatch> {
+    pub(crate) fn take_batch(
+        &mut self,
+        now: Moment,
+        last: (LogIndex, Term),
+    ) -> Option<PersistBatch> {
         if self.building.is_empty() || self.flights.len() >= FLIGHT_LIMIT {
             return None;
         }
@@ -85,6 +95,7 @@
             ticket: batch.ticket,
             last,
             has_vote: batch.vote.is_some(),
+            begun: now,
             held: std::mem::take(&mut self.building_held),
         });
         Some(batch)
--- a/crates/pulley_core/src/version/replica_leading.rs
+++ b/crates/pulley_core/src/version/replica_leading.rs
@@ -213,6 +213,10 @@
         if leader.transfer.is_some_and(|transfer| transfer.until <= now) {
             leader.transfer = None;
         }
+        if self.leave_if_stalled() {
+            return;
+        }
+        let ReplicaRole::Leader(leader) = &mut self.role else { return };
         let check_due = leader.quorum_check_at <= now;
         let beat_due = leader.beat_at <= now;
         if beat_due {
@@ -226,6 +230,33 @@
         }
     }
 
+    /// Gives up leadership when the own disk has not finished a write for an election timeout.
+    ///
+    /// What goes wrong otherwise: the leader's heartbeats go on while its disk hangs, so nobody
+    /// else stands for election, and it can apply and answer nothing. Its writes' age shows it. It
+    /// cannot be elected again before the disk answers, because its own vote has to be written.
+    fn leave_if_stalled(&mut self) -> bool {
+        let limit = self.settings.election_timeout;
+        let stalled = self.gate.oldest_write().is_some_and(|begun| self.now.since(begun) > limit);
+        let members = self.log.members();
+        let ReplicaRole::Leader(leader) = &self.role else { return false };
+        if !stalled || members.voters().count() == 1 {
+            return false;
+        }
+        let successor = leader
+            .followers
+            .iter()
+            .filter(|(member, _)| members.is_voter(**member))
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(member, _)| *member);
+        let term = self.vote.term;
+        if let Some(successor) = successor {
+            self.send(successor, ReplicaMessage::CampaignNow { term });
+        }
+        self.follow(term, None);
+        true
+    }
+
     /// Steps down when a majority has not answered for an election timeout.
     ///
     /// A leader that a partition has cut off would otherwise hold on to questions it can never
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -411,6 +411,6 @@
             return;
         }
         let last = (self.log.last_index(), self.log.last_term());
-        self.effects.batch = self.gate.take_batch(last);
+        self.effects.batch = self.gate.take_batch(self.now, last);
     }
 }
--- a/crates/pulleyd/tests/replica/failure_tests.rs
+++ b/crates/pulleyd/tests/replica/failure_tests.rs
@@ -212,3 +212,24 @@
     assert_eq!(cluster.settle(&change("change-7", 500)), ReplicaAnswer::Change(refusal));
     assert_eq!(cluster.settle(&change("next", 500)), accepted(501));
 }
+
+// The disk of the leader's host stops answering without an error, while its network works. The
+// other hosts hear the leader and would wait for it, and no change or claim would get an answer.
+#[test]
+fn a_leader_whose_disk_hangs_gives_way() {
+    let mut cluster = FakeCluster::new(3, 9);
+    cluster.run_until(Duration::from_secs(10), FakeCluster::all_vote);
+    let old = cluster.wait_for_leader();
+    cluster.hosts[old].disk_hangs = true;
+    let token = cluster.ask(old, change("first", 0));
+    cluster.run(Duration::from_secs(2));
+    assert!(matches!(cluster.answers[&token], ReplicaAnswer::Unknown { .. }));
+    let new = cluster.wait_for_leader();
+    assert_ne!(new, old);
+    assert_eq!(cluster.settle(&change("first", 0)), accepted(1));
+    cluster.run(Duration::from_secs(10));
+    assert_ne!(cluster.leader(), Some(old));
+    cluster.hosts[old].disk_hangs = false;
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(cluster.version(old), ConfigVersion(1));
+}
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -50,6 +50,8 @@
     life: u64,
     /// Loses its power as soon as it has sent something.
     pub(crate) dies_on_send: bool,
+    /// Its disk does not finish any write.
+    pub(crate) disk_hangs: bool,
 }
 
 /// Replicas over a network and disks in memory.
@@ -112,6 +114,7 @@
             storage: None,
             life: 0,
             dies_on_send: false,
+            disk_hangs: false,
         });
         let number = self.hosts.len() - 1;
         self.start(number);
@@ -260,6 +263,16 @@
                 if self.hosts[host].life != life {
                     return;
                 }
+                // One disk writes in order, also when it works again.
+                let behind = self.queue.values().any(|queued| {
+                    matches!(queued, FakeEvent::Write { host: other, life: of, batch: earlier }
+                        if *other == host && *of == life && earlier.ticket < batch.ticket)
+                });
+                if self.hosts[host].disk_hangs || behind {
+                    let later = self.now + Duration::from_millis(100);
+                    self.push(later, FakeEvent::Write { host, life, batch });
+                    return;
+                }
                 let Some(storage) = &mut self.hosts[host].storage else { return };
                 let ticket = batch.ticket;
                 let ok = storage.write(&[batch]).is_ok();
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -26,6 +26,7 @@
     KillOnSend { host: usize },
     Restart { host: usize },
     Wipe { host: usize },
+    HangDisk { host: usize },
     Start { host: usize },
     CutOneWay { from: usize, to: usize },
     Isolate { host: usize },
@@ -37,7 +38,7 @@
     fn arbitrary(random: &mut Gen) -> Self {
         let host = usize::arbitrary(random) % 5;
         let to = usize::arbitrary(random) % 5;
-        match u8::arbitrary(random) % 37 {
+        match u8::arbitrary(random) % 38 {
             0..=5 => Self::Change {
                 host,
                 id: u16::arbitrary(random) % 40,
@@ -54,6 +55,7 @@
             17 => Self::Isolate { host },
             18 | 31 => Self::Heal,
             32 => Self::Wipe { host },
+            33 => Self::HangDisk { host },
             19 | 20 => Self::KillOnSend { host },
             21 | 22 => Self::Restart { host },
             _ => Self::Wait { millis: u64::arbitrary(random) % 500 },
@@ -119,6 +121,10 @@
                 }
                 cluster.start(host % size);
             }
+            ScheduleStep::HangDisk { host } => {
+                let host = &mut cluster.hosts[host % size];
+                host.disk_hangs = !host.disk_hangs;
+            }
             ScheduleStep::Wipe { host } if self.disks_to_lose > 0 => {
                 self.disks_to_lose -= 1;
                 cluster.wipe(host % size);
@@ -130,7 +136,10 @@
             ScheduleStep::Kill { .. } | ScheduleStep::Start { .. } | ScheduleStep::Wipe { .. } => {}
             ScheduleStep::CutOneWay { from, to } => cluster.cut(from % size, to % size),
             ScheduleStep::Isolate { host } => cluster.isolate(host % size),
-            ScheduleStep::Heal => cluster.heal(),
+            ScheduleStep::Heal => {
+                cluster.heal();
+                cluster.hosts.iter_mut().for_each(|host| host.disk_hangs = false);
+            }
             ScheduleStep::Wait { millis } => cluster.run(Duration::from_millis(millis)),
         }
     }
@@ -168,6 +177,7 @@
         cluster.faults = NetworkFaults::NONE;
         for number in 0..cluster.hosts.len() {
             cluster.hosts[number].dies_on_send = false;
+            cluster.hosts[number].disk_hangs = false;
             if !cluster.is_up(number) {
                 cluster.start(number);
             }
