--- a/crates/pulley_core/src/version/configuration_machine.rs
+++ b/crates/pulley_core/src/version/configuration_machine.rs
@@ -9,8 +9,8 @@
 
 use super::plan_diff::plan_diff;
 use super::{
-    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ConfigVersion, LogIndex, StoredChange,
-    StoredPlan,
+    AuditChunk, AuditFilter, AuditRecord, AuditTrail, ChangeAnswer, ChangeRefusal, ConfigVersion,
+    LogIndex, StoredChange, StoredPlan,
 };
 use crate::process::{ActorName, ChangeId, FastMap};
 
@@ -18,12 +18,6 @@
 /// beyond any resend. Each takes about 100 bytes in memory.
 pub const OUTCOMES_KEPT: usize = 100_000;
 
-/// How many audit records are kept: about ten days at 2,100 changes a day, at most some 12 MB.
-pub const AUDIT_KEPT: usize = 20_000;
-
-/// How many audit records an answer holds at most, so that it fits a message.
-pub const AUDIT_ANSWER_LIMIT: usize = 2_000;
-
 /// What came of a change id, and what it stood for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ChangeOutcome {
@@ -37,7 +31,7 @@
     current: Arc<StoredPlan>,
     outcomes: FastMap<u128, ChangeOutcome>,
     outcome_order: VecDeque<u128>,
-    audit: VecDeque<AuditRecord>,
+    audit: AuditTrail,
 }
 
 impl ConfigurationMachine {
@@ -63,7 +57,7 @@
     pub fn note_members(&mut self, index: LogIndex, unix_ms: u64, actor: &ActorName, what: &str) {
         let Ok(change_id) = format!("member-{index}").parse::<ChangeId>() else { return };
         let version = self.current.version;
-        self.push_audit(AuditRecord {
+        self.audit.push(AuditRecord {
             index: index.0,
             unix_ms,
             actor: actor.clone(),
@@ -87,20 +81,21 @@
         self.current.version
     }
 
-    /// The audit records that match, the newest first.
+    /// The audit trail.
+    #[must_use]
+    pub fn audit_trail(&self) -> &AuditTrail {
+        &self.audit
+    }
+
+    /// The audit records in memory that match, the newest first.
     #[must_use]
     pub fn audit(&self, filter: &AuditFilter) -> Vec<AuditRecord> {
-        let limit = match filter.limit {
-            0 => AUDIT_ANSWER_LIMIT,
-            limit => (limit as usize).min(AUDIT_ANSWER_LIMIT),
-        };
-        self.audit
-            .iter()
-            .rev()
-            .filter(|record| filter_matches(filter, record))
-            .take(limit)
-            .cloned()
-            .collect()
+        self.audit.recent(filter)
+    }
+
+    /// Takes the chunks of the audit trail that are to be written.
+    pub fn take_unwritten(&mut self) -> Vec<Arc<AuditChunk>> {
+        self.audit.take_unwritten()
     }
 
     /// Accepts or refuses a change; returns what it changed too.
@@ -128,7 +123,7 @@
             ChangeAnswer::Accepted { .. } => "accepted",
             ChangeAnswer::Refused(_) | ChangeAnswer::Unknown { .. } => "refused",
         };
-        self.push_audit(AuditRecord {
+        self.audit.push(AuditRecord {
             index: index.0,
             unix_ms: change.received_unix_ms,
             actor: change.actor.clone(),
@@ -140,13 +135,6 @@
         });
     }
 
-    fn push_audit(&mut self, record: AuditRecord) {
-        self.audit.push_back(record);
-        if self.audit.len() > AUDIT_KEPT {
-            self.audit.pop_front();
-        }
-    }
-
     fn remember(&mut self, id: u128, outcome: ChangeOutcome) {
         self.outcomes.insert(id, outcome);
         self.outcome_order.push_back(id);
@@ -158,14 +146,6 @@
     }
 }
 
-fn filter_matches(filter: &AuditFilter, record: &AuditRecord) -> bool {
-    filter.since_unix_ms.is_none_or(|since| record.unix_ms >= since)
-        && filter.until_unix_ms.is_none_or(|until| record.unix_ms <= until)
-        && filter.actor.as_ref().is_none_or(|actor| record.actor == *actor)
-        && filter.change_id.as_ref().is_none_or(|id| record.change_id == *id)
-        && filter.outcome.as_ref().is_none_or(|outcome| record.outcome == *outcome)
-}
-
 fn id_digest(id: &ChangeId) -> u128 {
     shortened(Sha256::digest(id.as_str().as_bytes()).into())
 }
--- a/crates/pulley_core/src/version/driver_message.rs
+++ b/crates/pulley_core/src/version/driver_message.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    ConfigVersion, LogIndex, PersistBatch, PersistTicket, ReplicaAnswer, ReplicaMember,
-    ReplicaQuestion, StoredPlan, Term,
+    AuditRead, AuditRecord, ConfigVersion, LogIndex, PersistBatch, PersistTicket, ReplicaAnswer,
+    ReplicaMember, ReplicaQuestion, StoredPlan, Term,
 };
 use crate::process::{HostId, MemberId};
 
@@ -31,6 +31,13 @@
         /// Whether it is on disk. A failed one is never retried.
         ok: bool,
     },
+    /// A read of old audit records has ended.
+    AuditRead {
+        /// Which.
+        read: u64,
+        /// What was found, the newest first; `None` if a chunk could not be read.
+        records: Option<Vec<AuditRecord>>,
+    },
     /// A question for the leader.
     Ask {
         /// Comes back with the answer.
@@ -59,6 +66,8 @@
         /// The batch.
         batch: PersistBatch,
     },
+    /// Read old audit records from the data folder, then say so with [`DriverInput::AuditRead`].
+    ReadAudit(AuditRead),
     /// The answer to a question.
     Answer {
         /// The question's token.
--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -64,11 +64,12 @@
 
     pub(crate) fn finish_read(&mut self, read: u64) {
         let Some(waiting) = self.reads.remove(&read) else { return };
-        let configuration = &self.machines.configuration;
-        let answer = match &waiting.question {
-            ReplicaQuestion::Audit(filter) => ReplicaAnswer::Audit(configuration.audit(filter)),
-            _ => ReplicaAnswer::Plan((**configuration.current()).clone()),
-        };
+        if let ReplicaQuestion::Audit(filter) = &waiting.question {
+            self.answer_audit(waiting.token, filter);
+            return;
+        }
+        let plan = self.machines.configuration.current();
+        let answer = ReplicaAnswer::Plan((**plan).clone());
         self.push_answer(waiting.token, answer);
     }
 
@@ -153,7 +154,7 @@
         answer
     }
 
-    fn push_answer(&mut self, token: u64, answer: ReplicaAnswer) {
+    pub(crate) fn push_answer(&mut self, token: u64, answer: ReplicaAnswer) {
         self.outputs.push(DriverOutput::Answer { token, answer });
     }
 }
--- a/crates/pulley_core/src/version/founding_message.rs
+++ b/crates/pulley_core/src/version/founding_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DiskId, ReplicaEnvelope, ReplicaMembership};
+use super::{AuditMessage, DiskId, ReplicaEnvelope, ReplicaMembership};
 use crate::process::{HostId, MemberId};
 
 /// Any message between two replicas.
@@ -12,6 +12,8 @@
     Replica(ReplicaEnvelope),
     /// From or to one that does not.
     Founding(FoundingMessage),
+    /// About old audit records.
+    Audit(AuditMessage),
 }
 
 /// What replicas say to each other before they hold a log.
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -1,5 +1,7 @@
 //! State that belongs to one version of the configuration, and the log that orders versions.
 
+mod audit_archive;
+mod audit_trail;
 mod change;
 mod cluster_founding;
 mod configuration_machine;
@@ -39,12 +41,12 @@
 mod sheet_upload;
 mod stored_change;
 
+pub use audit_archive::{AuditMessage, AuditRead};
+pub use audit_trail::{AUDIT_ANSWER_LIMIT, AUDIT_CHUNK, AUDIT_KEPT, AuditChunk, AuditTrail};
 pub use change::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
 };
-pub use configuration_machine::{
-    AUDIT_ANSWER_LIMIT, AUDIT_KEPT, ConfigurationMachine, OUTCOMES_KEPT,
-};
+pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
 pub use driver_message::{DriverInput, DriverOutput, ReplicaStatus};
 pub use founding_message::{FoundingMessage, PeerMessage};
 pub use ledger_machine::{
--- a/crates/pulley_core/src/version/persist_batch.rs
+++ b/crates/pulley_core/src/version/persist_batch.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{DiskId, LogEntry, LogIndex, LogTime, PersistTicket, ReplicaMembership, Term};
+use super::{
+    AuditChunk, DiskId, LogEntry, LogIndex, LogTime, PersistTicket, ReplicaMembership, Term,
+};
 use crate::process::MemberId;
 
 /// What a replica must never forget about elections.
@@ -56,6 +58,8 @@
     pub member: Option<MemberId>,
     /// The founding membership that this disk has agreed to; it never agrees to another.
     pub promise: Option<ReplicaMembership>,
+    /// Old audit records; written before the snapshot, which no longer holds them.
+    pub audit: Vec<Arc<AuditChunk>>,
     /// Entries that follow what is already there.
     pub entries: Vec<Arc<LogEntry>>,
 }
@@ -69,6 +73,7 @@
             && self.vote.is_none()
             && self.member.is_none()
             && self.promise.is_none()
+            && self.audit.is_empty()
             && self.entries.is_empty()
     }
 }
@@ -80,6 +85,8 @@
     pub disk: DiskId,
     /// The member id that the disk has been given, if it is not the founding one.
     pub member: Option<MemberId>,
+    /// Numbers of the chunks of old audit records it holds.
+    pub audit_chunks: Vec<u64>,
     /// The founding membership that the disk has agreed to.
     pub promise: Option<ReplicaMembership>,
     /// The election state.
--- a/crates/pulley_core/src/version/persist_gate.rs
+++ b/crates/pulley_core/src/version/persist_gate.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    LogEntry, LogIndex, PersistBatch, PersistTicket, ReplicaMessage, ReplicaSnapshot, Term,
-    VoteRecord,
+    AuditChunk, LogEntry, LogIndex, PersistBatch, PersistTicket, ReplicaMessage, ReplicaSnapshot,
+    Term, VoteRecord,
 };
 use crate::process::{MemberId, Moment};
 
@@ -54,6 +54,10 @@
         self.building.cut_from = Some(cut);
     }
 
+    pub(crate) fn note_chunk(&mut self, chunk: Arc<AuditChunk>) {
+        self.building.audit.push(chunk);
+    }
+
     pub(crate) fn note_snapshot(&mut self, snapshot: Arc<ReplicaSnapshot>) {
         self.building.snapshot = Some(snapshot);
     }
--- a/crates/pulley_core/src/version/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica_driver.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use super::audit_archive::AuditArchive;
 use super::cluster_founding::ClusterFounding;
 use super::driver_question::{WaitingQuestion, WaitingRead};
 use super::{
@@ -33,6 +34,7 @@
     pub(crate) waiting: BTreeMap<LogIndex, WaitingQuestion>,
     pub(crate) reads: FastMap<u64, WaitingRead>,
     pub(crate) next_read: u64,
+    pub(crate) archive: AuditArchive,
     /// Reads that a quorum has confirmed, with the entry that must be applied first.
     confirmed: Vec<(u64, LogIndex)>,
     /// Hosts of members that this replica's membership does not name yet.
@@ -74,6 +76,7 @@
             }
         };
         let recovered_last = node.last_index();
+        let archive = AuditArchive::new(&recovered.audit_chunks);
         let snapshot_size = recovered.snapshot.map_or(0, |snapshot| snapshot.state.len());
         Self {
             identity,
@@ -85,6 +88,7 @@
             waiting: BTreeMap::new(),
             reads: FastMap::default(),
             next_read: 0,
+            archive,
             confirmed: Vec::new(),
             strangers: FastMap::default(),
             applied_weight: 0,
@@ -106,9 +110,11 @@
             DriverInput::Tick => {
                 self.node.tick(now);
                 self.promote_learner(now);
+                self.fetch_chunk(now);
             }
             DriverInput::Peer { from, body } => self.receive(now, &from, &body),
             DriverInput::Persisted { ticket, ok } => self.node.persisted(now, ticket, ok),
+            DriverInput::AuditRead { read, records } => self.finish_audit_read(read, records),
             DriverInput::Ask { token, question } => self.ask(now, token, question),
             DriverInput::TransferLeadership => self.node.transfer_leadership(now),
         }
@@ -189,6 +195,10 @@
     fn receive(&mut self, now: Moment, from: &HostId, body: &Bytes) {
         let envelope = match postcard::from_bytes::<PeerMessage>(body) {
             Ok(PeerMessage::Replica(envelope)) => envelope,
+            Ok(PeerMessage::Audit(message)) => {
+                self.receive_audit(from, message);
+                return;
+            }
             Ok(PeerMessage::Founding(message)) => {
                 self.receive_founding(now, from, message);
                 return;
@@ -319,6 +329,8 @@
             applied = true;
         }
         if applied {
+            // Chunks go to the storage before a snapshot that no longer holds them.
+            self.write_chunks();
             self.compact_if_due();
         }
         applied
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -12,9 +12,9 @@
 use super::replica_leading::LeaderState;
 use super::replica_log::ReplicaLog;
 use super::{
-    LogEntry, LogIndex, LogTime, PersistBatch, PersistTicket, RecoveredState, ReplicaEnvelope,
-    ReplicaMembership, ReplicaMessage, ReplicaSettings, ReplicaSnapshot, SnapshotPlace, Term,
-    VoteRecord,
+    AuditChunk, LogEntry, LogIndex, LogTime, PersistBatch, PersistTicket, RecoveredState,
+    ReplicaEnvelope, ReplicaMembership, ReplicaMessage, ReplicaSettings, ReplicaSnapshot,
+    SnapshotPlace, Term, VoteRecord,
 };
 use crate::process::{MemberId, Moment};
 
@@ -240,6 +240,12 @@
         self.flush();
     }
 
+    /// Writes a chunk of old audit records.
+    pub fn archive(&mut self, chunk: Arc<AuditChunk>) {
+        self.gate.note_chunk(chunk);
+        self.flush();
+    }
+
     /// The place of a snapshot taken now, after all that was taken by [`Self::take_committed`].
     #[must_use]
     pub fn snapshot_place(&self) -> SnapshotPlace {
--- a/crates/pulley_core/src/version/replica_question.rs
+++ b/crates/pulley_core/src/version/replica_question.rs
@@ -109,6 +109,9 @@
     /// The claim is not held under this token.
     #[error("the claim is not held under this token")]
     StaleToken,
+    /// Old audit records are still being copied to the replica that leads.
+    #[error("old audit records are still being copied to the leader; ask for newer ones")]
+    AuditIncomplete,
     /// Too much waits for a quorum already.
     #[error("too many questions wait for a quorum")]
     Busy,
--- a/crates/pulleyd/src/version/log_recovery.rs
+++ b/crates/pulleyd/src/version/log_recovery.rs
@@ -9,6 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::audit_reader::chunk_number;
 use super::disk_folder::DiskFolder;
 use super::record_frame::{WriteGroup, read_frame, was_synced};
 use super::storage_fault::{Result, StorageFault};
@@ -85,6 +86,7 @@
     let names = folder.names().map_err(StorageFault::disk("data folder"))?;
     let mut contents = FolderContents::default();
     contents.recovered.snapshot = newest_snapshot(folder, &names)?;
+    contents.recovered.audit_chunks = names.iter().filter_map(|name| chunk_number(name)).collect();
     let numbers: Vec<u64> = names.iter().filter_map(|name| segment_number(name)).collect();
     for (position, number) in numbers.iter().enumerate() {
         let is_last = position + 1 == numbers.len();
--- a/crates/pulleyd/src/version/log_storage.rs
+++ b/crates/pulleyd/src/version/log_storage.rs
@@ -6,11 +6,13 @@
 
 use pulley_core::process::{ClusterId, HostId, MemberId};
 use pulley_core::version::{
-    DiskId, LogIndex, PersistBatch, RecoveredState, ReplicaIdentity, ReplicaSnapshot, VoteRecord,
+    AuditChunk, DiskId, LogIndex, PersistBatch, RecoveredState, ReplicaIdentity, ReplicaSnapshot,
+    VoteRecord,
 };
 
 use serde::{Deserialize, Serialize};
 
+use super::audit_reader::chunk_name;
 use super::disk_folder::{DiskFile, DiskFolder, SystemFolder};
 use super::log_recovery::{
     LogRecord, SegmentFile, SnapshotHead, read_folder, segment_name, segment_number, snapshot_name,
@@ -154,6 +156,9 @@
     fn write_all(&mut self, batches: &[PersistBatch]) -> Result<()> {
         let mut pending: Vec<LogRecord> = Vec::new();
         for batch in batches {
+            for chunk in &batch.audit {
+                write_chunk(&mut self.folder, chunk)?;
+            }
             if let Some(index) = batch.cut_from {
                 pending.push(LogRecord::Cut(index));
             }
@@ -246,6 +251,14 @@
     }
 }
 
+/// Writes a chunk of old audit records; the name's own sync comes with it, since the snapshot that
+/// follows no longer holds them.
+fn write_chunk<D: DiskFolder>(folder: &mut D, chunk: &AuditChunk) -> Result<()> {
+    let mut buffer = Vec::new();
+    push_frame(&mut buffer, WriteGroup(0), true, chunk)?;
+    replace_file(folder, &chunk_name(chunk.number), &[&buffer])
+}
+
 /// Writes a file so that a crash leaves either the old or the new one, never a part.
 fn replace_file<D: DiskFolder>(folder: &mut D, name: &str, parts: &[&[u8]]) -> Result<()> {
     let temporary = format!("{name}{TEMPORARY_SUFFIX}");
--- a/crates/pulleyd/src/version/mod.rs
+++ b/crates/pulleyd/src/version/mod.rs
@@ -3,6 +3,7 @@
 //! A folder holds segments of the log, the newest snapshot, an identity file and a lock. All
 //! writing happens on one thread ([`StorageWorker`]), with one sync for all that waits.
 
+mod audit_reader;
 mod disk_folder;
 mod log_recovery;
 mod log_storage;
@@ -10,6 +11,7 @@
 mod storage_fault;
 mod storage_worker;
 
+pub use audit_reader::{AuditReader, read_audit};
 pub use disk_folder::{DiskFile, DiskFolder, SystemFolder};
 pub use log_storage::LogStorage;
 pub use storage_fault::{Result, StorageFault};
