Wire the audit reader into the daemon and test long audit trails

Change: the control thread passes reads of old records to the reader and takes writes and reads through one channel. Tests: an old record after restarts, an operator's changes across memory and chunks, a new replica that copies chunks.

--- a/crates/pulley_bench/src/recovery/replica_cluster.rs
+++ b/crates/pulley_bench/src/recovery/replica_cluster.rs
@@ -181,7 +181,8 @@
             DriverOutput::Answer { token, answer } => {
                 let _ = self.answered.send((token, answer));
             }
-            DriverOutput::InForce(_) => {}
+            // Nobody asks for old audit records here.
+            DriverOutput::InForce(_) | DriverOutput::ReadAudit(_) => {}
         }
     }
 }
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -31,13 +31,27 @@
 #[derive(Debug)]
 pub(crate) enum ControlOutput {
     /// Send over the link to a host.
-    Link { to: HostId, class: FrameClass, body: Bytes },
+    Link {
+        to: HostId,
+        class: FrameClass,
+        body: Bytes,
+    },
     /// Send as a datagram.
-    Datagram { to: SocketAddr, class: FrameClass, body: Bytes },
+    Datagram {
+        to: SocketAddr,
+        class: FrameClass,
+        body: Bytes,
+    },
     /// Hand to the storage thread.
     Persist(PersistBatch),
+    ReadAudit(pulley_core::version::AuditRead),
     /// Ask an upstream how loaded it is.
-    Probe { pool: PoolName, zone: ZoneName, upstream: UpstreamId, address: SocketAddr },
+    Probe {
+        pool: PoolName,
+        zone: ZoneName,
+        upstream: UpstreamId,
+        address: SocketAddr,
+    },
 }
 
 /// What the core is made from.
@@ -189,6 +203,13 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Takes what a storage thread has to say.
+    pub(crate) fn stored(&mut self, now: Moment, input: DriverInput) -> Vec<ControlOutput> {
+        self.drive(now, input);
+        self.refresh(now);
+        std::mem::take(&mut self.outputs)
+    }
+
     /// Takes the storage thread's word on a write.
     pub(crate) fn persisted(
         &mut self,
@@ -196,9 +217,7 @@
         ticket: PersistTicket,
         ok: bool,
     ) -> Vec<ControlOutput> {
-        self.drive(now, DriverInput::Persisted { ticket, ok });
-        self.refresh(now);
-        std::mem::take(&mut self.outputs)
+        self.stored(now, DriverInput::Persisted { ticket, ok })
     }
 
     /// Takes a request of this host's own traffic side or operators.
@@ -257,6 +276,7 @@
                 DriverOutput::Persist { batch, .. } => {
                     self.outputs.push(ControlOutput::Persist(batch));
                 }
+                DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
                 DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
                 DriverOutput::InForce(plan) => self.follower.committed(plan),
             }
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -8,7 +8,7 @@
 
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
-    PersistTicket, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
+    DriverInput, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
 };
 use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
@@ -24,7 +24,7 @@
     DatagramSeal, InboundDatagram, InboundFrame, KeyRing, LinkSettings, PeerDatagrams, PeerLinks,
 };
 use crate::request::SchedulerSet;
-use crate::version::{LogStorage, StorageFault, StorageWorker};
+use crate::version::{AuditReader, LogStorage, StorageFault, StorageWorker};
 
 /// Messages that may wait for the control thread, of each sort. Datagrams past it are dropped
 /// and replaced by later ones; links are held back.
@@ -117,10 +117,11 @@
     }
 }
 
-/// A write's end, as the storage thread reports it.
-struct PersistDone {
-    ticket: PersistTicket,
-    ok: bool,
+/// A replica with the threads that write to its data folder and read from it.
+struct OpenReplica {
+    driver: ReplicaDriver,
+    storage: StorageWorker,
+    audit: AuditReader,
 }
 
 struct ControlLoop {
@@ -128,6 +129,7 @@
     links: PeerLinks,
     datagrams: PeerDatagrams,
     storage: Option<StorageWorker>,
+    audit: Option<AuditReader>,
     clock: ProcessClock,
     logger: Logger,
     key_ring: KeyRing,
@@ -142,7 +144,7 @@
     requests: mpsc::Receiver<ControlRequest>,
     frames: mpsc::Receiver<InboundFrame>,
     datagrams: mpsc::Receiver<InboundDatagram>,
-    persisted: mpsc::UnboundedReceiver<PersistDone>,
+    stored: mpsc::UnboundedReceiver<DriverInput>,
     probes: mpsc::Receiver<ProbeReport>,
 }
 
@@ -184,11 +186,14 @@
     let (probe_sender, probes) = mpsc::channel(QUEUE_DEPTH);
     let (links, datagrams) =
         open_sockets(settings, &parts.key_ring, frame_sender, datagram_sender).await?;
-    let (persist_sender, persisted) = mpsc::unbounded_channel();
+    let (stored_sender, stored) = mpsc::unbounded_channel();
     let seed = rand::random();
     let now = parts.clock.now();
-    let opened = open_replica(settings, now, seed, persist_sender, &parts.logger)?;
-    let (replica, storage) = opened.map_or((None, None), |(r, s)| (Some(r), Some(s)));
+    let opened = open_replica(settings, now, seed, stored_sender, &parts.logger)?;
+    let (replica, storage, audit) = match opened {
+        Some(open) => (Some(open.driver), Some(open.storage), Some(open.audit)),
+        None => (None, None, None),
+    };
     let own = own_record(&parts, links.local_address());
     info!(parts.logger, "control-started"; "peers" => %own.peer_address, "replica" => replica.is_some());
     let core = ControlCore::new(CoreParts {
@@ -205,6 +210,7 @@
         links,
         datagrams,
         storage,
+        audit,
         clock: parts.clock,
         logger: parts.logger,
         key_ring: parts.key_ring,
@@ -215,7 +221,7 @@
         next_key_check: now + KEY_CHECK,
     };
     let requests = parts.requests;
-    let inbox = ControlInbox { requests, frames, datagrams: datagrams_in, persisted, probes };
+    let inbox = ControlInbox { requests, frames, datagrams: datagrams_in, stored, probes };
     Ok((control, inbox))
 }
 
@@ -258,9 +264,9 @@
     settings: &DaemonSettings,
     now: Moment,
     seed: u64,
-    persisted: mpsc::UnboundedSender<PersistDone>,
+    stored: mpsc::UnboundedSender<DriverInput>,
     logger: &Logger,
-) -> StartResult<Option<(ReplicaDriver, StorageWorker)>> {
+) -> StartResult<Option<OpenReplica>> {
     let Some(folder) = &settings.data_folder else { return Ok(None) };
     let host = settings.host_id.clone();
     // A host that is no founder, or whose disk was lost, is given its member id by the leader.
@@ -274,13 +280,17 @@
     replica_settings.unix_origin_ms = ProcessClock::unix_ms().saturating_sub(now.micros() / 1_000);
     let driver = ReplicaDriver::new(identity, recovered, replica_settings, now, seed);
     let logger = logger.clone();
-    let worker = StorageWorker::start(storage, move |ticket, outcome| {
+    let audit_sender = stored.clone();
+    let audit = AuditReader::start(folder, move |read, records| {
+        let _ = audit_sender.send(DriverInput::AuditRead { read, records });
+    })?;
+    let storage = StorageWorker::start(storage, move |ticket, outcome| {
         if let Err(fault) = &outcome {
             error!(logger, "storage-failed"; "error" => %fault);
         }
-        let _ = persisted.send(PersistDone { ticket, ok: outcome.is_ok() });
+        let _ = stored.send(DriverInput::Persisted { ticket, ok: outcome.is_ok() });
     })?;
-    Ok(Some((driver, worker)))
+    Ok(Some(OpenReplica { driver, storage, audit }))
 }
 
 fn log_recovery(logger: &Logger, recovered: &RecoveredState) {
@@ -313,7 +323,7 @@
                 datagram.class,
                 &datagram.body,
             ),
-            ControlEvent::Persisted(done) => self.core.persisted(now, done.ticket, done.ok),
+            ControlEvent::Stored(input) => self.core.stored(now, input),
             ControlEvent::Probed(report) => {
                 self.core.probed(now, &report);
                 Vec::new()
@@ -334,6 +344,7 @@
                     self.datagrams.send(to, class, &body);
                 }
                 ControlOutput::Persist(batch) => outputs.extend(self.persist(batch)),
+                ControlOutput::ReadAudit(read) => outputs.extend(self.read_audit(read)),
                 ControlOutput::Probe { pool, zone, upstream, address } => {
                     let reports = self.probed.clone();
                     let report = move |outcome: ProbeOutcome| {
@@ -345,6 +356,16 @@
         }
     }
 
+    fn read_audit(&mut self, read: pulley_core::version::AuditRead) -> Vec<ControlOutput> {
+        let number = read.read;
+        let submitted = self.audit.as_ref().map(|audit| audit.submit(read));
+        if matches!(submitted, Some(Ok(()))) {
+            return Vec::new();
+        }
+        let failed = DriverInput::AuditRead { read: number, records: None };
+        self.core.stored(self.clock.now(), failed)
+    }
+
     fn persist(&mut self, batch: pulley_core::version::PersistBatch) -> Vec<ControlOutput> {
         let ticket = batch.ticket;
         let submitted = self.storage.as_ref().map(|storage| storage.submit(batch));
@@ -400,14 +421,14 @@
     Request(ControlRequest),
     Frame(InboundFrame),
     Datagram(InboundDatagram),
-    Persisted(PersistDone),
+    Stored(DriverInput),
     Probed(ProbeReport),
     Closed,
 }
 
 async fn wait_event(inbox: &mut ControlInbox) -> ControlEvent {
     tokio::select! {
-        Some(done) = inbox.persisted.recv() => ControlEvent::Persisted(done),
+        Some(input) = inbox.stored.recv() => ControlEvent::Stored(input),
         Some(frame) = inbox.frames.recv() => ControlEvent::Frame(frame),
         Some(datagram) = inbox.datagrams.recv() => ControlEvent::Datagram(datagram),
         Some(request) = inbox.requests.recv() => ControlEvent::Request(request),
@@ -417,8 +438,8 @@
 }
 
 fn poll_event(inbox: &mut ControlInbox) -> Option<ControlEvent> {
-    if let Ok(done) = inbox.persisted.try_recv() {
-        return Some(ControlEvent::Persisted(done));
+    if let Ok(input) = inbox.stored.try_recv() {
+        return Some(ControlEvent::Stored(input));
     }
     if let Ok(frame) = inbox.frames.try_recv() {
         return Some(ControlEvent::Frame(frame));
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -10,7 +10,7 @@
     ReplicaDriver, ReplicaIdentity, ReplicaQuestion, ReplicaSettings,
 };
 use pulley_core::{ConfigVersion, Moment};
-use pulleyd::version::LogStorage;
+use pulleyd::version::{LogStorage, read_audit};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -312,6 +312,10 @@
                 let life = self.hosts[number].life;
                 self.push(at, FakeEvent::Write { host: number, life, batch });
             }
+            DriverOutput::ReadAudit(read) => {
+                let records = read_audit(&self.hosts[number].disk, &read);
+                self.feed(number, DriverInput::AuditRead { read: read.read, records });
+            }
             DriverOutput::Answer { token, answer } => {
                 self.invariants.note_answer(token, &answer);
                 self.answers.insert(token, answer);
@@ -360,6 +364,19 @@
         self.feed(number, DriverInput::TransferLeadership);
     }
 
+    /// Hands leadership over until a certain host has it.
+    pub(crate) fn hand_to(&mut self, number: usize) {
+        for _ in 0..50 {
+            let leader = self.wait_for_leader();
+            if leader == number {
+                return;
+            }
+            self.transfer(leader);
+            self.run(Duration::from_millis(300));
+        }
+        panic!("host {number} never leads");
+    }
+
     /// Asks whoever leads until there is an answer that says what became of it.
     pub(crate) fn settle(&mut self, question: &ReplicaQuestion) -> ReplicaAnswer {
         for _ in 0..200 {
--- a/crates/pulleyd/tests/replica/main.rs
+++ b/crates/pulleyd/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! Replicas with their real state machines and storage, over a network and disks in memory, in
 //! virtual time.
 
+mod audit_tests;
 mod failure_tests;
 mod fake_cluster;
 mod fake_disk;
