--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
 mod decisions;
+mod path;
 mod recovery;
 
 use std::process::ExitCode;
@@ -11,6 +12,7 @@
 
 subcommands:
   decisions  policies under load, in virtual time
+  path       what the request path adds, direct against forwarders
   recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
@@ -28,6 +30,7 @@
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
+        "path" => path::run(rest),
         "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
