--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -10,7 +10,7 @@
     ReplicaDriver, ReplicaIdentity, ReplicaQuestion, ReplicaSettings,
 };
 use pulley_core::{ConfigVersion, Moment};
-use pulleyd::version::LogStorage;
+use pulleyd::version::{LogStorage, read_audit};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -50,6 +50,8 @@
     life: u64,
     /// Loses its power as soon as it has sent something.
     pub(crate) dies_on_send: bool,
+    /// Its disk does not finish any write.
+    pub(crate) disk_hangs: bool,
 }
 
 /// Replicas over a network and disks in memory.
@@ -112,6 +114,7 @@
             storage: None,
             life: 0,
             dies_on_send: false,
+            disk_hangs: false,
         });
         let number = self.hosts.len() - 1;
         self.start(number);
@@ -260,6 +263,16 @@
                 if self.hosts[host].life != life {
                     return;
                 }
+                // One disk writes in order, also when it works again.
+                let behind = self.queue.values().any(|queued| {
+                    matches!(queued, FakeEvent::Write { host: other, life: of, batch: earlier }
+                        if *other == host && *of == life && earlier.ticket < batch.ticket)
+                });
+                if self.hosts[host].disk_hangs || behind {
+                    let later = self.now + Duration::from_millis(100);
+                    self.push(later, FakeEvent::Write { host, life, batch });
+                    return;
+                }
                 let Some(storage) = &mut self.hosts[host].storage else { return };
                 let ticket = batch.ticket;
                 let ok = storage.write(&[batch]).is_ok();
@@ -299,6 +312,10 @@
                 let life = self.hosts[number].life;
                 self.push(at, FakeEvent::Write { host: number, life, batch });
             }
+            DriverOutput::ReadAudit(read) => {
+                let records = read_audit(&self.hosts[number].disk, &read);
+                self.feed(number, DriverInput::AuditRead { read: read.read, records });
+            }
             DriverOutput::Answer { token, answer } => {
                 self.invariants.note_answer(token, &answer);
                 self.answers.insert(token, answer);
@@ -347,6 +364,19 @@
         self.feed(number, DriverInput::TransferLeadership);
     }
 
+    /// Hands leadership over until a certain host has it.
+    pub(crate) fn hand_to(&mut self, number: usize) {
+        for _ in 0..50 {
+            let leader = self.wait_for_leader();
+            if leader == number {
+                return;
+            }
+            self.transfer(leader);
+            self.run(Duration::from_millis(300));
+        }
+        panic!("host {number} never leads");
+    }
+
     /// Asks whoever leads until there is an answer that says what became of it.
     pub(crate) fn settle(&mut self, question: &ReplicaQuestion) -> ReplicaAnswer {
         for _ in 0..200 {
