--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
 mod decisions;
+mod fleet;
 mod path;
 mod recovery;
 
@@ -12,6 +13,7 @@
 
 subcommands:
   decisions  policies under load, in virtual time
+  fleet      real daemons, stand-in upstreams, open load
   path       what the request path adds, direct against forwarders
   recovery   the replicated log: changes, claims, restarts, memory";
 
@@ -30,6 +32,7 @@
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
         "decisions" => decisions::run(rest),
+        "fleet" => fleet::run(rest),
         "path" => path::run(rest),
         "recovery" => recovery::run(rest),
         "--help" | "-h" => {
