--- a/crates/pulley_bench/src/capacity/daemon_group.rs
+++ b/crates/pulley_bench/src/capacity/daemon_group.rs
@@ -169,9 +169,9 @@
             let status = request(&self.caller, daemon.addresses[2], ("GET", "/status"), "").await?;
             let read = |path| status.pointer(path).and_then(Value::as_f64).unwrap_or(0.0);
             let (processor, resident) = read_process(daemon.child.id())?;
-            let (datagrams, frames) = (read("/datagrams/sent"), read("/links/frames"));
-            let datagram_bytes = read("/datagrams/sent_bytes") + datagrams * HEADERS;
-            let sent = datagram_bytes + read("/links/wire_bytes");
+            let (datagrams, frames) =
+                (read("/control/datagrams_sent"), read("/control/link_frames"));
+            let sent = read("/control/sent_bytes") + datagrams * HEADERS;
             list.push(ProcessUse { processor, resident, sent, messages: datagrams + frames });
         }
         Ok(list)
--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -2,6 +2,8 @@
 
 mod capacity;
 mod decisions;
+mod fleet;
+mod path;
 mod recovery;
 
 use std::process::ExitCode;
@@ -13,6 +15,8 @@
 subcommands:
   capacity   what control costs a host, an upstream, a change
   decisions  policies under load, in virtual time
+  fleet      real daemons, stand-in upstreams, open load
+  path       what the request path adds, direct against forwarders
   recovery   the replicated log: changes, claims, restarts, memory";
 
 fn main() -> ExitCode {
@@ -31,6 +35,8 @@
     match subcommand.as_str() {
         "capacity" => capacity::run(rest),
         "decisions" => decisions::run(rest),
+        "fleet" => fleet::run(rest),
+        "path" => path::run(rest),
         "recovery" => recovery::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -20,7 +20,7 @@
 use super::control_counts::CountCarrier;
 use super::control_handle::ControlRequest;
 use super::{RunningView, ViewCell};
-use crate::connection::FrameClass;
+use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
 use crate::request::SchedulerSet;
 
 /// How often a leader confirms with a quorum that it still leads, and renews the configuration
@@ -31,13 +31,34 @@
 #[derive(Debug)]
 pub(crate) enum ControlOutput {
     /// Send over the link to a host.
-    Link { to: HostId, class: FrameClass, body: Bytes },
+    Link {
+        to: HostId,
+        class: FrameClass,
+        body: Bytes,
+    },
     /// Send as a datagram.
-    Datagram { to: SocketAddr, class: FrameClass, body: Bytes },
+    Datagram {
+        to: SocketAddr,
+        class: FrameClass,
+        body: Bytes,
+    },
     /// Hand to the storage thread.
     Persist(PersistBatch),
+    ReadAudit(pulley_core::version::AuditRead),
     /// Ask an upstream how loaded it is.
-    Probe { pool: PoolName, zone: ZoneName, upstream: UpstreamId, address: SocketAddr },
+    Probe {
+        pool: PoolName,
+        zone: ZoneName,
+        upstream: UpstreamId,
+        address: SocketAddr,
+    },
+}
+
+/// What the sockets have carried so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TransportCounts {
+    pub(crate) datagrams: DatagramCounts,
+    pub(crate) links: LinkCounts,
 }
 
 /// What the core is made from.
@@ -48,6 +69,7 @@
     pub(crate) founders: Vec<HostId>,
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
+    pub(crate) share_counts: bool,
     pub(crate) seed: u64,
 }
 
@@ -65,6 +87,7 @@
     pub(super) view: ViewCell,
     pub(super) schedulers: Arc<SchedulerSet>,
     pub(super) shutting_down: bool,
+    pub(super) transport: TransportCounts,
     seen: Option<ViewMarks>,
     lease_round: Option<(u64, Moment)>,
     next_lease_round: Moment,
@@ -94,13 +117,14 @@
             follower: PlanFollower::new(host.clone(), parts.seed ^ 1),
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 1),
-            counts: CountCarrier::new(host),
+            counts: CountCarrier::new(host, parts.share_counts),
             answers: FastMap::default(),
             founders: parts.founders,
             outputs: Vec::new(),
             view: parts.view,
             schedulers: parts.schedulers,
             shutting_down: false,
+            transport: TransportCounts::default(),
             seen: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
@@ -189,6 +213,13 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Takes what a storage thread has to say.
+    pub(crate) fn stored(&mut self, now: Moment, input: DriverInput) -> Vec<ControlOutput> {
+        self.drive(now, input);
+        self.refresh(now);
+        std::mem::take(&mut self.outputs)
+    }
+
     /// Takes the storage thread's word on a write.
     pub(crate) fn persisted(
         &mut self,
@@ -196,9 +227,7 @@
         ticket: PersistTicket,
         ok: bool,
     ) -> Vec<ControlOutput> {
-        self.drive(now, DriverInput::Persisted { ticket, ok });
-        self.refresh(now);
-        std::mem::take(&mut self.outputs)
+        self.stored(now, DriverInput::Persisted { ticket, ok })
     }
 
     /// Takes a request of this host's own traffic side or operators.
@@ -208,6 +237,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Notes what the sockets have carried, for the status.
+    pub(crate) fn note_transport(&mut self, counts: TransportCounts) {
+        self.transport = counts;
+    }
+
     /// Takes what became of a probe.
     pub(crate) fn probed(&mut self, now: Moment, probe: &super::control_counts::ProbeReport) {
         self.counts.probed(now, probe);
@@ -257,6 +291,7 @@
                 DriverOutput::Persist { batch, .. } => {
                     self.outputs.push(ControlOutput::Persist(batch));
                 }
+                DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
                 DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
                 DriverOutput::InForce(plan) => self.follower.committed(plan),
             }
