Add the bench of decisions under load, in virtual time

Cause: nothing showed what callers get from a policy. Change: stand-in callers, upstreams and ways between hosts in virtual time; the policies shared, own_p2c, lease, forward, random and central; three deployments and the issue's scenarios.

--- /dev/null
+++ b/crates/pulley_bench/src/decisions/forward_dispatcher.rs
@@ -0,0 +1,137 @@
+//! Calls forwarded to one of a pool's few owner entries, which decide alone.
+
+use std::sync::Arc;
+
+use eyre::Result;
+use pulley_core::request::{
+    AttemptOutcome, PoolScheduler, RequestNumber, RequestTicket, SchedulerEffect,
+};
+use rand::Rng;
+
+use super::dispatcher::Dispatcher;
+use super::sim_world::{PolicyTimer, SimEvent, SimWorld};
+
+/// Owners of one pool; each has its part of the upstreams to itself.
+const OWNERS: usize = 2;
+
+/// Two owners a pool, each a scheduler that shares counts with nobody.
+#[derive(Debug, Default)]
+pub(crate) struct ForwardDispatcher {
+    /// By pool, then by owner.
+    owners: Vec<Vec<PoolScheduler>>,
+}
+
+impl ForwardDispatcher {
+    fn owner_host(world: &SimWorld, pool: usize, owner: usize) -> usize {
+        (pool * OWNERS + owner) % world.deployment.entries
+    }
+
+    fn carry_out(world: &mut SimWorld, effects: Vec<SchedulerEffect>) {
+        for effect in effects {
+            match effect {
+                SchedulerEffect::Start { number, address, .. } => {
+                    let upstream = world.upstream_at(address.port());
+                    world.send(call_of(number), upstream);
+                }
+                SchedulerEffect::Refuse { number, .. } => world.refuse(call_of(number)),
+            }
+        }
+    }
+
+    fn rearm(&self, world: &mut SimWorld, pool: usize, owner: usize) {
+        if let Some(at) = self.owners[pool][owner].next_wakeup() {
+            let at = at.max(world.now + std::time::Duration::from_millis(1));
+            world.events.add(at, SimEvent::Timer(PolicyTimer::Tick { entry: owner, pool }));
+        }
+    }
+}
+
+impl Dispatcher for ForwardDispatcher {
+    fn begin(&mut self, world: &mut SimWorld) -> Result<()> {
+        let plan = Arc::new(world.deployment.plan()?);
+        for pool in 0..world.deployment.pools.len() {
+            let mut owners = Vec::new();
+            for owner in 0..OWNERS {
+                let host = Self::owner_host(world, pool, owner);
+                let zone = world.deployment.zone_of(host);
+                let mut scheduler = PoolScheduler::new(
+                    world.deployment.host_name(host)?,
+                    world.deployment.zone_name(zone)?,
+                    world.deployment.pool_name(pool)?,
+                    world.rng.random(),
+                );
+                scheduler.apply_plan(world.now, Arc::clone(&plan));
+                let records = world.records(pool, zone)?;
+                let own: Vec<_> = records.into_iter().skip(owner).step_by(OWNERS).collect();
+                scheduler.apply_upstreams(world.now, &own);
+                owners.push(scheduler);
+            }
+            self.owners.push(owners);
+        }
+        Ok(())
+    }
+
+    fn arrive(&mut self, world: &mut SimWorld, call: usize) {
+        let pool = world.calls[call].pool;
+        let owner = world.rng.random_range(0..OWNERS);
+        let host = Self::owner_host(world, pool, owner);
+        let home = world.deployment.zone_of(world.calls[call].entry);
+        let way = world.deployment.delay(home, world.deployment.zone_of(host));
+        if world.calls[call].attempt == 0 {
+            world.calls[call].extra_way = way;
+        }
+        world.calls[call].entry = host;
+        let timer = PolicyTimer::Forwarded { call, owner };
+        world.events.add(world.now + way, SimEvent::Timer(timer));
+    }
+
+    fn ended(&mut self, world: &mut SimWorld, call: usize, outcome: AttemptOutcome) {
+        let pool = world.calls[call].pool;
+        let upstream = world.upstreams[world.calls[call].upstream].index;
+        let scheduler = &mut self.owners[pool][upstream % OWNERS];
+        let effects = scheduler.finish(world.now, number_of(call), outcome, None);
+        Self::carry_out(world, effects);
+    }
+
+    fn timer(&mut self, world: &mut SimWorld, timer: PolicyTimer) {
+        match timer {
+            PolicyTimer::Forwarded { call, owner } => {
+                let pool = world.calls[call].pool;
+                let ticket = ticket(world, call);
+                let effects = self.owners[pool][owner].arrive(world.now, &ticket);
+                let waits = effects.is_empty();
+                Self::carry_out(world, effects);
+                if waits {
+                    self.rearm(world, pool, owner);
+                }
+            }
+            PolicyTimer::Tick { entry, pool } => {
+                let effects = self.owners[pool][entry].tick(world.now);
+                Self::carry_out(world, effects);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The ticket of a call.
+pub(crate) fn ticket(world: &SimWorld, number: usize) -> RequestTicket {
+    let call = &world.calls[number];
+    RequestTicket {
+        number: number_of(number),
+        kind: world.deployment.row(call.pool, call.kind),
+        deadline: call.deadline,
+        attempt: call.attempt,
+        avoid: call.avoid.clone(),
+    }
+}
+
+/// A call's number as the scheduler knows it.
+pub(crate) fn number_of(call: usize) -> RequestNumber {
+    RequestNumber(call as u64)
+}
+
+/// The call of a number.
+pub(crate) fn call_of(number: RequestNumber) -> usize {
+    usize::try_from(number.0).unwrap_or(usize::MAX)
+}
--- a/crates/pulley_bench/src/decisions/mod.rs
+++ b/crates/pulley_bench/src/decisions/mod.rs
@@ -1,22 +1,74 @@
-//! Measures the decisions of `pulley_core`: outcomes under load and their cost.
+//! Measures the decisions of `pulley_core`: outcomes under load in virtual time, and their cost.
+//!
+//! The schedulers and coordinators are the real ones. Callers, upstreams and the ways between
+//! hosts are small stand-ins; what they leave out is said where each is defined.
 
 mod decision_cost;
+mod deployment;
+mod dispatcher;
+mod event_queue;
+mod forward_dispatcher;
+mod incidents;
+mod lease_dispatcher;
+mod run_report;
+mod scenario;
+mod shared_dispatcher;
+mod sim_world;
+mod simulation;
+mod upstream_model;
 
 use eyre::Result;
-use getopts::Options;
+use getopts::{Matches, Options};
+
+use deployment::DeploymentSpec;
+use run_report::RunName;
+use scenario::LoadScenario;
 
 /// Runs the subcommand.
 ///
 /// # Errors
-/// Gives an error for options that do not parse.
+/// Gives an error for options that do not parse or names that are not known.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
     let mut options = Options::new();
     options.optflag("h", "help", "prints this text");
     options.optflag("", "cost", "measures processor time of each decision, in real time");
+    options.optmulti("", "deployment", "kolkhi, abay or two_years; all if absent", "NAME");
+    options.optmulti("", "scenario", "such as steady_80; all if absent", "NAME");
+    options.optmulti("", "policy", "such as shared; all if absent", "NAME");
+    options.optmulti("", "seed", "a number; 1 if absent", "NUMBER");
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
         println!("{}", options.usage("usage: pulley_bench decisions [options]"));
         return Ok(());
     }
-    decision_cost::run()
+    if matches.opt_present("cost") {
+        return decision_cost::run();
+    }
+    run_all(&matches)
+}
+
+fn run_all(matches: &Matches) -> Result<()> {
+    let names = LoadScenario::ALL.map(|(name, _)| name);
+    let seeds = chosen(matches, "seed", &["1"]);
+    for deployment in chosen(matches, "deployment", &DeploymentSpec::NAMES) {
+        let deployment = DeploymentSpec::named(&deployment)?;
+        for scenario_name in chosen(matches, "scenario", &names) {
+            let scenario = LoadScenario::named(&scenario_name)?;
+            let sized = deployment.clone().in_scenario(scenario);
+            for policy in chosen(matches, "policy", &simulation::POLICIES) {
+                for seed in &seeds {
+                    let seed = seed.parse()?;
+                    let figures = simulation::simulate(&sized, scenario, &policy, seed)?;
+                    let name = RunName { scenario: scenario.name(), policy: &policy, seed };
+                    figures.print(&sized, name);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn chosen(matches: &Matches, option: &str, all: &[&str]) -> Vec<String> {
+    let given = matches.opt_strs(option);
+    if given.is_empty() { all.iter().map(|name| (*name).to_owned()).collect() } else { given }
 }
--- /dev/null
+++ b/crates/pulley_bench/src/decisions/scenario.rs
@@ -0,0 +1,85 @@
+//! What happens to a deployment during a run.
+
+use eyre::{Result, bail};
+
+/// One scenario by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoadScenario {
+    Steady50,
+    Steady80,
+    Steady95,
+    Bursts,
+    Skewed,
+    OneSlow,
+    OneFailingFast,
+    MisleadingReport,
+    LongShort,
+    Saturation150,
+    ColdStart,
+    Drain,
+    CoordinatorLost,
+    TwoHostsLost,
+    ZoneCut,
+    SilentConnections,
+    Noisy,
+}
+
+impl LoadScenario {
+    /// All scenarios.
+    pub(crate) const ALL: [(&'static str, Self); 17] = [
+        ("steady_50", Self::Steady50),
+        ("steady_80", Self::Steady80),
+        ("steady_95", Self::Steady95),
+        ("bursts", Self::Bursts),
+        ("skewed", Self::Skewed),
+        ("one_slow", Self::OneSlow),
+        ("one_failing_fast", Self::OneFailingFast),
+        ("misleading_report", Self::MisleadingReport),
+        ("long_short", Self::LongShort),
+        ("saturation_150", Self::Saturation150),
+        ("cold_start", Self::ColdStart),
+        ("drain", Self::Drain),
+        ("coordinator_lost", Self::CoordinatorLost),
+        ("two_hosts_lost", Self::TwoHostsLost),
+        ("zone_cut", Self::ZoneCut),
+        ("silent_connections", Self::SilentConnections),
+        ("noisy", Self::Noisy),
+    ];
+
+    /// Finds a scenario by name.
+    pub(crate) fn named(name: &str) -> Result<Self> {
+        let found = Self::ALL.iter().find(|(known, _)| *known == name);
+        let Some((_, scenario)) = found else { bail!("no scenario {name}") };
+        Ok(*scenario)
+    }
+
+    /// Its name.
+    pub(crate) fn name(self) -> &'static str {
+        let found = Self::ALL.iter().find(|(_, known)| *known == self);
+        found.map_or("unknown", |(name, _)| name)
+    }
+
+    /// Load as a part of the pools' capacity.
+    pub(crate) const fn load(self) -> f64 {
+        match self {
+            Self::Steady50 => 0.5,
+            Self::Steady95 => 0.95,
+            Self::Saturation150 => 1.5,
+            Self::Bursts | Self::Drain | Self::ColdStart | Self::OneSlow | Self::ZoneCut => 0.7,
+            _ => 0.8,
+        }
+    }
+
+    /// Arrivals a burst brings at once; one for single arrivals.
+    pub(crate) const fn burst(self) -> usize {
+        match self {
+            Self::Bursts | Self::Drain => 12,
+            _ => 1,
+        }
+    }
+
+    /// Whether a fifth of the entries gets four fifths of the calls.
+    pub(crate) const fn is_skewed(self) -> bool {
+        matches!(self, Self::Skewed)
+    }
+}
--- /dev/null
+++ b/crates/pulley_bench/src/decisions/shared_dispatcher.rs
@@ -0,0 +1,309 @@
+//! The product's own policy: each entry decides at once, on counts shared through coordinators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use pulley_core::process::{
+    CoordinatorOutput, PUBLISH_BYTES_PER_SECOND, PoolCoordinator, ProbeOutcome, coordinator_for,
+};
+use pulley_core::request::{AttemptOutcome, PoolScheduler, SchedulerEffect};
+use pulley_core::{HostId, Moment, PolicyPlan, ZoneName};
+use rand::Rng;
+
+use super::dispatcher::Dispatcher;
+use super::forward_dispatcher::{call_of, number_of, ticket};
+use super::sim_world::{MessageBody, PolicyTimer, SimEvent, SimWorld};
+
+/// How long a probe takes, as the brief has it for Kolkhi.
+const PROBE_TIME: Duration = Duration::from_millis(6);
+
+/// Wakeups are rounded up to this, as a timer service would.
+const TIMER_STEP: Duration = Duration::from_millis(1);
+
+#[derive(Debug)]
+struct PlacedCoordinator {
+    host: usize,
+    pool: usize,
+    zone: usize,
+    coordinator: PoolCoordinator,
+    retired: bool,
+}
+
+/// Real schedulers on every entry, real coordinators on some.
+#[derive(Debug, Default)]
+pub(crate) struct SharedDispatcher {
+    plan: Arc<PolicyPlan>,
+    hosts: Vec<HostId>,
+    zones: Vec<ZoneName>,
+    /// By entry, then by pool.
+    schedulers: Vec<Vec<PoolScheduler>>,
+    wakeups: Vec<Vec<Option<Moment>>>,
+    coordinators: Vec<PlacedCoordinator>,
+    first_coordinator: usize,
+}
+
+impl SharedDispatcher {
+    fn carry_out(
+        &mut self,
+        world: &mut SimWorld,
+        at: (usize, usize),
+        effects: Vec<SchedulerEffect>,
+    ) {
+        for effect in effects {
+            match effect {
+                SchedulerEffect::Start { number, address, .. } => {
+                    let upstream = world.upstream_at(address.port());
+                    world.send(call_of(number), upstream);
+                }
+                SchedulerEffect::Refuse { number, .. } => world.refuse(call_of(number)),
+            }
+        }
+        self.rearm(world, at);
+    }
+
+    fn rearm(&mut self, world: &mut SimWorld, (entry, pool): (usize, usize)) {
+        let Some(at) = self.schedulers[entry][pool].next_wakeup() else { return };
+        let at = at.max(world.now + TIMER_STEP);
+        let planned = &mut self.wakeups[entry][pool];
+        if planned.is_none_or(|planned| at < planned) {
+            *planned = Some(at);
+            world.events.add(at, SimEvent::Timer(PolicyTimer::Tick { entry, pool }));
+        }
+    }
+
+    fn tick(&mut self, world: &mut SimWorld, entry: usize, pool: usize) {
+        if self.wakeups[entry][pool].is_none_or(|planned| planned > world.now) {
+            return;
+        }
+        self.wakeups[entry][pool] = None;
+        let effects = self.schedulers[entry][pool].tick(world.now);
+        self.carry_out(world, (entry, pool), effects);
+    }
+
+    fn send_deltas(&mut self, world: &mut SimWorld, entry: usize, pool: usize) {
+        if !world.alive[entry] {
+            return;
+        }
+        for (zone, delta) in self.schedulers[entry][pool].take_deltas(world.now) {
+            let zone = self.zones.iter().position(|known| *known == zone).unwrap_or(0);
+            if let Some(host) = self.choice(world, entry, pool, zone) {
+                world.tell(entry, host, MessageBody::Delta(Box::new(delta)));
+            }
+        }
+        if let Some(at) = self.schedulers[entry][pool].next_delta_at()
+            && world.now < world.end
+        {
+            let at = at.max(world.now + TIMER_STEP);
+            world.events.add(at, SimEvent::Timer(PolicyTimer::Delta { entry, pool }));
+        }
+    }
+
+    /// The coordinator of a pool's zone in the view of a host: one in that zone if any is seen.
+    fn choice(&self, world: &SimWorld, viewer: usize, pool: usize, zone: usize) -> Option<usize> {
+        let seen = |host: &usize| world.sees(viewer, *host);
+        let mut live: Vec<usize> = (0..world.deployment.entries).filter(seen).collect();
+        if live.iter().any(|host| world.deployment.zone_of(*host) == zone) {
+            live.retain(|host| world.deployment.zone_of(*host) == zone);
+        }
+        let pool = world.deployment.pool_name(pool).ok()?;
+        let hosts = live.iter().map(|host| &self.hosts[*host]);
+        let chosen = coordinator_for(&pool, &self.zones[zone], hosts)?;
+        self.hosts.iter().position(|host| host == chosen)
+    }
+
+    /// Starts and retires coordinators, as each live host chooses by its own view.
+    fn place_coordinators(&mut self, world: &mut SimWorld) -> Result<()> {
+        for host in 0..world.deployment.entries {
+            for pool in 0..world.deployment.pools.len() {
+                for zone in 0..world.deployment.zones {
+                    let chosen =
+                        world.alive[host] && self.choice(world, host, pool, zone) == Some(host);
+                    let here = |c: &PlacedCoordinator| {
+                        (c.host, c.pool, c.zone, c.retired) == (host, pool, zone, false)
+                    };
+                    match (chosen, self.coordinators.iter().position(here)) {
+                        (true, None) => self.add_coordinator(world, host, pool, zone)?,
+                        (false, Some(place)) => self.coordinators[place].retired = true,
+                        _ => {}
+                    }
+                }
+            }
+        }
+        self.split_bytes(world);
+        Ok(())
+    }
+
+    fn add_coordinator(
+        &mut self,
+        world: &mut SimWorld,
+        host: usize,
+        pool: usize,
+        zone: usize,
+    ) -> Result<()> {
+        let name = world.deployment.pool_name(pool)?;
+        let (zone_name, host_name) = (self.zones[zone].clone(), self.hosts[host].clone());
+        let mut coordinator = PoolCoordinator::new(name, zone_name, host_name, world.now);
+        coordinator.apply_plan(world.now, Arc::clone(&self.plan));
+        let records = world.records(pool, world.deployment.zone_of(host))?;
+        coordinator.apply_upstreams(world.now, &records);
+        let place = self.coordinators.len();
+        self.coordinators.push(PlacedCoordinator { host, pool, zone, coordinator, retired: false });
+        let timer = PolicyTimer::Coordinate { place };
+        world.events.add(world.now + TIMER_STEP, SimEvent::Timer(timer));
+        Ok(())
+    }
+
+    /// Each host's bound on bytes is split over its coordinators, those of pools that are not
+    /// simulated included.
+    fn split_bytes(&mut self, world: &SimWorld) {
+        let scale = world.deployment.pools_in_all / world.deployment.pools.len().max(1);
+        for host in 0..world.deployment.entries {
+            let mine = |c: &&mut PlacedCoordinator| c.host == host && !c.retired;
+            let held = self.coordinators.iter_mut().filter(|c| mine(c)).count();
+            let unseen =
+                world.deployment.pools_in_all * world.deployment.zones / world.deployment.entries;
+            let held = if scale > 1 { held.max(unseen) } else { held };
+            let part = PUBLISH_BYTES_PER_SECOND / u32::try_from(held.max(1)).unwrap_or(u32::MAX);
+            for placed in self.coordinators.iter_mut().filter(mine) {
+                placed.coordinator.set_bytes_per_second(part);
+            }
+        }
+    }
+
+    fn coordinate(&mut self, world: &mut SimWorld, place: usize) {
+        let placed = &mut self.coordinators[place];
+        if placed.retired || !world.alive[placed.host] || world.now >= world.end {
+            return;
+        }
+        let outputs = placed.coordinator.tick(world.now);
+        let (host, pool) = (placed.host, placed.pool);
+        let at = placed.coordinator.next_wakeup().max(world.now + TIMER_STEP);
+        world.events.add(at, SimEvent::Timer(PolicyTimer::Coordinate { place }));
+        for output in outputs {
+            match output {
+                CoordinatorOutput::Publish { to, sum } => {
+                    let to = self.hosts.iter().position(|known| *known == to).unwrap_or(0);
+                    world.tell(host, to, MessageBody::Sum(Box::new(sum)));
+                }
+                CoordinatorOutput::Probe { address, .. } => {
+                    let upstream = world.upstream_at(address.port());
+                    if world.now >= world.begin {
+                        world.figures.pools[pool].probes.push(world.now);
+                    }
+                    let timer = PolicyTimer::Probed { place, upstream };
+                    world.events.add(world.now + PROBE_TIME, SimEvent::Timer(timer));
+                }
+            }
+        }
+    }
+
+    fn probed(&mut self, world: &SimWorld, place: usize, upstream: usize) {
+        let model = &world.upstreams[upstream];
+        let Ok(record) = world.deployment.record(model.pool, model.index) else { return };
+        let outcome = ProbeOutcome::Answered { latency: PROBE_TIME, report: None };
+        let coordinator = &mut self.coordinators[place].coordinator;
+        coordinator.probed(world.now, &record.announcement.id, outcome);
+    }
+}
+
+impl Dispatcher for SharedDispatcher {
+    fn begin(&mut self, world: &mut SimWorld) -> Result<()> {
+        let deployment = world.deployment.clone();
+        self.plan = Arc::new(deployment.plan()?);
+        let hosts = (0..deployment.entries).map(|entry| deployment.host_name(entry));
+        self.hosts = hosts.collect::<Result<_>>()?;
+        let zones = (0..deployment.zones).map(|zone| deployment.zone_name(zone));
+        self.zones = zones.collect::<Result<_>>()?;
+        for entry in 0..deployment.entries {
+            let zone = deployment.zone_of(entry);
+            let mut schedulers = Vec::new();
+            for pool in 0..deployment.pools.len() {
+                let mut scheduler = PoolScheduler::new(
+                    self.hosts[entry].clone(),
+                    self.zones[zone].clone(),
+                    deployment.pool_name(pool)?,
+                    world.rng.random(),
+                );
+                scheduler.apply_plan(world.now, Arc::clone(&self.plan));
+                scheduler.apply_upstreams(world.now, &world.records(pool, zone)?);
+                schedulers.push(scheduler);
+                let first = Duration::from_micros(world.rng.random_range(0..50_000));
+                let timer = PolicyTimer::Delta { entry, pool };
+                world.events.add(world.now + first, SimEvent::Timer(timer));
+            }
+            self.schedulers.push(schedulers);
+            self.wakeups.push(vec![None; deployment.pools.len()]);
+        }
+        self.place_coordinators(world)?;
+        self.first_coordinator = self.choice(world, 0, 0, 0).unwrap_or(0);
+        Ok(())
+    }
+
+    fn arrive(&mut self, world: &mut SimWorld, call: usize) {
+        let (entry, pool) = (world.calls[call].entry, world.calls[call].pool);
+        let ticket = ticket(world, call);
+        let effects = self.schedulers[entry][pool].arrive(world.now, &ticket);
+        self.carry_out(world, (entry, pool), effects);
+    }
+
+    fn ended(&mut self, world: &mut SimWorld, call: usize, outcome: AttemptOutcome) {
+        let (entry, pool) = (world.calls[call].entry, world.calls[call].pool);
+        let scheduler = &mut self.schedulers[entry][pool];
+        let effects = scheduler.finish(world.now, number_of(call), outcome, None);
+        self.carry_out(world, (entry, pool), effects);
+    }
+
+    fn timer(&mut self, world: &mut SimWorld, timer: PolicyTimer) {
+        match timer {
+            PolicyTimer::Tick { entry, pool } => self.tick(world, entry, pool),
+            PolicyTimer::Delta { entry, pool } => self.send_deltas(world, entry, pool),
+            PolicyTimer::Coordinate { place } => self.coordinate(world, place),
+            PolicyTimer::Probed { place, upstream } => self.probed(world, place, upstream),
+            PolicyTimer::Forwarded { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, world: &mut SimWorld, (from, to): (usize, usize), body: MessageBody) {
+        if !world.alive[to] {
+            return;
+        }
+        match body {
+            MessageBody::Delta(delta) => {
+                let from = &self.hosts[from];
+                let held = self.coordinators.iter_mut().filter(|c| c.host == to && !c.retired);
+                for placed in held {
+                    placed.coordinator.receive(world.now, from, &delta);
+                }
+            }
+            MessageBody::Sum(sum) => {
+                for pool in 0..self.schedulers[to].len() {
+                    let effects = self.schedulers[to][pool].receive_sum(world.now, &sum);
+                    self.carry_out(world, (to, pool), effects);
+                }
+            }
+            MessageBody::Ask { .. } | MessageBody::Grant { .. } | MessageBody::Return { .. } => {}
+        }
+    }
+
+    fn changed(&mut self, world: &mut SimWorld) -> Result<()> {
+        self.place_coordinators(world)?;
+        for entry in 0..world.deployment.entries {
+            let zone = world.deployment.zone_of(entry);
+            for pool in 0..world.deployment.pools.len() {
+                let records = world.records(pool, zone)?;
+                let effects = self.schedulers[entry][pool].apply_upstreams(world.now, &records);
+                self.carry_out(world, (entry, pool), effects);
+            }
+        }
+        for placed in &mut self.coordinators {
+            let records = world.records(placed.pool, world.deployment.zone_of(placed.host))?;
+            placed.coordinator.apply_upstreams(world.now, &records);
+        }
+        Ok(())
+    }
+
+    fn coordinator(&self) -> usize {
+        self.first_coordinator
+    }
+}
