--- a/crates/pulley_bench/src/decisions/deployment.rs
+++ b/crates/pulley_bench/src/decisions/deployment.rs
@@ -81,11 +81,11 @@
     }
 
     pub(crate) fn zone_name(&self, zone: usize) -> Result<ZoneName> {
-        Ok(format!("z{zone}").parse()?)
+        Ok(format!("zone-{zone}").parse()?)
     }
 
     pub(crate) fn host_name(&self, entry: usize) -> Result<HostId> {
-        Ok(format!("h{entry}").parse()?)
+        Ok(format!("entry-{entry:02}").parse()?)
     }
 
     pub(crate) fn pool_name(&self, pool: usize) -> Result<PoolName> {
--- a/crates/pulley_bench/src/decisions/run_report.rs
+++ b/crates/pulley_bench/src/decisions/run_report.rs
@@ -70,12 +70,17 @@
 
     /// The largest deviation of a kind's part of the pool from what it is due, in percent.
     fn share_error(&self, shares: &[f64], capacity: f64) -> f64 {
-        let demand: Vec<f64> = self.offered.iter().map(|slot_s| slot_s / capacity).collect();
-        let due = water_fill(&demand, shares);
+        let due = self.due(shares, capacity);
         let served = self.served.iter().map(|slot_s| slot_s / capacity);
         served.zip(due).map(|(got, due)| (got - due).abs() * 100.0).fold(0.0, f64::max)
     }
 
+    /// What each kind is due, as a part of the pool.
+    fn due(&self, shares: &[f64], capacity: f64) -> Vec<f64> {
+        let demand: Vec<f64> = self.offered.iter().map(|slot_s| slot_s / capacity).collect();
+        water_fill(&demand, shares)
+    }
+
     /// The most probes in any window of ten seconds, as a rate.
     fn probe_peak(&self) -> f64 {
         let mut most = 0;
@@ -116,6 +121,12 @@
     due
 }
 
+/// Parts of a whole as percentages with a slash between.
+fn parts(parts: &[f64]) -> String {
+    let texts: Vec<String> = parts.iter().map(|part| format!("{:.1}", part * 100.0)).collect();
+    texts.join("/")
+}
+
 impl RunFigures {
     pub(crate) fn new(deployment: &DeploymentSpec) -> Self {
         let pools = deployment.pools.iter().map(|pool| PoolFigures::new(pool.kinds.len()));
@@ -153,7 +164,7 @@
              first_refused={} failed={} deadline_missed={} priority_p99_ms={:.1} goodput_pct={:.1} \
              control_bytes_per_s_per_host={:.0} received_bytes_per_s_per_host={:.0} \
              probes_per_s={:.2} probe_peak_per_s={:.2} probe_budget_per_s={:.2} \
-             share_error_pct={:.2}",
+             share_error_pct={:.2} served_pct={} due_pct={}",
             name.scenario,
             name.policy,
             name.seed,
@@ -174,6 +185,8 @@
             figures.probe_peak(),
             f64::from(spec.probe_budget) / 1_000.0,
             figures.share_error(&shares, capacity),
+            parts(&figures.served.iter().map(|slot_s| slot_s / capacity).collect::<Vec<_>>()),
+            parts(&figures.due(&shares, capacity)),
         )
     }
 }
--- a/crates/pulley_core/src/process/count_link.rs
+++ b/crates/pulley_core/src/process/count_link.rs
@@ -1,30 +1,60 @@
-//! An entry's side of sharing counts with one zone's coordinator.
+//! An entry's place in the tree by which counts are shared.
 
 use std::time::Duration;
 
-use super::{COUNT_TERM, CountEpoch, CountKey, CountSum, Moment, ZoneName};
+use super::count_message::split_route;
+use super::{
+    CountDelta, CountEpoch, CountKey, CountRound, CountSum, FastMap, HostId, Moment, ZoneName,
+};
 
-/// Time between deltas while no coordinator has set a pace.
-const UNPACED: Duration = Duration::from_millis(100);
+/// How long counts hold without news.
+///
+/// What other entries have outstanding changes within one time of an answer. Kept for longer, old
+/// counts would hold slots occupied that were freed long ago; the term is several rounds, so a
+/// lost datagram or two does no harm.
+pub const COUNT_TERM: Duration = Duration::from_millis(800);
 
-/// The longest time between deltas; three fit in the coordinator's term, so two may be lost
-/// before this entry's counts are dropped.
-const LONGEST_PACE: Duration = Duration::from_millis(250);
+/// Entries that each entry passes a sum on to.
+pub(crate) const FAN_OUT: usize = 3;
 
-/// The shortest time between deltas.
-const SHORTEST_PACE: Duration = Duration::from_millis(5);
+/// The unit of the time that a sum allows for one step.
+pub(crate) const STEP_UNIT: Duration = Duration::from_micros(250);
 
-/// What an entry knows of one zone's coordinator for one pool.
+/// Time between reports straight to the coordinator while no sum comes.
+const LOST_PACE: Duration = Duration::from_millis(100);
+
+/// No sum for this long means that nobody coordinates.
+const LOST_AFTER: Duration = Duration::from_millis(250);
+
+/// Time between reports straight to the coordinator while sums come; they keep this entry on the
+/// list, whose term is three times as long.
+const KEPT_PACE: Duration = Duration::from_secs(1);
+
+/// How long the largest number of entries is remembered. It divides the probe budget between the
+/// sides of a partition, and partitions between regions last for minutes.
+const KNOWN_FOR: Duration = Duration::from_secs(600);
+
+/// The shortest time between a sum and the report that answers it.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
+/// What an entry knows of the coordinator of its pool.
 #[derive(Clone, Debug)]
 pub(crate) struct CountLink {
     pub(crate) zone: ZoneName,
-    pub(crate) sequence: u32,
     epoch: CountEpoch,
     coordinator: CountKey,
-    sum_sequence: u32,
+    round: CountRound,
     heard: Option<Moment>,
-    pace: Duration,
-    delta_at: Moment,
+    interval: Duration,
+    known: u16,
+    known_at: Moment,
+    parent: Option<HostId>,
+    report_at: Option<Moment>,
+    /// When the last straight report was sent, or the first is due.
+    straight_at: Moment,
+    sent: bool,
+    reports: FastMap<HostId, Vec<CountDelta>>,
+    relays: Vec<(HostId, CountSum)>,
 }
 
 impl CountLink {
@@ -32,61 +62,111 @@
     pub(crate) fn new(zone: ZoneName, now: Moment) -> Self {
         Self {
             zone,
-            sequence: 0,
             epoch: CountEpoch(0),
             coordinator: CountKey::default(),
-            sum_sequence: 0,
+            round: CountRound(0),
             heard: None,
-            pace: UNPACED,
-            delta_at: now,
+            interval: Duration::ZERO,
+            known: 0,
+            known_at: now,
+            parent: None,
+            report_at: None,
+            straight_at: now,
+            sent: false,
+            reports: FastMap::default(),
+            relays: Vec::new(),
         }
     }
 
-    /// Whether a sum is news; notes it if so. The parts of one sum bear the same sequence and
-    /// are each taken in once or more, which changes nothing the second time.
-    pub(crate) fn accept(&mut self, now: Moment, sum: &CountSum) -> bool {
-        let from = CountKey::of(sum.coordinator.as_str());
-        let same = from == self.coordinator && sum.epoch == self.epoch;
-        let newer = if same { sum.sequence >= self.sum_sequence } else { sum.epoch > self.epoch };
+    /// Whether a sum is news; if so, notes it and what is to be passed on.
+    pub(crate) fn accept(&mut self, now: Moment, host: &HostId, sum: &CountSum) -> bool {
+        let same = sum.coordinator == self.coordinator && sum.epoch == self.epoch;
+        // The parts of one round are taken in one by one, whichever comes first.
+        let newer = if same { sum.round >= self.round } else { sum.epoch > self.epoch };
         if !newer {
             return false;
         }
+        if !same || sum.round > self.round {
+            self.reports.clear();
+        }
         self.epoch = sum.epoch;
-        self.coordinator = from;
-        self.sum_sequence = sum.sequence;
+        self.coordinator = sum.coordinator;
+        self.round = sum.round;
         self.heard = Some(now);
-        let pace = Duration::from_millis(u64::from(sum.interval_ms));
-        self.pace = pace.clamp(SHORTEST_PACE, LONGEST_PACE);
+        self.parent = Some(sum.sender.clone());
+        let interval = Duration::from_millis(u64::from(sum.interval_ms));
+        self.interval = interval;
+        if sum.hosts >= self.known || now.since(self.known_at) > KNOWN_FOR {
+            self.known = sum.hosts;
+            self.known_at = now;
+        }
+        let steps = STEP_UNIT * u32::from(sum.step) * u32::from(sum.depth);
+        self.report_at = Some(now + interval.saturating_sub(steps).max(SHORTEST_WAIT));
+        for (hop, route) in split_route(&sum.route, FAN_OUT) {
+            let sender = host.clone();
+            let depth = sum.depth.saturating_add(1);
+            self.relays.push((hop, CountSum { sender, depth, route, ..sum.clone() }));
+        }
         true
     }
 
-    /// Starts the next delta, if one is due.
-    pub(crate) fn start_delta(&mut self, now: Moment) -> bool {
-        if now < self.delta_at {
-            return false;
+    /// The copies to pass on.
+    pub(crate) fn take_relays(&mut self) -> Vec<(HostId, CountSum)> {
+        std::mem::take(&mut self.relays)
+    }
+
+    /// Keeps a report of the present round until this entry's own is due.
+    pub(crate) fn keep_report(&mut self, from: &HostId, delta: &CountDelta) {
+        let answers = delta.epoch == self.epoch
+            && delta.coordinator == self.coordinator
+            && delta.round == Some(self.round);
+        if !answers || self.report_at.is_none() {
+            return;
         }
-        if self.age(now).is_none() {
-            self.pace = UNPACED;
+        let kept = self.reports.entry(from.clone()).or_default();
+        if kept.iter().all(|known| known.rows.first != delta.rows.first) {
+            kept.push(delta.clone());
+        }
+    }
+
+    /// Takes the kept reports, if this entry's own is due now.
+    pub(crate) fn start_report(&mut self, now: Moment) -> Option<ReportTerms> {
+        if self.report_at.is_none_or(|at| at > now) {
+            return None;
         }
-        self.delta_at = now + self.pace;
-        self.sequence += 1;
+        self.report_at = None;
+        let mut reports: Vec<_> = std::mem::take(&mut self.reports).into_iter().collect();
+        reports.sort_by(|a, b| a.0.cmp(&b.0));
+        let reports = reports.into_iter().flat_map(|(_, parts)| parts).collect();
+        let round = self.round;
+        Some(ReportTerms { to: self.parent.clone(), round, reports })
+    }
+
+    /// Whether a report straight to the coordinator is due; notes that it is sent.
+    pub(crate) fn start_straight(&mut self, now: Moment) -> bool {
+        if now < self.straight_due() {
+            return false;
+        }
+        self.straight_at = now;
+        self.sent = true;
         true
     }
 
-    /// When the next delta is due.
-    pub(crate) fn delta_at(&self) -> Moment {
-        self.delta_at
+    /// When the next report is due.
+    pub(crate) fn next_at(&self) -> Moment {
+        let straight = self.straight_due();
+        self.report_at.map_or(straight, |at| at.min(straight))
     }
 
     /// How old the newest sum is; none without one within the term.
     pub(crate) fn age(&self, now: Moment) -> Option<Duration> {
         let age = now.since(self.heard?);
-        (age < COUNT_TERM).then_some(age)
+        (age < self.term()).then_some(age)
     }
 
     /// When the newest sum stops counting; none if it has already been dropped.
     pub(crate) fn expires_at(&self) -> Option<Moment> {
-        Some(self.heard? + COUNT_TERM)
+        Some(self.heard? + self.term())
     }
 
     /// Drops a sum whose term is over.
@@ -100,4 +180,32 @@
     pub(crate) fn epoch(&self) -> (CountEpoch, CountKey) {
         (self.epoch, self.coordinator)
     }
+
+    /// The most entries that sums have lately counted.
+    pub(crate) fn known(&self) -> u16 {
+        self.known
+    }
+
+    /// When the next straight report is due: seldom while sums come, often once they stay away.
+    fn straight_due(&self) -> Moment {
+        let Some(sent) = self.sent_straight() else { return self.straight_at };
+        let lost_at = self.heard.map_or(sent, |heard| heard + LOST_AFTER.max(self.interval * 3));
+        (sent + KEPT_PACE).min(lost_at.max(sent + LOST_PACE))
+    }
+
+    fn sent_straight(&self) -> Option<Moment> {
+        self.sent.then_some(self.straight_at)
+    }
+
+    fn term(&self) -> Duration {
+        COUNT_TERM.max(self.interval * 3)
+    }
+}
+
+/// What an entry's report of one round is made from.
+#[derive(Clone, Debug)]
+pub(crate) struct ReportTerms {
+    pub(crate) to: Option<HostId>,
+    pub(crate) round: CountRound,
+    pub(crate) reports: Vec<CountDelta>,
 }
--- a/crates/pulley_core/src/process/count_message.rs
+++ b/crates/pulley_core/src/process/count_message.rs
@@ -1,20 +1,14 @@
-//! The messages by which entries share counts: deltas to a coordinator, sums back.
+//! The messages by which entries share counts: reports up a tree, sums down it.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::{CountKey, HostId, PoolName, ZoneName};
+use super::{CountKey, CountRows, HostId, PoolName, ZoneName};
 
 /// The largest encoding of one count message, in bytes; with headers it fits one datagram on
 /// every usual network, so that no fragment can be lost on its own.
 pub const COUNT_MESSAGE_LIMIT: usize = 1_200;
 
-/// Upstreams in one message at most: 10 bytes each, with room for names and kinds.
-pub(crate) const UPSTREAMS_PER_MESSAGE: usize = 64;
-
-/// Kinds in one message at most: 10 bytes each.
-pub(crate) const KINDS_PER_MESSAGE: usize = 20;
-
 /// Why bytes are no count message.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum CountFault {
@@ -35,90 +29,68 @@
 )]
 pub struct CountEpoch(pub u32);
 
-/// What one entry has outstanding at one upstream. All numbers are absolute, so a message that is
-/// lost, doubled or late leaves nothing wrong once a newer one arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamUse {
-    /// Which upstream.
-    pub upstream: CountKey,
-    /// Requests outstanding.
-    pub in_flight: u16,
-    /// Smoothed time of its answers, in units of 0.1 ms; 0 if none came lately.
-    pub latency: u16,
-    /// Part of its slots that callers find usable, in 255ths.
-    pub health: u8,
-}
-
-/// What is running and waiting of one kind of request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KindUse {
-    /// Which kind of which service.
-    pub kind: CountKey,
-    /// Requests outstanding.
-    pub in_flight: u16,
-    /// Requests that wait.
-    pub queued: u16,
-}
+/// Numbers one round of one epoch: a sum down the tree and the reports that answer it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct CountRound(pub u32);
 
-/// One entry's own counts at the upstreams of one zone of a pool.
+/// Counts of one entry, or of several added up, on their way to the coordinator.
+///
+/// All numbers are absolute and belong to one round, so a message that is lost, doubled or late
+/// leaves nothing wrong in the next round.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CountDelta {
+    /// The host it goes to; none for the coordinator of the zone. It does not travel.
+    #[serde(skip)]
+    pub to: Option<HostId>,
     /// The pool.
     pub pool: PoolName,
-    /// The upstreams' zone.
-    pub zone: ZoneName,
-    /// Tells one start of the sending process from the next.
-    pub generation: u32,
-    /// Counts the sender's deltas to this zone.
-    pub sequence: u32,
-    /// The highest epoch of a sum seen; a new coordinator goes above it.
+    /// The zone whose coordinator it is for; none in an answer to a round.
+    pub zone: Option<ZoneName>,
+    /// The epoch answered; without a round, the highest epoch seen, which a new coordinator goes
+    /// above.
     pub epoch: CountEpoch,
-    /// Whose epoch that was.
+    /// Whose epoch that is.
     pub coordinator: CountKey,
-    /// Upstreams whose counts changed since the last delta, or all in turn.
-    pub upstreams: Vec<UpstreamUse>,
-    /// Kinds with anything running or waiting, whole pool.
-    pub kinds: Vec<KindUse>,
-}
-
-/// What all entries together have outstanding at one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamTotal {
-    /// Which upstream.
-    pub upstream: CountKey,
-    /// Requests outstanding.
-    pub in_flight: u16,
-    /// Smoothed time of its answers, in units of 0.1 ms; 0 if unknown.
-    pub latency: u16,
-    /// Part of its slots that callers find usable, in 255ths.
-    pub health: u8,
+    /// The round answered; none for a report that goes straight to the coordinator and keeps the
+    /// sender among the entries.
+    pub round: Option<CountRound>,
+    /// Entries added up in it.
+    pub hosts: u16,
+    /// The most entries that sums have lately counted, as the sender knows.
+    pub known: u16,
+    /// The counts.
+    pub rows: CountRows,
 }
 
-/// The entries' counts together, as a coordinator publishes them to one entry.
+/// All entries' counts, as a coordinator publishes them down a tree of entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CountSum {
     /// The pool.
     pub pool: PoolName,
-    /// The upstreams' zone.
-    pub zone: ZoneName,
-    /// Who made it.
-    pub coordinator: HostId,
+    /// Whose epoch it is.
+    pub coordinator: CountKey,
     /// Which coordinator's reign.
     pub epoch: CountEpoch,
-    /// Counts the sums of that epoch.
-    pub sequence: u32,
-    /// The receiver's generation that `echo` is of.
-    pub generation: u32,
-    /// The newest delta of the receiver that is in the totals.
-    pub echo: u32,
-    /// Entries heard of within the term.
-    pub entries: u16,
-    /// Milliseconds until the next sum is due; the receiver paces its deltas by it.
+    /// The round it opens.
+    pub round: CountRound,
+    /// The round whose reports are in the counts, if any are.
+    pub counted: Option<CountRound>,
+    /// Entries that this coordinator hears.
+    pub hosts: u16,
+    /// Milliseconds until the next round.
     pub interval_ms: u16,
-    /// The totals.
-    pub upstreams: Vec<UpstreamTotal>,
-    /// What is running and waiting of each kind, all entries together.
-    pub kinds: Vec<KindUse>,
+    /// Steps from the coordinator.
+    pub depth: u8,
+    /// Time allowed for one step down the tree and up again, in units of 0.25 ms.
+    pub step: u8,
+    /// Who sent this copy; the receiver's report goes there.
+    pub sender: HostId,
+    /// Entries that the receiver passes it on to.
+    pub route: Vec<HostId>,
+    /// The counts.
+    pub rows: CountRows,
 }
 
 impl CountDelta {
@@ -157,6 +129,21 @@
     }
 }
 
+/// Splits a route among the first hops: each gets its own name's copy and the rest of its part.
+///
+/// The order is the coordinator's, drawn anew each round, so a dead host on the way leaves other
+/// entries without news each time, and none for long.
+#[must_use]
+pub(crate) fn split_route(route: &[HostId], fan_out: usize) -> Vec<(HostId, Vec<HostId>)> {
+    let hops = route.len().min(fan_out.max(1));
+    let (first, rest) = route.split_at(hops);
+    let parts = first.iter().enumerate().map(|(hop, host)| {
+        let part = rest.iter().skip(hop).step_by(hops).cloned().collect();
+        (host.clone(), part)
+    });
+    parts.collect()
+}
+
 fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(message).map_err(|_| CountFault::Undecodable)?;
     if bytes.len() > COUNT_MESSAGE_LIMIT {
--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -1,6 +1,7 @@
 //! Which kinds of request may use how much of a pool, and who is next.
 
-use crate::process::{CountKey, FastMap, KindUse, PoolName};
+use super::{KindDemand, divide_slots};
+use crate::process::{CountKey, FastMap, Moment, PoolName, digest_of};
 use crate::version::{KindPlan, PolicyPlan, RequestPriority, WorkLength};
 
 /// Of so many starts from the queue, one goes to whoever has waited longest of the lower
@@ -20,7 +21,12 @@
     /// The other entries' requests outstanding and waiting, as of the newest sum.
     pub(crate) foreign: u32,
     pub(crate) foreign_queued: u32,
-    told: (u32, u32),
+    /// Requests this entry may have outstanding while the kind is held to a part.
+    pub(crate) leased: f32,
+    /// Smoothed time between starts from the queue, in milliseconds.
+    pub(crate) start_gap_ms: f32,
+    pub(crate) last_start: Option<Moment>,
+    is_held: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -34,9 +40,28 @@
     kinds: Vec<KindState>,
     services: Vec<ServiceState>,
     by_row: FastMap<usize, usize>,
+    digest: u16,
     starts: u32,
+    /// Whether more is asked for than the pool has room for.
+    is_tight: bool,
+    /// Requests this entry may have outstanding while the pool is not tight.
+    room: f32,
 }
 
+/// What leases are worked out from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseTerms {
+    /// Requests that may be outstanding over the pool.
+    pub(crate) slots: f32,
+    /// The same for kinds that do not queue at upstreams.
+    pub(crate) long_slots: f32,
+    /// Entries that share the pool.
+    pub(crate) entries: f32,
+}
+
+/// How often room that nobody asks for is given out.
+const SPARE_GIVEN: f32 = 2.0;
+
 impl KindShares {
     /// Reads a pool's kinds from the plan; counts of kinds that stay are kept.
     pub(crate) fn new(plan: &PolicyPlan, pool: &PoolName, old: &Self) -> Self {
@@ -58,6 +83,8 @@
             shares.by_row.insert(row, shares.kinds.len());
             shares.kinds.push(state);
         }
+        shares.room = f32::INFINITY;
+        shares.digest = kind_digest(plan, pool).0;
         shares
     }
 
@@ -78,14 +105,103 @@
         self.kinds.len()
     }
 
-    /// Takes in what all entries have running and waiting.
-    pub(crate) fn receive(&mut self, totals: &[KindUse]) {
+    /// A digest of the kinds, by which hosts know that they count the same ones.
+    pub(crate) fn digest(&self) -> u16 {
+        self.digest
+    }
+
+    /// What this entry has running and waiting of each kind.
+    pub(crate) fn own_uses(&self, queued: impl Fn(usize) -> usize) -> Vec<(u32, u32)> {
+        let waiting = |local| u32::try_from(queued(local)).unwrap_or(u32::MAX);
+        self.kinds.iter().enumerate().map(|(local, kind)| (kind.own, waiting(local))).collect()
+    }
+
+    /// Takes in what all entries have running and waiting, less what this one told of its own.
+    pub(crate) fn receive(&mut self, totals: &[(u32, u32)], told: &[(u32, u32)]) {
+        for (local, kind) in self.kinds.iter_mut().enumerate() {
+            let total = totals.get(local).copied().unwrap_or_default();
+            let own = told.get(local).copied().unwrap_or_default();
+            kind.foreign = total.0.saturating_sub(own.0);
+            kind.foreign_queued = total.1.saturating_sub(own.1);
+        }
+    }
+
+    /// Divides room for `slots` requests among the kinds, and of each kind's part gives this
+    /// entry what is due to it by its own demand; none while there is room for everyone.
+    ///
+    /// While the pool has room for all, nobody is held back, whatever its share. When it has not,
+    /// each entry keeps to its part of each service's share, worked out from the same sum that
+    /// all the others use; so a share is held over all entries together and a lent one comes back
+    /// with the next sum. First kinds are not held back: an urgent read must not wait because
+    /// counts are old. What they use is taken off the room of the others.
+    ///
+    /// Room that nobody asks for is split evenly and given out twice over: until the next sum only
+    /// some entries will need theirs. Without any bound, calls that arrive between two sums would
+    /// all be sent at once when a pool has just stopped being tight.
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
+    pub(crate) fn lease(&mut self, terms: &LeaseTerms, queued: impl Fn(usize) -> usize) {
+        let own: Vec<f32> = (0..self.kinds.len())
+            .map(|local| (self.kinds[local].own as usize + queued(local)) as f32)
+            .collect();
+        let demands: Vec<KindDemand> =
+            (0..self.kinds.len()).map(|local| self.demand(local, own[local])).collect();
+        let all: f32 = demands.iter().map(|demand| demand.wanted).sum();
+        self.is_tight = all > terms.slots;
+        let spare = (terms.slots - all).max(0.0) / terms.entries.max(1.0) * SPARE_GIVEN;
+        self.room = own.iter().sum::<f32>() + spare + 1.0;
+        let given = divide_slots(terms.slots, &demands);
+        // Long work does not queue at upstreams: a short request that comes to wait behind a long
+        // one waits ten times its own time. So it gets its part of the slots themselves.
+        let given_long = divide_slots(terms.long_slots, &demands);
+        for (local, kind) in self.kinds.iter_mut().enumerate() {
+            let is_long = kind.length == WorkLength::Long;
+            let given = if is_long { given_long[local] } else { given[local] };
+            kind.leased = given * own[local] / demands[local].wanted.max(1.0);
+            kind.is_held = self.is_tight || given < demands[local].wanted;
+        }
+    }
+
+    /// Without sums, keeps this entry to its even part of the pool.
+    pub(crate) fn lease_alone(&mut self, room: f32) {
+        self.is_tight = false;
+        self.room = room;
+        for kind in &mut self.kinds {
+            kind.is_held = false;
+        }
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
+    fn demand(&self, local: usize, own: f32) -> KindDemand {
+        let kind = &self.kinds[local];
+        let wanted = own + (kind.foreign + kind.foreign_queued) as f32;
+        let share = self.services[kind.service].share;
+        KindDemand { service: kind.service, share, priority: kind.priority.0, wanted }
+    }
+
+    /// Rounds each kind's lease at random, so that parts of a request are not lost.
+    pub(crate) fn round_leases(&mut self, mut draw: impl FnMut() -> f32) {
         for kind in &mut self.kinds {
-            let total = totals.iter().find(|total| total.kind == kind.key);
-            let (running, queued) = total.map_or((0, 0), |t| (t.in_flight, t.queued));
-            kind.foreign = u32::from(running).saturating_sub(kind.told.0);
-            kind.foreign_queued = u32::from(queued).saturating_sub(kind.told.1);
+            kind.leased = (kind.leased + draw()).floor();
+        }
+    }
+
+    /// Whether more is asked for than the pool has room for.
+    pub(crate) fn is_tight(&self) -> bool {
+        self.is_tight
+    }
+
+    /// Whether a kind's lease has room for one more request.
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
+    pub(crate) fn has_lease(&self, local: usize) -> bool {
+        let kind = &self.kinds[local];
+        if kind.priority == FIRST_PRIORITY {
+            return true;
+        }
+        if kind.is_held {
+            return (kind.own as f32) < kind.leased;
         }
+        let all: u32 = self.kinds.iter().map(|kind| kind.own).sum();
+        (all as f32) < self.room
     }
 
     /// Forgets what other entries have running and waiting.
@@ -94,23 +210,7 @@
             kind.foreign = 0;
             kind.foreign_queued = 0;
         }
-    }
-
-    /// The rows for a delta.
-    pub(crate) fn tell(&mut self, queued: impl Fn(usize) -> usize) -> Vec<KindUse> {
-        let mut uses = Vec::new();
-        for (local, kind) in self.kinds.iter_mut().enumerate() {
-            let waiting = u32::try_from(queued(local)).unwrap_or(u32::MAX);
-            kind.told = (kind.own, waiting);
-            if kind.own > 0 || waiting > 0 {
-                uses.push(KindUse {
-                    kind: kind.key,
-                    in_flight: u16::try_from(kind.own).unwrap_or(u16::MAX),
-                    queued: u16::try_from(waiting).unwrap_or(u16::MAX),
-                });
-            }
-        }
-        uses
+        self.is_tight = false;
     }
 
     /// Slots that others than this kind must leave free: reserved and not in use by their kind.
@@ -119,25 +219,13 @@
         others.map(|(_, kind)| kind.reserved.saturating_sub(kind.own + kind.foreign)).sum()
     }
 
-    /// Long work outstanding, from all entries.
-    pub(crate) fn long_running(&self) -> u32 {
-        let long = self.kinds.iter().filter(|kind| kind.length == WorkLength::Long);
-        long.map(|kind| kind.own + kind.foreign).sum()
-    }
-
-    /// Orders waiting kinds; the least goes first.
-    ///
-    /// A service within its share goes before one above it: shares are promises, and what one
-    /// service leaves is only lent. Among equals the priority decides, then who has used less of
-    /// its share. First kinds are never put back by share: an urgent read must not wait because
-    /// its service was busy a moment ago.
-    pub(crate) fn rank(&self, local: usize, slots: f32) -> (bool, RequestPriority, u32) {
+    /// Orders waiting kinds; the least goes first: by priority, then by who has used less of its
+    /// share.
+    pub(crate) fn rank(&self, local: usize) -> (RequestPriority, u32) {
         let kind = &self.kinds[local];
         let used = self.used(kind.service);
-        let allowed = (self.services[kind.service].share * slots).max(f32::MIN_POSITIVE);
-        let ratio = used / allowed;
-        let over = ratio >= 1.0 && kind.priority > FIRST_PRIORITY;
-        (over, kind.priority, ratio.to_bits())
+        let ratio = used / self.services[kind.service].share.max(f32::MIN_POSITIVE);
+        (kind.priority, ratio.to_bits())
     }
 
     /// Counts a start from the queue; true if this one belongs to the floor.
@@ -159,7 +247,7 @@
 impl KindState {
     fn new(kind: &KindPlan, service: usize) -> Self {
         Self {
-            key: CountKey::of(&format!("{}/{}", kind.service, kind.kind)),
+            key: key_of(kind),
             priority: kind.priority,
             reserved: kind.reserved_slots.0,
             length: kind.length,
@@ -167,7 +255,22 @@
             own: 0,
             foreign: 0,
             foreign_queued: 0,
-            told: (0, 0),
+            leased: 0.0,
+            start_gap_ms: 0.0,
+            last_start: None,
+            is_held: false,
         }
     }
 }
+
+/// A digest of a pool's kinds in the order of the plan, and how many there are.
+#[must_use]
+pub(crate) fn kind_digest(plan: &PolicyPlan, pool: &PoolName) -> (u16, usize) {
+    let kinds = plan.kinds.iter().filter(|kind| kind.pool == *pool);
+    let keys: Vec<CountKey> = kinds.map(key_of).collect();
+    (digest_of(&keys), keys.len())
+}
+
+fn key_of(kind: &KindPlan) -> CountKey {
+    CountKey::of(&format!("{}/{}", kind.service, kind.kind))
+}
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -2,7 +2,9 @@
 
 mod kind_shares;
 mod pool_scheduler;
+mod pool_scheduler_counts;
 mod retry_budget;
+mod share_leases;
 mod ticket;
 mod upstream_slots;
 mod upstream_table;
@@ -11,12 +13,13 @@
 
 pub use pool_scheduler::PoolScheduler;
 pub use retry_budget::{GiveUpCause, RetryBudget, RetryDecision, RetryQuestion};
+pub use share_leases::{KindDemand, divide_slots};
 pub use ticket::{
     AttemptOutcome, LoadReport, RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects,
 };
 pub use verdict::{RefusalCause, RequestVerdict};
 
-pub(crate) use kind_shares::KindShares;
+pub(crate) use kind_shares::{FIRST_PRIORITY, KindShares, LeaseTerms, kind_digest};
 pub(crate) use upstream_slots::UpstreamSlots;
 pub(crate) use upstream_table::{UpstreamChoice, UpstreamTable};
 pub(crate) use wait_queue::{WaitQueue, WaitingRequest};
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -1,31 +1,43 @@
 //! Decides, for one pool at one entry, who starts, who waits and who is refused.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
+use super::pool_scheduler_counts::ToldCounts;
 use super::{
-    AttemptOutcome, KindShares, LoadReport, RefusalCause, RequestNumber, RequestTicket,
-    SchedulerEffect, SchedulerEffects, UpstreamChoice, UpstreamTable, WaitQueue, WaitingRequest,
+    AttemptOutcome, FIRST_PRIORITY, KindShares, LeaseTerms, LoadReport, RefusalCause,
+    RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects, UpstreamChoice, UpstreamTable,
+    WaitQueue, WaitingRequest,
 };
-use crate::process::{
-    CountDelta, CountLink, CountSum, FastMap, HostId, Moment, PoolName, UpstreamRecord, ZoneName,
-};
-use crate::version::{PolicyPlan, WorkLength};
+use crate::process::{CountLink, FastMap, HostId, Moment, PoolName, UpstreamRecord, ZoneName};
+use crate::version::{KindPlan, PolicyPlan};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
 const QUEUE_LIMIT: usize = 4_096;
 
-/// Requests outstanding for each usable slot while counts are fresh: what waits at an upstream
-/// can no longer be overtaken by an urgent request, and what is not there leaves the slot idle
-/// for a turnaround.
-const SLACK: f32 = 1.5;
+/// Requests outstanding for each usable slot, over the pool.
+///
+/// Each entry keeps to its part of this while more is asked for. What waits at an upstream can no
+/// longer be overtaken by an urgent request; but with less, an upstream that old counts have
+/// passed over would stand idle.
+const SLACK: f32 = 2.5;
+
+/// The same for long work.
+const LONG_SLACK: f32 = 1.5;
+
+/// A request waits at most this part of the time it has left, in expectation.
+///
+/// Admitted to the brim, a queue under overload holds only requests that start when their time is
+/// almost over; a third of the answers then come too late and the slots' work is thrown away.
+const WAIT_PART: f32 = 0.25;
 
-/// Long work may hold this part of a pool's slots, so that a short urgent read always finds one.
-const LONG_PART: f32 = 0.4;
+/// Usual times of an answer that must be left when a request starts; 1 answer in 30 takes longer.
+const TIMES_LEFT: f32 = 3.0;
 
 /// How soon a refused caller may come back, at least.
 const SHORTEST_RETRY: Duration = Duration::from_millis(50);
@@ -36,12 +48,6 @@
 /// When to come back where no upstream takes work.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
 
-/// Upstream rows added to each delta though unchanged, in turn, to mend lost datagrams.
-const REFRESHED_ROWS: usize = 2;
-
-/// Upstream rows in one delta at most.
-const ROWS_PER_DELTA: usize = 64;
-
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
     upstream: usize,
@@ -55,43 +61,44 @@
 /// what to do.
 #[derive(Debug)]
 pub struct PoolScheduler {
-    pool: PoolName,
+    pub(crate) pool: PoolName,
+    pub(crate) host: HostId,
     zone: ZoneName,
     plan: Arc<PolicyPlan>,
-    shares: KindShares,
-    upstreams: UpstreamTable,
-    links: Vec<CountLink>,
-    queue: WaitQueue,
+    pub(crate) shares: KindShares,
+    pub(crate) upstreams: UpstreamTable,
+    pub(crate) link: Option<CountLink>,
+    pub(crate) layout_since: Moment,
+    pub(crate) told: VecDeque<ToldCounts>,
+    pub(crate) counted_at: Option<Moment>,
+    pub(crate) queue: WaitQueue,
     running: FastMap<RequestNumber, RunningRequest>,
     rng: SmallRng,
-    generation: u32,
-    refreshed: usize,
-    /// Smoothed time between starts from the queue, in milliseconds.
-    start_gap_ms: f32,
-    last_start: Option<Moment>,
+    finishes: u32,
+    /// The upstream whose slot this entry has just seen freed.
+    freed: Option<usize>,
 }
 
 impl PoolScheduler {
-    /// Makes a scheduler that knows no upstream yet. The seed must differ from one start of the
-    /// process to the next: it also tells the coordinators a new start from the old one.
+    /// Makes a scheduler that knows no upstream yet.
     #[must_use]
-    pub fn new(_host: HostId, zone: ZoneName, pool: PoolName, seed: u64) -> Self {
-        let [a, b, c, d, ..] =
-            seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29).to_le_bytes();
+    pub fn new(host: HostId, zone: ZoneName, pool: PoolName, seed: u64) -> Self {
         Self {
             pool,
+            host,
             zone,
             plan: Arc::default(),
             shares: KindShares::default(),
             upstreams: UpstreamTable::default(),
-            links: Vec::new(),
+            link: None,
+            layout_since: Moment::ZERO,
+            told: VecDeque::new(),
+            counted_at: None,
             queue: WaitQueue::default(),
             running: FastMap::default(),
             rng: SmallRng::seed_from_u64(seed),
-            generation: u32::from_le_bytes([a, b, c, d]),
-            refreshed: 0,
-            start_gap_ms: 0.0,
-            last_start: None,
+            finishes: 0,
+            freed: None,
         }
     }
 
@@ -99,43 +106,24 @@
     /// gone is refused.
     pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) -> SchedulerEffects {
         let mut effects = Vec::new();
-        let old_plan = std::mem::replace(&mut self.plan, plan);
+        let rows = moved_rows(&self.plan, &plan);
+        self.plan = plan;
         let old_shares = std::mem::take(&mut self.shares);
         self.shares = KindShares::new(&self.plan, &self.pool, &old_shares);
+        self.told.clear();
         let waiting = self.queue.drain();
         self.queue = WaitQueue::new(self.shares.len());
         for mut request in waiting {
-            let row = old_plan.kinds.get(request.ticket.kind);
-            let moved = row.and_then(|old| {
-                let same = |new: &crate::version::KindPlan| {
-                    new.service == old.service && new.kind == old.kind && new.pool == old.pool
-                };
-                self.plan.kinds.iter().position(same)
-            });
-            let local = moved.and_then(|row| self.shares.local(row));
-            match (moved, local) {
-                (Some(row), Some(local)) => {
+            let row = rows.get(&request.ticket.kind).copied();
+            let number = request.ticket.number;
+            match row.and_then(|row| Some((row, self.shares.local(row)?))) {
+                Some((row, local)) => {
                     request.ticket.kind = row;
                     self.queue.push(local, request);
                 }
-                _ => effects.push(refusal(
-                    request.ticket.number,
-                    RefusalCause::NoSuchKind,
-                    SHORTEST_RETRY,
-                )),
+                None => effects.push(refusal(number, RefusalCause::NoSuchKind, SHORTEST_RETRY)),
             }
         }
-        let rows: FastMap<usize, usize> = old_plan
-            .kinds
-            .iter()
-            .enumerate()
-            .filter_map(|(row, old)| {
-                let same = |new: &crate::version::KindPlan| {
-                    new.service == old.service && new.kind == old.kind && new.pool == old.pool
-                };
-                Some((row, self.plan.kinds.iter().position(same)?))
-            })
-            .collect();
         for running in self.running.values_mut() {
             running.row = rows.get(&running.row).copied().unwrap_or(usize::MAX);
         }
@@ -149,14 +137,15 @@
         now: Moment,
         upstreams: &[UpstreamRecord],
     ) -> SchedulerEffects {
-        let links = &mut self.links;
-        self.upstreams.apply(upstreams, |zone| {
-            let known = links.iter().position(|link| link.zone == *zone);
-            known.unwrap_or_else(|| {
-                links.push(CountLink::new(zone.clone(), now));
-                links.len() - 1
-            })
-        });
+        if self.upstreams.apply(now, upstreams) {
+            self.relist(now);
+        }
+        let least = upstreams.iter().map(|record| &record.announcement.zone).min();
+        if let Some(zone) = least
+            && self.link.as_ref().is_none_or(|link| link.zone != *zone)
+        {
+            self.link = Some(CountLink::new(zone.clone(), now));
+        }
         let mut effects = Vec::new();
         if self.upstreams.is_closed() {
             for request in self.queue.drain() {
@@ -178,7 +167,7 @@
             return vec![refusal(number, RefusalCause::NoUpstream, NO_UPSTREAM_RETRY)];
         }
         if let Some(cause) = self.refusal_cause(now, local, ticket) {
-            return vec![refusal(number, cause, self.retry_after())];
+            return vec![refusal(number, cause, self.retry_after(local))];
         }
         self.queue.push(local, WaitingRequest { ticket: ticket.clone(), arrived: now });
         let mut effects = Vec::new();
@@ -192,19 +181,27 @@
         now: Moment,
         number: RequestNumber,
         outcome: AttemptOutcome,
-        report: Option<LoadReport>,
+        _report: Option<LoadReport>,
     ) -> SchedulerEffects {
         let Some(running) = self.running.remove(&number) else { return Vec::new() };
-        let pool_latency = self.upstreams.latency_ms();
+        let usual_ms = self.upstreams.usual_ms();
         let slots = self.upstreams.at_mut(running.upstream);
-        slots.own = slots.own.saturating_sub(1);
-        slots.learn(outcome, now.since(running.started), pool_latency, report);
+        slots.finish(now, outcome, now.since(running.started), usual_ms);
+        if slots.takes_work() {
+            self.upstreams.count(-1.0);
+        }
         if let Some(local) = self.shares.local(running.row) {
             let kind = self.shares.kind_mut(local);
             kind.own = kind.own.saturating_sub(1);
         }
+        self.finishes = self.finishes.wrapping_add(1);
+        if self.finishes.is_multiple_of(REFRESH_EVERY) {
+            self.upstreams.refresh(now);
+        }
         let mut effects = Vec::new();
+        self.freed = Some(running.upstream);
         self.dispatch(now, &mut effects);
+        self.freed = None;
         effects
     }
 
@@ -226,49 +223,9 @@
     /// When [`Self::tick`] is next of use, if ever.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Moment> {
-        let refuse_at = self.queue.earliest()? - self.typical();
-        let expiries = self.links.iter().filter_map(CountLink::expires_at);
-        Some(expiries.fold(refuse_at, Moment::min))
-    }
-
-    /// Takes in the entries' counts as a coordinator has added them up.
-    pub fn receive_sum(&mut self, now: Moment, sum: &CountSum) -> SchedulerEffects {
-        let mut effects = Vec::new();
-        if sum.pool != self.pool || sum.generation != self.generation {
-            return effects;
-        }
-        let Some(index) = self.links.iter().position(|link| link.zone == sum.zone) else {
-            return effects;
-        };
-        if !self.links[index].accept(now, sum) {
-            return effects;
-        }
-        let totals: FastMap<_, _> = sum.upstreams.iter().map(|row| (row.upstream, row)).collect();
-        for slots in self.upstreams.iter_mut().filter(|slots| slots.link == index) {
-            if let Some(total) = totals.get(&slots.key) {
-                slots.receive(total, sum.echo);
-            }
-        }
-        self.shares.receive(&sum.kinds);
-        self.dispatch(now, &mut effects);
-        effects
-    }
-
-    /// The deltas that are due, each for the coordinator of the zone named with it.
-    pub fn take_deltas(&mut self, now: Moment) -> Vec<(ZoneName, CountDelta)> {
-        let mut deltas = Vec::new();
-        for index in 0..self.links.len() {
-            if self.links[index].start_delta(now) {
-                self.build_deltas(index, &mut deltas);
-            }
-        }
-        deltas
-    }
-
-    /// When [`Self::take_deltas`] next has something, if ever.
-    #[must_use]
-    pub fn next_delta_at(&self) -> Option<Moment> {
-        self.links.iter().map(CountLink::delta_at).min()
+        let refuse_at = self.queue.earliest()? - self.usual();
+        let expires_at = self.link.as_ref().and_then(CountLink::expires_at);
+        Some(expires_at.map_or(refuse_at, |at| at.min(refuse_at)))
     }
 
     /// The pool it decides for.
@@ -311,46 +268,41 @@
             return Some(RefusalCause::DeadlineTooClose);
         }
         let wait = self.expected_wait(local, ticket.deadline);
-        (wait > Duration::ZERO && wait + self.typical() > left)
-            .then_some(RefusalCause::DeadlineTooClose)
+        let longest = left.mul_f32(WAIT_PART).min(left.saturating_sub(self.needed()));
+        (wait > longest).then_some(RefusalCause::DeadlineTooClose)
     }
 
-    /// How long a request would wait, by how many go before it and how fast they have lately
-    /// started.
+    /// How long a request would wait, by how many of its kind go before it and how fast the kind
+    /// has lately started; that pace holds what priorities and shares leave it.
     fn expected_wait(&self, local: usize, deadline: Moment) -> Duration {
-        let slots = self.pool_slots();
-        let rank = self.shares.rank(local, slots);
-        let mut ahead = self.queue.ahead_of(local, deadline);
-        for other in (0..self.shares.len()).filter(|other| *other != local) {
-            let waiting = self.queue.len_of(other);
-            if waiting > 0 && self.shares.rank(other, slots) <= rank {
-                ahead += waiting;
-            }
-        }
-        if ahead == 0 {
-            return Duration::ZERO;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "the queue is bounded")]
-        let wait_ms = self.start_gap_ms * ahead as f32;
-        Duration::from_secs_f32(wait_ms / 1_000.0)
+        self.wait_of(local, self.queue.ahead_of(local, deadline))
+    }
+
+    /// When a refused caller may usefully come back: once those who wait now have started.
+    fn retry_after(&self, local: usize) -> Duration {
+        self.wait_of(local, self.queue.len_of(local)).clamp(SHORTEST_RETRY, LONGEST_RETRY)
     }
 
-    fn retry_after(&self) -> Duration {
-        #[expect(clippy::cast_precision_loss, reason = "the queue is bounded")]
-        let wait_ms = self.start_gap_ms * self.queue.len() as f32;
-        Duration::from_secs_f32(wait_ms / 1_000.0).clamp(SHORTEST_RETRY, LONGEST_RETRY)
+    #[expect(clippy::cast_precision_loss, reason = "the queue is bounded")]
+    fn wait_of(&self, local: usize, ahead: usize) -> Duration {
+        let wait_ms = self.shares.kind(local).start_gap_ms * ahead as f32;
+        Duration::from_secs_f32(wait_ms / 1_000.0)
     }
 
     /// Starts what may start, best first.
-    fn dispatch(&mut self, now: Moment, effects: &mut SchedulerEffects) {
+    pub(crate) fn dispatch(&mut self, now: Moment, effects: &mut SchedulerEffects) {
         while let Some((local, upstream)) = self.next_start(now) {
             let Some(waiting) = self.queue.pop(local) else { return };
             if waiting.ticket.deadline <= now {
                 let number = waiting.ticket.number;
-                effects.push(refusal(number, RefusalCause::DeadlineTooClose, self.retry_after()));
+                effects.push(refusal(
+                    number,
+                    RefusalCause::DeadlineTooClose,
+                    self.retry_after(local),
+                ));
                 continue;
             }
-            self.note_gap(now, waiting.arrived);
+            self.note_gap(now, local, waiting.arrived);
             effects.push(self.start(now, local, upstream, &waiting.ticket));
         }
     }
@@ -359,34 +311,51 @@
         if self.queue.len() == 0 {
             return None;
         }
-        let slots = self.pool_slots();
         let mut order: Vec<usize> =
             (0..self.shares.len()).filter(|local| self.queue.len_of(*local) > 0).collect();
-        order.sort_by_key(|local| {
-            let deadline = self.queue.first(*local).map(|first| first.ticket.deadline);
-            (self.shares.rank(*local, slots), deadline)
-        });
-        if order.len() > 1 && self.shares.floor_turn() {
-            let oldest = order[1..].iter().copied();
-            let lowest = oldest.min_by_key(|local| self.queue.first(*local).map(|w| w.arrived));
-            if let Some(lowest) = lowest {
-                order.retain(|local| *local != lowest);
-                order.insert(0, lowest);
-            }
+        if order.len() > 1 {
+            order.sort_by_key(|local| {
+                let deadline = self.queue.first(*local).map(|first| first.ticket.deadline);
+                (self.shares.rank(*local), deadline)
+            });
+            self.raise_lowest(&mut order);
         }
         order.into_iter().find_map(|local| Some((local, self.place(now, local)?)))
     }
 
+    /// Lets whoever has waited longest of the lower kinds go first on the floor's turns.
+    fn raise_lowest(&mut self, order: &mut Vec<usize>) {
+        if !self.shares.floor_turn() {
+            return;
+        }
+        let lower = order[1..].iter().copied();
+        let oldest = lower.min_by_key(|local| self.queue.first(*local).map(|w| w.arrived));
+        if let Some(oldest) = oldest {
+            order.retain(|local| *local != oldest);
+            order.insert(0, oldest);
+        }
+    }
+
     /// Finds an upstream for a kind's next request.
     fn place(&mut self, now: Moment, local: usize) -> Option<usize> {
-        let first = self.queue.first(local)?;
-        if !self.may_use_slot(local) {
+        if !self.may_start(local) {
             return None;
         }
-        let ages = self.links.iter().map(|link| link.age(now));
-        let age = ages.collect::<Option<Vec<_>>>().and_then(|ages| ages.into_iter().max());
-        let mut choice =
-            UpstreamChoice { zone: &self.zone, avoid: &first.ticket.avoid, age, slack: SLACK };
+        let first = self.queue.first(local)?;
+        let mut choice = UpstreamChoice {
+            now,
+            zone: &self.zone,
+            avoid: &first.ticket.avoid,
+            age: self.count_age(now),
+        };
+        // The one thing known for certain is the slot that an answer has just left. While every
+        // slot is in demand, filling that one keeps each upstream's load even, whatever the age
+        // of the counts.
+        if let Some(freed) = self.freed.take_if(|_| self.shares.is_tight())
+            && self.upstreams.is_usual(&choice, freed)
+        {
+            return Some(freed);
+        }
         let found = self.upstreams.choose(&mut self.rng, &choice);
         if found.is_some() || choice.avoid.is_empty() {
             return found;
@@ -396,21 +365,31 @@
         self.upstreams.choose(&mut self.rng, &choice)
     }
 
-    /// Whether reservations and the bound on long work leave this kind a slot.
+    /// Whether shares, reservations and the bound on long work leave this kind a slot.
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
-    fn may_use_slot(&self, local: usize) -> bool {
-        let slots = self.pool_slots();
-        let kind = self.shares.kind(local);
-        if kind.length == WorkLength::Long && self.shares.long_running() as f32 >= slots * LONG_PART
-        {
+    fn may_start(&self, local: usize) -> bool {
+        if self.shares.kind(local).priority == FIRST_PRIORITY {
+            return true;
+        }
+        if !self.shares.has_lease(local) {
             return false;
         }
         let reserved = self.shares.reserved_from(local);
-        if reserved == 0 {
-            return true;
-        }
-        let busy: u32 = self.upstreams.open().map(super::UpstreamSlots::load).sum();
-        (busy + reserved) as f32 <= slots * SLACK
+        reserved == 0
+            || self.upstreams.busy() + reserved as f32 <= self.upstreams.usable_slots() * SLACK
+    }
+
+    /// Works out anew what this entry may start until the next sum.
+    pub(crate) fn grant_leases(&mut self, entries: u16) {
+        let slots = self.upstreams.usable_slots();
+        let terms = LeaseTerms {
+            slots: slots * SLACK,
+            long_slots: slots * LONG_SLACK,
+            entries: f32::from(entries),
+        };
+        let (queue, rng) = (&self.queue, &mut self.rng);
+        self.shares.lease(&terms, |local| queue.len_of(local));
+        self.shares.round_leases(|| rng.random());
     }
 
     fn start(
@@ -421,8 +400,9 @@
         ticket: &RequestTicket,
     ) -> SchedulerEffect {
         self.shares.kind_mut(local).own += 1;
+        self.upstreams.count(1.0);
         let slots = self.upstreams.at_mut(upstream);
-        slots.own += 1;
+        slots.start(now);
         let running = RunningRequest { upstream, row: ticket.kind, started: now };
         self.running.insert(ticket.number, running);
         let announcement = &slots.record.announcement;
@@ -439,88 +419,58 @@
     /// Refuses waiting requests that can no longer be answered in time, so that their callers
     /// learn it while they can still act, and no slot is spent on an answer nobody awaits.
     fn refuse_late(&mut self, now: Moment, effects: &mut SchedulerEffects) {
-        let typical = self.typical();
+        let usual = self.usual();
         for local in 0..self.shares.len() {
             while let Some(first) = self.queue.first(local) {
-                if first.ticket.deadline - typical > now {
+                if first.ticket.deadline - usual > now {
                     break;
                 }
                 let number = first.ticket.number;
                 self.queue.remove(number);
-                effects.push(refusal(number, RefusalCause::DeadlineTooClose, self.retry_after()));
+                effects.push(refusal(
+                    number,
+                    RefusalCause::DeadlineTooClose,
+                    self.retry_after(local),
+                ));
             }
         }
     }
 
-    /// Without a coordinator the other entries' counts mean nothing any more; kept, they would
-    /// hold slots occupied that were freed long ago.
-    fn expire_counts(&mut self, now: Moment) {
-        let mut any = false;
-        for link in &mut self.links {
-            link.expire(now);
-        }
-        for slots in self.upstreams.iter_mut() {
-            if self.links[slots.link].age(now).is_none() {
-                slots.forget_foreign();
-            } else {
-                any = true;
-            }
-        }
-        if !any {
-            self.shares.forget_foreign();
+    fn note_gap(&mut self, now: Moment, local: usize, arrived: Moment) {
+        let kind = self.shares.kind_mut(local);
+        let since = kind.last_start.map_or(arrived, |last| last.max(arrived));
+        kind.last_start = Some(now);
+        // One that starts as it comes says nothing about how fast a queue moves.
+        if now == arrived {
+            return;
         }
-    }
-
-    fn note_gap(&mut self, now: Moment, arrived: Moment) {
-        let since = self.last_start.map_or(arrived, |last| last.max(arrived));
-        self.last_start = Some(now);
         let gap_ms = now.since(since).as_secs_f32() * 1_000.0;
-        self.start_gap_ms += GAP_WEIGHT * (gap_ms - self.start_gap_ms);
+        kind.start_gap_ms += GAP_WEIGHT * (gap_ms - kind.start_gap_ms);
     }
 
     /// The usual time of one answer.
-    fn typical(&self) -> Duration {
-        Duration::from_secs_f32(self.upstreams.latency_ms() / 1_000.0)
+    fn usual(&self) -> Duration {
+        Duration::from_secs_f32(self.upstreams.usual_ms() / 1_000.0)
     }
 
-    fn pool_slots(&self) -> f32 {
-        self.upstreams.open().map(super::UpstreamSlots::usable).sum()
+    /// Time that must be left when a request starts.
+    fn needed(&self) -> Duration {
+        self.usual().mul_f32(TIMES_LEFT)
     }
+}
 
-    fn build_deltas(&mut self, index: usize, deltas: &mut Vec<(ZoneName, CountDelta)>) {
-        let link = &self.links[index];
-        let sequence = link.sequence;
-        let (epoch, coordinator) = link.epoch();
-        let zone = link.zone.clone();
-        let members = self.upstreams.iter_mut().filter(|slots| slots.link == index).count();
-        let turn = self.refreshed % members.max(1);
-        self.refreshed = self.refreshed.wrapping_add(REFRESHED_ROWS);
-        let mut rows = Vec::new();
-        let zone_slots = self.upstreams.iter_mut().filter(|slots| slots.link == index);
-        for (place, slots) in zone_slots.enumerate() {
-            let refresh = (place + members - turn) % members < REFRESHED_ROWS;
-            rows.extend(slots.tell(sequence, refresh));
-        }
-        let queue = &self.queue;
-        let kinds = self.shares.tell(|local| queue.len_of(local));
-        let delta = CountDelta {
-            pool: self.pool.clone(),
-            zone: zone.clone(),
-            generation: self.generation,
-            sequence,
-            epoch,
-            coordinator,
-            upstreams: Vec::new(),
-            kinds,
+/// Finished requests between two workings-out of what holds for the pool as a whole.
+const REFRESH_EVERY: u32 = 32;
+
+/// The new row of each row of the old plan that is still there.
+fn moved_rows(old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
+    let moved = old.kinds.iter().enumerate().filter_map(|(row, kind)| {
+        let same = |other: &KindPlan| {
+            (&other.pool, &other.service, &other.kind) == (&kind.pool, &kind.service, &kind.kind)
         };
-        if rows.len() <= ROWS_PER_DELTA {
-            deltas.push((zone, CountDelta { upstreams: rows, ..delta }));
-            return;
-        }
-        for part in rows.chunks(ROWS_PER_DELTA) {
-            deltas.push((zone.clone(), CountDelta { upstreams: part.to_vec(), ..delta.clone() }));
-        }
-    }
+        Some((row, new.kinds.iter().position(same)?))
+    });
+    moved.collect()
 }
 
 /// The weight of one start in the smoothed time between starts.
--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -1,81 +1,71 @@
 //! What one entry knows of one upstream's slots.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{AttemptOutcome, LoadReport};
-use crate::process::{CountKey, UpstreamPhase, UpstreamRecord, UpstreamTotal, UpstreamUse};
+use super::AttemptOutcome;
+use crate::process::{
+    CountKey, Moment, UpstreamHealth, UpstreamNews, UpstreamPhase, UpstreamRecord,
+};
 
-/// Own counts as told in past deltas, so that a sum's echo can be matched.
-const HISTORY: usize = 64;
-
-/// The least usable part of an upstream: the trickle that shows when it has recovered.
-const TRICKLE: f32 = 0.1;
-
-/// Part of its slots that a warming upstream starts with.
+/// Part of its slots that a warming upstream starts with, and how long it takes to the whole.
+///
+/// A cold upstream answers its first requests many times slower. With its full slots at once it
+/// would collect a queue that outlasts its warming.
 const COLD_PART: f32 = 0.25;
+const WARMING: Duration = Duration::from_secs(4);
 
-/// How much of its slots an upstream regains with each good answer.
-const REGAIN: f32 = 0.02;
-
-/// What remains usable after an answer that shows trouble.
-const FAILED_KEEPS: f32 = 0.7;
-
-/// What remains usable after the upstream shed a request: it says itself that it is full, so
-/// it loses slots, but fewer than one that fails.
-const SHED_KEEPS: f32 = 0.85;
+/// Below this usable part an upstream gets no more than a trickle.
+const IMPAIRED: f32 = 0.3;
 
-/// The weight of one answer in the smoothed time of answers.
-const LATENCY_WEIGHT: f32 = 0.1;
+/// Time between requests that one entry sends to an impaired upstream. Each of them may fail or
+/// take long; 25 entries send six a second, which is enough to see that it has recovered.
+const TRICKLE_EVERY: Duration = Duration::from_secs(4);
 
 /// One upstream as one entry sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamSlots {
     pub(crate) key: CountKey,
     pub(crate) record: UpstreamRecord,
-    /// Which count link its zone has.
-    pub(crate) link: usize,
     /// False once it is no longer announced; it stays until its last request ends.
     pub(crate) listed: bool,
     /// This entry's own requests outstanding.
     pub(crate) own: u32,
     /// The other entries' requests outstanding, as of the newest sum.
-    foreign: u32,
-    health: f32,
+    pub(crate) foreign: f32,
+    /// Answers since the last report.
+    pub(crate) news: UpstreamNews,
+    health: UpstreamHealth,
     /// What all entries together find usable.
-    shared_health: f32,
-    /// Smoothed time of answers, in milliseconds; 0 before the first.
-    latency_ms: f32,
-    answers: u32,
-    told: VecDeque<(u32, u32)>,
+    pub(crate) shared_usable: f32,
+    warming_since: Option<Moment>,
+    trickle_at: Moment,
 }
 
 impl UpstreamSlots {
-    pub(crate) fn new(record: &UpstreamRecord, link: usize) -> Self {
+    pub(crate) fn new(now: Moment, record: &UpstreamRecord) -> Self {
         let cold = record.announcement.phase == UpstreamPhase::Warming;
         Self {
             key: CountKey::of(record.announcement.id.as_str()),
             record: record.clone(),
-            link,
             listed: true,
             own: 0,
-            foreign: 0,
-            // A cold upstream answers its first requests many times slower. With its full slots
-            // at once it would collect a queue that outlasts its warming.
-            health: if cold { COLD_PART } else { 1.0 },
-            shared_health: 1.0,
-            latency_ms: 0.0,
-            answers: 0,
-            told: VecDeque::new(),
+            foreign: 0.0,
+            news: UpstreamNews::default(),
+            health: UpstreamHealth::new(now),
+            shared_usable: 1.0,
+            warming_since: cold.then_some(now),
+            trickle_at: now,
         }
     }
 
     /// Takes over a newer announcement.
-    pub(crate) fn update(&mut self, record: &UpstreamRecord) {
+    pub(crate) fn update(&mut self, now: Moment, record: &UpstreamRecord) {
         let restarted = record.announcement.incarnation > self.record.announcement.incarnation;
-        if restarted && record.announcement.phase == UpstreamPhase::Warming {
-            self.health = COLD_PART;
-            self.latency_ms = 0.0;
+        if restarted {
+            let cold = record.announcement.phase == UpstreamPhase::Warming;
+            self.warming_since = cold.then_some(now);
+            self.health = UpstreamHealth::new(now);
+            self.shared_usable = 1.0;
         }
         self.record = record.clone();
         self.listed = true;
@@ -86,11 +76,29 @@
         self.listed && self.record.takes_work
     }
 
-    /// Slots it is believed to have for use, a part of one at least.
-    pub(crate) fn usable(&self) -> f32 {
-        let slots = self.slots();
-        let health = self.health.min(self.shared_health).max(TRICKLE);
-        slots * health
+    /// Part of its slots that is believed usable.
+    pub(crate) fn usable_part(&self, now: Moment) -> f32 {
+        let part = self.health.usable(now).min(self.shared_usable);
+        match self.warming_since {
+            Some(since) if now.since(since) < WARMING => {
+                let warmed = now.since(since).as_secs_f32() / WARMING.as_secs_f32();
+                part.min(COLD_PART + (1.0 - COLD_PART) * warmed)
+            }
+            _ => part,
+        }
+    }
+
+    /// Whether it is to be left alone for now.
+    pub(crate) fn rests(&self, now: Moment, usable_part: f32) -> bool {
+        usable_part < IMPAIRED && now < self.trickle_at
+    }
+
+    /// Counts a request that starts.
+    pub(crate) fn start(&mut self, now: Moment) {
+        self.own += 1;
+        if self.usable_part(now) < IMPAIRED {
+            self.trickle_at = now + TRICKLE_EVERY;
+        }
     }
 
     /// Slots it announced.
@@ -99,113 +107,34 @@
         self.record.announcement.slots.0 as f32
     }
 
-    /// Requests believed outstanding at it, from all entries.
-    pub(crate) fn load(&self) -> u32 {
-        self.own + self.foreign
-    }
-
-    /// Smoothed time of its answers in milliseconds, if any came.
+    /// Smoothed time of its answers in milliseconds, if there were enough.
     pub(crate) fn latency_ms(&self) -> Option<f32> {
-        (self.latency_ms > 0.0).then_some(self.latency_ms)
-    }
-
-    /// Forgets what other entries have outstanding.
-    pub(crate) fn forget_foreign(&mut self) {
-        self.foreign = 0;
-        self.shared_health = 1.0;
+        self.health.latency_ms()
     }
 
-    /// Takes in the total of all entries.
-    ///
-    /// The total holds this entry's own count as the coordinator last heard it, which is not its
-    /// count now; taking off the count that was told with the echoed delta keeps own requests
-    /// from being counted twice or not at all.
-    pub(crate) fn receive(&mut self, total: &UpstreamTotal, echo: u32) {
-        while self.told.get(1).is_some_and(|(sequence, _)| *sequence <= echo) {
-            self.told.pop_front();
-        }
-        let told = match self.told.front() {
-            Some((sequence, count)) if *sequence <= echo => *count,
-            _ => 0,
-        };
-        self.foreign = u32::from(total.in_flight).saturating_sub(told);
-        self.shared_health = f32::from(total.health) / 255.0;
-    }
-
-    /// Its row for a delta, if it has changed since it was last told or `refresh` is set.
-    pub(crate) fn tell(&mut self, sequence: u32, refresh: bool) -> Option<UpstreamUse> {
-        let last = self.told.back().map_or(0, |(_, count)| *count);
-        if last == self.own && !refresh {
-            return None;
-        }
-        if self.told.len() == HISTORY {
-            self.told.pop_front();
-        }
-        self.told.push_back((sequence, self.own));
-        let latency = if self.answers > 0 { self.latency_ms * 10.0 } else { 0.0 };
-        self.answers = 0;
-        Some(UpstreamUse {
-            upstream: self.key,
-            in_flight: u16::try_from(self.own).unwrap_or(u16::MAX),
-            latency: whole(latency),
-            health: u8::try_from(whole(self.health * 255.0)).unwrap_or(u8::MAX),
-        })
-    }
-
-    /// Learns from the end of an attempt.
-    ///
-    /// An upstream that fails fast has free slots all the time, and by counts alone it would draw
-    /// the whole pool's load and fail it. Its slots shrink with each failure instead, and come
-    /// back step by step, so that a flapping upstream does not swing the pool.
-    pub(crate) fn learn(
+    /// Learns from the end of an attempt; `pool_ms` is the usual time in the pool.
+    pub(crate) fn finish(
         &mut self,
+        now: Moment,
         outcome: AttemptOutcome,
         took: Duration,
-        pool_latency_ms: f32,
-        _report: Option<LoadReport>,
+        pool_ms: f32,
     ) {
+        self.own = self.own.saturating_sub(1);
+        let mut news = UpstreamNews::default();
         match outcome {
-            AttemptOutcome::Answered => self.learn_answer(took, pool_latency_ms),
-            AttemptOutcome::Shed => self.shrink(SHED_KEEPS),
-            AttemptOutcome::Failed | AttemptOutcome::Unreachable | AttemptOutcome::Broken => {
-                self.shrink(FAILED_KEEPS);
+            AttemptOutcome::Answered => {
+                news.answers = 1;
+                // At least 1, so that many answers of half a millisecond do not add up to none.
+                news.total_ms = u16::try_from(took.as_millis()).unwrap_or(u16::MAX).max(1);
             }
-            AttemptOutcome::Cancelled => {}
+            AttemptOutcome::Cancelled => return,
+            AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Broken => news.failures = 1,
         }
+        self.health.note(now, &news, pool_ms);
+        self.news.add(&news);
     }
-
-    fn learn_answer(&mut self, took: Duration, pool_latency_ms: f32) {
-        let took_ms = took.as_secs_f32() * 1_000.0;
-        self.answers += 1;
-        self.latency_ms = if self.latency_ms > 0.0 {
-            self.latency_ms + LATENCY_WEIGHT * (took_ms - self.latency_ms)
-        } else {
-            took_ms
-        };
-        let slow = pool_latency_ms > 0.0 && self.latency_ms > SLOW_FACTOR * pool_latency_ms;
-        if slow {
-            self.shrink(SLOW_KEEPS);
-        } else {
-            self.health = (self.health + REGAIN).min(1.0);
-        }
-    }
-
-    fn shrink(&mut self, keeps: f32) {
-        self.health = (self.health * keeps).max(TRICKLE);
-    }
-}
-
-/// An upstream this many times slower than its pool loses slots.
-const SLOW_FACTOR: f32 = 2.5;
-
-/// What remains usable after an answer while the upstream is slow.
-const SLOW_KEEPS: f32 = 0.8;
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float cast saturates, and that is meant"
-)]
-fn whole(value: f32) -> u16 {
-    value.round() as u16
 }
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -6,17 +6,32 @@
 use rand::rngs::SmallRng;
 
 use super::UpstreamSlots;
-use crate::process::{FastMap, UpstreamId, UpstreamRecord, ZoneName};
+use crate::process::{
+    CountKey, CountLayout, FastMap, Moment, UpstreamId, UpstreamRecord, ZoneName, median_ms,
+};
 
-/// Counts this fresh are compared over every upstream.
-const FRESH_AGE: Duration = Duration::from_millis(25);
+/// Upstreams compared, at most, however fresh the counts are: beyond that a choice costs more
+/// than it gains.
+const MOST_CANDIDATES: usize = 3;
 
-/// Upstreams looked at, at most, however fresh the counts are: beyond that the choice costs
-/// more than it gains.
-const MOST_CANDIDATES: usize = 16;
+/// Upstreams compared when the counts say nothing any more.
+const FEWEST_CANDIDATES: usize = 2;
+
+/// Requests outstanding at one upstream for each of its usable slots, at most.
+///
+/// What waits at an upstream can no longer be overtaken or moved elsewhere when the upstream slows
+/// down. The pool as a whole is held far below this; the bound is for one upstream that old counts
+/// make look idle to every entry at once.
+const UPSTREAM_BOUND: f32 = 4.0;
 
 /// What going to another zone costs, in requests outstanding at one slot.
-const ZONE_COST: f32 = 0.1;
+const ZONE_COST: f32 = 0.05;
+
+/// The least part of the pool's slots that stays usable, whatever is measured.
+///
+/// When everything slows down at once, the cause is load or the network, and taking slots away
+/// would only add to it.
+const USABLE_FLOOR: f32 = 0.5;
 
 /// The upstreams of one pool.
 #[derive(Clone, Debug, Default)]
@@ -24,35 +39,74 @@
     slots: Vec<UpstreamSlots>,
     by_id: FastMap<UpstreamId, usize>,
     open: Vec<usize>,
+    layout: CountLayout,
+    /// Where each place of the layout is kept.
+    places: Vec<usize>,
+    usable_slots: f32,
+    foreign_a_slot: f32,
+    busy: f32,
+    lift: f32,
+    usual_ms: f32,
 }
 
 impl UpstreamTable {
-    /// Replaces the announced upstreams. One that is no longer announced stays until its last
-    /// request ends, so that its counts stay true.
-    pub(crate) fn apply(
-        &mut self,
-        records: &[UpstreamRecord],
-        mut link: impl FnMut(&ZoneName) -> usize,
-    ) {
+    /// Replaces the announced upstreams; true if the list has changed. One that is no longer
+    /// announced stays until its last request ends, so that its end finds it.
+    pub(crate) fn apply(&mut self, now: Moment, records: &[UpstreamRecord]) -> bool {
         for slots in &mut self.slots {
             slots.listed = false;
         }
         for record in records {
-            let id = &record.announcement.id;
-            match self.by_id.get(id) {
-                Some(index) => self.slots[*index].update(record),
-                None => self.insert(UpstreamSlots::new(record, link(&record.announcement.zone))),
+            match self.by_id.get(&record.announcement.id) {
+                Some(index) => self.slots[*index].update(now, record),
+                None => self.insert(UpstreamSlots::new(now, record)),
             }
         }
         self.open = (0..self.slots.len()).filter(|i| self.slots[*i].takes_work()).collect();
+        let listed = self.slots.iter().enumerate().filter(|(_, slots)| slots.listed);
+        let mut places: Vec<(CountKey, usize)> = listed.map(|(i, slots)| (slots.key, i)).collect();
+        places.sort_unstable();
+        let layout = CountLayout::new(places.iter().map(|(key, _)| *key).collect());
+        self.places = places.into_iter().map(|(_, index)| index).collect();
+        let changed = layout != self.layout;
+        self.layout = layout;
+        self.refresh(now);
+        changed
+    }
+
+    /// Works out anew what holds for the pool as a whole.
+    pub(crate) fn refresh(&mut self, now: Moment) {
+        let open = self.open.iter().map(|index| &self.slots[*index]);
+        let (mut announced, mut usable, mut foreign) = (0.0, 0.0, 0.0);
+        for slots in open {
+            announced += slots.slots();
+            usable += slots.slots() * slots.usable_part(now);
+            foreign += slots.foreign;
+        }
+        self.lift = if usable < announced * USABLE_FLOOR { USABLE_FLOOR } else { 0.0 };
+        self.usable_slots = usable.max(announced * USABLE_FLOOR);
+        self.foreign_a_slot = foreign / f32::max(announced, 1.0);
+        self.busy = self.open().map(Self::load).sum();
+        self.usual_ms = median_ms(self.open().filter_map(UpstreamSlots::latency_ms));
     }
 
     pub(crate) fn at_mut(&mut self, index: usize) -> &mut UpstreamSlots {
         &mut self.slots[index]
     }
 
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamSlots> {
-        self.slots.iter_mut()
+    /// The order of the upstreams in messages.
+    pub(crate) fn layout(&self) -> &CountLayout {
+        &self.layout
+    }
+
+    /// The upstream at a place of the layout.
+    pub(crate) fn at_place(&mut self, place: usize) -> &mut UpstreamSlots {
+        &mut self.slots[self.places[place]]
+    }
+
+    /// Counts a request that starts or ends in the sums over the pool.
+    pub(crate) fn count(&mut self, change: f32) {
+        self.busy = (self.busy + change).max(0.0);
     }
 
     /// Upstreams that take work.
@@ -65,15 +119,27 @@
         self.open.is_empty()
     }
 
-    /// The mean of the upstreams' times of answers, in milliseconds; 0 if nothing is known.
-    pub(crate) fn latency_ms(&self) -> f32 {
-        let known: Vec<f32> = self.open().filter_map(UpstreamSlots::latency_ms).collect();
-        if known.is_empty() {
-            return 0.0;
+    /// Slots that are usable, over the pool.
+    pub(crate) fn usable_slots(&self) -> f32 {
+        self.usable_slots
+    }
+
+    /// Requests outstanding, over the pool.
+    pub(crate) fn busy(&self) -> f32 {
+        self.busy
+    }
+
+    /// The usual time of an answer in milliseconds; 0 if nothing is known.
+    pub(crate) fn usual_ms(&self) -> f32 {
+        self.usual_ms
+    }
+
+    /// Forgets what other entries have outstanding.
+    pub(crate) fn forget_foreign(&mut self) {
+        for slots in &mut self.slots {
+            slots.foreign = 0.0;
+            slots.shared_usable = 1.0;
         }
-        let mut sorted = known;
-        sorted.sort_by(f32::total_cmp);
-        sorted[sorted.len() / 2]
     }
 
     /// Chooses the upstream with the least load for its size among a few, if any is below its
@@ -81,33 +147,54 @@
     ///
     /// With fresh counts the best of many is the best. With old ones every entry would choose the
     /// same few that were idle when the sum was made, and pile up there; so the older the counts,
-    /// the fewer are compared. If all that were looked at are full, the rest is looked through,
-    /// because a request that waits beside a free slot is pure loss.
+    /// the fewer are compared, and the less they weigh against the pool's mean. If all that were
+    /// looked at are full, the rest is looked through, because a request that waits beside a free
+    /// slot is pure loss.
     pub(crate) fn choose(&self, rng: &mut SmallRng, choice: &UpstreamChoice<'_>) -> Option<usize> {
         if self.open.is_empty() {
             return None;
         }
-        let wanted = candidates(choice.age);
+        let freshness = self.freshness(choice.age);
+        let wanted = candidates(freshness);
         if wanted < self.open.len() {
             let sampled = (0..wanted).map(|_| self.open[rng.random_range(0..self.open.len())]);
-            let best = self.best(choice, sampled);
+            let best = self.best(choice, freshness, sampled);
             if best.is_some() {
                 return best;
             }
         }
         let first = rng.random_range(0..self.open.len());
         let (head, tail) = self.open.split_at(first);
-        self.best(choice, tail.iter().chain(head).copied())
+        self.best(choice, freshness, tail.iter().chain(head).copied())
+    }
+
+    /// Whether an upstream may get the next request and is not loaded far beyond the others.
+    pub(crate) fn is_usual(&self, choice: &UpstreamChoice<'_>, index: usize) -> bool {
+        if !self.slots[index].takes_work() {
+            return false;
+        }
+        let usual = (self.busy / self.usable_slots.max(1.0)).max(1.0);
+        let score = self.score(choice, self.freshness(choice.age), index);
+        score.is_some_and(|score| score <= usual * UNUSUAL)
+    }
+
+    /// How much the counts still say, from 1 to 0: requests end and others start, and after one
+    /// time of an answer two thirds of what was counted is gone.
+    fn freshness(&self, age: Option<Duration>) -> f32 {
+        let Some(age) = age else { return 0.0 };
+        let usual_ms = if self.usual_ms > 0.0 { self.usual_ms } else { UNKNOWN_MS };
+        (-age.as_secs_f32() * 1_000.0 / usual_ms).exp()
     }
 
     fn best(
         &self,
         choice: &UpstreamChoice<'_>,
+        freshness: f32,
         candidates: impl Iterator<Item = usize>,
     ) -> Option<usize> {
         let mut best: Option<(f32, usize)> = None;
         for index in candidates {
-            let Some(score) = self.score(choice, index) else { continue };
+            let Some(score) = self.score(choice, freshness, index) else { continue };
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, index));
             }
@@ -117,11 +204,14 @@
 
     /// Load after one more request, by usable slot; none if that is above the bound.
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
-    fn score(&self, choice: &UpstreamChoice<'_>, index: usize) -> Option<f32> {
+    fn score(&self, choice: &UpstreamChoice<'_>, freshness: f32, index: usize) -> Option<f32> {
         let slots = &self.slots[index];
-        let usable = slots.usable();
-        let load = slots.load() as f32;
-        if load >= (usable * choice.slack).max(1.0)
+        let part = slots.usable_part(choice.now).max(self.lift);
+        let usable = slots.slots() * part;
+        let usual = self.foreign_a_slot * usable;
+        let load = slots.own as f32 + usual + (slots.foreign - usual) * freshness;
+        if load >= (usable * UPSTREAM_BOUND).max(1.0)
+            || slots.rests(choice.now, part)
             || choice.avoid.contains(&slots.record.announcement.id)
         {
             return None;
@@ -130,6 +220,11 @@
         Some((load + 1.0) / usable + away)
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
+    fn load(slots: &UpstreamSlots) -> f32 {
+        slots.own as f32 + slots.foreign
+    }
+
     fn insert(&mut self, slots: UpstreamSlots) {
         let id = slots.record.announcement.id.clone();
         let unused = self.slots.iter().position(|old| !old.listed && old.own == 0);
@@ -144,28 +239,31 @@
     }
 }
 
+/// The usual time of an answer before any is known, in milliseconds.
+const UNKNOWN_MS: f32 = 20.0;
+
+/// An upstream with this many times the pool's load for a slot is relieved, not refilled.
+const UNUSUAL: f32 = 1.5;
+
 /// What a choice depends on besides the upstreams.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UpstreamChoice<'a> {
+    pub(crate) now: Moment,
     /// The entry's own zone.
     pub(crate) zone: &'a ZoneName,
     /// Upstreams that were tried before.
     pub(crate) avoid: &'a [UpstreamId],
     /// How old the counts are; none without a coordinator.
     pub(crate) age: Option<Duration>,
-    /// Requests allowed outstanding for each usable slot.
-    pub(crate) slack: f32,
 }
 
-fn candidates(age: Option<Duration>) -> usize {
-    let Some(age) = age else { return 2 };
-    let ratio = FRESH_AGE.as_secs_f32() / age.as_secs_f32().max(0.001);
-    let many = ratio * 8.0;
+fn candidates(freshness: f32) -> usize {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "clamped to a small range"
+        clippy::cast_precision_loss,
+        reason = "a small range"
     )]
-    let many = many as usize;
-    many.clamp(2, MOST_CANDIDATES)
+    let many = (MOST_CANDIDATES as f32 * freshness).round() as usize;
+    many.clamp(FEWEST_CANDIDATES, MOST_CANDIDATES)
 }
