--- a/crates/pulley_core/src/version/driver_question.rs
+++ b/crates/pulley_core/src/version/driver_question.rs
@@ -5,7 +5,7 @@
 use super::{
     ClaimAnswer, DriverOutput, KeyDigest, LedgerCommand, LedgerOutcome, LogCommand, MachineOutcome,
     RecordedAnswer, ReplicaAnswer, ReplicaChange, ReplicaDriver, ReplicaQuestion, ReplicaRefusal,
-    RequestDigest, Term,
+    RequestDigest, StoredChange, Term,
 };
 use crate::process::{HostId, MemberId, Moment};
 
@@ -37,7 +37,8 @@
                 self.begin_read(now, token, question);
             }
             ReplicaQuestion::Apply(request) => {
-                self.append(now, token, LogCommand::Change(Box::new(request)));
+                let change = StoredChange::new(request, self.machines.configuration.current());
+                self.append(now, token, LogCommand::Change(Box::new(change)));
             }
             ReplicaQuestion::Claim { key, digest } => {
                 let limits = self.settings.ledger;
@@ -48,7 +49,9 @@
             ReplicaQuestion::Record { key, token: claim, answer } => {
                 let key = KeyDigest::of(&key);
                 let answer = answer.map(|answer| self.trimmed(answer));
-                self.append_ledger(now, token, LedgerCommand::Record { key, token: claim, answer });
+                let budget = self.settings.ledger.answer_budget;
+                let command = LedgerCommand::Record { key, token: claim, answer, budget };
+                self.append_ledger(now, token, command);
             }
             ReplicaQuestion::Release { key, token: claim } => {
                 let key = KeyDigest::of(&key);
@@ -120,10 +123,10 @@
 
     fn plan_addition(&self, now: Moment, host: &HostId) -> Result<LogCommand, ReplicaRefusal> {
         let members = self.node.members();
-        if members.members.iter().any(|member| member.host == *host) {
+        if members.find_host(host).is_some() {
             return Err(ReplicaRefusal::AlreadyMember(host.clone()));
         }
-        let (next, member) = members.with_learner(host);
+        let (next, member) = members.with_learner(host, None);
         self.members_command(now, next, format!("learner {member} {host}"))
             .ok_or(ReplicaRefusal::ChangeUnderWay)
     }
--- a/crates/pulleyd/src/version/log_recovery.rs
+++ b/crates/pulleyd/src/version/log_recovery.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use pulley_core::version::{LogEntry, LogIndex, RecoveredState, ReplicaSnapshot, VoteRecord};
+use bytes::Bytes;
+use pulley_core::version::{
+    LogEntry, LogIndex, RecoveredState, ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
+    VoteRecord,
+};
 use serde::{Deserialize, Serialize};
 
 use super::disk_folder::DiskFolder;
@@ -21,10 +25,20 @@
     Vote(VoteRecord),
     /// Entries from here on are no longer part of the log.
     Cut(LogIndex),
+    /// The founding membership that this disk has agreed to.
+    Promise(ReplicaMembership),
     /// The next entry.
     Entry(Arc<LogEntry>),
 }
 
+/// The beginning of a snapshot file; the state follows as it is, so that a large one is not copied.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct SnapshotHead {
+    pub(crate) place: SnapshotPlace,
+    pub(crate) size: u64,
+    pub(crate) checksum: u32,
+}
+
 /// A segment that is on disk.
 #[derive(Clone, Debug)]
 pub(crate) struct SegmentFile {
@@ -91,10 +105,15 @@
     let Some(frame) = read_frame(&bytes, 0) else {
         return Err(StorageFault::damaged(&name, 0, "the snapshot's checksum does not fit"));
     };
-    let snapshot = frame
-        .decode::<ReplicaSnapshot>()
+    let head = frame
+        .decode::<SnapshotHead>()
         .map_err(|error| StorageFault::damaged(&name, 0, error.to_string()))?;
-    Ok(Some(Arc::new(snapshot)))
+    let begin = frame.end;
+    let state = Bytes::from(bytes).slice(begin..);
+    if state.len() as u64 != head.size || crc32c::crc32c(&state) != head.checksum {
+        return Err(StorageFault::damaged(&name, begin, "the state's checksum does not fit"));
+    }
+    Ok(Some(Arc::new(ReplicaSnapshot { place: head.place, state })))
 }
 
 fn read_segment<D: DiskFolder>(
@@ -137,6 +156,7 @@
     let base = recovered.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.place.index);
     match record {
         LogRecord::Vote(vote) => recovered.vote = vote,
+        LogRecord::Promise(members) => recovered.promise = Some(members),
         LogRecord::Cut(index) => recovered.entries.retain(|entry| entry.index < index),
         LogRecord::Entry(entry) => {
             segment.highest = segment.highest.max(entry.index);
