Carry count rounds up and down the tree

Cause: counts now travel through a tree of entries, and the control thread knew only sums straight from a coordinator. Change: it passes sums on, hands reports to this host's own schedulers, takes sums in the name of whoever passed them on, and splits the bytes by pools, as every entry takes part in all of them. Not measured over real links yet.

--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    CoordinatorOutput, CountDelta, CountSum, FastMap, PoolCoordinator, ProbeOutcome,
-    UpstreamRecord, coordinator_for,
+    COUNT_BYTES_PER_SECOND, CoordinatorOutput, CountDelta, CountSum, FastMap, PoolCoordinator,
+    ProbeOutcome, UpstreamRecord, coordinator_for,
 };
 use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -14,10 +14,6 @@
 use super::RunningView;
 use crate::request::SchedulerSet;
 
-/// Bytes a second that all coordinators of one host may publish together: a host's 17 KB/s for
-/// control less its deltas, membership, leases and replication.
-const PUBLISH_BYTES: u32 = 10_000;
-
 /// The shortest sleep between two looks at the counts, so that a pool of many changes cannot make
 /// a busy loop of the control thread.
 const COUNT_PACE: Duration = Duration::from_millis(2);
@@ -60,6 +56,8 @@
     coordinators: FastMap<CountScope, PoolCoordinator>,
     assigned: FastMap<CountScope, HostId>,
     not_before: Moment,
+    /// Whether a sum waits to be passed on.
+    passes_on: bool,
 }
 
 impl CountCarrier {
@@ -69,6 +67,7 @@
             coordinators: FastMap::default(),
             assigned: FastMap::default(),
             not_before: Moment::ZERO,
+            passes_on: false,
         }
     }
 
@@ -87,9 +86,10 @@
             }
         }
         self.coordinators.retain(|scope, _| assigned.get(scope) == Some(&self.host));
-        let count = u32::try_from(self.coordinators.len()).unwrap_or(u32::MAX).max(1);
+        // Every entry takes part in every pool's rounds, so the bound is split over all pools.
+        let pools = u32::try_from(view.plan.pools().len()).unwrap_or(u32::MAX).max(1);
         for coordinator in self.coordinators.values_mut() {
-            coordinator.set_bytes_per_second(PUBLISH_BYTES / count);
+            coordinator.set_bytes_per_second(COUNT_BYTES_PER_SECOND / pools);
         }
         self.assigned = assigned;
     }
@@ -102,15 +102,17 @@
         }
         self.not_before = now + COUNT_PACE;
         for (pool, zone, delta) in schedulers.take_deltas(now) {
-            self.carry_delta(now, &(pool, zone), delta, &mut carried);
+            self.carry_delta(now, &(pool, zone), delta, schedulers, &mut carried);
         }
         let mut sums: Vec<CountSum> = Vec::new();
         for ((pool, zone), coordinator) in &mut self.coordinators {
             for output in coordinator.tick(now) {
                 match output {
-                    CoordinatorOutput::Publish { to, sum } if to == self.host => sums.push(sum),
+                    CoordinatorOutput::Publish { to, sum } if to == self.host => {
+                        sums.push(*sum);
+                    }
                     CoordinatorOutput::Publish { to, sum } => {
-                        carried.sends.extend(encode(&CountFrame::Sum(sum)).map(|body| (to, body)));
+                        carried.sends.extend(encode(&CountFrame::Sum(*sum)).map(|body| (to, body)));
                     }
                     probe @ CoordinatorOutput::Probe { .. } => {
                         carried.probes.push((pool.clone(), zone.clone(), probe));
@@ -121,6 +123,10 @@
         for sum in &sums {
             schedulers.receive_sum(now, sum);
         }
+        self.passes_on = false;
+        for (to, sum) in schedulers.take_relays() {
+            carried.sends.extend(encode(&CountFrame::Sum(sum)).map(|body| (to, body)));
+        }
         carried
     }
 
@@ -135,17 +141,33 @@
         let Ok(frame) = postcard::from_bytes::<CountFrame>(body) else { return };
         match frame {
             CountFrame::Delta(delta) => {
-                let scope = (delta.pool.clone(), delta.zone.clone());
-                if let Some(coordinator) = self.coordinators.get_mut(&scope) {
-                    coordinator.receive(now, from, &delta);
-                }
+                self.take_delta(now, from, &delta, schedulers);
+            }
+            // A host may publish or pass on in its own name only; reports go back to that name.
+            CountFrame::Sum(sum) if sum.sender == *from => {
+                schedulers.receive_sum(now, &sum);
+                self.passes_on |= !sum.route.is_empty();
             }
-            // A host may publish in its own name only.
-            CountFrame::Sum(sum) if sum.coordinator == *from => schedulers.receive_sum(now, &sum),
             CountFrame::Sum(_) => {}
         }
     }
 
+    /// A delta is for the pool's coordinator, if it is here, or for this host's own report.
+    fn take_delta(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        delta: &CountDelta,
+        schedulers: &SchedulerSet,
+    ) {
+        for ((pool, _), coordinator) in &mut self.coordinators {
+            if *pool == delta.pool {
+                coordinator.receive(now, from, delta);
+            }
+        }
+        schedulers.receive_report(from, delta);
+    }
+
     /// Hands a probe's outcome to the coordinator that asked for it, if it still is one.
     pub(crate) fn probed(&mut self, now: Moment, probe: &ProbeReport) {
         let scope = (probe.pool.clone(), probe.zone.clone());
@@ -157,7 +179,8 @@
     pub(crate) fn next_wakeup(&self, schedulers: &SchedulerSet) -> Option<Moment> {
         let own = self.coordinators.values().map(PoolCoordinator::next_wakeup).min();
         let deltas = schedulers.next_delta_at();
-        own.into_iter().chain(deltas).min().map(|due| due.max(self.not_before))
+        let passes_on = self.passes_on.then_some(self.not_before);
+        own.into_iter().chain(deltas).chain(passes_on).min().map(|due| due.max(self.not_before))
     }
 
     /// The pools and zones that this host coordinates.
@@ -187,14 +210,20 @@
         now: Moment,
         scope: &CountScope,
         delta: CountDelta,
+        schedulers: &SchedulerSet,
         carried: &mut CarriedCounts,
     ) {
-        if let Some(coordinator) = self.coordinators.get_mut(scope) {
-            coordinator.receive(now, &self.host, &delta);
-            return;
+        let to = delta.to.clone().or_else(|| self.assigned.get(scope).cloned());
+        match to {
+            Some(to) if to == self.host => {
+                let host = self.host.clone();
+                self.take_delta(now, &host, &delta, schedulers);
+            }
+            Some(to) => {
+                carried.sends.extend(encode(&CountFrame::Delta(delta)).map(|body| (to, body)));
+            }
+            None => {}
         }
-        let Some(to) = self.assigned.get(scope).cloned() else { return };
-        carried.sends.extend(encode(&CountFrame::Delta(delta)).map(|body| (to, body)));
     }
 }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -179,6 +179,19 @@
         self.deliver(&cell, effects);
     }
 
+    /// The copies of sums that this host passes on, each with the host it goes to.
+    pub fn take_relays(&self) -> Vec<(HostId, CountSum)> {
+        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        cells.iter().flat_map(|cell| cell.state.lock().scheduler.take_relays()).collect()
+    }
+
+    /// Takes in another entry's report, to be added to this host's own.
+    pub fn receive_report(&self, from: &HostId, delta: &CountDelta) {
+        if let Some(cell) = self.cell(&delta.pool) {
+            cell.state.lock().scheduler.receive_report(from, delta);
+        }
+    }
+
     /// Requests that wait in all pools' queues.
     #[must_use]
     pub fn waiting(&self) -> usize {
