Bound an entry's own requests at an upstream by its slots

Change: what an entry has sent itself it knows for certain, so it sends no more than half again the slots, and of long work no more than the slots.

--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -14,7 +14,7 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{CountLink, FastMap, HostId, Moment, PoolName, UpstreamRecord, ZoneName};
-use crate::version::{KindPlan, PolicyPlan};
+use crate::version::{KindPlan, PolicyPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
@@ -27,7 +27,12 @@
 /// passed over would stand idle.
 const SLACK: f32 = 2.5;
 
-/// The same for long work.
+/// One entry's own requests outstanding at an upstream for each of its usable slots. More than the
+/// slots hold would only wait there; the half hides the way to the upstream and back, which for
+/// long work is not worth a place in front of shorter work.
+const OWN_SLACK: f32 = 1.5;
+
+/// Long requests outstanding for each usable slot, over the pool.
 const LONG_SLACK: f32 = 1.5;
 
 /// A request waits at most this part of the time it has left, in expectation.
@@ -342,11 +347,13 @@
             return None;
         }
         let first = self.queue.first(local)?;
+        let kind = self.shares.kind(local);
         let mut choice = UpstreamChoice {
             now,
             zone: &self.zone,
             avoid: &first.ticket.avoid,
             age: self.count_age(now),
+            own_slack: if kind.length == WorkLength::Long { 1.0 } else { OWN_SLACK },
         };
         // The one thing known for certain is the slot that an answer has just left. While every
         // slot is in demand, filling that one keeps each upstream's load even, whatever the age
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -210,7 +210,9 @@
         let usable = slots.slots() * part;
         let usual = self.foreign_a_slot * usable;
         let load = slots.own as f32 + usual + (slots.foreign - usual) * freshness;
-        if load >= (usable * UPSTREAM_BOUND).max(1.0)
+        // What the entry has sent itself it knows for certain, whatever the age of the counts.
+        if slots.own as f32 >= (usable * choice.own_slack).max(1.0)
+            || load >= (usable * UPSTREAM_BOUND).max(1.0)
             || slots.rests(choice.now, part)
             || choice.avoid.contains(&slots.record.announcement.id)
         {
@@ -255,6 +257,8 @@
     pub(crate) avoid: &'a [UpstreamId],
     /// How old the counts are; none without a coordinator.
     pub(crate) age: Option<Duration>,
+    /// This entry's own requests allowed outstanding for each usable slot of an upstream.
+    pub(crate) own_slack: f32,
 }
 
 fn candidates(freshness: f32) -> usize {
