Count each report once, and find the time for a step of the tree

Cause: quickcheck over lost and doubled messages showed that rounds did not converge: the host that coordinates is an entry too, and a report to it as a relay was also taken as one to the coordinator; and after losses the time for a step grew past the interval and never came back. Change: reports carry their depth; the step is bounded, comes down again, and the interval leaves it room; the floor on a pool's usable slots holds at once after a failure. The room for a tight pool grows with the interval. Straight reports become rarer with the number of entries.

--- a/crates/pulley_core/src/process/count_gathering.rs
+++ b/crates/pulley_core/src/process/count_gathering.rs
@@ -1,14 +1,12 @@
 //! The reports of one round as they come in at the coordinator.
 
+use super::count_link::kept_pace;
 use super::{
     CountDelta, CountEpoch, CountKey, CountLayout, CountRound, CountTotals, FastMap, FastSet,
     HostId, Moment,
 };
-use std::time::Duration;
-
-/// How long an entry stays on the list without a report straight to the coordinator; entries
-/// send three within it.
-const LISTED_FOR: Duration = Duration::from_secs(3);
+/// Straight reports that an entry may miss before it is dropped from the list.
+const MISSED_REPORTS: u32 = 3;
 
 #[derive(Clone, Copy, Debug)]
 struct ListedEntry {
@@ -54,8 +52,8 @@
         }
         let belongs = match delta.round {
             Some(round) => {
-                (delta.epoch, delta.coordinator, round)
-                    == (terms.epoch, terms.coordinator, terms.round)
+                (delta.epoch, delta.coordinator, round, delta.depth)
+                    == (terms.epoch, terms.coordinator, terms.round, 1)
             }
             None => !self.routed.contains(from),
         };
@@ -83,7 +81,9 @@
 
     /// The listed entries in order of name.
     pub(crate) fn listed(&mut self, now: Moment) -> Vec<HostId> {
-        self.entries.retain(|_, entry| now.since(entry.heard) < LISTED_FOR);
+        let listed = u16::try_from(self.entries.len()).unwrap_or(u16::MAX);
+        let term = kept_pace(listed) * MISSED_REPORTS;
+        self.entries.retain(|_, entry| now.since(entry.heard) < term);
         let mut hosts: Vec<HostId> = self.entries.keys().cloned().collect();
         hosts.sort();
         hosts
--- a/crates/pulley_core/src/process/count_link.rs
+++ b/crates/pulley_core/src/process/count_link.rs
@@ -26,9 +26,12 @@
 /// No sum for this long means that nobody coordinates.
 const LOST_AFTER: Duration = Duration::from_millis(250);
 
-/// Time between reports straight to the coordinator while sums come; they keep this entry on the
-/// list, whose term is three times as long.
-const KEPT_PACE: Duration = Duration::from_secs(1);
+/// Time between reports straight to the coordinator while sums come, for each entry that shares the
+/// pool, and its bounds. The reports keep this entry on the list; all together they cost the
+/// coordinator the same at every size.
+const KEPT_PACE: Duration = Duration::from_millis(40);
+const SHORTEST_KEPT_PACE: Duration = Duration::from_secs(1);
+const LONGEST_KEPT_PACE: Duration = Duration::from_secs(10);
 
 /// How long the largest number of entries is remembered. It divides the probe budget between the
 /// sides of a partition, and partitions between regions last for minutes.
@@ -44,8 +47,10 @@
     epoch: CountEpoch,
     coordinator: CountKey,
     round: CountRound,
+    depth: u8,
     heard: Option<Moment>,
     interval: Duration,
+    hosts: u16,
     known: u16,
     known_at: Moment,
     parent: Option<HostId>,
@@ -65,8 +70,10 @@
             epoch: CountEpoch(0),
             coordinator: CountKey::default(),
             round: CountRound(0),
+            depth: 0,
             heard: None,
             interval: Duration::ZERO,
+            hosts: 1,
             known: 0,
             known_at: now,
             parent: None,
@@ -92,10 +99,12 @@
         self.epoch = sum.epoch;
         self.coordinator = sum.coordinator;
         self.round = sum.round;
+        self.depth = sum.depth;
         self.heard = Some(now);
         self.parent = Some(sum.sender.clone());
         let interval = Duration::from_millis(u64::from(sum.interval_ms));
         self.interval = interval;
+        self.hosts = sum.hosts;
         if sum.hosts >= self.known || now.since(self.known_at) > KNOWN_FOR {
             self.known = sum.hosts;
             self.known_at = now;
@@ -119,7 +128,8 @@
     pub(crate) fn keep_report(&mut self, from: &HostId, delta: &CountDelta) {
         let answers = delta.epoch == self.epoch
             && delta.coordinator == self.coordinator
-            && delta.round == Some(self.round);
+            && delta.round == Some(self.round)
+            && delta.depth == self.depth.saturating_add(1);
         if !answers || self.report_at.is_none() {
             return;
         }
@@ -138,8 +148,8 @@
         let mut reports: Vec<_> = std::mem::take(&mut self.reports).into_iter().collect();
         reports.sort_by(|a, b| a.0.cmp(&b.0));
         let reports = reports.into_iter().flat_map(|(_, parts)| parts).collect();
-        let round = self.round;
-        Some(ReportTerms { to: self.parent.clone(), round, reports })
+        let (round, depth) = (self.round, self.depth);
+        Some(ReportTerms { to: self.parent.clone(), round, depth, reports })
     }
 
     /// Whether a report straight to the coordinator is due; notes that it is sent.
@@ -190,7 +200,7 @@
     fn straight_due(&self) -> Moment {
         let Some(sent) = self.sent_straight() else { return self.straight_at };
         let lost_at = self.heard.map_or(sent, |heard| heard + LOST_AFTER.max(self.interval * 3));
-        (sent + KEPT_PACE).min(lost_at.max(sent + LOST_PACE))
+        (sent + kept_pace(self.hosts)).min(lost_at.max(sent + LOST_PACE))
     }
 
     fn sent_straight(&self) -> Option<Moment> {
@@ -202,10 +212,16 @@
     }
 }
 
+/// Time between straight reports where so many entries share a pool.
+pub(crate) fn kept_pace(hosts: u16) -> Duration {
+    (KEPT_PACE * u32::from(hosts)).clamp(SHORTEST_KEPT_PACE, LONGEST_KEPT_PACE)
+}
+
 /// What an entry's report of one round is made from.
 #[derive(Clone, Debug)]
 pub(crate) struct ReportTerms {
     pub(crate) to: Option<HostId>,
     pub(crate) round: CountRound,
+    pub(crate) depth: u8,
     pub(crate) reports: Vec<CountDelta>,
 }
--- a/crates/pulley_core/src/process/count_message.rs
+++ b/crates/pulley_core/src/process/count_message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::count_link::FAN_OUT;
 use super::{CountKey, CountRows, HostId, PoolName, ZoneName};
 
 /// The largest encoding of one count message, in bytes; with headers it fits one datagram on
@@ -56,6 +57,9 @@
     /// The round answered; none for a report that goes straight to the coordinator and keeps the
     /// sender among the entries.
     pub round: Option<CountRound>,
+    /// The sender's steps from the coordinator in that round. The coordinator's host may be a
+    /// relay too; only this tells a report to the one from a report to the other.
+    pub depth: u8,
     /// Entries added up in it.
     pub hosts: u16,
     /// The most entries that sums have lately counted, as the sender knows.
@@ -144,6 +148,19 @@
     parts.collect()
 }
 
+/// Steps from the coordinator to the deepest of so many entries: one to the first, which spreads
+/// the sum by [`FAN_OUT`].
+#[must_use]
+pub(crate) fn tree_depth(entries: usize) -> u32 {
+    let (mut depth, mut level, mut reached) = (1, 1, 1);
+    while reached < entries {
+        level *= FAN_OUT;
+        reached += level;
+        depth += 1;
+    }
+    depth
+}
+
 fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(message).map_err(|_| CountFault::Undecodable)?;
     if bytes.len() > COUNT_MESSAGE_LIMIT {
--- a/crates/pulley_core/src/process/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/pool_coordinator.rs
@@ -11,7 +11,8 @@
 use super::count_gathering::{CountGathering, GatheringTerms};
 use super::count_health::{UpstreamHealth, median_ms};
 use super::count_key::stable_hash;
-use super::count_message::split_route;
+use super::count_link::STEP_UNIT;
+use super::count_message::{split_route, tree_depth};
 use super::count_rows::saturate;
 use super::{
     CountDelta, CountEpoch, CountKey, CountLayout, CountRound, CountRows, CountSum, CountTotals,
@@ -28,11 +29,13 @@
 /// The shortest time between two rounds: a few steps up and down the tree must fit in.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time allowed for one step of the tree at first and at least, in the message's unit of 0.25 ms,
-/// and the rounds after which a shorter one is tried.
+/// Time allowed for one step of the tree at first, at least and at most, in the message's unit of
+/// 0.25 ms (the most is two ways between regions and a timer's step), and the rounds after which
+/// a shorter one is tried.
 const FIRST_STEP: u8 = 14;
 const LEAST_STEP: u8 = 6;
-const STEP_TRIED_EVERY: u32 = 200;
+const MOST_STEP: u8 = 100;
+const STEP_TRIED_EVERY: u32 = 16;
 
 /// The longest time between two rounds.
 const LONGEST_INTERVAL: Duration = Duration::from_secs(1);
@@ -341,18 +344,16 @@
     ///
     /// A report that reaches its relay after that one's own is lost for the round. Allowed too
     /// little, zones 1.5 ms apart lost half of all reports in every round, and entries sent into
-    /// slots that were in use.
+    /// slots that were in use. Lost datagrams look the same, so the step is bounded and comes
+    /// down again by itself once they get through.
     fn adapt_step(&mut self, heard: u32, listed: usize) {
         let complete = heard as usize * 20 >= listed * 19;
-        self.step = if complete {
-            if self.round.0.is_multiple_of(STEP_TRIED_EVERY) {
-                self.step.saturating_sub(1).max(LEAST_STEP)
-            } else {
-                self.step
-            }
-        } else {
-            self.step.saturating_add(self.step / 4 + 1)
-        };
+        if !complete {
+            let more = if heard as usize * 2 < listed { self.step } else { self.step / 4 + 1 };
+            self.step = self.step.saturating_add(more).min(MOST_STEP);
+        } else if self.round.0.is_multiple_of(STEP_TRIED_EVERY) {
+            self.step = self.step.saturating_sub(1).max(LEAST_STEP);
+        }
     }
 
     /// How long until the next round: about one time of an answer while the pool is hot, longer
@@ -375,7 +376,9 @@
         let route = u32::try_from(listed).unwrap_or(0) * ROUTE_BYTES;
         let bytes = u64::from(message * 2 + route);
         let paced = Duration::from_micros(bytes * 1_000_000 / u64::from(self.bytes_per_second));
-        (wanted * cool).max(paced).clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
+        // Reports of the deepest entries must find time to come up all steps.
+        let steps = STEP_UNIT * u32::from(self.step) * (tree_depth(listed) + 1);
+        (wanted * cool).max(paced).max(steps).clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
     }
 
     fn learn(&mut self, now: Moment, totals: &CountTotals) {
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -20,12 +20,17 @@
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
 const QUEUE_LIMIT: usize = 4_096;
 
-/// Requests outstanding for each usable slot, over the pool.
+/// Requests outstanding for each usable slot, over the pool, while counts are fresh.
 ///
 /// Each entry keeps to its part of this while more is asked for. What waits at an upstream can no
 /// longer be overtaken by an urgent request; but with less, an upstream that old counts have
 /// passed over would stand idle.
-const SLACK: f32 = 2.5;
+const SLACK: f32 = 1.5;
+
+/// What each usual time of an answer between two rounds adds to that, and the most it comes to: the
+/// rarer the rounds, the more requests end unseen between them.
+const SLACK_PER_ANSWER: f32 = 0.6;
+const MOST_SLACK: f32 = 6.0;
 
 /// One entry's own requests outstanding at an upstream for each of its usable slots. More than the
 /// slots hold would only wait there; the half hides the way to the upstream and back, which for
@@ -80,6 +85,8 @@
     running: FastMap<RequestNumber, RunningRequest>,
     rng: SmallRng,
     finishes: u32,
+    /// Requests that may be outstanding for each usable slot, over the pool.
+    slack: f32,
     /// The upstream whose slot this entry has just seen freed.
     freed: Option<usize>,
 }
@@ -103,6 +110,7 @@
             running: FastMap::default(),
             rng: SmallRng::seed_from_u64(seed),
             finishes: 0,
+            slack: SLACK,
             freed: None,
         }
     }
@@ -200,7 +208,8 @@
             kind.own = kind.own.saturating_sub(1);
         }
         self.finishes = self.finishes.wrapping_add(1);
-        if self.finishes.is_multiple_of(REFRESH_EVERY) {
+        // A failure may take the last usable upstream, and then the floor has to hold at once.
+        if outcome.is_failure() || self.finishes.is_multiple_of(REFRESH_EVERY) {
             self.upstreams.refresh(now);
         }
         let mut effects = Vec::new();
@@ -383,14 +392,17 @@
         }
         let reserved = self.shares.reserved_from(local);
         reserved == 0
-            || self.upstreams.busy() + reserved as f32 <= self.upstreams.usable_slots() * SLACK
+            || self.upstreams.busy() + reserved as f32 <= self.upstreams.usable_slots() * self.slack
     }
 
     /// Works out anew what this entry may start until the next sum.
-    pub(crate) fn grant_leases(&mut self, entries: u16) {
+    pub(crate) fn grant_leases(&mut self, entries: u16, interval: Duration) {
         let slots = self.upstreams.usable_slots();
+        let usual_ms = self.upstreams.usual_ms().max(1.0);
+        let answers = interval.as_secs_f32() * 1_000.0 / usual_ms;
+        self.slack = (SLACK + SLACK_PER_ANSWER * answers).min(MOST_SLACK);
         let terms = LeaseTerms {
-            slots: slots * SLACK,
+            slots: slots * self.slack,
             long_slots: slots * LONG_SLACK,
             entries: f32::from(entries),
         };
--- a/crates/pulley_core/src/request/pool_scheduler_counts.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_counts.rs
@@ -41,7 +41,8 @@
         if self.apply_rows(&sum.rows, sum.counted) {
             self.counted_at = Some(now);
             self.upstreams.refresh(now);
-            self.grant_leases(sum.hosts);
+            let interval = Duration::from_millis(u64::from(sum.interval_ms));
+            self.grant_leases(sum.hosts, interval);
             self.dispatch(now, &mut effects);
         }
         effects
@@ -75,6 +76,7 @@
             epoch,
             coordinator,
             round: None,
+            depth: 0,
             hosts: 1,
             known,
             rows: CountRows::default(),
@@ -91,7 +93,8 @@
             let hosts = u16::try_from(totals.hosts).unwrap_or(u16::MAX);
             let round = Some(terms.round);
             let to = terms.to;
-            let base = CountDelta { to, zone: None, round, hosts, ..base.clone() };
+            let depth = terms.depth;
+            let base = CountDelta { to, zone: None, round, depth, hosts, ..base.clone() };
             let with_keys = now.since(self.layout_since) < KEYS_FOR;
             self.push_parts(&zone, &base, &totals, with_keys, &mut deltas);
         }
--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -77,6 +77,14 @@
     Cancelled,
 }
 
+impl AttemptOutcome {
+    /// Whether it shows that something is wrong with the upstream or the way to it.
+    #[must_use]
+    pub const fn is_failure(self) -> bool {
+        !matches!(self, Self::Answered | Self::Cancelled)
+    }
+}
+
 /// An upstream's own report of its load, as read from a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
--- /dev/null
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -0,0 +1,482 @@
+//! Laws of the decisions, over many random schedules with fixed seeds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pulley_core::process::{
+    Announcement, CoordinatorOutput, CountDelta, CountSum, Incarnation, PoolCoordinator,
+    ProbeBudget, ProbeRate, ShareFraction, SlotCount, UpstreamPhase, UpstreamRecord,
+    UpstreamSequence, coordinator_for,
+};
+use pulley_core::request::{
+    AttemptOutcome, KindDemand, PoolScheduler, RequestNumber, RequestTicket, RetryBudget,
+    RetryDecision, RetryQuestion, SchedulerEffect, divide_slots,
+};
+use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, WorkLength};
+use pulley_core::{HostId, Moment, PolicyPlan, RequestVerdict};
+use quickcheck::{Gen, QuickCheck, Testable};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const MS: Duration = Duration::from_millis(1);
+const SEED: u64 = 0x6a63_7075;
+
+fn check(property: impl Testable) {
+    let generator = Gen::from_size_and_seed(60, SEED);
+    QuickCheck::new().rng(generator).tests(60).quickcheck(property);
+}
+
+fn plan() -> Arc<PolicyPlan> {
+    let row = |kind: &str, priority: u8, parts: u16, length| KindPlan {
+        pool: "cover".parse().expect("name"),
+        service: kind.parse().expect("name"),
+        kind: kind.parse().expect("name"),
+        method: MethodMatch::Any,
+        path_prefix: "/".into(),
+        priority: RequestPriority(priority),
+        share: ShareFraction::from_parts(parts).expect("share"),
+        reserved_slots: SlotCount(1),
+        deadline: Duration::from_millis(300),
+        idempotent: true,
+        length,
+        probe_budget: ProbeRate(2_000),
+    };
+    let kinds = vec![
+        row("first", 0, 3_000, WorkLength::Short),
+        row("usual", 3, 5_000, WorkLength::Short),
+        row("long", 6, 2_000, WorkLength::Long),
+    ];
+    Arc::new(PolicyPlan { kinds })
+}
+
+fn records(count: u16) -> Vec<UpstreamRecord> {
+    let record = |index: u16| UpstreamRecord {
+        announcement: Announcement {
+            id: format!("u{index}").parse().expect("name"),
+            address: ([127, 0, 0, 1], 9_000 + index).into(),
+            zone: "a".parse().expect("name"),
+            pool: "cover".parse().expect("name"),
+            slots: SlotCount(2),
+            connections: 10,
+            incarnation: Incarnation(1),
+            sequence: UpstreamSequence(1),
+            phase: UpstreamPhase::Ready,
+        },
+        takes_work: true,
+    };
+    (0..count).map(record).collect()
+}
+
+fn host(index: usize) -> HostId {
+    format!("h{index}").parse().expect("name")
+}
+
+fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
+    RequestTicket { number: RequestNumber(number), kind, deadline, attempt: 0, avoid: Vec::new() }
+}
+
+/// Entries, their coordinator and a network that loses, doubles and delays.
+struct CountNetwork {
+    entries: Vec<PoolScheduler>,
+    coordinator: PoolCoordinator,
+    coordinator_host: usize,
+    wires: BTreeMap<(Moment, u64), (usize, usize, CountFrame)>,
+    sent: u64,
+    rng: StdRng,
+    loss: f64,
+    published: Vec<(Moment, Vec<u16>)>,
+    probes: Vec<Moment>,
+}
+
+#[derive(Clone)]
+enum CountFrame {
+    Delta(Box<CountDelta>),
+    Sum(Box<CountSum>),
+}
+
+impl CountNetwork {
+    fn new(entries: usize, seed: u64, loss: f64) -> Self {
+        let make = |entry| {
+            let zone = "a".parse().expect("name");
+            let pool = "cover".parse().expect("name");
+            let mut scheduler =
+                PoolScheduler::new(host(entry), zone, pool, seed.wrapping_add(entry as u64));
+            scheduler.apply_plan(Moment::ZERO, plan());
+            scheduler.apply_upstreams(Moment::ZERO, &records(5));
+            scheduler
+        };
+        Self {
+            entries: (0..entries).map(make).collect(),
+            coordinator: coordinator(0, Moment::ZERO),
+            coordinator_host: 0,
+            wires: BTreeMap::new(),
+            sent: 0,
+            rng: StdRng::seed_from_u64(seed),
+            loss,
+            published: Vec::new(),
+            probes: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, now: Moment, from: usize, to: usize, frame: &CountFrame) {
+        let copies = if self.rng.random::<f64>() < self.loss { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.rng.random::<f64>() < self.loss {
+                continue;
+            }
+            let late = self.rng.random::<f64>() < self.loss;
+            let most = if late { 80_000 } else { 600 };
+            let way = Duration::from_micros(self.rng.random_range(100..most));
+            self.sent += 1;
+            self.wires.insert((now + way, self.sent), (from, to, frame.clone()));
+        }
+    }
+
+    /// Lets everything happen until `end`, in steps of a quarter of a millisecond.
+    fn run(&mut self, begin: Moment, end: Moment) -> Vec<SchedulerEffect> {
+        let mut effects = Vec::new();
+        let mut now = begin;
+        while now < end {
+            now = now + MS / 4;
+            while let Some(((at, _), _)) = self.wires.first_key_value()
+                && *at <= now
+            {
+                let (_, (from, to, frame)) = self.wires.pop_first().expect("just seen");
+                self.deliver(now, from, to, frame, &mut effects);
+            }
+            for entry in 0..self.entries.len() {
+                effects.extend(self.entries[entry].tick(now));
+                for (_, delta) in self.entries[entry].take_deltas(now) {
+                    let to = delta.to.as_ref().map_or(self.coordinator_host, index_of);
+                    self.send(now, entry, to, &CountFrame::Delta(Box::new(delta)));
+                }
+            }
+            self.coordinate(now);
+        }
+        effects
+    }
+
+    fn coordinate(&mut self, now: Moment) {
+        let from = self.coordinator_host;
+        for output in self.coordinator.tick(now) {
+            match output {
+                CoordinatorOutput::Publish { to, sum } => {
+                    self.published.push((now, sum.rows.in_flight.clone()));
+                    self.send(now, from, index_of(&to), &CountFrame::Sum(sum));
+                }
+                CoordinatorOutput::Probe { .. } => self.probes.push(now),
+            }
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        now: Moment,
+        from: usize,
+        to: usize,
+        frame: CountFrame,
+        effects: &mut Vec<SchedulerEffect>,
+    ) {
+        match frame {
+            CountFrame::Delta(delta) => {
+                if to == self.coordinator_host {
+                    self.coordinator.receive(now, &host(from), &delta);
+                }
+                if let Some(entry) = self.entries.get_mut(to) {
+                    entry.receive_report(&host(from), &delta);
+                }
+            }
+            CountFrame::Sum(sum) => {
+                let Some(entry) = self.entries.get_mut(to) else { return };
+                effects.extend(entry.receive_sum(now, &sum));
+                for (hop, relay) in self.entries[to].take_relays() {
+                    self.send(now, to, index_of(&hop), &CountFrame::Sum(Box::new(relay)));
+                }
+            }
+        }
+    }
+}
+
+fn index_of(host: &HostId) -> usize {
+    host.as_str()[1..].parse().expect("hosts are numbered")
+}
+
+fn coordinator(at: usize, now: Moment) -> PoolCoordinator {
+    let pool = "cover".parse().expect("name");
+    let zone = "a".parse().expect("name");
+    let mut coordinator = PoolCoordinator::new(pool, zone, host(at), now);
+    coordinator.apply_plan(now, plan());
+    coordinator.apply_upstreams(now, &records(5));
+    coordinator
+}
+
+// Every service asks for more than there is. If the parts added up to more than the pool, the
+// upstreams would queue what nobody can overtake any more; if to less, slots would stand idle.
+#[test]
+fn leased_parts_add_up_to_the_room_and_no_more() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck hands over values")]
+    fn law(slots: u16, wanted: Vec<(u8, u16, u16)>) -> bool {
+        let demands: Vec<KindDemand> = wanted
+            .iter()
+            .enumerate()
+            .map(|(service, (priority, share, wanted))| KindDemand {
+                service,
+                share: f32::from(*share) / 65_535.0,
+                priority: *priority,
+                wanted: f32::from(*wanted % 500),
+            })
+            .collect();
+        let slots = f32::from(slots % 1_000);
+        let given = divide_slots(slots, &demands);
+        let all: f32 = given.iter().sum();
+        let asked: f32 = demands.iter().map(|demand| demand.wanted).sum();
+        let each = given
+            .iter()
+            .zip(&demands)
+            .all(|(given, demand)| (0.0..=demand.wanted + 0.01).contains(given));
+        each && all <= slots + 0.1 && all >= slots.min(asked) * 0.99 - 0.1
+    }
+    check(law as fn(u16, Vec<(u8, u16, u16)>) -> bool);
+}
+
+// Datagrams are lost, doubled and overtake each other while calls come and go. Once the network is
+// well again, the published counts must be what is really outstanding.
+#[test]
+fn counts_converge_to_the_truth() {
+    fn law(seed: u64, entries: u8) -> bool {
+        let entries = usize::from(entries % 12) + 2;
+        let mut network = CountNetwork::new(entries, seed, 0.2);
+        let mut truth: BTreeMap<String, u16> = BTreeMap::new();
+        let mut effects = Vec::new();
+        network.run(Moment::ZERO, Moment::ZERO + 400 * MS);
+        let now = Moment::ZERO + 400 * MS;
+        for number in 0..entries as u64 * 2 {
+            let entry = number as usize % entries;
+            let late = now + Duration::from_secs(60);
+            effects.extend(network.entries[entry].arrive(now, &ticket(number, 0, late)));
+        }
+        effects.extend(network.run(now, now + 300 * MS));
+        network.loss = 0.0;
+        effects.extend(network.run(now + 300 * MS, now + 1_500 * MS));
+        for effect in effects {
+            if let SchedulerEffect::Start { upstream, .. } = effect {
+                *truth.entry(upstream.to_string()).or_default() += 1;
+            }
+        }
+        let (_, last) = network.published.last().expect("rounds went on");
+        let mut told = last.clone();
+        let mut real: Vec<u16> = truth.into_values().collect();
+        real.resize(told.len(), 0);
+        told.sort_unstable();
+        real.sort_unstable();
+        told == real
+    }
+    check(law as fn(u64, u8) -> bool);
+}
+
+// Calls arrive in bursts, upstreams fail, hosts' messages get lost, callers leave. Whatever
+// happens, a caller must get exactly one outcome, and none may be forgotten.
+#[test]
+fn every_request_ends_in_exactly_one_outcome() {
+    fn law(seed: u64) -> bool {
+        let mut network = CountNetwork::new(4, seed, 0.1);
+        let mut rng = StdRng::seed_from_u64(seed ^ 1);
+        let mut outcomes: BTreeMap<u64, u32> = BTreeMap::new();
+        let mut running: Vec<(u64, usize)> = Vec::new();
+        let mut now = Moment::ZERO;
+        let mut number = 0;
+        for step in 0..300 {
+            for _ in 0..if step < 200 { rng.random_range(0..6) } else { 0 } {
+                let entry = rng.random_range(0..4);
+                let deadline = now + rng.random_range(1..200) * MS;
+                let ticket = ticket(number * 4 + entry as u64, rng.random_range(0..3), deadline);
+                outcomes.insert(ticket.number.0, 0);
+                let effects = network.entries[entry].arrive(now, &ticket);
+                note(&effects, &mut outcomes, &mut running);
+                number += 1;
+            }
+            if !running.is_empty() && rng.random_bool(0.9) {
+                let (number, entry) = running.swap_remove(rng.random_range(0..running.len()));
+                let outcome = if rng.random_bool(0.2) {
+                    AttemptOutcome::Failed
+                } else {
+                    AttemptOutcome::Answered
+                };
+                let ended =
+                    network.entries[entry].finish(now, RequestNumber(number), outcome, None);
+                note(&ended, &mut outcomes, &mut running);
+            }
+            let effects = network.run(now, now + 2 * MS);
+            note(&effects, &mut outcomes, &mut running);
+            now = now + 2 * MS;
+        }
+        outcomes.values().all(|count| *count == 1)
+    }
+    fn note(
+        effects: &[SchedulerEffect],
+        outcomes: &mut BTreeMap<u64, u32>,
+        running: &mut Vec<(u64, usize)>,
+    ) {
+        for effect in effects {
+            let number = match effect {
+                SchedulerEffect::Start { number, .. } => {
+                    running.push((number.0, number.0 as usize % 4));
+                    number
+                }
+                SchedulerEffect::Refuse { number, .. } => number,
+            };
+            *outcomes.get_mut(&number.0).expect("it arrived") += 1;
+        }
+    }
+    check(law as fn(u64) -> bool);
+}
+
+// A coordinator is lost and its successor begins to probe. Both together must stay within the
+// budget of the sheet: upstreams have no slot to spare for more.
+#[test]
+fn probes_stay_within_the_budget_over_a_takeover() {
+    let mut network = CountNetwork::new(6, 3, 0.0);
+    let lost_at = Moment::ZERO + 4_300 * MS;
+    network.run(Moment::ZERO, lost_at);
+    network.coordinator = coordinator(1, lost_at);
+    network.coordinator_host = 1;
+    network.run(lost_at, lost_at + 8_000 * MS);
+    // Three kinds of two probes a second each make six.
+    assert!(network.probes.len() > 10, "nothing else tells of idle upstreams");
+    for (first, begin) in network.probes.iter().enumerate() {
+        for (extra, end) in network.probes[first..].iter().enumerate() {
+            let allowed = 6.0 * end.since(*begin).as_secs_f64() + 1.01;
+            assert!(extra as f64 <= allowed, "{extra} after {begin} until {end}");
+        }
+    }
+}
+
+#[test]
+fn probe_bucket_never_gives_more_than_its_rate() {
+    fn law(rate: u16, steps: Vec<u16>) -> bool {
+        let mut budget = ProbeBudget::new(Moment::ZERO, ProbeRate(u32::from(rate)));
+        let mut now = Moment::ZERO;
+        let mut taken = 0_u64;
+        for step in steps {
+            now = now + Duration::from_millis(u64::from(step));
+            taken += u64::from(budget.take(now));
+            if taken * 1_000_000_000 > now.micros() * u64::from(rate) {
+                return false;
+            }
+        }
+        true
+    }
+    check(law as fn(u16, Vec<u16>) -> bool);
+}
+
+// First kinds keep coming as fast as they are answered. A caller of a low kind must still get its
+// answer: one start in twenty from the queue belongs to whoever has waited longest.
+#[test]
+fn low_kinds_do_not_starve_below_the_floor() {
+    let zone = "a".parse().expect("name");
+    let mut scheduler = PoolScheduler::new(host(0), zone, "cover".parse().expect("name"), 5);
+    scheduler.apply_plan(Moment::ZERO, plan());
+    scheduler.apply_upstreams(Moment::ZERO, &records(1));
+    let late = Moment::ZERO + Duration::from_secs(3_600);
+    let mut running: Vec<u64> = Vec::new();
+    let mut low_starts = 0;
+    let start = |effects: Vec<SchedulerEffect>, running: &mut Vec<u64>| {
+        for effect in effects {
+            if let SchedulerEffect::Start { number, .. } = effect {
+                running.push(number.0);
+            }
+        }
+    };
+    let mut now = Moment::ZERO;
+    start(scheduler.arrive(now, &ticket(1_000_000, 1, late)), &mut running);
+    for number in 0..400_u64 {
+        now = now + MS;
+        start(scheduler.arrive(now, &ticket(number * 2, 0, late)), &mut running);
+        start(scheduler.arrive(now, &ticket(2_000_000 + number, 1, late)), &mut running);
+        let done = running.remove(0);
+        low_starts += u32::from(done >= 1_000_000);
+        start(
+            scheduler.finish(now, RequestNumber(done), AttemptOutcome::Answered, None),
+            &mut running,
+        );
+    }
+    assert!(low_starts >= 400 / 20 - 3, "only {low_starts} low requests were started");
+}
+
+// One upstream answers ten times slower than the rest. Callers must notice little of it, so it may
+// get only a trickle once that is known.
+#[test]
+fn slow_upstream_gets_less_work() {
+    let zone = "a".parse().expect("name");
+    let mut scheduler = PoolScheduler::new(host(0), zone, "cover".parse().expect("name"), 5);
+    scheduler.apply_plan(Moment::ZERO, plan());
+    scheduler.apply_upstreams(Moment::ZERO, &records(5));
+    let mut ends: BTreeMap<(Moment, u64), ()> = BTreeMap::new();
+    let mut slow = [0_u32; 2];
+    for number in 0..4_000_u64 {
+        let now = Moment::ZERO + number as u32 * 5 * MS;
+        while let Some(((at, done), ())) = ends.first_key_value()
+            && *at <= now
+        {
+            let (at, done) = (*at, *done);
+            ends.pop_first();
+            scheduler.finish(at, RequestNumber(done), AttemptOutcome::Answered, None);
+        }
+        for effect in scheduler.arrive(now, &ticket(number, 0, now + Duration::from_secs(9))) {
+            let SchedulerEffect::Start { number, upstream, .. } = effect else { continue };
+            let is_slow = upstream.as_str() == "u0";
+            slow[usize::from(number.0 >= 2_000)] += u32::from(is_slow);
+            let took = if is_slow { 200 * MS } else { 20 * MS };
+            ends.insert((now + took, number.0), ());
+        }
+    }
+    assert!(slow[1] <= 20, "2,000 calls later it still got {} of 2,000", slow[1]);
+}
+
+// An upstream at the bottom of calls seven deep fails. If each layer tried three times, it would
+// be called 2,187 times for one request at the top.
+#[test]
+fn one_layer_retries_within_its_budget() {
+    let mut budget = RetryBudget::new();
+    let question = RetryQuestion {
+        outcome: AttemptOutcome::Failed,
+        verdict: RequestVerdict::MayHaveRun,
+        idempotent: true,
+        attempt: 0,
+        retried_below: false,
+        left: 500 * MS,
+        typical: 20 * MS,
+    };
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.note_request();
+        retries += u32::from(budget.decide(&question) == RetryDecision::Retry);
+    }
+    assert!((100..=103).contains(&retries), "{retries} retries of 1,000 calls");
+    for above in [
+        RetryQuestion { retried_below: true, ..question },
+        RetryQuestion { idempotent: false, ..question },
+        RetryQuestion { attempt: 2, ..question },
+        RetryQuestion { left: 10 * MS, ..question },
+    ] {
+        assert_ne!(RetryBudget::new().decide(&above), RetryDecision::Retry, "{above:?}");
+    }
+}
+
+// A host dies. What the others coordinate must stay where it is, or every pool would lose its
+// counts at once.
+#[test]
+fn lost_host_moves_only_what_it_coordinated() {
+    let hosts: Vec<HostId> = (0..25).map(host).collect();
+    let zone = "a".parse().expect("name");
+    let mut moved = 0;
+    for pool in 0..200 {
+        let pool = format!("p{pool}").parse().expect("name");
+        let before = coordinator_for(&pool, &zone, &hosts).expect("hosts live");
+        let after = coordinator_for(&pool, &zone, &hosts[1..]).expect("hosts live");
+        moved += u32::from(before != after);
+        assert!(before == after || *before == hosts[0]);
+    }
+    assert!((1..30).contains(&moved), "{moved} of 200 pools were the lost host's");
+}
--- a/crates/pulley_core/tests/pool_scheduler.rs
+++ b/crates/pulley_core/tests/pool_scheduler.rs
@@ -181,3 +181,18 @@
     let starts = scheduler.receive_sum(now, &sum_for(&delta, 3, vec![0], waiting(0, 0)));
     assert_eq!(started(&starts), [1]);
 }
+
+// The only upstream of a pool closes connections so often that a third of all requests fail. It is
+// still all there is: callers must not be held back until their deadlines while it could answer.
+#[test]
+fn failing_upstream_that_is_the_only_one_keeps_its_work() {
+    let mut scheduler = scheduler(vec![row("low", 5, 10_000)], 1, 64);
+    for number in 0..200 {
+        let now = Moment::ZERO + number as u32 * MS;
+        let effects = scheduler.arrive(now, &ticket(number, 0, now + 100 * MS));
+        assert_eq!(started(&effects), [number], "it waits for nothing");
+        let fails = number % 3 == 0;
+        let outcome = if fails { AttemptOutcome::Broken } else { AttemptOutcome::Answered };
+        scheduler.finish(now, RequestNumber(number), outcome, None);
+    }
+}
