Let the room grow further while rounds are rare

Cause: at the size of two years a pool can afford one round a second; at 95 % load 8 % of calls were refused, because counts that old show neither what has ended nor where. Change: the room over the pool grows to ten requests a slot, and the bound on one upstream with it.

--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -30,7 +30,13 @@
 /// What each usual time of an answer between two rounds adds to that, and the most it comes to: the
 /// rarer the rounds, the more requests end unseen between them.
 const SLACK_PER_ANSWER: f32 = 0.6;
-const MOST_SLACK: f32 = 6.0;
+const MOST_SLACK: f32 = 10.0;
+
+/// Requests outstanding at one upstream for each of its usable slots, at most: so many, and so many
+/// times what the pool as a whole is held to. It is for one upstream that old counts make look idle
+/// to every entry at once; what waits there cannot be moved elsewhere when it slows down.
+const UPSTREAM_LEAST: f32 = 2.0;
+const UPSTREAM_PART: f32 = 1.0;
 
 /// One entry's own requests outstanding at an upstream for each of its usable slots. More than the
 /// slots hold would only wait there; the half hides the way to the upstream and back, which for
@@ -362,6 +368,7 @@
             zone: &self.zone,
             avoid: &first.ticket.avoid,
             age: self.count_age(now),
+            slack: self.slack.mul_add(UPSTREAM_PART, UPSTREAM_LEAST),
             own_slack: if kind.length == WorkLength::Long { 1.0 } else { OWN_SLACK },
         };
         // The one thing known for certain is the slot that an answer has just left. While every
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -17,13 +17,6 @@
 /// Upstreams compared when the counts say nothing any more.
 const FEWEST_CANDIDATES: usize = 2;
 
-/// Requests outstanding at one upstream for each of its usable slots, at most.
-///
-/// What waits at an upstream can no longer be overtaken or moved elsewhere when the upstream slows
-/// down. The pool as a whole is held far below this; the bound is for one upstream that old counts
-/// make look idle to every entry at once.
-const UPSTREAM_BOUND: f32 = 4.0;
-
 /// What going to another zone costs, in requests outstanding at one slot.
 const ZONE_COST: f32 = 0.05;
 
@@ -212,7 +205,7 @@
         let load = slots.own as f32 + usual + (slots.foreign - usual) * freshness;
         // What the entry has sent itself it knows for certain, whatever the age of the counts.
         if slots.own as f32 >= (usable * choice.own_slack).max(1.0)
-            || load >= (usable * UPSTREAM_BOUND).max(1.0)
+            || load >= (usable * choice.slack).max(1.0)
             || slots.rests(choice.now, part)
             || choice.avoid.contains(&slots.record.announcement.id)
         {
@@ -257,6 +250,8 @@
     pub(crate) avoid: &'a [UpstreamId],
     /// How old the counts are; none without a coordinator.
     pub(crate) age: Option<Duration>,
+    /// All entries' requests allowed outstanding for each usable slot of an upstream.
+    pub(crate) slack: f32,
     /// This entry's own requests allowed outstanding for each usable slot of an upstream.
     pub(crate) own_slack: f32,
 }
