--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -81,6 +81,8 @@
     pub trusted_callers: Vec<IpAddr>,
     /// Most connections of callers.
     pub callers_limit: usize,
+    /// Whether this host shares counts with others or places by its own alone.
+    pub share_counts: bool,
 }
 
 /// What the command line asks for.
@@ -161,6 +163,7 @@
         writeln!(f, "announce-lease={}ms", self.announce_lease.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
         writeln!(f, "traffic-threads={}", self.traffic_threads)?;
+        writeln!(f, "share-counts={}", if self.share_counts { "yes" } else { "no" })?;
         writeln!(f, "trusted-callers={}", joined(&self.trusted_callers))?;
         write!(f, "callers-limit={}", self.callers_limit)
     }
@@ -313,6 +316,7 @@
         let trusted_callers =
             self.checked("trusted-callers", "a list such as 10.0.0.7,10.0.0.8", list);
         let callers_limit = self.count("callers-limit", 100_000);
+        let share_counts = self.checked("share-counts", "yes or no", yes_or_no);
         Some(DaemonSettings {
             host_id: host_id?,
             zone: zone?,
@@ -333,6 +337,7 @@
             traffic_threads: traffic_threads?,
             trusted_callers: trusted_callers?,
             callers_limit: callers_limit?,
+            share_counts: share_counts?,
         })
     }
 
@@ -426,6 +431,14 @@
 // -----------------------------------------------------------------------------------------
 // Helpers
 
+fn yes_or_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     for entry in SETTINGS {
