Measure a message's processor time; send the first datagrams

Cause: capacity messages showed arrived=0 of 64,000: a socket that was never asked whether it takes datagrams refuses each without a system call, so what a host sent before its first turn of the reactor was dropped. Change: bind waits until the socket takes datagrams; a test sends at once.

--- /dev/null
+++ b/crates/pulley_bench/src/capacity/message_cost.rs
@@ -0,0 +1,88 @@
+//! Processor time of one message: sealed datagrams over a socket, announcements, heartbeats.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use nix::sys::resource::{UsageWho, getrusage};
+use nix::sys::time::TimeValLike;
+use pulley_core::Moment;
+use pulley_core::process::UpstreamRegistry;
+use pulleyd::connection::{DatagramSeal, FrameClass, KeyRing, PeerDatagrams};
+use tokio::sync::mpsc;
+
+use super::network::announcement;
+
+/// The key of the two ends.
+const KEY: &str = "a-key-for-measurements-0123456789abcdef";
+/// How many datagrams are under way at once: fewer than a socket's buffer holds.
+const BURST: u32 = 32;
+/// How many datagrams are sent for each size.
+const DATAGRAMS: u32 = 64_000;
+/// How many announcements are taken in.
+const ANNOUNCEMENTS: u64 = 1_000_000;
+
+/// Runs the measurements.
+pub(super) fn run() -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    for size in [50, 500, 1_200] {
+        runtime.block_on(time_datagrams(size))?;
+    }
+    time_announcements();
+    Ok(())
+}
+
+/// Processor time of the whole process so far.
+fn processor_time() -> Result<Duration> {
+    let usage = getrusage(UsageWho::RUSAGE_SELF)?;
+    let micros = (usage.user_time() + usage.system_time()).num_microseconds();
+    Ok(Duration::from_micros(u64::try_from(micros)?))
+}
+
+async fn time_datagrams(size: usize) -> Result<()> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let seal = |host: &str| -> Result<DatagramSeal> {
+        Ok(DatagramSeal::new(host.parse()?, "capacity".parse()?, KeyRing::from_text(KEY)?))
+    };
+    let (inbound, mut received) = mpsc::channel(256);
+    let (unused, _kept) = mpsc::channel(1);
+    let far = PeerDatagrams::bind(any, seal("far-host")?, inbound).await?;
+    let near = PeerDatagrams::bind(any, seal("near-host")?, unused).await?;
+    let to = far.local_address()?;
+    let body = vec![7; size];
+    let before = processor_time()?;
+    let mut arrived = 0_u32;
+    for _ in 0..DATAGRAMS / BURST {
+        let sent = (0..BURST).filter(|_| near.send(to, FrameClass::Counts, &body)).count();
+        for _ in 0..sent {
+            let next = tokio::time::timeout(Duration::from_secs(1), received.recv()).await;
+            arrived += u32::from(matches!(next, Ok(Some(_))));
+        }
+    }
+    let spent = processor_time()? - before;
+    println!(
+        "scenario=datagram body_bytes={size} arrived={arrived} of={DATAGRAMS} \
+         cpu_us_sent_and_received={:.2}",
+        spent.as_secs_f64() * 1e6 / f64::from(arrived.max(1)),
+    );
+    Ok(())
+}
+
+/// Renewals of 1,200 upstreams at one host, as fast as they go.
+fn time_announcements() {
+    const UPSTREAMS: u64 = 1_200;
+    let mut registry = UpstreamRegistry::new();
+    let mut spent = Duration::ZERO;
+    for number in 0..ANNOUNCEMENTS {
+        let upstream = usize::try_from(number % UPSTREAMS).unwrap_or(0);
+        let announcement = announcement(upstream, 1, number / UPSTREAMS + 1);
+        let now = Moment::from_micros(number);
+        let begun = Instant::now();
+        let _ = registry.announce(now, announcement);
+        spent += begun.elapsed();
+    }
+    println!(
+        "scenario=announcement upstreams={UPSTREAMS} count={ANNOUNCEMENTS} wall_us={:.3}",
+        spent.as_secs_f64() * 1e6 / ANNOUNCEMENTS as f64,
+    );
+}
--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 mod daemon_group;
 mod gossip_cost;
 mod linear_fit;
+mod message_cost;
 #[path = "../../../pulley_core/tests/members/network.rs"]
 #[allow(
     dead_code,
@@ -18,17 +19,20 @@
          [--plan-rows N] [--seed N]
        pulley_bench capacity processes [--daemon FILE] [--hosts N,…] [--upstreams N,…]
          [--seconds N] [--changes N] [--sheet FILE]
+       pulley_bench capacity messages
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
         over the real state machines; --plan-rows publishes a plan of so many rows at the end
 processes: processor time, memory and bytes of whole daemons with stand-in upstreams that only
-        announce themselves, and slopes fitted to them";
+        announce themselves, and slopes fitted to them
+messages: processor time of a sealed datagram over a socket and of an announcement";
 
 /// Runs one of the measurements.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
     let Some((scenario, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match scenario.as_str() {
         "gossip" => gossip_cost::run(rest),
+        "messages" => message_cost::run(),
         "processes" => process_cost::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulleyd/src/connection/peer_datagrams.rs
+++ b/crates/pulleyd/src/connection/peer_datagrams.rs
@@ -80,6 +80,8 @@
         inbound: mpsc::Sender<InboundDatagram>,
     ) -> io::Result<Self> {
         let socket = Arc::new(UdpSocket::bind(listen).await?);
+        // Until the socket is known to take datagrams, every send would drop its own.
+        socket.writable().await?;
         let counters = Arc::new(Counters::default());
         let reader = read_all(Arc::clone(&socket), seal.clone(), Arc::clone(&counters), inbound);
         let reader = tokio::spawn(reader);
--- a/crates/pulleyd/tests/peer_links.rs
+++ b/crates/pulleyd/tests/peer_links.rs
@@ -270,3 +270,19 @@
     assert_eq!(two.counts().refused, 5);
     assert!(!two.send(to, FrameClass::Counts, &vec![0; DATAGRAM_LIMIT + 1]));
 }
+
+/// A host sends as soon as its socket is bound. Were the first messages dropped because nobody has
+/// yet asked whether the socket takes any, a host would join later than it could.
+#[tokio::test]
+async fn the_first_datagram_is_sent() {
+    let (inbound, mut datagrams) = mpsc::channel(16);
+    let (unused, _kept) = mpsc::channel(1);
+    let seal = |name: &str| {
+        DatagramSeal::new(host(name), "test".parse().unwrap(), KeyRing::from_text(OLD).unwrap())
+    };
+    let two = PeerDatagrams::bind(loopback(), seal("two"), inbound).await.unwrap();
+    let one = PeerDatagrams::bind(loopback(), seal("one"), unused).await.unwrap();
+    assert!(one.send(two.local_address().unwrap(), FrameClass::Membership, b"first"));
+    let first = timeout(PATIENCE, datagrams.recv()).await.unwrap().unwrap();
+    assert_eq!(&first.body[..], b"first");
+}
