--- a/crates/pulleyd/src/connection/caller_listener.rs
+++ b/crates/pulleyd/src/connection/caller_listener.rs
@@ -182,7 +182,7 @@
             return;
         }
         if let Err(fault) = set_options(&stream) {
-            debug!(self.context.logger, "caller gone"; "peer" => %peer, "error" => %fault);
+            debug!(self.context.logger, "caller-gone"; "peer" => %peer, "error" => %fault);
             return;
         }
         let mut forwarder = RequestForwarder::new(Arc::clone(&self.context)).with_caller(peer.ip());
@@ -209,7 +209,7 @@
         self.tasks.spawn(async move {
             let _seat = seat;
             if let Some(Err(fault)) = until_first_limit(watched, first_limit, arrival).await {
-                debug!(logger, "caller connection ended"; "peer" => %peer, "error" => %fault);
+                debug!(logger, "caller-connection-ended"; "peer" => %peer, "error" => %fault);
             }
         });
     }
@@ -228,7 +228,7 @@
         // A keyed request goes on after its caller has left, so it is waited for as well.
         report.requests = remaining_requests(&context, deadline, ended).await;
         tasks.cut_off();
-        info!(context.logger, "callers drained";
+        info!(context.logger, "callers-drained";
             "cut_connections" => report.connections, "cut_requests" => report.requests);
         report
     }
@@ -326,6 +326,6 @@
 }
 
 async fn pause_accepting(context: &TrafficContext, fault: &io::Error) {
-    warn!(context.logger, "accept failed"; "error" => %fault);
+    warn!(context.logger, "accept-failed"; "error" => %fault);
     let _ = context.timer.after(ACCEPT_PAUSE).await;
 }
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -81,7 +81,7 @@
             "zone": self.members.own().zone,
             "version": self.follower.version(),
             "ready": standing.is_ready() && !self.shutting_down,
-            "standing": format!("{standing:?}"),
+            "standing": standing_word(standing),
             "leader": self.follower.leader(now),
             "hosts": hosts,
             "upstreams": self.registry.known(),
@@ -95,3 +95,13 @@
         })
     }
 }
+
+/// How the host stands towards the configuration, for operators; the version stands beside it.
+const fn standing_word(standing: PlanStanding) -> &'static str {
+    match standing {
+        PlanStanding::Starting => "starting",
+        PlanStanding::InForce(_) => "in-force",
+        PlanStanding::Static(_) => "static",
+        PlanStanding::Expired(_) => "expired",
+    }
+}
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -227,7 +227,7 @@
         RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
         RequestVerdict::Ran => {}
     }
-    debug!(context.logger, "request ended without an upstream's answer";
+    debug!(context.logger, "request-refused";
         "status" => answer.status.as_u16(), "cause" => answer.cause,
         "verdict" => %answer.verdict);
     let mut response = answer.into_response();
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -361,7 +361,7 @@
         } else if let Some(claim) = &mut self.claim {
             claim.note_unsent();
         }
-        debug!(self.context.logger, "attempt failed";
+        debug!(self.context.logger, "attempt-failed";
             "number" => %self.number, "attempt" => self.attempt, "cause" => fault.answer.cause,
             "verdict" => %fault.answer.verdict, "kind" => %self.kind.row().kind,
             "upstream" => self.tried.last().map(ToString::to_string));
