Print status with tables of hosts and members

Cause: status of three hosts was 60 lines of pairs, members listed twice. Change: hosts and members as tables, the rest as pairs; JSON is unchanged.

--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -54,7 +54,9 @@
             })
             .await
         }
-        Command::Status => show(client, "/v1/status", json, |body| Some(pairs(body))).await,
+        Command::Status => {
+            show(client, "/v1/status", json, |body| Some(printed_form::status(body))).await
+        }
         Command::Upstreams => {
             show(client, "/v1/upstreams", json, |body| Some(printed_form::upstreams(body))).await
         }
--- a/crates/pulleyctl/src/printed_form.rs
+++ b/crates/pulleyctl/src/printed_form.rs
@@ -79,6 +79,45 @@
     table(&header, &rows)
 }
 
+/// Prints a host's status: the lists of hosts and members as tables, the rest as pairs.
+pub(crate) fn status(body: &Value) -> String {
+    let mut rest = body.clone();
+    let mut tables = Vec::new();
+    if let Some(fields) = rest.as_object_mut() {
+        if let Some(hosts) = fields.remove("hosts") {
+            tables.push(live_hosts(&hosts));
+        }
+        // The replica's own view of the members is the same list once more.
+        if let Some(replica) = fields.get_mut("replica").and_then(Value::as_object_mut) {
+            replica.remove("members");
+        }
+        if let Some(members) = fields.remove("replicas").filter(Value::is_array) {
+            tables.push(replicas(&members));
+        }
+    }
+    tables.insert(0, pairs(&rest));
+    tables.join("\n\n")
+}
+
+fn live_hosts(hosts: &Value) -> String {
+    let mut rows: Vec<Vec<String>> = hosts
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|host| {
+            let roles = host.get("roles");
+            let has =
+                |role: &str| roles.and_then(|roles| roles.get(role)) == Some(&Value::Bool(true));
+            let roles: Vec<&str> =
+                ["entry", "replica"].into_iter().filter(|role| has(role)).collect();
+            let roles = roles.join(",");
+            vec![word(host.get("host")), word(host.get("zone")), word(host.get("peer")), roles]
+        })
+        .collect();
+    rows.sort();
+    table(&["live host", "zone", "peer", "roles"], &rows)
+}
+
 /// Prints the members of the log as a table.
 pub(crate) fn replicas(members: &Value) -> String {
     let rows: Vec<Vec<String>> = members
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -161,6 +161,26 @@
     assert_eq!(pulleyctl(&[refused], &["status"]).code, 1);
 }
 
+#[test]
+fn status_shows_hosts_and_members_as_tables() {
+    let status = r#"{"host":"a","version":3,
+        "hosts":[{"host":"b","zone":"z","peer":"10.0.0.2:1","roles":{"entry":true,"replica":false}},
+                 {"host":"a","zone":"z","peer":"10.0.0.1:1","roles":{"entry":true,"replica":true}}],
+        "replica":{"term":7,"members":[]},
+        "replicas":[{"member":1,"host":"a","voter":true,"disk":5}]}"#;
+    let host = stand_in_host(vec![HostReply::Answer(200, status)]);
+    let expected = "host=a\nreplica.term=7\nversion=3\n\n\
+        live host  zone  peer        roles\n\
+        a          z     10.0.0.1:1  entry,replica\n\
+        b          z     10.0.0.2:1  entry\n\n\
+        member  host  votes  joined\n\
+        m1      a     yes    yes\n";
+    assert_eq!(pulleyctl(&[host], &["status"]).out, expected);
+    let json = pulleyctl(&[host], &["status", "--json"]).out;
+    let value: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(value["replica"]["term"], 7);
+}
+
 #[test]
 fn a_faulty_sheet_is_named_fault_by_fault_and_never_sent() {
     let folder = TempDir::new().unwrap();
