--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -1,9 +1,11 @@
 //! State that lives as long as the process.
 
+mod count_gathering;
+mod count_health;
 mod count_key;
 mod count_link;
 mod count_message;
-mod count_table;
+mod count_rows;
 mod fast_map;
 mod member_message;
 mod member_record;
@@ -27,11 +29,11 @@
 mod upstream_registry_table;
 
 pub use count_key::CountKey;
+pub use count_link::COUNT_TERM;
 pub use count_message::{
-    COUNT_MESSAGE_LIMIT, CountDelta, CountEpoch, CountFault, CountSum, KindUse, UpstreamTotal,
-    UpstreamUse,
+    COUNT_MESSAGE_LIMIT, CountDelta, CountEpoch, CountFault, CountRound, CountSum,
 };
-pub use count_table::COUNT_TERM;
+pub use count_rows::{CountRows, KindUse, UpstreamNews};
 pub use fast_map::{FastMap, FastSet};
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
 pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
@@ -44,7 +46,7 @@
     ZoneName,
 };
 pub use pool_coordinator::{
-    CoordinatorOutput, PUBLISH_BYTES_PER_SECOND, PoolCoordinator, ProbeOutcome,
+    COUNT_BYTES_PER_SECOND, CoordinatorOutput, PoolCoordinator, ProbeOutcome,
 };
 pub use pool_coordinator_choice::coordinator_for;
 pub use probe_budget::ProbeBudget;
@@ -55,4 +57,7 @@
 pub use upstream_registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
 pub use upstream_registry_table::UPSTREAM_LIMIT;
 
+pub(crate) use count_health::{UpstreamHealth, median_ms};
 pub(crate) use count_link::CountLink;
+pub(crate) use count_rows::{CountLayout, CountTotals, digest_of};
+pub(crate) use pool_coordinator::KEYS_FOR;
--- a/crates/pulley_core/src/version/plan_follower.rs
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -25,6 +25,8 @@
 /// How long a replica's answer counts. With the time an answer is under way it stays under the
 /// 4 s in which a change must be in force everywhere, or the host not ready.
 const ANSWER_TERM: Duration = Duration::from_secs(3);
+/// How many hosts are told of a new version as soon as it is in force here.
+const FLOOD_TARGETS: u32 = 3;
 /// How many versions' last confirmations are remembered; a host further behind is not ready.
 const CONFIRMATIONS: usize = 32;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
@@ -265,7 +267,7 @@
         self.last_tick = now;
         let mut sends = Vec::new();
         if std::mem::take(&mut self.flood) {
-            let told: Vec<HostId> = ring.targets().map(|(host, _)| host.clone()).collect();
+            let told: Vec<HostId> = self.flood_targets(ring);
             sends.extend(told.into_iter().filter_map(|to| self.tell_lease(now, to)));
         }
         if now >= self.next_round {
@@ -282,6 +284,14 @@
         sends
     }
 
+    /// Whom to tell of a version as soon as it is in force here. Each of them pulls the plan from
+    /// here, so that few are told: with all of a cycle's hosts the leader would send ten copies.
+    fn flood_targets(&self, ring: &PeerRing) -> Vec<HostId> {
+        let count = FLOOD_TARGETS.min(ring.rounds());
+        let steps = (0..count).map(|step| self.round + step * ring.rounds() / count);
+        steps.filter_map(|round| ring.target(round)).map(|(host, _)| host.clone()).collect()
+    }
+
     fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
         let held = self.version();
@@ -390,11 +400,9 @@
 
     /// Takes in a lease if it is the freshest.
     fn take_lease(&mut self, lease: PlanLease, source: Option<(&HostId, ConfigVersion)>) {
-        let news = self.lease.as_ref().is_none_or(|known| known.version < lease.version);
         let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
         if newer && lease.version >= self.version() {
             self.want(&lease);
-            self.flood |= news;
             self.note_confirmation(lease.version, lease.confirmed);
             self.lease = Some(lease);
         }
