--- a/crates/pulley_core/src/process/upstream_registry.rs
+++ b/crates/pulley_core/src/process/upstream_registry.rs
@@ -17,10 +17,12 @@
     UpstreamRecord,
 };
 
-/// The time in which news reaches all hosts on its way round the ring.
-const CYCLE: Duration = Duration::from_secs(1);
+/// The time in which news reaches all hosts on its way round the ring. With the second between two
+/// heartbeats and the half of an epoch it must stay under the shortest lease of 2.5 s, or upstreams
+/// that live would lose work now and then; the rest is for late messages.
+const CYCLE: Duration = Duration::from_millis(700);
 /// The shortest pause between two rounds; with 1,000 hosts there are ten in a cycle.
-const ROUND_FLOOR: Duration = Duration::from_millis(100);
+const ROUND_FLOOR: Duration = Duration::from_millis(70);
 /// The longest pause between two rounds.
 const ROUND_CEILING: Duration = Duration::from_millis(250);
 /// How long news waits for more, so that one message carries a burst.
