Keep large sheets from holding up the log for good

Cause: a sheet of 241 KB, sent as a trial, was never answered, and no change after it either: its entry fits no frame between hosts, so followers never got it, while the leader kept it first in line. Behind that a second fault: each pool's scheduler compared all rows of the old and the new plan, and a sheet of 4,000 rows kept the control thread busy for over a second, so that the leader lost its office. Change: a frame holds the largest entry; a sheet has at most 400 KiB, so that its plan can be passed on to every host; a scheduler looks at its own pool's rows, by name.

--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -119,7 +119,7 @@
     /// gone is refused.
     pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) -> SchedulerEffects {
         let mut effects = Vec::new();
-        let rows = moved_rows(&self.plan, &plan);
+        let rows = moved_rows(&self.pool, &self.plan, &plan);
         self.plan = plan;
         let old_shares = std::mem::take(&mut self.shares);
         self.shares = KindShares::new(&self.plan, &self.pool, &old_shares);
@@ -481,15 +481,23 @@
 /// Finished requests between two workings-out of what holds for the pool as a whole.
 const REFRESH_EVERY: u32 = 32;
 
-/// The new row of each row of the old plan that is still there.
-fn moved_rows(old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
-    let moved = old.kinds.iter().enumerate().filter_map(|(row, kind)| {
-        let same = |other: &KindPlan| {
-            (&other.pool, &other.service, &other.kind) == (&kind.pool, &kind.service, &kind.kind)
-        };
-        Some((row, new.kinds.iter().position(same)?))
-    });
-    moved.collect()
+/// The new row of each of a pool's rows of the old plan that is still there.
+///
+/// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of 4,000
+/// rows held up the control thread for a second, and a leader lost its office over it.
+fn moved_rows(pool: &PoolName, old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
+    let named: FastMap<_, usize> =
+        rows_of(pool, new).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
+    rows_of(pool, old)
+        .filter_map(|(row, kind)| Some((row, *named.get(&(&kind.service, &kind.kind))?)))
+        .collect()
+}
+
+fn rows_of<'a>(
+    pool: &'a PoolName,
+    plan: &'a PolicyPlan,
+) -> impl Iterator<Item = (usize, &'a KindPlan)> {
+    plan.kinds.iter().enumerate().filter(move |(_, kind)| kind.pool == *pool)
 }
 
 /// The weight of one start in the smoothed time between starts.
--- a/crates/pulley_core/src/version/sheet_reader.rs
+++ b/crates/pulley_core/src/version/sheet_reader.rs
@@ -15,7 +15,7 @@
 type Result<T> = std::result::Result<T, SheetFaults>;
 
 /// Largest sheet read, in bytes; 44 services with a few kinds each need under 64 KiB.
-const SHEET_BYTES_LIMIT: usize = 1 << 20;
+const SHEET_BYTES_LIMIT: usize = 400 << 10;
 
 /// Most rows read; the scheduler looks through the rows of a pool at each decision.
 const ROW_LIMIT: usize = 4_096;
--- a/crates/pulleyd/src/connection/peer_frame.rs
+++ b/crates/pulleyd/src/connection/peer_frame.rs
@@ -7,7 +7,11 @@
 pub use pulley_wire::peer_capnp::FrameClass;
 
 /// The largest body of one frame on a link, in bytes; larger things go in chunks.
-pub const FRAME_LIMIT: usize = 256 * 1024;
+///
+/// A frame over it is never sent, so it must hold the largest log entry: a sheet of 400 KiB, its
+/// checked plan of at most 520 KiB, and the 128 KiB of other entries that may travel with it. An
+/// entry that fits no frame would be proposed, never committed, and hold up the log for good.
+pub const FRAME_LIMIT: usize = 2 * 1024 * 1024;
 /// The largest body of a datagram, in bytes, so that with its header it fits an Ethernet frame.
 pub const DATAGRAM_LIMIT: usize = 1_200;
 
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -68,8 +68,8 @@
 }
 
 impl OperatorApi {
-    /// Limits of its listener: a sheet has at most 1 MiB, which JSON may double.
-    pub const LIMITS: ApiLimits = ApiLimits { connections: 64, body_bytes: 2 << 20 };
+    /// Limits of its listener: a sheet has at most 400 KiB, which JSON may double.
+    pub const LIMITS: ApiLimits = ApiLimits { connections: 64, body_bytes: 1 << 20 };
 
     /// Makes the API; whoever holds one of `keys` may ask everything.
     #[must_use]
--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -410,3 +410,35 @@
     });
     cluster.await_version(&[0, 1, 2, 3], 5);
 }
+
+/// A sheet of so many rows, each long.
+fn sheet_of(rows: usize) -> String {
+    let mut sheet = KOLKHI.lines().next().unwrap_or_default().to_owned();
+    for row in 0..rows {
+        sheet.push_str(&format!(
+            "\npool-{},service-{row},kind-{row},GET,/services/{row}/of/the/whole/installation,3,\
+             0.01%,0,400,yes,short,0",
+            row % 44
+        ));
+    }
+    sheet
+}
+
+// Planners export a sheet as large as is allowed. An entry of the log that fits no frame between
+// hosts would never be accepted and hold up every later change; a plan too large to be passed on
+// would be accepted and never be in force at hosts without a disk.
+#[test]
+fn the_largest_sheet_is_in_force_everywhere_and_a_larger_one_is_refused() {
+    let cluster = TestCluster::start(3, 2);
+    let largest = sheet_of(4_000);
+    assert!(largest.len() > 350 << 10 && largest.len() <= 400 << 10, "{}", largest.len());
+    for round in 0..3 {
+        let id = format!("large-{round}");
+        accepted(&cluster.apply_surely(&[0, 1, 2], &id, round, &largest));
+    }
+    cluster.await_version(&[0, 1, 2, 3, 4], 3);
+    let too_large = cluster.apply_surely(&[1], "too-large", 3, &sheet_of(5_000));
+    assert!(too_large.get("refused").is_some(), "{too_large}");
+    accepted(&cluster.apply_surely(&[2], "after", 3, ABAY));
+    cluster.await_version(&[0, 1, 2, 3, 4], 4);
+}
