--- a/crates/pulleyd/src/connection/peer_datagrams.rs
+++ b/crates/pulleyd/src/connection/peer_datagrams.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use pulley_core::HostId;
 use pulley_core::process::ClusterId;
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -27,7 +28,7 @@
 const READ_BURST: usize = 64;
 
 /// How many datagrams went which way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct DatagramCounts {
     /// Sent.
     pub sent: u64,
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -20,7 +20,7 @@
 use super::control_counts::CountCarrier;
 use super::control_handle::ControlRequest;
 use super::{RunningView, ViewCell};
-use crate::connection::FrameClass;
+use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
 use crate::request::SchedulerSet;
 
 /// How often a leader confirms with a quorum that it still leads, and renews the configuration
@@ -54,6 +54,13 @@
     },
 }
 
+/// What the sockets have carried so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TransportCounts {
+    pub(crate) datagrams: DatagramCounts,
+    pub(crate) links: LinkCounts,
+}
+
 /// What the core is made from.
 pub(crate) struct CoreParts {
     pub(crate) own: MemberRecord,
@@ -62,6 +69,7 @@
     pub(crate) founders: Vec<HostId>,
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
+    pub(crate) share_counts: bool,
     pub(crate) seed: u64,
 }
 
@@ -79,6 +87,7 @@
     pub(super) view: ViewCell,
     pub(super) schedulers: Arc<SchedulerSet>,
     pub(super) shutting_down: bool,
+    pub(super) transport: TransportCounts,
     seen: Option<ViewMarks>,
     lease_round: Option<(u64, Moment)>,
     next_lease_round: Moment,
@@ -108,13 +117,14 @@
             follower: PlanFollower::new(host.clone(), parts.seed ^ 1),
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 1),
-            counts: CountCarrier::new(host),
+            counts: CountCarrier::new(host, parts.share_counts),
             answers: FastMap::default(),
             founders: parts.founders,
             outputs: Vec::new(),
             view: parts.view,
             schedulers: parts.schedulers,
             shutting_down: false,
+            transport: TransportCounts::default(),
             seen: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
@@ -227,6 +237,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Notes what the sockets have carried, for the status.
+    pub(crate) fn note_transport(&mut self, counts: TransportCounts) {
+        self.transport = counts;
+    }
+
     /// Takes what became of a probe.
     pub(crate) fn probed(&mut self, now: Moment, probe: &super::control_counts::ProbeReport) {
         self.counts.probed(now, probe);
