--- a/crates/pulley_bench/src/main.rs
+++ b/crates/pulley_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements over stand-in callers and upstreams, one line of key=value pairs a run.
 
+mod capacity;
 mod decisions;
 mod fleet;
 mod path;
@@ -12,6 +13,7 @@
 const USAGE: &str = "usage: pulley_bench SUBCOMMAND [options]; each explains itself with --help
 
 subcommands:
+  capacity   what control costs a host, an upstream, a change
   decisions  policies under load, in virtual time
   fleet      real daemons, stand-in upstreams, open load
   path       what the request path adds, direct against forwarders
@@ -31,6 +33,7 @@
 fn run(arguments: &[String]) -> Result<()> {
     let Some((subcommand, rest)) = arguments.split_first() else { bail!("{USAGE}") };
     match subcommand.as_str() {
+        "capacity" => capacity::run(rest),
         "decisions" => decisions::run(rest),
         "fleet" => fleet::run(rest),
         "path" => path::run(rest),
