Bring the log's figures up to date

Cause: claims name their claimant now, and audit records moved to disk; the pages still gave the figures from before.

--- a/crates/pulley_core/src/version/ledger_machine.rs
+++ b/crates/pulley_core/src/version/ledger_machine.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerLimits {
     /// How many claims it holds at most; a full ledger refuses and never evicts early, since an
-    /// evicted claim could run a second time. A claim takes about 107 bytes of memory.
+    /// evicted claim could run a second time. A claim takes about 138 bytes of memory.
     pub capacity: u32,
     /// How long a claim is kept, from when it was granted.
     pub retention: Duration,
