--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use getopts::{Fail, Options};
-use pulley_core::process::{ClusterId, FastMap, MemberId};
+use pulley_core::process::{ClusterId, FastMap};
 use pulley_core::{HostId, ZoneName};
 use thiserror::Error;
 
 use super::setting_list::{SETTINGS, VARIABLE_PREFIX};
+use super::{BootstrapReplica, HostRoles};
 
 /// What reading settings gives.
 type Result<T> = std::result::Result<T, SettingsFaults>;
@@ -22,24 +23,6 @@
 /// Shortest lease; renewals come several times a lease and must outlast a scheduling pause.
 const SHORTEST_LEASE: Duration = Duration::from_millis(100);
 
-/// Which parts of the system a host plays.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HostRoles {
-    /// It serves callers.
-    pub entry: bool,
-    /// It holds the replicated log.
-    pub replica: bool,
-}
-
-/// One of the first members of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BootstrapReplica {
-    /// The host it runs on.
-    pub host: HostId,
-    /// Its number in the log.
-    pub member: MemberId,
-}
-
 /// The checked settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DaemonSettings {
@@ -169,51 +152,6 @@
     }
 }
 
-impl fmt::Display for HostRoles {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match (self.entry, self.replica) {
-            (true, true) => "entry,replica",
-            (true, false) => "entry",
-            (false, true) => "replica",
-            (false, false) => "",
-        })
-    }
-}
-
-impl FromStr for HostRoles {
-    type Err = &'static str;
-
-    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
-        let mut roles = Self::default();
-        for role in text.split(',') {
-            match role.trim() {
-                "entry" => roles.entry = true,
-                "replica" => roles.replica = true,
-                _ => return Err("entry, replica or entry,replica"),
-            }
-        }
-        Ok(roles)
-    }
-}
-
-impl fmt::Display for BootstrapReplica {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}={}", self.host, self.member)
-    }
-}
-
-impl FromStr for BootstrapReplica {
-    type Err = &'static str;
-
-    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
-        const WANTED: &str = "a list such as host-a=m1,host-b=m2";
-        let (host, member) = text.split_once('=').ok_or(WANTED)?;
-        let host = host.trim().parse().map_err(|_| WANTED)?;
-        let member = member.trim().parse().map_err(|_| WANTED)?;
-        Ok(Self { host, member })
-    }
-}
-
 // -----------------------------------------------------------------------------------------
 // Reading
 
--- /dev/null
+++ b/crates/pulleyd/src/process/host_roles.rs
@@ -0,0 +1,40 @@
+//! Which parts of the system a host plays.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Which parts of the system a host plays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostRoles {
+    /// It serves callers.
+    pub entry: bool,
+    /// It holds the replicated log.
+    pub replica: bool,
+}
+
+impl fmt::Display for HostRoles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match (self.entry, self.replica) {
+            (true, true) => "entry,replica",
+            (true, false) => "entry",
+            (false, true) => "replica",
+            (false, false) => "",
+        })
+    }
+}
+
+impl FromStr for HostRoles {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut roles = Self::default();
+        for role in text.split(',') {
+            match role.trim() {
+                "entry" => roles.entry = true,
+                "replica" => roles.replica = true,
+                _ => return Err("entry, replica or entry,replica"),
+            }
+        }
+        Ok(roles)
+    }
+}
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod announce_api;
 mod api_fault;
 mod api_server;
+mod bootstrap_replica;
 mod control_answer;
 mod control_core;
 mod control_counts;
@@ -12,6 +13,7 @@
 mod daemon;
 mod daemon_settings;
 mod event_log;
+mod host_roles;
 mod operator_api;
 mod process_clock;
 mod process_metrics;
@@ -21,16 +23,16 @@
 
 pub use announce_api::AnnounceApi;
 pub use api_server::{ApiLimits, ApiServer};
+pub use bootstrap_replica::BootstrapReplica;
 pub use control_handle::{
     ClaimAnswer, ClaimRequest, ControlFault, ControlHandle, ControlRequest, FencingToken,
     RecordedAnswer, ReplicaChange, Result,
 };
 pub use control_thread::{ControlParts, ControlStartFault, ControlThread, StartResult};
 pub use daemon::{Daemon, DaemonAddresses, DaemonFault, DaemonResult};
-pub use daemon_settings::{
-    BootstrapReplica, DaemonSettings, HostRoles, SettingsFaults, SettingsRequest,
-};
+pub use daemon_settings::{DaemonSettings, SettingsFaults, SettingsRequest};
 pub use event_log::EventLog;
+pub use host_roles::HostRoles;
 pub use operator_api::{OperatorApi, OperatorKeys};
 pub use process_clock::ProcessClock;
 pub use process_metrics::ProcessMetrics;
