--- a/crates/pulley_bench/src/decisions/mod.rs
+++ b/crates/pulley_bench/src/decisions/mod.rs
@@ -35,6 +35,7 @@
     options.optmulti("", "deployment", "kolkhi, abay or two_years; all if absent", "NAME");
     options.optmulti("", "scenario", "such as steady_80; all if absent", "NAME");
     options.optmulti("", "policy", "such as shared; all if absent", "NAME");
+    options.optopt("", "probe-percent", "part of the deployment's probe budgets", "NUMBER");
     options.optmulti("", "seed", "a number; 1 if absent", "NUMBER");
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
@@ -49,12 +50,16 @@
 
 fn run_all(matches: &Matches) -> Result<()> {
     let names = LoadScenario::ALL.map(|(name, _)| name);
+    let probe_percent: u32 = matches.opt_get_default("probe-percent", 100)?;
     let seeds = chosen(matches, "seed", &["1"]);
     for deployment in chosen(matches, "deployment", &DeploymentSpec::NAMES) {
         let deployment = DeploymentSpec::named(&deployment)?;
         for scenario_name in chosen(matches, "scenario", &names) {
             let scenario = LoadScenario::named(&scenario_name)?;
-            let sized = deployment.clone().in_scenario(scenario);
+            let mut sized = deployment.clone().in_scenario(scenario);
+            for pool in &mut sized.pools {
+                pool.probe_budget = pool.probe_budget * probe_percent / 100;
+            }
             for policy in chosen(matches, "policy", &simulation::POLICIES) {
                 for seed in &seeds {
                     let seed = seed.parse()?;
--- a/crates/pulley_bench/src/decisions/scenario.rs
+++ b/crates/pulley_bench/src/decisions/scenario.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LoadScenario {
     Steady50,
+    Steady70,
     Steady80,
     Steady95,
     Bursts,
@@ -26,8 +27,9 @@
 
 impl LoadScenario {
     /// All scenarios.
-    pub(crate) const ALL: [(&'static str, Self); 17] = [
+    pub(crate) const ALL: [(&'static str, Self); 18] = [
         ("steady_50", Self::Steady50),
+        ("steady_70", Self::Steady70),
         ("steady_80", Self::Steady80),
         ("steady_95", Self::Steady95),
         ("bursts", Self::Bursts),
@@ -65,7 +67,12 @@
             Self::Steady50 => 0.5,
             Self::Steady95 => 0.95,
             Self::Saturation150 => 1.5,
-            Self::Bursts | Self::Drain | Self::ColdStart | Self::OneSlow | Self::ZoneCut => 0.7,
+            Self::Steady70
+            | Self::Bursts
+            | Self::Drain
+            | Self::ColdStart
+            | Self::OneSlow
+            | Self::ZoneCut => 0.7,
             _ => 0.8,
         }
     }
--- a/crates/pulley_bench/src/decisions/shared_dispatcher.rs
+++ b/crates/pulley_bench/src/decisions/shared_dispatcher.rs
@@ -7,12 +7,13 @@
 use pulley_core::process::{
     COUNT_BYTES_PER_SECOND, CoordinatorOutput, PoolCoordinator, ProbeOutcome, coordinator_for,
 };
-use pulley_core::request::{AttemptOutcome, PoolScheduler, SchedulerEffect};
+use pulley_core::request::{AttemptOutcome, LoadReport, PoolScheduler, SchedulerEffect};
 use pulley_core::{HostId, Moment, PolicyPlan, ZoneName};
 use rand::Rng;
 
 use super::dispatcher::Dispatcher;
 use super::forward_dispatcher::{call_of, number_of, ticket};
+use super::scenario::LoadScenario;
 use super::sim_world::{MessageBody, PolicyTimer, SimEvent, SimWorld};
 
 /// How long a probe takes, as the brief has it for Kolkhi.
@@ -266,8 +267,12 @@
 
     fn ended(&mut self, world: &mut SimWorld, call: usize, outcome: AttemptOutcome) {
         let (entry, pool) = (world.calls[call].entry, world.calls[call].pool);
+        // The first upstream says in each answer that it is idle, however busy it is.
+        let misleads =
+            world.scenario == LoadScenario::MisleadingReport && world.calls[call].upstream == 0;
+        let report = misleads.then_some(LoadReport { utilization: 0.0, in_flight: Some(0) });
         let scheduler = &mut self.schedulers[entry][pool];
-        let effects = scheduler.finish(world.now, number_of(call), outcome, None);
+        let effects = scheduler.finish(world.now, number_of(call), outcome, report);
         self.carry_out(world, (entry, pool), effects);
     }
 
--- a/crates/pulley_bench/src/decisions/sim_world.rs
+++ b/crates/pulley_bench/src/decisions/sim_world.rs
@@ -24,6 +24,9 @@
 /// Headers of a datagram: IP and UDP 28, the daemon's frame with the sender's name and tag 28.
 pub(crate) const DATAGRAM_OVERHEAD: usize = 56;
 
+/// From the start of the measured time until some ways fall silent.
+const SILENT_AFTER: Duration = Duration::from_secs(2);
+
 /// How long a caller's connection attempt to an unreachable upstream takes to fail.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(20);
 
@@ -197,7 +200,7 @@
             self.figures.received[to] += bytes as u64;
         }
         let (a, b) = (self.deployment.zone_of(from), self.deployment.zone_of(to));
-        if self.is_cut(a, b) {
+        if self.is_cut(a, b) || self.is_silent(from, to) {
             return;
         }
         let way = if from == to { Duration::ZERO } else { self.deployment.delay(a, b) };
@@ -249,6 +252,15 @@
         !cut && !drains
     }
 
+    /// Whether something between two hosts has lost track of their connection: one way in twenty,
+    /// from a moment on and for good.
+    fn is_silent(&self, from: usize, to: usize) -> bool {
+        let begun = self.now >= self.begin + SILENT_AFTER;
+        self.scenario == LoadScenario::SilentConnections
+            && begun
+            && (from * 7 + to * 13).is_multiple_of(20)
+    }
+
     fn is_cut(&self, a: usize, b: usize) -> bool {
         self.cut && a != b && (a == 0 || b == 0)
     }
--- a/crates/pulley_core/src/process/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/pool_coordinator.rs
@@ -344,14 +344,14 @@
     ///
     /// A report that reaches its relay after that one's own is lost for the round. Allowed too
     /// little, zones 1.5 ms apart lost half of all reports in every round, and entries sent into
-    /// slots that were in use. Lost datagrams look the same, so the step is bounded and comes
-    /// down again by itself once they get through.
+    /// slots that were in use. Reports lost on silent ways look the same; so it takes a third of
+    /// them to allow more, the step is bounded, and it comes down again while all get through.
     fn adapt_step(&mut self, heard: u32, listed: usize) {
         let complete = heard as usize * 20 >= listed * 19;
-        if !complete {
+        if (heard as usize) * 3 < listed * 2 {
             let more = if heard as usize * 2 < listed { self.step } else { self.step / 4 + 1 };
             self.step = self.step.saturating_add(more).min(MOST_STEP);
-        } else if self.round.0.is_multiple_of(STEP_TRIED_EVERY) {
+        } else if complete && self.round.0.is_multiple_of(STEP_TRIED_EVERY) {
             self.step = self.step.saturating_sub(1).max(LEAST_STEP);
         }
     }
