--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::RwLock;
+use arc_swap::ArcSwap;
 use pulley_core::connection::WorkSafety;
 use pulley_core::process::{FastMap, FastSet, UpstreamRecord};
 use pulley_core::{Moment, UpstreamId};
@@ -41,14 +41,15 @@
     clock: ProcessClock,
     timer: TimerService,
     view: ViewCell,
-    upstreams: RwLock<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
+    /// Read by every request and changed with the upstreams only.
+    upstreams: ArcSwap<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
 }
 
 impl UpstreamConnections {
     /// Makes a set without connections; the view tells each upstream's limit.
     #[must_use]
     pub fn new(clock: ProcessClock, timer: TimerService, view: ViewCell) -> Self {
-        Self { clock, timer, view, upstreams: RwLock::default() }
+        Self { clock, timer, view, upstreams: ArcSwap::default() }
     }
 
     /// Takes an idle connection or opens a new one, within the entry's share.
@@ -63,7 +64,7 @@
     /// Connections to all upstreams, open or being opened.
     #[must_use]
     pub fn open_links(&self) -> usize {
-        self.upstreams.read().values().map(|links| links.open_links()).sum()
+        self.upstreams.load().values().map(|links| links.open_links()).sum()
     }
 
     /// Closes idle connections in time, follows the view's limits and keeps spares; the caller
@@ -88,12 +89,12 @@
                 links.keep_spare();
             }
         }
-        let all: Vec<_> = self.upstreams.read().values().cloned().collect();
+        let all: Vec<_> = self.upstreams.load().values().cloned().collect();
         all.iter().for_each(|links| links.expire());
     }
 
     fn is_in_use(&self, record: &UpstreamRecord) -> bool {
-        let upstreams = self.upstreams.read();
+        let upstreams = self.upstreams.load();
         let links = upstreams.get(&record.announcement.id);
         links.is_some_and(|links| links.used_within(WARM_SPAN))
     }
@@ -102,18 +103,20 @@
     fn retire_unknown(&self, view: &RunningView) {
         let records = view.upstreams.values().flat_map(|records| records.iter());
         let known: FastSet<_> = records.map(|record| &record.announcement.id).collect();
-        let mut gone = Vec::new();
-        self.upstreams.write().retain(|id, links| {
-            if !known.contains(id) {
-                gone.push(Arc::clone(links));
-            }
-            known.contains(id)
+        if self.upstreams.load().keys().all(|id| known.contains(id)) {
+            return;
+        }
+        let before = self.upstreams.rcu(|upstreams| {
+            let mut upstreams = FastMap::clone(upstreams);
+            upstreams.retain(|id, _| known.contains(id));
+            upstreams
         });
-        gone.iter().for_each(|links| links.close());
+        let gone = before.iter().filter(|(id, _)| !known.contains(id));
+        gone.for_each(|(_, links)| links.close());
     }
 
     fn links(&self, upstream: &UpstreamId, address: SocketAddr) -> Arc<UpstreamLinks> {
-        let known = self.upstreams.read().get(upstream).cloned();
+        let known = self.upstreams.load().get(upstream).cloned();
         if let Some(links) = known.filter(|links| links.address() == address) {
             return links;
         }
@@ -127,11 +130,30 @@
         if let Some(record) = record {
             set_share(&links, record, view.live_entries);
         }
-        let replaced = self.upstreams.write().insert(upstream.clone(), Arc::clone(&links));
-        if let Some(replaced) = replaced {
-            replaced.close();
+        self.insert(upstream, links)
+    }
+}
+
+impl UpstreamConnections {
+    /// Puts an upstream's connections in place of those to its former address. If another request
+    /// was first, its set is the one to use: two sets would each take the entry's whole share.
+    fn insert(&self, upstream: &UpstreamId, links: Arc<UpstreamLinks>) -> Arc<UpstreamLinks> {
+        let before = self.upstreams.rcu(|upstreams| {
+            let mut upstreams = FastMap::clone(upstreams);
+            let known = upstreams.get(upstream);
+            if known.is_none_or(|known| known.address() != links.address()) {
+                upstreams.insert(upstream.clone(), Arc::clone(&links));
+            }
+            upstreams
+        });
+        match before.get(upstream) {
+            Some(first) if first.address() == links.address() => Arc::clone(first),
+            Some(replaced) => {
+                replaced.close();
+                links
+            }
+            None => links,
         }
-        links
     }
 }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use parking_lot::{Mutex, RwLock};
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
 use pulley_core::process::{CountDelta, CountSum, FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, RequestNumber, RequestTicket, RetryBudget,
@@ -51,7 +52,8 @@
     zone: ZoneName,
     clock: ProcessClock,
     seed: u64,
-    pools: RwLock<FastMap<PoolName, Arc<PoolCell>>>,
+    /// Read by every request and changed with the plan only, so reading writes nothing shared.
+    pools: ArcSwap<FastMap<PoolName, Arc<PoolCell>>>,
     armed: AtomicU64,
     rearmed: Notify,
 }
@@ -81,7 +83,7 @@
             zone,
             clock,
             seed,
-            pools: RwLock::default(),
+            pools: ArcSwap::default(),
             armed: AtomicU64::new(u64::MAX),
             rearmed: Notify::new(),
         }
@@ -162,7 +164,7 @@
 
     /// The counts that are due to coordinators: the pool, the upstreams' zone, the message.
     pub fn take_deltas(&self, now: Moment) -> Vec<(PoolName, ZoneName, CountDelta)> {
-        let cells: Vec<_> = self.pools.read().clone().into_iter().collect();
+        let cells: Vec<_> = FastMap::clone(&self.pools.load()).into_iter().collect();
         let due = |(pool, cell): (PoolName, Arc<PoolCell>)| {
             let deltas = cell.state.lock().scheduler.take_deltas(now);
             deltas.into_iter().map(move |(zone, delta)| (pool.clone(), zone, delta))
@@ -173,7 +175,7 @@
     /// When [`Self::take_deltas`] next has something, if ever.
     #[must_use]
     pub fn next_delta_at(&self) -> Option<Moment> {
-        let pools = self.pools.read();
+        let pools = self.pools.load();
         pools.values().filter_map(|cell| cell.state.lock().scheduler.next_delta_at()).min()
     }
 
@@ -187,13 +189,13 @@
     /// Requests that wait in all pools' queues.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.pools.read().values().map(|cell| cell.state.lock().scheduler.waiting()).sum()
+        self.pools.load().values().map(|cell| cell.state.lock().scheduler.waiting()).sum()
     }
 
     /// Requests that are started and not finished, in all pools.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.pools.read().values().map(|cell| cell.state.lock().scheduler.running()).sum()
+        self.pools.load().values().map(|cell| cell.state.lock().scheduler.running()).sum()
     }
 
     /// Ticks the schedulers whenever one asks to be woken; spawn it once a process.
@@ -210,7 +212,7 @@
     }
 
     fn tick(&self) {
-        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        let cells: Vec<_> = self.pools.load().values().cloned().collect();
         for cell in cells {
             let effects = cell.state.lock().scheduler.tick(self.clock.now());
             self.deliver(&cell, effects);
@@ -218,12 +220,12 @@
     }
 
     fn next_wakeup(&self) -> Option<Moment> {
-        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        let cells: Vec<_> = self.pools.load().values().cloned().collect();
         cells.iter().filter_map(|cell| cell.state.lock().scheduler.next_wakeup()).min()
     }
 
     fn cell(&self, pool: &PoolName) -> Option<Arc<PoolCell>> {
-        self.pools.read().get(pool).cloned()
+        self.pools.load().get(pool).cloned()
     }
 
     fn cell_or_new(&self, pool: &PoolName) -> Arc<PoolCell> {
@@ -241,17 +243,27 @@
             retries: RetryBudget::new(),
         };
         let cell = Arc::new(PoolCell { state: Mutex::new(state) });
-        Arc::clone(self.pools.write().entry(pool.clone()).or_insert(cell))
+        self.pools.rcu(|pools| {
+            let mut pools = FastMap::clone(pools);
+            pools.entry(pool.clone()).or_insert_with(|| Arc::clone(&cell));
+            pools
+        });
+        self.cell(pool).unwrap_or(cell)
     }
 
     /// Drops pools that the plan no longer names, once nothing waits in them.
     fn retire_pools(&self, plan: &PolicyPlan) {
         let named = plan.pools();
-        let mut pools = self.pools.write();
-        pools.retain(|pool, cell| {
-            named.contains(pool)
-                || Arc::strong_count(cell) > 1
-                || !cell.state.lock().waiting.is_empty()
+        let is_kept = |pool: &PoolName, cell: &Arc<PoolCell>| {
+            named.contains(pool) || !cell.state.lock().waiting.is_empty()
+        };
+        if self.pools.load().iter().all(|(pool, cell)| is_kept(pool, cell)) {
+            return;
+        }
+        self.pools.rcu(|pools| {
+            let mut pools = FastMap::clone(pools);
+            pools.retain(|pool, cell| is_kept(pool, cell));
+            pools
         });
     }
 
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -17,7 +17,7 @@
 use pulley_core::{ConfigVersion, FastMap, PolicyPlan, PoolName};
 use pulleyd::connection::{CallerListener, DrainReport};
 use pulleyd::process::{HostReadiness, ProcessClock, RunningView, TimerService, ViewCell};
-use pulleyd::request::{SchedulerSet, TrafficContext, TrafficLimits};
+use pulleyd::request::{SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -62,12 +62,26 @@
     slots: u32,
     limits: TrafficLimits,
     ledger: Arc<FakeLedger>,
+    connections: u32,
+    trusted: TrustedCallers,
 }
 
 impl EntryBuilder {
     pub(crate) fn new() -> Self {
         let (limits, ledger) = (TrafficLimits::default(), FakeLedger::new());
-        Self { deadline: Duration::from_secs(10), slots: 64, limits, ledger }
+        let trusted = TrustedCallers::default();
+        let deadline = Duration::from_secs(10);
+        Self { deadline, slots: 64, limits, ledger, connections: 300, trusted }
+    }
+
+    pub(crate) fn connections(mut self, connections: u32) -> Self {
+        self.connections = connections;
+        self
+    }
+
+    pub(crate) fn trusting_loopback(mut self) -> Self {
+        self.trusted.addresses.insert("127.0.0.1".parse().expect("an address"));
+        self
     }
 
     pub(crate) fn deadline_ms(mut self, millis: u64) -> Self {
@@ -103,7 +117,7 @@
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let control = self.ledger.handle();
         let context = TrafficContext::new(view, schedulers, control, clock, timer, logger);
-        let context = Arc::new(context.with_limits(self.limits));
+        let context = Arc::new(context.with_limits(self.limits).with_trusted_callers(self.trusted));
         let any = "127.0.0.1:0".parse().expect("an address");
         let listener = CallerListener::bind(any, Arc::clone(&context)).await.expect("a free port");
         let address = listener.local_addr().expect("bound");
@@ -161,7 +175,7 @@
             zone: "a".parse().expect("a name"),
             pool: pool.clone(),
             slots: SlotCount(self.slots),
-            connections: 300,
+            connections: self.connections,
             incarnation: Incarnation(1),
             sequence: UpstreamSequence(1),
             phase: UpstreamPhase::Ready,
--- a/crates/pulleyd/tests/request_path.rs
+++ b/crates/pulleyd/tests/request_path.rs
@@ -2,7 +2,7 @@
 
 mod path_support;
 
-use path_support::{FakeUpstream, TestEntry};
+use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn carries_one_request_and_its_answer() {
@@ -53,13 +53,50 @@
     entry.post_with("/balance", "", &headers).await;
 
     let request = upstream.last_request();
-    let value = |name: &str| {
-        let mut lines = request.lines();
-        lines.find_map(|line| line.strip_prefix(name)).map(|value| value.trim().to_owned())
-    };
+    let value = |name| sent_value(&request, name);
     let left: u64 = value("jacinthpulley-deadline-ms:").expect("passed on").parse().expect("ms");
     assert!((1..=700).contains(&left), "{left}");
     assert_eq!(value("jacinthpulley-attempt:").as_deref(), Some("0"));
     assert_eq!(value("jacinthpulley-priority:").as_deref(), Some("1"));
     assert_eq!(value("jacinthpulley-verdict:"), None);
 }
+
+fn sent_value(request: &str, name: &str) -> Option<String> {
+    let mut lines = request.lines();
+    lines.find_map(|line| line.strip_prefix(name)).map(|value| value.trim().to_owned())
+}
+
+// An upstream calls a further service through the system. The layer above it has tried the call
+// before and will try again, so this layer does not: seven layers that each try three times would
+// make over two thousand calls of one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_one_layer_tries_again() {
+    let breaking = FakeUpstream::breaking_after("").await;
+    let entry = EntryBuilder::new().trusting_loopback().start(&[&breaking]).await;
+    let headers = [("jacinthpulley-attempt", "1"), ("jacinthpulley-priority", "4")];
+    let answer = entry.post_with("/balance", "", &headers).await;
+    assert_eq!(answer.summary(), "502 may-have-run");
+    assert_eq!(breaking.runs(), 1);
+    let request = breaking.last_request();
+    assert_eq!(sent_value(&request, "jacinthpulley-attempt:").as_deref(), Some("1"));
+    assert_eq!(sent_value(&request, "jacinthpulley-priority:").as_deref(), Some("4"));
+    let answer = entry.post_with("/balance", "", &[("jacinthpulley-attempt", "many")]).await;
+    assert_eq!(answer.summary(), "400 not-run");
+}
+
+// An upstream allows few connections and has many slots. A burst keeps to the connections that are
+// allowed; what finds none free is told that it was not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_keeps_to_the_connections_allowed() {
+    let upstream = FakeUpstream::healthy("done").await;
+    let entry = EntryBuilder::new().connections(3).start(&[&upstream]).await;
+    let calls = (0..60).map(|_| entry.post("/refund", "x"));
+    let answers = futures::future::join_all(calls).await;
+    let ran = answers.iter().filter(|answer| answer.summary() == "200 -").count();
+    let refused = answers.iter().filter(|answer| answer.summary().ends_with(" not-run")).count();
+    assert_eq!(ran + refused, 60);
+    assert_eq!(upstream.runs(), ran);
+    assert!(ran > 0 && entry.context.connections.open_links() <= 3);
+    let open = || upstream.connections() - upstream.ended();
+    eventually("surplus connections are closed", || open() <= 3).await;
+}
