Put connections back once they are ready

Cause: a request could take a connection whose task had not yet seen the end of the answer before, wait up to 5 ms for it on a busy machine, and then open another. Change: a connection that is not ready when its answer has been read is put back when it is.

--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -129,7 +129,11 @@
     pub fn give_back(self) {
         let Self { sender, seat, .. } = self;
         let links = Arc::clone(&seat.links);
-        links.put_back(sender, seat);
+        if sender.is_ready() || sender.is_closed() {
+            links.put_back(sender, seat);
+            return;
+        }
+        links.put_back_later(sender, seat);
     }
 }
 
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -36,8 +36,8 @@
 const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
 
 /// How long a connection given back may take to be ready again. It is ready within microseconds
-/// unless the upstream answered before it had read the whole request.
-const READY_LIMIT: Duration = Duration::from_millis(5);
+/// unless the machine is busy, or the upstream answered before it had read the whole request.
+const READY_LIMIT: Duration = Duration::from_millis(100);
 
 /// How long setting up a connection may take; the zones are at most 1.5 ms apart.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -113,8 +113,10 @@
                 self.forget(number);
                 continue;
             };
-            if let Some(link) = self.wake(idle).await {
-                return Ok(link);
+            // One that closed since it was put back takes no request; the next is tried.
+            if idle.sender.is_ready() {
+                let IdleLink { sender, seat } = idle;
+                return Ok(UpstreamLink::new(sender, seat));
             }
         }
     }
@@ -164,6 +166,20 @@
         drop(surplus);
     }
 
+    /// Puts a connection back once it is ready for another request.
+    ///
+    /// Its task may not yet have seen the end of the answer that was read here. Put back at once,
+    /// the next request would wait for that task, and on a busy machine longer than a new
+    /// connection takes, while other idle ones are ready.
+    pub(super) fn put_back_later(self: Arc<Self>, mut sender: RequestSender, seat: LinkSeat) {
+        tokio::spawn(async move {
+            let limit = self.clock.now() + READY_LIMIT;
+            if let Some(Ok(())) = self.timer.limit(limit, sender.ready()).await {
+                self.put_back(sender, seat);
+            }
+        });
+    }
+
     pub(super) fn prove(&self, number: LinkNumber) {
         self.state.lock().book.prove(self.clock.now(), number);
     }
@@ -229,15 +245,6 @@
         drop(closed);
     }
 
-    async fn wake(&self, idle: IdleLink) -> Option<UpstreamLink<Unused>> {
-        let IdleLink { mut sender, seat } = idle;
-        if !sender.is_ready() {
-            let limit = self.clock.now() + READY_LIMIT;
-            self.timer.limit(limit, sender.ready()).await?.ok()?;
-        }
-        Some(UpstreamLink::new(sender, seat))
-    }
-
     async fn connect(
         self: &Arc<Self>,
         mut seat: LinkSeat,
