--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -63,6 +63,12 @@
     optional("announce-lease", "TIME", "3s", "how long an announcement holds without renewal"),
     optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
     optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
+    optional(
+        "share-counts",
+        "yes|no",
+        "yes",
+        "no: place by this host's own counts only, should shared ones ever do harm",
+    ),
     optional(
         "trusted-callers",
         "IP,…",
