--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -42,7 +42,8 @@
         HostReadiness::NotReady { why: SmolStr::new_static(why) }
     }
 
-    /// What control has cost in messages since the process began; bytes without IP's headers.
+    /// What control has cost in messages since the process began; bytes without the headers of IP,
+    /// UDP and TCP, but with what links add to their frames.
     fn transport_status(&self) -> Value {
         let TransportCounts { datagrams, links } = self.transport;
         json!({
@@ -50,7 +51,7 @@
             "datagrams_received": datagrams.received,
             "datagrams_refused": datagrams.refused,
             "datagrams_dropped": datagrams.dropped,
-            "sent_bytes": datagrams.sent_bytes + links.bytes,
+            "sent_bytes": datagrams.sent_bytes + links.wire_bytes,
             "received_bytes": datagrams.received_bytes,
             "link_frames": links.frames,
             "links_opened": links.opened,
@@ -81,7 +82,7 @@
             "zone": self.members.own().zone,
             "version": self.follower.version(),
             "ready": standing.is_ready() && !self.shutting_down,
-            "standing": format!("{standing:?}"),
+            "standing": standing_word(standing),
             "leader": self.follower.leader(now),
             "hosts": hosts,
             "upstreams": self.registry.known(),
@@ -95,3 +96,13 @@
         })
     }
 }
+
+/// How the host stands towards the configuration, for operators; the version stands beside it.
+const fn standing_word(standing: PlanStanding) -> &'static str {
+    match standing {
+        PlanStanding::Starting => "starting",
+        PlanStanding::InForce(_) => "in-force",
+        PlanStanding::Static(_) => "static",
+        PlanStanding::Expired(_) => "expired",
+    }
+}
