--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -188,7 +188,7 @@
 
     /// The copies of sums that this host passes on, each with the host it goes to.
     pub fn take_relays(&self) -> Vec<(HostId, CountSum)> {
-        let cells: Vec<_> = self.pools.read().values().cloned().collect();
+        let cells: Vec<_> = self.pools.load().values().cloned().collect();
         cells.iter().flat_map(|cell| cell.state.lock().scheduler.take_relays()).collect()
     }
 
