--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -202,7 +202,7 @@
     /// How old the other entries' counts are in each pool; none where there are none.
     #[must_use]
     pub fn count_ages(&self, now: Moment) -> Vec<(PoolName, Option<Duration>)> {
-        let pools = self.pools.read();
+        let pools = self.pools.load();
         let age = |cell: &PoolCell| cell.state.lock().scheduler.count_age(now);
         let mut ages: Vec<_> = pools.iter().map(|(pool, cell)| (pool.clone(), age(cell))).collect();
         ages.sort();
