Serve while leaving; drop settings and causes that did nothing

Change: a leaving host's health says so at once and it serves what still comes until it stops accepting. The settings and the cause are gone, and shutting-down with them, as nothing gives it now.

--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -63,16 +63,12 @@
     NoSuchKind,
     /// This host has no configuration that it knows to be current.
     NotReady,
-    /// The host is shutting down.
-    ShuttingDown,
     /// No upstream of the pool takes work.
     NoUpstream,
     /// The wait would be longer than the deadline allows.
     DeadlineTooClose,
     /// Its queue is full.
     QueueFull,
-    /// Its service has used its share and the pool has nothing to lend.
-    ShareUsedUp,
     /// The process is at its own limits.
     HostFull,
     /// The claim on the idempotency key could not be made.
@@ -90,11 +86,9 @@
         match self {
             Self::NoSuchKind => "no-such-kind",
             Self::NotReady => "not-ready",
-            Self::ShuttingDown => "shutting-down",
             Self::NoUpstream => "no-upstream",
             Self::DeadlineTooClose => "deadline-too-close",
             Self::QueueFull => "queue-full",
-            Self::ShareUsedUp => "share-used-up",
             Self::HostFull => "host-full",
             Self::LedgerUnavailable => "ledger-unavailable",
             Self::KeyConflict => "key-conflict",
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -28,12 +28,12 @@
     }
 
     fn readiness(&self, standing: PlanStanding) -> HostReadiness {
-        if self.shutting_down {
-            return HostReadiness::ShuttingDown;
-        }
         let why = match standing {
             PlanStanding::InForce(version) | PlanStanding::Static(version) if version.0 > 0 => {
-                return HostReadiness::Ready;
+                return match self.shutting_down {
+                    true => HostReadiness::ShuttingDown,
+                    false => HostReadiness::Ready,
+                };
             }
             PlanStanding::InForce(_) | PlanStanding::Static(_) => "no sheet has been applied yet",
             PlanStanding::Starting => "the current configuration is not known yet",
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -20,9 +20,6 @@
 /// Longest time accepted in a setting: a day.
 const TIME_LIMIT: Duration = Duration::from_secs(86_400);
 
-/// Shortest lease; renewals come several times a lease and must outlast a scheduling pause.
-const SHORTEST_LEASE: Duration = Duration::from_millis(100);
-
 /// The checked settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DaemonSettings {
@@ -52,10 +49,6 @@
     pub data_folder: Option<PathBuf>,
     /// Longest wait for requests in flight at shutdown.
     pub drain_grace: Duration,
-    /// How long a configuration holds without renewal.
-    pub config_lease: Duration,
-    /// How long an announcement holds without renewal.
-    pub announce_lease: Duration,
     /// Least important level that is logged.
     pub log_level: slog::Level,
     /// Threads that carry requests.
@@ -142,8 +135,6 @@
         let folder = self.data_folder.as_deref().unwrap_or("".as_ref());
         writeln!(f, "data-folder={}", folder.display())?;
         writeln!(f, "drain-grace={}ms", self.drain_grace.as_millis())?;
-        writeln!(f, "config-lease={}ms", self.config_lease.as_millis())?;
-        writeln!(f, "announce-lease={}ms", self.announce_lease.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
         writeln!(f, "traffic-threads={}", self.traffic_threads)?;
         writeln!(f, "share-counts={}", if self.share_counts { "yes" } else { "no" })?;
@@ -247,8 +238,6 @@
         let replicas = self.checked("replicas", "a list such as host-a=m1,host-b=m2", list);
         let data_folder = self.checked("data-folder", "a folder", |text| Some(path(text)));
         let drain_grace = self.time("drain-grace", Duration::ZERO);
-        let config_lease = self.time("config-lease", SHORTEST_LEASE);
-        let announce_lease = self.time("announce-lease", SHORTEST_LEASE);
         let log_level = self.checked("log-level", "error, warning, info or debug", level);
         let traffic_threads = self.count("traffic-threads", 64);
         let trusted_callers =
@@ -269,8 +258,6 @@
             replicas: replicas?,
             data_folder: data_folder?,
             drain_grace: drain_grace?,
-            config_lease: config_lease?,
-            announce_lease: announce_lease?,
             log_level: log_level?,
             traffic_threads: traffic_threads?,
             trusted_callers: trusted_callers?,
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -21,7 +21,7 @@
         /// Why, for `/healthz` and logs.
         why: SmolStr,
     },
-    /// It finishes what it has.
+    /// It serves what still comes, but the platform's balancer is told to send no more.
     ShuttingDown,
 }
 
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -59,8 +59,6 @@
     ),
     optional("data-folder", "FOLDER", "", "where a replica keeps its state; one process only"),
     optional("drain-grace", "TIME", "30s", "longest wait for requests in flight at shutdown"),
-    optional("config-lease", "TIME", "3s", "how long a configuration holds without renewal"),
-    optional("announce-lease", "TIME", "3s", "how long an announcement holds without renewal"),
     optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
     optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
     optional(
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -231,7 +231,7 @@
         "status" => answer.status.as_u16(), "cause" => answer.cause,
         "verdict" => %answer.verdict);
     let mut response = answer.into_response();
-    if is_last || answer.cause == RefusalCause::ShuttingDown.as_str() {
+    if is_last {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -263,12 +263,14 @@
 }
 
 fn check_readiness(readiness: &HostReadiness) -> Result<()> {
-    let cause = match readiness {
-        HostReadiness::Ready => return Ok(()),
-        HostReadiness::NotReady { .. } => RefusalCause::NotReady,
-        HostReadiness::ShuttingDown => RefusalCause::ShuttingDown,
-    };
-    Err(SystemAnswer::refused(cause, Some(HOST_RETRY)))
+    match readiness {
+        // The platform's balancer sends calls until it has noticed that the host is leaving. They
+        // are served: refused, callers would see a few seconds of refusals at every restart.
+        HostReadiness::Ready | HostReadiness::ShuttingDown => Ok(()),
+        HostReadiness::NotReady { .. } => {
+            Err(SystemAnswer::refused(RefusalCause::NotReady, Some(HOST_RETRY)))
+        }
+    }
 }
 
 fn ungathered(fault: &RequestFault) -> SystemAnswer {
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -31,9 +31,8 @@
             RefusalCause::BadRequest => StatusCode::BAD_REQUEST,
             RefusalCause::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             RefusalCause::DeadlineTooClose => StatusCode::GATEWAY_TIMEOUT,
-            RefusalCause::QueueFull | RefusalCause::ShareUsedUp => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCause::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             RefusalCause::NotReady
-            | RefusalCause::ShuttingDown
             | RefusalCause::NoUpstream
             | RefusalCause::HostFull
             | RefusalCause::LedgerUnavailable => StatusCode::SERVICE_UNAVAILABLE,
