--- a/crates/pulley_core/src/version/replica_leading.rs
+++ b/crates/pulley_core/src/version/replica_leading.rs
@@ -7,7 +7,7 @@
 use super::replica_node::{ReplicaNode, ReplicaRole};
 use super::{
     AppendOutcome, AppendReply, AppendRequest, LogCommand, LogEntry, LogIndex, ReplicaMembership,
-    ReplicaMessage, ReplicaRefusal,
+    ReplicaMessage, ReplicaRefusal, Term,
 };
 use crate::process::{MemberId, Moment};
 
@@ -392,18 +392,30 @@
         self.effects.wants_snapshot = true;
     }
 
-    pub(crate) fn on_append_reply(&mut self, from: MemberId, reply: AppendReply) {
-        if reply.term > self.vote.term {
-            self.follow(reply.term, None);
-            return;
+    /// Notes that a follower has answered in this leader's term; steps down before a later term.
+    /// Returns none for a reply that says nothing to this leader.
+    pub(crate) fn hear_reply(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        round: u64,
+    ) -> Option<&mut FollowerProgress> {
+        if term > self.vote.term {
+            self.follow(term, None);
+            return None;
         }
         let now = self.now;
-        let ReplicaRole::Leader(leader) = &mut self.role else { return };
-        let Some(progress) = leader.followers.get_mut(&from) else { return };
-        if reply.term < self.vote.term {
-            return;
+        let ReplicaRole::Leader(leader) = &mut self.role else { return None };
+        let progress = leader.followers.get_mut(&from)?;
+        if term < self.vote.term {
+            return None;
         }
-        progress.note_heard(now, reply.round);
+        progress.note_heard(now, round);
+        Some(progress)
+    }
+
+    pub(crate) fn on_append_reply(&mut self, from: MemberId, reply: AppendReply) {
+        let Some(progress) = self.hear_reply(from, reply.term, reply.round) else { return };
         match reply.outcome {
             AppendOutcome::Stored { upto } => progress.note_stored(upto),
             AppendOutcome::Missing { prev, hint } => progress.note_missing(prev, hint),
--- a/crates/pulley_core/src/version/replica_sending.rs
+++ b/crates/pulley_core/src/version/replica_sending.rs
@@ -35,17 +35,7 @@
     }
 
     pub(crate) fn on_snapshot_reply(&mut self, from: MemberId, reply: SnapshotReply) {
-        if reply.term > self.vote.term {
-            self.follow(reply.term, None);
-            return;
-        }
-        let now = self.now;
-        let ReplicaRole::Leader(leader) = &mut self.role else { return };
-        let Some(progress) = leader.followers.get_mut(&from) else { return };
-        if reply.term < self.vote.term {
-            return;
-        }
-        progress.note_heard(now, reply.round);
+        let Some(progress) = self.hear_reply(from, reply.term, reply.round) else { return };
         let more = progress.note_received(&reply);
         if reply.installed {
             self.advance_commit();
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -3,7 +3,7 @@
 use pulley_core::Moment;
 use pulley_core::version::{
     AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, ReplicaAnswer,
-    ReplicaQuestion, StoredPlan,
+    ReplicaQuestion, ReplicaRefusal, StoredPlan,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -128,7 +128,7 @@
             _ => return,
         };
         let Some((number, routed)) = self.router.ask(now, question) else {
-            slot.answer(ReplicaAnswer::Refused(pulley_core::version::ReplicaRefusal::Busy));
+            slot.answer(ReplicaAnswer::Refused(ReplicaRefusal::Busy));
             return;
         };
         self.answers.insert(number, slot);
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -4,29 +4,26 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use pulley_core::process::{
-    CoordinatorOutput, FastMap, MemberRecord, MemberSettings, MemberTable, UpstreamRegistry,
+    CoordinatorOutput, FastMap, MemberRecord, MemberSend, MemberSettings, MemberTable,
+    UpstreamRegistry,
 };
 use pulley_core::version::{
-    DriverInput, DriverOutput, PersistBatch, PersistTicket, PlanFollower, PlanSend, QuestionNumber,
-    QuestionRouter, ReplicaDriver, ReplicaQuestion, RouterOutput,
+    AuditRead, DriverInput, PersistBatch, PersistTicket, PlanFollower, PlanSend, QuestionNumber,
+    QuestionRouter, ReplicaDriver,
 };
 use pulley_core::{HostId, Moment, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
-use super::control_counts::CountCarrier;
+use super::control_counts::{CountCarrier, ProbeReport};
 use super::control_handle::ControlRequest;
+use super::control_replica::LEASE_TOKENS;
 use super::{RunningView, ViewCell};
 use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
 use crate::request::SchedulerSet;
 
-/// How often a leader confirms with a quorum that it still leads, and renews the configuration
-/// lease: several times within the shortest lease, so that two lost rounds do no harm.
-const LEASE_ROUND: Duration = Duration::from_millis(500);
-
 /// What the control thread is to carry out.
 #[derive(Debug)]
 pub(crate) enum ControlOutput {
@@ -44,7 +41,7 @@
     },
     /// Hand to the storage thread.
     Persist(PersistBatch),
-    ReadAudit(pulley_core::version::AuditRead),
+    ReadAudit(AuditRead),
     /// Ask an upstream how loaded it is.
     Probe {
         pool: PoolName,
@@ -89,9 +86,9 @@
     pub(super) shutting_down: bool,
     pub(super) transport: TransportCounts,
     seen: Option<ViewMarks>,
-    lease_round: Option<(u64, Moment)>,
-    next_lease_round: Moment,
-    next_lease_token: u64,
+    pub(super) lease_round: Option<(u64, Moment)>,
+    pub(super) next_lease_round: Moment,
+    pub(super) next_lease_token: u64,
 }
 
 /// What the last view was built from; a new one is built when any of it has moved.
@@ -116,7 +113,7 @@
             registry: UpstreamRegistry::new(),
             follower: PlanFollower::new(host.clone(), parts.seed ^ 1),
             replica: parts.replica,
-            router: QuestionRouter::new(host.clone(), parts.seed >> 1),
+            router: QuestionRouter::new(host.clone(), parts.seed >> 2),
             counts: CountCarrier::new(host, parts.share_counts),
             answers: FastMap::default(),
             founders: parts.founders,
@@ -243,7 +240,7 @@
     }
 
     /// Takes what became of a probe.
-    pub(crate) fn probed(&mut self, now: Moment, probe: &super::control_counts::ProbeReport) {
+    pub(crate) fn probed(&mut self, now: Moment, probe: &ProbeReport) {
         self.counts.probed(now, probe);
     }
 
@@ -273,120 +270,10 @@
         std::mem::take(&mut self.outputs)
     }
 
-    // ---------------------------------------------------------------------------------------------
-    // The replica
-
-    pub(super) fn drive(&mut self, now: Moment, input: DriverInput) {
-        let Some(replica) = &mut self.replica else { return };
-        let outputs = replica.handle(now, input);
-        for output in outputs {
-            match output {
-                DriverOutput::Send { to, body } => {
-                    self.outputs.push(ControlOutput::Link {
-                        to,
-                        class: FrameClass::Replication,
-                        body,
-                    });
-                }
-                DriverOutput::Persist { batch, .. } => {
-                    self.outputs.push(ControlOutput::Persist(batch));
-                }
-                DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
-                DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
-                DriverOutput::InForce(plan) => self.follower.committed(plan),
-            }
-        }
-    }
-
-    fn driver_answered(
-        &mut self,
-        now: Moment,
-        token: u64,
-        answer: pulley_core::version::ReplicaAnswer,
-    ) {
-        if token >= LEASE_TOKENS {
-            self.lease_confirmed(token, &answer);
-            return;
-        }
-        let routed = self.router.local_answer(now, QuestionNumber(token), answer);
-        self.route(now, routed);
-    }
-
-    pub(super) fn route(&mut self, now: Moment, routed: Vec<RouterOutput>) {
-        for output in routed {
-            match output {
-                RouterOutput::AskLocal { number, question } => {
-                    self.ask_local(now, number, question);
-                }
-                RouterOutput::Send { to, body } => {
-                    self.outputs.push(ControlOutput::Link {
-                        to,
-                        class: FrameClass::Operator,
-                        body,
-                    });
-                }
-                RouterOutput::Answer { number, answer } => {
-                    if let Some(slot) = self.answers.remove(&number) {
-                        slot.answer(answer);
-                    }
-                }
-            }
-        }
-    }
-
-    fn ask_local(&mut self, now: Moment, number: QuestionNumber, question: ReplicaQuestion) {
-        if self.replica.is_some() {
-            self.drive(now, DriverInput::Ask { token: number.0, question });
-            return;
-        }
-        let answer = pulley_core::version::ReplicaAnswer::NotLeader { leader: None };
-        let routed = self.router.local_answer(now, number, answer);
-        self.route(now, routed);
-    }
-
-    /// A leader proves by a quorum read that it leads, and that its version is the latest; the
-    /// lease counts from when the read began, since nothing later is proved by it.
-    fn renew_lease(&mut self, now: Moment) {
-        if now < self.next_lease_round {
-            return;
-        }
-        self.next_lease_round = now + LEASE_ROUND;
-        self.report_log();
-        let Some(replica) = &self.replica else { return };
-        if !replica.node().is_leader() {
-            self.lease_round = None;
-            return;
-        }
-        self.next_lease_token += 1;
-        self.lease_round = Some((self.next_lease_token, now));
-        let question = ReplicaQuestion::CurrentPlan;
-        self.drive(now, DriverInput::Ask { token: self.next_lease_token, question });
-    }
-
-    fn lease_confirmed(&mut self, token: u64, answer: &pulley_core::version::ReplicaAnswer) {
-        let Some((expected, began)) = self.lease_round else { return };
-        if token != expected || !matches!(answer, pulley_core::version::ReplicaAnswer::Plan(_)) {
-            return;
-        }
-        self.lease_round = None;
-        let Some(replica) = &self.replica else { return };
-        let term = replica.node().term().0;
-        self.follower.committed(Arc::clone(replica.machines().configuration.current()));
-        let set = replica_set(replica);
-        self.follower.lead(term, set, began);
-    }
-
-    /// Tells the follower what this host's log holds past what is committed: hosts without a
-    /// lease must know of it, because it may or may not have been accepted.
-    fn report_log(&mut self) {
-        let Some(replica) = &self.replica else { return };
-        self.follower.set_replica(replica_set(replica), last_version(replica));
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Helpers
 
-    fn send_membership(&mut self, sends: Vec<pulley_core::process::MemberSend>) {
+    fn send_membership(&mut self, sends: Vec<MemberSend>) {
         for send in sends {
             self.datagram(send.to, FrameClass::Membership, send.body);
         }
@@ -469,28 +356,3 @@
         self.view.store(view);
     }
 }
-
-/// Tokens from here on are the core's own questions; below are the router's numbers.
-const LEASE_TOKENS: u64 = 1 << 63;
-
-fn replica_set(replica: &ReplicaDriver) -> pulley_core::version::ReplicaSet {
-    let members = replica.node().members();
-    pulley_core::version::ReplicaSet {
-        index: replica.node().members_index().0,
-        hosts: members.members.iter().filter(|m| m.voter).map(|m| m.host.clone()).collect(),
-    }
-}
-
-/// The latest version that any entry of this log could make, committed or not.
-fn last_version(replica: &ReplicaDriver) -> pulley_core::ConfigVersion {
-    let node = replica.node();
-    let mut latest = replica.machines().configuration.version();
-    let mut index = node.taken_index().next();
-    while let Some(entry) = node.entry(index) {
-        if let pulley_core::version::LogCommand::Change(change) = &entry.command {
-            latest = latest.max(change.expect.next());
-        }
-        index = index.next();
-    }
-    latest
-}
--- /dev/null
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -0,0 +1,147 @@
+//! The control thread's part with the replicated log: the replica of this host, if it has one, and
+//! the questions that go to whichever replica leads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pulley_core::version::{
+    DriverInput, DriverOutput, LogCommand, QuestionNumber, ReplicaAnswer, ReplicaDriver,
+    ReplicaQuestion, ReplicaSet, RouterOutput,
+};
+use pulley_core::{ConfigVersion, Moment};
+
+use super::control_core::{ControlCore, ControlOutput};
+use crate::connection::FrameClass;
+
+/// How often a leader confirms with a quorum that it still leads, and renews the configuration
+/// lease: several times within the shortest lease, so that two lost rounds do no harm.
+const LEASE_ROUND: Duration = Duration::from_millis(500);
+
+/// Tokens from here on are the core's own questions; below are the router's numbers.
+pub(super) const LEASE_TOKENS: u64 = 1 << 63;
+
+impl ControlCore {
+    pub(super) fn drive(&mut self, now: Moment, input: DriverInput) {
+        let Some(replica) = &mut self.replica else { return };
+        let outputs = replica.handle(now, input);
+        for output in outputs {
+            match output {
+                DriverOutput::Send { to, body } => {
+                    self.outputs.push(ControlOutput::Link {
+                        to,
+                        class: FrameClass::Replication,
+                        body,
+                    });
+                }
+                DriverOutput::Persist { batch, .. } => {
+                    self.outputs.push(ControlOutput::Persist(batch));
+                }
+                DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
+                DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
+                DriverOutput::InForce(plan) => self.follower.committed(plan),
+            }
+        }
+    }
+
+    fn driver_answered(&mut self, now: Moment, token: u64, answer: ReplicaAnswer) {
+        if token >= LEASE_TOKENS {
+            self.lease_confirmed(token, &answer);
+            return;
+        }
+        let routed = self.router.local_answer(now, QuestionNumber(token), answer);
+        self.route(now, routed);
+    }
+
+    pub(super) fn route(&mut self, now: Moment, routed: Vec<RouterOutput>) {
+        for output in routed {
+            match output {
+                RouterOutput::AskLocal { number, question } => {
+                    self.ask_local(now, number, question);
+                }
+                RouterOutput::Send { to, body } => {
+                    self.outputs.push(ControlOutput::Link {
+                        to,
+                        class: FrameClass::Operator,
+                        body,
+                    });
+                }
+                RouterOutput::Answer { number, answer } => {
+                    if let Some(slot) = self.answers.remove(&number) {
+                        slot.answer(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask_local(&mut self, now: Moment, number: QuestionNumber, question: ReplicaQuestion) {
+        if self.replica.is_some() {
+            self.drive(now, DriverInput::Ask { token: number.0, question });
+            return;
+        }
+        let answer = ReplicaAnswer::NotLeader { leader: None };
+        let routed = self.router.local_answer(now, number, answer);
+        self.route(now, routed);
+    }
+
+    /// A leader proves by a quorum read that it leads, and that its version is the latest; the
+    /// lease counts from when the read began, since nothing later is proved by it.
+    pub(super) fn renew_lease(&mut self, now: Moment) {
+        if now < self.next_lease_round {
+            return;
+        }
+        self.next_lease_round = now + LEASE_ROUND;
+        self.report_log();
+        let Some(replica) = &self.replica else { return };
+        if !replica.node().is_leader() {
+            self.lease_round = None;
+            return;
+        }
+        self.next_lease_token += 1;
+        self.lease_round = Some((self.next_lease_token, now));
+        let question = ReplicaQuestion::CurrentPlan;
+        self.drive(now, DriverInput::Ask { token: self.next_lease_token, question });
+    }
+
+    fn lease_confirmed(&mut self, token: u64, answer: &ReplicaAnswer) {
+        let Some((expected, began)) = self.lease_round else { return };
+        if token != expected || !matches!(answer, ReplicaAnswer::Plan(_)) {
+            return;
+        }
+        self.lease_round = None;
+        let Some(replica) = &self.replica else { return };
+        let term = replica.node().term().0;
+        self.follower.committed(Arc::clone(replica.machines().configuration.current()));
+        let set = replica_set(replica);
+        self.follower.lead(term, set, began);
+    }
+
+    /// Tells the follower what this host's log holds past what is committed: hosts without a
+    /// lease must know of it, because it may or may not have been accepted.
+    fn report_log(&mut self) {
+        let Some(replica) = &self.replica else { return };
+        self.follower.set_replica(replica_set(replica), last_version(replica));
+    }
+}
+
+fn replica_set(replica: &ReplicaDriver) -> ReplicaSet {
+    let members = replica.node().members();
+    ReplicaSet {
+        index: replica.node().members_index().0,
+        hosts: members.members.iter().filter(|m| m.voter).map(|m| m.host.clone()).collect(),
+    }
+}
+
+/// The latest version that any entry of this log could make, committed or not.
+fn last_version(replica: &ReplicaDriver) -> ConfigVersion {
+    let node = replica.node();
+    let mut latest = replica.machines().configuration.version();
+    let mut index = node.taken_index().next();
+    while let Some(entry) = node.entry(index) {
+        if let LogCommand::Change(change) = &entry.command {
+            latest = latest.max(change.expect.next());
+        }
+        index = index.next();
+    }
+    latest
+}
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -8,7 +8,8 @@
 
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
-    DriverInput, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
+    AuditRead, DriverInput, PersistBatch, RecoveredState, ReplicaDriver, ReplicaIdentity,
+    ReplicaSettings,
 };
 use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
@@ -22,6 +23,7 @@
 use super::{DaemonSettings, ProcessClock, ViewCell};
 use crate::connection::{
     DatagramSeal, InboundDatagram, InboundFrame, KeyRing, LinkSettings, PeerDatagrams, PeerLinks,
+    UpstreamProber,
 };
 use crate::request::SchedulerSet;
 use crate::version::{AuditReader, LogStorage, StorageFault, StorageWorker};
@@ -72,7 +74,7 @@
     /// Requests of the traffic side and the operators.
     pub requests: mpsc::Receiver<ControlRequest>,
     /// Asks an upstream how loaded it is; runs on the traffic threads.
-    pub prober: crate::connection::UpstreamProber,
+    pub prober: UpstreamProber,
     /// The process's clock.
     pub clock: ProcessClock,
     /// Where events go.
@@ -133,7 +135,7 @@
     clock: ProcessClock,
     logger: Logger,
     key_ring: KeyRing,
-    prober: crate::connection::UpstreamProber,
+    prober: UpstreamProber,
     probed: mpsc::Sender<ProbeReport>,
     known: Vec<(HostId, SocketAddr)>,
     known_mark: u64,
@@ -365,7 +367,7 @@
         }
     }
 
-    fn read_audit(&mut self, read: pulley_core::version::AuditRead) -> Vec<ControlOutput> {
+    fn read_audit(&mut self, read: AuditRead) -> Vec<ControlOutput> {
         let number = read.read;
         let submitted = self.audit.as_ref().map(|audit| audit.submit(read));
         if matches!(submitted, Some(Ok(()))) {
@@ -375,7 +377,7 @@
         self.core.stored(self.clock.now(), failed)
     }
 
-    fn persist(&mut self, batch: pulley_core::version::PersistBatch) -> Vec<ControlOutput> {
+    fn persist(&mut self, batch: PersistBatch) -> Vec<ControlOutput> {
         let ticket = batch.ticket;
         let submitted = self.storage.as_ref().map(|storage| storage.submit(batch));
         if matches!(submitted, Some(Ok(()))) {
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod control_core;
 mod control_counts;
 mod control_handle;
+mod control_replica;
 mod control_status;
 mod control_thread;
 mod daemon;
