Make the ledger's size and memory of keys settings

Cause: retention and capacity are to be settings; they were constants of the library, and nothing showed a full ledger in a real process.

--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -8,8 +8,8 @@
 
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
-    AuditRead, DriverInput, PersistBatch, RecoveredState, ReplicaDriver, ReplicaIdentity,
-    ReplicaSettings,
+    AuditRead, DriverInput, LedgerLimits, PersistBatch, RecoveredState, ReplicaDriver,
+    ReplicaIdentity, ReplicaSettings,
 };
 use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
@@ -279,7 +279,12 @@
     let (storage, recovered) = LogStorage::open(folder, &identity)?;
     log_recovery(logger, &recovered);
     let founders = settings.replicas.iter().map(|f| (f.host.clone(), f.member)).collect();
-    let mut replica_settings = ReplicaSettings::founded_by(founders);
+    let ledger = LedgerLimits {
+        capacity: u32::try_from(settings.ledger_capacity).unwrap_or(u32::MAX),
+        retention: settings.ledger_retention,
+        ..LedgerLimits::default()
+    };
+    let mut replica_settings = ReplicaSettings::founded_by(founders).with_ledger(ledger);
     replica_settings.unix_origin_ms = ProcessClock::unix_ms().saturating_sub(now.micros() / 1_000);
     let driver = ReplicaDriver::new(identity, recovered, replica_settings, now, seed);
     let logger = logger.clone();
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -20,6 +20,12 @@
 /// Longest time accepted in a setting: a day.
 const TIME_LIMIT: Duration = Duration::from_secs(86_400);
 
+/// Most keys a ledger may hold: at 138 bytes each they take 69 MB of a node's 128.
+const LEDGER_CAPACITY_LIMIT: usize = 500_000;
+
+/// Shortest retention; a caller's resend after a lost answer comes well within it.
+const SHORTEST_RETENTION: Duration = Duration::from_secs(10);
+
 /// The checked settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DaemonSettings {
@@ -57,6 +63,10 @@
     pub trusted_callers: Vec<IpAddr>,
     /// Most connections of callers.
     pub callers_limit: usize,
+    /// Most idempotency keys that the ledger holds while this host leads the log.
+    pub ledger_capacity: usize,
+    /// How long the ledger remembers a key at least.
+    pub ledger_retention: Duration,
     /// Whether this host shares counts with others or places by its own alone.
     pub share_counts: bool,
 }
@@ -137,6 +147,8 @@
         writeln!(f, "drain-grace={}ms", self.drain_grace.as_millis())?;
         writeln!(f, "log-level={}", self.log_level.as_str().to_ascii_lowercase())?;
         writeln!(f, "traffic-threads={}", self.traffic_threads)?;
+        writeln!(f, "ledger-capacity={}", self.ledger_capacity)?;
+        writeln!(f, "ledger-retention={}ms", self.ledger_retention.as_millis())?;
         writeln!(f, "share-counts={}", if self.share_counts { "yes" } else { "no" })?;
         writeln!(f, "trusted-callers={}", joined(&self.trusted_callers))?;
         write!(f, "callers-limit={}", self.callers_limit)
@@ -243,6 +255,8 @@
         let trusted_callers =
             self.checked("trusted-callers", "a list such as 10.0.0.7,10.0.0.8", list);
         let callers_limit = self.count("callers-limit", 100_000);
+        let ledger_capacity = self.count("ledger-capacity", LEDGER_CAPACITY_LIMIT);
+        let ledger_retention = self.time("ledger-retention", SHORTEST_RETENTION);
         let share_counts = self.checked("share-counts", "yes or no", yes_or_no);
         Some(DaemonSettings {
             host_id: host_id?,
@@ -262,6 +276,8 @@
             traffic_threads: traffic_threads?,
             trusted_callers: trusted_callers?,
             callers_limit: callers_limit?,
+            ledger_capacity: ledger_capacity?,
+            ledger_retention: ledger_retention?,
             share_counts: share_counts?,
         })
     }
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -61,6 +61,18 @@
     optional("drain-grace", "TIME", "30s", "longest wait for requests in flight at shutdown"),
     optional("log-level", "LEVEL", "info", "error, warning, info or debug"),
     optional("traffic-threads", "COUNT", "2", "threads that carry requests, 1 to 64"),
+    optional(
+        "ledger-capacity",
+        "COUNT",
+        "200000",
+        "most idempotency keys held, 1 to 500000; a full ledger refuses as not run",
+    ),
+    optional(
+        "ledger-retention",
+        "TIME",
+        "1h",
+        "how long an idempotency key is remembered at least, from 10s",
+    ),
     optional(
         "share-counts",
         "yes|no",
--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -442,3 +442,30 @@
     accepted(&cluster.apply_surely(&[2], "after", 3, ABAY));
     cluster.await_version(&[0, 1, 2, 3, 4], 4);
 }
+
+// More refunds come within the retention than the ledger was set up for. Forgetting the oldest would
+// let its resend run twice; callers are told that theirs was not run, and when to come back.
+#[test]
+fn a_full_ledger_refuses_as_not_run_and_forgets_nothing() {
+    let mut cluster = TestCluster::start(1, 0);
+    cluster.hosts[0].set_flag("--ledger-capacity", "3");
+    cluster.hosts[0].restart();
+    let upstream = StandInUpstream::start("r1", "refunds", 6, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0], "first", 0, ABAY));
+    cluster.await_that("a refund upstream", &[0], |cluster| {
+        cluster.caller(0).get("/refunds/status").is_ok_and(|answer| answer.status == 200)
+    });
+    let refund = |key: &str| {
+        let caller = cluster.caller(0).with_header("x-work", key);
+        let caller = caller.with_header("idempotency-key", key);
+        caller.send("POST", "/refunds/new", b"amount=5").expect("an answer")
+    };
+    let first: Vec<u16> = (0..3).map(|n| refund(&format!("k{n}")).status).collect();
+    assert_eq!(first, [200, 200, 200]);
+    let full = refund("k3");
+    assert_eq!((full.status, full.header("jacinthpulley-verdict")), (503, Some("not-run")));
+    assert!(full.header("retry-after").is_some());
+    assert_eq!(refund("k0").status, 200);
+    let runs = upstream.runs();
+    assert_eq!((runs.get("k0"), runs.get("k3")), (Some(&1), None));
+}
