Keep the refusing port of a test for the test

It took a free port and let it go; another test of the same process got that port for an upstream that sheds, which answered. Change: the port stays bound to a socket that never listens, so connections are refused and nobody else can have it. What is asserted is unchanged.

--- a/crates/pulleyd/tests/request_failures.rs
+++ b/crates/pulleyd/tests/request_failures.rs
@@ -8,13 +8,16 @@
 
 use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
-/// An address that refuses connections.
+/// An address that refuses connections. Its socket is bound and never listens, for as long as the
+/// test's process lives: a port that was free again could be another test's upstream's next.
 async fn nobody() -> FakeUpstream {
     let mut upstream = FakeUpstream::healthy("never").await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    upstream.address = listener.local_addr().expect("bound");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    upstream.address = socket.local_addr().expect("bound");
+    Box::leak(Box::new(socket));
     upstream
 }
 
