--- a/crates/pulley_bench/src/decisions/decision_cost.rs
+++ b/crates/pulley_bench/src/decisions/decision_cost.rs
@@ -40,6 +40,7 @@
             number: RequestNumber(number),
             kind: 0,
             deadline: now + Duration::from_secs(1),
+            target: None,
             attempt: 0,
             avoid: Vec::new(),
         };
--- a/crates/pulley_bench/src/decisions/forward_dispatcher.rs
+++ b/crates/pulley_bench/src/decisions/forward_dispatcher.rs
@@ -121,6 +121,7 @@
         number: number_of(number),
         kind: world.deployment.row(call.pool, call.kind),
         deadline: call.deadline,
+        target: None,
         attempt: call.attempt,
         avoid: call.avoid.clone(),
     }
--- a/crates/pulley_core/src/process/upstream_registry.rs
+++ b/crates/pulley_core/src/process/upstream_registry.rs
@@ -218,7 +218,7 @@
         check(&announcement)?;
         let epoch = self.clock.epoch(now);
         let id = announcement.id.clone();
-        if let Some(holder) = self.table.holder(&id, (announcement.address, announcement.incarnation), epoch) {
+        if let Some(holder) = self.table.holder(&id, announcement.address, epoch) {
             return Err(RegistryFault::AddressTaken { id, holder });
         }
         let Some(entry) = self.table.find(&id) else {
--- a/crates/pulley_core/src/process/upstream_registry_table.rs
+++ b/crates/pulley_core/src/process/upstream_registry_table.rs
@@ -7,7 +7,7 @@
 use super::upstream_registry_clock::LeaseEpoch;
 use super::upstream_registry_message::AgedRecord;
 use super::upstream_registry_record::LeaseRecord;
-use super::{FastMap, Incarnation, PoolName, UpstreamId, UpstreamRecord, UpstreamSequence};
+use super::{FastMap, PoolName, UpstreamId, UpstreamRecord, UpstreamSequence};
 
 /// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
 /// every one of them may be replaced under a new id within the retention.
@@ -158,13 +158,11 @@
     pub(crate) fn holder(
         &self,
         id: &UpstreamId,
-        (from, incarnation): (SocketAddr, Incarnation),
+        from: SocketAddr,
         now: LeaseEpoch,
     ) -> Option<SocketAddr> {
         let entry = self.find(id)?;
-        // A later start of the same upstream may have been given another address.
         let held = entry.renewed.holds(now)
-            && entry.record.announcement.incarnation >= incarnation
             && entry.record.announcement.phase != super::UpstreamPhase::Gone;
         (held && entry.record.announcement.address != from)
             .then_some(entry.record.announcement.address)
--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -1,5 +1,7 @@
 //! Which kinds of request may use how much of a pool, and who is next.
 
+use std::time::Duration;
+
 use super::{KindDemand, divide_slots};
 use crate::process::{CountKey, FastMap, Moment, PoolName, digest_of};
 use crate::version::{KindPlan, PolicyPlan, RequestPriority, WorkLength};
@@ -23,6 +25,10 @@
     pub(crate) foreign_queued: u32,
     /// Requests this entry may have outstanding while the kind is held to a part.
     pub(crate) leased: f32,
+    /// Until when an answer is worth most, from its request on.
+    pub(crate) target: Option<Duration>,
+    /// Smoothed time of its work where nothing slows it down, in milliseconds; 0 if unknown.
+    pub(crate) base_ms: f32,
     /// Smoothed time between starts from the queue, in milliseconds.
     pub(crate) start_gap_ms: f32,
     pub(crate) last_start: Option<Moment>,
@@ -79,6 +85,7 @@
             if let Some(known) = old.kinds.iter().find(|known| known.key == state.key) {
                 state.own = known.own;
                 state.foreign = known.foreign;
+                state.base_ms = known.base_ms;
             }
             shares.by_row.insert(row, shares.kinds.len());
             shares.kinds.push(state);
@@ -256,6 +263,8 @@
             foreign: 0,
             foreign_queued: 0,
             leased: 0.0,
+            target: kind.route.target,
+            base_ms: 0.0,
             start_gap_ms: 0.0,
             last_start: None,
             is_held: false,
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -62,6 +62,14 @@
 /// few hundredths of one, and its bytes cost the operators more than the rest of the request.
 const ZONE_DISTANCE: f32 = 0.25;
 
+/// The part of a kind's target that its work is taken to need before answers have shown it.
+const TARGET_PART: f32 = 0.35;
+
+/// The weight of one answer in a kind's smoothed time, and how many times that time one answer may
+/// count for at most: a spell that began after the probe says nothing of the work itself.
+const BASE_WEIGHT: f32 = 0.1;
+const BASE_JUMP: f32 = 2.0;
+
 /// How soon a refused caller may come back, at least.
 const SHORTEST_RETRY: Duration = Duration::from_millis(50);
 
@@ -76,6 +84,8 @@
     upstream: usize,
     row: usize,
     started: Moment,
+    /// How long it should take, in usual times, by its upstream's own word.
+    cost: Option<f32>,
 }
 
 /// One pool's scheduler at one entry.
@@ -196,18 +206,79 @@
             .iter()
             .filter_map(|reading| Some((self.reading_cost(reading)?, reading)))
             .min_by(|(a, _), (b, _)| a.0.total_cmp(&b.0));
-        let Some(((_, index), reading)) = best else { return self.arrive(now, ticket) };
+        let Some(((cost, index), reading)) = best else { return self.arrive(now, ticket) };
         if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
             return self.arrive(now, ticket);
         }
-        let slots = self.upstreams.at(index).slots();
-        let queueing = expected_queueing(slots, &reading.report, self.usual());
-        if queueing > ticket.deadline.since(now).mul_f32(WAIT_PART) {
-            let cause = RefusalCause::DeadlineTooClose;
+        if self.is_refused(now, local, ticket, (index, reading), cost) {
+            let slots = self.upstreams.at(index).slots();
+            let queueing = expected_queueing(slots, &reading.report, self.base(local));
             let retry_after = queueing.clamp(SHORTEST_RETRY, LONGEST_RETRY);
-            return vec![refusal(ticket.number, cause, retry_after)];
+            return vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)];
+        }
+        let started = self.start(now, local, index, ticket);
+        if let Some(running) = self.running.get_mut(&ticket.number) {
+            running.cost = Some(cost);
+        }
+        vec![started]
+    }
+
+    /// Whether one of the upstreams that were asked should answer a request by its target.
+    #[must_use]
+    pub fn is_soon(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
+        let (Some(local), Some(cost)) =
+            (self.shares.local(ticket.kind), self.best_cost(readings))
+        else {
+            return false;
+        };
+        now + self.base(local).mul_f32(cost) <= ticket.target.unwrap_or(ticket.deadline)
+    }
+
+    /// Whether a request is better refused than sent to the best upstream that was found.
+    ///
+    /// Load it is for: more is asked than the pool can answer. Harm: requests that queue at
+    /// upstreams all come late, those behind them too, and callers that have given up leave their
+    /// work behind; a pool then stays so long after the rush is over. Reason for the limits: what
+    /// comes by its target is worth its slot; beside a free slot nothing is gained by refusing; what
+    /// would wait for a slot and come late takes the place of one that could still come in time.
+    fn is_refused(
+        &self,
+        now: Moment,
+        local: usize,
+        ticket: &RequestTicket,
+        (index, reading): (usize, &ProbeReading),
+        cost: f32,
+    ) -> bool {
+        let base = self.base(local);
+        if let Some(target) = ticket.target {
+            let slots = self.upstreams.at(index).slots();
+            let queueing = expected_queueing(slots, &reading.report, base);
+            return !queueing.is_zero() && now + base.mul_f32(cost) > target;
+        }
+        let slots = self.upstreams.at(index).slots();
+        let queueing = expected_queueing(slots, &reading.report, base);
+        queueing > ticket.deadline.since(now).mul_f32(WAIT_PART)
+    }
+
+    /// How long a kind's work takes at an upstream that nothing slows down.
+    fn base(&self, local: usize) -> Duration {
+        let kind = self.shares.kind(local);
+        if kind.base_ms > 0.0 {
+            return Duration::from_secs_f32(kind.base_ms / 1_000.0);
         }
-        vec![self.start(now, local, index, ticket)]
+        kind.target.map_or_else(|| self.usual(), |target| target.mul_f32(TARGET_PART))
+    }
+
+    /// Learns from an answer how long a kind's work takes where nothing slows it down.
+    fn note_base(&mut self, local: usize, cost: f32, took: Duration) {
+        let kind = self.shares.kind_mut(local);
+        let sample = took.as_secs_f32() * 1_000.0 / cost;
+        if kind.base_ms <= 0.0 {
+            kind.base_ms = kind.target.map_or(sample, |target| {
+                target.as_secs_f32() * 1_000.0 * TARGET_PART
+            });
+        }
+        kind.base_ms += BASE_WEIGHT * (sample.min(kind.base_ms * BASE_JUMP) - kind.base_ms);
     }
 
     /// What a reading says of a request's time there, if the upstream still takes work.
@@ -312,6 +383,9 @@
         if let Some(local) = self.shares.local(running.row) {
             let kind = self.shares.kind_mut(local);
             kind.own = kind.own.saturating_sub(1);
+            if let Some(cost) = running.cost.filter(|_| outcome == AttemptOutcome::Answered) {
+                self.note_base(local, cost, now.since(running.started));
+            }
         }
         self.finishes = self.finishes.wrapping_add(1);
         // A failure may take the last usable upstream, and then the floor has to hold at once.
@@ -529,7 +603,7 @@
         self.upstreams.count(1.0);
         let slots = self.upstreams.at_mut(upstream);
         slots.start(now);
-        let running = RunningRequest { upstream, row: ticket.kind, started: now };
+        let running = RunningRequest { upstream, row: ticket.kind, started: now, cost: None };
         self.running.insert(ticket.number, running);
         let announcement = &slots.record.announcement;
         SchedulerEffect::Start {
--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -28,6 +28,8 @@
     pub kind: usize,
     /// When its answer is no longer of use.
     pub deadline: Moment,
+    /// Until when its answer is worth most to its caller, if the plan says so.
+    pub target: Option<Moment>,
     /// 0 for a first attempt.
     pub attempt: u8,
     /// Upstreams that earlier attempts have tried.
--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -69,6 +69,8 @@
     NoUpstream,
     /// The wait would be longer than the deadline allows.
     DeadlineTooClose,
+    /// Every upstream that was asked is full.
+    PoolBusy,
     /// Its queue is full.
     QueueFull,
     /// The process is at its own limits.
@@ -91,6 +93,7 @@
             Self::NotReady => "not-ready",
             Self::NoUpstream => "no-upstream",
             Self::DeadlineTooClose => "deadline-too-close",
+            Self::PoolBusy => "pool-busy",
             Self::QueueFull => "queue-full",
             Self::HostFull => "host-full",
             Self::LedgerUnavailable => "ledger-unavailable",
--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -74,7 +74,7 @@
 }
 
 fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
-    RequestTicket { number: RequestNumber(number), kind, deadline, attempt: 0, avoid: Vec::new() }
+    RequestTicket { number: RequestNumber(number), kind, deadline, target: None, attempt: 0, avoid: Vec::new() }
 }
 
 /// Entries, their coordinator and a network that loses, doubles and delays.
--- a/crates/pulley_core/tests/pool_scheduler.rs
+++ b/crates/pulley_core/tests/pool_scheduler.rs
@@ -59,7 +59,7 @@
 }
 
 fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
-    RequestTicket { number: RequestNumber(number), kind, deadline, attempt: 0, avoid: Vec::new() }
+    RequestTicket { number: RequestNumber(number), kind, deadline, target: None, attempt: 0, avoid: Vec::new() }
 }
 
 fn started(effects: &[SchedulerEffect]) -> Vec<u64> {
--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -27,7 +27,7 @@
 pub use link_meter::LinkMeter;
 pub use traffic_threads::TrafficThreads;
 pub use upstream_connections::{LinkRequest, UpstreamConnections};
-pub use upstream_link::{Answering, LinkFault, Unused, UpstreamLink};
+pub use upstream_link::{Answering, LinkFault, SendRecord, Unused, UpstreamLink};
 pub use upstream_prober::UpstreamProber;
 
 pub(crate) use metered_stream::MeteredStream;
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -73,6 +73,11 @@
         found
     }
 
+    /// Gives all links back.
+    pub(super) fn give_back(self) {
+        self.links.into_iter().for_each(|link| link.give_back());
+    }
+
     async fn ask_all(
         &mut self,
         context: &TrafficContext,
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod arrival_probing;
+mod attempt_fault;
 mod attempt_guard;
 mod call_terms;
 mod header_dialect;
@@ -9,6 +10,7 @@
 mod ledger_claim;
 mod load_report;
 mod protocol_headers;
+mod request_attempt;
 mod request_body;
 mod request_forwarder;
 mod request_headers;
--- /dev/null
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -0,0 +1,248 @@
+//! One attempt: a place, a connection, and an answer that is the upstream's own.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{HeaderMap, HeaderValue};
+use http::uri::{PathAndQuery, Uri};
+use http::{Request, Response, Version};
+use hyper::body::Incoming;
+use pulley_core::connection::WorkSafety;
+use pulley_core::request::{AttemptOutcome, RequestTicket};
+use pulley_core::{RefusalCause, RequestVerdict, UpstreamId};
+
+use super::answer_body::UpstreamAnswer;
+use super::arrival_probing::ArrivalProbing;
+use super::attempt_fault::AttemptFault;
+use super::request_run::{RequestRun, SentAttempt};
+use super::upstream_answer::AnswerSigns;
+use super::{AttemptGuard, Placement, RequestBody};
+use crate::connection::{Answering, LinkFault, LinkRequest, Unused, UpstreamLink};
+use crate::process::ControlRequest;
+
+/// What an attempt gives.
+pub(super) type Result<T> = std::result::Result<T, AttemptFault>;
+
+/// How often one attempt changes its connection because the one it took was closed unused.
+const CLOSED_UNSENT_TRIES: u32 = 4;
+
+/// How long a request waits before it asks once more, if all upstreams that it asked were full.
+///
+/// Load it is for: a short pile-up, of which a slot is free again within a part of an answer's
+/// time. Reason for the limit: held for longer, the caller would learn too late that it should
+/// come back, and the requests that wait here would ask all at once.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+
+/// Where a request goes.
+struct PlacedRequest {
+    upstream: UpstreamId,
+    address: SocketAddr,
+    /// A link that has just proven itself.
+    link: Option<UpstreamLink<Unused>>,
+}
+
+impl RequestRun {
+    /// Makes one attempt.
+    pub(super) async fn attempt(&self, mut ticket: RequestTicket) -> Result<Response<UpstreamAnswer>> {
+        let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
+        let placed = match self.place(&ticket, probed).await {
+            Err(fault) if fault.answer.cause == RefusalCause::PoolBusy.as_str() => {
+                let _ = self.context.timer.after(FULL_PAUSE).await;
+                // Its number was given back with the refusal; it is the same request still, and
+                // earns the retry budget nothing more.
+                ticket.number = self.context.next_number();
+                ticket.attempt = ticket.attempt.max(1);
+                let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
+                self.place(&ticket, probed).await?
+            }
+            placed => placed?,
+        };
+        self.carry(&ticket, placed).await
+    }
+
+    /// Makes one attempt at one of the upstreams that were asked.
+    pub(super) async fn attempt_probed(
+        &self,
+        ticket: RequestTicket,
+        probed: ArrivalProbing,
+    ) -> Result<Response<UpstreamAnswer>> {
+        let placed = self.place(&ticket, probed).await?;
+        self.carry(&ticket, placed).await
+    }
+
+    async fn place(&self, ticket: &RequestTicket, probed: ArrivalProbing) -> Result<PlacedRequest> {
+        let pool = &self.row().pool;
+        match self.context.schedulers.place(pool, ticket, &probed.readings).await {
+            Placement::Start { upstream, address } => {
+                self.note_reading(&upstream, &probed.readings);
+                let link = probed.into_link(&upstream);
+                Ok(PlacedRequest { upstream, address, link })
+            }
+            Placement::Refuse { cause, retry_after } => {
+                probed.give_back();
+                Err(AttemptFault::refused(cause, retry_after))
+            }
+        }
+    }
+
+    async fn carry(
+        &self,
+        ticket: &RequestTicket,
+        placed: PlacedRequest,
+    ) -> Result<Response<UpstreamAnswer>> {
+        let schedulers = Arc::clone(&self.context.schedulers);
+        let mut attempt = AttemptGuard::new(schedulers, self.row().pool.clone(), ticket.number);
+        let upstream = placed.upstream.clone();
+        self.note_tried(&upstream);
+        let (mut response, link) = match self.send(placed).await {
+            Ok(sent) => sent,
+            Err(fault) => {
+                attempt.settle(fault.outcome);
+                return Err(fault);
+            }
+        };
+        if !self.is_own_answer(&response) {
+            attempt.settle(AttemptOutcome::Broken);
+            return Err(AttemptFault::untrusted("foreign-answer", AttemptOutcome::Broken));
+        }
+        let signs =
+            AnswerSigns::take(&mut response, &self.context.dialect, &self.context.counters);
+        attempt.note_report(signs.report);
+        if signs.is_draining {
+            self.observe_drain(&upstream);
+        }
+        if signs.is_empty_promise {
+            attempt.settle(AttemptOutcome::Failed);
+            return Err(AttemptFault::untrusted("upstream-failed", AttemptOutcome::Failed));
+        }
+        if signs.has_shed {
+            attempt.settle(AttemptOutcome::Shed);
+            return Err(AttemptFault::shed(&signs));
+        }
+        Ok(self.answer(response, link, attempt))
+    }
+
+    /// Sends the request over one connection; another is taken only if not a byte had left.
+    ///
+    /// A link over which the upstream has just answered a probe is used first: it is known to work.
+    async fn send(
+        &self,
+        placed: PlacedRequest,
+    ) -> Result<(Response<Incoming>, UpstreamLink<Answering>)> {
+        let PlacedRequest { upstream, address, link: mut proven } = placed;
+        let request = LinkRequest {
+            upstream: &upstream,
+            address,
+            safety: self.safety(),
+            deadline: self.terms.deadline,
+        };
+        for _ in 0..CLOSED_UNSENT_TRIES {
+            let link = match proven.take() {
+                Some(link) => link,
+                None => {
+                    let link = self.context.connections.checkout(request).await;
+                    link.map_err(|fault| self.link_fault(&fault))?
+                }
+            };
+            match self.send_over(&upstream, link).await {
+                Ok(Err(LinkFault::ClosedUnsent)) if self.body.can_restart() => {}
+                Ok(sent) => return sent.map_err(|fault| self.link_fault(&fault)),
+                Err(time_up) => return Err(time_up),
+            }
+        }
+        Err(self.link_fault(&LinkFault::ClosedUnsent))
+    }
+
+    /// Waits for the answer until the deadline, or fails.
+    async fn send_over(
+        &self,
+        upstream: &UpstreamId,
+        link: UpstreamLink<Unused>,
+    ) -> Result<std::result::Result<(Response<Incoming>, UpstreamLink<Answering>), LinkFault>> {
+        let request = self.upstream_request(upstream);
+        let (meter, record) = (link.meter(), link.send_record());
+        self.note_sending(SentAttempt { at: self.context.clock.now(), record: record.clone() });
+        let sending = pin!(link.send(request));
+        let timer = self.context.timer.clone();
+        if let Some(sent) = timer.limit(self.terms.deadline, sending).await {
+            return Ok(sent);
+        }
+        record.suspect();
+        let has_left = meter.seal();
+        let verdict = if has_left { RequestVerdict::MayHaveRun } else { RequestVerdict::NotRun };
+        Err(AttemptFault::time_up(verdict))
+    }
+
+    fn upstream_request(&self, upstream: &UpstreamId) -> Request<RequestBody> {
+        let mut headers = self.parts.headers.clone();
+        let dialect = &self.context.dialect;
+        self.terms.write(self.context.clock.now(), self.earlier(), dialect, &mut headers);
+        self.name_upstream(upstream, &mut headers);
+        let mut request = Request::new(self.body.restart());
+        let path = self.parts.uri.path_and_query().cloned();
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = Uri::from(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Names the upstream that is meant, where upstreams look for that: its address may have been
+    /// given to one of another service meanwhile, which must not run the request.
+    fn name_upstream(&self, upstream: &UpstreamId, headers: &mut HeaderMap) {
+        let Some(name) = &self.context.dialect.expected_upstream else { return };
+        match HeaderValue::from_str(upstream.as_str()) {
+            Ok(id) => drop(headers.insert(name, id)),
+            Err(_) => drop(headers.remove(name)),
+        }
+    }
+
+    /// Whether an answer is that of the upstream to this request, as far as its head tells.
+    ///
+    /// A faulty upstream may send one answer more than it was asked for, and the next request on
+    /// the connection would get it: a caller would see another caller's policy. The id that the
+    /// upstream repeats tells the two apart; and a success without proof was not made by it.
+    fn is_own_answer(&self, response: &Response<Incoming>) -> bool {
+        let dialect = &self.context.dialect;
+        if let Some(name) = &dialect.request_id
+            && let Some(asked) = self.parts.headers.get(name)
+            && response.headers().get(name) != Some(asked)
+        {
+            return false;
+        }
+        let lacks_proof =
+            dialect.proof.as_ref().is_some_and(|name| !response.headers().contains_key(name));
+        !(lacks_proof && response.status().is_success())
+    }
+
+    fn answer(
+        &self,
+        response: Response<Incoming>,
+        link: UpstreamLink<Answering>,
+        attempt: AttemptGuard,
+    ) -> Response<UpstreamAnswer> {
+        let is_fault = response.status().is_server_error();
+        let outcome = if is_fault { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        let timer = self.context.timer.clone();
+        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, timer })
+    }
+
+    fn safety(&self) -> WorkSafety {
+        if self.row().idempotent { WorkSafety::Repeatable } else { WorkSafety::Once }
+    }
+
+    fn link_fault(&self, fault: &LinkFault) -> AttemptFault {
+        match self.body.caller_broke() {
+            true => AttemptFault::caller_broke(fault.verdict()),
+            false => AttemptFault::of_link(fault),
+        }
+    }
+
+    fn observe_drain(&self, upstream: &UpstreamId) {
+        if self.context.schedulers.observe_drain(&self.row().pool, upstream) {
+            self.context.control.tell(ControlRequest::ObservedDrain(upstream.clone()));
+        }
+    }
+}
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -186,6 +186,19 @@
         self.cell(pool)?.state.lock().scheduler.best_cost(readings)
     }
 
+    /// Whether one of the upstreams that were asked should answer a request by its target.
+    #[must_use]
+    pub fn is_soon(
+        &self,
+        pool: &PoolName,
+        ticket: &RequestTicket,
+        readings: &[ProbeReading],
+    ) -> bool {
+        let Some(cell) = self.cell(pool) else { return false };
+        let now = self.clock.now();
+        cell.state.lock().scheduler.is_soon(now, ticket, readings)
+    }
+
     /// The row of a request's kind in the plan that its pool goes by now, if it has one.
     ///
     /// A request is admitted under one plan and tried again under a later one, in which its row has
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -34,6 +34,7 @@
             RefusalCause::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             RefusalCause::NotReady
             | RefusalCause::PlanChanged
+            | RefusalCause::PoolBusy
             | RefusalCause::NoUpstream
             | RefusalCause::HostFull
             | RefusalCause::LedgerUnavailable => StatusCode::SERVICE_UNAVAILABLE,
