--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -62,6 +62,14 @@
 /// few hundredths of one, and its bytes cost the operators more than the rest of the request.
 const ZONE_DISTANCE: f32 = 0.25;
 
+/// The longest expected time, in usual times of an answer, that is worth a slot. A free slot beside
+/// a busy one comes to 1.6 at two slots; the slowest usual spell is 5.
+const WORTH_STARTING: f32 = 2.0;
+
+/// How long what an upstream said of itself is gone by. Its neighbours change its speed about every
+/// 150 ms, so that one reading in five of this age is wrong.
+const FRESH: Duration = Duration::from_millis(30);
+
 /// The part of a kind's target that its work is taken to need before answers have shown it.
 const TARGET_PART: f32 = 0.35;
 
@@ -210,7 +218,10 @@
         if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
             return self.arrive(now, ticket);
         }
-        if self.is_refused(now, local, ticket, (index, reading), cost) {
+        for reading in readings {
+            self.note_reading(now, reading);
+        }
+        if self.is_kept(now, local, ticket, (index, reading), cost) {
             let slots = self.upstreams.at(index).slots();
             let queueing = expected_queueing(slots, &reading.report, self.base(local));
             let retry_after = queueing.clamp(SHORTEST_RETRY, LONGEST_RETRY);
@@ -234,14 +245,15 @@
         now + self.base(local).mul_f32(cost) <= ticket.target.unwrap_or(ticket.deadline)
     }
 
-    /// Whether a request is better refused than sent to the best upstream that was found.
+    /// Whether a request is better kept than sent to the best upstream that was found.
     ///
-    /// Load it is for: more is asked than the pool can answer. Harm: requests that queue at
-    /// upstreams all come late, those behind them too, and callers that have given up leave their
-    /// work behind; a pool then stays so long after the rush is over. Reason for the limits: what
-    /// comes by its target is worth its slot; beside a free slot nothing is gained by refusing; what
-    /// would wait for a slot and come late takes the place of one that could still come in time.
-    fn is_refused(
+    /// Load it is for: many of a pool's upstreams are slowed down or full at this moment. Harm: work
+    /// that starts in a spell keeps its slot for the whole factor, and work that queues comes late
+    /// and makes those behind it late; so a rush of three seconds left a pool of 14 with 49
+    /// requests a second unable to recover within 30 s, though it can answer over 80. Reason for
+    /// the limit: a slot that is free, even beside a busy one, is below it; a spell or a queue is
+    /// not, and both are over sooner than the work would be.
+    fn is_kept(
         &self,
         now: Moment,
         local: usize,
@@ -249,17 +261,38 @@
         (index, reading): (usize, &ProbeReading),
         cost: f32,
     ) -> bool {
-        let base = self.base(local);
-        if let Some(target) = ticket.target {
-            let slots = self.upstreams.at(index).slots();
-            let queueing = expected_queueing(slots, &reading.report, base);
-            return !queueing.is_zero() && now + base.mul_f32(cost) > target;
+        if ticket.target.is_some() {
+            return cost > WORTH_STARTING;
         }
         let slots = self.upstreams.at(index).slots();
-        let queueing = expected_queueing(slots, &reading.report, base);
+        let queueing = expected_queueing(slots, &reading.report, self.base(local));
         queueing > ticket.deadline.since(now).mul_f32(WAIT_PART)
     }
 
+    /// Until when a request may look for an upstream that is worth starting at: past that its answer
+    /// would miss its target, and its caller had better know.
+    #[must_use]
+    pub fn patience(&self, now: Moment, ticket: &RequestTicket) -> Moment {
+        let (Some(local), Some(target)) = (self.shares.local(ticket.kind), ticket.target) else {
+            return now;
+        };
+        (target - self.base(local)).min(ticket.deadline)
+    }
+
+    /// What upstreams have said of themselves within the last moments, so that they need not be
+    /// asked again.
+    #[must_use]
+    pub fn fresh_readings(&self, now: Moment, ticket: &RequestTicket) -> Vec<ProbeReading> {
+        let open = self.upstreams.open();
+        let fresh = open.filter_map(|slots| {
+            let (at, report) = slots.reading?;
+            let upstream = &slots.record.announcement.id;
+            let is_usable = now.since(at) <= FRESH && !ticket.avoid.contains(upstream);
+            is_usable.then(|| ProbeReading { upstream: upstream.clone(), report })
+        });
+        fresh.collect()
+    }
+
     /// How long a kind's work takes at an upstream that nothing slows down.
     fn base(&self, local: usize) -> Duration {
         let kind = self.shares.kind(local);
@@ -281,6 +314,16 @@
         kind.base_ms += BASE_WEIGHT * (sample.min(kind.base_ms * BASE_JUMP) - kind.base_ms);
     }
 
+    fn note_reading(&mut self, now: Moment, reading: &ProbeReading) {
+        if let Some(index) = self.upstreams.index_of(&reading.upstream) {
+            let slots = self.upstreams.at_mut(index);
+            // One that was passed on from here is no newer than it was.
+            if slots.reading.is_none_or(|(_, known)| known != reading.report) {
+                slots.reading = Some((now, reading.report));
+            }
+        }
+    }
+
     /// What a reading says of a request's time there, if the upstream still takes work.
     fn reading_cost(&self, reading: &ProbeReading) -> Option<(f32, usize)> {
         let index = self.upstreams.index_of(&reading.upstream)?;
@@ -371,11 +414,12 @@
         now: Moment,
         number: RequestNumber,
         outcome: AttemptOutcome,
-        _report: Option<LoadReport>,
+        report: Option<LoadReport>,
     ) -> SchedulerEffects {
         let Some(running) = self.running.remove(&number) else { return Vec::new() };
         let usual_ms = self.upstreams.usual_ms();
         let slots = self.upstreams.at_mut(running.upstream);
+        slots.reading = report.map(|report| (now, report)).or(slots.reading);
         slots.finish(now, outcome, now.since(running.started), usual_ms);
         if slots.takes_work() {
             self.upstreams.count(-1.0);
--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::AttemptOutcome;
+use super::{AttemptOutcome, LoadReport};
 use crate::process::{
     CountKey, Moment, UpstreamHealth, UpstreamNews, UpstreamPhase, UpstreamRecord,
 };
@@ -37,6 +37,8 @@
     health: UpstreamHealth,
     /// What all entries together find usable.
     pub(crate) shared_usable: f32,
+    /// What it said of its load last, and when.
+    pub(crate) reading: Option<(Moment, LoadReport)>,
     warming_since: Option<Moment>,
     trickle_at: Moment,
 }
@@ -53,6 +55,7 @@
             news: UpstreamNews::default(),
             health: UpstreamHealth::new(now),
             shared_usable: 1.0,
+            reading: None,
             warming_since: cold.then_some(now),
             trickle_at: now,
         }
@@ -66,6 +69,7 @@
             self.warming_since = cold.then_some(now);
             self.health = UpstreamHealth::new(now);
             self.shared_usable = 1.0;
+            self.reading = None;
         }
         self.record = record.clone();
         self.listed = true;
@@ -96,6 +100,9 @@
     /// Counts a request that starts.
     pub(crate) fn start(&mut self, now: Moment) {
         self.own += 1;
+        if let Some((_, report)) = &mut self.reading {
+            report.in_flight = report.in_flight.map(|count| count + 1);
+        }
         if self.usable_part(now) < IMPAIRED {
             self.trickle_at = now + TRICKLE_EVERY;
         }
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -20,6 +20,13 @@
 /// The part of the time a request has left that its probes may take.
 const LEFT_PART: u32 = 8;
 
+/// How often more upstreams are asked in one go.
+const STAGES: u32 = 2;
+
+/// Below which expected time, in usual times of an answer, nobody needs to be asked: an upstream
+/// has just said that it has a free slot and that nothing slows it down.
+const GOOD_COST: f32 = 1.1;
+
 /// From which expected time on, in usual times of an answer, others are asked as well: all that
 /// were asked are slowed down or have a queue.
 const POOR_COST: f32 = 1.9;
@@ -29,8 +36,8 @@
 pub(super) struct ArrivalProbing {
     /// What they said.
     pub(super) readings: Vec<ProbeReading>,
-    /// The links that they answered over, in the same order.
-    links: Vec<UpstreamLink<Unused>>,
+    /// The links that they answered over.
+    links: Vec<(UpstreamId, UpstreamLink<Unused>)>,
 }
 
 impl ArrivalProbing {
@@ -47,15 +54,17 @@
             return probing;
         };
         let Ok(path) = path.parse::<Uri>() else { return probing };
+        probing.readings = context.schedulers.fresh_readings(&row.pool, ticket);
         let mut asked = Vec::new();
-        for _ in 0..2 {
-            let targets = context.schedulers.probe_targets(&row.pool, ticket, &asked, wanted);
-            asked.extend(targets.iter().map(|target| target.upstream.clone()));
-            probing.ask_all(context, &path, ticket, targets).await;
+        for stage in 0..STAGES {
             let best = context.schedulers.best_cost(&row.pool, &probing.readings);
-            if best.is_some_and(|cost| cost < POOR_COST) {
+            let enough = if stage == 0 { GOOD_COST } else { POOR_COST };
+            if best.is_some_and(|cost| cost < enough) {
                 break;
             }
+            let targets = context.schedulers.probe_targets(&row.pool, ticket, &asked, wanted);
+            asked.extend(targets.iter().map(|target| target.upstream.clone()));
+            probing.ask_all(context, &path, ticket, targets).await;
         }
         probing
     }
@@ -63,8 +72,8 @@
     /// Gives the link over which the chosen upstream answered; the others go back.
     pub(super) fn into_link(self, chosen: &UpstreamId) -> Option<UpstreamLink<Unused>> {
         let mut found = None;
-        for (reading, link) in self.readings.iter().zip(self.links) {
-            if reading.upstream == *chosen {
+        for (upstream, link) in self.links {
+            if upstream == *chosen {
                 found = Some(link);
             } else {
                 link.give_back();
@@ -75,7 +84,7 @@
 
     /// Gives all links back.
     pub(super) fn give_back(self) {
-        self.links.into_iter().for_each(|link| link.give_back());
+        self.links.into_iter().for_each(|(_, link)| link.give_back());
     }
 
     async fn ask_all(
@@ -93,8 +102,9 @@
         let answers = join_all(asking).await;
         for (target, answer) in targets.into_iter().zip(answers) {
             let Some((report, link)) = answer else { continue };
-            self.readings.push(ProbeReading { upstream: target.upstream, report });
-            self.links.push(link);
+            self.readings.retain(|reading| reading.upstream != target.upstream);
+            self.readings.push(ProbeReading { upstream: target.upstream.clone(), report });
+            self.links.push((target.upstream, link));
         }
     }
 }
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use pulley_core::connection::WorkSafety;
 use pulley_core::request::{AttemptOutcome, RequestTicket};
-use pulley_core::{RefusalCause, RequestVerdict, UpstreamId};
+use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
 
 use super::answer_body::UpstreamAnswer;
 use super::arrival_probing::ArrivalProbing;
@@ -28,11 +28,12 @@
 /// How often one attempt changes its connection because the one it took was closed unused.
 const CLOSED_UNSENT_TRIES: u32 = 4;
 
-/// How long a request waits before it asks once more, if all upstreams that it asked were full.
+/// How long a request waits before it asks again, if all upstreams that it asked were slowed down or
+/// full.
 ///
-/// Load it is for: a short pile-up, of which a slot is free again within a part of an answer's
-/// time. Reason for the limit: held for longer, the caller would learn too late that it should
-/// come back, and the requests that wait here would ask all at once.
+/// Load it is for: a pile-up or a spell, of which the next slot is free, or the next upstream fast
+/// again, within a part of an answer's time. Reason for the limit: asked more often, upstreams would
+/// give the same answer; asked less often, free slots would stand idle for longer.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 
 /// Where a request goes.
@@ -46,18 +47,19 @@
 impl RequestRun {
     /// Makes one attempt.
     pub(super) async fn attempt(&self, mut ticket: RequestTicket) -> Result<Response<UpstreamAnswer>> {
-        let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
-        let placed = match self.place(&ticket, probed).await {
-            Err(fault) if fault.answer.cause == RefusalCause::PoolBusy.as_str() => {
-                let _ = self.context.timer.after(FULL_PAUSE).await;
-                // Its number was given back with the refusal; it is the same request still, and
-                // earns the retry budget nothing more.
-                ticket.number = self.context.next_number();
-                ticket.attempt = ticket.attempt.max(1);
-                let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
-                self.place(&ticket, probed).await?
+        let patience = self.context.schedulers.patience(&self.row().pool, &ticket);
+        let placed = loop {
+            let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
+            match self.place(&ticket, probed).await {
+                Ok(placed) => break placed,
+                Err(fault) if !self.may_wait(&fault, patience) => return Err(fault),
+                Err(_) => {}
             }
-            placed => placed?,
+            let _ = self.context.timer.after(FULL_PAUSE).await;
+            // Its number was given back with the refusal; it is the same request still, and earns
+            // the retry budget nothing more.
+            ticket.number = self.context.next_number();
+            ticket.attempt = ticket.attempt.max(1);
         };
         self.carry(&ticket, placed).await
     }
@@ -72,6 +74,12 @@
         self.carry(&ticket, placed).await
     }
 
+    /// Whether a request that was kept may ask again a little later.
+    fn may_wait(&self, fault: &AttemptFault, patience: Moment) -> bool {
+        let is_busy = fault.answer.cause == RefusalCause::PoolBusy.as_str();
+        is_busy && self.context.clock.now() + FULL_PAUSE < patience
+    }
+
     async fn place(&self, ticket: &RequestTicket, probed: ArrivalProbing) -> Result<PlacedRequest> {
         let pool = &self.row().pool;
         match self.context.schedulers.place(pool, ticket, &probed.readings).await {
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -33,8 +33,7 @@
 /// The least time the first attempt of an idempotent request gets before another is made.
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(50);
 
-/// The part of the time to a kind's target after which a second attempt is considered: at half of
-/// it, an answer that takes as long as usual still comes within the target.
+/// The part of the time that is left after which a second attempt is considered.
 const SECOND_PART: u32 = 2;
 
 /// A request's kind in the plan that was in force when it came.
@@ -254,8 +253,7 @@
         }
         let now = self.context.clock.now();
         let left = self.terms.deadline.since(now);
-        let time = row.route.target.map_or(left, |target| target.min(left));
-        let at = now + (time / SECOND_PART).max(SHORTEST_ATTEMPT);
+        let at = now + (left / SECOND_PART).max(SHORTEST_ATTEMPT);
         Some(at).filter(|at| *at < self.terms.deadline)
     }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -186,6 +186,20 @@
         self.cell(pool)?.state.lock().scheduler.best_cost(readings)
     }
 
+    /// What upstreams have said of themselves within the last moments.
+    #[must_use]
+    pub fn fresh_readings(&self, pool: &PoolName, ticket: &RequestTicket) -> Vec<ProbeReading> {
+        let Some(cell) = self.cell(pool) else { return Vec::new() };
+        cell.state.lock().scheduler.fresh_readings(self.clock.now(), ticket)
+    }
+
+    /// Until when a request may look for an upstream that is worth starting at.
+    #[must_use]
+    pub fn patience(&self, pool: &PoolName, ticket: &RequestTicket) -> Moment {
+        let now = self.clock.now();
+        self.cell(pool).map_or(now, |cell| cell.state.lock().scheduler.patience(now, ticket))
+    }
+
     /// Whether one of the upstreams that were asked should answer a request by its target.
     #[must_use]
     pub fn is_soon(
@@ -322,11 +336,11 @@
         }
     }
 
-    /// This entry's part of the probes that a pool's upstreams are to bear: half of what is due to
+    /// This entry's part of the probes that a pool's upstreams are to bear: four fifths of what is due to
     /// it, since others may not know yet how many they are.
     #[expect(clippy::cast_precision_loss, reason = "hosts and upstreams are few")]
     fn part_of_probes(&self, upstreams: usize, entries: u32) -> f32 {
-        const KNOWN_PART: f32 = 0.5;
+        const KNOWN_PART: f32 = 0.8;
         KNOWN_PART * self.probe_rate * upstreams as f32 / entries.max(1) as f32
     }
 
