--- a/crates/pulley_core/src/version/driver_founding.rs
+++ b/crates/pulley_core/src/version/driver_founding.rs
@@ -1,14 +1,26 @@
 //! How a driver founds or joins a cluster, and answers hosts that want to.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use smol_str::SmolStr;
 
 use super::{
     DiskId, DriverOutput, FoundingMessage, LogCommand, PeerMessage, PersistTicket, RecoveredState,
-    ReplicaDriver, ReplicaMember, ReplicaNode,
+    ReplicaDriver, ReplicaMember, ReplicaMembership, ReplicaNode,
 };
 use crate::process::{HostId, MemberId, Moment};
 
+/// How often a replica that was removed asks to be let in again.
+const REJOIN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// A replica that is no member any more asks for a new id.
+#[derive(Clone, Debug)]
+pub(crate) struct RejoinQuest {
+    pub(crate) leader: Option<HostId>,
+    pub(crate) ask_at: Moment,
+}
+
 /// Most members of a cluster that grows by itself. Each further one costs the leader a copy of
 /// every entry; beyond nine, a commit waits for more disks than may be lost in any deployment.
 const MEMBER_LIMIT: usize = 9;
@@ -48,7 +60,51 @@
         match message {
             FoundingMessage::Hello { .. } => self.tell_founded(from),
             FoundingMessage::Join { disk } => self.let_join(now, from, disk),
-            FoundingMessage::Founded { .. } | FoundingMessage::Joined { .. } => {}
+            FoundingMessage::Founded { members, leader } => {
+                self.on_removed(now, &members, leader);
+            }
+            FoundingMessage::Joined { member } => self.rejoin_as(member),
+        }
+    }
+
+    /// Notes that this replica is no member any more, if that is what a committed membership says.
+    ///
+    /// A replica that was cut off may have been replaced. It would go on asking for votes that
+    /// nobody gives it, its host would lack a replica for good, and the next losses would find one
+    /// disk less than there are. Ids are never given twice: a membership that has given out later
+    /// ones and lacks this one has removed it, and cannot be one that is only older.
+    fn on_removed(&mut self, now: Moment, members: &ReplicaMembership, leader: Option<HostId>) {
+        let me = self.identity.member;
+        if !self.settings.grows || members.next_member <= me {
+            return;
+        }
+        if members.find(me).is_some() {
+            self.rejoin = None;
+            return;
+        }
+        let own = members.find_host(&self.identity.host);
+        if let Some(own) = own.filter(|own| own.disk == Some(self.disk)) {
+            self.rejoin_as(own.member);
+            return;
+        }
+        let known = self.rejoin.take().and_then(|rejoin| rejoin.leader);
+        self.rejoin = Some(RejoinQuest { leader: leader.or(known), ask_at: now });
+    }
+
+    /// Asks the leader for a new id, as long as this replica is no member.
+    pub(crate) fn ask_to_rejoin(&mut self, now: Moment) {
+        let Some(rejoin) = self.rejoin.as_mut().filter(|rejoin| rejoin.ask_at <= now) else {
+            return;
+        };
+        rejoin.ask_at = now + REJOIN_INTERVAL;
+        let Some(leader) = rejoin.leader.clone() else { return };
+        self.send_founding(leader, FoundingMessage::Join { disk: self.disk });
+    }
+
+    fn rejoin_as(&mut self, member: MemberId) {
+        if self.rejoin.take().is_some() && member > self.identity.member {
+            self.identity.member = member;
+            self.node.rename(member);
         }
     }
 
@@ -77,7 +133,7 @@
     ///
     /// The host takes its id from this, so only what is committed may be told: the entry that gave
     /// it an id could still be replaced, and the id be given to another disk.
-    fn tell_founded(&mut self, to: &HostId) {
+    pub(crate) fn tell_founded(&mut self, to: &HostId) {
         let members = self.node.committed_members().clone();
         if members.members.is_empty() || self.node.failure().is_some() {
             return;
--- a/crates/pulley_core/src/version/persist_gate.rs
+++ b/crates/pulley_core/src/version/persist_gate.rs
@@ -44,6 +44,10 @@
         self.building.vote = Some(vote);
     }
 
+    pub(crate) fn note_member(&mut self, member: MemberId) {
+        self.building.member = Some(member);
+    }
+
     pub(crate) fn note_entry(&mut self, entry: Arc<LogEntry>) {
         self.building.entries.push(entry);
     }
--- a/crates/pulley_core/src/version/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica_driver.rs
@@ -8,9 +8,10 @@
 
 use super::audit_archive::AuditArchive;
 use super::cluster_founding::ClusterFounding;
+use super::driver_founding::RejoinQuest;
 use super::driver_question::{WaitingQuestion, WaitingRead};
 use super::{
-    DriverInput, DriverOutput, LogCommand, LogEntry, LogIndex, MachineOutcome, NodeEffects,
+    DiskId, DriverInput, DriverOutput, LogCommand, LogEntry, LogIndex, MachineOutcome, NodeEffects,
     PeerMessage, RecoveredState, ReplicaAnswer, ReplicaEnvelope, ReplicaIdentity, ReplicaMachines,
     ReplicaNode, ReplicaQuestion, ReplicaSettings, ReplicaSnapshot, ReplicaStatus,
 };
@@ -29,6 +30,12 @@
     pub(crate) seed: u64,
     /// Present until this replica has founded a cluster or joined one.
     pub(crate) founding: Option<ClusterFounding>,
+    /// The disk that the log is on.
+    pub(crate) disk: DiskId,
+    /// Whom to ask for a new id, once it is known that this replica is no member any more.
+    pub(crate) rejoin: Option<RejoinQuest>,
+    /// The learner in whose favour a silent voter was removed.
+    retired_for: Option<MemberId>,
     pub(crate) node: ReplicaNode,
     pub(crate) machines: ReplicaMachines,
     pub(crate) waiting: BTreeMap<LogIndex, WaitingQuestion>,
@@ -83,6 +90,9 @@
             settings,
             seed,
             founding,
+            disk: recovered.disk,
+            rejoin: None,
+            retired_for: None,
             node,
             machines,
             waiting: BTreeMap::new(),
@@ -109,6 +119,7 @@
             }
             DriverInput::Tick => {
                 self.node.tick(now);
+                self.ask_to_rejoin(now);
                 self.promote_learner(now);
                 self.fetch_chunk(now);
             }
@@ -130,7 +141,10 @@
     pub fn next_wakeup(&self) -> Moment {
         match &self.founding {
             Some(founding) => founding.next_wakeup(),
-            None => self.node.next_wakeup(),
+            None => {
+                let rejoin = self.rejoin.as_ref().map(|rejoin| rejoin.ask_at);
+                rejoin.map_or(self.node.next_wakeup(), |at| at.min(self.node.next_wakeup()))
+            }
         }
     }
 
@@ -175,7 +189,9 @@
         }
     }
 
-    fn role_name(&self) -> &'static str {
+    /// What the replica does at the moment, in a word.
+    #[must_use]
+    pub fn role_name(&self) -> &'static str {
         if self.node.failure().is_some() {
             return "failed";
         }
@@ -215,7 +231,13 @@
             // A member speaks from its own host only.
             Some(member) if member.host != *from => return,
             Some(_) => {}
-            None => self.note_stranger(envelope.from, from),
+            None => {
+                self.note_stranger(envelope.from, from);
+                // One that was removed while it was cut off would ask for votes for ever.
+                if envelope.message.asks_for_vote() {
+                    self.tell_founded(from);
+                }
+            }
         }
         self.node.receive(now, envelope);
     }
@@ -385,7 +407,8 @@
             return;
         }
         let Some(learner) = self.node.caught_up_learners().first().copied() else { return };
-        if self.settings.grows && self.retire_silent(now) {
+        if self.settings.grows && self.retired_for != Some(learner) && self.retire_silent(now) {
+            self.retired_for = Some(learner);
             return;
         }
         let members = self.node.members().with_voter(learner);
@@ -399,17 +422,15 @@
     /// Removes a voter that has fallen silent, as the learner that has caught up takes its place.
     ///
     /// A host that is gone for good would stay a voter for ever, and the next two losses would leave
-    /// no majority. Removed before its successor votes, the number of voters never grows beyond
+    /// no majority. One learner takes one voter's place, of several that of the one silent for
+    /// longest: the others may be back in a moment. Removed before its successor votes, the number of voters never grows beyond
     /// those that live; removed before its successor has caught up, an entry would for a while be
     /// on fewer disks than it may be.
     fn retire_silent(&mut self, now: Moment) -> bool {
         let members = self.node.members();
         let voters = members.voters().count();
-        let silent = members
-            .members
-            .iter()
-            .find(|member| member.voter && self.node.is_silent(member.member))
-            .filter(|_| voters > self.settings.copies.max(1));
+        let silent = self.node.longest_silent().filter(|_| voters > self.settings.copies.max(1));
+        let silent = silent.and_then(|member| members.find(member));
         let Some(silent) = silent.cloned() else { return false };
         let next = members.without(silent.member);
         let what = format!("removed {} {}: silent, replaced", silent.member, silent.host);
--- a/crates/pulley_core/src/version/replica_leading.rs
+++ b/crates/pulley_core/src/version/replica_leading.rs
@@ -206,6 +206,13 @@
         leader.followers.get(&member).is_some_and(silent)
     }
 
+    /// The voter that has not answered for longest, if any has fallen silent.
+    pub(crate) fn longest_silent(&self) -> Option<MemberId> {
+        let ReplicaRole::Leader(leader) = &self.role else { return None };
+        let voters = self.log.members().voters().filter(|member| self.is_silent(*member));
+        voters.min_by_key(|member| leader.followers.get(member).map(|progress| progress.heard))
+    }
+
     pub(crate) fn tick_leader(&mut self) {
         let now = self.now;
         let heartbeat = self.settings.heartbeat;
--- a/crates/pulley_core/src/version/replica_message.rs
+++ b/crates/pulley_core/src/version/replica_message.rs
@@ -48,6 +48,13 @@
     },
 }
 
+impl ReplicaMessage {
+    /// Whether its sender stands for election.
+    pub(crate) const fn asks_for_vote(&self) -> bool {
+        matches!(self, Self::PreVoteRequest(_) | Self::VoteRequest(_))
+    }
+}
+
 /// Asks for a vote, or whether it would be granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VoteRequest {
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -183,6 +183,19 @@
         self.failure = Some(why);
     }
 
+    /// Goes on under another id, after it was removed and has been let in again.
+    ///
+    /// The log stays: what it holds of it came from leaders, and the leader cuts off what was never
+    /// committed, as with any follower that returns.
+    pub(crate) fn rename(&mut self, member: MemberId) {
+        self.abandon_reads();
+        self.me = member;
+        self.role = ReplicaRole::Follower;
+        self.leader = None;
+        self.gate.note_member(member);
+        self.flush();
+    }
+
     fn dispatch(&mut self, from: MemberId, message: ReplicaMessage) {
         match message {
             ReplicaMessage::PreVoteRequest(request) => self.on_pre_vote_request(from, request),
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -9,7 +9,7 @@
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{
     AuditRead, DriverInput, LedgerLimits, PersistBatch, RecoveredState, ReplicaDriver,
-    ReplicaIdentity, ReplicaSettings,
+    ReplicaIdentity, ReplicaMember, ReplicaSettings,
 };
 use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
@@ -139,9 +139,20 @@
     probed: mpsc::Sender<ProbeReport>,
     known: Vec<(HostId, SocketAddr)>,
     known_mark: u64,
+    believed: Option<ReplicaBelief>,
     next_key_check: Moment,
 }
 
+/// What a replica believes of its cluster; a change of it is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReplicaBelief {
+    role: &'static str,
+    leader: Option<MemberId>,
+    term: u64,
+    members_index: u64,
+    has_failed: bool,
+}
+
 struct ControlInbox {
     requests: mpsc::Receiver<ControlRequest>,
     frames: mpsc::Receiver<InboundFrame>,
@@ -223,6 +234,7 @@
         probed: probe_sender,
         known: Vec::new(),
         known_mark: u64::MAX,
+        believed: None,
         next_key_check: now + KEY_CHECK,
     };
     let requests = parts.requests;
@@ -404,6 +416,7 @@
             self.known_mark = mark;
             self.apply_addresses();
         }
+        self.report_belief();
         let now = self.clock.now();
         if now < self.next_key_check {
             return;
@@ -416,6 +429,31 @@
         }
     }
 
+    /// Logs who leads and who votes, once that has changed.
+    fn report_belief(&mut self) {
+        let Some(replica) = &self.core.replica else { return };
+        let node = replica.node();
+        let belief = ReplicaBelief {
+            role: replica.role_name(),
+            leader: node.leader(),
+            term: node.term().0,
+            members_index: node.members_index().0,
+            has_failed: node.failure().is_some(),
+        };
+        if self.believed == Some(belief) {
+            return;
+        }
+        self.believed = Some(belief);
+        let status = replica.status();
+        let voter = |member: &ReplicaMember| if member.voter { "" } else { "(learner)" };
+        let members = status.members.iter().map(|m| format!("{}={}{}", m.host, m.member, voter(m)));
+        info!(self.logger, "replica"; "role" => belief.role, "term" => belief.term,
+            "leader" => status.leader.as_ref().map(ToString::to_string),
+            "members" => members.collect::<Vec<_>>().join(","), "last" => status.last_index.0,
+            "committed" => status.commit_index.0, "version" => %status.version,
+            "failure" => status.failure.as_ref().map(ToString::to_string));
+    }
+
     fn apply_addresses(&mut self) {
         let own = self.core.members.own().host.clone();
         let live: Vec<(HostId, SocketAddr)> = self
