--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -214,7 +214,9 @@
             .iter()
             .filter_map(|reading| Some((self.reading_cost(reading)?, reading)))
             .min_by(|(a, _), (b, _)| a.0.total_cmp(&b.0));
-        let Some(((cost, index), reading)) = best else { return self.arrive(now, ticket) };
+        let Some(((cost, index), reading)) = best else {
+            return self.arrive_unasked(now, local, ticket);
+        };
         if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
             return self.arrive(now, ticket);
         }
@@ -234,6 +236,23 @@
         vec![started]
     }
 
+    /// Takes a request for which no upstream could be asked any more, as the budget is used up.
+    ///
+    /// Placed blindly, one in four would go to an upstream that is slowed down and many to one that
+    /// is full, just when the pool can least afford it; it had better ask a little later.
+    fn arrive_unasked(
+        &mut self,
+        now: Moment,
+        local: usize,
+        ticket: &RequestTicket,
+    ) -> SchedulerEffects {
+        if ticket.target.is_none() || self.upstreams.is_closed() {
+            return self.arrive(now, ticket);
+        }
+        let retry_after = self.base(local).clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)]
+    }
+
     /// Whether one of the upstreams that were asked should answer a request by its target.
     #[must_use]
     pub fn is_soon(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -20,6 +20,10 @@
 /// The part of the time a request has left that its probes may take.
 const LEFT_PART: u32 = 8;
 
+/// How much slower an upstream is taken to be that says it is not well. Some say so that are, so it
+/// is not left out: a pool whose upstreams all say so would answer nobody.
+const UNWELL: f32 = 1.6;
+
 /// How often more upstreams are asked in one go.
 const STAGES: u32 = 2;
 
@@ -34,8 +38,12 @@
 /// What the upstreams said that were asked for one request.
 #[derive(Debug, Default)]
 pub(super) struct ArrivalProbing {
+    /// Whether upstreams are asked at all.
+    is_on: bool,
     /// What they said.
     pub(super) readings: Vec<ProbeReading>,
+    /// How many were asked in vain.
+    pub(super) unanswered: usize,
     /// The links that they answered over.
     links: Vec<(UpstreamId, UpstreamLink<Unused>)>,
 }
@@ -54,6 +62,7 @@
             return probing;
         };
         let Ok(path) = path.parse::<Uri>() else { return probing };
+        probing.is_on = true;
         probing.readings = context.schedulers.fresh_readings(&row.pool, ticket);
         let mut asked = Vec::new();
         for stage in 0..STAGES {
@@ -69,6 +78,12 @@
         probing
     }
 
+    /// What to place by; none if nobody was to be asked, or nobody answered who was.
+    pub(super) fn asked(&self) -> Option<&[ProbeReading]> {
+        let is_blind = !self.is_on || (self.readings.is_empty() && self.unanswered > 0);
+        (!is_blind).then_some(&self.readings)
+    }
+
     /// Gives the link over which the chosen upstream answered; the others go back.
     pub(super) fn into_link(self, chosen: &UpstreamId) -> Option<UpstreamLink<Unused>> {
         let mut found = None;
@@ -101,7 +116,10 @@
         });
         let answers = join_all(asking).await;
         for (target, answer) in targets.into_iter().zip(answers) {
-            let Some((report, link)) = answer else { continue };
+            let Some((report, link)) = answer else {
+                self.unanswered += 1;
+                continue;
+            };
             self.readings.retain(|reading| reading.upstream != target.upstream);
             self.readings.push(ProbeReading { upstream: target.upstream.clone(), report });
             self.links.push((target.upstream, link));
@@ -131,8 +149,11 @@
             return None;
         }
     }
-    let report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
-    parts.status.is_success().then_some((report, link))
+    let mut report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
+    if !parts.status.is_success() {
+        report.slowdown = Some(report.slowdown.unwrap_or(1.0) * UNWELL);
+    }
+    Some((report, link))
 }
 
 fn probe_request(
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -82,7 +82,7 @@
 
     async fn place(&self, ticket: &RequestTicket, probed: ArrivalProbing) -> Result<PlacedRequest> {
         let pool = &self.row().pool;
-        match self.context.schedulers.place(pool, ticket, &probed.readings).await {
+        match self.context.schedulers.place(pool, ticket, probed.asked()).await {
             Placement::Start { upstream, address } => {
                 self.note_reading(&upstream, &probed.readings);
                 let link = probed.into_link(&upstream);
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -133,11 +133,13 @@
     ///
     /// Dropping the future takes the request out of the queue and gives back a slot that was
     /// granted meanwhile.
+    ///
+    /// `asked` is what upstreams have said that were asked for it; none if nobody asks.
     pub async fn place(
         &self,
         pool: &PoolName,
         ticket: &RequestTicket,
-        readings: &[ProbeReading],
+        asked: Option<&[ProbeReading]>,
     ) -> Placement {
         let Some(cell) = self.cell(pool) else {
             let cause = RefusalCause::NoUpstream;
@@ -149,9 +151,9 @@
                 state.retries.note_request();
             }
             let now = self.clock.now();
-            let mut effects = match readings {
-                [] => state.scheduler.arrive(now, ticket),
-                readings => state.scheduler.arrive_probed(now, ticket, readings),
+            let mut effects = match asked {
+                None => state.scheduler.arrive(now, ticket),
+                Some(readings) => state.scheduler.arrive_probed(now, ticket, readings),
             };
             // Most requests are decided at once and need no place to wait in.
             if let Some(placement) = take_sole(&mut effects, ticket.number) {
