--- a/crates/pulley_core/src/process/member_table.rs
+++ b/crates/pulley_core/src/process/member_table.rs
@@ -18,8 +18,11 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many pages may wait; more belong to a sync that the next comparison repeats.
 const PAGE_LIMIT: usize = 256;
-/// How often a host compares tables while it is alone, or has just found a difference.
+/// How often a host compares tables when it has just found a difference.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a host that is alone calls on its seeds. Where all start together, each tenth of a
+/// second more is one in which nobody is served; a host that stays alone sends a few bytes.
+const ALONE_INTERVAL: Duration = Duration::from_millis(100);
 /// How often the table is searched for suspects whose time has run out.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// How many pings on others' behalf may be open at once.
@@ -199,7 +202,7 @@
         if now >= self.next_sync {
             self.begin_sync(&mut sends);
             let alone = self.roster.live().next().is_none();
-            let pause = if alone { JOIN_INTERVAL } else { self.settings.sync_interval };
+            let pause = if alone { ALONE_INTERVAL } else { self.settings.sync_interval };
             // Hosts that start together must not compare in step for ever.
             self.next_sync = now + pause.mul_f64(self.rng.random_range(0.75..1.25));
         }
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -14,7 +14,7 @@
 
 pub use arrival_probes::ProbeReading;
 pub use pool_scheduler::{PoolScheduler, ProbeTarget};
-pub use retry_budget::{GiveUpCause, RetryBudget, RetryDecision, RetryQuestion};
+pub use retry_budget::{GiveUpCause, RetryAllowance, RetryBudget, RetryDecision, RetryQuestion};
 pub use share_leases::{KindDemand, divide_slots};
 pub use ticket::{
     AttemptOutcome, LoadReport, RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects,
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -66,6 +66,14 @@
 /// a busy one comes to 1.6 at two slots; the slowest usual spell is 5.
 const WORTH_STARTING: f32 = 2.0;
 
+/// From how many times the promised time on a request counts as overdue, and what that makes its
+/// upstream cost: three times the usual work is rarer than one in a thousand.
+const OVERDUE_TIMES: f32 = 3.0;
+const OVERDUE_COST: f32 = 2.0;
+
+/// The least part of an upstream that is taken to be usable when its cost is worked out.
+const LEAST_PART: f32 = 0.2;
+
 /// How long what an upstream said of itself is gone by. Its neighbours change its speed about every
 /// 150 ms, so that one reading in five of this age is wrong.
 const FRESH: Duration = Duration::from_millis(30);
@@ -194,8 +202,8 @@
     /// How long a request would take at the best of the upstreams that were asked, in usual times
     /// of an answer.
     #[must_use]
-    pub fn best_cost(&self, readings: &[ProbeReading]) -> Option<f32> {
-        let costs = readings.iter().filter_map(|reading| self.reading_cost(reading));
+    pub fn best_cost(&self, now: Moment, readings: &[ProbeReading]) -> Option<f32> {
+        let costs = readings.iter().filter_map(|reading| self.reading_cost(now, reading));
         costs.map(|(cost, _)| cost).min_by(f32::total_cmp)
     }
 
@@ -212,7 +220,7 @@
         };
         let best = readings
             .iter()
-            .filter_map(|reading| Some((self.reading_cost(reading)?, reading)))
+            .filter_map(|reading| Some((self.reading_cost(now, reading)?, reading)))
             .min_by(|(a, _), (b, _)| a.0.total_cmp(&b.0));
         let Some(((cost, index), reading)) = best else {
             return self.arrive_unasked(now, local, ticket);
@@ -257,7 +265,7 @@
     #[must_use]
     pub fn is_soon(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
         let (Some(local), Some(cost)) =
-            (self.shares.local(ticket.kind), self.best_cost(readings))
+            (self.shares.local(ticket.kind), self.best_cost(now, readings))
         else {
             return false;
         };
@@ -343,15 +351,31 @@
         }
     }
 
+    /// Whether a request that this entry has sent to an upstream has taken far longer already than
+    /// the upstream's own word promised.
+    fn is_overdue(&self, now: Moment, upstream: usize) -> bool {
+        self.running.values().filter(|running| running.upstream == upstream).any(|running| {
+            let Some(cost) = running.cost else { return false };
+            let Some(local) = self.shares.local(running.row) else { return false };
+            now.since(running.started) > self.base(local).mul_f32(cost * OVERDUE_TIMES)
+        })
+    }
+
     /// What a reading says of a request's time there, if the upstream still takes work.
-    fn reading_cost(&self, reading: &ProbeReading) -> Option<(f32, usize)> {
+    ///
+    /// What callers have seen of it lately counts as well: an upstream may fail or take long while
+    /// its own word is good.
+    fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<(f32, usize)> {
         let index = self.upstreams.index_of(&reading.upstream)?;
         let slots = self.upstreams.at(index);
         if !slots.takes_work() {
             return None;
         }
         let away = if slots.record.announcement.zone == self.zone { 0.0 } else { ZONE_DISTANCE };
-        Some((expected_cost(slots.slots(), &reading.report) + away, index))
+        let own_word = expected_cost(slots.slots(), &reading.report);
+        let part = slots.usable_part(now).max(self.upstreams.lift()).max(LEAST_PART);
+        let late = if self.is_overdue(now, index) { OVERDUE_COST } else { 1.0 };
+        Some((own_word * slots.pace(now).max(late) / part + away, index))
     }
 
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
@@ -447,7 +471,10 @@
             let kind = self.shares.kind_mut(local);
             kind.own = kind.own.saturating_sub(1);
             if let Some(cost) = running.cost.filter(|_| outcome == AttemptOutcome::Answered) {
-                self.note_base(local, cost, now.since(running.started));
+                let took = now.since(running.started);
+                let promised = self.base(local).as_secs_f32() * cost;
+                self.upstreams.at_mut(running.upstream).note_pace(now, took.as_secs_f32() / promised);
+                self.note_base(local, cost, took);
             }
         }
         self.finishes = self.finishes.wrapping_add(1);
--- a/crates/pulley_core/src/request/retry_budget.rs
+++ b/crates/pulley_core/src/request/retry_budget.rs
@@ -4,7 +4,7 @@
 
 use super::{AttemptOutcome, RequestVerdict};
 
-/// Retries allowed for each first attempt, in thousandths: one in ten.
+/// Retries allowed for each first attempt, in thousandths, unless set otherwise: one in ten.
 ///
 /// When upstreams fail for want of capacity, each retry takes capacity from a request that has
 /// not had any. A tenth rides out single failures and cannot turn a partial failure into twice
@@ -32,6 +32,16 @@
 pub struct RetryBudget {
     saved: u32,
     most_saved: u32,
+    deposit: u32,
+}
+
+/// What all entries together may spend on retries of one pool's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryAllowance {
+    /// Retries for each hundred requests.
+    pub percent: u32,
+    /// Retries in any short while besides.
+    pub extra: u32,
 }
 
 /// What a decision about a retry depends on.
@@ -87,31 +97,32 @@
     /// Makes a budget with a few retries saved.
     #[must_use]
     pub const fn new() -> Self {
-        Self { saved: FIRST_SAVED, most_saved: MOST_SAVED }
+        Self { saved: FIRST_SAVED, most_saved: MOST_SAVED, deposit: DEPOSIT }
     }
 
     /// Makes a budget that keeps to its part of an allowance: in any window all entries together
-    /// make no more retries than a tenth of their requests and these.
+    /// make no more retries than it says.
     ///
     /// It starts with one retry saved: entries restart many at a time, and each would begin with
     /// its whole part once more.
     #[must_use]
-    pub fn within(allowance: u32, entries: u32) -> Self {
-        let mut budget = Self { saved: RETRY_COST, most_saved: RETRY_COST };
+    pub fn within(allowance: RetryAllowance, entries: u32) -> Self {
+        let deposit = allowance.percent.saturating_mul(RETRY_COST / 100);
+        let mut budget = Self { saved: RETRY_COST, most_saved: RETRY_COST, deposit };
         budget.share(allowance, entries);
         budget
     }
 
     /// Keeps to its part of an allowance among so many entries.
-    pub fn share(&mut self, allowance: u32, entries: u32) {
-        let saved = allowance.saturating_mul(RETRY_COST) / ALLOWANCE_PARTS / entries.max(1);
+    pub fn share(&mut self, allowance: RetryAllowance, entries: u32) {
+        let saved = allowance.extra.saturating_mul(RETRY_COST) / ALLOWANCE_PARTS / entries.max(1);
         self.most_saved = saved.clamp(RETRY_COST, MOST_SAVED);
         self.saved = self.saved.min(self.most_saved);
     }
 
     /// Counts a first attempt.
     pub const fn note_request(&mut self) {
-        let saved = self.saved + DEPOSIT;
+        let saved = self.saved + self.deposit;
         self.saved = if saved < self.most_saved { saved } else { self.most_saved };
     }
 
--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -21,6 +21,12 @@
 /// take long; 25 entries send six a second, which is enough to see that it has recovered.
 const TRICKLE_EVERY: Duration = Duration::from_secs(4);
 
+/// In which time half of a slow pace is forgotten, in seconds; the weight of one answer in it, and
+/// the most that one answer may count for.
+const PACE_MEMORY_S: f32 = 2.0;
+const PACE_WEIGHT: f32 = 0.3;
+const PACE_LIMIT: f32 = 10.0;
+
 /// One upstream as one entry sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamSlots {
@@ -39,6 +45,9 @@
     pub(crate) shared_usable: f32,
     /// What it said of its load last, and when.
     pub(crate) reading: Option<(Moment, LoadReport)>,
+    /// How much longer its answers take than its own word promised, and since when.
+    pace: f32,
+    paced_at: Moment,
     warming_since: Option<Moment>,
     trickle_at: Moment,
 }
@@ -56,6 +65,8 @@
             health: UpstreamHealth::new(now),
             shared_usable: 1.0,
             reading: None,
+            pace: 1.0,
+            paced_at: now,
             warming_since: cold.then_some(now),
             trickle_at: now,
         }
@@ -70,6 +81,7 @@
             self.health = UpstreamHealth::new(now);
             self.shared_usable = 1.0;
             self.reading = None;
+            self.pace = 1.0;
         }
         self.record = record.clone();
         self.listed = true;
@@ -92,6 +104,23 @@
         }
     }
 
+    /// How much longer its answers take than its own word promises.
+    ///
+    /// Some upstreams turn slow without saying so. One late answer in a row weighs little, as its
+    /// work may just have been long; several keep the upstream from getting work that another can
+    /// do. It is forgotten by half every few seconds, so that a recovered one is found out.
+    pub(crate) fn pace(&self, now: Moment) -> f32 {
+        let passed = now.since(self.paced_at).as_secs_f32();
+        1.0 + (self.pace - 1.0) * (-passed / PACE_MEMORY_S).exp2()
+    }
+
+    /// Learns from an answer that took so many times what its own word promised.
+    pub(crate) fn note_pace(&mut self, now: Moment, ratio: f32) {
+        let pace = self.pace(now);
+        self.pace = pace + PACE_WEIGHT * (ratio.clamp(1.0, PACE_LIMIT) - pace);
+        self.paced_at = now;
+    }
+
     /// Whether it is to be left alone for now.
     pub(crate) fn rests(&self, now: Moment, usable_part: f32) -> bool {
         usable_part < IMPAIRED && now < self.trickle_at
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -135,6 +135,11 @@
         self.open.is_empty()
     }
 
+    /// The part of each upstream that counts as usable at least, when all seem to be impaired.
+    pub(crate) fn lift(&self) -> f32 {
+        self.lift
+    }
+
     /// Slots that are usable, over the pool.
     pub(crate) fn usable_slots(&self) -> f32 {
         self.usable_slots
--- a/crates/pulley_core/src/version/replica_election.rs
+++ b/crates/pulley_core/src/version/replica_election.rs
@@ -10,7 +10,7 @@
         if self.now < self.election_at {
             return;
         }
-        self.reset_election();
+        self.renew_election();
         if !self.log.members().is_voter(self.me) {
             return;
         }
--- a/crates/pulley_core/src/version/replica_node.rs
+++ b/crates/pulley_core/src/version/replica_node.rs
@@ -64,6 +64,7 @@
     pub(crate) settings: ReplicaSettings,
     pub(crate) random: SmallRng,
     pub(crate) now: Moment,
+    started: Moment,
     pub(crate) vote: VoteRecord,
     pub(crate) log: ReplicaLog,
     pub(crate) commit: LogIndex,
@@ -99,6 +100,7 @@
             settings,
             random: SmallRng::seed_from_u64(seed),
             now,
+            started: now,
             vote: recovered.vote,
             log,
             commit: start,
@@ -420,8 +422,18 @@
     fn begin_election(&mut self) {
         let beat = self.settings.heartbeat;
         let micros = u64::try_from(beat.as_micros()).unwrap_or(u64::MAX / 4).max(1);
-        let more = Duration::from_micros(self.random.random_range(0..3 * micros));
-        self.election_at = self.now + 2 * beat + more;
+        let more = Duration::from_micros(self.random.random_range(0..2 * micros));
+        self.election_at = self.now + beat + more;
+    }
+
+    /// Sets the next election: soon while the process has just started, as the others may have
+    /// started with it and cannot be reached at the first try yet.
+    pub(crate) fn renew_election(&mut self) {
+        if self.now.since(self.started) < self.settings.election_timeout * 3 {
+            self.begin_election();
+        } else {
+            self.reset_election();
+        }
     }
 
     pub(crate) fn reset_election(&mut self) {
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -10,6 +10,7 @@
 use axum::response::IntoResponse;
 use axum::routing::get;
 use http::header::CONTENT_TYPE;
+use pulley_core::request::RetryAllowance;
 use slog::{Logger, info, warn};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -218,7 +219,7 @@
         let view = ViewCell::new(clock);
         let (host, zone) = (settings.host_id.clone(), settings.zone.clone());
         let schedulers = SchedulerSet::new(host, zone, clock, rand::random())
-            .with_retry_allowance(settings.retry_allowance)
+            .with_retry_allowance(retry_allowance(&settings))
             .with_arrival_probes(rate_of(settings.arrival_probe_rate));
         let schedulers = Arc::new(schedulers);
         let metrics = ProcessMetrics::new()?;
@@ -390,6 +391,11 @@
     settings.ready_grace.unwrap_or(usual)
 }
 
+fn retry_allowance(settings: &DaemonSettings) -> Option<RetryAllowance> {
+    let percent = settings.retry_percent;
+    settings.retry_allowance.map(|extra| RetryAllowance { percent, extra })
+}
+
 #[expect(clippy::cast_precision_loss, reason = "the setting is at most a thousand")]
 fn rate_of(setting: usize) -> f32 {
     setting as f32
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -87,8 +87,10 @@
     /// How many disks a change must be on before it is acknowledged, besides a majority's.
     pub replica_copies: usize,
     /// Retries of one pool's requests in a short while that all entries together may make beside
-    /// a tenth of the requests.
+    /// their part of the requests.
     pub retry_allowance: Option<u32>,
+    /// Retries for each hundred requests of a pool, where an allowance is set.
+    pub retry_percent: u32,
     /// Upstreams that are asked how loaded they are when a request arrives; 0: none.
     pub arrival_probes: usize,
     /// Probes of one upstream a second for arriving requests, over all entries.
@@ -186,6 +188,7 @@
         writeln!(f, "replica-copies={}", self.replica_copies)?;
         let allowance = self.retry_allowance.map(|retries| retries.to_string());
         writeln!(f, "retry-allowance={}", allowance.unwrap_or_default())?;
+        writeln!(f, "retry-percent={}", self.retry_percent)?;
         writeln!(f, "arrival-probes={}", self.arrival_probes)?;
         writeln!(f, "arrival-probe-rate={}", self.arrival_probe_rate)?;
         let grace = self.ready_grace.map(|grace| format!("{}ms", grace.as_millis()));
@@ -304,6 +307,7 @@
         let replica_copies = self.count("replica-copies", COPIES_LIMIT);
         let retry_allowance =
             self.optional("retry-allowance", "a whole number, or nothing", |text| text.parse().ok());
+        let retry_percent = self.count_from("retry-percent", 0, 100);
         let arrival_probes = self.count_from("arrival-probes", 0, ARRIVAL_PROBES_LIMIT);
         let arrival_probe_rate = self.count("arrival-probe-rate", 1_000);
         let ready_grace = self.optional("ready-grace", "a time such as 3s, or nothing", time_span);
@@ -337,6 +341,7 @@
             replica_growth: replica_growth?,
             replica_copies: replica_copies?,
             retry_allowance: retry_allowance?,
+            retry_percent: u32::try_from(retry_percent?).unwrap_or(0),
             arrival_probes: arrival_probes?,
             arrival_probe_rate: arrival_probe_rate?,
             ready_grace: ready_grace?,
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -113,8 +113,9 @@
         "retry-allowance",
         "COUNT",
         "",
-        "retries for one pool that all entries may make at once beside one in ten requests",
+        "retries for one pool that all entries may make at once beside their part of requests",
     ),
+    optional("retry-percent", "COUNT", "10", "retries for 100 requests, with an allowance; 0 to 100"),
     optional(
         "arrival-probes",
         "COUNT",
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -9,8 +9,8 @@
 use parking_lot::Mutex;
 use pulley_core::process::{CountDelta, CountSum, FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
-    AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, ProbeTarget, RequestNumber, RequestTicket, RetryBudget,
-    RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
+    AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, ProbeTarget, RequestNumber, RequestTicket, RetryAllowance,
+    RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
 use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
@@ -53,9 +53,8 @@
     zone: ZoneName,
     clock: ProcessClock,
     seed: u64,
-    /// Retries in a window that all entries together may make of one pool's requests, beside a
-    /// tenth of the requests; none: each entry saves up its own.
-    retry_allowance: Option<u32>,
+    /// What all entries together may spend on retries; none: each entry saves up its own.
+    retry_allowance: Option<RetryAllowance>,
     /// Probes of one upstream a second that all entries together may make for arriving requests.
     probe_rate: f32,
     /// Read by every request and changed with the plan only, so reading writes nothing shared.
@@ -99,7 +98,7 @@
 
     /// Keeps all entries' retries of a pool's requests within an allowance.
     #[must_use]
-    pub fn with_retry_allowance(mut self, allowance: Option<u32>) -> Self {
+    pub fn with_retry_allowance(mut self, allowance: Option<RetryAllowance>) -> Self {
         self.retry_allowance = allowance;
         self
     }
@@ -185,7 +184,8 @@
     /// of an answer.
     #[must_use]
     pub fn best_cost(&self, pool: &PoolName, readings: &[ProbeReading]) -> Option<f32> {
-        self.cell(pool)?.state.lock().scheduler.best_cost(readings)
+        let now = self.clock.now();
+        self.cell(pool)?.state.lock().scheduler.best_cost(now, readings)
     }
 
     /// What upstreams have said of themselves within the last moments.
--- a/crates/pulleyd/src/request/upstream_answer.rs
+++ b/crates/pulleyd/src/request/upstream_answer.rs
@@ -18,6 +18,9 @@
 /// The shortest; an upstream that sheds says how long it will be busy in whole seconds at best.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
+/// How soon a caller may come back whose request was shed by an upstream that named no time.
+const SHED_RETRY: Duration = Duration::from_millis(25);
+
 /// What an upstream's answer tells this entry; the headers that say so go no further.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct AnswerSigns {
@@ -56,7 +59,7 @@
             retried_below: dialect.own_headers && headers.contains_key(CAUSE_HEADER),
             is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
             report: take_report(headers, dialect, counters),
-            retry_after: retry_after(headers),
+            retry_after: retry_after(headers, dialect),
             is_empty_promise: !has_shed && !dialect.own_headers && is_promise(status),
         };
         strip_hop_by_hop(headers);
@@ -99,8 +102,12 @@
     report
 }
 
-fn retry_after(headers: &HeaderMap) -> Duration {
+fn retry_after(headers: &HeaderMap, dialect: &HeaderDialect) -> Duration {
     let value = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
-    let seconds = value.and_then(|value| value.trim().parse().ok());
-    seconds.map_or(RETRY_AFTER_DEFAULT, Duration::from_secs).min(RETRY_AFTER_LIMIT)
+    let seconds = value.and_then(|value| value.trim().parse::<f64>().ok());
+    let told = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    // Where callers read fractions, one whose request was shed by one upstream need not stay away
+    // for a second: the others may be free.
+    let default = if dialect.own_headers { RETRY_AFTER_DEFAULT } else { SHED_RETRY };
+    told.unwrap_or(default).min(RETRY_AFTER_LIMIT)
 }
