--- a/crates/pulley_core/src/process/upstream_registry.rs
+++ b/crates/pulley_core/src/process/upstream_registry.rs
@@ -18,14 +18,13 @@
     UpstreamPhase, UpstreamRecord,
 };
 
-/// The time in which news reaches all hosts on its way round the ring. With the second between two
-/// heartbeats and the half of an epoch it must stay under the shortest lease of 2.5 s, or upstreams
-/// that live would lose work now and then; the rest is for late messages.
-const CYCLE: Duration = Duration::from_millis(700);
+/// The part of a lease in which news reaches all hosts on its way round the ring. With the time
+/// between two announcements and an epoch it must stay under the shortest lease, or upstreams that
+/// live would lose work now and then: with a lease of 3 s, 0.7 s and a second between two
+/// announcements, 0.8 s are left for late messages.
+const CYCLE_PART: f64 = 0.7 / 3.0;
 /// The shortest pause between two rounds; with 1,000 hosts there are ten in a cycle.
 const ROUND_FLOOR: Duration = Duration::from_millis(70);
-/// The longest pause between two rounds.
-const ROUND_CEILING: Duration = Duration::from_millis(250);
 /// How long news waits for more, so that one message carries a burst.
 pub(crate) const NEWS_PAUSE: Duration = Duration::from_millis(5);
 /// The pause between bursts of waiting messages.
@@ -355,8 +354,9 @@
         if now >= self.next_round {
             self.tell_leases(now, ring, &mut sends);
             self.round = self.round.wrapping_add(1);
-            let pause = CYCLE / ring.rounds().max(1);
-            self.next_round = now + pause.clamp(ROUND_FLOOR, ROUND_CEILING);
+            let cycle = self.clock.lease().mul_f64(CYCLE_PART);
+            let pause = cycle / ring.rounds().max(1);
+            self.next_round = now + pause.clamp(ROUND_FLOOR, cycle / 3);
         }
         sends
     }
--- a/crates/pulley_core/src/process/upstream_registry_clock.rs
+++ b/crates/pulley_core/src/process/upstream_registry_clock.rs
@@ -62,6 +62,11 @@
         Self { ahead_ms: 0, adopted: false, epoch_ms: u64::try_from(epoch_ms).unwrap_or(u64::MAX) }
     }
 
+    /// How long a lease lasts at most.
+    pub(crate) fn lease(&self) -> Duration {
+        Duration::from_millis(self.epoch_ms) * LEASE_EPOCHS
+    }
+
     /// The epoch of a reading.
     pub(crate) fn epoch_of(&self, time: SharedTime) -> LeaseEpoch {
         LeaseEpoch(u32::try_from(time.0 / self.epoch_ms).unwrap_or(u32::MAX))
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -13,7 +13,7 @@
 mod wait_queue;
 
 pub use arrival_probes::ProbeReading;
-pub use pool_scheduler::{PoolScheduler, ProbeTarget};
+pub use pool_scheduler::{PoolScheduler, ProbeQuestion, ProbeReach, ProbeTarget};
 pub use retry_budget::{GiveUpCause, RetryAllowance, RetryBudget, RetryDecision, RetryQuestion};
 pub use share_leases::{KindDemand, divide_slots};
 pub use ticket::{
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -132,6 +132,26 @@
     probes: ArrivalBudget,
 }
 
+/// How far a request looks for an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeReach {
+    /// In its own zone, as long as that has upstreams of its pool.
+    OwnZone,
+    /// In every zone.
+    EveryZone,
+}
+
+/// Asks for upstreams to ask.
+#[derive(Clone, Copy, Debug)]
+pub struct ProbeQuestion<'a> {
+    /// Those that were asked already.
+    pub asked: &'a [UpstreamId],
+    /// How many to ask at most.
+    pub wanted: usize,
+    /// How far to look.
+    pub reach: ProbeReach,
+}
+
 /// An upstream to ask when a request arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProbeTarget {
@@ -171,27 +191,30 @@
         self.probes.set_rate(rate);
     }
 
-    /// Which upstreams to ask for a request that has just come, within the budget; none while
-    /// requests wait here already, since theirs is the next slot.
+    /// Which upstreams to ask for a request, within the budget; none while requests wait here
+    /// already, since theirs is the next slot.
     ///
-    /// Those of the own zone come first: another zone's answer is later and its bytes cost more.
-    /// Within a zone the choice is random, as two entries that ask the same ones at the same moment
-    /// would both choose the one that is idle.
+    /// Those of the own zone are asked first, and others only once all of those are asked: another
+    /// zone's answer is later, and its bytes are dear. Within a zone the choice is random, as two
+    /// entries that ask the same ones at the same moment would both choose the one that is idle.
     pub fn probe_targets(
         &mut self,
         now: Moment,
         ticket: &RequestTicket,
-        asked: &[UpstreamId],
-        wanted: usize,
+        question: &ProbeQuestion<'_>,
     ) -> Vec<ProbeTarget> {
         if self.queue.len() > 0 || self.shares.local(ticket.kind).is_none() {
             return Vec::new();
         }
+        let asked = question.asked;
         let passed = |id: &UpstreamId| asked.contains(id) || ticket.avoid.contains(id);
         let mut open = self.upstreams.askable(now, &self.zone, passed);
+        if question.reach == ProbeReach::OwnZone && self.has_own_zone() {
+            open.retain(|(is_away, _)| !is_away);
+        }
         open.shuffle(&mut self.rng);
         open.sort_by_key(|(is_away, _)| *is_away);
-        let count = self.probes.take(now, wanted.min(open.len()));
+        let count = self.probes.take(now, question.wanted.min(open.len()));
         let targets = open.into_iter().take(count).map(|(_, index)| {
             let announcement = &self.upstreams.at(index).record.announcement;
             ProbeTarget { upstream: announcement.id.clone(), address: announcement.address }
@@ -199,12 +222,16 @@
         targets.collect()
     }
 
+    fn has_own_zone(&self) -> bool {
+        self.upstreams.open().any(|slots| slots.record.announcement.zone == self.zone)
+    }
+
     /// How long a request would take at the best of the upstreams that were asked, in usual times
     /// of an answer.
     #[must_use]
     pub fn best_cost(&self, now: Moment, readings: &[ProbeReading]) -> Option<f32> {
         let costs = readings.iter().filter_map(|reading| self.reading_cost(now, reading));
-        costs.map(|(cost, _)| cost).min_by(f32::total_cmp)
+        costs.map(|found| found.cost).min_by(f32::total_cmp)
     }
 
     /// Takes a new request whose upstreams have been asked: it starts at the one that will answer
@@ -221,8 +248,8 @@
         let best = readings
             .iter()
             .filter_map(|reading| Some((self.reading_cost(now, reading)?, reading)))
-            .min_by(|(a, _), (b, _)| a.0.total_cmp(&b.0));
-        let Some(((cost, index), reading)) = best else {
+            .min_by(|(a, _), (b, _)| a.rank().total_cmp(&b.rank()));
+        let Some((UpstreamCost { cost, index, .. }, reading)) = best else {
             return self.arrive_unasked(now, local, ticket);
         };
         if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
@@ -365,7 +392,7 @@
     ///
     /// What callers have seen of it lately counts as well: an upstream may fail or take long while
     /// its own word is good.
-    fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<(f32, usize)> {
+    fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<UpstreamCost> {
         let index = self.upstreams.index_of(&reading.upstream)?;
         let slots = self.upstreams.at(index);
         if !slots.takes_work() {
@@ -373,9 +400,10 @@
         }
         let away = if slots.record.announcement.zone == self.zone { 0.0 } else { ZONE_DISTANCE };
         let own_word = expected_cost(slots.slots(), &reading.report);
-        let part = slots.usable_part(now).max(self.upstreams.lift()).max(LEAST_PART);
+        let part = (slots.usable_part(now) / self.upstreams.usual_part()).clamp(LEAST_PART, 1.0);
         let late = if self.is_overdue(now, index) { OVERDUE_COST } else { 1.0 };
-        Some((own_word * slots.pace(now).max(late) / part + away, index))
+        let cost = own_word * slots.pace(now).max(late) / part;
+        Some(UpstreamCost { cost, away, index })
     }
 
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
@@ -749,6 +777,21 @@
     }
 }
 
+/// What a request would cost at one upstream, in usual times of an answer.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamCost {
+    cost: f32,
+    /// What another zone costs besides; it ranks upstreams, and refuses none.
+    away: f32,
+    index: usize,
+}
+
+impl UpstreamCost {
+    fn rank(&self) -> f32 {
+        self.cost + self.away
+    }
+}
+
 /// Finished requests between two workings-out of what holds for the pool as a whole.
 const REFRESH_EVERY: u32 = 32;
 
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -35,6 +35,7 @@
     layout: CountLayout,
     /// Where each place of the layout is kept.
     places: Vec<usize>,
+    announced_slots: f32,
     usable_slots: f32,
     foreign_a_slot: f32,
     busy: f32,
@@ -76,6 +77,7 @@
             usable += slots.slots() * slots.usable_part(now);
             foreign += slots.foreign;
         }
+        self.announced_slots = announced;
         self.lift = if usable < announced * USABLE_FLOOR { USABLE_FLOOR } else { 0.0 };
         self.usable_slots = usable.max(announced * USABLE_FLOOR);
         self.foreign_a_slot = foreign / f32::max(announced, 1.0);
@@ -135,9 +137,10 @@
         self.open.is_empty()
     }
 
-    /// The part of each upstream that counts as usable at least, when all seem to be impaired.
-    pub(crate) fn lift(&self) -> f32 {
-        self.lift
+    /// The usable part of a usual upstream. Where all fail or are slow, the cause is load or the
+    /// network, and none is worse than another for it.
+    pub(crate) fn usual_part(&self) -> f32 {
+        if self.announced_slots > 0.0 { self.usable_slots / self.announced_slots } else { 1.0 }
     }
 
     /// Slots that are usable, over the pool.
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -55,7 +55,7 @@
 pub use log_entry::{LogCommand, LogEntry};
 pub use persist_batch::{PersistBatch, RecoveredState, ReplicaSnapshot, SnapshotPlace, VoteRecord};
 pub use plan::{
-    CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms, RequestPriority, RouteTerms,
+    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms, RequestPriority, RouteTerms,
     WorkLength,
 };
 pub use plan_follower::{PlanFollower, PlanStanding};
--- a/crates/pulley_core/src/version/plan.rs
+++ b/crates/pulley_core/src/version/plan.rs
@@ -58,6 +58,17 @@
     port_at.map_or(authority, |at| &authority[..at])
 }
 
+/// How large a kind's answers are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum AnswerSize {
+    /// A few kilobytes; where they come from matters little.
+    #[default]
+    Small,
+    /// Many times that: they are kept within a zone as long as they can come in time.
+    Large,
+}
+
 /// How a row's requests are told from others, split over pools and tried again.
 ///
 /// Several rows may match the same requests if each names another pool: the requests are then
@@ -70,6 +81,8 @@
     pub weight: u32,
     /// Most upstreams that one request may be sent to.
     pub attempts: u8,
+    /// How large its answers are.
+    pub answers: AnswerSize,
     /// The time within which an answer is worth most to its caller; none: until the deadline.
     pub target: Option<Duration>,
     /// Most connections that one upstream of the pool takes from all hosts together, if that is
@@ -90,6 +103,7 @@
             host: HostMatch::Any,
             weight: WHOLE_WEIGHT,
             attempts: ATTEMPTS_DEFAULT,
+            answers: AnswerSize::Small,
             target: None,
             connections: None,
         }
--- a/crates/pulley_core/src/version/sheet_column.rs
+++ b/crates/pulley_core/src/version/sheet_column.rs
@@ -36,6 +36,8 @@
     Weight,
     /// Most upstreams one request is sent to.
     Attempts,
+    /// How large answers are.
+    Answers,
     /// The time within which an answer is worth most.
     TargetMs,
     /// Most connections that one upstream of the pool takes.
@@ -44,8 +46,14 @@
 
 impl SheetColumn {
     /// The columns that a sheet may leave out.
-    pub const OPTIONAL: [Self; 5] =
-        [Self::Host, Self::Weight, Self::Attempts, Self::TargetMs, Self::Connections];
+    pub const OPTIONAL: [Self; 6] = [
+        Self::Host,
+        Self::Weight,
+        Self::Attempts,
+        Self::Answers,
+        Self::TargetMs,
+        Self::Connections,
+    ];
 
     /// The columns that every sheet has, in the order in which sheets are printed.
     pub const NEEDED: [Self; 12] = [
@@ -87,6 +95,7 @@
             Self::Host => "host",
             Self::Weight => "weight",
             Self::Attempts => "attempts",
+            Self::Answers => "answers",
             Self::TargetMs => "target_ms",
             Self::Connections => "connections",
         }
@@ -113,6 +122,7 @@
             Self::Host => "any or nothing, or one host name without a port",
             Self::Weight => "a whole number from 0 to 1000000, or nothing for 100",
             Self::Attempts => "a whole number from 1 to 10, or nothing for 3",
+            Self::Answers => "small or large, or nothing for small",
             Self::TargetMs => "a whole number of milliseconds from 1 to 600000, or nothing",
             Self::Connections => "a whole number from 1 to 1000000, or nothing",
         }
--- a/crates/pulley_core/src/version/sheet_printer.rs
+++ b/crates/pulley_core/src/version/sheet_printer.rs
@@ -3,7 +3,7 @@
 use csv::WriterBuilder;
 
 use super::{
-    CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RouteTerms, SheetColumn, WorkLength,
+    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RouteTerms, SheetColumn, WorkLength,
 };
 
 /// Prints plans as sheets: commas, LF, no byte order mark.
@@ -80,6 +80,10 @@
         },
         SheetColumn::Weight => row.route.weight.to_string(),
         SheetColumn::Attempts => row.route.attempts.to_string(),
+        SheetColumn::Answers => match row.route.answers {
+            AnswerSize::Small => "small".to_owned(),
+            AnswerSize::Large => "large".to_owned(),
+        },
         SheetColumn::TargetMs => {
             row.route.target.map(|target| target.as_millis().to_string()).unwrap_or_default()
         }
--- a/crates/pulley_core/src/version/sheet_reader.rs
+++ b/crates/pulley_core/src/version/sheet_reader.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms,
+    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms,
     SheetColumn, SheetFault, SheetFaults, WorkLength,
 };
 use crate::process::{FastMap, KindName, PoolName, ServiceName, ShareFraction, SlotCount};
@@ -327,12 +327,14 @@
         let host = self.checked(SheetColumn::Host, host_match);
         let weight = self.optional(SheetColumn::Weight, 0, WEIGHT_LIMIT);
         let attempts = self.optional(SheetColumn::Attempts, 1, ATTEMPTS_LIMIT);
+        let answers = self.checked(SheetColumn::Answers, answer_size);
         let target = self.optional(SheetColumn::TargetMs, 1, DEADLINE_MS_LIMIT);
         let connections = self.optional(SheetColumn::Connections, 1, CONNECTIONS_LIMIT);
         Some(RouteTerms {
             host: host?,
             weight: weight?.unwrap_or(default.weight),
             attempts: attempts?.unwrap_or(default.attempts),
+            answers: answers?,
             target: target?.map(Duration::from_millis),
             connections: connections?,
         })
@@ -416,6 +418,14 @@
     }
 }
 
+fn answer_size(text: &str) -> Option<AnswerSize> {
+    match text.to_ascii_lowercase().as_str() {
+        "" | "small" => Some(AnswerSize::Small),
+        "large" => Some(AnswerSize::Large),
+        _ => None,
+    }
+}
+
 fn work_length(text: &str) -> Option<WorkLength> {
     match text.to_ascii_lowercase().as_str() {
         "short" => Some(WorkLength::Short),
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -6,7 +6,9 @@
 use http::header::{HOST, HeaderValue};
 use http::{Method, Request, Uri};
 use pulley_core::connection::WorkSafety;
-use pulley_core::request::{LoadReport, ProbeReading, ProbeTarget, RequestTicket};
+use pulley_core::request::{
+    LoadReport, ProbeQuestion, ProbeReach, ProbeReading, ProbeTarget, RequestTicket,
+};
 use pulley_core::version::KindPlan;
 use pulley_core::{Moment, UpstreamId};
 
@@ -54,6 +56,7 @@
         context: &TrafficContext,
         row: &KindPlan,
         ticket: &RequestTicket,
+        reach: ProbeReach,
     ) -> Self {
         let mut probing = Self::default();
         let wanted = context.limits.arrival_probes;
@@ -71,7 +74,8 @@
             if best.is_some_and(|cost| cost < enough) {
                 break;
             }
-            let targets = context.schedulers.probe_targets(&row.pool, ticket, &asked, wanted);
+            let question = ProbeQuestion { asked: &asked, wanted, reach };
+            let targets = context.schedulers.probe_targets(&row.pool, ticket, &question);
             asked.extend(targets.iter().map(|target| target.upstream.clone()));
             probing.ask_all(context, &path, ticket, targets).await;
         }
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -10,7 +10,8 @@
 use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use pulley_core::connection::WorkSafety;
-use pulley_core::request::{AttemptOutcome, RequestTicket};
+use pulley_core::request::{AttemptOutcome, ProbeReach, RequestTicket};
+use pulley_core::version::AnswerSize;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
 
 use super::answer_body::UpstreamAnswer;
@@ -36,6 +37,10 @@
 /// give the same answer; asked less often, free slots would stand idle for longer.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 
+/// The part of the time in which it could still meet its target for which a request with a large
+/// answer looks in its own zone only.
+const LARGE_STAYS: u32 = 2;
+
 /// Where a request goes.
 struct PlacedRequest {
     upstream: UpstreamId,
@@ -47,9 +52,11 @@
 impl RequestRun {
     /// Makes one attempt.
     pub(super) async fn attempt(&self, mut ticket: RequestTicket) -> Result<Response<UpstreamAnswer>> {
+        let begun = self.context.clock.now();
         let patience = self.context.schedulers.patience(&self.row().pool, &ticket);
         let placed = loop {
-            let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
+            let reach = self.reach(begun, patience);
+            let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket, reach).await;
             match self.place(&ticket, probed).await {
                 Ok(placed) => break placed,
                 Err(fault) if !self.may_wait(&fault, patience) => return Err(fault),
@@ -74,6 +81,19 @@
         self.carry(&ticket, placed).await
     }
 
+    /// How far a request looks for an upstream by now.
+    ///
+    /// A spell in its own zone is mostly over when it asks again, and costs it nothing while the
+    /// target can be met; another zone costs bytes at once. Large answers stay in their zone for
+    /// longer, as their bytes cost many times the rest of the request.
+    fn reach(&self, begun: Moment, patience: Moment) -> ProbeReach {
+        let waited = self.context.clock.now().since(begun);
+        let is_large = self.row().route.answers == AnswerSize::Large;
+        let stays = if is_large { patience.since(begun) / LARGE_STAYS } else { Duration::ZERO };
+        let is_first = waited < FULL_PAUSE && begun + FULL_PAUSE < patience;
+        if is_first || waited < stays { ProbeReach::OwnZone } else { ProbeReach::EveryZone }
+    }
+
     /// Whether a request that was kept may ask again a little later.
     fn may_wait(&self, fault: &AttemptFault, patience: Moment) -> bool {
         let is_busy = fault.answer.cause == RefusalCause::PoolBusy.as_str();
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -11,7 +11,7 @@
 use http::{Response, StatusCode};
 use parking_lot::Mutex;
 use pulley_core::request::{
-    AttemptOutcome, ProbeReading, RequestTicket, RetryDecision, RetryQuestion,
+    AttemptOutcome, ProbeReach, ProbeReading, RequestTicket, RetryDecision, RetryQuestion,
 };
 use pulley_core::version::{KindPlan, WorkLength};
 use pulley_core::{Moment, PolicyPlan, RequestVerdict, UpstreamId};
@@ -208,7 +208,13 @@
     /// allows it; none if not.
     async fn second_attempt(&self) -> Option<Result<Response<UpstreamAnswer>>> {
         let ticket = self.ticket(0).ok()?;
-        let probed = ArrivalProbing::ask(&self.context, self.row(), &ticket).await;
+        let probed = ArrivalProbing::ask(
+            &self.context,
+            self.row(),
+            &ticket,
+            ProbeReach::EveryZone,
+        )
+        .await;
         let pool = &self.row().pool;
         let is_slow = !probed.readings.is_empty()
             && !self.context.schedulers.is_soon(pool, &ticket, &probed.readings);
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use pulley_core::process::{CountDelta, CountSum, FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
-    AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, ProbeTarget, RequestNumber, RequestTicket, RetryAllowance,
+    AttemptOutcome, LoadReport, PoolScheduler, ProbeQuestion, ProbeReading, ProbeTarget, RequestNumber, RequestTicket, RetryAllowance,
     RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
@@ -167,17 +167,16 @@
         waiter.settle().await
     }
 
-    /// Which upstreams to ask for a request that has just come, besides those `asked`.
+    /// Which upstreams to ask for a request that has just come, within the budget.
     #[must_use]
     pub fn probe_targets(
         &self,
         pool: &PoolName,
         ticket: &RequestTicket,
-        asked: &[UpstreamId],
-        wanted: usize,
+        question: &ProbeQuestion<'_>,
     ) -> Vec<ProbeTarget> {
         let Some(cell) = self.cell(pool) else { return Vec::new() };
-        cell.state.lock().scheduler.probe_targets(self.clock.now(), ticket, asked, wanted)
+        cell.state.lock().scheduler.probe_targets(self.clock.now(), ticket, question)
     }
 
     /// How long a request would take at the best of the upstreams that were asked, in usual times
