--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -1,8 +1,9 @@
 //! Which headers the system speaks with callers and upstreams.
 
 use http::HeaderValue;
-use http::header::HeaderName;
+use http::header::{HeaderMap, HeaderName};
 use pulley_core::request::LoadReport;
+use smol_str::SmolStr;
 
 use super::protocol_headers::{DEADLINE_HEADER, LOAD_HEADER};
 use super::read_load_report;
@@ -37,6 +38,14 @@
     pub own_headers: bool,
 }
 
+impl HeaderDialect {
+    /// The caller's name for a request, if it gives one.
+    pub(super) fn id_of(&self, headers: &HeaderMap) -> Option<SmolStr> {
+        let value = headers.get(self.request_id.as_ref()?)?;
+        value.to_str().ok().map(SmolStr::new)
+    }
+}
+
 impl Default for HeaderDialect {
     fn default() -> Self {
         Self {
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -14,8 +14,9 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pulley_core::version::{CallerLimits, KindPlan};
-use pulley_core::{RefusalCause, RequestVerdict};
-use slog::debug;
+use pulley_core::{RefusalCause, RequestVerdict, UpstreamId};
+use slog::info;
+use smol_str::SmolStr;
 use tower::Service;
 
 use super::call_terms::CallTerms;
@@ -105,10 +106,12 @@
     ///
     /// What can be refused is refused before there is a future to run.
     pub fn forward(&self, request: Request<Incoming>) -> ForwardFuture {
+        let id = self.context.dialect.id_of(request.headers());
         match self.take_up(request) {
             Ok(future) => future,
             Err(answer) => {
-                Box::pin(ready(Ok(refuse(&self.context, None, answer, self.refuses_all))))
+                let asked = RefusedRequest { id, ..RefusedRequest::default() };
+                Box::pin(ready(Ok(refuse(&self.context, &asked, answer, self.refuses_all))))
             }
         }
     }
@@ -131,9 +134,10 @@
         };
         Ok(Box::pin(async move {
             let kind = admitted.kind.clone();
+            let id = context.dialect.id_of(&admitted.parts.headers);
             let carried = carry_once(&context, admitted, seat, &key).await;
-            let row = Some(kind.row());
-            Ok(carried.unwrap_or_else(|answer| refuse(&context, row, answer, false)))
+            let asked = RefusedRequest { id, row: Some(kind.row()), ..RefusedRequest::default() };
+            Ok(carried.unwrap_or_else(|answer| refuse(&context, &asked, answer, false)))
         }))
     }
 
@@ -198,7 +202,16 @@
 ) -> std::result::Result<Response<AnswerBody>, Infallible> {
     match run.run().await {
         Ok(response) => Ok(response.map(|answer| AnswerBody::upstream(answer, seat))),
-        Err(answer) => Ok(refuse(run.context(), Some(run.row()), answer, false)),
+        Err(answer) => {
+            let asked = RefusedRequest {
+                id: run.id().map(SmolStr::new),
+                row: Some(run.row()),
+                attempts: run.attempts(),
+                upstream: run.last_tried(),
+                held: run.held(),
+            };
+            Ok(refuse(run.context(), &asked, answer, false))
+        }
     }
 }
 
@@ -225,25 +238,43 @@
     carry_keyed(run, request, seat).await
 }
 
+/// What is known of a request that gets an answer of the system's own.
+#[derive(Debug, Default)]
+struct RefusedRequest<'a> {
+    /// The caller's name for it.
+    id: Option<SmolStr>,
+    row: Option<&'a KindPlan>,
+    attempts: u8,
+    /// The upstream tried last.
+    upstream: Option<UpstreamId>,
+    /// How long it was held.
+    held: Duration,
+}
+
 fn refuse(
     context: &TrafficContext,
-    row: Option<&KindPlan>,
+    asked: &RefusedRequest<'_>,
     answer: SystemAnswer,
     is_last: bool,
 ) -> Response<AnswerBody> {
     let counters = &context.counters;
     if let Some(metrics) = &context.metrics {
-        metrics.record_refusal(row, answer.cause, answer.verdict);
+        metrics.record_refusal(asked.row, answer.cause, answer.verdict);
     }
     match answer.verdict {
         RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
         RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
         RequestVerdict::Ran => {}
     }
-    debug!(context.logger, "request-refused";
-        "status" => answer.status.as_u16(), "cause" => answer.cause,
-        "verdict" => %answer.verdict);
     let mut response = answer.into_response(&context.dialect);
+    info!(context.logger, "request-refused"; "id" => asked.id.as_deref(),
+        "kind" => asked.row.map(|row| row.kind.to_string()),
+        "status" => response.status().as_u16(), "cause" => answer.cause,
+        "verdict" => %answer.verdict, "attempts" => asked.attempts,
+        "upstream" => asked.upstream.as_ref().map(ToString::to_string),
+        "held_ms" => u64::try_from(asked.held.as_millis()).unwrap_or(u64::MAX),
+        "config" => context.view.load().version.0,
+        "retry_after_ms" => answer.retry_after.map(|delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)));
     if is_last {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -15,7 +15,7 @@
 };
 use pulley_core::version::{KindPlan, WorkLength};
 use pulley_core::{Moment, PolicyPlan, RequestVerdict, UpstreamId};
-use slog::{debug, info};
+use slog::info;
 
 use super::answer_body::UpstreamAnswer;
 use super::arrival_probing::ArrivalProbing;
@@ -286,7 +286,7 @@
         info!(self.context.logger, "request-answered"; "id" => self.id(),
             "kind" => %self.row().kind, "status" => status.as_u16(),
             "upstream" => progress.tried.last().map(ToString::to_string),
-            "attempts" => self.attempts.load(Ordering::Relaxed),
+            "attempts" => self.attempts(),
             "running" => report.and_then(|report| report.in_flight),
             "waiting" => report.and_then(|report| report.waiting),
             "slowdown" => report.and_then(|report| report.slowdown),
@@ -302,6 +302,21 @@
         self.parts.headers.get(name)?.to_str().ok()
     }
 
+    /// Attempts made.
+    pub(super) fn attempts(&self) -> u8 {
+        self.attempts.load(Ordering::Relaxed)
+    }
+
+    /// The upstream tried last.
+    pub(super) fn last_tried(&self) -> Option<UpstreamId> {
+        self.progress.lock().tried.last().cloned()
+    }
+
+    /// How long it has been held.
+    pub(super) fn held(&self) -> Duration {
+        self.context.clock.now().since(self.begun)
+    }
+
     fn note_fault(&mut self, fault: &AttemptFault) {
         let progress = self.progress.get_mut();
         if fault.answer.verdict == RequestVerdict::MayHaveRun {
@@ -310,8 +325,8 @@
             claim.note_unsent();
         }
         let upstream = progress.tried.last().map(ToString::to_string);
-        debug!(self.context.logger, "attempt-failed"; "id" => self.id(),
-            "attempts" => self.attempts.load(Ordering::Relaxed), "cause" => fault.answer.cause,
+        info!(self.context.logger, "attempt-failed"; "id" => self.id(),
+            "attempts" => self.attempts(), "cause" => fault.answer.cause,
             "verdict" => %fault.answer.verdict, "kind" => %self.row().kind,
             "upstream" => upstream);
     }
