--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -78,6 +78,9 @@
 /// 150 ms, so that one reading in five of this age is wrong.
 const FRESH: Duration = Duration::from_millis(30);
 
+/// How long a word of a free slot is remembered for requests that can ask nobody.
+const REMEMBERED: Duration = Duration::from_secs(1);
+
 /// The part of a kind's target that its work is taken to need before answers have shown it.
 const TARGET_PART: f32 = 0.35;
 
@@ -273,8 +276,9 @@
 
     /// Takes a request for which no upstream could be asked any more, as the budget is used up.
     ///
-    /// Placed blindly, one in four would go to an upstream that is slowed down and many to one that
-    /// is full, just when the pool can least afford it; it had better ask a little later.
+    /// It goes by what upstreams have said within the last second: where one had a slot free, it is
+    /// likely to have one still. Placed blindly where none had, it would only wait there, just when
+    /// the pool can least afford it; it had better ask a little later.
     fn arrive_unasked(
         &mut self,
         now: Moment,
@@ -284,6 +288,18 @@
         if ticket.target.is_none() || self.upstreams.is_closed() {
             return self.arrive(now, ticket);
         }
+        let known = self.readings_since(now, REMEMBERED, ticket);
+        let best = known
+            .iter()
+            .filter_map(|reading| self.reading_cost(now, reading))
+            .filter(|found| found.cost <= WORTH_STARTING)
+            .min_by(|a, b| a.rank().total_cmp(&b.rank()));
+        if let Some(found) = best
+            && self.may_start(local)
+            && ticket.deadline > now
+        {
+            return vec![self.start(now, local, found.index, ticket)];
+        }
         let retry_after = self.base(local).clamp(SHORTEST_RETRY, LONGEST_RETRY);
         vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)]
     }
@@ -337,14 +353,22 @@
     /// asked again.
     #[must_use]
     pub fn fresh_readings(&self, now: Moment, ticket: &RequestTicket) -> Vec<ProbeReading> {
-        let open = self.upstreams.open();
-        let fresh = open.filter_map(|slots| {
+        self.readings_since(now, FRESH, ticket)
+    }
+
+    fn readings_since(
+        &self,
+        now: Moment,
+        span: Duration,
+        ticket: &RequestTicket,
+    ) -> Vec<ProbeReading> {
+        let known = self.upstreams.open().filter_map(|slots| {
             let (at, report) = slots.reading?;
             let upstream = &slots.record.announcement.id;
-            let is_usable = now.since(at) <= FRESH && !ticket.avoid.contains(upstream);
+            let is_usable = now.since(at) <= span && !ticket.avoid.contains(upstream);
             is_usable.then(|| ProbeReading { upstream: upstream.clone(), report })
         });
-        fresh.collect()
+        known.collect()
     }
 
     /// How long a kind's work takes at an upstream that nothing slows down.
