--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -285,7 +285,9 @@
         local: usize,
         ticket: &RequestTicket,
     ) -> SchedulerEffects {
-        if ticket.target.is_none() || self.upstreams.is_closed() {
+        // Those that wait here already are asked for by nobody: it goes behind them.
+        let waits = self.queue.len() > 0;
+        if waits || ticket.target.is_none() || self.upstreams.is_closed() {
             return self.arrive(now, ticket);
         }
         let known = self.readings_since(now, REMEMBERED, ticket);
@@ -426,8 +428,8 @@
         let own_word = expected_cost(slots.slots(), &reading.report);
         let part = (slots.usable_part(now) / self.upstreams.usual_part()).clamp(LEAST_PART, 1.0);
         let late = if self.is_overdue(now, index) { OVERDUE_COST } else { 1.0 };
-        let cost = own_word * slots.pace(now).max(late) / part;
-        Some(UpstreamCost { cost, away, index })
+        let cost = own_word * slots.pace(now).max(late);
+        Some(UpstreamCost { cost, handicap: cost / part - cost + away, index })
     }
 
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
@@ -805,14 +807,15 @@
 #[derive(Clone, Copy, Debug)]
 struct UpstreamCost {
     cost: f32,
-    /// What another zone costs besides; it ranks upstreams, and refuses none.
-    away: f32,
+    /// What speaks against it besides: another zone, failures lately. It ranks upstreams and refuses
+    /// none, as a moment's waiting changes nothing about it.
+    handicap: f32,
     index: usize,
 }
 
 impl UpstreamCost {
     fn rank(&self) -> f32 {
-        self.cost + self.away
+        self.cost + self.handicap
     }
 }
 
