--- a/crates/pulleyctl/src/command_line.rs
+++ b/crates/pulleyctl/src/command_line.rs
@@ -58,6 +58,11 @@
     ReplicaAdd(HostId),
     ReplicaRemove(MemberId),
     ReplicaList,
+    /// What became of a request, by the log files of some hosts.
+    Explain {
+        id: String,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// A checked command line.
@@ -117,6 +122,7 @@
     sheet check FILE       name every fault of a sheet; speaks to no host
     sheet apply FILE       put a sheet in force (--expect, --change-id, --actor)
     sheet show             print the sheet in force
+    explain ID FILE...     print what became of a request, from hosts' log files
     status                 print what a host knows of the system
     upstreams              print the upstreams a host knows
     drain UPSTREAM         send an upstream no new work
@@ -168,6 +174,10 @@
             ["upstreams"] => Some(Command::Upstreams),
             ["audit"] => Some(Command::Audit(self.audit_filter())),
             ["drain", upstream] => self.parsed("drain", upstream).map(Command::Drain),
+            ["explain", id, ref files @ ..] if !files.is_empty() => Some(Command::Explain {
+                id: id.to_owned(),
+                files: files.iter().map(PathBuf::from).collect(),
+            }),
             ["replica", "list"] => Some(Command::ReplicaList),
             ["replica", "add", host] => self.parsed("replica add", host).map(Command::ReplicaAdd),
             ["replica", "remove", member] => {
--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 use std::fs;
 use std::io::{self, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use http::{Method, StatusCode};
 use pulley_core::process::ChangeId;
@@ -14,6 +14,7 @@
 
 use crate::command_line::{ApplyOrder, Command, CommandLine};
 use crate::exit_outcome::ExitOutcome;
+use crate::log_story::LogStory;
 use crate::operator_client::{ClientFault, HostAnswer, OperatorClient};
 use crate::printed_form;
 
@@ -22,6 +23,9 @@
     if let Command::SheetCheck(file) = &line.command {
         return check_sheet(file, line.json);
     }
+    if let Command::Explain { id, files } = &line.command {
+        return explain(id, files);
+    }
     let key = match key_of(line.secret_file.as_deref()) {
         Ok(key) => key,
         Err(fault) => {
@@ -44,6 +48,7 @@
     let json = line.json;
     match &line.command {
         Command::SheetCheck(file) => check_sheet(file, json),
+        Command::Explain { id, files } => explain(id, files),
         Command::SheetApply(order) => apply_sheet(client, order, json).await,
         Command::SheetShow => {
             show(client, "/v1/sheet", json, |body| {
@@ -86,6 +91,20 @@
     }
 }
 
+fn explain(id: &str, files: &[PathBuf]) -> ExitOutcome {
+    match LogStory::read(id, files) {
+        Err((file, error)) => cannot_read(&file, &error),
+        Ok(story) if story.is_empty() => {
+            eprintln!("no line names request {id}");
+            ExitOutcome::NotDone
+        }
+        Ok(story) => {
+            print_line(&story.printed());
+            ExitOutcome::Done
+        }
+    }
+}
+
 // -----------------------------------------------------------------------------------------
 // Sheets
 
--- a/crates/pulleyctl/src/lib.rs
+++ b/crates/pulleyctl/src/lib.rs
@@ -6,6 +6,7 @@
 mod command_line;
 mod commands;
 mod exit_outcome;
+mod log_story;
 mod operator_client;
 mod printed_form;
 
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -214,3 +214,36 @@
     }
     assert_eq!(pulleyctl(&[], &["--help"]).code, 0);
 }
+
+/// A broker complains with the id of a request that two hosts have seen. The lines of both are told
+/// in the order of time, with what the hosts noted around them, and without other requests.
+#[test]
+fn a_request_is_explained_from_the_logs_of_many_hosts() {
+    let folder = TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).unwrap();
+        file.to_string_lossy().into_owned()
+    };
+    let one = write(
+        "entry-1.log",
+        "ts=2026-07-05T07:10:41.500Z level=info event=membership live=33\n\
+         ts=2026-07-05T07:10:42.100Z level=info event=request-refused id=9c41 cause=pool-busy\n\
+         ts=2026-07-05T07:10:42.200Z level=info event=request-answered id=other status=200\n\
+         ts=2026-07-05T07:10:50.000Z level=info event=membership live=34\n",
+    );
+    let two = write(
+        "entry-2.log",
+        "12.5 ts=2026-07-05T07:10:42.050Z level=info event=attempt-failed id=9c41 cause=\"x y\"\n",
+    );
+    let three = write("entry-3.log", "ts=2026-07-05T07:10:42.000Z level=info event=listening\n");
+    let outcome = pulleyctl(&[], &["explain", "9c41", &one, &two, &three]);
+    assert_eq!(outcome.code, 0, "{}", outcome.err);
+    let told: Vec<&str> =
+        outcome.out.lines().filter_map(|line| line.split(" ts=").next()).collect();
+    assert_eq!(told, ["entry-1:", "entry-2:", "entry-1:"], "{}", outcome.out);
+    assert!(outcome.out.contains("event=membership live=33"), "{}", outcome.out);
+    assert!(!outcome.out.contains("id=other") && !outcome.out.contains("live=34"));
+    assert_eq!(pulleyctl(&[], &["explain", "unknown", &one]).code, 1);
+    assert_eq!(pulleyctl(&[], &["explain", "9c41"]).code, 2);
+}
