Follow a storm of changes: fetch what is held, keep what was

Ruled out: lost datagrams, a busy control thread (it logged and answered). Change: a fetch under way is finished first, the version a teller holds goes before one that nobody is known to hold, and plans are kept for a second after the next came.

--- a/crates/pulley_core/src/version/plan_follower.rs
+++ b/crates/pulley_core/src/version/plan_follower.rs
@@ -29,6 +29,10 @@
 const FLOOD_TARGETS: u32 = 3;
 /// How many versions' last confirmations are remembered; a host further behind is not ready.
 const CONFIRMATIONS: usize = 32;
+/// How long and how many plans are kept that were in force before. While changes come in quick
+/// succession, a slow host's question for one arrives when its source has the next already.
+const EARLIER_TERM: Duration = Duration::from_secs(1);
+const EARLIER_LIMIT: usize = 8;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
 const SERVE_RATE: f64 = 64.0;
 /// How many requests for chunks may be answered in one burst.
@@ -73,6 +77,8 @@
     /// When each of the last versions was confirmed to be the latest, for the last time heard of.
     confirmations: VecDeque<(ConfigVersion, SharedTime)>,
     held: Option<HeldPlan>,
+    /// Plans held before, for hosts that have begun to fetch them, and until when.
+    earlier: VecDeque<(Moment, HeldPlan)>,
     fetch: Option<PlanFetch>,
     replica: Option<LogReport>,
     answers: FastMap<HostId, (Moment, LogReport)>,
@@ -102,6 +108,7 @@
             lease: None,
             confirmations: VecDeque::new(),
             held: None,
+            earlier: VecDeque::new(),
             fetch: None,
             replica: None,
             answers: FastMap::default(),
@@ -268,7 +275,7 @@
         };
         // A majority's answers are as fresh as any host's.
         self.welcomed = true;
-        self.take_lease(lease, None);
+        self.take_lease(confirmed, lease, None);
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -279,6 +286,7 @@
         let refill = now.since(self.last_tick).as_secs_f64() * SERVE_RATE;
         self.serve_budget = (self.serve_budget + refill).min(SERVE_BURST);
         self.last_tick = now;
+        self.earlier.retain(|(until, _)| now < *until);
         let mut sends = Vec::new();
         if std::mem::take(&mut self.flood) {
             let told: Vec<HostId> = self.flood_targets(ring);
@@ -309,7 +317,8 @@
     fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
         let held = self.version();
-        Some(self.send(now, to, PlanContent::Lease { lease, held }))
+        let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
+        Some(self.send(now, to, PlanContent::Lease { lease, held, digest }))
     }
 
     /// Asks replicas and some peers while there is no lease.
@@ -358,9 +367,10 @@
             self.clock.adopt(now, time);
         }
         match content {
-            PlanContent::Lease { lease, held } => {
+            PlanContent::Lease { lease, held, digest } => {
                 if self.welcomed {
-                    self.take_lease(lease, Some((from, held)));
+                    self.take_lease(now, lease, Some((from, held)));
+                    self.take_committed(now, from, (held, digest));
                 }
             }
             PlanContent::Ask { nonce } => return vec![self.answer(now, from, nonce)],
@@ -370,9 +380,9 @@
                     self.take_answer(now, from, replica);
                     self.welcomed |= welcomed;
                     if let Some(lease) = lease {
-                        self.take_lease(lease, Some((from, held)));
+                        self.take_lease(now, lease, Some((from, held)));
                     }
-                    self.take_committed(from, (held, digest));
+                    self.take_committed(now, from, (held, digest));
                 }
             }
             PlanContent::Fetch { version, digest, first, count } => {
@@ -413,10 +423,15 @@
     }
 
     /// Takes in a lease if it is the freshest.
-    fn take_lease(&mut self, lease: PlanLease, source: Option<(&HostId, ConfigVersion)>) {
+    fn take_lease(
+        &mut self,
+        now: Moment,
+        lease: PlanLease,
+        source: Option<(&HostId, ConfigVersion)>,
+    ) {
         let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
         if newer && lease.version >= self.version() {
-            self.want(&lease);
+            self.want(now, &lease);
             self.note_confirmation(lease.version, lease.confirmed);
             self.lease = Some(lease);
         }
@@ -427,26 +442,38 @@
         }
     }
 
-    fn want(&mut self, lease: &PlanLease) {
+    /// Wants the version that a lease names, unless another one is on its way already.
+    ///
+    /// Changes in quick succession would else each throw away what is on its way: hosts that are
+    /// slow stayed at the version before a storm for as long as it lasted, two seconds and more.
+    fn want(&mut self, now: Moment, lease: &PlanLease) {
         if lease.version == ConfigVersion::default() && self.held.is_none() {
             self.held = Some(HeldPlan::new(Arc::default()));
         }
         let held = self.held.as_ref().is_some_and(|held| held.plan.version == lease.version);
-        let wanted = self.fetch.as_ref().is_some_and(|fetch| fetch.version >= lease.version);
-        if !held && !wanted {
+        let is_busy = self
+            .fetch
+            .as_ref()
+            .is_some_and(|fetch| fetch.version >= lease.version || fetch.is_coming(now));
+        if !held && !is_busy {
             self.fetch = Some(PlanFetch::new(lease.version, lease.digest));
         }
     }
 
-    /// Takes up what another host has in force. That is always committed, whoever leads now.
+    /// Takes up what another host has in force. That is always committed, whoever leads now. It goes
+    /// before a later version that nobody is known to hold yet.
     fn take_committed(
         &mut self,
+        now: Moment,
         from: &HostId,
         (version, digest): (ConfigVersion, super::PlanDigest),
     ) {
         let held = self.held.as_ref().map(|held| held.plan.version);
-        let wanted = self.fetch.as_ref().map(|fetch| fetch.version);
-        if version > ConfigVersion::default() && held.max(wanted) < Some(version) {
+        let is_busy = self
+            .fetch
+            .as_ref()
+            .is_some_and(|fetch| fetch.version == version || fetch.is_coming(now));
+        if version > ConfigVersion::default() && held < Some(version) && !is_busy {
             self.fetch = Some(PlanFetch::new(version, digest));
         }
         if let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.version == version) {
@@ -464,9 +491,15 @@
         (version, digest): (ConfigVersion, super::PlanDigest),
         wanted: std::ops::Range<u32>,
     ) -> Vec<PlanSend> {
-        let held = self.held.as_ref().filter(|held| held.digest == digest);
-        let Some(held) = held.filter(|_| self.serve_budget >= 1.0) else {
+        if self.serve_budget < 1.0 {
             return Vec::new();
+        }
+        let earlier = self.earlier.iter().map(|(_, plan)| plan);
+        let known = self.held.iter().chain(earlier).find(|held| held.digest == digest);
+        let Some(held) = known else {
+            // It has moved on since it told of that version: it tells of the one it has now.
+            self.serve_budget -= 1.0;
+            return self.tell_lease(now, to.clone()).into_iter().collect();
         };
         self.serve_budget -= 1.0;
         let total = held.chunk_count();
@@ -508,7 +541,12 @@
             return;
         }
         let version = plan.plan.version;
-        self.held = Some(plan);
+        if let Some(before) = self.held.replace(plan) {
+            self.earlier.push_back((self.last_tick + EARLIER_TERM, before));
+        }
+        while self.earlier.len() > EARLIER_LIMIT {
+            self.earlier.pop_front();
+        }
         if self.fetch.as_ref().is_some_and(|fetch| fetch.version <= version) {
             self.fetch = None;
         }
--- a/crates/pulley_core/src/version/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/plan_follower_fetch.rs
@@ -48,6 +48,13 @@
         }
     }
 
+    /// Whether it is on its way: somebody holds it, and nobody was asked in vain. Those who were may
+    /// have moved on to a later version.
+    pub(crate) fn is_coming(&self, now: Moment) -> bool {
+        let is_overdue = self.asked.is_some_and(|asked| now.since(asked) >= RETRY);
+        !self.sources.is_empty() && self.source == 0 && !is_overdue
+    }
+
     pub(crate) fn next_wakeup(&self) -> Option<Moment> {
         if self.sources.is_empty() {
             return None;
--- a/crates/pulley_core/src/version/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/plan_follower_message.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PlanContent {
     /// The freshest lease known, and the version that the sender can pass on.
-    Lease { lease: PlanLease, held: ConfigVersion },
+    Lease { lease: PlanLease, held: ConfigVersion, digest: PlanDigest },
     /// Asks for a lease; the nonce shows that the answer is no older than the question.
     Ask { nonce: u64 },
     /// Answers, with what the sender holds and, if it is a replica, what its log says.
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -102,3 +102,25 @@
     }
     assert_eq!(at_version(&network, 7), 12);
 }
+
+/// Changes come faster than a slow host can fetch one of them. Each used to throw away what was on
+/// its way, and the host stayed at the version before the storm for as long as it lasted: callers
+/// got what an operator had changed two seconds before.
+#[test]
+fn a_slow_host_follows_a_storm_of_changes() {
+    let mut network = with_leader(34, 31);
+    network.weather.delay = (20_000, 45_000);
+    network.publish(1, 40);
+    network.run_for(3 * SECOND);
+    for version in 2..=52 {
+        network.publish(version, 40);
+        network.run_for(Duration::from_millis(60));
+        if version > 24 {
+            let slowest = network.hosts.iter().map(|host| host.plans.version().0).min();
+            let behind = version - slowest.unwrap_or(0);
+            assert!(behind <= 22, "version {version}: the slowest host is {behind} behind");
+        }
+    }
+    network.run_for(SECOND);
+    assert!(network.hosts.iter().all(|host| host.plans.version().0 == 52));
+}
--- /dev/null
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -0,0 +1,280 @@
+//! Fuzzing of what comes from outside: sheets, and every message between hosts.
+//!
+//! Real messages are recorded from hosts that talk to each other, bytes of them are changed, cut off
+//! and doubled, and fed back. Nothing may panic, and a host must go on working afterwards. The run
+//! is seeded; `PULLEY_FUZZ_CASES` makes it longer.
+
+#![allow(clippy::unwrap_used, reason = "a test may end there")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pulley_core::process::{
+    Announcement, HostRoles, Incarnation, MemberId, MemberIncarnation, MemberRecord,
+    MemberSettings, MemberTable, PeerRing, SlotCount, UpstreamPhase, UpstreamRegistry,
+    UpstreamSequence,
+};
+use pulley_core::version::{
+    DriverInput, DriverOutput, PlanFollower, QuestionRouter, RecoveredState, ReplicaDriver,
+    ReplicaIdentity, ReplicaQuestion, ReplicaSet, ReplicaSettings, RouterOutput, SheetReader,
+};
+use pulley_core::{HostId, Moment};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Mutations of each recorded message in an ordinary run.
+const CASES: usize = 40;
+
+fn cases() -> usize {
+    let asked = std::env::var("PULLEY_FUZZ_CASES").ok().and_then(|text| text.parse().ok());
+    asked.unwrap_or(CASES)
+}
+
+fn host(number: u16) -> HostId {
+    format!("host-{number}").parse().unwrap()
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
+}
+
+fn announcement(number: u16) -> Announcement {
+    Announcement {
+        id: format!("u{number}").parse().unwrap(),
+        address: address(100 + number),
+        zone: "a".parse().unwrap(),
+        pool: "pool".parse().unwrap(),
+        slots: SlotCount(2),
+        connections: 10,
+        incarnation: Incarnation(5),
+        sequence: UpstreamSequence(1),
+        phase: UpstreamPhase::Ready,
+    }
+}
+
+/// Changes some bytes, cuts the end off, doubles a part, or mixes two messages.
+fn mutated(rng: &mut StdRng, message: &[u8], other: &[u8]) -> Vec<u8> {
+    let mut bytes = message.to_vec();
+    match rng.random_range(0..5) {
+        0 => bytes.truncate(rng.random_range(0..=bytes.len())),
+        1 => {
+            let at = rng.random_range(0..=bytes.len());
+            let part = bytes[at..].to_vec();
+            bytes.extend(part);
+        }
+        2 if !other.is_empty() => {
+            bytes.truncate(rng.random_range(0..=bytes.len()));
+            bytes.extend(&other[rng.random_range(0..other.len())..]);
+        }
+        _ => {}
+    }
+    for _ in 0..rng.random_range(0..6) {
+        if bytes.is_empty() {
+            break;
+        }
+        let at = rng.random_range(0..bytes.len());
+        bytes[at] = match rng.random_range(0..4) {
+            0 => 0,
+            1 => 0xff,
+            2 => bytes[at].wrapping_add(1),
+            _ => rng.random(),
+        };
+    }
+    bytes
+}
+
+/// Feeds mutations of recorded messages.
+fn feed(seed: u64, recorded: &[Bytes], mut take: impl FnMut(&[u8])) {
+    assert!(!recorded.is_empty());
+    let mut rng = StdRng::seed_from_u64(seed);
+    for message in recorded {
+        for _ in 0..cases() {
+            let other = &recorded[rng.random_range(0..recorded.len())];
+            take(&mutated(&mut rng, message, other));
+        }
+    }
+}
+
+#[test]
+fn no_mutated_message_of_membership_panics() {
+    let record = |number| MemberRecord {
+        host: host(number),
+        zone: "a".parse().unwrap(),
+        incarnation: MemberIncarnation(1),
+        peer_address: address(number),
+        caller_address: address(number),
+        operator_address: address(number),
+        roles: HostRoles { entry: true, replica: false },
+    };
+    let mut tables: Vec<MemberTable> = (0..3)
+        .map(|number| MemberTable::new(record(number), MemberSettings::default(), 1))
+        .collect();
+    for table in &mut tables {
+        table.seed(address(0));
+    }
+    let mut recorded = Vec::new();
+    let mut now = Moment::ZERO;
+    for _ in 0..40 {
+        now = now + Duration::from_millis(250);
+        for from in 0..3 {
+            for send in tables[usize::from(from)].tick(now) {
+                recorded.push(send.body.clone());
+                let to = (0..3).find(|number| address(*number) == send.to);
+                let Some(to) = to else { continue };
+                for reply in tables[usize::from(to)].receive(now, address(from), &send.body) {
+                    recorded.push(reply.body.clone());
+                    tables[usize::from(from)].receive(now, address(to), &reply.body);
+                }
+            }
+        }
+    }
+    feed(1, &recorded, |bytes| {
+        tables[0].receive(now, address(1), bytes);
+    });
+    tables[0].tick(now + Duration::from_secs(1));
+    assert!(tables[0].live().count() >= 1);
+}
+
+#[test]
+fn no_mutated_message_of_the_registry_panics() {
+    let mut registries = [UpstreamRegistry::new(), UpstreamRegistry::new()];
+    let ring = |own: u16| PeerRing::new(&host(own), vec![(host(1 - own), address(1 - own))]);
+    let mut recorded = Vec::new();
+    let mut now = Moment::ZERO + Duration::from_secs(1);
+    for step in 0..30 {
+        now = now + Duration::from_millis(100);
+        let _ = registries[0].announce(now, announcement(step % 7));
+        if step == 20 {
+            registries[0].announce_gone(now, &announcement(3).id, None);
+            recorded.extend(registries[0].departure(&announcement(3).id));
+        }
+        for from in 0..2_u16 {
+            for send in registries[usize::from(from)].tick(now, &ring(from)) {
+                recorded.push(send.body.clone());
+                let to = usize::from(1 - from);
+                recorded.extend(
+                    registries[to]
+                        .receive(now, address(from), &send.body)
+                        .into_iter()
+                        .map(|s| s.body),
+                );
+            }
+        }
+    }
+    feed(2, &recorded, |bytes| {
+        registries[1].receive(now, address(0), bytes);
+        registries[1].take_departure(now, bytes);
+    });
+    registries[1].tick(now + Duration::from_secs(1), &ring(1));
+    assert!(registries[1].announce(now, announcement(9)).is_ok());
+}
+
+#[test]
+fn no_mutated_message_about_plans_panics() {
+    let mut leader = PlanFollower::new(host(0), 1);
+    let mut follower = PlanFollower::new(host(1), 2);
+    let ring = |own: u16| PeerRing::new(&host(own), vec![(host(1 - own), address(1 - own))]);
+    let mut recorded = Vec::new();
+    let mut now = Moment::ZERO + Duration::from_secs(1);
+    for step in 0..20 {
+        now = now + Duration::from_millis(250);
+        leader.lead(1, ReplicaSet { index: 1, hosts: vec![host(0)] }, now);
+        let mut queue: Vec<_> = leader.tick(now, &ring(0)).into_iter().map(|s| (0, s)).collect();
+        queue.extend(follower.tick(now, &ring(1)).into_iter().map(|s| (1, s)));
+        while let Some((from, send)) = queue.pop() {
+            recorded.push(send.body.clone());
+            let (to, target) = if from == 0 { (1, &mut follower) } else { (0, &mut leader) };
+            let replies = target.receive(now, &host(from), &send.body);
+            queue.extend(replies.into_iter().map(|reply| (to, reply)));
+            assert!(recorded.len() < 1_000, "step {step}");
+        }
+    }
+    feed(3, &recorded, |bytes| {
+        follower.receive(now, &host(0), bytes);
+    });
+    follower.tick(now + Duration::from_secs(1), &ring(1));
+}
+
+#[test]
+fn no_mutated_message_of_the_log_panics() {
+    let founders: Vec<_> =
+        (0..3).map(|number| (host(number), MemberId(u64::from(number) + 1))).collect();
+    let mut drivers: Vec<ReplicaDriver> = (0..3_u16)
+        .map(|number| {
+            let identity = ReplicaIdentity {
+                host: host(number),
+                member: MemberId(u64::from(number) + 1),
+                cluster: "test".parse().unwrap(),
+            };
+            let settings = ReplicaSettings::founded_by(founders.clone()).with_growth(true);
+            let recovered = RecoveredState {
+                disk: pulley_core::version::DiskId(u64::from(number) + 10),
+                ..RecoveredState::default()
+            };
+            ReplicaDriver::new(identity, recovered, settings, Moment::ZERO, u64::from(number))
+        })
+        .collect();
+    let mut recorded = Vec::new();
+    let mut now = Moment::ZERO;
+    for _ in 0..60 {
+        now = now + Duration::from_millis(50);
+        let mut queue: Vec<(usize, DriverInput)> =
+            (0..3).map(|number| (number, DriverInput::Tick)).collect();
+        while let Some((number, input)) = queue.pop() {
+            for output in drivers[number].handle(now, input) {
+                match output {
+                    DriverOutput::Send { to, body } => {
+                        recorded.push(body.clone());
+                        let to = (0..3).find(|other| host(*other) == to).unwrap();
+                        let from = host(u16::try_from(number).unwrap());
+                        queue.push((usize::from(to), DriverInput::Peer { from, body }));
+                    }
+                    DriverOutput::Persist { ticket, .. } => {
+                        queue.push((number, DriverInput::Persisted { ticket, ok: true }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    recorded.truncate(400);
+    feed(4, &recorded, |bytes| {
+        let body = Bytes::copy_from_slice(bytes);
+        drivers[0].handle(now, DriverInput::Peer { from: host(1), body });
+    });
+    let mut router = QuestionRouter::new(host(0), 1);
+    router.apply_replicas(vec![host(0), host(1)]);
+    let mut questions = Vec::new();
+    for _ in 0..4 {
+        let (_, outputs) = router.ask(now, ReplicaQuestion::CurrentPlan).unwrap();
+        questions.extend(outputs.into_iter().filter_map(|output| match output {
+            RouterOutput::Send { body, .. } => Some(body),
+            _ => None,
+        }));
+        questions.extend(router.tick(now + Duration::from_secs(1)).into_iter().filter_map(
+            |output| match output {
+                RouterOutput::Send { body, .. } => Some(body),
+                _ => None,
+            },
+        ));
+    }
+    feed(5, &questions, |bytes| {
+        router.receive(now, &host(1), bytes);
+    });
+}
+
+#[test]
+fn no_mutated_sheet_panics() {
+    let sheets: Vec<Bytes> = [
+        &include_bytes!("../../../examples/kolkhi.csv")[..],
+        &include_bytes!("../../../examples/abay.csv")[..],
+        b"#limit header_bytes 16384\n#limit body_bytes 1\nhost,weight\n,",
+    ]
+    .into_iter()
+    .map(Bytes::from_static)
+    .collect();
+    feed(6, &sheets, |bytes| {
+        let _ = SheetReader::read(bytes);
+    });
+}
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
-use pulley_core::version::{AuditRead, DriverInput, PersistBatch, ReplicaMember};
+use pulley_core::version::{AuditRead, DriverInput, PersistBatch, PlanStanding, ReplicaMember};
 use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
 use thiserror::Error;
@@ -136,6 +136,8 @@
     known: Vec<(HostId, SocketAddr)>,
     known_mark: u64,
     believed: Option<ReplicaBelief>,
+    /// How this host stood towards the configuration when that was last logged.
+    standing: Option<PlanStanding>,
     next_key_check: Moment,
 }
 
@@ -232,6 +234,7 @@
         known: Vec::new(),
         known_mark: u64::MAX,
         believed: None,
+        standing: None,
         next_key_check: now + KEY_CHECK,
     };
     let requests = parts.requests;
@@ -415,6 +418,11 @@
 
     /// Logs who leads and who votes, once that has changed.
     fn report_belief(&mut self) {
+        let standing = self.core.follower.standing(self.clock.now());
+        if self.standing != Some(standing) {
+            self.standing = Some(standing);
+            info!(self.logger, "configuration"; "standing" => ?standing);
+        }
         let Some(replica) = &self.core.replica else { return };
         let node = replica.node();
         let belief = ReplicaBelief {
