--- a/crates/pulley_core/tests/mutated_messages.rs
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -196,25 +196,8 @@
     follower.tick(now + Duration::from_secs(1), &ring(1));
 }
 
-#[test]
-fn no_mutated_message_of_the_log_panics() {
-    let founders: Vec<_> =
-        (0..3).map(|number| (host(number), MemberId(u64::from(number) + 1))).collect();
-    let mut drivers: Vec<ReplicaDriver> = (0..3_u16)
-        .map(|number| {
-            let identity = ReplicaIdentity {
-                host: host(number),
-                member: MemberId(u64::from(number) + 1),
-                cluster: "test".parse().unwrap(),
-            };
-            let settings = ReplicaSettings::founded_by(founders.clone()).with_growth(true);
-            let recovered = RecoveredState {
-                disk: pulley_core::version::DiskId(u64::from(number) + 10),
-                ..RecoveredState::default()
-            };
-            ReplicaDriver::new(identity, recovered, settings, Moment::ZERO, u64::from(number))
-        })
-        .collect();
+/// Lets replicas found a cluster and elect a leader; returns what they said to each other.
+fn converse(drivers: &mut [ReplicaDriver]) -> (Moment, Vec<Bytes>) {
     let mut recorded = Vec::new();
     let mut now = Moment::ZERO;
     for _ in 0..60 {
@@ -238,11 +221,39 @@
             }
         }
     }
+    (now, recorded)
+}
+
+#[test]
+fn no_mutated_message_of_the_log_panics() {
+    let founders: Vec<_> =
+        (0..3).map(|number| (host(number), MemberId(u64::from(number) + 1))).collect();
+    let mut drivers: Vec<ReplicaDriver> = (0..3_u16)
+        .map(|number| {
+            let identity = ReplicaIdentity {
+                host: host(number),
+                member: MemberId(u64::from(number) + 1),
+                cluster: "test".parse().unwrap(),
+            };
+            let settings = ReplicaSettings::founded_by(founders.clone()).with_growth(true);
+            let recovered = RecoveredState {
+                disk: pulley_core::version::DiskId(u64::from(number) + 10),
+                ..RecoveredState::default()
+            };
+            ReplicaDriver::new(identity, recovered, settings, Moment::ZERO, u64::from(number))
+        })
+        .collect();
+    let (now, mut recorded) = converse(&mut drivers);
     recorded.truncate(400);
     feed(4, &recorded, |bytes| {
         let body = Bytes::copy_from_slice(bytes);
         drivers[0].handle(now, DriverInput::Peer { from: host(1), body });
     });
+}
+
+#[test]
+fn no_mutated_message_of_the_router_panics() {
+    let now = Moment::ZERO + Duration::from_secs(1);
     let mut router = QuestionRouter::new(host(0), 1);
     router.apply_replicas(vec![host(0), host(1)]);
     let mut questions = Vec::new();
