Part the scheduler's asking from its queueing

What asks upstreams and goes by their word stands in pool_scheduler_probes.rs now; no behaviour changes. The retry tests share one question.

--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod kind_shares;
 mod pool_scheduler;
 mod pool_scheduler_counts;
+mod pool_scheduler_probes;
 mod retry_budget;
 mod share_leases;
 mod ticket;
@@ -13,7 +14,8 @@
 mod wait_queue;
 
 pub use arrival_probes::ProbeReading;
-pub use pool_scheduler::{PoolScheduler, ProbeQuestion, ProbeReach, ProbeTarget};
+pub use pool_scheduler::PoolScheduler;
+pub use pool_scheduler_probes::{ProbeQuestion, ProbeReach, ProbeTarget};
 pub use retry_budget::{GiveUpCause, RetryAllowance, RetryBudget, RetryDecision, RetryQuestion};
 pub use share_leases::{KindDemand, divide_slots};
 pub use ticket::{
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -1,24 +1,20 @@
 //! Decides, for one pool at one entry, who starts, who waits and who is refused.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::arrival_probes::{ArrivalBudget, ProbeReading, expected_cost, expected_queueing};
+use super::arrival_probes::ArrivalBudget;
 use super::pool_scheduler_counts::ToldCounts;
 use super::{
     AttemptOutcome, FIRST_PRIORITY, KindShares, LeaseTerms, LoadReport, RefusalCause,
     RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects, UpstreamChoice, UpstreamTable,
     WaitQueue, WaitingRequest,
 };
-use crate::process::{
-    CountLink, FastMap, HostId, Moment, PoolName, UpstreamId, UpstreamRecord, ZoneName,
-};
+use crate::process::{CountLink, FastMap, HostId, Moment, PoolName, UpstreamRecord, ZoneName};
 use crate::version::{KindPlan, PolicyPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
@@ -55,60 +51,33 @@
 ///
 /// Admitted to the brim, a queue under overload holds only requests that start when their time is
 /// almost over; a third of the answers then come too late and the slots' work is thrown away.
-const WAIT_PART: f32 = 0.25;
+pub(super) const WAIT_PART: f32 = 0.25;
 
 /// Usual times of an answer that must be left when a request starts; 1 answer in 30 takes longer.
 const TIMES_LEFT: f32 = 3.0;
 
-/// What going to another zone costs, in usual times of an answer: the way there and back takes a
-/// few hundredths of one, and its bytes cost the operators more than the rest of the request.
-const ZONE_DISTANCE: f32 = 0.25;
-
-/// The longest expected time, in usual times of an answer, that is worth a slot. A free slot beside
-/// a busy one comes to 1.6 at two slots; the slowest usual spell is 5.
-const WORTH_STARTING: f32 = 2.0;
-
-/// From how many times the promised time on a request counts as overdue, and by what its upstream
-/// then ranks behind others: three times the usual work is rarer than one in a thousand. It refuses
-/// nobody: where answers get lost on the way, every upstream soon has a request that is overdue, and
-/// with all of them passed over 437 requests of ten seconds were refused beside free slots.
-const OVERDUE_TIMES: f32 = 3.0;
-const OVERDUE_COST: f32 = 2.0;
-
-/// The least part of an upstream that is taken to be usable when its cost is worked out.
-const LEAST_PART: f32 = 0.2;
-
-/// How long what an upstream said of itself is gone by. Its neighbours change its speed about every
-/// 150 ms, so that one reading in five of this age is wrong.
-const FRESH: Duration = Duration::from_millis(30);
-
-/// How long a word of a free slot is remembered for requests that can ask nobody.
-const REMEMBERED: Duration = Duration::from_secs(1);
-
-/// The part of a kind's target that its work is taken to need before answers have shown it.
-const TARGET_PART: f32 = 0.35;
+/// Finished requests between two workings-out of what holds for the pool as a whole.
+const REFRESH_EVERY: u32 = 32;
 
-/// The weight of one answer in a kind's smoothed time, and how many times that time one answer may
-/// count for at most: a spell that began after the probe says nothing of the work itself.
-const BASE_WEIGHT: f32 = 0.1;
-const BASE_JUMP: f32 = 2.0;
+/// The weight of one start in the smoothed time between starts.
+const GAP_WEIGHT: f32 = 0.1;
 
 /// How soon a refused caller may come back, at least.
-const SHORTEST_RETRY: Duration = Duration::from_millis(50);
+pub(super) const SHORTEST_RETRY: Duration = Duration::from_millis(50);
 
 /// How long a refused caller is asked to stay away, at most.
-const LONGEST_RETRY: Duration = Duration::from_secs(5);
+pub(super) const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
 /// When to come back where no upstream takes work.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
-struct RunningRequest {
-    upstream: usize,
-    row: usize,
-    started: Moment,
+pub(super) struct RunningRequest {
+    pub(super) upstream: usize,
+    pub(super) row: usize,
+    pub(super) started: Moment,
     /// How long it should take, in usual times, by its upstream's own word.
-    cost: Option<f32>,
+    pub(super) cost: Option<f32>,
 }
 
 /// One pool's scheduler at one entry.
@@ -119,7 +88,7 @@
 pub struct PoolScheduler {
     pub(crate) pool: PoolName,
     pub(crate) host: HostId,
-    zone: ZoneName,
+    pub(super) zone: ZoneName,
     plan: Arc<PolicyPlan>,
     pub(crate) shares: KindShares,
     pub(crate) upstreams: UpstreamTable,
@@ -128,44 +97,15 @@
     pub(crate) told: VecDeque<ToldCounts>,
     pub(crate) counted_at: Option<Moment>,
     pub(crate) queue: WaitQueue,
-    running: FastMap<RequestNumber, RunningRequest>,
-    rng: SmallRng,
+    pub(super) running: FastMap<RequestNumber, RunningRequest>,
+    pub(super) rng: SmallRng,
     finishes: u32,
     /// Requests that may be outstanding for each usable slot, over the pool.
     slack: f32,
     /// The upstream whose slot this entry has just seen freed.
     freed: Option<usize>,
     /// What arriving requests may ask of upstreams.
-    probes: ArrivalBudget,
-}
-
-/// How far a request looks for an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeReach {
-    /// In its own zone, as long as that has upstreams of its pool.
-    OwnZone,
-    /// In every zone.
-    EveryZone,
-}
-
-/// Asks for upstreams to ask.
-#[derive(Clone, Copy, Debug)]
-pub struct ProbeQuestion<'a> {
-    /// Those that were asked already.
-    pub asked: &'a [UpstreamId],
-    /// How many to ask at most.
-    pub wanted: usize,
-    /// How far to look.
-    pub reach: ProbeReach,
-}
-
-/// An upstream to ask when a request arrives.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ProbeTarget {
-    /// Which upstream.
-    pub upstream: UpstreamId,
-    /// Where it listens.
-    pub address: SocketAddr,
+    pub(super) probes: ArrivalBudget,
 }
 
 impl PoolScheduler {
@@ -193,248 +133,6 @@
         }
     }
 
-    /// Sets how many upstreams arriving requests may ask, in probes a second.
-    pub fn set_probe_rate(&mut self, rate: f32) {
-        self.probes.set_rate(rate);
-    }
-
-    /// Which upstreams to ask for a request, within the budget; none while requests wait here
-    /// already, since theirs is the next slot.
-    ///
-    /// Those of the own zone are asked first, and others only once all of those are asked: another
-    /// zone's answer is later, and its bytes are dear. Within a zone the choice is random, as two
-    /// entries that ask the same ones at the same moment would both choose the one that is idle.
-    pub fn probe_targets(
-        &mut self,
-        now: Moment,
-        ticket: &RequestTicket,
-        question: &ProbeQuestion<'_>,
-    ) -> Vec<ProbeTarget> {
-        if self.queue.len() > 0 || self.shares.local(ticket.kind).is_none() {
-            return Vec::new();
-        }
-        let asked = question.asked;
-        let passed = |id: &UpstreamId| asked.contains(id) || ticket.avoid.contains(id);
-        let mut open = self.upstreams.askable(now, &self.zone, passed);
-        if question.reach == ProbeReach::OwnZone && self.has_own_zone() {
-            open.retain(|(is_away, _)| !is_away);
-        }
-        open.shuffle(&mut self.rng);
-        open.sort_by_key(|(is_away, _)| *is_away);
-        let count = self.probes.take(now, question.wanted.min(open.len()));
-        let targets = open.into_iter().take(count).map(|(_, index)| {
-            let announcement = &self.upstreams.at(index).record.announcement;
-            ProbeTarget { upstream: announcement.id.clone(), address: announcement.address }
-        });
-        targets.collect()
-    }
-
-    fn has_own_zone(&self) -> bool {
-        self.upstreams.open().any(|slots| slots.record.announcement.zone == self.zone)
-    }
-
-    /// How long a request would take at the best of the upstreams that were asked, in usual times
-    /// of an answer.
-    #[must_use]
-    pub fn best_cost(&self, now: Moment, readings: &[ProbeReading]) -> Option<f32> {
-        let costs = readings.iter().filter_map(|reading| self.reading_cost(now, reading));
-        costs.map(|found| found.cost).min_by(f32::total_cmp)
-    }
-
-    /// Takes a new request whose upstreams have been asked: it starts at the one that will answer
-    /// it first, if any can answer it in time.
-    pub fn arrive_probed(
-        &mut self,
-        now: Moment,
-        ticket: &RequestTicket,
-        readings: &[ProbeReading],
-    ) -> SchedulerEffects {
-        let Some(local) = self.shares.local(ticket.kind) else {
-            return self.arrive(now, ticket);
-        };
-        let best = readings
-            .iter()
-            .filter_map(|reading| Some((self.reading_cost(now, reading)?, reading)))
-            .min_by(|(a, _), (b, _)| a.rank().total_cmp(&b.rank()));
-        let Some((UpstreamCost { cost, index, .. }, reading)) = best else {
-            return self.arrive_unasked(now, local, ticket);
-        };
-        if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
-            return self.arrive(now, ticket);
-        }
-        for reading in readings {
-            self.note_reading(now, reading);
-        }
-        if self.is_kept(now, local, ticket, (index, reading), cost) {
-            let slots = self.upstreams.at(index).slots();
-            let queueing = expected_queueing(slots, &reading.report, self.base(local));
-            let retry_after = queueing.clamp(SHORTEST_RETRY, LONGEST_RETRY);
-            return vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)];
-        }
-        let started = self.start(now, local, index, ticket);
-        if let Some(running) = self.running.get_mut(&ticket.number) {
-            running.cost = Some(cost);
-        }
-        vec![started]
-    }
-
-    /// Takes a request for which no upstream could be asked any more, as the budget is used up.
-    ///
-    /// It goes by what upstreams have said within the last second: where one had a slot free, it is
-    /// likely to have one still. Placed blindly where none had, it would only wait there, just when
-    /// the pool can least afford it; it had better ask a little later.
-    fn arrive_unasked(
-        &mut self,
-        now: Moment,
-        local: usize,
-        ticket: &RequestTicket,
-    ) -> SchedulerEffects {
-        // Those that wait here already are asked for by nobody: it goes behind them.
-        let waits = self.queue.len() > 0;
-        if waits || ticket.target.is_none() || self.upstreams.is_closed() {
-            return self.arrive(now, ticket);
-        }
-        let known = self.readings_since(now, REMEMBERED, ticket);
-        let best = known
-            .iter()
-            .filter_map(|reading| self.reading_cost(now, reading))
-            .filter(|found| found.cost <= WORTH_STARTING)
-            .min_by(|a, b| a.rank().total_cmp(&b.rank()));
-        if let Some(found) = best
-            && self.may_start(local)
-            && ticket.deadline > now
-        {
-            return vec![self.start(now, local, found.index, ticket)];
-        }
-        let retry_after = self.base(local).clamp(SHORTEST_RETRY, LONGEST_RETRY);
-        vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)]
-    }
-
-    /// Whether one of the upstreams that were asked should answer a request by its target.
-    #[must_use]
-    pub fn is_soon(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
-        let (Some(local), Some(cost)) =
-            (self.shares.local(ticket.kind), self.best_cost(now, readings))
-        else {
-            return false;
-        };
-        now + self.base(local).mul_f32(cost) <= ticket.target.unwrap_or(ticket.deadline)
-    }
-
-    /// Whether a request is better kept than sent to the best upstream that was found.
-    ///
-    /// Load it is for: many of a pool's upstreams are slowed down or full at this moment. Harm: work
-    /// that starts in a spell keeps its slot for the whole factor, and work that queues comes late
-    /// and makes those behind it late; so a rush of three seconds left a pool of 14 with 49
-    /// requests a second unable to recover within 30 s, though it can answer over 80. Reason for
-    /// the limit: a slot that is free, even beside a busy one, is below it; a spell or a queue is
-    /// not, and both are over sooner than the work would be.
-    fn is_kept(
-        &self,
-        now: Moment,
-        local: usize,
-        ticket: &RequestTicket,
-        (index, reading): (usize, &ProbeReading),
-        cost: f32,
-    ) -> bool {
-        if ticket.target.is_some() {
-            return cost > WORTH_STARTING;
-        }
-        let slots = self.upstreams.at(index).slots();
-        let queueing = expected_queueing(slots, &reading.report, self.base(local));
-        queueing > ticket.deadline.since(now).mul_f32(WAIT_PART)
-    }
-
-    /// Until when a request may look for an upstream that is worth starting at: past that its answer
-    /// would miss its target, and its caller had better know.
-    #[must_use]
-    pub fn patience(&self, now: Moment, ticket: &RequestTicket) -> Moment {
-        let (Some(local), Some(target)) = (self.shares.local(ticket.kind), ticket.target) else {
-            return now;
-        };
-        (target - self.base(local)).min(ticket.deadline)
-    }
-
-    /// What upstreams have said of themselves within the last moments, so that they need not be
-    /// asked again.
-    #[must_use]
-    pub fn fresh_readings(&self, now: Moment, ticket: &RequestTicket) -> Vec<ProbeReading> {
-        self.readings_since(now, FRESH, ticket)
-    }
-
-    fn readings_since(
-        &self,
-        now: Moment,
-        span: Duration,
-        ticket: &RequestTicket,
-    ) -> Vec<ProbeReading> {
-        let known = self.upstreams.open().filter_map(|slots| {
-            let (at, report) = slots.reading?;
-            let upstream = &slots.record.announcement.id;
-            let is_usable = now.since(at) <= span && !ticket.avoid.contains(upstream);
-            is_usable.then(|| ProbeReading { upstream: upstream.clone(), report })
-        });
-        known.collect()
-    }
-
-    /// How long a kind's work takes at an upstream that nothing slows down.
-    fn base(&self, local: usize) -> Duration {
-        let kind = self.shares.kind(local);
-        if kind.base_ms > 0.0 {
-            return Duration::from_secs_f32(kind.base_ms / 1_000.0);
-        }
-        kind.target.map_or_else(|| self.usual(), |target| target.mul_f32(TARGET_PART))
-    }
-
-    /// Learns from an answer how long a kind's work takes where nothing slows it down.
-    fn note_base(&mut self, local: usize, cost: f32, took: Duration) {
-        let kind = self.shares.kind_mut(local);
-        let sample = took.as_secs_f32() * 1_000.0 / cost;
-        if kind.base_ms <= 0.0 {
-            kind.base_ms =
-                kind.target.map_or(sample, |target| target.as_secs_f32() * 1_000.0 * TARGET_PART);
-        }
-        kind.base_ms += BASE_WEIGHT * (sample.min(kind.base_ms * BASE_JUMP) - kind.base_ms);
-    }
-
-    fn note_reading(&mut self, now: Moment, reading: &ProbeReading) {
-        if let Some(index) = self.upstreams.index_of(&reading.upstream) {
-            let slots = self.upstreams.at_mut(index);
-            // One that was passed on from here is no newer than it was.
-            if slots.reading.is_none_or(|(_, known)| known != reading.report) {
-                slots.reading = Some((now, reading.report));
-            }
-        }
-    }
-
-    /// Whether a request that this entry has sent to an upstream has taken far longer already than
-    /// the upstream's own word promised.
-    fn is_overdue(&self, now: Moment, upstream: usize) -> bool {
-        self.running.values().filter(|running| running.upstream == upstream).any(|running| {
-            let Some(cost) = running.cost else { return false };
-            let Some(local) = self.shares.local(running.row) else { return false };
-            now.since(running.started) > self.base(local).mul_f32(cost * OVERDUE_TIMES)
-        })
-    }
-
-    /// What a reading says of a request's time there, if the upstream still takes work.
-    ///
-    /// What callers have seen of it lately counts as well: an upstream may fail or take long while
-    /// its own word is good.
-    fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<UpstreamCost> {
-        let index = self.upstreams.index_of(&reading.upstream)?;
-        let slots = self.upstreams.at(index);
-        if !slots.takes_work() {
-            return None;
-        }
-        let away = if slots.record.announcement.zone == self.zone { 0.0 } else { ZONE_DISTANCE };
-        let own_word = expected_cost(slots.slots(), &reading.report);
-        let part = (slots.usable_part(now) / self.upstreams.usual_part()).clamp(LEAST_PART, 1.0);
-        let late = if self.is_overdue(now, index) { OVERDUE_COST } else { 1.0 };
-        let cost = own_word * slots.pace(now);
-        Some(UpstreamCost { cost, handicap: cost * late / part - cost + away, index })
-    }
-
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
     /// gone is refused.
     pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) -> SchedulerEffects {
@@ -527,13 +225,8 @@
         if let Some(local) = self.shares.local(running.row) {
             let kind = self.shares.kind_mut(local);
             kind.own = kind.own.saturating_sub(1);
-            if let Some(cost) = running.cost.filter(|_| outcome == AttemptOutcome::Answered) {
-                let took = now.since(running.started);
-                let promised = self.base(local).as_secs_f32() * cost;
-                self.upstreams
-                    .at_mut(running.upstream)
-                    .note_pace(now, took.as_secs_f32() / promised);
-                self.note_base(local, cost, took);
+            if outcome == AttemptOutcome::Answered {
+                self.note_answer(now, local, &running);
             }
         }
         self.finishes = self.finishes.wrapping_add(1);
@@ -713,7 +406,7 @@
 
     /// Whether shares, reservations and the bound on long work leave this kind a slot.
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
-    fn may_start(&self, local: usize) -> bool {
+    pub(super) fn may_start(&self, local: usize) -> bool {
         if self.shares.kind(local).priority == FIRST_PRIORITY {
             return true;
         }
@@ -741,7 +434,7 @@
         self.shares.round_leases(|| rng.random());
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         now: Moment,
         local: usize,
@@ -798,7 +491,7 @@
     }
 
     /// The usual time of one answer.
-    fn usual(&self) -> Duration {
+    pub(super) fn usual(&self) -> Duration {
         Duration::from_secs_f32(self.upstreams.usual_ms() / 1_000.0)
     }
 
@@ -808,25 +501,6 @@
     }
 }
 
-/// What a request would cost at one upstream, in usual times of an answer.
-#[derive(Clone, Copy, Debug)]
-struct UpstreamCost {
-    cost: f32,
-    /// What speaks against it besides: another zone, failures lately. It ranks upstreams and refuses
-    /// none, as a moment's waiting changes nothing about it.
-    handicap: f32,
-    index: usize,
-}
-
-impl UpstreamCost {
-    fn rank(&self) -> f32 {
-        self.cost + self.handicap
-    }
-}
-
-/// Finished requests between two workings-out of what holds for the pool as a whole.
-const REFRESH_EVERY: u32 = 32;
-
 /// The new row of each of a pool's rows of the old plan that is still there.
 ///
 /// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of 4,000
@@ -846,9 +520,10 @@
     plan.kinds.iter().enumerate().filter(move |(_, kind)| kind.pool == *pool)
 }
 
-/// The weight of one start in the smoothed time between starts.
-const GAP_WEIGHT: f32 = 0.1;
-
-fn refusal(number: RequestNumber, cause: RefusalCause, retry_after: Duration) -> SchedulerEffect {
+pub(super) fn refusal(
+    number: RequestNumber,
+    cause: RefusalCause,
+    retry_after: Duration,
+) -> SchedulerEffect {
     SchedulerEffect::Refuse { number, cause, retry_after }
 }
--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -442,13 +442,9 @@
     assert!(slow[1] <= 20, "2,000 calls later it still got {} of 2,000", slow[1]);
 }
 
-// An upstream at the bottom of calls seven deep fails. If each layer tried three times, it would
-// be called 2,187 times for one request at the top.
-#[test]
-fn one_layer_retries_within_its_budget() {
-    let mut budget = RetryBudget::new();
-    let question = RetryQuestion {
-        most_attempts: 3,
+fn failed_once() -> RetryQuestion {
+    RetryQuestion {
+        most_attempts: 2,
         outcome: AttemptOutcome::Failed,
         verdict: RequestVerdict::MayHaveRun,
         idempotent: true,
@@ -456,7 +452,15 @@
         retried_below: false,
         left: 500 * MS,
         typical: 20 * MS,
-    };
+    }
+}
+
+// An upstream at the bottom of calls seven deep fails. If each layer tried three times, it would
+// be called 2,187 times for one request at the top.
+#[test]
+fn one_layer_retries_within_its_budget() {
+    let mut budget = RetryBudget::new();
+    let question = RetryQuestion { most_attempts: 3, ..failed_once() };
     let mut retries = 0;
     for _ in 0..1_000 {
         budget.note_request();
@@ -482,16 +486,7 @@
     for entries in [3_usize, 20, 29] {
         let fresh = || RetryBudget::within(allowance, u32::try_from(entries).expect("few"));
         let mut budgets: Vec<RetryBudget> = (0..entries).map(|_| fresh()).collect();
-        let question = RetryQuestion {
-            most_attempts: 2,
-            outcome: AttemptOutcome::Failed,
-            verdict: RequestVerdict::MayHaveRun,
-            idempotent: true,
-            attempt: 0,
-            retried_below: false,
-            left: 500 * MS,
-            typical: 20 * MS,
-        };
+        let question = failed_once();
         let mut rng = StdRng::seed_from_u64(3);
         let mut seconds = vec![(0_u32, 0_u32); 40];
         for (second, counted) in seconds.iter_mut().enumerate() {
