Ask other zones too where a free slot puts the target at risk

The lines of request-answered say why: nearly all began at an upstream of the own zone with running=1 of two slots, where work takes 1.6 times as long, while other zones had idle upstreams that were not asked.

Change: a request that would start, but would be late if its work were 1.6 times as large as usual, asks other zones as well while half of the probes are left.

--- a/crates/pulley_core/src/request/arrival_probes.rs
+++ b/crates/pulley_core/src/request/arrival_probes.rs
@@ -53,6 +53,15 @@
         self.rate = rate;
     }
 
+    /// Whether there are probes to spare: more than half of those that may be saved up.
+    pub(crate) fn is_ample(&self) -> bool {
+        self.saved > self.most() / 2.0
+    }
+
+    fn most(&self) -> f32 {
+        if self.rate > 0.0 { (self.rate * SAVED_PART).max(LEAST_SAVED) } else { 0.0 }
+    }
+
     /// Takes up to `wanted` probes; returns how many.
     #[expect(
         clippy::cast_possible_truncation,
@@ -62,8 +71,7 @@
     )]
     pub(crate) fn take(&mut self, now: Moment, wanted: usize) -> usize {
         let gained = now.since(self.filled).as_secs_f32() * self.rate;
-        let most = if self.rate > 0.0 { (self.rate * SAVED_PART).max(LEAST_SAVED) } else { 0.0 };
-        self.saved = (self.saved + gained).min(most);
+        self.saved = (self.saved + gained).min(self.most());
         self.filled = now;
         let taken = (self.saved as usize).min(wanted);
         self.saved -= taken as f32;
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -18,6 +18,10 @@
 /// a busy one comes to 1.6 at two slots; the slowest usual spell is 5.
 const WORTH_STARTING: f32 = 2.0;
 
+/// How much larger than usual a request's work may be and still be in time, before other zones are
+/// asked as well.
+const LARGE_WORK: f32 = 1.6;
+
 /// From how many times the promised time on a request counts as overdue, and by what its upstream
 /// then ranks behind others: three times the usual work is rarer than one in a thousand. It refuses
 /// nobody: where answers get lost on the way, every upstream soon has a request that is overdue, and
@@ -193,12 +197,40 @@
     /// Whether one of the upstreams that were asked should answer a request by its target.
     #[must_use]
     pub fn is_soon(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
+        self.should_answer(now, ticket, readings, 1.0)
+    }
+
+    /// Whether a request would start at the best of the upstreams that were asked, but its answer
+    /// would come late if its work were somewhat larger than usual.
+    ///
+    /// Load it is for: pools whose upstreams have few slots, in which the free slot of the own zone
+    /// is mostly beside a busy one. Harm: there work takes 1.6 times as long, and one answer in
+    /// fourteen missed a target of 2.5 usual times, while other zones had upstreams that stood idle.
+    /// Reason for the limit: half again the usual work is rarer than one in ten; what meets its
+    /// target then too needs nobody else asked, and another zone's bytes are dear. Once half of the
+    /// probes are used up they are kept for those that would else find no upstream at all.
+    #[must_use]
+    pub fn is_risky(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
+        let starts = self.best_cost(now, readings).is_some_and(|cost| cost <= WORTH_STARTING);
+        let may_ask = starts && ticket.target.is_some() && self.probes.is_ample();
+        may_ask && !self.should_answer(now, ticket, readings, LARGE_WORK)
+    }
+
+    /// Whether work of so many times the usual size should be answered by its target.
+    fn should_answer(
+        &self,
+        now: Moment,
+        ticket: &RequestTicket,
+        readings: &[ProbeReading],
+        size: f32,
+    ) -> bool {
         let (Some(local), Some(cost)) =
             (self.shares.local(ticket.kind), self.best_cost(now, readings))
         else {
             return false;
         };
-        now + self.base(local).mul_f32(cost) <= ticket.target.unwrap_or(ticket.deadline)
+        let takes = self.base(local).mul_f32(cost * size);
+        now + takes <= ticket.target.unwrap_or(ticket.deadline)
     }
 
     /// Whether a request is better kept than sent to the best upstream that was found.
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -141,6 +141,31 @@
     assert_eq!(chosen(&scheduler.arrive_probed(now, &ticket(3, now), &readings)), Some("u1"));
 }
 
+// Upstreams have two slots, and the free one of the own zone is beside a busy one, while another zone
+// has idle upstreams. The answer would be late if the work were half again as large as usual, so the
+// other zone is asked as well. Where all are idle, in a spell that is over sooner, or once half of
+// the probes are used up, nobody else is asked.
+#[test]
+fn other_zones_are_asked_where_the_target_is_at_risk() {
+    let records = [upstream(0, "a", 2), upstream(1, "b", 2), upstream(2, "b", 2)];
+    let mut scheduler = entry(7, &records);
+    let now = Moment::ZERO + Duration::from_secs(1);
+    let question = ProbeQuestion { asked: &[], wanted: 1, reach: ProbeReach::OwnZone };
+    scheduler.probe_targets(now, &ticket(1, now), &question);
+    let is_risky = |scheduler: &PoolScheduler, running, slowdown| {
+        scheduler.is_risky(now, &ticket(1, now), &[reading(0, running, 0, slowdown)])
+    };
+    assert!(is_risky(&scheduler, 1, 1.2));
+    assert!(!is_risky(&scheduler, 0, 1.0));
+    assert!(!is_risky(&scheduler, 0, 5.0));
+    let both = [reading(0, 1, 0, 1.2), reading(1, 0, 0, 1.0)];
+    for number in 0..8 {
+        scheduler.probe_targets(now, &ticket(number, now), &question);
+    }
+    assert!(!is_risky(&scheduler, 1, 1.2));
+    assert_eq!(chosen(&scheduler.arrive_probed(now, &ticket(9, now), &both)), Some("u1"));
+}
+
 // A burst comes when upstreams have the least time for questions. No entry may ask more than its
 // part of the budget in any second, whatever arrives.
 #[test]
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -9,7 +9,7 @@
 use pulley_core::request::{
     LoadReport, ProbeQuestion, ProbeReach, ProbeReading, ProbeTarget, RequestTicket,
 };
-use pulley_core::version::KindPlan;
+use pulley_core::version::{AnswerSize, KindPlan};
 use pulley_core::{Moment, UpstreamId};
 
 use super::{RequestBody, TrafficContext};
@@ -79,6 +79,12 @@
             asked.extend(targets.iter().map(|target| target.upstream.clone()));
             probing.ask_all(context, &path, ticket, targets).await;
         }
+        let may_leave = reach == ProbeReach::OwnZone && row.route.answers != AnswerSize::Large;
+        if may_leave && context.schedulers.is_risky(&row.pool, ticket, &probing.readings) {
+            let question = ProbeQuestion { asked: &asked, wanted, reach: ProbeReach::EveryZone };
+            let targets = context.schedulers.probe_targets(&row.pool, ticket, &question);
+            probing.ask_all(context, &path, ticket, targets).await;
+        }
         probing
     }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -215,6 +215,20 @@
         cell.state.lock().scheduler.is_soon(now, ticket, readings)
     }
 
+    /// Whether a request would start at one of the upstreams that were asked, but might well be
+    /// answered late.
+    #[must_use]
+    pub fn is_risky(
+        &self,
+        pool: &PoolName,
+        ticket: &RequestTicket,
+        readings: &[ProbeReading],
+    ) -> bool {
+        let Some(cell) = self.cell(pool) else { return false };
+        let now = self.clock.now();
+        cell.state.lock().scheduler.is_risky(now, ticket, readings)
+    }
+
     /// The row of a request's kind in the plan that its pool goes by now, if it has one.
     ///
     /// A request is admitted under one plan and tried again under a later one, in which its row has
