Walk a failed request in a session test

From an id alone, pulleyctl explain over all hosts' logs has to say that a binding was sent once, where to and that it may have run, and of a refused request that nothing was sent.

--- a/crates/pulleyd/tests/sessions/main.rs
+++ b/crates/pulleyd/tests/sessions/main.rs
@@ -209,6 +209,50 @@
     record.check("refusals");
 }
 
+/// An operator is asked what became of a binding that came back as an error. From the request's id
+/// alone the logs of all hosts must say that it was sent once, where to, and that it may have run;
+/// and of one that was refused, that nothing was sent and by which configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_request_is_explained_from_its_id() {
+    let cluster = cluster_with_sheet().await;
+    let binding = cluster.start_upstream("binding-1", "binding", 2).await;
+    cluster.wait_for_upstreams(1).await;
+    let callers = cluster.hosts[1].callers();
+    let lost = [("x-request-id", "binding-of-ana"), ("jacinthpulley-deadline-ms", "300")];
+    let answer = http_caller::call(callers, "POST", "/bindings/held", &lost, "policy=7").await;
+    let answer = answer.expect("a whole answer");
+    assert_eq!(answer.status, 504, "{}", answer.body);
+    let refused = [("x-request-id", "weather-of-ana")];
+    let answer = http_caller::call(callers, "GET", "/weather", &refused, "").await;
+    assert_eq!(answer.expect("a whole answer").status, 404);
+    binding.until_held(1).await;
+
+    let story = explained(&cluster, "binding-of-ana").await;
+    let expected =
+        ["host-2", "verdict=may-have-run", "cause=no-answer-in-time", "attempts=1", "binding-1"];
+    for part in expected {
+        assert!(story.contains(part), "{part} is missing:\n{story}");
+    }
+    let story = explained(&cluster, "weather-of-ana").await;
+    for part in ["verdict=not-run", "cause=no-such-kind", "attempts=0", "config=1"] {
+        assert!(story.contains(part), "{part} is missing:\n{story}");
+    }
+    binding.let_go();
+}
+
+/// What `pulleyctl explain` says of a request from all hosts' logs: its own lines only.
+async fn explained(cluster: &TestCluster, id: &str) -> String {
+    let files = (0..cluster.hosts.len()).map(|place| cluster.log_file(place));
+    let files: Vec<String> = files.map(|file| file.display().to_string()).collect();
+    let args: Vec<&str> = ["explain", id].into_iter().chain(files.iter().map(|f| &**f)).collect();
+    let written = async |cluster: &TestCluster| cluster.pulleyctl_alone(&args).out.contains(id);
+    cluster.wait_for("the request's line in a log", written).await;
+    let story = cluster.pulleyctl_alone(&args);
+    assert_eq!(story.code, 0, "{}", story.err);
+    let lines = story.out.lines().filter(|line| line.contains(id));
+    lines.fold(String::new(), |text, line| text + line + "\n")
+}
+
 /// An upstream leaves by its own word, another by an operator's, and then a host of the system
 /// with a call in flight.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
