Pass over upstreams that answer nobody while others of the pool do

Ruled out: lost questions (they were answered later), a spent budget.

Change: as long as any upstream of the pool has answered within a second, a request that hears from nobody goes by what was said then, or is kept and asks again. Only where nobody answers at all is it placed by counts.

--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -289,6 +289,13 @@
         known.collect()
     }
 
+    /// Whether any upstream has said how loaded it is within the last second.
+    #[must_use]
+    pub fn has_heard(&self, now: Moment) -> bool {
+        let mut readings = self.upstreams.open().filter_map(|slots| slots.reading);
+        readings.any(|(at, _)| now.since(at) <= REMEMBERED)
+    }
+
     /// How long a kind's work takes at an upstream that nothing slows down.
     fn base(&self, local: usize) -> Duration {
         let kind = self.shares.kind(local);
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -166,6 +166,25 @@
     assert_eq!(chosen(&scheduler.arrive_probed(now, &ticket(9, now), &both)), Some("u1"));
 }
 
+// Of two upstreams one has said half a second ago that it is free; none of those that are asked now
+// answers, as slowed machines answer late. Placed by counts alone, half of the requests went to the
+// other one and took a second. Once nobody has answered for longer, counts are all there is.
+#[test]
+fn those_that_answer_nobody_are_passed_over_while_others_do() {
+    let records: Vec<_> = (0..2).map(|index| upstream(index, "a", 6)).collect();
+    let mut scheduler = entry(8, &records);
+    let mut now = Moment::ZERO + Duration::from_secs(1);
+    assert!(!scheduler.has_heard(now));
+    let first = scheduler.arrive_probed(now, &ticket(0, now), &[reading(0, 0, 0, 1.0)]);
+    assert_eq!(chosen(&first), Some("u0"));
+    for number in 1..=4 {
+        now = now + 100 * MS;
+        assert!(scheduler.has_heard(now));
+        assert_eq!(chosen(&scheduler.arrive_probed(now, &ticket(number, now), &[])), Some("u0"));
+    }
+    assert!(!scheduler.has_heard(now + Duration::from_secs(1)));
+}
+
 // A burst comes when upstreams have the least time for questions. No entry may ask more than its
 // part of the budget in any second, whatever arrives.
 #[test]
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -57,6 +57,8 @@
     pub(super) readings: Vec<ProbeReading>,
     /// How many were asked in vain.
     pub(super) unanswered: usize,
+    /// Whether they were, and nobody of the pool has answered of late.
+    is_mute: bool,
     /// The links that they answered over.
     links: Vec<(UpstreamId, UpstreamLink<Unused>)>,
 }
@@ -96,12 +98,16 @@
             let targets = context.schedulers.probe_targets(&row.pool, ticket, &question);
             probing.ask_all(context, row, &path, ticket, targets).await;
         }
+        probing.is_mute = probing.unanswered > 0 && !context.schedulers.has_heard(&row.pool);
         probing
     }
 
-    /// What to place by; none if nobody was to be asked, or nobody answered who was.
+    /// What to place by; none if nobody was to be asked, or the pool's upstreams do not answer.
+    ///
+    /// Where others of the pool have answered within the last second, those that were asked now are
+    /// slow: placed by counts alone, requests went to just those and took a second.
     pub(super) fn asked(&self) -> Option<&[ProbeReading]> {
-        let is_blind = !self.is_on || (self.readings.is_empty() && self.unanswered > 0);
+        let is_blind = !self.is_on || (self.readings.is_empty() && self.is_mute);
         (!is_blind).then_some(&self.readings)
     }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -195,6 +195,13 @@
         cell.state.lock().scheduler.fresh_readings(self.clock.now(), ticket)
     }
 
+    /// Whether any upstream of a pool has said how loaded it is within the last second.
+    #[must_use]
+    pub fn has_heard(&self, pool: &PoolName) -> bool {
+        let now = self.clock.now();
+        self.cell(pool).is_some_and(|cell| cell.state.lock().scheduler.has_heard(now))
+    }
+
     /// Until when a request may look for an upstream that is worth starting at.
     #[must_use]
     pub fn patience(&self, pool: &PoolName, ticket: &RequestTicket) -> Moment {
