--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -56,7 +56,7 @@
     /// What they said.
     pub(super) readings: Vec<ProbeReading>,
     /// How many were asked in vain.
-    pub(super) unanswered: usize,
+    unanswered: usize,
     /// Whether they were, and nobody of the pool has answered of late.
     is_mute: bool,
     /// The links that they answered over.
@@ -169,6 +169,9 @@
                 _ => {}
             }
         }
+        if asking.is_empty() {
+            return;
+        }
         self.unanswered += asking.len();
         tokio::spawn(async move {
             while let Some((_, answer)) = asking.next().await {
