Give each daemon of the process tests a loopback address of its own

While it was down the system had given the port to another socket on 127.0.0.1.

Ruled out: the daemon itself (the new test fails the same way with a plain socket on that port), load (the port was taken, not late).

No check was eased.

--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -69,6 +69,19 @@
     assert_eq!(accepted(&next), 501);
 }
 
+// While a host is down, another process on the machine is given the number of one of its ports. The
+// host must start again all the same: a test that restarts hosts failed once with "address already
+// in use", as all listened at one address with ports that the system gives to anybody.
+#[test]
+fn a_host_starts_again_though_its_port_number_is_in_use() {
+    let mut cluster = TestCluster::start(1, 0);
+    cluster.hosts[0].end(Signal::SIGKILL);
+    let port = cluster.hosts[0].addresses[0].port();
+    let _taken = std::net::TcpListener::bind(("127.0.0.1", port)).expect("the port is free");
+    cluster.hosts[0].restart();
+    assert!(wait_until(Duration::from_secs(20), || cluster.health(0).is_some()));
+}
+
 // Two operators change the same version at the same moment through different hosts. If both were
 // told that theirs was accepted, one would work all day by a sheet that is not in force.
 #[test]
--- a/crates/pulleyd/tests/process_support/daemon_process.rs
+++ b/crates/pulleyd/tests/process_support/daemon_process.rs
@@ -1,9 +1,10 @@
 //! One daemon process.
 
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -14,6 +15,15 @@
 /// The listeners of one daemon.
 const LISTENERS: [&str; 4] = ["callers", "upstreams", "operators", "peers"];
 
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// A loopback address that no other test process and no other daemon of this one has: at one that
+/// all share, the system would give a daemon's port away while it is down.
+fn own_address() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high, low, NEXT_HOST.fetch_add(1, Ordering::Relaxed)))
+}
+
 /// One daemon process and what is needed to start it again.
 #[derive(Debug)]
 pub(crate) struct DaemonProcess {
@@ -30,7 +40,7 @@
 impl DaemonProcess {
     /// Starts a daemon; `flags` holds all that is not about its listeners and data folder.
     pub(crate) fn start(host: &str, folder: &Path, flags: Vec<String>) -> Self {
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let any = SocketAddr::new(own_address(), 0);
         let mut process = Self {
             host: host.to_owned(),
             addresses: [any; 4],
