--- a/crates/pulleyd/tests/request_failures.rs
+++ b/crates/pulleyd/tests/request_failures.rs
@@ -4,11 +4,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// An address that refuses connections. Its socket is bound and never listens, for as long as the
 /// test's process lives: a port that was free again could be another test's upstream's next.
@@ -39,6 +39,40 @@
     assert_eq!(other.runs(), 6);
 }
 
+/// An address at which connections are neither taken nor refused, as at a machine without power: its
+/// queue of new connections is full, and the system drops what comes.
+async fn dark() -> FakeUpstream {
+    let mut upstream = FakeUpstream::healthy("never").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let listener = socket.listen(1).expect("it listens");
+    upstream.address = listener.local_addr().expect("bound");
+    let address = upstream.address;
+    let limit = Duration::from_millis(200);
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        queued.push(stream);
+    }
+    Box::leak(Box::new((listener, queued)));
+    upstream
+}
+
+// An upstream's machine is without power and its lease has not run out. Connecting inside an
+// installation takes a few milliseconds; a request was held for a whole second at a dark machine,
+// which is longer than most callers wait. The quickest of some counts, on a busy machine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dark_machine_holds_a_request_for_a_moment_only() {
+    let entry = TestEntry::start(&[&dark().await]).await;
+    let mut quickest = Duration::MAX;
+    for _ in 0..3 {
+        let began = Instant::now();
+        let answer = entry.post("/refund", "x").await;
+        assert_eq!(answer.summary(), "502 not-run");
+        quickest = quickest.min(began.elapsed());
+    }
+    assert!(quickest < Duration::from_millis(800), "{quickest:?}");
+}
+
 // An upstream dies after it has read a request: before, in, or right after the head of its answer.
 // The caller of a refund must learn that it may have run, and the refund must not be sent again; a
 // balance lookup is answered by another upstream.
