Keep three voters however many hosts are down

A silent voter is removed from twice the copies on. With growth on and the copies left at their default of one, that is two: of three hosts the first that was down for some seconds was removed, then the second, and one disk held everything.

Ruled out: the users' machines; they set three copies, for which the bound stays six.

Change: three voters are kept whatever the copies.

Test a_small_set_is_not_emptied_by_hosts_that_are_down: failed before (two voters left after the first), passes now with the other tests of replica.

--- a/crates/pulley_core/src/version/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica_driver.rs
@@ -20,6 +20,9 @@
 /// How many hosts of members unknown to the membership are remembered.
 const STRANGER_LIMIT: usize = 64;
 
+/// Voters that are kept although they are silent.
+const LEAST_VOTERS: usize = 3;
+
 /// One replica as the control thread uses it.
 ///
 /// Speaks in hosts and encoded messages; has no sockets, no disk and no clock.
@@ -404,8 +407,11 @@
             return;
         }
         // Where there are more voters than the disks that may be lost ask for, one that is silent
-        // only makes majorities larger: of six, one of them dead, two more losses leave none.
-        let spare = self.node.members().voters().count() >= 2 * self.settings.copies;
+        // only makes majorities larger: of six, one of them dead, two more losses leave none. Three
+        // are kept whatever the copies: a set that shrank with each host that is down for a while
+        // would end on a single disk.
+        let enough = (2 * self.settings.copies).max(LEAST_VOTERS + 1);
+        let spare = self.node.members().voters().count() >= enough;
         if self.settings.grows && spare && self.retire_silent(now) {
             return;
         }
--- a/crates/pulleyd/tests/replica/growth_tests.rs
+++ b/crates/pulleyd/tests/replica/growth_tests.rs
@@ -102,6 +102,26 @@
     assert_eq!(cluster.voters().len(), 5);
 }
 
+// An operator lets replicas grow and leaves the number of copies at its default of one. One of three
+// hosts is down for some seconds and then a second one. Removed for its silence, the first would not
+// count any more, and then the second: one disk would be left to hold everything.
+#[test]
+fn a_small_set_is_not_emptied_by_hosts_that_are_down() {
+    let settings = ReplicaSettings::default().with_growth(true);
+    let mut cluster = FakeCluster::with_settings(3, 8, settings);
+    cluster.introduce_all();
+    assert_eq!(cluster.settle(&change("first", 0)), accepted(1));
+    let leader = cluster.wait_for_leader();
+    let (one, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.kill(one);
+    cluster.run(Duration::from_secs(10));
+    assert_eq!(cluster.voters().len(), 3, "{:?}", cluster.voters());
+    cluster.kill(other);
+    cluster.run(Duration::from_secs(10));
+    cluster.start(one);
+    assert_eq!(cluster.settle(&change("second", 1)), accepted(2));
+}
+
 // A host is cut off for long, a newcomer takes its place, and the host comes back with the log and
 // the membership of that time. It asked for votes for ever and nobody gave it one; after the next
 // two losses no majority was left, though three disks were whole. It must be let in again.
