--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -176,37 +176,34 @@
         ticket: &RequestTicket,
         question: &ProbeQuestion<'_>,
     ) -> Vec<ProbeTarget> {
-        let Some(cell) = self.cell(pool) else { return Vec::new() };
-        cell.state.lock().scheduler.probe_targets(self.clock.now(), ticket, question)
+        self.look(pool, |scheduler, now| scheduler.probe_targets(now, ticket, question))
+            .unwrap_or_default()
     }
 
     /// How long a request would take at the best of the upstreams that were asked, in usual times
     /// of an answer.
     #[must_use]
     pub fn best_cost(&self, pool: &PoolName, readings: &[ProbeReading]) -> Option<f32> {
-        let now = self.clock.now();
-        self.cell(pool)?.state.lock().scheduler.best_cost(now, readings)
+        self.look(pool, |scheduler, now| scheduler.best_cost(now, readings)).flatten()
     }
 
     /// What upstreams have said of themselves within the last moments.
     #[must_use]
     pub fn fresh_readings(&self, pool: &PoolName, ticket: &RequestTicket) -> Vec<ProbeReading> {
-        let Some(cell) = self.cell(pool) else { return Vec::new() };
-        cell.state.lock().scheduler.fresh_readings(self.clock.now(), ticket)
+        self.look(pool, |scheduler, now| scheduler.fresh_readings(now, ticket)).unwrap_or_default()
     }
 
     /// Whether any upstream of a pool has said how loaded it is within the last second.
     #[must_use]
     pub fn has_heard(&self, pool: &PoolName) -> bool {
-        let now = self.clock.now();
-        self.cell(pool).is_some_and(|cell| cell.state.lock().scheduler.has_heard(now))
+        self.look(pool, |scheduler, now| scheduler.has_heard(now)).unwrap_or_default()
     }
 
     /// Until when a request may look for an upstream that is worth starting at.
     #[must_use]
     pub fn patience(&self, pool: &PoolName, ticket: &RequestTicket) -> Moment {
-        let now = self.clock.now();
-        self.cell(pool).map_or(now, |cell| cell.state.lock().scheduler.patience(now, ticket))
+        self.look(pool, |scheduler, now| scheduler.patience(now, ticket))
+            .unwrap_or_else(|| self.clock.now())
     }
 
     /// Whether one of the upstreams that were asked should answer a request by its target.
@@ -217,9 +214,8 @@
         ticket: &RequestTicket,
         readings: &[ProbeReading],
     ) -> bool {
-        let Some(cell) = self.cell(pool) else { return false };
-        let now = self.clock.now();
-        cell.state.lock().scheduler.is_soon(now, ticket, readings)
+        self.look(pool, |scheduler, now| scheduler.is_soon(now, ticket, readings))
+            .unwrap_or_default()
     }
 
     /// Whether a request would start at one of the upstreams that were asked, but might well be
@@ -231,9 +227,18 @@
         ticket: &RequestTicket,
         readings: &[ProbeReading],
     ) -> bool {
-        let Some(cell) = self.cell(pool) else { return false };
+        self.look(pool, |scheduler, now| scheduler.is_risky(now, ticket, readings))
+            .unwrap_or_default()
+    }
+
+    /// Asks a pool's scheduler something that starts and ends nothing; none without such a pool.
+    fn look<T>(
+        &self,
+        pool: &PoolName,
+        question: impl FnOnce(&mut PoolScheduler, Moment) -> T,
+    ) -> Option<T> {
         let now = self.clock.now();
-        cell.state.lock().scheduler.is_risky(now, ticket, readings)
+        Some(question(&mut self.cell(pool)?.state.lock().scheduler, now))
     }
 
     /// The row of a request's kind in the plan that its pool goes by now, if it has one.
