Pace large answers to three quarters of a host's link

Cause: on hosts with a link of 2.2 Mbit/s, 173 of 302 late lookups were answered beside a large answer, which fills the link for tenths of a second; 71 % of those that took over three times the usual. Ruled out: small receive and send buffers (no change: the window towards these hosts is 64 KiB whatever is set).

--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod count_message;
 mod count_rows;
 mod fast_map;
+mod link_pacer;
 mod member_message;
 mod member_record;
 mod member_ring;
@@ -35,6 +36,7 @@
 };
 pub use count_rows::{CountRows, KindUse, UpstreamNews};
 pub use fast_map::{FastMap, FastSet};
+pub use link_pacer::LinkPacer;
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
 pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
 pub use member_ring::PeerRing;
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -51,6 +51,10 @@
 /// and the request, of which nothing has left yet, is answered sooner by another upstream.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
+/// Bytes that are read at once, and so the most that an answer's head may have. Whatever is read
+/// makes room for as much to come in at the link's full rate, past any pace.
+const READ_BUFFER: usize = 16 * 1_024;
+
 /// The connections of this process to one upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamLinks {
@@ -265,7 +269,8 @@
         let stream = connected.ok_or(LinkFault::ConnectTimeout)?.map_err(LinkFault::Unreachable)?;
         set_options(&stream).map_err(LinkFault::Unreachable)?;
         let stream = TokioIo::new(MeteredStream::new(stream, seat.meter.clone()));
-        let handshake = http1::Builder::new().handshake(stream).await;
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(READ_BUFFER).handshake(stream).await;
         let (sender, connection) = handshake.map_err(|_| LinkFault::ClosedUnsent)?;
         let links: Weak<Self> = Arc::downgrade(self);
         let (number, ended) = (seat.number, Arc::clone(&seat.ended));
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -284,6 +284,7 @@
         )
         .with_limits(limits)
         .with_dialect(self.dialect.clone())
+        .with_link_rate(self.settings.traffic.link_kbps)
         .with_metrics(self.metrics.clone())
         .with_trusted_callers(TrustedCallers {
             addresses: self.settings.trusted_callers.iter().copied().collect(),
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -323,6 +323,9 @@
         let retry_percent = self.count_from("retry-percent", 0, 100);
         let arrival_probes = self.count_from("arrival-probes", 0, ARRIVAL_PROBES_LIMIT);
         let arrival_probe_rate = self.count("arrival-probe-rate", 1_000);
+        let wanted = "a whole number of at least 1, or nothing";
+        let link_kbps =
+            self.optional("link-kbps", wanted, |text| text.parse().ok().filter(|rate| *rate > 0));
         Some(TrafficSettings {
             upstream_lease: upstream_lease?,
             serves_on: serves_on?,
@@ -330,6 +333,7 @@
             retry_percent: u32::try_from(retry_percent?).unwrap_or(0),
             arrival_probes: arrival_probes?,
             arrival_probe_rate: arrival_probe_rate?,
+            link_kbps: link_kbps?,
         })
     }
 
--- a/crates/pulleyd/src/process/setting_groups.rs
+++ b/crates/pulleyd/src/process/setting_groups.rs
@@ -19,6 +19,8 @@
     pub arrival_probes: usize,
     /// Probes of one upstream a second for arriving requests, over all entries.
     pub arrival_probe_rate: usize,
+    /// Kilobits a second that the host's link carries; none: not known, and nothing is paced.
+    pub link_kbps: Option<u32>,
 }
 
 /// Who holds the log, and on how many disks.
@@ -38,7 +40,9 @@
         writeln!(f, "retry-allowance={}", allowance.unwrap_or_default())?;
         writeln!(f, "retry-percent={}", self.retry_percent)?;
         writeln!(f, "arrival-probes={}", self.arrival_probes)?;
-        writeln!(f, "arrival-probe-rate={}", self.arrival_probe_rate)
+        writeln!(f, "arrival-probe-rate={}", self.arrival_probe_rate)?;
+        let link = self.link_kbps.map(|rate| rate.to_string());
+        writeln!(f, "link-kbps={}", link.unwrap_or_default())
     }
 }
 
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -133,6 +133,13 @@
         "20",
         "such questions to one upstream a second, over all entries; 1 to 1000",
     ),
+    optional(
+        "link-kbps",
+        "COUNT",
+        "",
+        "kilobits a second of this host's link, of which large answers leave a quarter free; if \
+         empty, they are not paced",
+    ),
     optional(
         "ready-grace",
         "TIME",
--- a/crates/pulleyd/src/request/answer_body.rs
+++ b/crates/pulleyd/src/request/answer_body.rs
@@ -2,19 +2,22 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
+use pulley_core::process::LinkPacer;
 use pulley_core::request::AttemptOutcome;
 use thiserror::Error;
 
 use super::traffic_counters::RequestSeat;
 use super::{AttemptGuard, TrafficCounters};
 use crate::connection::{Answering, UpstreamLink};
-use crate::process::{TimerService, TimerSubscription};
+use crate::process::{ProcessClock, TimerService, TimerSubscription};
 
 /// How long an upstream may leave its answer's body without a byte.
 ///
@@ -42,6 +45,40 @@
     pub(super) link: UpstreamLink<Answering>,
     pub(super) outcome: AttemptOutcome,
     pub(super) timer: TimerService,
+    /// Paces large answers to the host's link, if its rate is known.
+    pub(super) pacing: Option<AnswerPacing>,
+}
+
+/// How far one answer is paced.
+#[derive(Debug)]
+pub(super) struct AnswerPacing {
+    pacer: Arc<Mutex<LinkPacer>>,
+    clock: ProcessClock,
+    /// Bytes that have come so far.
+    passed: u64,
+    /// Until when no more is read.
+    pause: Option<TimerSubscription>,
+}
+
+impl AnswerPacing {
+    pub(super) const fn new(pacer: Arc<Mutex<LinkPacer>>, clock: ProcessClock) -> Self {
+        Self { pacer, clock, passed: 0, pause: None }
+    }
+
+    fn note(&mut self, timer: &TimerService, frame: &Frame<Bytes>) {
+        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+        let next = self.pacer.lock().note(self.clock.now(), self.passed, bytes);
+        self.passed += bytes;
+        self.pause = next.map(|at| timer.at(at));
+    }
+
+    fn poll_pause(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if let Some(pause) = &mut self.pause {
+            ready!(Pin::new(pause).poll(context));
+        }
+        self.pause = None;
+        Poll::Ready(())
+    }
 }
 
 #[derive(Debug)]
@@ -134,6 +171,9 @@
             return Poll::Ready(Some(Ok(frame)));
         }
         let AnswerSource::Upstream(answer) = &mut this.source else { return Poll::Ready(None) };
+        if let Some(pacing) = &mut answer.pacing {
+            ready!(pacing.poll_pause(context));
+        }
         match Pin::new(&mut answer.body).poll_frame(context) {
             Poll::Pending => {
                 let fault = ready!(this.poll_stall(context));
@@ -142,6 +182,9 @@
             }
             Poll::Ready(Some(Ok(frame))) => {
                 this.stall = None;
+                if let Some(pacing) = &mut answer.pacing {
+                    pacing.note(&answer.timer, &frame);
+                }
                 let ended = answer.body.is_end_stream();
                 if ended {
                     this.end(true);
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -14,7 +14,7 @@
 use pulley_core::version::AnswerSize;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
 
-use super::answer_body::UpstreamAnswer;
+use super::answer_body::{AnswerPacing, UpstreamAnswer};
 use super::arrival_probing::ArrivalProbing;
 use super::attempt_fault::AttemptFault;
 use super::request_run::{RequestRun, SentAttempt};
@@ -257,7 +257,9 @@
         let is_fault = response.status().is_server_error();
         let outcome = if is_fault { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         let timer = self.context.timer.clone();
-        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, timer })
+        let pacer = self.context.link_pacer.clone();
+        let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, self.context.clock));
+        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, timer, pacing })
     }
 
     fn safety(&self) -> WorkSafety {
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use parking_lot::Mutex;
+use pulley_core::process::LinkPacer;
 use pulley_core::request::RequestNumber;
 use pulley_core::version::CallerLimits;
 use slog::Logger;
@@ -73,6 +75,8 @@
     pub limits: TrafficLimits,
     /// Which headers are spoken with callers and upstreams.
     pub dialect: HeaderDialect,
+    /// Paces large answers to the host's link, if its rate is known.
+    pub link_pacer: Option<Arc<Mutex<LinkPacer>>>,
     /// Whose attempt and priority headers are believed.
     pub trusted: TrustedCallers,
     /// What is counted for metrics.
@@ -104,6 +108,7 @@
             logger,
             limits: TrafficLimits::default(),
             dialect: HeaderDialect::default(),
+            link_pacer: None,
             trusted: TrustedCallers::default(),
             counters: Arc::default(),
             metrics: None,
@@ -125,6 +130,13 @@
         self
     }
 
+    /// Leaves room beside large answers on a link of so many kilobits a second.
+    #[must_use]
+    pub fn with_link_rate(mut self, kbps: Option<u32>) -> Self {
+        self.link_pacer = kbps.map(|kbps| Arc::new(Mutex::new(LinkPacer::new(kbps))));
+        self
+    }
+
     /// Records answers and refusals in these metrics, which also take over the counts.
     #[must_use]
     pub fn with_metrics(mut self, metrics: ProcessMetrics) -> Self {
