Add a fault soak of real daemons

Real daemons run as processes on loopback addresses of their own; callers keep their connections, upstreams stand behind proxies, one operator changes the sheet; a seed draws signals, lost disks, delays, resets, one-way and silent connections, drains, crashes and storms of changes. Checked while it runs: own whole answers, at most once, not run means not run, nothing that nobody asked for, no work after leaving, shutdown cuts off nothing, versions in force and never back, a resent change is not refused. Each check is broken on purpose in a test. Not covered: clocks that step (no clock decides anything between hosts but leases' ages, and stepping one needs privileges) and disks that fail (the same; replica tests have them with fake disks).

--- /dev/null
+++ b/crates/pulley_soak/src/daemon_process.rs
@@ -0,0 +1,159 @@
+//! One daemon process of a soak.
+
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, bail, eyre};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// The listeners of one daemon, in the order of [`DaemonProcess::addresses`].
+const LISTENERS: [&str; 4] = ["callers", "upstreams", "operators", "peers"];
+
+/// How long a daemon may take to listen.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// One daemon and what is needed to start it again where it was.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Its host id.
+    pub host: String,
+    /// Where it listens: callers, upstreams, operators, peers; kept over restarts.
+    pub addresses: [SocketAddr; 4],
+    program: PathBuf,
+    folder: PathBuf,
+    flags: Vec<String>,
+    child: Option<Child>,
+    starts: u32,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon; `flags` holds all that is not about its listeners and folders.
+    ///
+    /// # Errors
+    /// If it does not listen in time.
+    pub fn start(host: &str, program: &Path, folder: &Path, flags: Vec<String>) -> Result<Self> {
+        let any = SocketAddr::new(own_address(), 0);
+        let mut process = Self {
+            host: host.to_owned(),
+            addresses: [any; 4],
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            flags,
+            child: None,
+            starts: 0,
+        };
+        process.launch()?;
+        Ok(process)
+    }
+
+    /// Starts it again where it listened before, if it has ended.
+    ///
+    /// # Errors
+    /// If it does not listen in time.
+    pub fn restart(&mut self) -> Result<()> {
+        if self.is_running() { Ok(()) } else { self.launch() }
+    }
+
+    /// Sets a flag for later starts.
+    pub fn set_flag(&mut self, name: &str, value: &str) {
+        match self.flags.iter().position(|flag| flag == name) {
+            Some(at) => self.flags[at + 1] = value.to_owned(),
+            None => self.flags.extend([name.to_owned(), value.to_owned()]),
+        }
+    }
+
+    /// Whether the process runs, paused or not.
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends a signal, if the process runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(id) = id {
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Removes what an ended daemon has on disk.
+    pub fn wipe(&mut self) {
+        if !self.is_running() {
+            let _ = fs::remove_dir_all(self.folder.join(format!("{}-data", self.host)));
+        }
+    }
+
+    fn launch(&mut self) -> Result<()> {
+        self.starts += 1;
+        let path = self.folder.join(format!("{}-{}.log", self.host, self.starts));
+        let log = File::create(&path)?;
+        let mut command = Command::new(&self.program);
+        command.args(&self.flags).args(["--host-id", &self.host]);
+        for (name, address) in LISTENERS.iter().zip(&self.addresses) {
+            command.args([format!("--{name}-listen"), address.to_string()]);
+        }
+        if self.flags.iter().any(|flag| flag == "entry,replica") {
+            command.arg("--data-folder").arg(self.folder.join(format!("{}-data", self.host)));
+        }
+        command.env_clear().stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        self.child = Some(command.spawn()?);
+        self.addresses = self.await_addresses(&path)?;
+        Ok(())
+    }
+
+    fn await_addresses(&mut self, log: &Path) -> Result<[SocketAddr; 4]> {
+        let began = Instant::now();
+        while began.elapsed() < START_LIMIT {
+            let text = fs::read_to_string(log)?;
+            if let Some(addresses) = read_addresses(&text) {
+                return Ok(addresses);
+            }
+            if !self.is_running() {
+                bail!("{} ended as it started: {text}", self.host);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Err(eyre!("{} does not listen", self.host))
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A loopback address that no other process of a test and no other daemon has, so that its ports
+/// are free when it starts again.
+fn own_address() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high, low, NEXT_HOST.fetch_add(1, Ordering::Relaxed)))
+}
+
+fn read_addresses(log: &str) -> Option<[SocketAddr; 4]> {
+    let line = log.lines().find(|line| line.contains("event=listening"))?;
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
+    for (name, address) in LISTENERS.iter().zip(&mut addresses) {
+        let key = format!("{name}=");
+        let word = line.split(' ').find_map(|word| word.strip_prefix(key.as_str()))?;
+        *address = word.parse().ok()?;
+    }
+    Some(addresses)
+}
--- /dev/null
+++ b/crates/pulley_soak/src/fault_proxy.rs
@@ -0,0 +1,146 @@
+//! A loopback proxy before an upstream, whose connections can be made to misbehave.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// How the connections through a proxy behave.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ProxyMode {
+    /// They pass on what comes.
+    #[default]
+    Pass,
+    /// They pass it on later.
+    Delay(Duration),
+    /// Open ones are reset, new ones as well.
+    Reset,
+    /// What entries send is lost; the connection stays open, and silent for good.
+    LosesRequests,
+    /// What upstreams send is lost; the connection stays open, and silent for good.
+    LosesAnswers,
+    /// Both are lost.
+    Silent,
+}
+
+/// A proxy that runs until it is dropped.
+#[derive(Debug)]
+pub struct FaultProxy {
+    /// Where entries connect to.
+    pub address: SocketAddr,
+    mode: watch::Sender<ProxyMode>,
+    target: Arc<Mutex<SocketAddr>>,
+    task: JoinHandle<()>,
+}
+
+impl FaultProxy {
+    /// Listens on a port of the system's choice, and passes on to a target.
+    ///
+    /// # Errors
+    /// If no port can be had.
+    pub async fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (mode, modes) = watch::channel(ProxyMode::Pass);
+        let target = Arc::new(Mutex::new(target));
+        let task = tokio::spawn(accept_all(listener, Arc::clone(&target), modes));
+        Ok(Self { address, mode, target, task })
+    }
+
+    /// Changes how its connections behave.
+    pub fn set(&self, mode: ProxyMode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Passes new connections on to another address.
+    pub fn aim(&self, target: SocketAddr) {
+        *self.target.lock() = target;
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    target: Arc<Mutex<SocketAddr>>,
+    modes: watch::Receiver<ProxyMode>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if *modes.borrow() == ProxyMode::Reset {
+            reset(&stream);
+            continue;
+        }
+        let target = *target.lock();
+        tokio::spawn(connect_both(stream, target, modes.clone()));
+    }
+}
+
+async fn connect_both(entry: TcpStream, target: SocketAddr, modes: watch::Receiver<ProxyMode>) {
+    let Ok(upstream) = TcpStream::connect(target).await else {
+        reset(&entry);
+        return;
+    };
+    let _ = (entry.set_nodelay(true), upstream.set_nodelay(true));
+    let mut resets = modes.clone();
+    let is_reset = async move {
+        let _ = resets.wait_for(|mode| *mode == ProxyMode::Reset).await;
+    };
+    let linger = [&entry, &upstream].map(|stream| SockRef::from(stream).try_clone());
+    let (entry_in, entry_out) = entry.into_split();
+    let (upstream_in, upstream_out) = upstream.into_split();
+    let requests = [ProxyMode::LosesRequests, ProxyMode::Silent];
+    let answers = [ProxyMode::LosesAnswers, ProxyMode::Silent];
+    tokio::select! {
+        () = pass_on(entry_in, upstream_out, modes.clone(), requests) => {}
+        () = pass_on(upstream_in, entry_out, modes.clone(), answers) => {}
+        () = is_reset => {
+            for socket in linger.into_iter().flatten() {
+                let _ = socket.set_linger(Some(Duration::ZERO));
+            }
+        }
+    }
+}
+
+/// Passes bytes on one way until that way ends; once it has lost some, it loses all that follow.
+async fn pass_on(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    modes: watch::Receiver<ProxyMode>,
+    losing: [ProxyMode; 2],
+) {
+    let mut buffer = vec![0; 16 * 1_024];
+    let mut is_silent = false;
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let mode = *modes.borrow();
+        is_silent |= losing.contains(&mode);
+        if is_silent {
+            continue;
+        }
+        if let ProxyMode::Delay(delay) = mode {
+            tokio::time::sleep(delay).await;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+    if is_silent {
+        // The end of what came is lost like the rest.
+        std::future::pending::<()>().await;
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/pulley_soak/src/soak_caller.rs
@@ -0,0 +1,126 @@
+//! Callers that keep their connections until the entry ends them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, eyre};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpStream;
+
+use crate::request_book::{CallerOutcome, RequestBook};
+
+/// How long a caller waits for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(4);
+
+/// Pauses between two requests of a caller, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 2..60;
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// What a caller got for one request.
+pub(crate) struct CallerAnswer {
+    pub(crate) status: u16,
+    pub(crate) verdict: String,
+    /// The body, if it came as a whole.
+    pub(crate) body: Option<String>,
+}
+
+/// One kept connection to an entry.
+pub(crate) struct CallerLink {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl CallerLink {
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads its answer; an error means that the connection ended before one.
+    pub(crate) async fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+    ) -> Result<CallerAnswer> {
+        self.sender.ready().await?;
+        let body = Bytes::from(if method == "POST" { "order" } else { "" });
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "soak")
+            .header("x-request-id", id)
+            .body(Full::new(body))?;
+        let sending = async { read_answer(self.sender.send_request(request).await?).await };
+        let answered = tokio::time::timeout(ANSWER_LIMIT, sending).await;
+        answered.map_err(|_| eyre!("no answer in time"))?
+    }
+}
+
+async fn read_answer(response: Response<hyper::body::Incoming>) -> Result<CallerAnswer> {
+    let status = response.status().as_u16();
+    let verdict = response.headers().get("jacinthpulley-verdict");
+    let verdict = verdict.and_then(|verdict| verdict.to_str().ok()).unwrap_or_default().to_owned();
+    let body = response.into_body().collect().await.ok().map(|body| body.to_bytes().to_vec());
+    let body = body.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    Ok(CallerAnswer { status, verdict, body })
+}
+
+/// A name for a request that no other has.
+pub(crate) fn next_id() -> String {
+    format!("r{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Calls entries until told to stop.
+pub(crate) async fn call_on(
+    entries: Arc<[SocketAddr]>,
+    book: Arc<RequestBook>,
+    seed: u64,
+    stopped: Arc<AtomicBool>,
+) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut link: Option<(usize, CallerLink)> = None;
+    while !stopped.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
+        if link.as_ref().is_none_or(|(_, link)| link.sender.is_closed()) {
+            let entry = random.random_range(0..entries.len());
+            let opening = CallerLink::open(entries[entry]);
+            let opened = tokio::time::timeout(Duration::from_secs(1), opening).await;
+            link = opened.ok().and_then(Result::ok).map(|link| (entry, link));
+        }
+        let Some((entry, open)) = &mut link else { continue };
+        let (method, path) = match random.random_range(0..10) {
+            0..4 => ("POST", "/order"),
+            4 => ("GET", "/file"),
+            _ => ("GET", "/read"),
+        };
+        let id = next_id();
+        book.note_sent(&id, *entry, method == "GET");
+        let outcome = outcome_of(open.send(method, path, &id).await);
+        let is_over = matches!(outcome, CallerOutcome::Cut);
+        book.note_outcome(&id, outcome);
+        if is_over {
+            link = None;
+        }
+    }
+}
+
+fn outcome_of(answer: Result<CallerAnswer>) -> CallerOutcome {
+    match answer {
+        Err(_) | Ok(CallerAnswer { body: None, .. }) => CallerOutcome::Cut,
+        Ok(CallerAnswer { status: 200..300, body: Some(body), .. }) => CallerOutcome::Success(body),
+        Ok(answer) if answer.verdict == "not-run" => CallerOutcome::NotRun,
+        Ok(_) => CallerOutcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/pulley_soak/src/soak_operator.rs
@@ -0,0 +1,187 @@
+//! An operator who changes the sheet, and looks whether each change is in force everywhere.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eyre::Result;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+use crate::request_book::RequestBook;
+use crate::soak_caller::{CallerLink, next_id};
+
+/// The installation's key; its hosts listen on loopback only and live as long as the soak.
+pub(crate) const KEY: &str = "the-key-of-a-soak-on-loopback-0123456789";
+
+/// Within this time an accepted version is in force everywhere, or the host is not ready.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// How often each entry is asked by which version it serves.
+const LOOK_PACE: Duration = Duration::from_millis(200);
+
+/// How long an answer may take before the change is sent again, and the pause before that.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the operator knows of the versions.
+#[derive(Debug, Default)]
+pub(crate) struct VersionBook {
+    /// The newest change sent, and the newest accepted with when that was heard.
+    state: Mutex<(u64, Option<(u64, Instant)>)>,
+    /// Changes that are asked for beside the usual ones.
+    pub(crate) wanted: AtomicU32,
+}
+
+impl VersionBook {
+    fn sent(&self) -> u64 {
+        self.state.lock().0
+    }
+
+    /// The newest accepted version, and since when.
+    pub(crate) fn accepted(&self) -> Option<(u64, Instant)> {
+        self.state.lock().1
+    }
+}
+
+/// The sheet of a version: the same pool, and one path that only this version has.
+fn sheet(version: u64) -> String {
+    format!(
+        "pool,service,kind,method,path_prefix,priority,share,reserved_slots,deadline_ms,idempotent,length,probes_per_s\n\
+         shop,all,order,POST,/order,0,30%,0,2000,no,short,0.5\n\
+         shop,all,read,GET,/read,1,30%,0,2000,yes,short,0.5\n\
+         shop,all,file,GET,/file,2,20%,0,3000,yes,long,0.5\n\
+         shop,all,mark{version},GET,/mark-{version}/,3,20%,0,1000,yes,short,0.5\n"
+    )
+}
+
+/// Sends changes, one after the other, through any host until each is accepted.
+pub(crate) async fn change_on(
+    operators: Arc<[SocketAddr]>,
+    versions: Arc<VersionBook>,
+    book: Arc<RequestBook>,
+    stopped: Arc<AtomicBool>,
+) {
+    let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+    for version in 1_u64.. {
+        versions.state.lock().0 = version;
+        let mut tries = operators.iter().cycle().skip(usize::try_from(version).unwrap_or(0));
+        while !stopped.load(Ordering::Relaxed) {
+            let Some(host) = tries.next() else { return };
+            let limit = tokio::time::timeout(ANSWER_LIMIT, apply(&client, *host, version));
+            let answer = limit.await.ok().and_then(Result::ok).unwrap_or(Value::Null);
+            if let Some(got) = answer.pointer("/accepted/version").and_then(Value::as_u64) {
+                if got != version {
+                    book.note_finding("one change, one version", format!("{version} is {got}"));
+                }
+                versions.state.lock().1 = Some((version, Instant::now()));
+                break;
+            }
+            if answer.get("refused").is_some() {
+                let seen = format!("version {version}: {answer}");
+                book.note_finding("a resent change is never refused", seen);
+                return;
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+        let next = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < next && !stopped.load(Ordering::Relaxed) {
+            let take = |wanted: u32| wanted.checked_sub(1);
+            if versions.wanted.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        if stopped.load(Ordering::Relaxed) {
+            return;
+        }
+    }
+}
+
+async fn apply(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    host: SocketAddr,
+    version: u64,
+) -> Result<Value> {
+    let body = json!({
+        "change_id": format!("change-{version}"), "actor": "soak", "expect": version - 1,
+        "sheet": sheet(version),
+    });
+    let request = Request::post(format!("http://{host}/v1/sheet"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))?;
+    let answer = client.request(request).await?.into_body().collect().await?.to_bytes();
+    Ok(serde_json::from_slice(&answer)?)
+}
+
+/// Looks at one entry, over and over, by which version it serves.
+pub(crate) async fn look_on(
+    (entry, address): (usize, SocketAddr),
+    versions: Arc<VersionBook>,
+    book: Arc<RequestBook>,
+    stopped: Arc<AtomicBool>,
+) {
+    // The newest version seen on a connection; a connection does not outlive its process.
+    let mut seen = 0;
+    let mut link: Option<CallerLink> = None;
+    while !stopped.load(Ordering::Relaxed) {
+        tokio::time::sleep(LOOK_PACE).await;
+        let Some((version, since)) = versions.accepted() else { continue };
+        if link.is_none() {
+            seen = 0;
+            link = CallerLink::open(address).await.ok();
+        }
+        let Some(open) = &mut link else { continue };
+        let asked = Instant::now();
+        let Ok(is_served) = serves(open, version, entry, &book).await else {
+            link = None;
+            continue;
+        };
+        let is_due = asked > since + IN_FORCE_LIMIT;
+        let newest_sent = versions.sent();
+        let is_calm = !book.was_disturbed(entry, since, Instant::now());
+        match is_served {
+            Some(true) => seen = seen.max(version),
+            Some(false) if newest_sent == version && is_due && is_calm => {
+                let late = since.elapsed();
+                book.note_finding("in force", format!("{version} not at {entry} after {late:?}"));
+            }
+            Some(false) if newest_sent == version && seen >= version => {
+                book.note_finding("never back", format!("entry {entry} forgot {version}"));
+            }
+            _ => {}
+        }
+        if version > 1 && seen >= version {
+            let before = serves(open, version - 1, entry, &book).await;
+            if matches!(before, Ok(Some(true))) {
+                let seen = format!("entry {entry} serves {} after {version}", version - 1);
+                book.note_finding("never back", seen);
+            }
+        }
+    }
+}
+
+/// Whether an entry has a version's path; none if it does not say.
+async fn serves(
+    link: &mut CallerLink,
+    version: u64,
+    entry: usize,
+    book: &RequestBook,
+) -> Result<Option<bool>> {
+    let id = next_id();
+    book.note_sent(&id, entry, true);
+    let answer = link.send("GET", &format!("/mark-{version}/"), &id).await?;
+    Ok(match answer.status {
+        404 => Some(false),
+        200 => Some(true),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -0,0 +1,337 @@
+//! One run: an installation, its callers, upstreams and operator, and the faults of one seed.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, bail};
+use nix::sys::signal::Signal;
+use parking_lot::Mutex;
+use tempfile::TempDir;
+use tokio::task::JoinSet;
+
+use crate::soak_operator::{KEY, VersionBook, change_on, look_on};
+use crate::soak_upstream::SoakUpstream;
+use crate::{
+    DaemonProcess, FaultSchedule, ProxyMode, RequestBook, ScheduledFault, SoakFault, SoakFinding,
+};
+
+/// How long an installation may take to serve at first.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long after a disturbance an entry is in touch again.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// How long a drain at shutdown may take, and after which time the process is ended if it has not.
+const DRAIN_GRACE: Duration = Duration::from_secs(5);
+
+/// How long an upstream serves on after it has said that it leaves.
+const LEAVE_SPAN: Duration = Duration::from_secs(5);
+
+/// The part of all requests that must succeed: a run in which nothing is served checks nothing.
+const LEAST_SERVED: f64 = 0.2;
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// The seed of its faults.
+    pub seed: u64,
+    /// How long it lasts.
+    pub span: Duration,
+    /// Daemons that hold the log, all of them entries as well.
+    pub replicas: usize,
+    /// Daemons that are entries only.
+    pub entries: usize,
+    /// Stand-in upstreams.
+    pub upstreams: usize,
+    /// Callers, each with one request at a time.
+    pub callers: usize,
+    /// The daemon's program.
+    pub program: PathBuf,
+}
+
+/// What became of a run.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// What must not have been.
+    pub findings: Vec<SoakFinding>,
+    /// Requests sent, and answered with success.
+    pub counts: (usize, usize),
+    /// Versions accepted.
+    pub versions: u64,
+    /// Faults injected.
+    pub faults: usize,
+    /// The daemons' logs and data; gone when this is dropped, unless it is kept.
+    pub folder: TempDir,
+}
+
+type SharedDaemon = Arc<Mutex<DaemonProcess>>;
+
+/// A run under way.
+pub struct SoakRun {
+    plan: SoakPlan,
+    folder: TempDir,
+    book: Arc<RequestBook>,
+    versions: Arc<VersionBook>,
+    stopped: Arc<AtomicBool>,
+    daemons: Vec<SharedDaemon>,
+    upstreams: Vec<Arc<tokio::sync::Mutex<SoakUpstream>>>,
+    tasks: JoinSet<()>,
+    faults: JoinSet<()>,
+}
+
+impl SoakRun {
+    /// Plays a plan from start to end.
+    ///
+    /// # Errors
+    /// If the installation cannot be started.
+    pub async fn play(plan: SoakPlan) -> Result<SoakReport> {
+        let mut run = Self::start(plan).await?;
+        let sizes = (run.daemons.len(), run.plan.replicas, run.upstreams.len());
+        let schedule = FaultSchedule::draw(run.plan.seed, run.plan.span, sizes);
+        let began = Instant::now();
+        for ScheduledFault { at, fault } in &schedule.0 {
+            tokio::time::sleep((*at).saturating_sub(began.elapsed())).await;
+            run.inject(*fault);
+        }
+        tokio::time::sleep(run.plan.span.saturating_sub(began.elapsed())).await;
+        run.end(schedule.0.len()).await
+    }
+
+    async fn start(plan: SoakPlan) -> Result<Self> {
+        let folder = TempDir::new()?;
+        let daemons = start_daemons(&plan, &folder)?;
+        let addresses = |kind: usize| -> Arc<[SocketAddr]> {
+            daemons.iter().map(|daemon| daemon.lock().addresses[kind]).collect()
+        };
+        let (callers, announce, operators) = (addresses(0), addresses(1), addresses(2));
+        let book = Arc::new(RequestBook::default());
+        let (versions, stopped) = (Arc::new(VersionBook::default()), Arc::default());
+        let mut upstreams = Vec::new();
+        for place in 0..plan.upstreams {
+            let upstream =
+                SoakUpstream::start(place, Arc::clone(&announce), Arc::clone(&book)).await?;
+            upstreams.push(Arc::new(tokio::sync::Mutex::new(upstream)));
+        }
+        let (tasks, faults) = (JoinSet::new(), JoinSet::new());
+        let mut run =
+            Self { plan, folder, book, versions, stopped, daemons, upstreams, tasks, faults };
+        run.spawn_work(&callers, &operators);
+        run.await_service().await?;
+        Ok(run)
+    }
+
+    fn spawn_work(&mut self, callers: &Arc<[SocketAddr]>, operators: &Arc<[SocketAddr]>) {
+        let stopped = || Arc::clone(&self.stopped);
+        let book = || Arc::clone(&self.book);
+        let versions = || Arc::clone(&self.versions);
+        self.tasks.spawn(change_on(Arc::clone(operators), versions(), book(), stopped()));
+        for entry in callers.iter().copied().enumerate() {
+            self.tasks.spawn(look_on(entry, versions(), book(), stopped()));
+        }
+        for number in 0..self.plan.callers {
+            let seed = self.plan.seed ^ (number as u64) << 32;
+            let calls = crate::soak_caller::call_on(Arc::clone(callers), book(), seed, stopped());
+            self.tasks.spawn(calls);
+        }
+    }
+
+    async fn await_service(&self) -> Result<()> {
+        let began = Instant::now();
+        while self.book.counts().1 < 10 {
+            if began.elapsed() > START_LIMIT {
+                bail!("the installation does not serve");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    async fn end(mut self, faults: usize) -> Result<SoakReport> {
+        while self.faults.join_next().await.is_some() {}
+        self.stopped.store(true, Ordering::Relaxed);
+        while self.tasks.join_next().await.is_some() {}
+        let counts = self.book.counts();
+        let mut findings = self.book.findings();
+        if (counts.1 as f64) < LEAST_SERVED * counts.0 as f64 {
+            let seen = format!("{} of {} requests succeeded", counts.1, counts.0);
+            findings.push(SoakFinding { promise: "it serves", seen });
+        }
+        let versions = self.versions.accepted().map_or(0, |(version, _)| version);
+        self.upstreams.clear();
+        Ok(SoakReport { findings, counts, versions, faults, folder: self.folder })
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Faults
+
+    /// Begins a fault; what follows of it goes on beside the run.
+    fn inject(&mut self, fault: SoakFault) {
+        match fault {
+            SoakFault::Kill { host, down } => self.kill(&[host], down, false),
+            SoakFault::KillAll { down } => {
+                let all: Vec<usize> = (0..self.daemons.len()).collect();
+                self.kill(&all, down, false);
+            }
+            SoakFault::Wipe { host } => self.kill(&[host], Duration::from_millis(500), true),
+            SoakFault::Stop { host } => self.stop(host),
+            SoakFault::Pause { host, span } => self.pause(host, span),
+            SoakFault::Reload { host } => self.daemons[host].lock().signal(Signal::SIGHUP),
+            SoakFault::Proxy { upstream, mode, span } => self.disturb(upstream, mode, span),
+            SoakFault::Drain { upstream } => self.drain(upstream),
+            SoakFault::Crash { upstream, down } => self.crash(upstream, down),
+            SoakFault::Storm { changes } => {
+                self.versions.wanted.fetch_add(changes, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Notes that a daemon is disturbed; where it holds the log, all of them may be.
+    fn note_disturbed(&self, host: usize, span: Duration) {
+        let now = Instant::now();
+        let until = now + span + SETTLE;
+        let others = if host < self.plan.replicas { self.daemons.len() } else { 0 };
+        for entry in (0..others).chain([host]) {
+            self.book.note_disturbed(entry, now, until);
+        }
+    }
+
+    fn kill(&mut self, hosts: &[usize], down: Duration, wipes: bool) {
+        for host in hosts {
+            self.note_disturbed(*host, down);
+            let daemon = Arc::clone(&self.daemons[*host]);
+            let book = Arc::clone(&self.book);
+            daemon.lock().kill();
+            self.faults.spawn(async move {
+                tokio::time::sleep(down).await;
+                let restarted = tokio::task::spawn_blocking(move || {
+                    let mut daemon = daemon.lock();
+                    if wipes {
+                        daemon.wipe();
+                    }
+                    daemon.restart()
+                });
+                note_start(&book, restarted.await);
+            });
+        }
+    }
+
+    fn stop(&mut self, host: usize) {
+        self.book.note_stop(host);
+        let daemon = Arc::clone(&self.daemons[host]);
+        let book = Arc::clone(&self.book);
+        daemon.lock().signal(Signal::SIGTERM);
+        let (count, replicas) = (self.daemons.len(), self.plan.replicas);
+        self.faults.spawn(async move {
+            let began = Instant::now();
+            while daemon.lock().is_running() && began.elapsed() < DRAIN_GRACE * 2 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            // From its end on it is gone; what was under way until then had to be answered.
+            let (now, until) = (Instant::now(), Instant::now() + SETTLE);
+            let others = if host < replicas { count } else { 0 };
+            for entry in (0..others).chain([host]) {
+                book.note_disturbed(entry, now, until);
+            }
+            let restarted = tokio::task::spawn_blocking(move || {
+                let mut daemon = daemon.lock();
+                daemon.kill();
+                daemon.restart()
+            });
+            note_start(&book, restarted.await);
+        });
+    }
+
+    fn pause(&mut self, host: usize, span: Duration) {
+        self.note_disturbed(host, span);
+        let daemon = Arc::clone(&self.daemons[host]);
+        daemon.lock().signal(Signal::SIGSTOP);
+        self.faults.spawn(async move {
+            tokio::time::sleep(span).await;
+            daemon.lock().signal(Signal::SIGCONT);
+        });
+    }
+
+    fn disturb(&mut self, upstream: usize, mode: ProxyMode, span: Duration) {
+        // A connection that has lost bytes stays silent until somebody closes it.
+        let lasts = span + Duration::from_secs(4);
+        self.book.note_upstream_fault(Instant::now(), Instant::now() + lasts);
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        self.faults.spawn(async move {
+            upstream.lock().await.proxy.set(mode);
+            tokio::time::sleep(span).await;
+            upstream.lock().await.proxy.set(ProxyMode::Pass);
+        });
+    }
+
+    fn drain(&mut self, upstream: usize) {
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        let book = Arc::clone(&self.book);
+        self.faults.spawn(async move {
+            if upstream.lock().await.drain().is_none() {
+                return;
+            }
+            tokio::time::sleep(LEAVE_SPAN).await;
+            book.note_upstream_fault(Instant::now(), Instant::now() + Duration::from_secs(1));
+            let _ = upstream.lock().await.launch().await;
+        });
+    }
+
+    fn crash(&mut self, upstream: usize, down: Duration) {
+        let until = Instant::now() + down + Duration::from_secs(1);
+        self.book.note_upstream_fault(Instant::now(), until);
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        self.faults.spawn(async move {
+            upstream.lock().await.crash();
+            tokio::time::sleep(down).await;
+            let _ = upstream.lock().await.launch().await;
+        });
+    }
+}
+
+fn note_start(
+    book: &RequestBook,
+    restarted: std::result::Result<Result<()>, tokio::task::JoinError>,
+) {
+    if let Ok(Err(fault)) = restarted {
+        book.note_finding("a daemon starts again", format!("{fault:#}"));
+    }
+}
+
+fn start_daemons(plan: &SoakPlan, folder: &TempDir) -> Result<Vec<SharedDaemon>> {
+    let secret = folder.path().join("secret");
+    fs::write(&secret, format!("{KEY}\n"))?;
+    let founders: Vec<String> = (1..=plan.replicas).map(|n| format!("h{n}=m{n}")).collect();
+    let mut daemons: Vec<DaemonProcess> = Vec::new();
+    for number in 1..=plan.replicas + plan.entries {
+        let roles = if number <= plan.replicas { "entry,replica" } else { "entry" };
+        let mut flags = Vec::new();
+        for (name, value) in [
+            ("--zone", "z1"),
+            ("--cluster", "soak"),
+            ("--roles", roles),
+            ("--replicas", founders.join(",").as_str()),
+            ("--replica-growth", "yes"),
+            ("--drain-grace", "5s"),
+            ("--ready-grace", "300ms"),
+            ("--traffic-threads", "1"),
+        ] {
+            flags.extend([name.to_owned(), value.to_owned()]);
+        }
+        flags.extend(["--secret-file".to_owned(), secret.display().to_string()]);
+        if let Some(first) = daemons.first() {
+            flags.extend(["--seeds".to_owned(), first.addresses[3].to_string()]);
+        }
+        let host = format!("h{number}");
+        daemons.push(DaemonProcess::start(&host, &plan.program, folder.path(), flags)?);
+    }
+    let seeds: Vec<String> =
+        daemons.iter().take(3).map(|daemon| daemon.addresses[3].to_string()).collect();
+    for daemon in &mut daemons {
+        daemon.set_flag("--seeds", &seeds.join(","));
+    }
+    Ok(daemons.into_iter().map(|daemon| Arc::new(Mutex::new(daemon))).collect())
+}
--- /dev/null
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -0,0 +1,200 @@
+//! Stand-in upstreams that note what they run and announce themselves.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use parking_lot::Mutex;
+use rand::Rng;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::FaultProxy;
+use crate::request_book::{RequestBook, answer_to};
+
+/// How often an upstream announces itself.
+const ANNOUNCE_PACE: Duration = Duration::from_millis(500);
+
+/// How long the acknowledgement of an announcement may take.
+const ANNOUNCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long an upstream works on a request, in milliseconds.
+const WORK_MS: std::ops::Range<u64> = 2..40;
+
+/// Bytes of the answers to short and to long requests.
+const SHORT_ANSWER: usize = 200;
+const LONG_ANSWER: usize = 200_000;
+
+/// An upstream at one place; what runs there changes with each start.
+#[derive(Debug)]
+pub(crate) struct SoakUpstream {
+    pub(crate) proxy: FaultProxy,
+    place: usize,
+    starts: u64,
+    announce_to: Arc<[SocketAddr]>,
+    book: Arc<RequestBook>,
+    running: Option<RunningUpstream>,
+}
+
+#[derive(Debug)]
+struct RunningUpstream {
+    id: String,
+    phase: Arc<Mutex<&'static str>>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    announcing: JoinHandle<()>,
+}
+
+impl SoakUpstream {
+    /// Starts an upstream behind a proxy of its own.
+    pub(crate) async fn start(
+        place: usize,
+        announce_to: Arc<[SocketAddr]>,
+        book: Arc<RequestBook>,
+    ) -> Result<Self> {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        let proxy = FaultProxy::start(nobody).await?;
+        let mut upstream = Self { proxy, place, starts: 0, announce_to, book, running: None };
+        upstream.launch().await?;
+        Ok(upstream)
+    }
+
+    /// Starts what runs at this place anew, under another id.
+    pub(crate) async fn launch(&mut self) -> Result<()> {
+        self.crash();
+        self.starts += 1;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        self.proxy.aim(listener.local_addr()?);
+        let id = format!("u{}-{}", self.place, self.starts);
+        let (stop, stopped) = watch::channel(false);
+        let phase = Arc::new(Mutex::new("ready"));
+        let serving = serve(listener, id.clone(), Arc::clone(&self.book), stopped);
+        let announcing = Announcer {
+            id: id.clone(),
+            address: self.proxy.address,
+            phase: Arc::clone(&phase),
+            announce_to: Arc::clone(&self.announce_to),
+            book: Arc::clone(&self.book),
+        };
+        self.running = Some(RunningUpstream {
+            id,
+            phase,
+            stop,
+            serving: tokio::spawn(serving),
+            announcing: tokio::spawn(announcing.run(self.place)),
+        });
+        Ok(())
+    }
+
+    /// Ends it without a word; its connections are closed.
+    pub(crate) fn crash(&mut self) {
+        let Some(running) = self.running.take() else { return };
+        running.announcing.abort();
+        running.stop.send_replace(true);
+        running.serving.abort();
+    }
+
+    /// Lets it say that it leaves; it serves on.
+    pub(crate) fn drain(&self) -> Option<&str> {
+        let running = self.running.as_ref()?;
+        *running.phase.lock() = "draining";
+        Some(&running.id)
+    }
+}
+
+impl Drop for SoakUpstream {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    id: String,
+    book: Arc<RequestBook>,
+    stopped: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let (id, book, mut stopped) = (id.clone(), Arc::clone(&book), stopped.clone());
+        let service = service_fn(move |request| answer(request, id.clone(), Arc::clone(&book)));
+        connections.spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                _ = connection => {}
+                _ = stopped.wait_for(|stopped| *stopped) => {}
+            }
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    upstream: String,
+    book: Arc<RequestBook>,
+) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let header = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+    let Some(id) = header.map(str::to_owned) else {
+        return Ok(Response::new(Full::new(Bytes::new())));
+    };
+    if path != "/health" {
+        book.note_run(&id, &upstream);
+        let work = Duration::from_millis(rand::rng().random_range(WORK_MS));
+        let _ = request.into_body().collect().await;
+        tokio::time::sleep(work).await;
+    }
+    let length = if path.starts_with("/file") { LONG_ANSWER } else { SHORT_ANSWER };
+    Ok(Response::new(Full::new(Bytes::from(answer_to(&id, length)))))
+}
+
+/// Announces an upstream until it is aborted.
+struct Announcer {
+    id: String,
+    address: SocketAddr,
+    phase: Arc<Mutex<&'static str>>,
+    announce_to: Arc<[SocketAddr]>,
+    book: Arc<RequestBook>,
+}
+
+impl Announcer {
+    async fn run(self, place: usize) {
+        let client: Client<_, Full<Bytes>> =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+        let mut has_left = false;
+        for sequence in 1_usize.. {
+            let phase = *self.phase.lock();
+            let host = self.announce_to[(sequence + place) % self.announce_to.len()];
+            let body = json!({
+                "id": self.id, "address": self.address, "zone": "z1", "pool": "shop", "slots": 8,
+                "connections": 500, "incarnation": 1, "sequence": sequence, "phase": phase,
+            });
+            let request = Request::post(format!("http://{host}/v1/announce"))
+                .header("content-type", "application/json")
+                .body(Full::new(Bytes::from(body.to_string())));
+            let Ok(request) = request else { return };
+            let answered = tokio::time::timeout(ANNOUNCE_LIMIT, client.request(request)).await;
+            let is_taken = matches!(answered, Ok(Ok(answer)) if answer.status() == StatusCode::OK);
+            if is_taken && phase == "draining" && !has_left {
+                has_left = true;
+                self.book.note_left(&self.id);
+            }
+            // Who got no acknowledgement asks the next host soon.
+            let pause = if is_taken { ANNOUNCE_PACE } else { ANNOUNCE_PACE / 10 };
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulley_soak/tests/checks.rs
@@ -0,0 +1,136 @@
+//! That the soak notices what it is there to notice: each promise is broken on purpose.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pulley_soak::{CallerOutcome, FaultProxy, FaultSchedule, ProxyMode, RequestBook};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+fn promises(book: &RequestBook) -> Vec<&'static str> {
+    book.findings().iter().map(|finding| finding.promise).collect()
+}
+
+/// A whole answer to a request, as stand-in upstreams give it.
+fn whole(id: &str) -> CallerOutcome {
+    CallerOutcome::Success(format!("{id} 20 {}!", ".".repeat(20 - id.len() - 5)))
+}
+
+// A refund is recorded twice, as the entry sent it to two upstreams.
+#[test]
+fn a_second_run_of_work_that_may_run_once_is_found() {
+    let book = RequestBook::default();
+    book.note_sent("r1", 0, false);
+    book.note_run("r1", "u1");
+    assert_eq!(promises(&book), Vec::<&str>::new());
+    book.note_run("r1", "u2");
+    assert_eq!(promises(&book), ["at most once"]);
+}
+
+// The caller is told that its order was not run, and it runs later.
+#[test]
+fn a_refusal_of_what_runs_later_is_found() {
+    let book = RequestBook::default();
+    book.note_sent("r1", 0, false);
+    book.note_outcome("r1", CallerOutcome::NotRun);
+    assert_eq!(promises(&book), Vec::<&str>::new());
+    book.note_run("r1", "u1");
+    assert_eq!(promises(&book), ["not run means not run"]);
+}
+
+// Callers get another's answer, half of their own, or one that no upstream gave.
+#[test]
+fn foreign_and_cut_answers_are_found() {
+    for wrong in [whole("r2"), CallerOutcome::Success("r1 20 ...".to_owned())] {
+        let book = RequestBook::default();
+        book.note_sent("r1", 0, true);
+        book.note_run("r1", "u1");
+        book.note_outcome("r1", wrong);
+        assert_eq!(promises(&book), ["own whole answer"]);
+    }
+    let book = RequestBook::default();
+    book.note_sent("r1", 0, true);
+    book.note_outcome("r1", whole("r1"));
+    assert_eq!(promises(&book), ["own whole answer"]);
+    book.note_run("r1", "u1");
+    assert_eq!(promises(&book), Vec::<&str>::new());
+}
+
+// An upstream works on something that no caller asked for.
+#[test]
+fn work_that_nobody_asked_for_is_found() {
+    let book = RequestBook::default();
+    book.note_run("r1", "u1");
+    assert_eq!(promises(&book), ["asked for"]);
+}
+
+// An entry is told to shut down and closes a connection on which it owes an answer. The same cut is
+// no finding where the entry was killed or the way to its upstream broken.
+#[test]
+fn an_answer_cut_off_by_a_shutdown_is_found() {
+    let cut = |spoil: &dyn Fn(&RequestBook)| {
+        let book = RequestBook::default();
+        spoil(&book);
+        book.note_sent("r1", 0, true);
+        book.note_run("r1", "u1");
+        book.note_stop(0);
+        book.note_outcome("r1", CallerOutcome::Cut);
+        promises(&book)
+    };
+    assert_eq!(cut(&|_| {}), ["shutdown cuts off nothing"]);
+    let soon = Instant::now() + Duration::from_secs(5);
+    assert!(cut(&|book| book.note_disturbed(0, Instant::now(), soon)).is_empty());
+    assert!(cut(&|book| book.note_upstream_fault(Instant::now(), soon)).is_empty());
+}
+
+// A seed that found something must play the same faults again.
+#[test]
+fn a_seed_always_draws_the_same_faults() {
+    let draw = |seed| FaultSchedule::draw(seed, Duration::from_secs(20), (5, 3, 4));
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7), draw(8));
+    assert!(draw(7).0.len() > 5);
+    assert!(draw(7).0.iter().all(|fault| fault.at < Duration::from_secs(15)));
+}
+
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    address
+}
+
+/// What becomes of four bytes and their echo within 100 ms.
+async fn exchange(stream: &mut TcpStream) -> Option<std::io::Result<usize>> {
+    let mut answer = [0; 4];
+    let sent = stream.write_all(b"ping").await;
+    if let Err(fault) = sent {
+        return Some(Err(fault));
+    }
+    tokio::time::timeout(Duration::from_millis(100), stream.read_exact(&mut answer)).await.ok()
+}
+
+// A connection that has lost bytes stays silent for good, also after the fault, as where something on
+// the way has lost track of it; new ones work. Resets end open connections and new ones.
+#[tokio::test]
+async fn the_proxy_silences_open_connections_and_resets_all() {
+    let proxy = FaultProxy::start(echo().await).await.expect("a port");
+    let mut first = TcpStream::connect(proxy.address).await.expect("it listens");
+    assert!(matches!(exchange(&mut first).await, Some(Ok(4))));
+    proxy.set(ProxyMode::LosesAnswers);
+    assert!(exchange(&mut first).await.is_none());
+    proxy.set(ProxyMode::Pass);
+    assert!(exchange(&mut first).await.is_none());
+    let mut second = TcpStream::connect(proxy.address).await.expect("it listens");
+    assert!(matches!(exchange(&mut second).await, Some(Ok(4))));
+    proxy.set(ProxyMode::Reset);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(matches!(exchange(&mut second).await, Some(Err(_))));
+}
--- /dev/null
+++ b/crates/pulley_soak/tests/seeded_runs.rs
@@ -0,0 +1,40 @@
+//! Short runs with the seeds of `seeds.txt`: a few for CI, and each that ever found something.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use pulley_soak::{SoakPlan, SoakRun};
+
+const SEEDS: &str = include_str!("seeds.txt");
+
+/// How long each run lasts.
+const SPAN: Duration = Duration::from_secs(12);
+
+/// The daemon, which `scripts/test` builds before the tests.
+fn daemon() -> PathBuf {
+    let test = std::env::current_exe().expect("this test");
+    let folder = test.ancestors().nth(2).expect("the folder of the profile");
+    let program = folder.join("pulleyd");
+    assert!(program.exists(), "{} is missing: build pulleyd first", program.display());
+    program
+}
+
+fn plan(seed: u64) -> SoakPlan {
+    let (span, program) = (SPAN, daemon());
+    SoakPlan { seed, span, replicas: 3, entries: 1, upstreams: 3, callers: 12, program }
+}
+
+// Daemons are killed, stopped, paused and wiped, upstreams leave, crash and fall silent, changes come
+// all the while, in series that overlap. Callers must get their own whole answer or the truth about
+// what has run, and accepted changes must be in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_under_the_kept_seeds() {
+    let lines = SEEDS.lines().map(|line| line.split('#').next().unwrap_or_default().trim());
+    for seed in lines.filter(|line| !line.is_empty()) {
+        let seed: u64 = seed.parse().expect("a seed");
+        let report = SoakRun::play(plan(seed)).await.expect("the installation starts");
+        let findings: Vec<String> = report.findings.iter().map(ToString::to_string).collect();
+        assert!(findings.is_empty(), "seed {seed}: {}", findings.join("\n"));
+        assert!(report.versions > 1, "seed {seed}: only {} versions", report.versions);
+    }
+}
