Give each subsystem of pulley_core its folder

Cause: process and version held thirty flat files each, told apart by prefixes. Ruled out: folders by subsystem first and life span second, as the life spans are the house's order. Change: counts, members and registry in process; sheet, follower and replica in version; the fan-out of the counts' tree stands beside the messages whose shape it is, which ends a circle between two modules. Nothing else; the tests of pulley_core pass as they are.

--- a/crates/pulley_core/src/process/count_link.rs
+++ b/crates/pulley_core/src/process/counts/count_link.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::count_message::split_route;
+use super::count_message::{FAN_OUT, split_route};
 use super::{
     CountDelta, CountEpoch, CountKey, CountRound, CountSum, FastMap, HostId, Moment, ZoneName,
 };
@@ -14,9 +14,6 @@
 /// lost datagram or two does no harm.
 pub const COUNT_TERM: Duration = Duration::from_millis(800);
 
-/// Entries that each entry passes a sum on to.
-pub(crate) const FAN_OUT: usize = 3;
-
 /// The unit of the time that a sum allows for one step.
 pub(crate) const STEP_UNIT: Duration = Duration::from_micros(250);
 
--- a/crates/pulley_core/src/process/count_message.rs
+++ b/crates/pulley_core/src/process/counts/count_message.rs
@@ -3,9 +3,11 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::count_link::FAN_OUT;
 use super::{CountKey, CountRows, HostId, PoolName, ZoneName};
 
+/// Entries that each entry passes a sum on to.
+pub(crate) const FAN_OUT: usize = 3;
+
 /// The largest encoding of one count message, in bytes; with headers it fits one datagram on
 /// every usual network, so that no fragment can be lost on its own.
 pub const COUNT_MESSAGE_LIMIT: usize = 1_200;
--- /dev/null
+++ b/crates/pulley_core/src/process/counts/mod.rs
@@ -0,0 +1,32 @@
+//! Counts of what is outstanding, shared by all entries of a pool, and who coordinates them.
+
+mod count_gathering;
+mod count_health;
+mod count_key;
+mod count_link;
+mod count_message;
+mod count_rows;
+mod pool_coordinator;
+mod pool_coordinator_choice;
+
+pub use count_key::CountKey;
+pub use count_link::COUNT_TERM;
+pub use count_message::{
+    COUNT_MESSAGE_LIMIT, CountDelta, CountEpoch, CountFault, CountRound, CountSum,
+};
+pub use count_rows::{CountRows, KindUse, UpstreamNews};
+pub use pool_coordinator::{
+    COUNT_BYTES_PER_SECOND, CoordinatorOutput, PoolCoordinator, ProbeOutcome,
+};
+pub use pool_coordinator_choice::coordinator_for;
+
+pub(crate) use count_health::{UpstreamHealth, median_ms};
+pub(crate) use count_key::stable_hash;
+pub(crate) use count_link::CountLink;
+pub(crate) use count_rows::{CountLayout, CountTotals, digest_of};
+pub(crate) use pool_coordinator::KEYS_FOR;
+
+use super::{
+    FastMap, FastSet, HostId, Moment, PoolName, ProbeBudget, ProbeRate, UpstreamId, UpstreamRecord,
+    ZoneName,
+};
--- /dev/null
+++ b/crates/pulley_core/src/process/members/mod.rs
@@ -0,0 +1,18 @@
+//! Which hosts are alive, by probes and gossip among all of them.
+
+mod member_message;
+mod member_record;
+mod member_ring;
+mod member_roster;
+mod member_settings;
+mod member_table;
+
+pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
+pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
+pub use member_ring::PeerRing;
+pub use member_settings::MemberSettings;
+pub use member_table::MemberTable;
+
+pub(super) use member_message::encoded;
+
+use super::{FastMap, HostId, Moment, QuantityFault, ZoneName};
--- a/crates/pulley_core/src/process/upstream_registry_bucket.rs
+++ b/crates/pulley_core/src/process/registry/lease_bucket.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::upstream_registry_clock::LeaseEpoch;
-use super::upstream_registry_record::{LeaseRecord, id_hash};
+use super::lease_record::{LeaseRecord, id_hash};
+use super::shared_clock::LeaseEpoch;
 use super::{UpstreamId, UpstreamSequence};
 
 /// How many buckets the registry has.
--- a/crates/pulley_core/src/process/upstream_registry_table.rs
+++ b/crates/pulley_core/src/process/registry/lease_table.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::upstream_registry_bucket::{BUCKETS, LeaseBucket, LeaseEntry};
-use super::upstream_registry_clock::LeaseEpoch;
-use super::upstream_registry_message::AgedRecord;
-use super::upstream_registry_record::LeaseRecord;
+use super::lease_bucket::{BUCKETS, LeaseBucket, LeaseEntry};
+use super::lease_record::LeaseRecord;
+use super::registry_message::AgedRecord;
+use super::shared_clock::LeaseEpoch;
 use super::{FastMap, PoolName, UpstreamId, UpstreamRecord, UpstreamSequence};
 
 /// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
--- /dev/null
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -0,0 +1,21 @@
+//! Which upstreams have announced themselves, as leases that hosts pass on to each other.
+
+mod lease_bucket;
+mod lease_record;
+mod lease_table;
+mod registry_gossip;
+mod registry_message;
+mod shared_clock;
+mod upstream_registry;
+
+pub use lease_table::UPSTREAM_LIMIT;
+pub use registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
+pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
+
+pub(crate) use shared_clock::{SharedClock, SharedTime};
+
+use super::members::encoded;
+use super::{
+    Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, UpstreamId, UpstreamPhase,
+    UpstreamRecord, UpstreamSequence,
+};
--- a/crates/pulley_core/src/process/upstream_registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -5,13 +5,13 @@
 
 use bytes::Bytes;
 
-use super::upstream_registry_bucket::{CODE_EXPIRED, LeaseBucket};
-use super::upstream_registry_clock::LeaseEpoch;
-use super::upstream_registry_message::{
+use super::lease_bucket::{CODE_EXPIRED, LeaseBucket};
+use super::lease_record::{LeaseRecord, id_hash};
+use super::registry_message::{
     AgedRecord, BucketCodes, BucketSummary, PackedCodes, RegistryContent, RegistryMessage,
     SummaryItem, parts_of,
 };
-use super::upstream_registry_record::{LeaseRecord, id_hash};
+use super::shared_clock::LeaseEpoch;
 use super::{Moment, PeerRing, RegistrySend, UpstreamRegistry};
 
 /// How many hosts each host tells of a change at once. Told by four, about one host in fifty
@@ -315,7 +315,7 @@
     (code < CODE_EXPIRED).then(|| sent.minus(u32::from(code)))
 }
 
-fn summary_item(entry: &super::upstream_registry_bucket::LeaseEntry) -> SummaryItem {
+fn summary_item(entry: &super::lease_bucket::LeaseEntry) -> SummaryItem {
     let hash = entry.record.hash();
     #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
     let record_hash = (hash ^ (hash >> 32)) as u32;
--- a/crates/pulley_core/src/process/upstream_registry_message.rs
+++ b/crates/pulley_core/src/process/registry/registry_message.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::member_message::encoded;
-use super::upstream_registry_clock::SharedTime;
-use super::upstream_registry_record::LeaseRecord;
+use super::encoded;
+use super::lease_record::LeaseRecord;
+use super::shared_clock::SharedTime;
 
 /// The largest body of a message of the registry, in bytes; see `MEMBER_BODY_LIMIT`.
 pub const REGISTRY_BODY_LIMIT: usize = 1_200;
--- a/crates/pulley_core/src/process/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use thiserror::Error;
 
-use super::upstream_registry_bucket::BUCKETS;
-use super::upstream_registry_clock::SharedClock;
-use super::upstream_registry_message::AgedRecord;
-use super::upstream_registry_record::{LeaseRecord, phase_rank};
-use super::upstream_registry_table::LeaseTable;
+use super::lease_bucket::BUCKETS;
+use super::lease_record::{LeaseRecord, phase_rank};
+use super::lease_table::LeaseTable;
+use super::registry_message::AgedRecord;
+use super::shared_clock::SharedClock;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
     UpstreamPhase, UpstreamRecord,
--- a/crates/pulley_core/src/version/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica/replica_driver.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
-use super::audit_archive::AuditArchive;
+use super::AuditArchive;
 use super::cluster_founding::ClusterFounding;
 use super::driver_founding::RejoinQuest;
 use super::driver_question::{WaitingQuestion, WaitingRead};
--- /dev/null
+++ b/crates/pulley_core/src/version/sheet/mod.rs
@@ -0,0 +1,20 @@
+//! Sheets as operators write them, and the plan that is read from one.
+
+mod plan;
+mod sheet_column;
+mod sheet_fault;
+mod sheet_printer;
+mod sheet_reader;
+mod sheet_upload;
+
+pub use plan::{
+    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
+    RequestPriority, RouteTerms, WorkLength,
+};
+pub use sheet_column::SheetColumn;
+pub use sheet_fault::{SheetFault, SheetFaults};
+pub use sheet_printer::SheetPrinter;
+pub use sheet_reader::SheetReader;
+pub use sheet_upload::{SheetUpload, SheetView};
+
+use super::ConfigVersion;
--- a/crates/pulley_core/src/version/sheet_upload.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_upload.rs
@@ -5,7 +5,7 @@
 use super::ConfigVersion;
 use crate::process::{ActorName, ChangeId};
 
-/// Asks a host to put a sheet in force; a [`super::ChangeAnswer`] comes back.
+/// Asks a host to put a sheet in force; a [`crate::version::ChangeAnswer`] comes back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SheetUpload {
