Take the wait at a starting host off a request's deadline

Found by reading the change as a newcomer. Cause: the deadline and the target were worked out after the wait, so that an upstream was handed up to 0.8 s more than its caller had left, and the answer at the route's time came that much late; the log said that nothing was held. Ruled out: the wait itself, which keeps to half of the caller's time. Change: all count from the request's arrival.

--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -51,8 +51,9 @@
 /// and the request, of which nothing has left yet, is answered sooner by another upstream.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Bytes that are read at once, and so the most that an answer's head may have. Whatever is read
-/// makes room for as much to come in at the link's full rate, past any pace.
+/// Bytes that are read at once, and so the most that an answer's head may have; common servers send
+/// heads of up to 8 KiB. Whatever is read makes room for as much to come in at the link's full rate,
+/// past any pace.
 const READ_BUFFER: usize = 16 * 1_024;
 
 /// The connections of this process to one upstream.
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -78,6 +78,8 @@
     body: Incoming,
     kind: PlannedKind,
     terms: CallTerms,
+    /// When it came; its deadline counts from then on.
+    arrived: Moment,
 }
 
 impl RequestForwarder {
@@ -108,11 +110,14 @@
 
     /// Carries one request and answers it; at a host that has just started, once it is ready.
     pub fn forward(&self, request: Request<Incoming>) -> ForwardFuture {
-        let Some(wait) = self.start_wait(&request) else { return self.forward_now(request) };
+        let arrived = self.context.clock.now();
+        let Some(wait) = self.start_wait(&request) else {
+            return self.forward_now(request, arrived);
+        };
         let forwarder = self.clone();
         Box::pin(async move {
             forwarder.wait_for_start(&request, wait).await;
-            forwarder.forward_now(request).await
+            forwarder.forward_now(request, arrived).await
         })
     }
 
@@ -149,24 +154,25 @@
         upstreams.is_some_and(|records| records.iter().any(|record| record.takes_work))
     }
 
-    /// Carries one request as the host stands now.
+    /// Carries one request, which may have waited since it arrived, as the host stands now.
     ///
     /// What can be refused is refused before there is a future to run.
-    fn forward_now(&self, request: Request<Incoming>) -> ForwardFuture {
+    fn forward_now(&self, request: Request<Incoming>, arrived: Moment) -> ForwardFuture {
         let id = self.context.dialect.id_of(request.headers());
-        match self.take_up(request) {
+        match self.take_up(request, arrived) {
             Ok(future) => future,
             Err(answer) => {
-                let asked = RefusedRequest { id, ..RefusedRequest::default() };
+                let held = self.context.clock.now().since(arrived);
+                let asked = RefusedRequest { id, held, ..RefusedRequest::default() };
                 Box::pin(ready(Ok(refuse(&self.context, &asked, answer, self.refuses_all))))
             }
         }
     }
 
-    fn take_up(&self, request: Request<Incoming>) -> Result<ForwardFuture> {
+    fn take_up(&self, request: Request<Incoming>, arrived: Moment) -> Result<ForwardFuture> {
         self.arrival.note();
         let seat = self.enter()?;
-        let admitted = self.admit(request)?;
+        let admitted = self.admit(request, arrived)?;
         let row = admitted.kind.row();
         let key = match read_key(&admitted.parts) {
             Ok(key) => key.filter(|_| !row.idempotent).map(str::to_owned),
@@ -174,9 +180,10 @@
         };
         let context = Arc::clone(&self.context);
         let Some(key) = key else {
-            let AdmittedRequest { parts, body, kind, terms } = admitted;
+            let AdmittedRequest { parts, body, kind, terms, arrived } = admitted;
             let body = BodySource::new(body, context.limits.replay_bytes);
-            let run = Box::new(RequestRun::new(context, parts, body, kind, terms));
+            let run = RequestRun::new(context, parts, body, kind, terms).begun_at(arrived);
+            let run = Box::new(run);
             return Ok(Box::pin(carry_plain(run, seat)));
         };
         Ok(Box::pin(async move {
@@ -212,7 +219,7 @@
         }
     }
 
-    fn admit(&self, request: Request<Incoming>) -> Result<AdmittedRequest> {
+    fn admit(&self, request: Request<Incoming>, arrived: Moment) -> Result<AdmittedRequest> {
         self.check_readiness()?;
         let view = self.context.view.load();
         let (parts, body) = request.into_parts();
@@ -222,13 +229,12 @@
         let Some((kind, row)) = found else {
             return Err(SystemAnswer::refused(RefusalCause::NoSuchKind, None));
         };
-        let now = self.context.clock.now();
         let is_trusted = self.context.is_trusted(self.caller);
         let dialect = &self.context.dialect;
-        let terms = CallTerms::read(now, &parts.headers, row, (dialect, is_trusted))
+        let terms = CallTerms::read(arrived, &parts.headers, row, (dialect, is_trusted))
             .map_err(|cause| SystemAnswer::refused(cause, None))?;
         let kind = PlannedKind::new(Arc::clone(&view.plan), kind);
-        Ok(AdmittedRequest { parts, body, kind, terms })
+        Ok(AdmittedRequest { parts, body, kind, terms, arrived })
     }
 }
 
@@ -284,7 +290,7 @@
     seat: RequestSeat,
     key: &str,
 ) -> Result<Response<AnswerBody>> {
-    let AdmittedRequest { parts, body, kind, terms } = admitted;
+    let AdmittedRequest { parts, body, kind, terms, arrived } = admitted;
     let gathering = BodySource::gather(body, context.limits.keyed_bytes);
     let gathered = context.timer.limit(terms.deadline, gathering).await;
     let (body, data) = match gathered {
@@ -293,7 +299,7 @@
         None => return Err(SystemAnswer::refused(RefusalCause::DeadlineTooClose, None)),
     };
     let request = claim_request(kind.row(), key, &parts, &data);
-    let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms);
+    let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms).begun_at(arrived);
     carry_keyed(run, request, seat).await
 }
 
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Counts its target and how long it is held from when it arrived.
+    pub(super) const fn begun_at(mut self, arrived: Moment) -> Self {
+        self.begun = arrived;
+        self
+    }
+
     /// Carries it under a claim on its idempotency key.
     pub(super) fn with_claim(self, claim: LedgerClaim) -> Self {
         self.progress.lock().claim = Some(claim);
--- a/crates/pulleyd/tests/request_start.rs
+++ b/crates/pulleyd/tests/request_start.rs
@@ -47,3 +47,25 @@
     assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
     assert_eq!(upstream.runs(), 0);
 }
+
+// A caller gives its request a second, of which it spends more than a tenth at a starting host. What the
+// upstream is told must be what is left: given the whole second, it works on after the caller has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn time_at_a_starting_host_is_taken_off_the_deadline() {
+    let upstream = FakeUpstream::healthy("done").await;
+    let entry = EntryBuilder::new().start(&[&upstream]).await;
+    let view = entry.context.view.clone();
+    let ready = view.load();
+    view.store(not_ready(&ready));
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        view.store(RunningView::clone(&ready));
+    });
+    let deadline = [("jacinthpulley-deadline-ms", "1000")];
+    let answer = entry.post_with("/balance", "x", &deadline).await;
+    assert_eq!(answer.status, 200);
+    let request = upstream.last_request().to_lowercase();
+    let line = request.lines().find_map(|line| line.strip_prefix("jacinthpulley-deadline-ms: "));
+    let left: u64 = line.expect("a deadline").trim().parse().expect("milliseconds");
+    assert!(left <= 900, "{left} ms are passed on");
+}
