--- a/crates/pulley_core/src/request/start_wait.rs
+++ b/crates/pulley_core/src/request/start_wait.rs
@@ -4,8 +4,8 @@
 
 /// How long after its start a host is expected to learn the configuration and the upstreams.
 ///
-/// Measured on hosts that were all killed or lost power together: 0.2 to 0.5 s, an election
-/// included. A host that knows nothing after this has lost touch, and its callers had better go
+/// Three measured restarts of all hosts took 0.26 to 0.31 s, an election included; the rest is for
+/// the first announcements of upstreams. A host that knows nothing after this has lost touch, and its callers had better go
 /// elsewhere.
 const START_SPAN: Duration = Duration::from_millis(800);
 
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -27,8 +27,8 @@
 /// can keep connections to. Harm: picked among all, nearly every question opened a connection, which
 /// takes an upstream a millisecond, an entry more processor time than the request, and longer than
 /// an answer that is already there; at an upstream's limit it was refused. Reason for the limit:
-/// with a quarter of all machines slowed down, fewer than eight are all slowed or full at once too
-/// often; with more, connections are idle for longer than upstreams keep them.
+/// two rounds of three questions, and two upstreams to spare that rest or fail. Eight halved the
+/// connections of a quiet day of 179 entries; other sizes were not measured.
 const SUBSET_SIZE: usize = 8;
 
 /// The least part of the pool's slots that stays usable, whatever is measured.
