--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -30,10 +30,12 @@
 pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
 pub use registry::{
-    AnnounceOutcome, REGISTRY_BODY_LIMIT, RegistryFault, RegistryResult, RegistrySend,
-    UPSTREAM_LIMIT, UpstreamRegistry,
+    AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RegistryFault, RegistryResult,
+    RegistrySend, UPSTREAM_LIMIT, UpstreamDirectory, UpstreamRegistry,
+};
+pub use upstream::{
+    Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart,
 };
-pub use upstream::{Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence};
 
 pub(crate) use counts::{
     CountLayout, CountLink, CountTotals, KEYS_FOR, UpstreamHealth, digest_of, median_ms,
--- a/crates/pulley_core/src/process/registry/lease_record.rs
+++ b/crates/pulley_core/src/process/registry/lease_record.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Announcement, UpstreamId, UpstreamPhase};
+use super::{Announcement, UpstreamId, UpstreamPhase, UpstreamStart};
 
 /// What holds of an upstream: the latest change it announced, and whether a host drains it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +20,11 @@
         Self { announcement, drained: false }
     }
 
+    pub(crate) fn start(&self) -> UpstreamStart {
+        let announcement = &self.announcement;
+        UpstreamStart { id: announcement.id.clone(), incarnation: announcement.incarnation }
+    }
+
     pub(crate) fn takes_work(&self) -> bool {
         self.announcement.phase.takes_work() && !self.drained
     }
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -6,10 +6,12 @@
 mod registry_gossip;
 mod registry_message;
 mod shared_clock;
+mod upstream_directory;
 mod upstream_registry;
 
 pub use lease_table::UPSTREAM_LIMIT;
 pub use registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
+pub use upstream_directory::{DIRECTORY_LIMIT, UpstreamDirectory};
 pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
 
 pub(crate) use shared_clock::{SharedClock, SharedTime};
@@ -17,5 +19,5 @@
 use super::members::encoded;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, UpstreamId, UpstreamPhase,
-    UpstreamRecord, UpstreamSequence,
+    UpstreamRecord, UpstreamSequence, UpstreamStart,
 };
--- a/crates/pulley_core/src/process/registry/shared_clock.rs
+++ b/crates/pulley_core/src/process/registry/shared_clock.rs
@@ -59,7 +59,11 @@
     /// Makes a clock by which leases last so long at most, and an epoch less at least.
     pub(crate) fn with_lease(lease: Duration) -> Self {
         let epoch_ms = (lease / LEASE_EPOCHS).as_millis().max(1);
-        Self { ahead_ms: 0, adopted: false, epoch_ms: u64::try_from(epoch_ms).unwrap_or(u64::MAX) }
+        let epoch_ms = u64::try_from(epoch_ms).unwrap_or(u64::MAX);
+        // It begins a lease after zero, so that a lease of which a part is over can be told from a
+        // whole one from the start.
+        let ahead_ms = epoch_ms.saturating_mul(u64::from(LEASE_EPOCHS));
+        Self { ahead_ms, adopted: false, epoch_ms }
     }
 
     /// How long a lease lasts at most.
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -15,7 +15,7 @@
 use super::shared_clock::SharedClock;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
-    UpstreamPhase, UpstreamRecord,
+    UpstreamPhase, UpstreamRecord, UpstreamStart,
 };
 
 /// The part of a lease in which news reaches all hosts on its way round the ring. With the time
@@ -31,6 +31,9 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many waiting messages leave at once.
 const PAGES_PER_TICK: usize = 8;
+/// How many messages of introductions leave at once: those of 1,200 upstreams to the 60 entries of a
+/// zone take a second, and 32 of them 1.5 ms of a link of 200 Mbit/s.
+const INTRODUCTIONS_PER_TICK: usize = 32;
 /// How many slots one upstream may announce; more is a mistake in its settings.
 const SLOT_LIMIT: u32 = 10_000;
 /// How many connections one upstream may announce.
@@ -106,6 +109,8 @@
     pub(crate) departures: Vec<AgedRecord>,
     pub(crate) news_budget: f64,
     pub(crate) pages: VecDeque<RegistrySend>,
+    /// Messages to hosts that have just started; they don't wait behind others' pages.
+    pub(crate) introductions: VecDeque<RegistrySend>,
     /// When each bucket was last compared record by record.
     pub(crate) compared: Vec<Option<Moment>>,
     /// When a digest that differs was last answered.
@@ -137,6 +142,7 @@
             departures: Vec::new(),
             news_budget: 0.0,
             pages: VecDeque::new(),
+            introductions: VecDeque::new(),
             compared: vec![None; BUCKETS],
             answered: None,
             unsettled: Moment::ZERO,
@@ -187,7 +193,8 @@
     #[must_use]
     pub fn next_wakeup(&self) -> Moment {
         let mut next = self.next_round.min(self.next_epoch);
-        if !self.news.is_empty() || !self.departures.is_empty() {
+        let has_introductions = !self.introductions.is_empty();
+        if !self.news.is_empty() || !self.departures.is_empty() || has_introductions {
             next = next.min(self.last_tick + NEWS_PAUSE);
         }
         if !self.pages.is_empty() {
@@ -199,9 +206,10 @@
     /// What is known of an upstream's leaving, for [`Self::take_departure`] of another host; none
     /// while it takes work or is unknown.
     #[must_use]
-    pub fn departure(&self, id: &UpstreamId) -> Option<Bytes> {
+    pub fn departure(&self, id: &UpstreamId) -> Option<(UpstreamStart, Bytes)> {
         let entry = self.table.find(id).filter(|entry| !entry.record.takes_work())?;
-        postcard::to_stdvec(&entry.record).ok().map(Bytes::from)
+        let record = postcard::to_stdvec(&entry.record).ok()?;
+        Some((entry.record.start(), Bytes::from(record)))
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -360,6 +368,8 @@
         }
         let burst = self.pages.len().min(PAGES_PER_TICK);
         let mut sends: Vec<RegistrySend> = self.pages.drain(..burst).collect();
+        let burst = self.introductions.len().min(INTRODUCTIONS_PER_TICK);
+        sends.extend(self.introductions.drain(..burst));
         self.tell_news(now, ring, &mut sends);
         self.told_round = None;
         if now >= self.next_round {
--- a/crates/pulley_core/src/process/upstream.rs
+++ b/crates/pulley_core/src/process/upstream.rs
@@ -18,6 +18,15 @@
 )]
 pub struct UpstreamSequence(pub u64);
 
+/// One start of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct UpstreamStart {
+    /// Which upstream.
+    pub id: UpstreamId,
+    /// Which of its starts.
+    pub incarnation: Incarnation,
+}
+
 /// Where an upstream stands in its life; only `Warming` and `Ready` ones get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod audit_trail;
 mod change;
 mod configuration_machine;
+mod departure_machine;
 mod follower;
 mod ledger_machine;
 mod plan_diff;
@@ -19,6 +20,7 @@
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
 };
 pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
+pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
 pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
--- a/crates/pulley_core/src/version/replica/driver_question.rs
+++ b/crates/pulley_core/src/version/replica/driver_question.rs
@@ -33,11 +33,18 @@
             return;
         }
         match question {
-            ReplicaQuestion::CurrentPlan
-            | ReplicaQuestion::Audit(_)
-            | ReplicaQuestion::Departure(_) => {
+            ReplicaQuestion::CurrentPlan | ReplicaQuestion::Applied | ReplicaQuestion::Audit(_) => {
                 self.begin_read(now, token, question);
             }
+            // Upstreams repeat that they leave until they are gone: one entry of the log is enough.
+            ReplicaQuestion::Departure { ref start, .. }
+                if self.machines.departures.has_left(start) =>
+            {
+                self.begin_read(now, token, question);
+            }
+            ReplicaQuestion::Departure { start, .. } => {
+                self.append(now, token, LogCommand::Departure(start));
+            }
             ReplicaQuestion::Apply(request) => {
                 let change = StoredChange::new(request, self.machines.configuration.current());
                 self.append(now, token, LogCommand::Change(Box::new(change)));
@@ -66,16 +73,15 @@
 
     pub(crate) fn finish_read(&mut self, read: u64) {
         let Some(waiting) = self.reads.remove(&read) else { return };
-        if let ReplicaQuestion::Audit(filter) = &waiting.question {
-            self.answer_audit(waiting.token, filter);
-            return;
-        }
-        if matches!(waiting.question, ReplicaQuestion::Departure(_)) {
-            self.push_answer(waiting.token, ReplicaAnswer::Done);
-            return;
-        }
-        let plan = self.machines.configuration.current();
-        let answer = ReplicaAnswer::Plan((**plan).clone());
+        let answer = match &waiting.question {
+            ReplicaQuestion::Audit(filter) => {
+                self.answer_audit(waiting.token, filter);
+                return;
+            }
+            ReplicaQuestion::Departure { .. } => ReplicaAnswer::Done,
+            ReplicaQuestion::Applied => ReplicaAnswer::Applied(self.node.taken_index()),
+            _ => ReplicaAnswer::Plan((**self.machines.configuration.current()).clone()),
+        };
         self.push_answer(waiting.token, answer);
     }
 
--- a/crates/pulley_core/src/version/replica/log_entry.rs
+++ b/crates/pulley_core/src/version/replica/log_entry.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{LedgerCommand, LogIndex, LogTime, ReplicaMembership, StoredChange, Term};
-use crate::process::ActorName;
+use crate::process::{ActorName, UpstreamStart};
 
 /// Fixed part of an entry's size estimate, in bytes.
 const ENTRY_OVERHEAD: usize = 48;
@@ -28,6 +28,8 @@
     Change(Box<StoredChange>),
     /// A command to the at-most-once ledger.
     Ledger(LedgerCommand),
+    /// A start of an upstream has left.
+    Departure(UpstreamStart),
 }
 
 /// One entry of the replicated log.
@@ -55,6 +57,7 @@
                 }
                 LogCommand::Change(change) => change.weight(),
                 LogCommand::Ledger(command) => command.weight(),
+                LogCommand::Departure(start) => start.id.as_str().len(),
             }
     }
 }
--- a/crates/pulley_core/src/version/replica/mod.rs
+++ b/crates/pulley_core/src/version/replica/mod.rs
@@ -45,6 +45,6 @@
 use super::audit_archive::AuditArchive;
 use super::{
     AuditChunk, AuditFilter, AuditMessage, AuditRead, AuditRecord, ChangeAnswer, ChangeRequest,
-    ConfigVersion, ConfigurationMachine, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine,
-    LedgerOutcome, RequestDigest, StoredChange, StoredPlan,
+    ConfigVersion, ConfigurationMachine, DepartureMachine, KeyDigest, LedgerCommand, LedgerLimits,
+    LedgerMachine, LedgerOutcome, RequestDigest, StoredChange, StoredPlan,
 };
--- a/crates/pulley_core/src/version/replica/replica_machines.rs
+++ b/crates/pulley_core/src/version/replica/replica_machines.rs
@@ -1,4 +1,4 @@
-//! The two state machines that every replica runs over the one log.
+//! The state machines that every replica runs over the one log.
 
 use std::sync::Arc;
 
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ChangeAnswer, ConfigurationMachine, LedgerMachine, LedgerOutcome, LogCommand, LogEntry,
-    ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
+    ChangeAnswer, ConfigurationMachine, DepartureMachine, LedgerMachine, LedgerOutcome, LogCommand,
+    LogEntry, ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
 };
 
 /// What an entry brought about.
@@ -23,22 +23,30 @@
     Members(ReplicaMembership),
 }
 
-/// The two state machines that every replica runs over the one log.
+/// The state machines that every replica runs over the one log.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ReplicaMachines {
     /// The configuration and its audit trail.
     pub configuration: ConfigurationMachine,
     /// The at-most-once ledger.
     pub ledger: LedgerMachine,
+    /// The upstreams that have left.
+    pub departures: DepartureMachine,
 }
 
 impl ReplicaMachines {
-    /// Reads the machines from a snapshot.
+    /// Reads the machines from a snapshot, which may hold no departures yet.
     ///
     /// # Errors
-    /// If the snapshot's state is not one that this release has written.
+    /// If the snapshot's state is not one that this release or the one before has written.
     pub fn restore(snapshot: &ReplicaSnapshot) -> postcard::Result<Self> {
-        postcard::from_bytes(&snapshot.state)
+        let (configuration, rest) = postcard::take_from_bytes(&snapshot.state)?;
+        let (ledger, rest) = postcard::take_from_bytes(rest)?;
+        let departures = match rest {
+            [] => DepartureMachine::default(),
+            rest => postcard::from_bytes(rest)?,
+        };
+        Ok(Self { configuration, ledger, departures })
     }
 
     /// Makes a snapshot of the machines.
@@ -64,6 +72,10 @@
             LogCommand::Ledger(command) => {
                 MachineOutcome::Ledger(self.ledger.apply(entry.index, entry.time, command))
             }
+            LogCommand::Departure(start) => {
+                self.departures.apply(entry.index, start);
+                MachineOutcome::Nothing
+            }
         }
     }
 }
--- a/crates/pulley_core/src/version/replica/replica_question.rs
+++ b/crates/pulley_core/src/version/replica/replica_question.rs
@@ -4,8 +4,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, ReplicaMembership, StoredPlan};
-use crate::process::{HostId, MemberId};
+use super::{
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, LogIndex, ReplicaMembership, StoredPlan,
+};
+use crate::process::{HostId, MemberId, UpstreamStart};
 
 /// Orders the holders of one idempotency key: a later holder's token is higher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -85,13 +87,20 @@
     },
     /// The configuration that a quorum confirms to be current.
     CurrentPlan,
+    /// The last entry that a quorum confirms to be applied.
+    Applied,
     /// The audit trail.
     Audit(AuditFilter),
     /// A change of who holds the log.
     Change(ReplicaChange),
-    /// An upstream leaves; answered once a quorum confirms that the leader, who tells every host,
-    /// still leads.
-    Departure(Bytes),
+    /// An upstream leaves; answered once that is on a quorum's disks, while the leader tells every
+    /// host.
+    Departure {
+        /// The start that leaves.
+        start: UpstreamStart,
+        /// What to tell the hosts; see `UpstreamRegistry::departure`.
+        record: Bytes,
+    },
 }
 
 /// Why the leader refused; refused always means not done.
@@ -143,6 +152,9 @@
     Refused(ReplicaRefusal),
     /// The configuration in force.
     Plan(StoredPlan),
+    /// The last entry applied; whoever has applied it too knows all that was acknowledged before the
+    /// question.
+    Applied(LogIndex),
     /// The audit records asked for.
     Audit(Vec<AuditRecord>),
     /// The membership after a change of it.
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -6,4 +6,5 @@
 mod network;
 mod plan_follower_tests;
 mod schedule_tests;
+mod upstream_directory_tests;
 mod upstream_registry_tests;
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -224,6 +224,13 @@
         self.after(host);
     }
 
+    /// Has a host tell another that has just started of the upstreams.
+    pub(crate) fn introduce(&mut self, host: usize, to: usize) {
+        let (now, to) = (self.now, self.hosts[to].address);
+        self.hosts[host].registry.introduce(now, to);
+        self.after(host);
+    }
+
     pub(crate) fn publish(&mut self, version: u64, rows: usize) {
         let Some((leader, _)) = self.leader else {
             return;
--- /dev/null
+++ b/crates/pulley_core/tests/members/upstream_directory_tests.rs
@@ -0,0 +1,113 @@
+//! What becomes of upstreams when every host loses its memory.
+
+use std::time::Duration;
+
+use pulley_core::Moment;
+use pulley_core::process::{
+    Announcement, Incarnation, UpstreamDirectory, UpstreamPhase, UpstreamRegistry, UpstreamStart,
+};
+
+use crate::network::{Network, announcement};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// What a registry that knows upstreams `0..count` writes down.
+fn written(count: usize) -> UpstreamDirectory {
+    let mut registry = UpstreamRegistry::new();
+    let now = Moment::ZERO;
+    for upstream in 0..count {
+        registry.announce(now, announcement(upstream, 1, 1)).unwrap();
+    }
+    registry.directory(now, |_| false)
+}
+
+fn start_of(announcement: &Announcement) -> UpstreamStart {
+    UpstreamStart { id: announcement.id.clone(), incarnation: announcement.incarnation }
+}
+
+/// All hosts lose power and are back within a second, while upstreams go on announcing themselves
+/// once a second and a half. Until the last of them has, callers would be refused beside idle
+/// upstreams; what one replica of the zone has written down is known to its entries within 50 ms.
+#[test]
+fn entries_know_all_upstreams_at_once_after_a_restart_of_all() {
+    let mut network = Network::new(40, 21);
+    network.run_for(Duration::from_secs(2));
+    let now = network.now;
+    let directory = written(200);
+    for replica in 0..5 {
+        network.hosts[replica].registry.recall(now, directory.clone(), |_| false);
+        for entry in (5..40).filter(|entry| entry % 5 == replica) {
+            network.introduce(replica, entry);
+        }
+    }
+    network.run_for(50 * MILLISECOND);
+    for host in &network.hosts {
+        let known = (0..200).filter(|upstream| {
+            host.registry.takes_work(network.now, &announcement(*upstream, 1, 1).id)
+        });
+        assert_eq!(known.count(), 200);
+    }
+}
+
+/// An upstream says that it leaves, which is acknowledged; then all hosts lose power. The replica
+/// that comes back has written it down before that. Were it taken for an upstream
+/// again, callers would be sent to a process that is about to end.
+#[test]
+fn what_has_left_is_not_recalled() {
+    let left = start_of(&announcement(1, 1, 1));
+    let mut registry = UpstreamRegistry::new();
+    let recalled = registry.recall(Moment::ZERO, written(3), |start| *start == left);
+    assert_eq!(recalled, 2);
+    assert!(!registry.takes_work(Moment::ZERO, &left.id));
+    let kept = registry.directory(Moment::ZERO, |start| start.id == announcement(0, 1, 1).id);
+    assert_eq!(kept.len(), 1);
+}
+
+/// An upstream restarts while all hosts are dark, on another address, and announces itself to a
+/// replica before that has read its disk. What the disk says of its earlier start must change
+/// nothing: callers would be sent to the old address, which another service may use.
+#[test]
+fn what_an_upstream_says_itself_goes_before_what_was_written_down() {
+    let mut registry = UpstreamRegistry::new();
+    let moved = Announcement { address: "10.9.9.9:8000".parse().unwrap(), ..announcement(0, 2, 1) };
+    registry.announce(Moment::ZERO, moved.clone()).unwrap();
+    assert_eq!(registry.recall(Moment::ZERO, written(1), |_| false), 0);
+    // The other way round: what was recalled gives way to the first word of the upstream.
+    let mut other = UpstreamRegistry::new();
+    assert_eq!(other.recall(Moment::ZERO, written(1), |_| false), 1);
+    let late = Moment::ZERO + Duration::from_secs(2);
+    other.announce(late, moved.clone()).unwrap();
+    for registry in [&registry, &other] {
+        let pools = registry.pool_records(late);
+        assert_eq!(pools[&moved.pool][0].announcement, moved);
+    }
+}
+
+/// An upstream ends while all hosts are dark and never announces itself again. It may be asked in
+/// vain for half a lease, and no longer; one that lives renews its lease by announcing itself.
+#[test]
+fn a_recalled_lease_is_short() {
+    let mut registry = UpstreamRegistry::with_lease(Duration::from_secs(6));
+    registry.recall(Moment::ZERO, written(2), |_| false);
+    let (silent, alive) = (announcement(0, 1, 1), announcement(1, 1, 2));
+    registry.announce(Moment::ZERO + Duration::from_secs(1), alive.clone()).unwrap();
+    let early = Moment::ZERO + Duration::from_millis(1_500);
+    assert!(registry.takes_work(early, &silent.id));
+    let late = Moment::ZERO + Duration::from_secs(3);
+    assert!(!registry.takes_work(late, &silent.id));
+    assert!(registry.takes_work(late, &alive.id));
+}
+
+/// An upstream that was recalled says that it drains, and a copy of what was written down arrives
+/// by way of another host. It stays out.
+#[test]
+fn a_drain_after_a_recall_holds_everywhere() {
+    let mut registry = UpstreamRegistry::new();
+    registry.recall(Moment::ZERO, written(1), |_| false);
+    let draining = Announcement { phase: UpstreamPhase::Draining, ..announcement(0, 1, 2) };
+    registry.announce(Moment::ZERO, draining.clone()).unwrap();
+    assert_eq!(registry.recall(Moment::ZERO, written(1), |_| false), 0);
+    assert!(!registry.takes_work(Moment::ZERO, &draining.id));
+    let (start, _) = registry.departure(&draining.id).unwrap();
+    assert_eq!(start.incarnation, Incarnation(1));
+}
--- a/crates/pulley_core/tests/members/upstream_registry_tests.rs
+++ b/crates/pulley_core/tests/members/upstream_registry_tests.rs
@@ -166,7 +166,7 @@
     // What another host was told holds here as well.
     let mut other = UpstreamRegistry::new();
     other.announce(now, second.clone()).unwrap();
-    other.take_departure(now, &registry.departure(&first.id).unwrap());
+    other.take_departure(now, &registry.departure(&first.id).unwrap().1);
     assert!(!other.takes_work(now, &first.id));
     assert!(!registry.announce_gone(now, &announcement(9, 1, 1).id, None), "unknown");
 }
--- a/crates/pulley_core/tests/mutated_messages.rs
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -147,7 +147,8 @@
         let _ = registries[0].announce(now, announcement(step % 7));
         if step == 20 {
             registries[0].announce_gone(now, &announcement(3).id, None);
-            recorded.extend(registries[0].departure(&announcement(3).id));
+            let departure = registries[0].departure(&announcement(3).id);
+            recorded.extend(departure.map(|(_, record)| record));
         }
         for from in 0..2_u16 {
             for send in registries[usize::from(from)].tick(now, &ring(from)) {
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -1,6 +1,6 @@
 //! Takes this host's own questions, and brings their answers back to who asked.
 
-use pulley_core::process::{Announcement, Incarnation};
+use pulley_core::process::{Announcement, Incarnation, UpstreamStart};
 use pulley_core::version::{
     AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, ReplicaAnswer,
     ReplicaQuestion, ReplicaRefusal, StoredPlan,
@@ -24,8 +24,10 @@
     Replica(oneshot::Sender<Result<serde_json::Value>>),
     Claim(oneshot::Sender<ClaimAnswer>),
     Done(oneshot::Sender<Result<()>>),
-    /// An upstream's leaving, with the start that leaves, if it told.
-    Departure(Option<(UpstreamId, Incarnation)>, oneshot::Sender<Result<()>>),
+    /// An upstream's leaving, with the start that leaves.
+    Departure(UpstreamStart, oneshot::Sender<Result<()>>),
+    /// The control core itself; see [`ControlCore::note_applied`].
+    Applied,
 }
 
 impl AnswerSlot {
@@ -52,6 +54,7 @@
                 ReplicaAnswer::Claim(claim) => claim,
                 _ => ClaimAnswer::Unavailable,
             })),
+            Self::Applied => {}
             Self::Done(reply) | Self::Departure(_, reply) => drop(reply.send(match answer {
                 ReplicaAnswer::Done => Ok(()),
                 other => Err(fault_of(other)),
@@ -118,9 +121,16 @@
     ) {
         let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
         let leaves = !announcement.phase.takes_work();
+        let start = UpstreamStart { id, incarnation };
+        if !leaves && self.has_left(&start) {
+            // It was under way for long. Taken in by a host that has restarted since and knows
+            // nothing of the start, it would bring work back to an upstream that is gone.
+            let _ = reply.send(Ok(()));
+            return;
+        }
         match self.registry.announce(now, announcement) {
             Err(fault) => drop(reply.send(Err(ControlFault::Refused(fault.to_string())))),
-            Ok(_) if leaves => self.confirm_departure(now, &id, Some(incarnation), reply),
+            Ok(_) if leaves => self.confirm_departure(now, &start.id, Some(incarnation), reply),
             Ok(_) => drop(reply.send(Ok(()))),
         }
     }
@@ -137,26 +147,26 @@
         incarnation: Option<Incarnation>,
         reply: oneshot::Sender<Result<()>>,
     ) {
-        let start = incarnation.map(|incarnation| (id.clone(), incarnation));
-        let Some(body) = self.registry.departure(id) else {
+        let told = incarnation.map(|incarnation| UpstreamStart { id: id.clone(), incarnation });
+        if told.as_ref().is_some_and(|start| self.departed.contains(start)) {
+            let _ = reply.send(Ok(()));
+            return;
+        }
+        let Some((start, record)) = self.registry.departure(id) else {
             // A late message of an earlier start, or of one that has gone on since.
             let _ = reply.send(Err(ControlFault::Refused(format!("{id} does not leave"))));
             return;
         };
-        if start.as_ref().is_some_and(|start| self.departed.contains(start)) {
-            let _ = reply.send(Ok(()));
-            return;
-        }
-        let question = ReplicaQuestion::Departure(body);
+        let question = ReplicaQuestion::Departure { start: start.clone(), record };
         self.ask(now, question, AnswerSlot::Departure(start, reply));
     }
 
     /// Remembers confirmed departures, since upstreams go on announcing them until they stop.
-    pub(super) fn note_departed(&mut self, start: Option<(UpstreamId, Incarnation)>) {
+    pub(super) fn note_departed(&mut self, start: UpstreamStart) {
         if self.departed.len() >= DEPARTED_LIMIT {
             self.departed.clear();
         }
-        self.departed.extend(start);
+        self.departed.insert(start);
     }
 
     fn ask_leader(&mut self, now: Moment, request: ControlRequest) {
@@ -193,7 +203,7 @@
         self.ask(now, question, slot);
     }
 
-    fn ask(&mut self, now: Moment, question: ReplicaQuestion, slot: AnswerSlot) {
+    pub(super) fn ask(&mut self, now: Moment, question: ReplicaQuestion, slot: AnswerSlot) {
         let Some((number, routed)) = self.router.ask(now, question) else {
             slot.answer(ReplicaAnswer::Refused(ReplicaRefusal::Busy));
             return;
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    CoordinatorOutput, FastMap, FastSet, Incarnation, MemberRecord, MemberSend, MemberSettings,
-    MemberTable, UpstreamRegistry,
+    CoordinatorOutput, FastMap, FastSet, MemberRecord, MemberSend, MemberSettings, MemberTable,
+    UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
 use pulley_core::version::{
     AuditRead, DriverInput, PersistBatch, PersistTicket, PlanFollower, PlanSend, QuestionNumber,
@@ -21,6 +21,7 @@
 use super::control_counts::{CountCarrier, ProbeReport};
 use super::control_handle::ControlRequest;
 use super::control_replica::LEASE_TOKENS;
+use super::upstream_recovery::UpstreamRecovery;
 use super::{RunningView, ViewCell};
 use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
 use crate::request::SchedulerSet;
@@ -64,6 +65,8 @@
     pub(crate) own: MemberRecord,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) replica: Option<ReplicaDriver>,
+    /// The upstreams that this host's disk holds.
+    pub(crate) directory: Option<UpstreamDirectory>,
     pub(crate) founders: Vec<HostId>,
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
@@ -94,8 +97,9 @@
     pub(super) next_lease_token: u64,
     /// Whether this host led when it last looked.
     pub(super) led: bool,
-    /// Departures of upstreams that a quorum has confirmed, each with the start that leaves.
-    pub(super) departed: FastSet<(UpstreamId, Incarnation)>,
+    /// Departures of upstreams that a quorum has confirmed.
+    pub(super) departed: FastSet<UpstreamStart>,
+    pub(super) recovery: UpstreamRecovery,
 }
 
 /// What the last view was built from; a new one is built when any of it has moved.
@@ -112,8 +116,9 @@
     pub(crate) fn new(parts: CoreParts) -> Self {
         let host = parts.own.host.clone();
         let mut members = MemberTable::new(parts.own, MemberSettings::default(), parts.seed);
-        for seed in parts.seeds {
-            members.seed(seed);
+        let remembered = parts.directory.iter().flat_map(|directory| directory.peers.iter());
+        for seed in parts.seeds.iter().chain(remembered) {
+            members.seed(*seed);
         }
         Self {
             members,
@@ -136,6 +141,7 @@
             next_lease_token: LEASE_TOKENS,
             led: false,
             departed: FastSet::default(),
+            recovery: UpstreamRecovery::new(parts.directory),
         }
     }
 
@@ -336,6 +342,7 @@
         self.seen = Some(marks);
         if moved_members {
             self.apply_members();
+            self.introduce_entries(now);
         }
         let view = self.build_view(now, standing);
         self.publish(now, view);
--- a/crates/pulleyd/src/process/control_replica.rs
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -42,6 +42,7 @@
                 DriverOutput::InForce(plan) => self.follower.committed(plan),
             }
         }
+        self.recall_upstreams(now);
     }
 
     fn driver_answered(&mut self, now: Moment, token: u64, answer: ReplicaAnswer) {
@@ -68,10 +69,12 @@
                 }
                 RouterOutput::Answer { number, answer } => {
                     let Some(slot) = self.answers.remove(&number) else { continue };
-                    if let AnswerSlot::Departure(start, _) = &slot
-                        && answer == ReplicaAnswer::Done
-                    {
-                        self.note_departed(start.clone());
+                    match (&slot, &answer) {
+                        (AnswerSlot::Departure(start, _), ReplicaAnswer::Done) => {
+                            self.note_departed(start.clone());
+                        }
+                        (AnswerSlot::Applied, answer) => self.note_applied(now, answer),
+                        _ => {}
                     }
                     slot.answer(answer);
                 }
@@ -80,9 +83,9 @@
     }
 
     fn ask_local(&mut self, now: Moment, number: QuestionNumber, question: ReplicaQuestion) {
-        if let ReplicaQuestion::Departure(body) = &question {
+        if let ReplicaQuestion::Departure { record, .. } = &question {
             // Whoever is asked tells every host, so that the news does not hang on one host's life.
-            self.registry.take_departure(now, body);
+            self.registry.take_departure(now, record);
         }
         if self.replica.is_some() {
             self.drive(now, DriverInput::Ask { token: number.0, question });
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -203,16 +203,18 @@
     let seed = rand::random();
     let now = parts.clock.now();
     let opening = ReplicaOpening::new(settings, parts.clock, parts.logger.clone());
-    let (replica, disk, stored) = match opening.open(now)? {
-        Some(open) => (Some(open.driver), Some(open.disk), open.stored),
-        None => (None, None, mpsc::unbounded_channel().1),
+    let (replica, disk, directory, stored) = match opening.open(now)? {
+        Some(open) => (Some(open.driver), Some(open.disk), open.directory, open.stored),
+        None => (None, None, None, mpsc::unbounded_channel().1),
     };
     let own = own_record(&parts, links.local_address());
-    info!(parts.logger, "control-started"; "peers" => %own.peer_address, "replica" => replica.is_some());
+    info!(parts.logger, "control-started"; "peers" => %own.peer_address, "replica" => replica.is_some(),
+        "after_us" => parts.clock.now().micros());
     let core = ControlCore::new(CoreParts {
         own,
         seeds: settings.seeds.clone(),
         replica,
+        directory,
         founders: settings.replicas.iter().map(|founder| founder.host.clone()).collect(),
         view: parts.view,
         schedulers: parts.schedulers,
@@ -389,7 +391,11 @@
             self.apply_addresses();
         }
         self.report_belief();
+        if let Some(outcome) = self.core.take_recall() {
+            info!(self.logger, "upstreams-recalled"; "outcome" => ?outcome);
+        }
         let now = self.clock.now();
+        self.write_directory(now);
         if now < self.next_key_check {
             return;
         }
@@ -401,6 +407,16 @@
         }
     }
 
+    /// Writes down the upstreams, if they have changed and the disk is done with the last ones.
+    fn write_directory(&mut self, now: Moment) {
+        let Some(disk) = self.disk.as_ref().filter(|disk| !disk.directory.is_busy()) else {
+            return;
+        };
+        if let Some(directory) = self.core.directory_due(now) {
+            disk.directory.submit(directory);
+        }
+    }
+
     /// Opens the data folder again after its disk was full.
     ///
     /// A replica whose write failed falls silent for good. A disk that is full refuses writes and
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -25,6 +25,7 @@
 mod setting_groups;
 mod setting_list;
 mod timer_service;
+mod upstream_recovery;
 
 pub use announce_api::AnnounceApi;
 pub use api_server::{ApiLimits, ApiServer};
--- a/crates/pulleyd/src/process/replica_opening.rs
+++ b/crates/pulleyd/src/process/replica_opening.rs
@@ -1,18 +1,22 @@
 //! Opens the data folder of a replica, and the threads that write to it and read from it.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use pulley_core::Moment;
-use pulley_core::process::MemberId;
+use pulley_core::process::{MemberId, UpstreamDirectory};
 use pulley_core::version::{
     DriverInput, LedgerLimits, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaSettings,
 };
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, warn};
 use tokio::sync::mpsc;
 
 use super::{DaemonSettings, ProcessClock};
-use crate::version::{AuditReader, LogStorage, StorageFault, StorageWorker};
+use crate::version::{
+    AuditReader, DirectoryFile, DirectoryWriter, LogStorage, StorageFault, StorageWorker,
+    SystemFolder,
+};
 
 /// What opening gives.
 type Result<T> = std::result::Result<T, StorageFault>;
@@ -21,6 +25,7 @@
 pub(super) struct ReplicaDisk {
     pub(super) storage: StorageWorker,
     pub(super) audit: AuditReader,
+    pub(super) directory: DirectoryWriter,
     full: Arc<AtomicBool>,
 }
 
@@ -35,6 +40,8 @@
 pub(super) struct OpenReplica {
     pub(super) driver: ReplicaDriver,
     pub(super) disk: ReplicaDisk,
+    /// The upstreams that were known when the folder was last in use.
+    pub(super) directory: Option<UpstreamDirectory>,
     /// What the threads have to say.
     pub(super) stored: mpsc::UnboundedReceiver<DriverInput>,
 }
@@ -73,7 +80,28 @@
             }
             let _ = sender.send(DriverInput::Persisted { ticket, ok: outcome.is_ok() });
         })?;
-        Ok(Some(OpenReplica { driver, disk: ReplicaDisk { storage, audit, full }, stored }))
+        let (writer, directory) = self.open_directory(folder)?;
+        let disk = ReplicaDisk { storage, audit, directory: writer, full };
+        Ok(Some(OpenReplica { driver, disk, directory, stored }))
+    }
+
+    /// Opens the directory of upstreams, which the replica can do without.
+    fn open_directory(
+        &self,
+        folder: &Path,
+    ) -> Result<(DirectoryWriter, Option<UpstreamDirectory>)> {
+        let folder = SystemFolder::open(folder).map_err(StorageFault::disk("data folder"))?;
+        let (file, reading) = DirectoryFile::open(folder);
+        for fault in &reading.faults {
+            warn!(self.logger, "directory-unreadable"; "error" => %fault);
+        }
+        let logger = self.logger.clone();
+        let writer = DirectoryWriter::start(file, move |outcome| {
+            if let Err(fault) = outcome {
+                warn!(logger, "directory-not-written"; "error" => %fault);
+            }
+        })?;
+        Ok((writer, reading.newest))
     }
 
     /// A host that is no founder, or whose disk was lost, is given its member id by the leader.
--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -3,11 +3,13 @@
 mod process_support;
 
 use std::collections::BTreeSet;
+use std::fs;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use process_support::{HttpClient, KEY, StandInUpstream, TestCluster, wait_until};
+use process_support::{DaemonProcess, HttpClient, KEY, StandInUpstream, TestCluster, wait_until};
 use serde_json::json;
 
 const ABAY: &str = include_str!("../../../examples/abay.csv");
@@ -69,6 +71,63 @@
     assert_eq!(accepted(&next), 501);
 }
 
+/// The files in which a replica has written down its upstreams.
+fn directory_files(cluster: &TestCluster) -> Vec<(PathBuf, Vec<u8>)> {
+    let folders = cluster.hosts.iter().take(3).map(DaemonProcess::data_folder);
+    let files = folders.flat_map(|folder| ["upstreams-a", "upstreams-b"].map(|n| folder.join(n)));
+    files.filter_map(|file| Some((file.clone(), fs::read(file).ok()?))).collect()
+}
+
+// All hosts lose power at once, right after an upstream was told that its leaving is known: what the
+// replicas had written down just before still names it. The upstreams announce nothing for a while
+// after. Callers must be served by the one that stays, and none may be sent to the other.
+#[test]
+fn upstreams_outlive_a_restart_of_all_hosts_but_for_those_that_left() {
+    let mut cluster = TestCluster::start(3, 2);
+    let staying = StandInUpstream::start("u1", "balances", 6, cluster.announce_addresses());
+    let leaving = StandInUpstream::start("u2", "balances", 6, cluster.announce_addresses());
+    accepted(&cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY));
+    let hosts = [0, 1, 2, 3, 4];
+    cluster.await_version(&hosts, 1);
+    let call_all = |cluster: &TestCluster| {
+        hosts.iter().all(|host| {
+            cluster.caller(*host).get("/balances/1").is_ok_and(|answer| answer.status == 200)
+        })
+    };
+    cluster.await_that("both upstreams run calls", &hosts, |cluster| {
+        call_all(cluster) && staying.total() > 0 && leaving.total() > 0
+    });
+    // Time for every replica to write both down.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let written = directory_files(&cluster);
+    assert!(written.len() >= 3, "every replica has written: {written:?}");
+    leaving.set_phase("draining");
+    let is_told = wait_until(Duration::from_secs(10), || leaving.acknowledged() == "draining");
+    assert!(is_told, "its leaving is acknowledged");
+    for host in &mut cluster.hosts {
+        host.end(Signal::SIGKILL);
+    }
+    for (file, _) in directory_files(&cluster) {
+        fs::remove_file(file).expect("just read");
+    }
+    for (file, bytes) in written {
+        fs::write(file, bytes).expect("the folder is there");
+    }
+    staying.fall_silent();
+    leaving.fall_silent();
+    let before = leaving.total();
+    for host in &mut cluster.hosts {
+        // On a busy machine the start of five hosts one after the other takes its time.
+        host.set_flag("--upstream-lease", "30s");
+        host.restart();
+    }
+    cluster.await_that("every host serves callers", &hosts, call_all);
+    for _ in 0..10 {
+        assert!(call_all(&cluster));
+    }
+    assert_eq!(leaving.total(), before);
+}
+
 // While a host is down, another process on the machine is given the number of one of its ports. The
 // host must start again all the same: a test that restarts hosts failed once with "address already
 // in use", as all listened at one address with ports that the system gives to anybody.
--- a/crates/pulleyd/tests/process_support/stand_in_upstream.rs
+++ b/crates/pulleyd/tests/process_support/stand_in_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
     total: AtomicU64,
     delay_ms: AtomicU64,
     phase: Mutex<&'static str>,
+    /// The phase that a host has acknowledged last.
+    acknowledged: Mutex<&'static str>,
+    is_silent: AtomicBool,
 }
 
 /// A running stand-in; it ends when dropped.
@@ -51,6 +54,9 @@
         let (id, pool) = (id.to_owned(), pool.to_owned());
         runtime.spawn(async move {
             for sequence in 1_u64.. {
+                while told.is_silent.load(Ordering::SeqCst) {
+                    tokio::time::sleep(ANNOUNCE_PACE).await;
+                }
                 let phase = *told.phase.lock().expect("no panic holds it");
                 let announcement = json!({
                     "id": id, "address": address, "zone": "z1", "pool": pool, "slots": slots,
@@ -58,13 +64,16 @@
                 });
                 let target = hosts[usize::try_from(sequence).unwrap_or(0) % hosts.len()];
                 let body = announcement.to_string();
-                let _ =
+                let answer =
                     tokio::task::spawn_blocking(move || {
                         HttpClient::new(target)
                             .with_header("content-type", "application/json")
                             .send("POST", "/v1/announce", body.as_bytes())
                     })
                     .await;
+                if matches!(answer, Ok(Ok(answer)) if answer.status < 300) {
+                    *told.acknowledged.lock().expect("no panic holds it") = phase;
+                }
                 tokio::time::sleep(ANNOUNCE_PACE).await;
             }
         });
@@ -82,6 +91,16 @@
         *self.state.phase.lock().expect("no panic holds it") = phase;
     }
 
+    /// The phase that a host has acknowledged last; empty before the first.
+    pub(crate) fn acknowledged(&self) -> &'static str {
+        *self.state.acknowledged.lock().expect("no panic holds it")
+    }
+
+    /// Announces nothing more, and goes on answering.
+    pub(crate) fn fall_silent(&self) {
+        self.state.is_silent.store(true, Ordering::SeqCst);
+    }
+
     /// How many requests it ran.
     pub(crate) fn total(&self) -> u64 {
         self.state.total.load(Ordering::SeqCst)
--- /dev/null
+++ b/crates/pulleyd/tests/replica/departure_tests.rs
@@ -0,0 +1,287 @@
+//! Upstreams that have left, and what a replica's disk says of upstreams.
+
+use std::time::Duration;
+
+use pulley_core::Moment;
+use pulley_core::process::{
+    Announcement, Incarnation, SlotCount, UpstreamDirectory, UpstreamPhase, UpstreamRegistry,
+    UpstreamSequence, UpstreamStart,
+};
+use pulley_core::version::{
+    ConfigurationMachine, DEPARTURES_KEPT, LedgerMachine, LogCommand, LogEntry, LogIndex, LogTime,
+    ReplicaAnswer, ReplicaMachines, ReplicaMembership, ReplicaQuestion, ReplicaSettings,
+    ReplicaSnapshot, SnapshotPlace, Term,
+};
+use pulleyd::version::DirectoryFile;
+use quickcheck::{Arbitrary, Gen};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::fake_cluster::{FakeCluster, NetworkFaults, change};
+use super::fake_disk::FakeDisk;
+use super::schedule_tests::{ScheduleRun, ScheduleStep};
+
+/// How many schedules are run.
+const SCHEDULES: u64 = 300;
+
+fn start(number: u64) -> UpstreamStart {
+    let id = format!("upstream-{number}").parse().expect("a valid name");
+    UpstreamStart { id, incarnation: Incarnation(1) }
+}
+
+fn departure(number: u64) -> ReplicaQuestion {
+    ReplicaQuestion::Departure { start: start(number), record: bytes::Bytes::new() }
+}
+
+fn settings() -> ReplicaSettings {
+    // As many disks may be lost at once as of five replicas, two; every snapshot is small.
+    ReplicaSettings::default().with_copies(3).with_snapshot_weight(2_000)
+}
+
+fn has_left(cluster: &FakeCluster, number: usize, upstream: u64) -> bool {
+    cluster.driver(number).machines().departures.has_left(&start(upstream))
+}
+
+/// Asks the leader up to where its word may be trusted, as a replica does that has just started.
+fn applied_by_leader(cluster: &mut FakeCluster) -> LogIndex {
+    match cluster.settle_quickly(&ReplicaQuestion::Applied) {
+        ReplicaAnswer::Applied(index) => index,
+        answer => panic!("no answer to the question: {answer:?}"),
+    }
+}
+
+// All hosts lose power right after an upstream was told that its leaving is known, and any two of
+// the five disks are lost with it. Whichever replicas come back, each one that has applied what the new
+// leader names must know that this upstream has left, and not offer it from its disk.
+#[test]
+fn an_acknowledged_departure_outlives_the_loss_of_any_two_disks() {
+    for first in 0..5 {
+        for second in first..5 {
+            let seed = 700 + first as u64 * 10 + second as u64;
+            let mut cluster = FakeCluster::with_settings(5, seed, settings());
+            cluster.settle(&change("first", 0));
+            assert_eq!(cluster.settle_quickly(&departure(1)), ReplicaAnswer::Done);
+            let kept: Vec<usize> =
+                (0..5).filter(|number| *number != first && *number != second).collect();
+            for number in 0..5 {
+                match kept.contains(&number) {
+                    true => cluster.kill(number),
+                    false => cluster.wipe(number),
+                }
+            }
+            (0..5).for_each(|number| cluster.start(number));
+            let index = applied_by_leader(&mut cluster);
+            for number in kept {
+                cluster.run_until(Duration::from_secs(5), |cluster| {
+                    cluster.driver(number).node().taken_index() >= index
+                });
+                assert!(
+                    has_left(&cluster, number, 1),
+                    "host {number}, without {first} and {second}"
+                );
+            }
+        }
+    }
+}
+
+/// A replica's start, and what it must know before it may offer what is on its disk.
+struct ReplicaStart {
+    host: usize,
+    life: u64,
+    token: u64,
+    left_before: Vec<u64>,
+}
+
+// Hosts crash, are cut off, lose disks and race, while upstreams leave. A replica that starts asks the leader
+// what is applied. Once it has applied that too, it must know all that was acknowledged before its
+// start, whatever has happened: else it would offer an upstream that is gone.
+#[test]
+fn a_replica_knows_what_left_before_its_start_under_any_schedule() {
+    let (mut acknowledged, mut proved) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let mut random = Gen::from_size_and_seed(120, 30_000 + seed);
+        let steps = Vec::<ScheduleStep>::arbitrary(&mut random);
+        let (left, starts) = run_schedule(seed, steps);
+        acknowledged += left;
+        proved += starts;
+    }
+    assert!(acknowledged > SCHEDULES, "hardly any departure is acknowledged: {acknowledged}");
+    assert!(proved > SCHEDULES, "hardly any start is proved: {proved}");
+}
+
+/// Returns how many departures were acknowledged, and how many starts were proved.
+fn run_schedule(seed: u64, steps: Vec<ScheduleStep>) -> (u64, u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut cluster = FakeCluster::with_settings(5, seed, settings());
+    cluster.faults = NetworkFaults {
+        loss: 0.05,
+        doubled: 0.05,
+        slowest: Duration::from_millis(40),
+        slowest_write: Duration::from_millis(60),
+    };
+    cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+    let mut run = ScheduleRun::of(cluster).with_disks_to_lose(2);
+    let mut asked: Vec<(u64, u64)> = Vec::new();
+    let mut left: Vec<u64> = Vec::new();
+    let mut starts: Vec<ReplicaStart> = Vec::new();
+    let mut proved = 0;
+    for step in steps {
+        let lives: Vec<u64> = (0..5).map(|host| run.cluster.life(host)).collect();
+        // What is acknowledged in this step may be so before or after a start within it.
+        let left_before = left.clone();
+        run.take(step);
+        let cluster = &mut run.cluster;
+        let asked_host = cluster.leader().unwrap_or_else(|| random.random_range(0..5));
+        if cluster.is_up(asked_host) {
+            if random.random_bool(0.3) {
+                let upstream = asked.len() as u64;
+                asked.push((cluster.ask(asked_host, departure(upstream)), upstream));
+            }
+            for (host, before) in lives.iter().enumerate() {
+                let life = cluster.life(host);
+                if cluster.is_up(host) && (life != *before || random.random_bool(0.1)) {
+                    let token = cluster.ask(asked_host, ReplicaQuestion::Applied);
+                    let left_before = left_before.clone();
+                    starts.push(ReplicaStart { host, life, token, left_before });
+                }
+            }
+        }
+        let is_done = |(token, _): &&(u64, u64)| {
+            matches!(cluster.answers.get(token), Some(ReplicaAnswer::Done))
+        };
+        left = asked.iter().filter(is_done).map(|(_, upstream)| *upstream).collect();
+        starts.retain(|start| {
+            let is_same = cluster.is_up(start.host) && cluster.life(start.host) == start.life;
+            let Some(ReplicaAnswer::Applied(index)) = cluster.answers.get(&start.token) else {
+                return is_same;
+            };
+            if is_same && cluster.driver(start.host).node().taken_index() >= *index {
+                proved += 1;
+                for upstream in &start.left_before {
+                    let is_known = has_left(cluster, start.host, *upstream);
+                    assert!(is_known, "seed {seed}: host {} offers {upstream}", start.host);
+                }
+                return false;
+            }
+            is_same
+        });
+    }
+    (left.len() as u64, proved)
+}
+
+fn applied(machines: &mut ReplicaMachines, index: u64) {
+    let command = LogCommand::Departure(start(index));
+    let entry = LogEntry { index: LogIndex(index), term: Term(1), time: LogTime(index), command };
+    machines.apply(&entry);
+}
+
+// A replica was off for weeks, and more upstreams have left since than are remembered. What is on
+// its disk can't be told from those any more, so it must not be offered at all.
+#[test]
+fn a_directory_older_than_the_departures_kept_is_not_covered() {
+    let mut machines = ReplicaMachines::default();
+    let kept = DEPARTURES_KEPT as u64;
+    (1..=kept + 10).for_each(|index| applied(&mut machines, index));
+    assert_eq!(machines.departures.len(), DEPARTURES_KEPT);
+    assert!(!machines.departures.has_left(&start(10)));
+    assert!(machines.departures.has_left(&start(11)));
+    assert!(!machines.departures.covers(LogIndex(9)));
+    assert!(machines.departures.covers(LogIndex(10)));
+    applied(&mut machines, kept + 10);
+    assert_eq!(machines.departures.len(), DEPARTURES_KEPT, "a resend takes no place");
+}
+
+// A replica is updated to this release with a snapshot that the one before has written, which
+// knows of no departures. It must start as before, and a snapshot of its own must keep them.
+#[test]
+fn a_snapshot_without_departures_can_still_be_read() {
+    let place = SnapshotPlace {
+        index: LogIndex(1),
+        term: Term(1),
+        time: LogTime(0),
+        members: ReplicaMembership::default(),
+    };
+    let former = (ConfigurationMachine::default(), LedgerMachine::default());
+    let state = postcard::to_stdvec(&former).expect("it can be encoded");
+    let snapshot = ReplicaSnapshot { place: place.clone(), state: state.into() };
+    let mut machines = ReplicaMachines::restore(&snapshot).expect("it can be read");
+    assert!(machines.departures.is_empty());
+    applied(&mut machines, 2);
+    let snapshot = machines.snapshot(place).expect("it can be encoded");
+    let restored = ReplicaMachines::restore(&snapshot).expect("it can be read");
+    assert_eq!(restored.departures, machines.departures);
+}
+
+// -------------------------------------------------------------------------------------------------
+// The directory on a disk
+
+fn directory(upstreams: u64, applied: u64) -> UpstreamDirectory {
+    let mut registry = UpstreamRegistry::new();
+    for number in 0..upstreams {
+        let announcement = Announcement {
+            id: start(number).id,
+            address: ([10, 0, 0, 1], 8_000).into(),
+            zone: "z1".parse().expect("a valid name"),
+            pool: "pool".parse().expect("a valid name"),
+            slots: SlotCount(2),
+            connections: 100,
+            incarnation: Incarnation(1),
+            sequence: UpstreamSequence(1),
+            phase: UpstreamPhase::Ready,
+        };
+        registry.announce(Moment::ZERO, announcement).expect("it is well formed");
+    }
+    let mut directory = registry.directory(Moment::ZERO, |_| false);
+    directory.applied = applied;
+    directory
+}
+
+// The power goes while a directory is being written, once or several times over. What comes back is
+// the one before it or the new one, whole; never a mixture, and never an older one.
+#[test]
+fn a_directory_that_was_synced_is_read_back_after_any_crash() {
+    let mut random = StdRng::seed_from_u64(7);
+    for _ in 0..200 {
+        let disk = FakeDisk::new(1);
+        let mut synced = 0;
+        for number in 1..=random.random_range(1..12) {
+            let (mut file, reading) = DirectoryFile::open(disk.clone());
+            let newest = reading.newest.map_or(0, |directory| directory.applied);
+            assert!(newest >= synced, "directory {synced} was synced, {newest} was read");
+            let is_cut_short = random.random_bool(0.3);
+            disk.fail_syncs(is_cut_short);
+            let written = file.write(&directory(number, number));
+            assert_eq!(written.is_err(), is_cut_short);
+            if !is_cut_short {
+                synced = number;
+            }
+            disk.crash(&mut random);
+        }
+    }
+}
+
+// A disk is full, or what it gives back is damaged. The replica must start all the same, say which file
+// it could not read, and write again once it can.
+#[test]
+fn a_damaged_directory_is_left_out_and_named() {
+    let disk = FakeDisk::new(1);
+    let (mut file, reading) = DirectoryFile::open(disk.clone());
+    assert!(reading.newest.is_none() && reading.faults.is_empty());
+    file.write(&directory(3, 1)).expect("the disk works");
+    file.write(&directory(3, 2)).expect("the disk works");
+    disk.fail_appends(true);
+    file.write(&directory(3, 3)).expect_err("the disk is full");
+    disk.fail_appends(false);
+    let (_, reading) = DirectoryFile::open(disk.clone());
+    assert_eq!(reading.newest.map(|newest| newest.applied), Some(2));
+    assert_eq!(reading.faults.len(), 1);
+    for name in ["upstreams-a", "upstreams-b"] {
+        disk.damage(name, -1);
+    }
+    let (mut file, reading) = DirectoryFile::open(disk.clone());
+    assert!(reading.newest.is_none());
+    assert_eq!(reading.faults.len(), 2);
+    file.write(&directory(3, 4)).expect("the disk works again");
+    let (_, reading) = DirectoryFile::open(disk);
+    assert_eq!(reading.newest.map(|newest| newest.applied), Some(4));
+}
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -271,6 +271,11 @@
         self.hosts[number].driver.as_ref().expect("the host is up")
     }
 
+    /// Changes with each start and end of a host's process.
+    pub(crate) fn life(&self, number: usize) -> u64 {
+        self.hosts[number].life
+    }
+
     pub(crate) fn cut(&mut self, from: usize, to: usize) {
         let pair = (self.hosts[from].identity.host.clone(), self.hosts[to].identity.host.clone());
         self.cuts.insert(pair);
--- a/crates/pulleyd/tests/replica/main.rs
+++ b/crates/pulleyd/tests/replica/main.rs
@@ -2,6 +2,7 @@
 //! virtual time.
 
 mod audit_tests;
+mod departure_tests;
 mod failure_tests;
 mod fake_cluster;
 mod fake_disk;
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -117,6 +117,11 @@
         Self { cluster, claims: Vec::new(), disks_to_lose: 0 }
     }
 
+    pub(crate) fn with_disks_to_lose(mut self, disks: usize) -> Self {
+        self.disks_to_lose = disks;
+        self
+    }
+
     pub(crate) fn take(&mut self, step: ScheduleStep) {
         let size = self.cluster.hosts.len();
         let cluster = &mut self.cluster;
