--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -100,3 +100,15 @@
     /// machine may slow it down.
     pub slowdown: Option<f32>,
 }
+
+impl LoadReport {
+    /// The load once one of the requests that it counts is over: the next that waits takes its slot.
+    #[must_use]
+    pub fn less_one(mut self) -> Self {
+        match self.waiting {
+            Some(waiting) if waiting > 0 => self.waiting = Some(waiting - 1),
+            _ => self.in_flight = self.in_flight.map(|count| count.saturating_sub(1)),
+        }
+        self
+    }
+}
--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -35,6 +35,9 @@
     pub load: HeaderName,
     /// Reads the load.
     pub read_load: LoadReader,
+    /// Whether the load on an answer to a request still counts that request, which is over once the
+    /// answer is here. The load on a probe's answer never counts the probe.
+    pub load_counts_own: bool,
     /// Whether the system's own headers (verdict, cause, attempt, priority) are spoken. Without
     /// them a status alone has to say whether a request has run.
     pub own_headers: bool,
@@ -60,6 +63,7 @@
             proof: None,
             load: LOAD_HEADER,
             read_load: read_load_report,
+            load_counts_own: false,
             own_headers: true,
         }
     }
--- a/crates/pulleyd/src/request/upstream_answer.rs
+++ b/crates/pulleyd/src/request/upstream_answer.rs
@@ -54,11 +54,15 @@
         let is_other =
             dialect.expected_upstream.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
         let has_shed = is_other || says_not_run(status, headers, dialect);
+        let mut report = take_report(headers, dialect, counters);
+        if dialect.load_counts_own && !has_shed {
+            report = report.map(LoadReport::less_one);
+        }
         let signs = Self {
             has_shed,
             retried_below: dialect.own_headers && headers.contains_key(CAUSE_HEADER),
             is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
-            report: take_report(headers, dialect, counters),
+            report,
             retry_after: retry_after(headers, dialect),
             is_empty_promise: !has_shed && !dialect.own_headers && is_promise(status),
         };
