--- a/crates/pulley_core/src/version/follower/mod.rs
+++ b/crates/pulley_core/src/version/follower/mod.rs
@@ -1,6 +1,7 @@
 //! How every host comes to have the current configuration in force.
 
 mod plan_follower;
+mod plan_follower_asking;
 mod plan_follower_fetch;
 mod plan_follower_message;
 
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -18,16 +18,12 @@
 const ROUND_FLOOR: Duration = Duration::from_millis(100);
 /// The longest pause between two rounds.
 const ROUND_CEILING: Duration = Duration::from_millis(250);
-/// How often hosts are asked while there is no lease.
-const ASK_PAUSE: Duration = Duration::from_millis(250);
 /// The same for a host that has just started and serves nobody until it knows: where all start
 /// together, each tenth of a second more is one in which every caller is refused.
-const START_PAUSE: Duration = Duration::from_millis(100);
-/// How many peers are asked at a time while there is no lease, besides the replicas.
-const ASK_PEERS: usize = 2;
+pub(super) const START_PAUSE: Duration = Duration::from_millis(100);
 /// How long a replica's answer counts. With the time an answer is under way it stays under the
 /// 4 s in which a change must be in force everywhere, or the host not ready.
-const ANSWER_TERM: Duration = Duration::from_secs(3);
+pub(super) const ANSWER_TERM: Duration = Duration::from_secs(3);
 /// How many hosts are told of a new version as soon as it is in force here.
 const FLOOD_TARGETS: u32 = 3;
 /// How many versions' last confirmations are remembered; a host further behind is not ready.
@@ -37,7 +33,7 @@
 const EARLIER_TERM: Duration = Duration::from_secs(1);
 const EARLIER_LIMIT: usize = 8;
 /// How many hosts that asked too early are remembered: all of an installation at the planned size.
-const ASKER_LIMIT: usize = 2_048;
+pub(super) const ASKER_LIMIT: usize = 2_048;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
 const SERVE_RATE: f64 = 64.0;
 /// How many requests for chunks may be answered in one burst.
@@ -71,31 +67,31 @@
 /// receives it once and sends it about once.
 #[derive(Clone, Debug)]
 pub struct PlanFollower {
-    host: HostId,
+    pub(super) host: HostId,
     clock: SharedClock,
-    rng: SmallRng,
-    nonce: u64,
-    asked: Option<Moment>,
+    pub(super) rng: SmallRng,
+    pub(super) nonce: u64,
+    pub(super) asked: Option<Moment>,
     /// Whether a question of this process was answered, so that the shared time is known.
-    welcomed: bool,
-    lease: Option<PlanLease>,
+    pub(super) welcomed: bool,
+    pub(super) lease: Option<PlanLease>,
     /// When each of the last versions was confirmed to be the latest, for the last time heard of.
     confirmations: VecDeque<(ConfigVersion, SharedTime)>,
-    held: Option<HeldPlan>,
+    pub(super) held: Option<HeldPlan>,
     /// Plans held before, for hosts that have begun to fetch them, and until when.
     earlier: VecDeque<(Moment, HeldPlan)>,
     fetch: Option<PlanFetch>,
-    replica: Option<LogReport>,
-    answers: FastMap<HostId, (Moment, LogReport)>,
+    pub(super) replica: Option<LogReport>,
+    pub(super) answers: FastMap<HostId, (Moment, LogReport)>,
     /// Who has asked this host before it could tell anything, with the number of the last question.
-    askers: FastMap<HostId, u64>,
+    pub(super) askers: FastMap<HostId, u64>,
     holders: FastMap<HostId, ConfigVersion>,
     serve_budget: f64,
     last_tick: Moment,
     next_round: Moment,
     round: u32,
     /// Hosts that say of themselves that they hold a replica.
-    likely_replicas: Vec<HostId>,
+    pub(super) likely_replicas: Vec<HostId>,
     /// Whether a new version is to be told of at once.
     flood: bool,
     /// Whether the host serves on by the last version it knew when it can learn of no newer one.
@@ -203,7 +199,7 @@
         next
     }
 
-    fn lease_holds(&self, now: Moment) -> bool {
+    pub(super) fn lease_holds(&self, now: Moment) -> bool {
         let epoch = self.clock.epoch(now);
         self.lease.as_ref().is_some_and(|lease| self.clock.epoch_of(lease.confirmed).holds(epoch))
     }
@@ -352,61 +348,6 @@
         Some(self.send(now, to, PlanContent::Lease { lease, held, digest }))
     }
 
-    /// Whether there is an answer now for those who have asked too early.
-    fn has_askers(&self) -> bool {
-        self.welcomed && self.held.is_some() && !self.askers.is_empty()
-    }
-
-    /// Answers those who asked before this host could tell anything.
-    ///
-    /// Load it is for: all hosts restart together, and every entry asks the replicas until one leads. Harm:
-    /// told only when they asked the next time, entries had the configuration 0.02 to 0.19 s after the
-    /// leader, and refused their callers meanwhile. Reason for the limit: one answer a host, to its last
-    /// question, which is all that it takes for an answer.
-    fn answer_askers(&mut self, now: Moment) -> Vec<PlanSend> {
-        if !self.has_askers() {
-            return Vec::new();
-        }
-        let askers = std::mem::take(&mut self.askers);
-        askers.into_iter().map(|(host, nonce)| self.answer(now, &host, nonce)).collect()
-    }
-
-    /// Asks replicas and some peers while there is no lease.
-    fn ask_around(&mut self, now: Moment, ring: &PeerRing, sends: &mut Vec<PlanSend>) {
-        let pause = if self.welcomed { ASK_PAUSE } else { START_PAUSE };
-        let waiting = self.asked.is_some_and(|asked| now.since(asked) < pause);
-        if waiting || (self.welcomed && self.lease_holds(now)) {
-            return;
-        }
-        self.asked = Some(now);
-        self.nonce = self.rng.random();
-        self.answers.retain(|_, (at, _)| now.since(*at) < ANSWER_TERM);
-        let mut asked: Vec<HostId> = self.known_replicas();
-        if !self.welcomed {
-            asked.extend(self.likely_replicas.iter().cloned());
-        }
-        let peers = ring.peers();
-        for _ in 0..ASK_PEERS.min(peers.len()) {
-            asked.push(peers[self.rng.random_range(0..peers.len())].0.clone());
-        }
-        asked.sort();
-        asked.dedup();
-        asked.retain(|host| *host != self.host);
-        if let Some(answer) = &self.replica {
-            self.answers.insert(self.host.clone(), (now, answer.clone()));
-        }
-        let ask = PlanContent::Ask { nonce: self.nonce };
-        sends.extend(asked.into_iter().map(|to| self.send(now, to, ask.clone())));
-    }
-
-    fn known_replicas(&self) -> Vec<HostId> {
-        let known = self.lease.as_ref().map(|lease| &lease.replicas);
-        let seen = self.answers.values().map(|(_, answer)| &answer.replicas);
-        let own = self.replica.as_ref().map(|answer| &answer.replicas);
-        let latest = known.into_iter().chain(seen).chain(own).max_by_key(|set| set.index);
-        latest.map(|set| set.hosts.clone()).unwrap_or_default()
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Messages
 
@@ -464,24 +405,10 @@
         Vec::new()
     }
 
-    fn send(&self, now: Moment, to: HostId, content: PlanContent) -> PlanSend {
+    pub(super) fn send(&self, now: Moment, to: HostId, content: PlanContent) -> PlanSend {
         PlanSend { to, body: PlanMessage::pack(self.clock.read(now), content) }
     }
 
-    fn answer(&self, now: Moment, to: &HostId, nonce: u64) -> PlanSend {
-        let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now));
-        let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
-        let (welcomed, held, replica) = (self.welcomed, self.version(), self.replica.clone());
-        let answer = PlanContent::Answer { nonce, welcomed, lease, held, digest, replica };
-        self.send(now, to.clone(), answer)
-    }
-
-    fn take_answer(&mut self, now: Moment, from: &HostId, replica: Option<LogReport>) {
-        if let Some(answer) = replica {
-            self.answers.insert(from.clone(), (now, answer));
-        }
-    }
-
     /// Takes in a lease if it is the freshest.
     fn take_lease(
         &mut self,
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -16,6 +16,8 @@
 mod request_headers;
 mod request_run;
 mod scheduler_set;
+mod scheduler_set_counts;
+mod scheduler_set_probes;
 mod system_answer;
 mod traffic_context;
 mod traffic_counters;
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -7,11 +7,10 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use pulley_core::process::{CountDelta, CountSum, FastMap, Incarnation, UpstreamRecord};
+use pulley_core::process::{FastMap, Incarnation, UpstreamRecord};
 use pulley_core::request::{
-    AttemptOutcome, LoadReport, PoolScheduler, ProbeQuestion, ProbeReading, ProbeTarget,
-    RequestNumber, RequestTicket, RetryAllowance, RetryBudget, RetryDecision, RetryQuestion,
-    SchedulerEffect, SchedulerEffects,
+    AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, RequestNumber, RequestTicket,
+    RetryAllowance, RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
 use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
@@ -52,26 +51,26 @@
 pub struct SchedulerSet {
     host: HostId,
     zone: ZoneName,
-    clock: ProcessClock,
+    pub(super) clock: ProcessClock,
     seed: u64,
     /// What all entries together may spend on retries; none: each entry saves up its own.
     retry_allowance: Option<RetryAllowance>,
     /// Probes of one upstream a second that all entries together may make for arriving requests.
     probe_rate: f32,
     /// Read by every request and changed with the plan only, so reading writes nothing shared.
-    pools: ArcSwap<FastMap<PoolName, Arc<PoolCell>>>,
+    pub(super) pools: ArcSwap<FastMap<PoolName, Arc<PoolCell>>>,
     armed: AtomicU64,
     rearmed: Notify,
 }
 
 #[derive(Debug)]
-struct PoolCell {
-    state: Mutex<PoolState>,
+pub(super) struct PoolCell {
+    pub(super) state: Mutex<PoolState>,
 }
 
 #[derive(Debug)]
-struct PoolState {
-    scheduler: PoolScheduler,
+pub(super) struct PoolState {
+    pub(super) scheduler: PoolScheduler,
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
     plan: Arc<PolicyPlan>,
     upstreams: Arc<[UpstreamRecord]>,
@@ -168,79 +167,6 @@
         waiter.settle().await
     }
 
-    /// Which upstreams to ask for a request that has just come, within the budget.
-    #[must_use]
-    pub fn probe_targets(
-        &self,
-        pool: &PoolName,
-        ticket: &RequestTicket,
-        question: &ProbeQuestion<'_>,
-    ) -> Vec<ProbeTarget> {
-        self.look(pool, |scheduler, now| scheduler.probe_targets(now, ticket, question))
-            .unwrap_or_default()
-    }
-
-    /// How long a request would take at the best of the upstreams that were asked, in usual times
-    /// of an answer.
-    #[must_use]
-    pub fn best_cost(&self, pool: &PoolName, readings: &[ProbeReading]) -> Option<f32> {
-        self.look(pool, |scheduler, now| scheduler.best_cost(now, readings)).flatten()
-    }
-
-    /// What upstreams have said of themselves within the last moments.
-    #[must_use]
-    pub fn fresh_readings(&self, pool: &PoolName, ticket: &RequestTicket) -> Vec<ProbeReading> {
-        self.look(pool, |scheduler, now| scheduler.fresh_readings(now, ticket)).unwrap_or_default()
-    }
-
-    /// Whether any upstream of a pool has said how loaded it is within the last second.
-    #[must_use]
-    pub fn has_heard(&self, pool: &PoolName) -> bool {
-        self.look(pool, |scheduler, now| scheduler.has_heard(now)).unwrap_or_default()
-    }
-
-    /// Until when a request may look for an upstream that is worth starting at.
-    #[must_use]
-    pub fn patience(&self, pool: &PoolName, ticket: &RequestTicket) -> Moment {
-        self.look(pool, |scheduler, now| scheduler.patience(now, ticket))
-            .unwrap_or_else(|| self.clock.now())
-    }
-
-    /// Whether one of the upstreams that were asked should answer a request by its target.
-    #[must_use]
-    pub fn is_soon(
-        &self,
-        pool: &PoolName,
-        ticket: &RequestTicket,
-        readings: &[ProbeReading],
-    ) -> bool {
-        self.look(pool, |scheduler, now| scheduler.is_soon(now, ticket, readings))
-            .unwrap_or_default()
-    }
-
-    /// Whether a request would start at one of the upstreams that were asked, but might well be
-    /// answered late.
-    #[must_use]
-    pub fn is_risky(
-        &self,
-        pool: &PoolName,
-        ticket: &RequestTicket,
-        readings: &[ProbeReading],
-    ) -> bool {
-        self.look(pool, |scheduler, now| scheduler.is_risky(now, ticket, readings))
-            .unwrap_or_default()
-    }
-
-    /// Asks a pool's scheduler something that starts and ends nothing; none without such a pool.
-    fn look<T>(
-        &self,
-        pool: &PoolName,
-        question: impl FnOnce(&mut PoolScheduler, Moment) -> T,
-    ) -> Option<T> {
-        let now = self.clock.now();
-        Some(question(&mut self.cell(pool)?.state.lock().scheduler, now))
-    }
-
     /// The row of a request's kind in the plan that its pool goes by now, if it has one.
     ///
     /// A request is admitted under one plan and tried again under a later one, in which its row has
@@ -292,53 +218,6 @@
         }
     }
 
-    /// The counts that are due to coordinators: the pool, the upstreams' zone, the message.
-    pub fn take_deltas(&self, now: Moment) -> Vec<(PoolName, ZoneName, CountDelta)> {
-        let cells: Vec<_> = FastMap::clone(&self.pools.load()).into_iter().collect();
-        let due = |(pool, cell): (PoolName, Arc<PoolCell>)| {
-            let deltas = cell.state.lock().scheduler.take_deltas(now);
-            deltas.into_iter().map(move |(zone, delta)| (pool.clone(), zone, delta))
-        };
-        cells.into_iter().flat_map(due).collect()
-    }
-
-    /// When [`Self::take_deltas`] next has something, if ever.
-    #[must_use]
-    pub fn next_delta_at(&self) -> Option<Moment> {
-        let pools = self.pools.load();
-        pools.values().filter_map(|cell| cell.state.lock().scheduler.next_delta_at()).min()
-    }
-
-    /// Takes in the entries' counts as a coordinator has added them up.
-    pub fn receive_sum(&self, now: Moment, sum: &CountSum) {
-        let Some(cell) = self.cell(&sum.pool) else { return };
-        let effects = cell.state.lock().scheduler.receive_sum(now, sum);
-        self.deliver(&cell, effects);
-    }
-
-    /// The copies of sums that this host passes on, each with the host it goes to.
-    pub fn take_relays(&self) -> Vec<(HostId, CountSum)> {
-        let cells: Vec<_> = self.pools.load().values().cloned().collect();
-        cells.iter().flat_map(|cell| cell.state.lock().scheduler.take_relays()).collect()
-    }
-
-    /// Takes in another entry's report, to be added to this host's own.
-    pub fn receive_report(&self, from: &HostId, delta: &CountDelta) {
-        if let Some(cell) = self.cell(&delta.pool) {
-            cell.state.lock().scheduler.receive_report(from, delta);
-        }
-    }
-
-    /// How old the other entries' counts are in each pool; none where there are none.
-    #[must_use]
-    pub fn count_ages(&self, now: Moment) -> Vec<(PoolName, Option<Duration>)> {
-        let pools = self.pools.load();
-        let age = |cell: &PoolCell| cell.state.lock().scheduler.count_age(now);
-        let mut ages: Vec<_> = pools.iter().map(|(pool, cell)| (pool.clone(), age(cell))).collect();
-        ages.sort();
-        ages
-    }
-
     /// Requests that wait in all pools' queues.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -385,7 +264,7 @@
         cells.iter().filter_map(|cell| cell.state.lock().scheduler.next_wakeup()).min()
     }
 
-    fn cell(&self, pool: &PoolName) -> Option<Arc<PoolCell>> {
+    pub(super) fn cell(&self, pool: &PoolName) -> Option<Arc<PoolCell>> {
         self.pools.load().get(pool).cloned()
     }
 
@@ -445,7 +324,7 @@
     ///
     /// A start whose request has meanwhile gone is given back, as its slot would otherwise stay
     /// counted for good; giving it back can start another request, hence the loop.
-    fn deliver(&self, cell: &PoolCell, mut effects: SchedulerEffects) {
+    pub(super) fn deliver(&self, cell: &PoolCell, mut effects: SchedulerEffects) {
         while !effects.is_empty() {
             let mut next = SchedulerEffects::new();
             for effect in effects {
