--- a/crates/pulley_core/src/process/registry/upstream_directory.rs
+++ b/crates/pulley_core/src/process/registry/upstream_directory.rs
@@ -10,8 +10,8 @@
 use super::shared_clock::LEASE_EPOCHS;
 use super::{Moment, RegistrySend, UpstreamRegistry, UpstreamStart};
 
-/// How large an encoded directory may be, in bytes: that of 2,400 upstreams with long names has about
-/// 300 KB.
+/// How large an encoded directory may be, in bytes: that of 2,400 upstreams with long names has
+/// about 300 KB.
 pub const DIRECTORY_LIMIT: usize = 1 << 20;
 
 /// How many epochs of its lease a recalled upstream has left, if it does not announce itself. Of
@@ -19,16 +19,17 @@
 /// died meanwhile is asked in vain for no longer than any other that dies.
 const RECALLED_EPOCHS: u32 = LEASE_EPOCHS / 2;
 
-/// How many messages of introductions may wait: 60 entries and 54 messages each at the planned size.
+/// How many messages of introductions may wait: 60 entries and 54 messages each at the planned
+/// size.
 const INTRODUCTION_LIMIT: usize = 4_096;
 
 /// What a replica knows at a moment of upstreams and hosts, to be written to its disk.
 ///
-/// What goes wrong without it: all hosts lose power, their memory is empty, and upstreams, which know
-/// nothing of it, go on announcing themselves once a pace. For that long entries know only
+/// What goes wrong without it: all hosts lose power, their memory is empty, and upstreams, which
+/// know nothing of it, go on announcing themselves once a pace. For that long entries know only
 /// some of them: over a second in which most requests were refused though every upstream was idle.
-/// What is read back is a hint. It never outranks what an upstream says of itself, its
-/// lease is short, and no start comes back whose leaving was acknowledged.
+/// What is read back is a hint. It never outranks what an upstream says of itself, its lease is
+/// short, and no start comes back whose leaving was acknowledged.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamDirectory {
     /// The entry of the log that was applied last when this was written.
@@ -91,9 +92,9 @@
     /// Tells a host that has just started of every upstream that takes work.
     ///
     /// Load it is for: all hosts restart together, or one comes back in a rush. Harm: by comparing
-    /// tables with one host a round, an entry learns of its upstreams within a round or a few, while
-    /// its callers wait. Reason for the limit: an introduction is some fifty bytes an upstream,
-    /// and goes to entries of the own zone only, where bytes cost least.
+    /// tables with one host a round, an entry learns of its upstreams within a round or a few,
+    /// while its callers wait. Reason for the limit: an introduction is some fifty bytes an
+    /// upstream, and goes to entries of the own zone only, where bytes cost least.
     pub fn introduce(&mut self, now: Moment, to: SocketAddr) {
         let epoch = self.clock.epoch(now);
         let entries = self.table.buckets().iter().flat_map(LeaseBucket::entries);
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -31,8 +31,8 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many waiting messages leave at once.
 const PAGES_PER_TICK: usize = 8;
-/// How many messages of introductions leave at once: those of 1,200 upstreams to the 60 entries of a
-/// zone take a second, and 32 of them 1.5 ms of a link of 200 Mbit/s.
+/// How many messages of introductions leave at once: those of 1,200 upstreams to the 60 entries of
+/// a zone take a second, and 32 of them 1.5 ms of a link of 200 Mbit/s.
 const INTRODUCTIONS_PER_TICK: usize = 32;
 /// How many slots one upstream may announce; more is a mistake in its settings.
 const SLOT_LIMIT: u32 = 10_000;
--- a/crates/pulley_core/src/request/arrival_probes.rs
+++ b/crates/pulley_core/src/request/arrival_probes.rs
@@ -12,23 +12,25 @@
 /// Least probes that may be saved up; with fewer, no request could ever ask two upstreams.
 const LEAST_SAVED: f32 = 4.0;
 
-/// How much longer work is taken to need in the last slot of an upstream, in usual times, before answers
-/// have shown it. Upstreams of two slots were measured that took 253 ms then in place of 158.
+/// How much longer work is taken to need in the last slot of an upstream, in usual times, before
+/// answers have shown it. Upstreams of two slots were measured that took 253 ms then in place of
+/// 158.
 const FIRST_FILLING: f32 = 0.6;
 
-/// The least it is taken to need: an upstream with more room is preferred, since whoever else chooses at
-/// the same moment has seen the same figures.
+/// The least it is taken to need: an upstream with more room is preferred, since whoever else
+/// chooses at the same moment has seen the same figures.
 const LEAST_FILLING: f32 = 0.05;
 
 /// Below which it counts as less than the first figure.
 const CLEARLY_LESS: f32 = 0.35;
 
-/// How many answers the first figure weighs as much as, and the least weight of one answer: the work of
-/// one in three is half as long again as usual whatever the load.
+/// How many answers the first figure weighs as much as, and the least weight of one answer: the size
+/// of the work alone spreads answers by a third, so that some thirty have to be averaged.
 const FIRST_WEIGHS: f32 = 3.0;
 const FILLING_WEIGHT: f32 = 0.03;
 
-/// How far apart answers are: the spread of the work and, in one of ten, a spell that began after the probe.
+/// How far apart answers are taken to be, in usual times: a third by the size of the work, and more
+/// where a spell has begun after the probe.
 const ANSWER_SPREAD: f32 = 0.5;
 
 /// From which part of its slots on an upstream counts as nearly full.
@@ -105,11 +107,11 @@
 
 /// How much longer work takes at a pool's upstreams when it takes their last slot, in usual times.
 ///
-/// Load it is for: rushes, in which most free slots are last ones. Harm: some upstreams slow down when
-/// they are full and others don't. Taken to slow down, upstreams of three slots that did not were passed
-/// over and waited for as if they had a queue, and requests were refused that one place behind
-/// a busy slot would have answered in time. Reason for the limits: the weight averages some thirty
-/// answers, as the size of work varies by a third.
+/// Load it is for: rushes, in which most free slots are last ones. Harm: some upstreams slow down
+/// when they are full and others don't. Taken to slow down, upstreams of three slots that did not
+/// were passed over and waited for as if they had a queue, and requests were refused that one place
+/// behind a busy slot would have answered in time. Reason for the limits: the weight averages some
+/// thirty answers, as the size of work varies by a third.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FillingCost {
     cost: f32,
@@ -124,9 +126,9 @@
 }
 
 impl FillingCost {
-    /// What the last slot costs: the first figure unless answers leave no doubt that it is less. Where it
-    /// costs much, a request that is sent to a queue for a few quick answers comes late and makes
-    /// others late.
+    /// What the last slot costs: the first figure unless answers leave no doubt that it is less.
+    /// Where it costs much, a request that is sent to a queue for a few quick answers comes late
+    /// and makes others late.
     pub(crate) fn or_first(self) -> f32 {
         let doubt = ANSWER_SPREAD / self.answers.sqrt();
         let is_less = self.cost + 2.0 * doubt < CLEARLY_LESS;
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -24,8 +24,8 @@
 
 /// From how many times the promised time on a request counts as overdue, and by what its upstream
 /// then ranks behind others: three times the usual work is rarer than one in a thousand. It refuses
-/// nobody: where answers get lost on the way, every upstream soon has a request that is overdue, and
-/// with all of them passed over 437 requests of ten seconds were refused beside free slots.
+/// nobody: where answers get lost on the way, every upstream soon has a request that is overdue,
+/// and with all of them passed over 437 requests of ten seconds were refused beside free slots.
 const OVERDUE_TIMES: f32 = 3.0;
 const OVERDUE_COST: f32 = 2.0;
 
@@ -36,12 +36,12 @@
 /// 150 ms, so that one reading in five of this age is wrong.
 const FRESH: Duration = Duration::from_millis(30);
 
-/// For how long an upstream is asked last that has said that it is slowed down or full: most spells and
-/// most queues are not over sooner.
+/// For how long an upstream is asked last that has said that it is slowed down or full: most spells
+/// and most queues are not over sooner.
 const BAD_SPAN: Duration = Duration::from_millis(150);
 
-/// How many upstreams a request asks at a time once half of the probes are used up. In a rush two and a
-/// half probes come on each request; three at a time, every third request could ask nobody.
+/// How many upstreams a request asks at a time once half of the probes are used up. In a rush two
+/// and a half probes come on each request; three at a time, every third request could ask nobody.
 const SCARCE_WANTED: usize = 2;
 
 /// How long a word of a free slot is remembered for requests that can ask nobody.
@@ -237,10 +237,10 @@
     ///
     /// Load it is for: pools whose upstreams have few slots, in which the free slot of the own zone
     /// is mostly beside a busy one. Harm: there work takes 1.6 times as long, and one answer in
-    /// fourteen missed a target of 2.5 usual times, while other zones had upstreams that stood idle.
-    /// Reason for the limit: half again the usual work is rarer than one in ten; what meets its
-    /// target then too needs nobody else asked, and another zone's bytes are dear. Once half of the
-    /// probes are used up they are kept for those that would else find no upstream at all.
+    /// fourteen missed a target of 2.5 usual times, while other zones had upstreams that stood
+    /// idle. Reason for the limit: half again the usual work is rarer than one in ten; what meets
+    /// its target then too needs nobody else asked, and another zone's bytes are dear. Once half of
+    /// the probes are used up they are kept for those that would else find no upstream at all.
     #[must_use]
     pub fn is_risky(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
         let starts = self.best_cost(now, readings).is_some_and(|cost| cost <= WORTH_STARTING);
@@ -267,9 +267,9 @@
 
     /// Whether a request is better kept than sent to the best upstream that was found.
     ///
-    /// Load it is for: many of a pool's upstreams are slowed down or full at this moment. Harm: work
-    /// that starts in a spell keeps its slot for the whole factor, and work that queues comes late
-    /// and makes those behind it late; so a rush of three seconds left a pool of 14 with 49
+    /// Load it is for: many of a pool's upstreams are slowed down or full at this moment. Harm:
+    /// work that starts in a spell keeps its slot for the whole factor, and work that queues comes
+    /// late and makes those behind it late; so a rush of three seconds left a pool of 14 with 49
     /// requests a second unable to recover within 30 s, though it can answer over 80. Reason for
     /// the limit: a slot that is free, even beside a busy one, is below it; a spell or a queue is
     /// not, and both are over sooner than the work would be.
@@ -289,8 +289,8 @@
         queueing > ticket.deadline.since(now).mul_f32(WAIT_PART)
     }
 
-    /// Until when a request may look for an upstream that is worth starting at: past that its answer
-    /// would miss its target, and its caller had better know.
+    /// Until when a request may look for an upstream that is worth starting at: past that its
+    /// answer would miss its target, and its caller had better know.
     #[must_use]
     pub fn patience(&self, now: Moment, ticket: &RequestTicket) -> Moment {
         let (Some(local), Some(target)) = (self.shares.local(ticket.kind), ticket.target) else {
@@ -410,8 +410,8 @@
 #[derive(Clone, Copy, Debug)]
 struct UpstreamCost {
     cost: f32,
-    /// What speaks against it besides: another zone, failures lately. It ranks upstreams and refuses
-    /// none, as a moment's waiting changes nothing about it.
+    /// What speaks against it besides: another zone, failures lately. It ranks upstreams and
+    /// refuses none, as a moment's waiting changes nothing about it.
     handicap: f32,
     index: usize,
 }
--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -102,7 +102,8 @@
 }
 
 impl LoadReport {
-    /// The load once one of the requests that it counts is over: the next that waits takes its slot.
+    /// The load once one of the requests that it counts is over: the next that waits takes its
+    /// slot.
     #[must_use]
     pub fn less_one(mut self) -> Self {
         match self.waiting {
--- a/crates/pulley_core/src/version/departure_machine.rs
+++ b/crates/pulley_core/src/version/departure_machine.rs
@@ -7,8 +7,9 @@
 use super::LogIndex;
 use crate::process::{FastSet, UpstreamStart};
 
-/// How many departures are remembered: some hours of those of 1,200 upstreams that are replaced a few times a
-/// day, at about 40 bytes each. What is forgotten makes older directories unusable, nothing else.
+/// How many departures are remembered: some hours of those of 1,200 upstreams that are replaced a
+/// few times a day, at about 40 bytes each. What is forgotten makes older directories unusable,
+/// nothing else.
 pub const DEPARTURES_KEPT: usize = 4_096;
 
 /// The departures that were acknowledged.
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -447,8 +447,8 @@
         }
     }
 
-    /// Takes up what another host has in force. That is always committed, whoever leads now. It goes
-    /// before a later version that nobody is known to hold yet.
+    /// Takes up what another host has in force. That is always committed, whoever leads now. It
+    /// goes before a later version that nobody is known to hold yet.
     fn take_committed(
         &mut self,
         now: Moment,
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -22,10 +22,10 @@
 
     /// Answers those who asked before this host could tell anything.
     ///
-    /// Load it is for: all hosts restart together, and every entry asks the replicas until one leads. Harm:
-    /// told only when they asked the next time, entries had the configuration 0.02 to 0.19 s after the
-    /// leader, and refused their callers meanwhile. Reason for the limit: one answer a host, to its last
-    /// question, which is all that it takes for an answer.
+    /// Load it is for: all hosts restart together, and every entry asks the replicas until one
+    /// leads. Harm: told only when they asked the next time, entries had the configuration 0.02 to
+    /// 0.19 s after the leader, and refused their callers meanwhile. Reason for the limit: one
+    /// answer a host, to its last question, which is all that it takes for an answer.
     pub(super) fn answer_askers(&mut self, now: Moment) -> Vec<PlanSend> {
         if !self.has_askers() {
             return Vec::new();
--- a/crates/pulley_core/src/version/replica/replica_node.rs
+++ b/crates/pulley_core/src/version/replica/replica_node.rs
@@ -23,8 +23,8 @@
 /// a question that reaches nobody costs nothing.
 const START_PART: u32 = 8;
 
-/// For how many of its questions in a row a replica that has just started lets one with a lower id go
-/// first. Two that ask a majority at the same moment would both stand, and neither win.
+/// For how many of its questions in a row a replica that has just started lets one with a lower id
+/// go first. Two that ask a majority at the same moment would both stand, and neither win.
 pub(crate) const YIELD_LIMIT: u32 = 4;
 
 /// What a replica does at the moment.
--- a/crates/pulley_core/src/version/replica/replica_question.rs
+++ b/crates/pulley_core/src/version/replica/replica_question.rs
@@ -152,8 +152,8 @@
     Refused(ReplicaRefusal),
     /// The configuration in force.
     Plan(StoredPlan),
-    /// The last entry applied; whoever has applied it too knows all that was acknowledged before the
-    /// question.
+    /// The last entry applied; whoever has applied it too knows all that was acknowledged before
+    /// the question.
     Applied(LogIndex),
     /// The audit records asked for.
     Audit(Vec<AuditRecord>),
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -154,10 +154,10 @@
     assert_eq!(chosen(&scheduler.arrive_probed(now, &ticket(3, now), &readings)), Some("u1"));
 }
 
-// Upstreams have two slots, and the free one of the own zone is beside a busy one, while another zone
-// has idle upstreams. The answer would be late if the work were half again as large as usual, so the
-// other zone is asked as well. Where all are idle, in a spell that is over sooner, or once half of
-// the probes are used up, nobody else is asked.
+// Upstreams have two slots, and the free one of the own zone is beside a busy one, while another
+// zone has idle upstreams. The answer would be late if the work were half again as large as usual,
+// so the other zone is asked as well. Where all are idle, in a spell that is over sooner, or once
+// half of the probes are used up, nobody else is asked.
 #[test]
 fn other_zones_are_asked_where_the_target_is_at_risk() {
     let records = [upstream(0, "a", 2), upstream(1, "b", 2), upstream(2, "b", 2)];
@@ -217,9 +217,9 @@
     }
 }
 
-// Answers get lost on their way, so that every upstream has a request that is long overdue. They all
-// have free slots still: one with nothing overdue goes first, and where there is none the request
-// starts all the same. It was refused before, beside idle upstreams.
+// Answers get lost on their way, so that every upstream has a request that is long overdue. They
+// all have free slots still: one with nothing overdue goes first, and where there is none the
+// request starts all the same. It was refused before, beside idle upstreams.
 #[test]
 fn overdue_requests_rank_upstreams_and_refuse_nobody() {
     let records: Vec<_> = (0..2).map(|index| upstream(index, "a", 6)).collect();
@@ -265,11 +265,11 @@
 }
 
 // 14 upstreams of two slots on machines whose neighbours slow them down five times in a quarter of
-// all spells; 29 entries, 40 requests a second, 160 ms of work, answers wanted within 400 ms; a rush
-// of three seconds. Placed by own counts, a quarter of the work starts in a spell and keeps its slot
-// for the whole of it: callers see half of their answers late, and the pool does not get over the
-// rush. Measured by this test: 0.25 of the answers in time by own counts, 0.97 by asking; after the
-// rush 0.32 and 0.97.
+// all spells; 29 entries, 40 requests a second, 160 ms of work, answers wanted within 400 ms; a
+// rush of three seconds. Placed by own counts, a quarter of the work starts in a spell and keeps
+// its slot for the whole of it: callers see half of their answers late, and the pool does not get
+// over the rush. Measured by this test: 0.25 of the answers in time by own counts, 0.97 by asking;
+// after the rush 0.32 and 0.97.
 #[test]
 fn asking_at_arrival_brings_answers_in_time_and_gets_over_a_rush() {
     let blind = NoisyPool::new(PoolShape::SLOWING, false).play(40.0, 1.7);
@@ -282,12 +282,12 @@
     assert!(before <= 0.75 * now, "{before:.3} by own counts, {now:.3} by asking");
 }
 
-// Twelve upstreams of three slots that do not slow down when they are full, on machines whose neighbours slow
-// them down seven times in a quarter of all spells; 22 entries; 88 ms of work, answers wanted within 250 ms;
-// a rush of three seconds at nine tenths of what the fast ones can do. Nearly every free slot is a
-// last one then. Taken to slow down, and with the load on an answer counting that answer's own
-// request, they were passed over and callers refused beside them. Measured by this test: 0.862 of the
-// answers of the rush in time before, 0.954 since.
+// Twelve upstreams of three slots that do not slow down when they are full, on machines whose
+// neighbours slow them down seven times in a quarter of all spells; 22 entries; 88 ms of work,
+// answers wanted within 250 ms; a rush of three seconds at nine tenths of what the fast ones can
+// do. Nearly every free slot is a last one then. Taken to slow down, and with the load on an answer
+// counting that answer's own request, they were passed over and callers refused beside them.
+// Measured by this test: 0.862 of the answers of the rush in time before, 0.954 since.
 #[test]
 fn a_rush_on_upstreams_that_bear_it_is_answered_in_time() {
     let figures = NoisyPool::new(PoolShape::STEADY, true).play(105.0, 2.6);
@@ -296,9 +296,9 @@
     assert!(after >= 0.97, "{after:.3} after it");
 }
 
-// Upstreams of three slots take no longer when their last slot is taken. Once answers have shown that, a
-// request is sent to one that is full and has one waiting, where it was kept before; and where answers
-// show the opposite it is still kept.
+// Upstreams of three slots take no longer when their last slot is taken. Once answers have shown
+// that, a request is sent to one that is full and has one waiting, where it was kept before; and
+// where answers show the opposite it is still kept.
 #[test]
 fn what_a_last_slot_costs_is_learned_from_answers() {
     for (took, starts) in [(140 * MS, true), (280 * MS, false)] {
@@ -319,9 +319,9 @@
     }
 }
 
-// A rush has used up the probes, and the one upstream that was asked last is slowed down. Another has said half
-// a second ago that it has room. The request goes there; it was refused before, as one bad word
-// counted for more than none.
+// A rush has used up the probes, and the one upstream that was asked last is slowed down. Another
+// has said half a second ago that it has room. The request goes there; it was refused before, as
+// one bad word counted for more than none.
 #[test]
 fn with_the_probes_used_up_one_bad_word_does_not_refuse_a_request() {
     let records: Vec<_> = (0..2).map(|index| upstream(index, "a", 3)).collect();
@@ -339,8 +339,8 @@
     assert_eq!(chosen(&sent), Some("u0"));
 }
 
-// Half of the probes are used up, and one of three upstreams has just said that it is slowed down. A request
-// asks two more, and not that one: asked three at a time and at random, every third
+// Half of the probes are used up, and one of three upstreams has just said that it is slowed down.
+// A request asks two more, and not that one: asked three at a time and at random, every third
 // request of a rush found no probes left.
 #[test]
 fn scarce_probes_go_to_those_that_may_have_room() {
--- a/crates/pulley_core/tests/arrival_probes/subset_tests.rs
+++ b/crates/pulley_core/tests/arrival_probes/subset_tests.rs
@@ -42,7 +42,8 @@
 // An entry with two requests a second has forty upstreams in its zone. Picked among all of them,
 // each is asked every seven seconds: its connection has gone meanwhile, so that most questions open
 // one, and callers wait for it. Measured by this test: 40 upstreams asked by an entry without a
-// subset, 8 with it. Over sixty entries no upstream may be left out or asked twice as much as usual.
+// subset, 8 with it. Over sixty entries no upstream may be left out or asked twice as much as
+// usual.
 #[test]
 fn an_entry_asks_the_same_few_and_all_entries_ask_every_upstream() {
     let records: Vec<_> = (0..UPSTREAMS).map(|index| upstream(index, "a", 2)).collect();
--- a/crates/pulley_core/tests/members/member_table_tests.rs
+++ b/crates/pulley_core/tests/members/member_table_tests.rs
@@ -93,9 +93,9 @@
     assert_eq!(live_counts(&network), vec![6; 6]);
 }
 
-/// All hosts lose power, and one of a host's five seeds is back long before the others. Calling on one
-/// seed after the other, two replicas that were up took a fifth of a second to find each other, and
-/// no replica could be elected meanwhile.
+/// All hosts lose power, and one of a host's five seeds is back long before the others. Calling on
+/// one seed after the other, two replicas that were up took a fifth of a second to find each other,
+/// and no replica could be elected meanwhile.
 #[test]
 fn a_host_that_is_alone_calls_on_all_its_seeds() {
     let mut table = MemberTable::new(record(0, 1), MemberSettings::default(), 3);
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -144,8 +144,8 @@
     }
 }
 
-/// All hosts restart together. An entry asks a replica before any replica leads, and the replica leads
-/// a moment later. Told only when it asks again, the entry would refuse its callers for a
+/// All hosts restart together. An entry asks a replica before any replica leads, and the replica
+/// leads a moment later. Told only when it asks again, the entry would refuse its callers for a
 /// tenth of a second with the configuration a millisecond away.
 #[test]
 fn who_has_asked_too_early_is_told_as_soon_as_there_is_something_to_tell() {
--- a/crates/pulley_core/tests/mutated_messages.rs
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -1,8 +1,8 @@
 //! Fuzzing of what comes from outside: sheets, and every message between hosts.
 //!
-//! Real messages are recorded from hosts that talk to each other, bytes of them are changed, cut off
-//! and doubled, and fed back. Nothing may panic, and a host must go on working afterwards. The run
-//! is seeded; `PULLEY_FUZZ_CASES` makes it longer.
+//! Real messages are recorded from hosts that talk to each other, bytes of them are changed, cut
+//! off and doubled, and fed back. Nothing may panic, and a host must go on working afterwards. The
+//! run is seeded; `PULLEY_FUZZ_CASES` makes it longer.
 
 #![allow(clippy::unwrap_used, reason = "a test may end there")]
 
--- a/crates/pulleyd/src/process/upstream_recovery.rs
+++ b/crates/pulleyd/src/process/upstream_recovery.rs
@@ -1,4 +1,5 @@
-//! How upstreams outlive a restart of all hosts: written down by replicas, recalled, and told to entries.
+//! How upstreams outlive a restart of all hosts: written down by replicas, recalled, and told to
+//! entries.
 
 use std::time::Duration;
 
@@ -9,12 +10,12 @@
 use super::control_answer::AnswerSlot;
 use super::control_core::ControlCore;
 
-/// The pause between two directories. A replica then spends one sync a second on them at most, and what
-/// upstreams a loss of power makes it forget have announced themselves within the last second.
+/// The pause between two directories. A replica then spends one sync a second on them at most, and
+/// what upstreams a loss of power makes it forget have announced themselves within the last second.
 const DIRECTORY_PAUSE: Duration = Duration::from_secs(1);
 
-/// For how long after its start a replica may recall what its disk holds: several elections. After that the
-/// upstreams have announced themselves, and what lives is told by others.
+/// For how long after its start a replica may recall what its disk holds: several elections. After
+/// that the upstreams have announced themselves, and what lives is told by others.
 const RECALL_SPAN: Duration = Duration::from_secs(10);
 
 /// What a replica has to know before it recalls what its disk holds.
@@ -67,8 +68,8 @@
         replica.is_some_and(|replica| replica.machines().departures.has_left(start))
     }
 
-    /// Takes in the upstreams that the disk holds, once all departures are known that were acknowledged
-    /// before this host started.
+    /// Takes in the upstreams that the disk holds, once all departures are known that were
+    /// acknowledged before this host started.
     ///
     /// Which those are only a leader can tell that a quorum confirms: this replica may have been
     /// cut off when an upstream left, and its log may end before that.
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -243,8 +243,8 @@
         }
     }
 
-    /// This entry's part of the probes that a pool's upstreams are to bear: four fifths of what is due to
-    /// it, since others may not know yet how many they are.
+    /// This entry's part of the probes that a pool's upstreams are to bear: four fifths of what is
+    /// due to it, since others may not know yet how many they are.
     #[expect(clippy::cast_precision_loss, reason = "hosts and upstreams are few")]
     fn part_of_probes(&self, upstreams: usize, entries: u32) -> f32 {
         const KNOWN_PART: f32 = 0.8;
--- a/crates/pulleyd/tests/process_failures.rs
+++ b/crates/pulleyd/tests/process_failures.rs
@@ -78,9 +78,9 @@
     files.filter_map(|file| Some((file.clone(), fs::read(file).ok()?))).collect()
 }
 
-// All hosts lose power at once, right after an upstream was told that its leaving is known: what the
-// replicas had written down just before still names it. The upstreams announce nothing for a while
-// after. Callers must be served by the one that stays, and none may be sent to the other.
+// All hosts lose power at once, right after an upstream was told that its leaving is known: what
+// the replicas had written down just before still names it. The upstreams announce nothing for a
+// while after. Callers must be served by the one that stays, and none may be sent to the other.
 #[test]
 fn upstreams_outlive_a_restart_of_all_hosts_but_for_those_that_left() {
     let mut cluster = TestCluster::start(3, 2);
@@ -515,8 +515,8 @@
     cluster.await_version(&[0, 1, 2, 3, 4], 4);
 }
 
-// More refunds come within the retention than the ledger was set up for. Forgetting the oldest would
-// let its resend run twice; callers are told that theirs was not run, and when to come back.
+// More refunds come within the retention than the ledger was set up for. Forgetting the oldest
+// would let its resend run twice; callers are told that theirs was not run, and when to come back.
 #[test]
 fn a_full_ledger_refuses_as_not_run_and_forgets_nothing() {
     let mut cluster = TestCluster::start(1, 0);
@@ -542,9 +542,9 @@
     assert_eq!((runs.get("k0"), runs.get("k3")), (Some(&1), None));
 }
 
-// Whoever stops a host is impatient and sends the signal again while the platform's balancer still has
-// time to notice. The daemon panicked then: connections that were being served were cut without a
-// word in the log, and the audit trail's last writes were in doubt. Found by the soak, seed 126.
+// Whoever stops a host is impatient and sends the signal again while the platform's balancer still
+// has time to notice. The daemon panicked then: connections that were being served were cut without
+// a word in the log, and the audit trail's last writes were in doubt. Found by the soak, seed 126.
 #[test]
 fn a_second_signal_at_any_moment_ends_a_daemon_in_order() {
     for pause_ms in [0, 20, 200] {
@@ -559,8 +559,8 @@
     }
 }
 
-// An operator tells a daemon by the usual signal that its files have changed. It must read them again;
-// without a handler, the signal ends the process in the middle of its requests.
+// An operator tells a daemon by the usual signal that its files have changed. It must read them
+// again; without a handler, the signal ends the process in the middle of its requests.
 #[test]
 fn a_reload_signal_ends_nothing() {
     let mut cluster = TestCluster::start(1, 0);
--- a/crates/pulleyd/tests/replica/departure_tests.rs
+++ b/crates/pulleyd/tests/replica/departure_tests.rs
@@ -51,8 +51,8 @@
 }
 
 // All hosts lose power right after an upstream was told that its leaving is known, and any two of
-// the five disks are lost with it. Whichever replicas come back, each one that has applied what the new
-// leader names must know that this upstream has left, and not offer it from its disk.
+// the five disks are lost with it. Whichever replicas come back, each one that has applied what the
+// new leader names must know that this upstream has left, and not offer it from its disk.
 #[test]
 fn an_acknowledged_departure_outlives_the_loss_of_any_two_disks() {
     for first in 0..5 {
@@ -92,9 +92,9 @@
     left_before: Vec<u64>,
 }
 
-// Hosts crash, are cut off, lose disks and race, while upstreams leave. A replica that starts asks the leader
-// what is applied. Once it has applied that too, it must know all that was acknowledged before its
-// start, whatever has happened: else it would offer an upstream that is gone.
+// Hosts crash, are cut off, lose disks and race, while upstreams leave. A replica that starts asks
+// the leader what is applied. Once it has applied that too, it must know all that was acknowledged
+// before its start, whatever has happened: else it would offer an upstream that is gone.
 #[test]
 fn a_replica_knows_what_left_before_its_start_under_any_schedule() {
     let (mut acknowledged, mut proved) = (0, 0);
@@ -260,8 +260,8 @@
     }
 }
 
-// A disk is full, or what it gives back is damaged. The replica must start all the same, say which file
-// it could not read, and write again once it can.
+// A disk is full, or what it gives back is damaged. The replica must start all the same, say which
+// file it could not read, and write again once it can.
 #[test]
 fn a_damaged_directory_is_left_out_and_named() {
     let disk = FakeDisk::new(1);
--- a/crates/pulleyd/tests/replica/failure_tests.rs
+++ b/crates/pulleyd/tests/replica/failure_tests.rs
@@ -73,8 +73,9 @@
     assert_eq!(cluster.version(old), ConfigVersion(2));
 }
 
-// The disk of one replica's host fills up, or stops answering a sync. What it holds is then unknown:
-// the replica must not vote or acknowledge anything again, must say why, and the others go on.
+// The disk of one replica's host fills up, or stops answering a sync. What it holds is then
+// unknown: the replica must not vote or acknowledge anything again, must say why, and the others go
+// on.
 #[test]
 fn a_replica_whose_disk_fails_falls_silent() {
     for full in [true, false] {
@@ -281,9 +282,9 @@
     cluster.run_until(Duration::from_secs(30), FakeCluster::all_vote);
 }
 
-// All hosts lose power, and two of five replicas are back long before the others. Every host waits for a
-// leader, and callers with it. From when the third replica can be asked a leader must follow at once,
-// whatever the first two have tried in vain before.
+// All hosts lose power, and two of five replicas are back long before the others. Every host waits
+// for a leader, and callers with it. From when the third replica can be asked a leader must follow
+// at once, whatever the first two have tried in vain before.
 #[test]
 fn a_leader_follows_the_third_of_five_replicas_at_once() {
     let mut waits = Vec::new();
