--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! What control costs: bytes and processor time a host, an upstream, a change.
 
+mod change_cost;
 mod daemon_group;
 mod gossip_cost;
 mod linear_fit;
@@ -20,12 +21,15 @@
        pulley_bench capacity processes [--daemon FILE] [--hosts N,…] [--upstreams N,…]
          [--seconds N] [--changes N] [--sheet FILE]
        pulley_bench capacity messages
+       pulley_bench capacity changes [--hosts N,…] [--upstreams N]
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
         over the real state machines; --plan-rows publishes a plan of so many rows at the end
 processes: processor time, memory and bytes of whole daemons with stand-in upstreams that only
         announce themselves, and slopes fitted to them
-messages: processor time of a sealed datagram over a socket and of an announcement";
+messages: processor time of a sealed datagram over a socket and of an announcement
+changes: processor time that the change of one upstream, or the restart of one host, costs another
+         host, by the number of hosts";
 
 /// Runs one of the measurements.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
@@ -33,6 +37,7 @@
     match scenario.as_str() {
         "gossip" => gossip_cost::run(rest),
         "messages" => message_cost::run(),
+        "changes" => change_cost::run(rest),
         "processes" => process_cost::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulley_core/src/process/counts/count_key.rs
+++ b/crates/pulley_core/src/process/counts/count_key.rs
@@ -16,23 +16,27 @@
     /// Hashes a name.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        let wide = stable_hash(&[name]);
+        let wide = stable_hash([name]);
         let [a, b, c, d, e, f, g, h] = wide.to_le_bytes();
         Self([a ^ e, b ^ f, c ^ g, d ^ h])
     }
+
+    pub(crate) const fn bytes(&self) -> &[u8; 4] {
+        &self.0
+    }
 }
 
-/// Hashes texts to 64 bits, the same in every process: FNV-1a, then a mix of the bits.
+/// Hashes parts to 64 bits, the same in every process: FNV-1a, then a mix of the bits.
 ///
 /// FNV alone leaves the high bits of short texts alike, and rendezvous hashing compares whole
 /// numbers; the finalizer of `SplitMix64` spreads them.
 #[must_use]
-pub(crate) fn stable_hash(texts: &[&str]) -> u64 {
+pub(crate) fn stable_hash(parts: impl IntoIterator<Item: AsRef<[u8]>>) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let mut hash = OFFSET;
-    for text in texts {
-        for byte in text.as_bytes().iter().chain(&[0xff]) {
+    for part in parts {
+        for byte in part.as_ref().iter().chain(&[0xff]) {
             hash = (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
         }
     }
--- a/crates/pulley_core/src/process/counts/count_rows.rs
+++ b/crates/pulley_core/src/process/counts/count_rows.rs
@@ -101,9 +101,7 @@
 
 /// A digest of keys in order.
 pub(crate) fn digest_of(keys: &[CountKey]) -> u16 {
-    let texts: Vec<String> = keys.iter().map(|key| format!("{key:?}")).collect();
-    let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
-    let [low, high, ..] = stable_hash(&texts).to_le_bytes();
+    let [low, high, ..] = stable_hash(keys.iter().map(CountKey::bytes)).to_le_bytes();
     u16::from_le_bytes([low, high])
 }
 
--- a/crates/pulley_core/src/process/counts/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/counts/pool_coordinator.rs
@@ -143,7 +143,7 @@
     /// Makes a coordinator that knows nothing yet.
     #[must_use]
     pub fn new(pool: PoolName, zone: ZoneName, host: HostId, now: Moment) -> Self {
-        let seed = stable_hash(&[pool.as_str(), host.as_str()]);
+        let seed = stable_hash([pool.as_str(), host.as_str()]);
         Self {
             pool,
             zone,
--- a/crates/pulley_core/src/process/counts/pool_coordinator_choice.rs
+++ b/crates/pulley_core/src/process/counts/pool_coordinator_choice.rs
@@ -15,6 +15,6 @@
     hosts: impl IntoIterator<Item = &'a HostId>,
 ) -> Option<&'a HostId> {
     hosts.into_iter().max_by_key(|host| {
-        (stable_hash(&[pool.as_str(), zone.as_str(), host.as_str()]), host.as_str())
+        (stable_hash([pool.as_str(), zone.as_str(), host.as_str()]), host.as_str())
     })
 }
--- a/crates/pulley_core/src/process/members/member_message.rs
+++ b/crates/pulley_core/src/process/members/member_message.rs
@@ -37,6 +37,11 @@
     pub(crate) fn outranks(&self, known: &Self) -> bool {
         (self.record.incarnation, self.state) > (known.record.incarnation, known.state)
     }
+
+    /// Whether it is that of an entry that lives.
+    pub(crate) fn is_live_entry(&self) -> bool {
+        self.state.is_live() && self.record.roles.entry
+    }
 }
 
 /// What a message is for.
--- a/crates/pulley_core/src/process/members/member_ring.rs
+++ b/crates/pulley_core/src/process/members/member_ring.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeerRing {
     /// Shared, as a thousand hosts would else be copied with each copy of the ring.
-    peers: Arc<[(HostId, SocketAddr)]>,
+    peers: Arc<Vec<(HostId, SocketAddr)>>,
     own: usize,
 }
 
@@ -23,7 +23,31 @@
     pub fn new(own: &HostId, mut others: Vec<(HostId, SocketAddr)>) -> Self {
         others.sort();
         let place = others.partition_point(|(host, _)| host < own);
-        Self { peers: Arc::from(others), own: place }
+        Self { peers: Arc::new(others), own: place }
+    }
+
+    /// Takes over how the live hosts have changed: where a host is now, or nothing if it is gone.
+    ///
+    /// A host that has just started hears of hundreds of others one after the other; a ring sorted
+    /// anew for each of them cost it more than all that it had to serve.
+    pub fn apply(
+        &mut self,
+        own: &HostId,
+        changes: impl IntoIterator<Item = (HostId, Option<SocketAddr>)>,
+    ) {
+        let peers = Arc::make_mut(&mut self.peers);
+        for (host, address) in changes {
+            let place = peers.binary_search_by(|(known, _)| known.cmp(&host));
+            match (place, address) {
+                (Ok(place), Some(address)) => peers[place].1 = address,
+                (Ok(place), None) => {
+                    peers.remove(place);
+                }
+                (Err(place), Some(address)) => peers.insert(place, (host, address)),
+                (Err(_), None) => {}
+            }
+        }
+        self.own = peers.partition_point(|(host, _)| host < own);
     }
 
     /// How many live hosts there are, the own one included.
--- a/crates/pulley_core/src/process/members/member_roster.rs
+++ b/crates/pulley_core/src/process/members/member_roster.rs
@@ -4,7 +4,7 @@
 use std::hash::{BuildHasher, BuildHasherDefault};
 
 use super::member_message::{DIGEST_PARTS, MemberUpdate};
-use super::{FastMap, HostId, MemberRecord, MemberState, Moment};
+use super::{FastMap, FastSet, HostId, MemberRecord, MemberState, Moment};
 
 /// How many updates are looked at for one message; about 20 fit.
 const NEWS_LIMIT: usize = 24;
@@ -41,11 +41,22 @@
     news: VecDeque<HostId>,
     limit: usize,
     changes: u64,
+    /// The hosts of which [`Self::changes`] has counted a change since they were last taken.
+    touched: FastSet<HostId>,
+    /// How many of the live hosts are entries.
+    live_entries: usize,
 }
 
 impl MemberRoster {
     pub(crate) fn new(limit: usize) -> Self {
-        Self { entries: FastMap::default(), news: VecDeque::new(), limit, changes: 0 }
+        Self {
+            entries: FastMap::default(),
+            news: VecDeque::new(),
+            limit,
+            changes: 0,
+            touched: FastSet::default(),
+            live_entries: 0,
+        }
     }
 
     pub(crate) fn find(&self, host: &HostId) -> Option<&MemberEntry> {
@@ -69,6 +80,16 @@
         self.changes
     }
 
+    /// How many of the live hosts are entries.
+    pub(crate) fn live_entries(&self) -> usize {
+        self.live_entries
+    }
+
+    /// The hosts that have come, gone or changed their description since the last call.
+    pub(crate) fn take_touched(&mut self) -> FastSet<HostId> {
+        std::mem::take(&mut self.touched)
+    }
+
     /// Takes an update over if it outranks what is known, to be told so many times.
     pub(crate) fn merge(
         &mut self,
@@ -82,8 +103,11 @@
                 return UpdateOutcome::Old;
             }
             let was_live = entry.update.state.is_live();
+            self.live_entries -= usize::from(entry.update.is_live_entry());
+            self.live_entries += usize::from(update.is_live_entry());
             if live != was_live || update.record != entry.update.record {
                 self.changes += 1;
+                self.touched.insert(update.record.host.clone());
             }
             let queued = entry.tellings > 0;
             let host = update.record.host.clone();
@@ -100,6 +124,8 @@
         }
         self.changes += 1;
         let host = update.record.host.clone();
+        self.touched.insert(host.clone());
+        self.live_entries += usize::from(update.is_live_entry());
         self.entries.insert(host.clone(), MemberEntry { update, since: now, tellings });
         self.queue_news(host, false);
         UpdateOutcome::Taken
--- a/crates/pulley_core/src/process/members/member_table.rs
+++ b/crates/pulley_core/src/process/members/member_table.rs
@@ -10,7 +10,9 @@
 
 use super::member_message::{MemberMessage, MemberPurpose, MemberUpdate};
 use super::member_roster::{MemberRoster, PAGE_TELLINGS, UpdateOutcome};
-use super::{HostId, MemberRecord, MemberSend, MemberSettings, MemberState, Moment, PeerRing};
+use super::{
+    FastSet, HostId, MemberRecord, MemberSend, MemberSettings, MemberState, Moment, PeerRing,
+};
 
 /// How many waiting pages leave at once, so that a full sync doesn't flood a socket's buffer.
 const PAGES_PER_TICK: usize = 8;
@@ -71,7 +73,9 @@
     next_sync: Moment,
     next_sweep: Moment,
     left: bool,
-    ring: (u64, PeerRing),
+    ring: PeerRing,
+    /// The hosts that have come, gone or changed their description since they were last taken.
+    moved: FastSet<HostId>,
 }
 
 impl MemberTable {
@@ -94,7 +98,8 @@
             next_sync: Moment::ZERO,
             next_sweep: Moment::ZERO,
             left: false,
-            ring: (0, PeerRing::default()),
+            ring: PeerRing::default(),
+            moved: FastSet::default(),
         }
     }
 
@@ -121,6 +126,12 @@
         own.into_iter().chain(self.roster.live().map(|entry| &entry.update.record))
     }
 
+    /// How many entries are alive, the own host included if it is one and has not left.
+    #[must_use]
+    pub fn live_entries(&self) -> usize {
+        self.roster.live_entries() + usize::from(self.own.roles.entry && !self.left)
+    }
+
     /// What is known of a host, if it is alive.
     #[must_use]
     pub fn find(&self, host: &HostId) -> Option<&MemberRecord> {
@@ -152,15 +163,24 @@
         self.roster.changes()
     }
 
-    /// The ring of the live hosts; worked out anew only after a change.
+    /// The ring of the live hosts.
     pub fn ring(&mut self) -> &PeerRing {
-        let changes = self.roster.changes();
-        if self.ring.0 != changes {
-            let live = self.roster.live().map(|entry| &entry.update.record);
-            let others = live.map(|record| (record.host.clone(), record.peer_address)).collect();
-            self.ring = (changes, PeerRing::new(&self.own.host, others));
+        let touched = self.roster.take_touched();
+        if !touched.is_empty() {
+            let place = |host: &HostId| {
+                let entry = self.roster.find(host).filter(|entry| entry.update.state.is_live());
+                (host.clone(), entry.map(|entry| entry.update.record.peer_address))
+            };
+            self.ring.apply(&self.own.host, touched.iter().map(place));
+            self.moved.extend(touched);
         }
-        &self.ring.1
+        &self.ring
+    }
+
+    /// The hosts that have come, gone or changed their description since the last call.
+    pub fn take_moved(&mut self) -> FastSet<HostId> {
+        self.ring();
+        std::mem::take(&mut self.moved)
     }
 
     /// When [`Self::tick`] next has something to do.
--- a/crates/pulley_core/src/process/members/mod.rs
+++ b/crates/pulley_core/src/process/members/mod.rs
@@ -15,4 +15,4 @@
 
 pub(super) use member_message::encoded;
 
-use super::{FastMap, HostId, Moment, QuantityFault, ZoneName};
+use super::{FastMap, FastSet, HostId, Moment, QuantityFault, ZoneName};
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -31,7 +31,8 @@
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
 pub use registry::{
     AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RegistryFault, RegistryResult,
-    RegistrySend, UPSTREAM_LIMIT, UpstreamDirectory, UpstreamRegistry,
+    RegistrySend, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory, UpstreamList,
+    UpstreamRegistry,
 };
 pub use upstream::{
     Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart,
--- a/crates/pulley_core/src/process/registry/lease_bucket.rs
+++ b/crates/pulley_core/src/process/registry/lease_bucket.rs
@@ -77,14 +77,17 @@
         self.renew_digest();
     }
 
-    /// Drops entries not renewed since an epoch; returns how many.
-    pub(crate) fn forget(&mut self, before: LeaseEpoch) -> usize {
-        let count = self.entries.len();
-        self.entries.retain(|_, entry| entry.renewed >= before);
-        if self.entries.len() < count {
-            self.renew_digest();
+    /// Takes out the entries not renewed since an epoch.
+    pub(crate) fn forget(&mut self, before: LeaseEpoch) -> Vec<LeaseEntry> {
+        if self.entries.values().all(|entry| entry.renewed >= before) {
+            return Vec::new();
         }
-        count - self.entries.len()
+        let entries = std::mem::take(&mut self.entries);
+        let (kept, forgotten): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            entries.into_iter().partition(|(_, entry)| entry.renewed >= before);
+        self.entries = kept;
+        self.renew_digest();
+        forgotten.into_values().collect()
     }
 
     /// The age of each lease in epochs, in the order of the ids.
--- a/crates/pulley_core/src/process/registry/lease_table.rs
+++ b/crates/pulley_core/src/process/registry/lease_table.rs
@@ -7,7 +7,9 @@
 use super::lease_record::LeaseRecord;
 use super::registry_message::AgedRecord;
 use super::shared_clock::LeaseEpoch;
-use super::{FastMap, PoolName, UpstreamId, UpstreamRecord, UpstreamSequence};
+use super::{
+    FastMap, PoolName, UpstreamChange, UpstreamId, UpstreamList, UpstreamRecord, UpstreamSequence,
+};
 
 /// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
 /// every one of them may be replaced under a new id within the retention.
@@ -23,11 +25,21 @@
     count: usize,
     /// Grows with every change of what traffic may use.
     pub(crate) changes: u64,
+    /// What traffic may use, as of the last [`Self::pools`].
+    pools: FastMap<PoolName, UpstreamList>,
+    /// Upstreams that have changed since, each with the pool it belonged to.
+    touched: FastMap<UpstreamId, PoolName>,
 }
 
 impl LeaseTable {
     pub(crate) fn new() -> Self {
-        Self { buckets: vec![LeaseBucket::default(); BUCKETS], count: 0, changes: 0 }
+        Self {
+            buckets: vec![LeaseBucket::default(); BUCKETS],
+            count: 0,
+            changes: 0,
+            pools: FastMap::default(),
+            touched: FastMap::default(),
+        }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -57,7 +69,10 @@
         };
         entry.renewed = entry.renewed.max(at);
         entry.heard = entry.heard.max(heard);
-        self.changes += u64::from(refresh(entry, at));
+        if refresh(entry, at) {
+            self.changes += 1;
+            touch(&mut self.touched, entry);
+        }
     }
 
     /// Merges a record that was last renewed in an epoch; returns whether the record changed.
@@ -83,8 +98,15 @@
         };
         let heard = if merged.is_same_start(&entry.record) { heard } else { UpstreamSequence(0) };
         let heard = heard.max(merged.announcement.sequence);
-        let mut entry = LeaseEntry { renewed, heard, took_work: entry.took_work, record: merged };
+        let took_work = entry.took_work;
+        if changed {
+            touch(&mut self.touched, entry);
+        }
+        let mut entry = LeaseEntry { renewed, heard, took_work, record: merged };
         let turned = refresh(&mut entry, now);
+        if turned {
+            touch(&mut self.touched, &entry);
+        }
         self.changes += u64::from(changed || turned);
         if changed {
             self.buckets[place].insert(entry);
@@ -110,7 +132,10 @@
             };
             if renewed > entry.renewed {
                 entry.renewed = renewed;
-                self.changes += u64::from(refresh(entry, now));
+                if refresh(entry, now) {
+                    self.changes += 1;
+                    touch(&mut self.touched, entry);
+                }
             }
         }
     }
@@ -119,11 +144,23 @@
     pub(crate) fn expire(&mut self, now: LeaseEpoch) {
         for bucket in &mut self.buckets {
             for entry in bucket.leases_mut() {
-                self.changes += u64::from(refresh(entry, now));
+                if refresh(entry, now) {
+                    self.changes += 1;
+                    touch(&mut self.touched, entry);
+                }
+            }
+        }
+        self.forget(now.minus(RETENTION_EPOCHS));
+    }
+
+    /// Drops what was not renewed since an epoch.
+    fn forget(&mut self, before: LeaseEpoch) {
+        for bucket in &mut self.buckets {
+            for entry in bucket.forget(before) {
+                self.count -= 1;
+                self.changes += 1;
+                touch(&mut self.touched, &entry);
             }
-            let forgotten = bucket.forget(now.minus(RETENTION_EPOCHS));
-            self.count -= forgotten;
-            self.changes += u64::from(forgotten > 0);
         }
     }
 
@@ -139,19 +176,41 @@
         AgedRecord { record: entry.record.clone(), age: entry.renewed.age(now) }
     }
 
-    /// The upstreams of each pool, in the order of their ids.
-    pub(crate) fn pool_records(&self, now: LeaseEpoch) -> FastMap<PoolName, Arc<[UpstreamRecord]>> {
+    /// The upstreams of each pool, worked out from scratch.
+    pub(crate) fn pool_records(&self, now: LeaseEpoch) -> FastMap<PoolName, UpstreamList> {
         let mut pools: FastMap<PoolName, Vec<UpstreamRecord>> = FastMap::default();
         for entry in self.buckets.iter().flat_map(LeaseBucket::entries) {
-            let announcement = entry.record.announcement.clone();
-            let takes_work = entry.takes_work(now);
-            let pool = pools.entry(announcement.pool.clone()).or_default();
-            pool.push(UpstreamRecord { announcement, takes_work });
+            let record = shown(entry, now);
+            pools.entry(record.announcement.pool.clone()).or_default().push(record);
+        }
+        pools.into_iter().map(|(pool, records)| (pool, UpstreamList::from(records))).collect()
+    }
+
+    /// The upstreams of each pool; only what has changed since the last call is worked out.
+    pub(crate) fn pools(&mut self, now: LeaseEpoch) -> &FastMap<PoolName, UpstreamList> {
+        let mut changes: FastMap<PoolName, Vec<UpstreamChange>> = FastMap::default();
+        for (id, pool) in std::mem::take(&mut self.touched) {
+            let record = self.find(&id).map(|entry| shown(entry, now));
+            // Its id may stand for an upstream of another pool now.
+            if record.as_ref().is_none_or(|record| record.announcement.pool != pool) {
+                let removed = UpstreamChange::Removed(id);
+                changes.entry(pool).or_default().push(removed);
+            }
+            if let Some(record) = record {
+                let pool = record.announcement.pool.clone();
+                let put = UpstreamChange::Put(Arc::new(record));
+                changes.entry(pool).or_default().push(put);
+            }
         }
-        for records in pools.values_mut() {
-            records.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        for (pool, changes) in changes {
+            let list = self.pools.get(&pool).cloned().unwrap_or_default().with(changes);
+            if list.is_empty() {
+                self.pools.remove(&pool);
+            } else {
+                self.pools.insert(pool, list);
+            }
         }
-        pools.into_iter().map(|(pool, records)| (pool, Arc::from(records))).collect()
+        &self.pools
     }
 
     /// Whether another process's live lease on an id forbids an announcement from an address.
@@ -175,6 +234,7 @@
         let heard = record.announcement.sequence;
         let mut entry = LeaseEntry { record, renewed, heard, took_work: false };
         refresh(&mut entry, now);
+        touch(&mut self.touched, &entry);
         let place = LeaseBucket::place(&entry.record.announcement.id);
         self.buckets[place].insert(entry);
         self.count += 1;
@@ -194,13 +254,24 @@
         if oldest.holds(renewed) {
             return false;
         }
-        for bucket in &mut self.buckets {
-            self.count -= bucket.forget(LeaseEpoch(oldest.0 + 1));
-        }
+        self.forget(LeaseEpoch(oldest.0 + 1));
         self.count < UPSTREAM_LIMIT
     }
 }
 
+/// What the traffic side is shown of an upstream.
+fn shown(entry: &LeaseEntry, now: LeaseEpoch) -> UpstreamRecord {
+    let announcement = entry.record.announcement.clone();
+    UpstreamRecord { announcement, takes_work: entry.takes_work(now) }
+}
+
+/// Notes that an upstream is to be shown anew. The pool it was last shown in is the one kept, so
+/// that it is taken out there when it has moved.
+fn touch(touched: &mut FastMap<UpstreamId, PoolName>, entry: &LeaseEntry) {
+    let announcement = &entry.record.announcement;
+    touched.entry(announcement.id.clone()).or_insert_with(|| announcement.pool.clone());
+}
+
 /// Notes whether an upstream takes work now; returns whether that has changed.
 fn refresh(entry: &mut LeaseEntry, now: LeaseEpoch) -> bool {
     let takes_work = entry.takes_work(now);
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -7,11 +7,13 @@
 mod registry_message;
 mod shared_clock;
 mod upstream_directory;
+mod upstream_list;
 mod upstream_registry;
 
 pub use lease_table::UPSTREAM_LIMIT;
 pub use registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
 pub use upstream_directory::{DIRECTORY_LIMIT, UpstreamDirectory};
+pub use upstream_list::{UpstreamChange, UpstreamList};
 pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
 
 pub(crate) use shared_clock::{SharedClock, SharedTime};
--- a/crates/pulley_core/src/process/registry/registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -43,6 +43,10 @@
             // Epochs begin elsewhere by the new time: one fewer, so that no lease grows longer.
             self.table.shift(jump - 1);
         }
+        if jump > 0 {
+            // By the new time leases may have run out for which no epoch of the own has ended.
+            self.table.expire(self.clock.epoch(now));
+        }
         let sent = self.clock.epoch_of(message.time);
         match message.content {
             RegistryContent::Leases { digest, codes } => {
--- a/crates/pulley_core/src/process/registry/shared_clock.rs
+++ b/crates/pulley_core/src/process/registry/shared_clock.rs
@@ -101,6 +101,8 @@
     /// When the next epoch begins.
     pub(crate) fn next_epoch(&self, now: Moment) -> Moment {
         let rest = self.epoch_ms - self.read(now).0 % self.epoch_ms;
-        now + Duration::from_millis(rest)
+        // Readings are whole milliseconds, of which a part is over.
+        let over = Duration::from_micros(now.micros() % 1_000);
+        now + (Duration::from_millis(rest) - over)
     }
 }
--- /dev/null
+++ b/crates/pulley_core/src/process/registry/upstream_list.rs
@@ -0,0 +1,129 @@
+//! A pool's upstreams at one moment, and how two moments differ.
+
+use std::ops::Deref;
+use std::sync::Arc;
+
+use super::{UpstreamId, UpstreamRecord};
+
+/// How a pool's upstreams have changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamChange {
+    /// An upstream came, or what holds of it has changed.
+    Put(Arc<UpstreamRecord>),
+    /// An upstream is no longer known, or belongs to another pool now.
+    Removed(UpstreamId),
+}
+
+impl UpstreamChange {
+    /// Which upstream has changed.
+    #[must_use]
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Put(record) => &record.announcement.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
+/// The upstreams of one pool in the order of their ids, at one moment.
+///
+/// Lists share the records that are the same in both, so that a list which differs by one upstream
+/// costs a copy of pointers, and what differs is found by comparing them. Hosts know hundreds of
+/// upstreams and hear of several changes a second: with whole records copied and compared for each
+/// of them, a host's processor time grew with the installation, however little it had to serve.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamList(Arc<[Arc<UpstreamRecord>]>);
+
+impl UpstreamList {
+    /// Whether both are one list; lists that are equal by chance are not.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
+    /// The record of an upstream.
+    #[must_use]
+    pub fn find(&self, id: &UpstreamId) -> Option<&Arc<UpstreamRecord>> {
+        self.place(id).ok().map(|place| &self.0[place])
+    }
+
+    /// What turns an earlier list into this one.
+    #[must_use]
+    pub fn changes_since(&self, earlier: &Self) -> Vec<UpstreamChange> {
+        let mut changes = Vec::new();
+        let (mut now, mut before) = (self.0.iter().peekable(), earlier.0.iter().peekable());
+        loop {
+            match (now.peek(), before.peek()) {
+                (Some(new), Some(old)) if Arc::ptr_eq(new, old) => {
+                    now.next();
+                    before.next();
+                }
+                (Some(new), Some(old)) if new.announcement.id > old.announcement.id => {
+                    changes.push(UpstreamChange::Removed(old.announcement.id.clone()));
+                    before.next();
+                }
+                (Some(new), old) => {
+                    let is_known =
+                        old.is_some_and(|old| old.announcement.id == new.announcement.id);
+                    let is_equal = old.is_some_and(|old| old == new);
+                    if !is_equal {
+                        changes.push(UpstreamChange::Put(Arc::clone(new)));
+                    }
+                    now.next();
+                    if is_known {
+                        before.next();
+                    }
+                }
+                (None, Some(old)) => {
+                    changes.push(UpstreamChange::Removed(old.announcement.id.clone()));
+                    before.next();
+                }
+                (None, None) => return changes,
+            }
+        }
+    }
+
+    /// This list with changes, the last one of an upstream counting.
+    #[must_use]
+    pub fn with(&self, changes: impl IntoIterator<Item = UpstreamChange>) -> Self {
+        let mut records = self.0.to_vec();
+        for change in changes {
+            let place = records.binary_search_by(|held| held.announcement.id.cmp(change.id()));
+            match (change, place) {
+                (UpstreamChange::Put(record), Ok(place)) => records[place] = record,
+                (UpstreamChange::Put(record), Err(place)) => records.insert(place, record),
+                (UpstreamChange::Removed(_), Ok(place)) => {
+                    records.remove(place);
+                }
+                (UpstreamChange::Removed(_), Err(_)) => {}
+            }
+        }
+        Self(Arc::from(records))
+    }
+
+    fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.0.binary_search_by(|record| record.announcement.id.cmp(id))
+    }
+}
+
+impl Deref for UpstreamList {
+    type Target = [Arc<UpstreamRecord>];
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl FromIterator<UpstreamRecord> for UpstreamList {
+    fn from_iter<I: IntoIterator<Item = UpstreamRecord>>(records: I) -> Self {
+        let mut records: Vec<Arc<UpstreamRecord>> = records.into_iter().map(Arc::new).collect();
+        records.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        Self(Arc::from(records))
+    }
+}
+
+impl From<Vec<UpstreamRecord>> for UpstreamList {
+    fn from(records: Vec<UpstreamRecord>) -> Self {
+        records.into_iter().collect()
+    }
+}
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +14,7 @@
 use super::shared_clock::SharedClock;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
-    UpstreamPhase, UpstreamRecord, UpstreamStart,
+    UpstreamList, UpstreamPhase, UpstreamStart,
 };
 
 /// The part of a lease in which news reaches all hosts on its way round the ring. With the time
@@ -176,12 +175,19 @@
         self.table.len()
     }
 
-    /// The upstreams of each pool; those without a lease, or draining, take no work.
+    /// The upstreams of each pool, worked out from scratch; those without a lease, or draining,
+    /// take no work.
     #[must_use]
-    pub fn pool_records(&self, now: Moment) -> FastMap<PoolName, Arc<[UpstreamRecord]>> {
+    pub fn pool_records(&self, now: Moment) -> FastMap<PoolName, UpstreamList> {
         self.table.pool_records(self.clock.epoch(now))
     }
 
+    /// The same as of the last [`Self::tick`], at the cost of what has changed since the last call.
+    pub fn pools(&mut self, now: Moment) -> &FastMap<PoolName, UpstreamList> {
+        let epoch = self.clock.epoch(now);
+        self.table.pools(epoch)
+    }
+
     /// Whether new work may go to an upstream.
     #[must_use]
     pub fn takes_work(&self, now: Moment, id: &UpstreamId) -> bool {
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod retry_budget;
 mod share_leases;
 mod start_wait;
+mod subset_ranking;
 mod ticket;
 mod upstream_slots;
 mod upstream_table;
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -14,7 +14,9 @@
     RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects, UpstreamChoice, UpstreamTable,
     WaitQueue, WaitingRequest,
 };
-use crate::process::{CountLink, FastMap, HostId, Moment, PoolName, UpstreamRecord, ZoneName};
+use crate::process::{
+    CountLink, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord, ZoneName,
+};
 use crate::version::{KindPlan, PolicyPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
@@ -173,14 +175,15 @@
         now: Moment,
         upstreams: &[UpstreamRecord],
     ) -> SchedulerEffects {
-        if self.upstreams.apply(now, upstreams) {
+        let changes = self.upstreams.changes_to(upstreams);
+        self.apply_changes(now, &changes)
+    }
+
+    /// Takes over how the pool's upstreams have changed.
+    pub fn apply_changes(&mut self, now: Moment, changes: &[UpstreamChange]) -> SchedulerEffects {
+        if self.upstreams.apply(now, changes) {
             self.relist(now);
-        }
-        let least = upstreams.iter().map(|record| &record.announcement.zone).min();
-        if let Some(zone) = least
-            && self.link.as_ref().is_none_or(|link| link.zone != *zone)
-        {
-            self.link = Some(CountLink::new(zone.clone(), now));
+            self.link_counts(now);
         }
         let mut effects = Vec::new();
         if self.upstreams.is_closed() {
@@ -236,7 +239,8 @@
         }
         self.finishes = self.finishes.wrapping_add(1);
         // A failure may take the last usable upstream, and then the floor has to hold at once.
-        if outcome.is_failure() || self.finishes.is_multiple_of(REFRESH_EVERY) {
+        let is_due = self.finishes.is_multiple_of(REFRESH_EVERY) || self.upstreams.is_stale(now);
+        if outcome.is_failure() || is_due {
             self.upstreams.refresh(now);
         }
         let mut effects = Vec::new();
@@ -287,6 +291,14 @@
         self.running.len()
     }
 
+    /// Counts are shared under the name of the first zone that has upstreams.
+    fn link_counts(&mut self, now: Moment) {
+        let Some(zone) = self.upstreams.first_zone() else { return };
+        if self.link.as_ref().is_none_or(|link| link.zone != *zone) {
+            self.link = Some(CountLink::new(zone.clone(), now));
+        }
+    }
+
     // -----------------------------------------------------------------------------------------
     // Admitting and starting
 
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -1,14 +1,16 @@
 //! One pool's upstreams as one entry sees them, and the choice among them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::rngs::SmallRng;
 
 use super::UpstreamSlots;
+use super::subset_ranking::{SubsetRanking, SubsetShift};
 use crate::process::{
-    CountKey, CountLayout, FastMap, HostId, Moment, UpstreamId, UpstreamRecord, ZoneName,
-    median_ms, stable_hash,
+    CountKey, CountLayout, FastMap, FastSet, HostId, Moment, UpstreamChange, UpstreamId,
+    UpstreamRecord, ZoneName, median_ms, stable_hash,
 };
 
 /// Upstreams compared, at most, however fresh the counts are: beyond that a choice costs more
@@ -21,22 +23,18 @@
 /// What going to another zone costs, in requests outstanding at one slot.
 const ZONE_COST: f32 = 0.05;
 
-/// How many upstreams of each zone an entry asks before all others of that zone.
-///
-/// Load it is for: many entries with a few requests a second each, and more upstreams than an entry
-/// can keep connections to. Harm: picked among all, nearly every question opened a connection, which
-/// takes an upstream a millisecond, an entry more processor time than the request, and longer than
-/// an answer that is already there; at an upstream's limit it was refused. Reason for the limit:
-/// two rounds of three questions, and two upstreams to spare that rest or fail. Eight halved the
-/// connections of a quiet day of 179 entries; other sizes were not measured.
-const SUBSET_SIZE: usize = 8;
-
 /// The least part of the pool's slots that stays usable, whatever is measured.
 ///
 /// When everything slows down at once, the cause is load or the network, and taking slots away
 /// would only add to it.
 const USABLE_FLOOR: f32 = 0.5;
 
+/// How old the sums over the pool may get while requests end.
+///
+/// An entry with a few requests a second would else go by a pool of seconds ago: what its usual
+/// answer takes and how many slots are usable.
+const REFRESH_AFTER: Duration = Duration::from_secs(1);
+
 /// The upstreams of one pool.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamTable {
@@ -44,10 +42,17 @@
     host: HostId,
     slots: Vec<UpstreamSlots>,
     by_id: FastMap<UpstreamId, usize>,
+    /// Upstreams that are no longer announced.
+    unlisted: Vec<usize>,
+    /// Upstreams that take work, in ascending order.
     open: Vec<usize>,
+    /// The same by zone, as this entry ranks them.
+    zones: FastMap<ZoneName, SubsetRanking>,
     layout: CountLayout,
     /// Where each place of the layout is kept.
     places: Vec<usize>,
+    /// When what holds for the pool as a whole was last worked out.
+    refreshed: Moment,
     announced_slots: f32,
     usable_slots: f32,
     foreign_a_slot: f32,
@@ -74,9 +79,12 @@
             host,
             slots: Vec::new(),
             by_id: FastMap::default(),
+            unlisted: Vec::new(),
             open: Vec::new(),
+            zones: FastMap::default(),
             layout: CountLayout::default(),
             places: Vec::new(),
+            refreshed: Moment::ZERO,
             announced_slots: 0.0,
             usable_slots: 0.0,
             foreign_a_slot: 0.0,
@@ -86,33 +94,134 @@
         }
     }
 
-    /// Replaces the announced upstreams; true if the list has changed. One that is no longer
-    /// announced stays until its last request ends, so that its end finds it.
-    pub(crate) fn apply(&mut self, now: Moment, records: &[UpstreamRecord]) -> bool {
-        for slots in &mut self.slots {
-            slots.listed = false;
+    /// What turns the announced upstreams into these.
+    pub(crate) fn changes_to(&self, records: &[UpstreamRecord]) -> Vec<UpstreamChange> {
+        let put = records.iter().map(|record| UpstreamChange::Put(Arc::new(record.clone())));
+        let named: FastSet<&UpstreamId> =
+            records.iter().map(|record| &record.announcement.id).collect();
+        let listed = self.slots.iter().filter(|slots| slots.listed);
+        let ids = listed.map(|slots| &slots.record.announcement.id);
+        let removed = ids.filter(|id| !named.contains(id)).cloned().map(UpstreamChange::Removed);
+        removed.chain(put).collect()
+    }
+
+    /// Takes over how the announced upstreams have changed; true if another one is announced, or one
+    /// no longer is. That one stays until its last request ends, so that its end finds it.
+    ///
+    /// The work is that of the changes and of two sums over the pool, as a host hears of several
+    /// changes a second among hundreds of upstreams.
+    pub(crate) fn apply(&mut self, now: Moment, changes: &[UpstreamChange]) -> bool {
+        let mut relisted = false;
+        for change in changes {
+            relisted |= match change {
+                UpstreamChange::Put(record) => self.put(now, record),
+                UpstreamChange::Removed(id) => self.remove(id),
+            };
         }
-        for record in records {
-            match self.by_id.get(&record.announcement.id) {
-                Some(index) => self.slots[*index].update(now, record),
-                None => self.insert(UpstreamSlots::new(now, record)),
-            }
+        if relisted {
+            self.lay_out();
         }
-        self.open = (0..self.slots.len()).filter(|i| self.slots[*i].takes_work()).collect();
-        self.choose_subsets();
+        self.refresh(now);
+        relisted
+    }
+
+    /// The first zone of those that announced upstreams are in, by name.
+    pub(crate) fn first_zone(&self) -> Option<&ZoneName> {
+        let listed = self.slots.iter().filter(|slots| slots.listed);
+        listed.map(|slots| &slots.record.announcement.zone).min()
+    }
+
+    /// Takes over one upstream's record; true if it was not announced before, or in another zone.
+    fn put(&mut self, now: Moment, record: &UpstreamRecord) -> bool {
+        let known = self.by_id.get(&record.announcement.id).copied();
+        let was_listed = known.is_some_and(|index| {
+            let slots = &self.slots[index];
+            slots.listed && slots.record.announcement.zone == record.announcement.zone
+        });
+        let index = if let Some(index) = known {
+            self.close(index);
+            self.unlisted.retain(|other| *other != index);
+            self.slots[index].update(now, record);
+            index
+        } else {
+            self.insert(UpstreamSlots::new(now, record))
+        };
+        self.open_up(index);
+        !was_listed
+    }
+
+    /// Notes that an upstream is no longer announced; true if it was.
+    fn remove(&mut self, id: &UpstreamId) -> bool {
+        let Some(index) = self.by_id.get(id).copied().filter(|index| self.slots[*index].listed)
+        else {
+            return false;
+        };
+        self.close(index);
+        self.slots[index].listed = false;
+        self.unlisted.push(index);
+        true
+    }
+
+    /// Counts an upstream among those that take work, if it does.
+    fn open_up(&mut self, index: usize) {
+        let slots = &self.slots[index];
+        if !slots.takes_work() {
+            return;
+        }
+        if let Err(place) = self.open.binary_search(&index) {
+            self.open.insert(place, index);
+        }
+        let announcement = &slots.record.announcement;
+        let rank = self.rank(&announcement.id);
+        let ranking = self.zones.entry(announcement.zone.clone()).or_default();
+        let shift = ranking.insert(rank, index);
+        self.shift_subset(shift);
+    }
+
+    /// Counts an upstream no longer among those that take work.
+    fn close(&mut self, index: usize) {
+        let Ok(place) = self.open.binary_search(&index) else { return };
+        self.open.remove(place);
+        let announcement = &self.slots[index].record.announcement;
+        let rank = self.rank(&announcement.id);
+        let Some(ranking) = self.zones.get_mut(&announcement.zone) else { return };
+        let shift = ranking.remove(rank, index);
+        if ranking.is_empty() {
+            self.zones.remove(&announcement.zone);
+        }
+        self.shift_subset(shift);
+    }
+
+    fn rank(&self, id: &UpstreamId) -> u64 {
+        stable_hash([self.host.as_str(), id.as_str()])
+    }
+
+    fn shift_subset(&mut self, shift: SubsetShift) {
+        if let Some(left) = shift.left {
+            self.slots[left].in_subset = false;
+        }
+        if let Some(joined) = shift.joined {
+            self.slots[joined].in_subset = true;
+        }
+    }
+
+    /// Orders the announced upstreams as messages do.
+    fn lay_out(&mut self) {
         let listed = self.slots.iter().enumerate().filter(|(_, slots)| slots.listed);
         let mut places: Vec<(CountKey, usize)> = listed.map(|(i, slots)| (slots.key, i)).collect();
         places.sort_unstable();
-        let layout = CountLayout::new(places.iter().map(|(key, _)| *key).collect());
+        self.layout = CountLayout::new(places.iter().map(|(key, _)| *key).collect());
         self.places = places.into_iter().map(|(_, index)| index).collect();
-        let changed = layout != self.layout;
-        self.layout = layout;
-        self.refresh(now);
-        changed
+    }
+
+    /// Whether the sums over the pool are as old as they may get.
+    pub(crate) fn is_stale(&self, now: Moment) -> bool {
+        now.since(self.refreshed) >= REFRESH_AFTER
     }
 
     /// Works out anew what holds for the pool as a whole.
     pub(crate) fn refresh(&mut self, now: Moment) {
+        self.refreshed = now;
         let open = self.open.iter().map(|index| &self.slots[*index]);
         let (mut announced, mut usable, mut foreign) = (0.0, 0.0, 0.0);
         for slots in open {
@@ -299,43 +408,21 @@
         slots.own as f32 + slots.foreign
     }
 
-    /// Chooses the entry's subset of each zone by rendezvous hashing: one upstream that leaves or
-    /// joins changes one place of it, and all entries' subsets together cover every upstream.
-    fn choose_subsets(&mut self) {
-        for slots in &mut self.slots {
-            slots.in_subset = false;
-        }
-        let mut ranked: Vec<(&ZoneName, u64, usize)> = self
-            .open
-            .iter()
-            .map(|index| {
-                let announcement = &self.slots[*index].record.announcement;
-                let rank = stable_hash(&[self.host.as_str(), announcement.id.as_str()]);
-                (&announcement.zone, rank, *index)
-            })
-            .collect();
-        ranked.sort_unstable();
-        let zones = ranked.chunk_by(|(a, ..), (b, ..)| a == b);
-        let chosen: Vec<usize> = zones
-            .flat_map(|zone| zone.iter().take(SUBSET_SIZE))
-            .map(|(_, _, index)| *index)
-            .collect();
-        for index in chosen {
-            self.slots[index].in_subset = true;
-        }
-    }
-
-    fn insert(&mut self, slots: UpstreamSlots) {
+    /// Puts a new upstream in a place of its own, or in that of one whose last request has ended.
+    fn insert(&mut self, slots: UpstreamSlots) -> usize {
         let id = slots.record.announcement.id.clone();
-        let unused = self.slots.iter().position(|old| !old.listed && old.own == 0);
-        let index = unused.unwrap_or(self.slots.len());
-        if let Some(index) = unused {
+        let unused = self.unlisted.iter().position(|index| self.slots[*index].own == 0);
+        let index = if let Some(place) = unused {
+            let index = self.unlisted.swap_remove(place);
             self.by_id.remove(&self.slots[index].record.announcement.id);
             self.slots[index] = slots;
+            index
         } else {
             self.slots.push(slots);
-        }
+            self.slots.len() - 1
+        };
         self.by_id.insert(id, index);
+        index
     }
 }
 
--- a/crates/pulley_core/tests/arrival_probes/subset_tests.rs
+++ b/crates/pulley_core/tests/arrival_probes/subset_tests.rs
@@ -1,11 +1,16 @@
 //! Which upstreams an entry asks where there are more than it can keep connections to.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
-use pulley_core::process::UpstreamRecord;
-use pulley_core::request::{PoolScheduler, ProbeQuestion, ProbeReach};
+use pulley_core::process::{UpstreamChange, UpstreamList, UpstreamRecord};
+use pulley_core::request::{
+    AttemptOutcome, PoolScheduler, ProbeQuestion, ProbeReach, RequestNumber, SchedulerEffect,
+};
 use pulley_core::{Moment, UpstreamId};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use super::{entry, ticket, upstream};
 
@@ -92,3 +97,57 @@
     assert_eq!(after.len(), before.len());
     assert_eq!(before.difference(&after).collect::<Vec<_>>(), [&gone]);
 }
+
+/// All upstreams of the own zone, the few that go first apart from the rest.
+fn ranked(
+    scheduler: &mut PoolScheduler,
+    now: Moment,
+) -> (BTreeSet<UpstreamId>, BTreeSet<UpstreamId>) {
+    scheduler.set_probe_rate(10_000.0);
+    let question = ProbeQuestion { asked: &[], wanted: 1_000, reach: ProbeReach::OwnZone };
+    let targets = scheduler.probe_targets(now, &ticket(1, now), &question);
+    let mut ids: Vec<UpstreamId> = targets.into_iter().map(|target| target.upstream).collect();
+    let rest = ids.split_off(ids.len().min(8));
+    (ids.into_iter().collect(), rest.into_iter().collect())
+}
+
+// Upstreams come, drain, move and leave by the hundred, and an entry hears of them one by one. What
+// it ends with must be what it would have begun with, had it started just now: an upstream that it
+// keeps asking after it left costs callers time, and one that it has lost stands idle.
+#[test]
+fn changes_one_by_one_end_where_a_fresh_start_does() {
+    for seed in 1..=20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut scheduler = entry(seed, &[]);
+        let mut list = UpstreamList::default();
+        for step in 1..=300_u64 {
+            let now = Moment::ZERO + Duration::from_millis(20 * step);
+            let index = rng.random_range(0..UPSTREAMS);
+            let change = if rng.random_range(0..3) == 0 {
+                UpstreamChange::Removed(upstream(index, "a", 2).announcement.id)
+            } else {
+                let zone = if rng.random_range(0..4) == 0 { "b" } else { "a" };
+                let takes_work = rng.random_range(0..4) > 0;
+                let record = UpstreamRecord { takes_work, ..upstream(index, zone, 2) };
+                UpstreamChange::Put(Arc::new(record))
+            };
+            let next = list.with([change]);
+            scheduler.apply_changes(now, &next.changes_since(&list));
+            list = next;
+            // Requests that outlast their upstream keep its place.
+            let number = RequestNumber(step);
+            match scheduler.arrive(now, &ticket(step, now)).as_slice() {
+                [SchedulerEffect::Start { .. }] if rng.random() => {
+                    scheduler.finish(now, number, AttemptOutcome::Cancelled, None);
+                }
+                [] => drop(scheduler.cancel(now, number)),
+                _ => {}
+            }
+        }
+        let now = Moment::ZERO + Duration::from_secs(60);
+        let records: Vec<UpstreamRecord> =
+            list.iter().map(|record| UpstreamRecord::clone(record)).collect();
+        let mut fresh = entry(seed, &records);
+        assert_eq!(ranked(&mut scheduler, now), ranked(&mut fresh, now), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/tests/members/differences_tests.rs
@@ -0,0 +1,129 @@
+//! Differences handed on one by one, against what is worked out from scratch.
+
+use std::time::Duration;
+
+use pulley_core::process::{
+    Announcement, FastMap, PeerRing, UpstreamList, UpstreamPhase, UpstreamRegistry,
+};
+use pulley_core::{HostId, Moment, PoolName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::network::{Network, Weather, address, announcement, host_name};
+
+const HOSTS: usize = 7;
+const UPSTREAMS: usize = 60;
+const STEPS: u64 = 150;
+
+/// One thing that happens, of those that change what hosts know of each other and of upstreams.
+fn disturb(network: &mut Network, rng: &mut SmallRng, step: u64) {
+    match rng.random_range(0..12) {
+        0 => network.restart(rng.random_range(0..HOSTS)),
+        1 => network.split(&[0, 1, 2], &[3, 4, 5, 6], rng.random()),
+        2 => {
+            let loss = rng.random_range(0.0..0.3);
+            network.weather = Weather { loss, ..Weather::default() };
+        }
+        _ => {
+            for _ in 0..rng.random_range(1..12) {
+                let upstream = rng.random_range(0..UPSTREAMS);
+                let announced = Announcement {
+                    phase: match rng.random_range(0..8) {
+                        0 => UpstreamPhase::Draining,
+                        1 => UpstreamPhase::Gone,
+                        2 => UpstreamPhase::Warming,
+                        _ => UpstreamPhase::Ready,
+                    },
+                    // A later start of it may belong to another pool.
+                    pool: format!("pool{}", rng.random_range(0..3)).parse().unwrap(),
+                    ..announcement(upstream, 1 + step / 20, step)
+                };
+                network.announce(rng.random_range(0..HOSTS), announced);
+            }
+        }
+    }
+}
+
+/// A while that ends between two milliseconds, so that everything due by then has been done.
+fn pause(rng: &mut SmallRng) -> Duration {
+    Duration::from_millis(rng.random_range(5..900))
+        + Duration::from_micros(rng.random_range(1..999))
+}
+
+/// Hosts hear of changes of upstreams and of each other one by one and pass on only those. Were one
+/// of them lost on its way through a host, its callers would be sent to an upstream that has left,
+/// or never to one that has come, until the host restarts. Whatever happens, in whatever order, the
+/// lists that were kept up must be those that a host would work out from all that it knows.
+#[test]
+fn lists_that_are_kept_up_are_those_worked_out_from_scratch() {
+    for seed in 0..12 {
+        let mut network = Network::new(HOSTS, seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // What a part of the host would hold that is told of changes only.
+        let mut followed: Vec<FastMap<PoolName, UpstreamList>> = vec![FastMap::default(); HOSTS];
+        for step in 0..STEPS {
+            disturb(&mut network, &mut rng, step);
+            network.run_for(pause(&mut rng));
+            let now = network.now;
+            for (host, followed) in network.hosts.iter_mut().zip(&mut followed) {
+                let kept_up = host.registry.pools(now).clone();
+                assert_eq!(kept_up, host.registry.pool_records(now), "seed {seed}, step {step}");
+                followed.retain(|pool, _| kept_up.contains_key(pool));
+                for (pool, list) in kept_up {
+                    let held = followed.entry(pool).or_default();
+                    *held = held.with(list.changes_since(held));
+                    assert_eq!(*held, list, "seed {seed}, step {step}");
+                }
+            }
+        }
+    }
+}
+
+/// The same of the ring of live hosts, by which news goes round: a host that is missing from it is
+/// told nothing, and one too many is told in vain.
+#[test]
+fn a_ring_that_is_kept_up_is_the_one_worked_out_from_scratch() {
+    for seed in 20..32 {
+        let mut network = Network::new(HOSTS, seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for step in 0..STEPS {
+            disturb(&mut network, &mut rng, step);
+            network.run_for(pause(&mut rng));
+            for (index, host) in network.hosts.iter_mut().enumerate() {
+                let own: HostId = host_name(index);
+                let others = host.members.live().filter(|record| record.host != own);
+                let others: Vec<_> =
+                    others.map(|record| (record.host.clone(), record.peer_address)).collect();
+                let scratch = PeerRing::new(&own, others);
+                assert_eq!(*host.members.ring(), scratch, "seed {seed}, step {step}");
+                let entries = host.members.live().filter(|record| record.roles.entry).count();
+                assert_eq!(host.members.live_entries(), entries, "seed {seed}, step {step}");
+            }
+        }
+    }
+}
+
+/// A host follows the earliest clock of all. When it first hears of one that is far ahead, the leases
+/// that it holds have run out by that clock, in the middle of one of its own epochs. Were that noticed
+/// only at the epoch's end, requests would be sent until then to upstreams that are long gone.
+#[test]
+fn a_clock_that_jumps_ahead_ends_leases_at_once() {
+    let ring = |index| PeerRing::new(&host_name(9), vec![(host_name(index), address(index))]);
+    // What a host says whose clock began so long before the others'.
+    let message = |clock: Duration| {
+        let mut host = UpstreamRegistry::new();
+        host.announce(Moment::ZERO + clock, announcement(1, 1, 1)).unwrap();
+        let sends = host.tick(Moment::ZERO + clock, &ring(0));
+        sends.first().expect("a round is due").body.clone()
+    };
+    let now = Moment::ZERO + Duration::from_millis(100);
+    let mut host = UpstreamRegistry::new();
+    host.tick(now, &ring(1));
+    host.receive(now, address(1), &message(Duration::from_millis(100)));
+    host.announce(now, announcement(0, 1, 1)).unwrap();
+    assert_eq!(host.pools(now).clone(), host.pool_records(now));
+    assert!(host.takes_work(now, &announcement(0, 1, 1).id));
+    host.receive(now, address(2), &message(Duration::from_secs(20)));
+    assert!(!host.takes_work(now, &announcement(0, 1, 1).id));
+    assert_eq!(host.pools(now).clone(), host.pool_records(now));
+}
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use pulley_core::connection::WorkSafety;
-use pulley_core::process::{FastMap, FastSet, UpstreamRecord};
+use pulley_core::process::{FastMap, UpstreamRecord};
 use pulley_core::{Moment, UpstreamId};
 
 use super::upstream_links::UpstreamLinks;
@@ -76,38 +76,28 @@
     fn keep_up(&self) {
         let view = self.view.load();
         self.retire_unknown(&view);
-        for records in view.upstreams.values() {
-            for record in records.iter().filter(|record| record.takes_work) {
-                self.keep_up_with(record, &view);
+        for (id, links) in self.upstreams.load().iter() {
+            links.expire();
+            let Some(record) = find(&view, id).filter(|record| record.takes_work) else { continue };
+            set_share(links, record, &view);
+            if links.is_warm() {
+                links.keep_spare();
             }
         }
-        let all: Vec<_> = self.upstreams.load().values().cloned().collect();
-        all.iter().for_each(|links| links.expire());
-    }
-
-    fn keep_up_with(&self, record: &UpstreamRecord, view: &RunningView) {
-        let known = self.upstreams.load().get(&record.announcement.id).cloned();
-        let Some(links) = known else { return };
-        set_share(&links, record, view);
-        links.expire();
-        if links.is_warm() {
-            links.keep_spare();
-        }
     }
 
     /// Drops what belongs to upstreams that the view no longer holds.
     fn retire_unknown(&self, view: &RunningView) {
-        let records = view.upstreams.values().flat_map(|records| records.iter());
-        let known: FastSet<_> = records.map(|record| &record.announcement.id).collect();
-        if self.upstreams.load().keys().all(|id| known.contains(id)) {
+        let is_known = |id: &UpstreamId| find(view, id).is_some();
+        if self.upstreams.load().keys().all(is_known) {
             return;
         }
         let before = self.upstreams.rcu(|upstreams| {
             let mut upstreams = FastMap::clone(upstreams);
-            upstreams.retain(|id, _| known.contains(id));
+            upstreams.retain(|id, _| is_known(id));
             upstreams
         });
-        let gone = before.iter().filter(|(id, _)| !known.contains(id));
+        let gone = before.iter().filter(|(id, _)| !is_known(id));
         gone.for_each(|(_, links)| links.close());
     }
 
@@ -118,12 +108,7 @@
         }
         let links = Arc::new(UpstreamLinks::new(address, self.clock, self.timer.clone()));
         let view = self.view.load();
-        let record = view
-            .upstreams
-            .values()
-            .flat_map(|records| records.iter())
-            .find(|record| record.announcement.id == *upstream);
-        if let Some(record) = record {
+        if let Some(record) = find(&view, upstream) {
             set_share(&links, record, &view);
         }
         self.insert(upstream, links)
@@ -153,6 +138,11 @@
     }
 }
 
+/// What a view holds of an upstream.
+fn find<'a>(view: &'a RunningView, upstream: &UpstreamId) -> Option<&'a UpstreamRecord> {
+    view.upstreams.values().find_map(|list| list.find(upstream)).map(Arc::as_ref)
+}
+
 /// More connections than slots are of no use: each carries one request.
 fn set_share(links: &UpstreamLinks, record: &UpstreamRecord, view: &RunningView) {
     let announcement = &record.announcement;
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -13,9 +13,9 @@
 };
 use pulley_core::version::{
     AuditRead, DriverInput, PersistBatch, PersistTicket, PlanFollower, PlanSend, QuestionNumber,
-    QuestionRouter, ReplicaDriver,
+    QuestionRouter, ReplicaDriver, StoredPlan,
 };
-use pulley_core::{HostId, Moment, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
 use super::control_counts::{CountCarrier, ProbeReport};
@@ -91,7 +91,12 @@
     pub(super) schedulers: Arc<SchedulerSet>,
     pub(super) shutting_down: bool,
     pub(super) transport: TransportCounts,
-    seen: Option<ViewMarks>,
+    /// What the view was last built from, and when.
+    seen: Option<(ViewMarks, Moment)>,
+    /// When a new view is due that waits for more changes.
+    view_due: Option<Moment>,
+    /// The plan in force as views show it.
+    pub(super) shown_plan: Option<(Arc<StoredPlan>, Arc<PolicyPlan>)>,
     pub(super) lease_round: Option<(u64, Moment)>,
     pub(super) next_lease_round: Moment,
     pub(super) next_lease_token: u64,
@@ -102,6 +107,11 @@
     pub(super) recovery: UpstreamRecovery,
 }
 
+/// How long changes of hosts and upstreams may wait for others, so that one view takes in a burst:
+/// a zone that is lost, a release, all hosts back after a loss of power. A request may be placed by
+/// what was known so much earlier.
+const VIEW_PAUSE: Duration = Duration::from_millis(20);
+
 /// What the last view was built from; a new one is built when any of it has moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ViewMarks {
@@ -112,6 +122,14 @@
     leaving: bool,
 }
 
+impl ViewMarks {
+    /// Whether hosts and upstreams are all that differs.
+    fn can_wait(&self, other: &Self) -> bool {
+        let without = |marks: &Self| Self { members: 0, upstreams: 0, ..*marks };
+        without(self) == without(other)
+    }
+}
+
 impl ControlCore {
     pub(crate) fn new(parts: CoreParts) -> Self {
         let host = parts.own.host.clone();
@@ -136,6 +154,8 @@
             shutting_down: false,
             transport: TransportCounts::default(),
             seen: None,
+            view_due: None,
+            shown_plan: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
             next_lease_token: LEASE_TOKENS,
@@ -274,6 +294,7 @@
         let optional = [
             self.replica.as_ref().map(ReplicaDriver::next_wakeup),
             self.router.next_wakeup(),
+            self.view_due,
             self.counts.next_wakeup(&self.schedulers),
         ];
         for due in optional.into_iter().flatten() {
@@ -335,11 +356,18 @@
             leaving: self.shutting_down,
         };
         self.view.confirm(now);
-        if self.seen == Some(marks) {
-            return;
+        self.view_due = None;
+        if let Some((seen, at)) = &self.seen {
+            if *seen == marks {
+                return;
+            }
+            if seen.can_wait(&marks) && now < *at + VIEW_PAUSE {
+                self.view_due = Some(*at + VIEW_PAUSE);
+                return;
+            }
         }
-        let moved_members = self.seen.is_none_or(|seen| seen.members != marks.members);
-        self.seen = Some(marks);
+        let moved_members = self.seen.is_none_or(|(seen, _)| seen.members != marks.members);
+        self.seen = Some((marks, now));
         if moved_members {
             self.apply_members();
             self.introduce_entries(now);
@@ -369,13 +397,11 @@
     }
 
     fn publish(&mut self, now: Moment, view: RunningView) {
-        let live: Vec<HostId> = self
-            .members
-            .live()
-            .filter(|record| record.roles.entry)
-            .map(|record| record.host.clone())
-            .collect();
-        self.counts.apply_view(now, &view, &live);
+        if self.counts.shares() {
+            let entries = self.members.live().filter(|record| record.roles.entry);
+            let live: Vec<HostId> = entries.map(|record| record.host.clone()).collect();
+            self.counts.apply_view(now, &view, &live);
+        }
         self.schedulers.apply_view(&view);
         self.view.store(view);
     }
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -74,11 +74,21 @@
         }
     }
 
+    /// Whether counts go to and from other hosts.
+    pub(crate) const fn shares(&self) -> bool {
+        self.shares
+    }
+
     /// Takes over a view and the live entries: who coordinates what may have moved.
     pub(crate) fn apply_view(&mut self, now: Moment, view: &RunningView, live: &[HostId]) {
+        if !self.shares {
+            return;
+        }
         let mut assigned: FastMap<CountScope, HostId> = FastMap::default();
         for pool in view.plan.pools() {
             let records = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            let records: Vec<UpstreamRecord> =
+                records.iter().map(|record| UpstreamRecord::clone(record)).collect();
             for zone in zones_of(&records) {
                 let Some(coordinator) = coordinator_for(&pool, &zone, live) else { continue };
                 let scope = (pool.clone(), zone);
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use pulley_core::Moment;
-use pulley_core::process::FastMap;
 use pulley_core::version::{PlanStanding, ReplicaDriver};
+use pulley_core::{Moment, PolicyPlan};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
@@ -13,20 +12,31 @@
 
 impl ControlCore {
     /// The view that holds now.
-    pub(super) fn build_view(&self, now: Moment, standing: PlanStanding) -> RunningView {
-        let plan = self.follower.in_force();
-        let live = self.members.live().filter(|record| record.roles.entry).count();
-        let mut upstreams = FastMap::default();
-        upstreams.extend(self.registry.pool_records(now));
+    pub(super) fn build_view(&mut self, now: Moment, standing: PlanStanding) -> RunningView {
+        let live = self.members.live_entries();
         RunningView {
             version: self.follower.version(),
-            plan: plan.map(|stored| Arc::new(stored.plan.clone())).unwrap_or_default(),
-            upstreams,
+            plan: self.plan_in_force(),
+            upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
             live_entries: u32::try_from(live).unwrap_or(u32::MAX).max(1),
         }
     }
 
+    /// The sheet in force; the same one until another is, so that who follows views sees whether
+    /// it has changed.
+    fn plan_in_force(&mut self) -> Arc<PolicyPlan> {
+        let Some(stored) = self.follower.in_force() else { return Arc::default() };
+        if let Some((known, plan)) = &self.shown_plan
+            && Arc::ptr_eq(known, stored)
+        {
+            return Arc::clone(plan);
+        }
+        let plan = Arc::new(stored.plan.clone());
+        self.shown_plan = Some((Arc::clone(stored), Arc::clone(&plan)));
+        plan
+    }
+
     fn readiness(&self, standing: PlanStanding) -> HostReadiness {
         let why = match standing {
             PlanStanding::InForce(version) | PlanStanding::Static(version) if version.0 > 0 => {
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use pulley_core::Moment;
 use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
 use pulley_core::version::{AuditRead, DriverInput, PersistBatch, PlanStanding, ReplicaMember};
-use pulley_core::{HostId, Moment};
 use slog::{Logger, error, info, warn};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -35,6 +35,10 @@
 /// The longest sleep of the control thread.
 const LONGEST_SLEEP: Duration = Duration::from_millis(250);
 
+/// The pause between two lines on the members: where hundreds of hosts start together, each hears
+/// of them one by one.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
+
 /// How often the secret file is looked at for changed keys.
 const KEY_CHECK: Duration = Duration::from_secs(2);
 
@@ -135,8 +139,11 @@
     key_ring: KeyRing,
     prober: UpstreamProber,
     probed: mpsc::Sender<ProbeReport>,
-    known: Vec<(HostId, SocketAddr)>,
+    /// Up to which change of the members addresses are known.
     known_mark: u64,
+    /// Up to which change of the members the log tells of them, and when it next may.
+    told_mark: u64,
+    next_telling: Moment,
     believed: Option<ReplicaBelief>,
     /// How this host stood towards the configuration when that was last logged.
     standing: Option<PlanStanding>,
@@ -235,8 +242,9 @@
         key_ring: parts.key_ring,
         prober: parts.prober,
         probed: probe_sender,
-        known: Vec::new(),
         known_mark: u64::MAX,
+        told_mark: u64::MAX,
+        next_telling: now,
         believed: None,
         standing: None,
         next_key_check: now + KEY_CHECK,
@@ -390,6 +398,7 @@
             self.known_mark = mark;
             self.apply_addresses();
         }
+        self.report_members(mark);
         self.report_belief();
         if let Some(outcome) = self.core.take_recall() {
             info!(self.logger, "upstreams-recalled"; "outcome" => ?outcome);
@@ -450,6 +459,17 @@
         }
     }
 
+    /// Logs how many hosts are alive, once that has changed.
+    fn report_members(&mut self, mark: u64) {
+        let now = self.clock.now();
+        if mark == self.told_mark || now < self.next_telling {
+            return;
+        }
+        self.told_mark = mark;
+        self.next_telling = now + MEMBERS_PAUSE;
+        info!(self.logger, "membership"; "live" => self.core.members.live().count());
+    }
+
     /// Logs who leads and who votes, once that has changed.
     fn report_belief(&mut self) {
         let standing = self.core.follower.standing(self.clock.now());
@@ -481,24 +501,12 @@
     }
 
     fn apply_addresses(&mut self) {
-        let own = self.core.members.own().host.clone();
-        let live: Vec<(HostId, SocketAddr)> = self
-            .core
-            .members
-            .live()
-            .filter(|record| record.host != own)
-            .map(|record| (record.host.clone(), record.peer_address))
-            .collect();
-        for (gone, _) in &self.known {
-            if !live.iter().any(|(host, _)| host == gone) {
-                self.links.forget(gone);
+        for host in self.core.members.take_moved() {
+            match self.core.members.find(&host) {
+                Some(record) => self.links.set_address(&host, record.peer_address),
+                None => self.links.forget(&host),
             }
         }
-        for (host, address) in &live {
-            self.links.set_address(host, *address);
-        }
-        info!(self.logger, "membership"; "live" => live.len() + 1);
-        self.known = live;
     }
 }
 
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -242,7 +242,7 @@
 async fn show_upstreams(State(api): State<OperatorApi>) -> Json<Value> {
     let view = api.view.load();
     let mut records: Vec<&UpstreamRecord> =
-        view.upstreams.values().flat_map(|all| &**all).collect();
+        view.upstreams.values().flat_map(|all| all.iter().map(Arc::as_ref)).collect();
     records.sort_by(|a, b| {
         let key = |record: &UpstreamRecord| {
             (record.announcement.pool.clone(), record.announcement.id.clone())
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use pulley_core::process::{FastMap, UpstreamRecord};
+use pulley_core::process::{FastMap, UpstreamList};
 use pulley_core::{ConfigVersion, Moment, PolicyPlan, PoolName};
 use smol_str::SmolStr;
 
@@ -33,7 +33,7 @@
     /// Its checked sheet.
     pub plan: Arc<PolicyPlan>,
     /// The upstreams of each pool.
-    pub upstreams: FastMap<PoolName, Arc<[UpstreamRecord]>>,
+    pub upstreams: FastMap<PoolName, UpstreamList>,
     /// Whether this host serves.
     pub readiness: HostReadiness,
     /// How many entries are alive, this one included; connection limits are shared by it.
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use pulley_core::process::{FastMap, Incarnation, UpstreamRecord};
+use pulley_core::process::{FastMap, Incarnation, UpstreamChange, UpstreamList, UpstreamRecord};
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, RequestNumber, RequestTicket,
     RetryAllowance, RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
@@ -73,7 +73,7 @@
     pub(super) scheduler: PoolScheduler,
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
     plan: Arc<PolicyPlan>,
-    upstreams: Arc<[UpstreamRecord]>,
+    upstreams: UpstreamList,
     /// Upstreams that said in an answer that they drain, with the start that said so.
     drained: FastMap<UpstreamId, Incarnation>,
     retries: RetryBudget,
@@ -114,18 +114,20 @@
     /// Takes over a view: new pools, plans and upstreams. Unchanged parts cost a comparison.
     pub fn apply_view(&self, view: &RunningView) {
         let now = self.clock.now();
-        for pool in view.plan.pools() {
-            let cell = self.cell_or_new(&pool, view.live_entries);
+        let pools = view.plan.pools();
+        for pool in &pools {
+            let cell = self.cell_or_new(pool, view.live_entries);
             if let Some(allowance) = self.retry_allowance {
                 cell.state.lock().retries.share(allowance, view.live_entries);
             }
-            let upstreams = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            let upstreams = view.upstreams.get(pool).cloned().unwrap_or_default();
             let rate = self.part_of_probes(upstreams.len(), view.live_entries);
             cell.state.lock().scheduler.set_probe_rate(rate);
-            let effects = cell.apply(now, &view.plan, upstreams);
-            self.deliver(&cell, effects);
+            if let Some(effects) = cell.apply(now, &view.plan, upstreams) {
+                self.deliver(&cell, effects);
+            }
         }
-        self.retire_pools(&view.plan);
+        self.retire_pools(&pools);
     }
 
     /// Asks for an upstream and waits in the pool's queue until there is one or none can be had.
@@ -278,7 +280,7 @@
             scheduler,
             waiting: FastMap::default(),
             plan: Arc::default(),
-            upstreams: Arc::default(),
+            upstreams: UpstreamList::default(),
             drained: FastMap::default(),
             retries: self
                 .retry_allowance
@@ -294,8 +296,7 @@
     }
 
     /// Drops pools that the plan no longer names, once nothing waits in them.
-    fn retire_pools(&self, plan: &PolicyPlan) {
-        let named = plan.pools();
+    fn retire_pools(&self, named: &[PoolName]) {
         let is_kept = |pool: &PoolName, cell: &Arc<PoolCell>| {
             named.contains(pool) || !cell.state.lock().waiting.is_empty()
         };
@@ -354,50 +355,63 @@
 }
 
 impl PoolCell {
+    /// Takes over a plan and upstreams; nothing if both are those it has.
     fn apply(
         &self,
         now: Moment,
         plan: &Arc<PolicyPlan>,
-        upstreams: Arc<[UpstreamRecord]>,
-    ) -> SchedulerEffects {
+        upstreams: UpstreamList,
+    ) -> Option<SchedulerEffects> {
         let mut state = self.state.lock();
+        let is_same_plan = Arc::ptr_eq(&state.plan, plan);
+        let is_same_list = state.upstreams.is_same(&upstreams);
+        if is_same_plan && is_same_list {
+            return None;
+        }
         let mut effects = SchedulerEffects::new();
-        if !Arc::ptr_eq(&state.plan, plan) {
+        if !is_same_plan {
             state.plan = Arc::clone(plan);
             effects.extend(state.scheduler.apply_plan(now, Arc::clone(plan)));
         }
-        if !Arc::ptr_eq(&state.upstreams, &upstreams) {
-            state.upstreams = upstreams;
-            effects.extend(state.apply_upstreams(now));
+        if !is_same_list {
+            effects.extend(state.apply_upstreams(now, upstreams));
         }
-        effects
+        Some(effects)
     }
 
     fn observe_drain(&self, now: Moment, upstream: &UpstreamId) -> Option<SchedulerEffects> {
         let mut state = self.state.lock();
-        let mut records = state.upstreams.iter();
-        let record = records.find(|record| record.announcement.id == *upstream)?;
+        let record = Arc::clone(state.upstreams.find(upstream)?);
         let incarnation = record.announcement.incarnation;
         let before = state.drained.insert(upstream.clone(), incarnation);
-        (before != Some(incarnation)).then(|| state.apply_upstreams(now))
+        if before == Some(incarnation) {
+            return None;
+        }
+        let change = state.as_drained(UpstreamChange::Put(record));
+        Some(state.scheduler.apply_changes(now, &[change]))
     }
 }
 
 impl PoolState {
-    fn apply_upstreams(&mut self, now: Moment) -> SchedulerEffects {
-        if self.drained.is_empty() {
-            return self.scheduler.apply_upstreams(now, &self.upstreams);
-        }
-        let mut records = self.upstreams.to_vec();
-        self.drained.retain(|id, _| records.iter().any(|record| record.announcement.id == *id));
-        for record in &mut records {
-            let announcement = &record.announcement;
-            let drained = self.drained.get(&announcement.id);
-            if drained.is_some_and(|start| announcement.incarnation <= *start) {
-                record.takes_work = false;
-            }
+    fn apply_upstreams(&mut self, now: Moment, upstreams: UpstreamList) -> SchedulerEffects {
+        let changes = upstreams.changes_since(&self.upstreams);
+        self.upstreams = upstreams;
+        let known = &self.upstreams;
+        self.drained.retain(|id, _| known.find(id).is_some());
+        let changes: Vec<UpstreamChange> =
+            changes.into_iter().map(|change| self.as_drained(change)).collect();
+        self.scheduler.apply_changes(now, &changes)
+    }
+
+    /// What the scheduler is to know of a change, if the upstream said itself that it drains.
+    fn as_drained(&self, change: UpstreamChange) -> UpstreamChange {
+        let UpstreamChange::Put(record) = &change else { return change };
+        let drained = self.drained.get(&record.announcement.id);
+        if drained.is_none_or(|start| record.announcement.incarnation > *start) {
+            return change;
         }
-        self.scheduler.apply_upstreams(now, &records)
+        let record = UpstreamRecord { takes_work: false, ..UpstreamRecord::clone(record) };
+        UpstreamChange::Put(Arc::new(record))
     }
 }
 
