Tell news together, do not split first votes, and answer all who wait for a configuration

Ruled out: reading disks (7 to 18 ms), membership (an entry needs none of it to serve).

Change: news is told 50 ms apart, departures at once as before; who lets another replica ask first gives up its own questions; a host with a replica answers requests for plans of a whole installation; who was answered once asks four times a second.

--- a/crates/pulley_core/src/process/registry/registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -79,8 +79,8 @@
         self.news_budget = (self.news_budget + refill).min(NEWS_BURST);
     }
 
-    /// Tells some hosts of the changes that were heard of since.
-    pub(crate) fn tell_news(
+    /// Tells every host of the upstreams that said to this one that they leave.
+    pub(crate) fn tell_departures(
         &mut self,
         now: Moment,
         ring: &PeerRing,
@@ -91,6 +91,15 @@
             let all = ring.peers().iter();
             sends.extend(all.map(|(_, to)| RegistrySend { to: *to, body: body.clone() }));
         }
+    }
+
+    /// Tells some hosts of the changes that were heard of since.
+    pub(crate) fn tell_news(
+        &mut self,
+        now: Moment,
+        ring: &PeerRing,
+        sends: &mut Vec<RegistrySend>,
+    ) {
         let mut news = std::mem::take(&mut self.news);
         news.retain(|aged| {
             let leaves = !aged.record.takes_work();
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -26,6 +26,13 @@
 const ROUND_FLOOR: Duration = Duration::from_millis(70);
 /// How long news waits for more, so that one message carries a burst.
 pub(crate) const NEWS_PAUSE: Duration = Duration::from_millis(5);
+/// The pause between two tellings of news, but for departures.
+///
+/// Every host hears each change from several others and passes it on to as many, so that a datagram
+/// for each change costs all hosts together more than anything else they do: after a loss of power,
+/// when all upstreams are news, small hosts were too busy with them to serve. News of a calm time
+/// goes at once; what follows within the pause goes together, a few hops later by as much each.
+const NEWS_GAP: Duration = Duration::from_millis(50);
 /// The pause between bursts of waiting messages.
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many waiting messages leave at once.
@@ -107,6 +114,8 @@
     /// Upstreams that said to this host that they leave; every host is told of them directly.
     pub(crate) departures: Vec<AgedRecord>,
     pub(crate) news_budget: f64,
+    /// When news may next be told.
+    next_news: Moment,
     pub(crate) pages: VecDeque<RegistrySend>,
     /// Messages to hosts that have just started; they don't wait behind others' pages.
     pub(crate) introductions: VecDeque<RegistrySend>,
@@ -140,6 +149,7 @@
             news: Vec::new(),
             departures: Vec::new(),
             news_budget: 0.0,
+            next_news: Moment::ZERO,
             pages: VecDeque::new(),
             introductions: VecDeque::new(),
             compared: vec![None; BUCKETS],
@@ -200,9 +210,12 @@
     pub fn next_wakeup(&self) -> Moment {
         let mut next = self.next_round.min(self.next_epoch);
         let has_introductions = !self.introductions.is_empty();
-        if !self.news.is_empty() || !self.departures.is_empty() || has_introductions {
+        if !self.departures.is_empty() || has_introductions {
             next = next.min(self.last_tick + NEWS_PAUSE);
         }
+        if !self.news.is_empty() {
+            next = next.min((self.last_tick + NEWS_PAUSE).max(self.next_news));
+        }
         if !self.pages.is_empty() {
             next = next.min(self.last_tick + PAGE_PAUSE);
         }
@@ -376,7 +389,11 @@
         let mut sends: Vec<RegistrySend> = self.pages.drain(..burst).collect();
         let burst = self.introductions.len().min(INTRODUCTIONS_PER_TICK);
         sends.extend(self.introductions.drain(..burst));
-        self.tell_news(now, ring, &mut sends);
+        self.tell_departures(now, ring, &mut sends);
+        if now >= self.next_news && !self.news.is_empty() {
+            self.tell_news(now, ring, &mut sends);
+            self.next_news = now + NEWS_GAP;
+        }
         self.told_round = None;
         if now >= self.next_round {
             self.tell_leases(now, ring, &mut sends);
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -38,6 +38,11 @@
 const SERVE_RATE: f64 = 64.0;
 /// How many requests for chunks may be answered in one burst.
 const SERVE_BURST: f64 = 128.0;
+/// The same for a host with a replica: all of an installation at the planned size.
+///
+/// When all hosts restart together every entry asks the replicas for the plan at one moment. Those
+/// that get no answer ask again a while later and refuse their callers until then.
+const REPLICA_BURST: f64 = 2_048.0;
 
 /// How a host stands towards the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +77,8 @@
     pub(super) rng: SmallRng,
     pub(super) nonce: u64,
     pub(super) asked: Option<Moment>,
+    /// Whether anybody has answered the last question.
+    pub(super) is_answered: bool,
     /// Whether a question of this process was answered, so that the shared time is known.
     pub(super) welcomed: bool,
     pub(super) lease: Option<PlanLease>,
@@ -109,6 +116,7 @@
             nonce: rng.random(),
             rng,
             asked: None,
+            is_answered: false,
             welcomed: false,
             lease: None,
             confirmations: VecDeque::new(),
@@ -191,7 +199,7 @@
             next = Moment::ZERO;
         }
         if !self.welcomed {
-            next = next.min(self.asked.map_or(Moment::ZERO, |asked| asked + START_PAUSE));
+            next = next.min(self.asked.map_or(Moment::ZERO, |asked| asked + self.ask_pause()));
         }
         if let Some(at) = self.fetch.as_ref().and_then(PlanFetch::next_wakeup) {
             next = next.min(at);
@@ -263,6 +271,9 @@
     /// Notes what this host's replica holds, to be told to hosts without a lease; `last_entry` is
     /// the latest version in the log, committed or not.
     pub fn set_replica(&mut self, replicas: ReplicaSet, last_entry: ConfigVersion) {
+        if self.replica.is_none() {
+            self.serve_budget = REPLICA_BURST;
+        }
         self.replica = Some(LogReport { replicas, last_entry });
     }
 
@@ -312,7 +323,8 @@
     /// Does what is due by now; the ring is that of the live hosts.
     pub fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<PlanSend> {
         let refill = now.since(self.last_tick).as_secs_f64() * SERVE_RATE;
-        self.serve_budget = (self.serve_budget + refill).min(SERVE_BURST);
+        let burst = if self.replica.is_some() { REPLICA_BURST } else { SERVE_BURST };
+        self.serve_budget = (self.serve_budget + refill).min(burst);
         self.last_tick = now;
         self.earlier.retain(|(until, _)| now < *until);
         let mut sends = self.answer_askers(now);
@@ -377,6 +389,7 @@
             }
             PlanContent::Answer { nonce, welcomed, lease, held, digest, replica } => {
                 if nonce == self.nonce {
+                    self.is_answered = true;
                     self.clock.adopt(now, time);
                     self.take_answer(now, from, replica);
                     self.welcomed |= welcomed;
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -34,14 +34,25 @@
         askers.into_iter().map(|(host, nonce)| self.answer(now, &host, nonce)).collect()
     }
 
+    /// The pause between two questions.
+    ///
+    /// Load it is for: hundreds of entries restart together, and all of them ask every replica until
+    /// one leads. Harm: asked by each of them ten times a second, replicas of half a core were busy
+    /// with nothing but that, and took three times as long to elect a leader. Reason for the limit:
+    /// who has answered once, tells as soon as it can, so that asking again soon is of use only as
+    /// long as nobody has.
+    pub(super) fn ask_pause(&self) -> Duration {
+        if self.welcomed || self.is_answered { ASK_PAUSE } else { START_PAUSE }
+    }
+
     /// Asks replicas and some peers while there is no lease.
     pub(super) fn ask_around(&mut self, now: Moment, ring: &PeerRing, sends: &mut Vec<PlanSend>) {
-        let pause = if self.welcomed { ASK_PAUSE } else { START_PAUSE };
-        let waiting = self.asked.is_some_and(|asked| now.since(asked) < pause);
+        let waiting = self.asked.is_some_and(|asked| now.since(asked) < self.ask_pause());
         if waiting || (self.welcomed && self.lease_holds(now)) {
             return;
         }
         self.asked = Some(now);
+        self.is_answered = false;
         self.nonce = self.rng.random();
         self.answers.retain(|_, (at, _)| now.since(*at) < ANSWER_TERM);
         let mut asked: Vec<HostId> = self.known_replicas();
--- a/crates/pulley_core/src/version/replica/replica_node.rs
+++ b/crates/pulley_core/src/version/replica/replica_node.rs
@@ -465,11 +465,15 @@
     }
 
     /// Lets another that has just started too ask first.
+    ///
+    /// What it has asked itself is void: on the answers it would stand for election beside the
+    /// other, each would vote for itself, and nobody would be elected until both give up.
     pub(crate) fn yield_election(&mut self, to: MemberId) {
         let is_asking =
             matches!(self.role, ReplicaRole::Follower | ReplicaRole::PreCandidate { .. });
         if to < self.me && is_asking && self.has_just_started() && self.yields < YIELD_LIMIT {
             self.yields += 1;
+            self.role = ReplicaRole::Follower;
             self.election_at = self.election_at.max(self.now + self.settings.heartbeat / 2);
         }
     }
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -6,6 +6,7 @@
 mod member_table_tests;
 mod network;
 mod plan_follower_tests;
+mod restart_tests;
 mod schedule_tests;
 mod upstream_directory_tests;
 mod upstream_registry_tests;
--- a/crates/pulleyd/tests/replica/failure_tests.rs
+++ b/crates/pulleyd/tests/replica/failure_tests.rs
@@ -307,3 +307,34 @@
     assert!(waits[50] < Duration::from_millis(60), "the median: {:?}", waits[50]);
     assert!(waits[95] < Duration::from_millis(500), "the slowest but four: {:?}", waits[95]);
 }
+
+// The same, but the last three replicas are back within a few milliseconds of each other and all of
+// them ask at once. Where each votes for itself nobody is elected, and callers wait for another
+// round: those that have just let another one ask first must not stand as well.
+#[test]
+fn replicas_that_start_together_do_not_split_their_votes() {
+    let mut waits = Vec::new();
+    for seed in 0..200 {
+        let mut cluster = FakeCluster::new(5, 9_000 + seed);
+        cluster.settle(&change("first", 0));
+        (0..5).for_each(|number| cluster.kill(number));
+        let order = |place: usize| (seed as usize + place * (1 + seed as usize % 4)) % 5;
+        cluster.start(order(0));
+        cluster.run(Duration::from_millis(150));
+        cluster.start(order(1));
+        cluster.run(Duration::from_millis(200 + seed % 50));
+        cluster.start(order(2));
+        let began = cluster.now;
+        cluster.run(Duration::from_millis(1 + seed % 7));
+        cluster.start(order(3));
+        cluster.run(Duration::from_millis(seed % 60));
+        if cluster.leader().is_none() {
+            cluster.start(order(4));
+            cluster.wait_for_leader();
+        }
+        waits.push(cluster.now.since(began));
+    }
+    waits.sort();
+    // A round that is split costs a heartbeat of 200 ms at least.
+    assert!(waits[199] < Duration::from_millis(200), "the slowest: {:?}", waits[199]);
+}
