Let requests that found their zone busy look in other zones by turns

Cause: a request that asks in every zone asked all upstreams of its own zone before any other's.

Ruled out: scarce probes (12 of 60 a second and upstream are used), upstreams that are slowed down (under 2 in 100 placements go to one that said so).

Change: in every zone's turn the own zone and the others take turns, those that have just said they are bad last.

--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -7,6 +7,7 @@
 
 use super::arrival_probes::{ProbeReading, SlotRoom, expected_cost, expected_queueing};
 use super::pool_scheduler::{LONGEST_RETRY, RunningRequest, SHORTEST_RETRY, WAIT_PART, refusal};
+use super::upstream_table::AskableUpstream;
 use super::{PoolScheduler, RefusalCause, RequestTicket, SchedulerEffects};
 use crate::process::{Moment, UpstreamId};
 
@@ -93,10 +94,10 @@
     /// Which upstreams to ask for a request, within the budget; none while requests wait here
     /// already, since theirs is the next slot.
     ///
-    /// Those of the own zone are asked first, and others only once all of those are asked: another
-    /// zone's answer is later, and its bytes are dear. Within a zone those of the entry's subset go
-    /// first, as it has connections to them; among them the choice is random, as two entries that
-    /// ask the same ones at the same moment would both choose the one that is idle.
+    /// A request looks in its own zone first: another zone's answer is later, and its bytes are dear.
+    /// Within a zone those of the entry's subset go first, as it has connections to them; among them
+    /// the choice is random, as two entries that ask the same ones at the same moment would both
+    /// choose the one that is idle.
     pub fn probe_targets(
         &mut self,
         now: Moment,
@@ -113,9 +114,7 @@
             open.retain(|upstream| !upstream.is_away);
         }
         open.shuffle(&mut self.rng);
-        open.sort_by_cached_key(|upstream| {
-            (upstream.is_away, self.was_bad(now, upstream.index), upstream.is_outside)
-        });
+        let open = self.in_turns(now, open);
         self.probes.fill(now);
         let most = if self.probes.is_ample() { question.wanted } else { SCARCE_WANTED };
         let count = self.probes.take(now, most.min(question.wanted).min(open.len()));
@@ -126,6 +125,29 @@
         targets.collect()
     }
 
+    /// Orders upstreams to ask: those that have just said that they are bad go last, and else the own
+    /// zone and the others take turns.
+    ///
+    /// Load it is for: one zone's callers ask more of its upstreams than other zones' do, in a rush or
+    /// all day. Harm: with all of the own zone before any other, requests never left a zone of eighty
+    /// upstreams that were all busy, and were refused while other zones had upstreams that stood
+    /// idle. Reason for the limit: a request comes here again only once some of the own zone were
+    /// asked in vain; half of its questions still go there, as bytes to other zones are dear.
+    fn in_turns(&self, now: Moment, open: Vec<AskableUpstream>) -> Vec<AskableUpstream> {
+        let mut ranked: Vec<(bool, AskableUpstream)> = open
+            .into_iter()
+            .map(|upstream| (self.was_bad(now, upstream.index), upstream))
+            .collect();
+        // Stable, so that the order within the subset stays the random one.
+        ranked.sort_by_key(|(was_bad, upstream)| (*was_bad, upstream.is_away, upstream.is_outside));
+        let groups = ranked.chunk_by(|(a, x), (b, y)| (a, x.is_away) == (b, y.is_away));
+        let turns = groups.flat_map(|group| group.iter().enumerate());
+        let mut turns: Vec<(usize, bool, AskableUpstream)> =
+            turns.map(|(turn, (was_bad, upstream))| (turn, *was_bad, *upstream)).collect();
+        turns.sort_by_key(|(turn, was_bad, upstream)| (*was_bad, *turn, upstream.is_away));
+        turns.into_iter().map(|(_, _, upstream)| upstream).collect()
+    }
+
     /// Whether an upstream has said within the last moments that it is slowed down or full.
     fn was_bad(&self, now: Moment, index: usize) -> bool {
         let slots = self.upstreams.at(index);
--- a/crates/pulley_core/tests/arrival_probes/subset_tests.rs
+++ b/crates/pulley_core/tests/arrival_probes/subset_tests.rs
@@ -151,3 +151,24 @@
         assert_eq!(ranked(&mut scheduler, now), ranked(&mut fresh, now), "seed {seed}");
     }
 }
+
+// Callers of one zone ask more of its forty upstreams than they can answer, while another zone's
+// stand idle. A request that has asked a few in its own zone in vain looks further; were it to ask
+// all forty before any other, it would be refused beside idle upstreams.
+#[test]
+fn a_request_that_found_its_zone_busy_looks_in_others_too() {
+    let own = (0..UPSTREAMS).map(|index| upstream(index, "a", 2));
+    let others = (UPSTREAMS..2 * UPSTREAMS).map(|index| upstream(index, "b", 2));
+    let records: Vec<_> = own.chain(others).collect();
+    let mut scheduler = entry(1, &records);
+    scheduler.set_probe_rate(100.0);
+    let now = Moment::ZERO + Duration::from_secs(1);
+    let is_away = |id: &UpstreamId| {
+        records.iter().any(|r| r.announcement.id == *id && r.announcement.zone.as_str() == "b")
+    };
+    let first = ask(&mut scheduler, now, &[], ProbeReach::OwnZone);
+    assert_eq!(first.iter().filter(|id| is_away(id)).count(), 0, "its own zone goes first");
+    let further = ask(&mut scheduler, now, &first, ProbeReach::EveryZone);
+    let away = further.iter().filter(|id| is_away(id)).count();
+    assert!((1..=2).contains(&away), "{away} of {} in another zone", further.len());
+}
