Ask again when the question before a recall was not taken

What is asked is now a small state of its own in pulley_core (RecallProof), and a question that was not taken is put again.

--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -30,8 +30,8 @@
 pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
 pub use registry::{
-    AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RegistryFault, RegistryResult,
-    RegistrySend, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory, UpstreamList,
+    AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RecallProof, RegistryFault,
+    RegistryResult, RegistrySend, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory, UpstreamList,
     UpstreamRegistry,
 };
 pub use upstream::{
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -3,6 +3,7 @@
 mod lease_bucket;
 mod lease_record;
 mod lease_table;
+mod recall_proof;
 mod registry_gossip;
 mod registry_message;
 mod shared_clock;
@@ -11,6 +12,7 @@
 mod upstream_registry;
 
 pub use lease_table::UPSTREAM_LIMIT;
+pub use recall_proof::RecallProof;
 pub use registry_message::{REGISTRY_BODY_LIMIT, RegistrySend};
 pub use upstream_directory::{DIRECTORY_LIMIT, UpstreamDirectory};
 pub use upstream_list::{UpstreamChange, UpstreamList};
--- a/crates/pulley_core/tests/members/upstream_directory_tests.rs
+++ b/crates/pulley_core/tests/members/upstream_directory_tests.rs
@@ -4,7 +4,8 @@
 
 use pulley_core::Moment;
 use pulley_core::process::{
-    Announcement, Incarnation, UpstreamDirectory, UpstreamPhase, UpstreamRegistry, UpstreamStart,
+    Announcement, Incarnation, RecallProof, UpstreamDirectory, UpstreamPhase, UpstreamRegistry,
+    UpstreamStart,
 };
 
 use crate::network::{Network, announcement};
@@ -111,3 +112,24 @@
     let (start, _) = registry.departure(&draining.id).unwrap();
     assert_eq!(start.incarnation, Incarnation(1));
 }
+
+/// So many questions wait for a leader when a replica starts that its own is not taken. Were it taken
+/// for asked, the replica would recall nothing, and callers would be refused until all upstreams have
+/// announced themselves again.
+#[test]
+fn a_recall_whose_question_was_not_taken_asks_again() {
+    let mut proof = RecallProof::default();
+    assert!(proof.is_wanted());
+    proof.begin_asking();
+    assert!(!proof.is_wanted());
+    proof.give_up_asking();
+    assert!(proof.is_wanted());
+    // An answer that came while the question was put goes before the word that it was not taken.
+    proof.begin_asking();
+    proof.take_answer(Some(7));
+    proof.give_up_asking();
+    assert!(!proof.holds_at(6));
+    assert!(proof.holds_at(7));
+    proof.take_answer(None);
+    assert!(proof.is_wanted());
+}
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -203,12 +203,15 @@
         self.ask(now, question, slot);
     }
 
-    pub(super) fn ask(&mut self, now: Moment, question: ReplicaQuestion, slot: AnswerSlot) {
+    /// Puts a question to the leader; returns whether it is on its way. One that is not was answered
+    /// as refused.
+    pub(super) fn ask(&mut self, now: Moment, question: ReplicaQuestion, slot: AnswerSlot) -> bool {
         let Some((number, routed)) = self.router.ask(now, question) else {
             slot.answer(ReplicaAnswer::Refused(ReplicaRefusal::Busy));
-            return;
+            return false;
         };
         self.answers.insert(number, slot);
         self.route(now, routed);
+        true
     }
 }
--- a/crates/pulleyd/src/process/upstream_recovery.rs
+++ b/crates/pulleyd/src/process/upstream_recovery.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use pulley_core::Moment;
-use pulley_core::process::{FastSet, HostId, MemberIncarnation, UpstreamDirectory, UpstreamStart};
+use pulley_core::process::{
+    FastSet, HostId, MemberIncarnation, RecallProof, UpstreamDirectory, UpstreamStart,
+};
 use pulley_core::version::{LogIndex, ReplicaAnswer, ReplicaQuestion};
 
 use super::control_answer::AnswerSlot;
@@ -18,18 +20,6 @@
 /// that the upstreams have announced themselves, and what lives is told by others.
 const RECALL_SPAN: Duration = Duration::from_secs(10);
 
-/// What a replica has to know before it recalls what its disk holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum DepartureProof {
-    /// Nobody was asked yet.
-    #[default]
-    Wanted,
-    /// The leader was asked.
-    Asked,
-    /// Who has applied this entry knows all departures that were acknowledged before this start.
-    Upto(LogIndex),
-}
-
 /// What became of the upstreams on a replica's disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RecallOutcome {
@@ -46,7 +36,7 @@
 pub(super) struct UpstreamRecovery {
     /// What its disk holds, until it may be told from what has left since.
     directory: Option<UpstreamDirectory>,
-    proof: DepartureProof,
+    proof: RecallProof,
     /// What became of it, until that is logged.
     outcome: Option<RecallOutcome>,
     /// Starts of entries that were told of the upstreams.
@@ -78,30 +68,26 @@
         else {
             return;
         };
-        match self.recovery.proof {
-            DepartureProof::Wanted => {
-                let leader = replica.leader();
-                if leader.is_some() {
-                    self.recovery.proof = DepartureProof::Asked;
-                    self.router.apply_leader(leader);
-                    self.ask(now, ReplicaQuestion::Applied, AnswerSlot::Applied);
-                }
-            }
-            DepartureProof::Upto(index) if replica.node().taken_index() >= index => {
-                self.recall_now(now);
+        let leader = replica.leader();
+        if self.recovery.proof.holds_at(replica.node().taken_index().0) {
+            self.recall_now(now);
+        } else if self.recovery.proof.is_wanted() && leader.is_some() {
+            self.recovery.proof.begin_asking();
+            self.router.apply_leader(leader);
+            if !self.ask(now, ReplicaQuestion::Applied, AnswerSlot::Applied) {
+                self.recovery.proof.give_up_asking();
             }
-            DepartureProof::Asked | DepartureProof::Upto(_) => {}
         }
     }
 
     /// Takes the leader's word on what is applied.
     pub(super) fn note_applied(&mut self, now: Moment, answer: &ReplicaAnswer) {
-        self.recovery.proof = match answer {
-            ReplicaAnswer::Applied(index) => DepartureProof::Upto(*index),
-            // Whoever leads next is asked.
-            _ => DepartureProof::Wanted,
+        let applied = match answer {
+            ReplicaAnswer::Applied(index) => Some(index.0),
+            _ => None,
         };
-        if matches!(self.recovery.proof, DepartureProof::Upto(_)) {
+        self.recovery.proof.take_answer(applied);
+        if applied.is_some() {
             self.recall_upstreams(now);
         }
     }
