--- a/crates/pulley_core/src/process/link_pacer.rs
+++ b/crates/pulley_core/src/process/link_pacer.rs
@@ -7,15 +7,12 @@
 /// The part of the link's rate that large answers may take, in percent.
 ///
 /// Load it is for: hosts whose link is slow, so that one large answer fills it for tenths of a
-/// second. Harm: whatever else comes in waits behind its bytes. On links of 2.2 Mbit/s, seven in
-/// ten of the answers that took over three times the usual were answered beside a large one, and
-/// questions to upstreams went unanswered for 150 ms, so that requests were refused beside free
-/// slots. Reason for the limit: on such a link an answer of 150 KB then takes 0.7 s instead of
-/// 0.5, which is still half of the 1.5 s in which such answers are wanted there.
+/// second. Harm: whatever else comes in waits behind its bytes: answers beside a large one come late,
+/// and questions to upstreams go unanswered, so that requests are refused beside free slots. Reason
+/// for the limit: a large answer takes a third longer by it, which its callers can spare.
 const LARGE_PERCENT: u64 = 75;
 
-/// Bytes of one answer that are not counted as large: what one read takes in, and 0.06 s of a link
-/// of 2.2 Mbit/s.
+/// Bytes of one answer that are not counted as large: what one read takes in.
 const SMALL_BYTES: u64 = 16 * 1_024;
 
 /// How far ahead of the pace bytes may be read. Timers are a millisecond coarse, and on a fast link
--- a/crates/pulley_core/src/process/registry/upstream_directory.rs
+++ b/crates/pulley_core/src/process/registry/upstream_directory.rs
@@ -10,8 +10,8 @@
 use super::shared_clock::LEASE_EPOCHS;
 use super::{Moment, RegistrySend, UpstreamRegistry, UpstreamStart};
 
-/// How large an encoded directory may be, in bytes: that of 2,400 upstreams with long names has
-/// about 300 KB.
+/// How large an encoded directory may be, in bytes: room for [`super::UPSTREAM_LIMIT`] upstreams with
+/// long names.
 pub const DIRECTORY_LIMIT: usize = 1 << 20;
 
 /// How many epochs of its lease a recalled upstream has left, if it does not announce itself. Of
@@ -19,8 +19,7 @@
 /// died meanwhile is asked in vain for no longer than any other that dies.
 const RECALLED_EPOCHS: u32 = LEASE_EPOCHS / 2;
 
-/// How many messages of introductions may wait: 60 entries and 54 messages each at the planned
-/// size.
+/// How many messages of introductions may wait: those to all entries of a zone at the planned size.
 const INTRODUCTION_LIMIT: usize = 4_096;
 
 /// What a replica knows at a moment of upstreams and hosts, to be written to its disk.
@@ -93,8 +92,8 @@
     ///
     /// Load it is for: all hosts restart together, or one comes back in a rush. Harm: by comparing
     /// tables with one host a round, an entry learns of its upstreams within a round or a few,
-    /// while its callers wait. Reason for the limit: an introduction is some fifty bytes an
-    /// upstream, and goes to entries of the own zone only, where bytes cost least.
+    /// while its callers wait. Reason for the limit: an introduction names every upstream, and goes to
+    /// entries of the own zone only, where bytes cost least.
     pub fn introduce(&mut self, now: Moment, to: SocketAddr) {
         let epoch = self.clock.epoch(now);
         let entries = self.table.buckets().iter().flat_map(LeaseBucket::entries);
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -37,8 +37,8 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(20);
 /// How many waiting messages leave at once.
 const PAGES_PER_TICK: usize = 8;
-/// How many messages of introductions leave at once: those of 1,200 upstreams to the 60 entries of
-/// a zone take a second, and 32 of them 1.5 ms of a link of 200 Mbit/s.
+/// How many messages of introductions leave at once: enough that a zone's entries are told within a
+/// second, few enough that they don't fill a replica's link.
 const INTRODUCTIONS_PER_TICK: usize = 32;
 /// How many slots one upstream may announce; more is a mistake in its settings.
 const SLOT_LIMIT: u32 = 10_000;
--- a/crates/pulley_core/src/request/arrival_probes.rs
+++ b/crates/pulley_core/src/request/arrival_probes.rs
@@ -13,8 +13,7 @@
 const LEAST_SAVED: f32 = 4.0;
 
 /// How much longer work is taken to need in the last slot of an upstream, in usual times, before
-/// answers have shown it. Upstreams of two slots were measured that took 253 ms then in place of
-/// 158.
+/// answers have shown it.
 const FIRST_FILLING: f32 = 0.6;
 
 /// The least it is taken to need: an upstream with more room is preferred, since whoever else
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -521,8 +521,8 @@
 
 /// The new row of each of a pool's rows of the old plan that is still there.
 ///
-/// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of 4,000
-/// rows held up the control thread for a second, and a leader lost its office over it.
+/// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of thousands
+/// of rows holds up the control thread for so long that a leader loses its lease.
 fn moved_rows(pool: &PoolName, old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
     let named: FastMap<_, usize> =
         rows_of(pool, new).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -25,8 +25,8 @@
 
 /// From how many times the promised time on a request counts as overdue, and by what its upstream
 /// then ranks behind others: three times the usual work is rarer than one in a thousand. It refuses
-/// nobody: where answers get lost on the way, every upstream soon has a request that is overdue,
-/// and with all of them passed over 437 requests of ten seconds were refused beside free slots.
+/// nobody: where answers get lost on the way, every upstream soon has a request that is overdue, and
+/// with all of them passed over requests would be refused beside free slots.
 const OVERDUE_TIMES: f32 = 3.0;
 const OVERDUE_COST: f32 = 2.0;
 
@@ -258,11 +258,11 @@
     /// would come late if its work were somewhat larger than usual.
     ///
     /// Load it is for: pools whose upstreams have few slots, in which the free slot of the own zone
-    /// is mostly beside a busy one. Harm: there work takes 1.6 times as long, and one answer in
-    /// fourteen missed a target of 2.5 usual times, while other zones had upstreams that stood
-    /// idle. Reason for the limit: half again the usual work is rarer than one in ten; what meets
-    /// its target then too needs nobody else asked, and another zone's bytes are dear. Once half of
-    /// the probes are used up they are kept for those that would else find no upstream at all.
+    /// is mostly beside a busy one. Harm: there work takes longer, and answers miss targets of a few
+    /// usual times while other zones have upstreams that stand idle. Reason for the limit: work
+    /// much larger than usual is rare; what meets its target then too needs nobody else asked, and
+    /// another zone's bytes are dear. Once half of the probes are used up they are kept for those
+    /// that would else find no upstream at all.
     #[must_use]
     pub fn is_risky(&self, now: Moment, ticket: &RequestTicket, readings: &[ProbeReading]) -> bool {
         let starts = self.best_cost(now, readings).is_some_and(|cost| cost <= WORTH_STARTING);
@@ -291,10 +291,10 @@
     ///
     /// Load it is for: many of a pool's upstreams are slowed down or full at this moment. Harm:
     /// work that starts in a spell keeps its slot for the whole factor, and work that queues comes
-    /// late and makes those behind it late; so a rush of three seconds left a pool of 14 with 49
-    /// requests a second unable to recover within 30 s, though it can answer over 80. Reason for
-    /// the limit: a slot that is free, even beside a busy one, is below it; a spell or a queue is
-    /// not, and both are over sooner than the work would be.
+    /// late and makes those behind it late; a rush of seconds then leaves a pool unable to recover for
+    /// many times as long, though it could answer more than is asked of it. Reason for the limit: a
+    /// slot that is free, even beside a busy one, is below it; a spell or a queue is not, and both
+    /// are over sooner than the work would be.
     fn is_kept(
         &self,
         now: Moment,
--- a/crates/pulley_core/src/request/start_wait.rs
+++ b/crates/pulley_core/src/request/start_wait.rs
@@ -4,9 +4,8 @@
 
 /// How long after its start a host is expected to learn the configuration and the upstreams.
 ///
-/// Three measured restarts of all hosts took 0.26 to 0.31 s, an election included; the rest is for
-/// the first announcements of upstreams. A host that knows nothing after this has lost touch, and its callers had better go
-/// elsewhere.
+/// That takes an election, where all hosts have restarted, and the first announcements of upstreams. A
+/// host that knows nothing after this has lost touch, and its callers had better go elsewhere.
 const START_SPAN: Duration = Duration::from_millis(800);
 
 /// The part of its remaining time that a request waits at most; the rest is for the work.
@@ -20,8 +19,7 @@
 ///
 /// Load it is for: all hosts restart together, and every caller comes back to them in the third of
 /// a second in which none is ready. Harm: refused at once, a caller that has one retry spends it
-/// there; of 304 requests in 0.3 s all were refused, most of them for good. Reason for the limit:
-/// the wait is short against the work where it helps, and none at all later, so that a host
+/// there, and most are refused for good. Reason for the limit: the wait is short against the work where it helps, and none at all later, so that a host
 /// that is cut off refuses at once.
 #[must_use]
 pub fn start_wait(uptime: Duration, left: Option<Duration>) -> Option<Duration> {
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -23,9 +23,9 @@
     /// Answers those who asked before this host could tell anything.
     ///
     /// Load it is for: all hosts restart together, and every entry asks the replicas until one
-    /// leads. Harm: told only when they asked the next time, entries had the configuration 0.02 to
-    /// 0.19 s after the leader, and refused their callers meanwhile. Reason for the limit: one
-    /// answer a host, to its last question, which is all that it takes for an answer.
+    /// leads. Harm: told only when they ask the next time, entries have the configuration that much
+    /// after the leader, and refuse their callers meanwhile. Reason for the limit: one answer a host,
+    /// to its last question, which is all that it takes for an answer.
     pub(super) fn answer_askers(&mut self, now: Moment) -> Vec<PlanSend> {
         if !self.has_askers() {
             return Vec::new();
@@ -37,10 +37,9 @@
     /// The pause between two questions.
     ///
     /// Load it is for: hundreds of entries restart together, and all of them ask every replica until
-    /// one leads. Harm: asked by each of them ten times a second, replicas of half a core were busy
-    /// with nothing but that, and took three times as long to elect a leader. Reason for the limit:
-    /// who has answered once, tells as soon as it can, so that asking again soon is of use only as
-    /// long as nobody has.
+    /// one leads. Harm: asked by each of them ten times a second, replicas are busy with little else
+    /// and elect a leader later. Reason for the limit: who has answered once tells as soon as it can,
+    /// so that asking again soon is of use only as long as nobody has.
     pub(super) fn ask_pause(&self) -> Duration {
         if self.welcomed || self.is_answered { ASK_PAUSE } else { START_PAUSE }
     }
--- a/crates/pulley_core/src/version/replica/replica_node.rs
+++ b/crates/pulley_core/src/version/replica/replica_node.rs
@@ -429,11 +429,9 @@
 
     /// Sets when it asks first after a start, and again while nobody leads: soon.
     ///
-    /// When all replicas restart at once nobody leads, and every host waits for a first leader:
-    /// 0.26 s of 0.31 s without service were this wait while it was one to three heartbeats, and
-    /// 0.05 to 0.13 s from the start of the third of five replicas while it was a quarter to
-    /// five quarters. Where there is a leader, the pre-vote keeps a replica that asks too
-    /// early from disturbing it.
+    /// When all replicas restart at once nobody leads, and every host waits for a first leader: a
+    /// wait of heartbeats would be most of the time without service. Where there is a leader, the
+    /// pre-vote keeps a replica that asks too early from disturbing it.
     fn begin_election(&mut self) {
         let pause = self.settings.heartbeat / START_PART;
         self.election_at = self.now + pause + self.random_part(pause);
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -37,9 +37,9 @@
 
 /// How long after an upstream's last request a spare connection to it is kept ready.
 ///
-/// A spare saves a growing load a millisecond. Kept for longer, twenty-nine entries with two
-/// requests a second each opened 3,870 connections for 2,523 requests in 32 s: each costs its
-/// upstream the same millisecond, and most were closed again unused.
+/// A spare saves a growing load a millisecond. Kept for longer, entries with few requests open more
+/// connections than they have requests: each costs its upstream the same millisecond, and most are
+/// closed again unused.
 const WARM_SPAN: Duration = Duration::from_millis(100);
 
 /// How long a connection given back may take to be ready again. It is ready within microseconds
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -249,10 +249,9 @@
 
 /// Bytes a second that counts may cost a host.
 ///
-/// Gossip takes about 3.5 KB/s of a host's 17 KB/s at 30 hosts, 6 at 100 and 11 at 1,000
-/// (MEASUREMENTS, gossip in virtual time). Counts that did not make room for it would take a large
-/// installation over its bound; with fewer bytes rounds are rarer, and entries compare fewer
-/// upstreams on older counts.
+/// Gossip takes more of a host's bytes the more hosts there are (docs/CAPACITY.md). Counts that did
+/// not make room for it would take a large installation over its bound; with fewer bytes rounds are
+/// rarer, and entries compare fewer upstreams on older counts.
 fn count_bytes(hosts: usize) -> u32 {
     const BYTES_A_HOST: u32 = 28;
     const LEAST: u32 = 3_000;
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -22,7 +22,7 @@
 const PROBE_WAIT: Duration = Duration::from_millis(40);
 
 /// How long they wait for others once one has said that it has room. What slows an upstream's work
-/// slows its word as well: waiting for all three, every other request lost 30 ms to hear that some
+/// slows its word as well: a request that waits for all loses most of that time to hear that some
 /// upstream is not to be chosen.
 const SETTLE_WAIT: Duration = Duration::from_millis(10);
 
