--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -296,6 +296,19 @@
     assert!(after >= 0.97, "{after:.3} after it");
 }
 
+// Forty upstreams of two slots in the callers' zone and forty in another, of which nobody else asks
+// anything; a rush of three seconds of more than the own zone can answer. Were a request to ask all
+// forty of its own zone before any other, callers would be refused or answered late beside idle
+// upstreams. Measured by this test: 0.435 of the answers of the rush in time before, 0.938 since.
+#[test]
+fn a_rush_in_one_zone_is_answered_by_others_too() {
+    let shape = PoolShape { upstreams: 40, away: 40, entries: 40, ..PoolShape::SLOWING };
+    let figures = NoisyPool::new(shape, true).play(150.0, 2.2);
+    let (rush, after) = (share(&figures[5..8]), share(&figures[9..30]));
+    assert!(rush >= 0.85, "{rush:.3} of the answers in time in the rush, {after:.3} after it");
+    assert!(after >= 0.90, "{after:.3} after it");
+}
+
 // Upstreams of three slots take no longer when their last slot is taken. Once answers have shown
 // that, a request is sent to one that is full and has one waiting, where it was kept before; and
 // where answers show the opposite it is still kept.
--- a/crates/pulley_core/tests/arrival_probes/noisy_pool.rs
+++ b/crates/pulley_core/tests/arrival_probes/noisy_pool.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolShape {
     pub(crate) upstreams: u16,
+    /// Upstreams in another zone than the entries', of which nobody else asks anything.
+    pub(crate) away: u16,
     pub(crate) slots: u32,
     pub(crate) entries: usize,
     /// The usual time of the work.
@@ -68,6 +70,7 @@
     /// Upstreams of two slots that slow down when they are full.
     pub(crate) const SLOWING: Self = Self {
         upstreams: 14,
+        away: 0,
         slots: 2,
         entries: 29,
         work: Duration::from_millis(153),
@@ -82,6 +85,7 @@
     /// Upstreams of three slots that do not.
     pub(crate) const STEADY: Self = Self {
         upstreams: 12,
+        away: 0,
         slots: 3,
         entries: 22,
         work: Duration::from_millis(88),
@@ -103,10 +107,12 @@
 
 impl NoisyPool {
     pub(crate) fn new(shape: PoolShape, asks: bool) -> Self {
-        let count = usize::from(shape.upstreams);
+        let all = shape.upstreams + shape.away;
+        let count = usize::from(all);
+        let zone = |index| if index < shape.upstreams { "a" } else { "b" };
         let records: Vec<_> =
-            (0..shape.upstreams).map(|index| upstream(index, "a", shape.slots)).collect();
-        let rate = 0.8 * shape.probes * f32::from(shape.upstreams) / shape.entries as f32;
+            (0..all).map(|index| upstream(index, zone(index), shape.slots)).collect();
+        let rate = 0.8 * shape.probes * f32::from(all) / shape.entries as f32;
         let entries = (0..shape.entries).map(|place| {
             let mut entry = entry_for(place as u64 + 1, &records, shape.target);
             entry.set_probe_rate(rate);
@@ -204,7 +210,10 @@
         let now = moment(at);
         let ticket = ticket_for(number, moment(begun), self.shape.target);
         let effects = if self.asks {
-            let wanted = ProbeQuestion { asked: &[], wanted: 4, reach: ProbeReach::EveryZone };
+            // It looks in its own zone first, and further when it asks again.
+            let is_first = self.shape.away > 0 && at == begun;
+            let reach = if is_first { ProbeReach::OwnZone } else { ProbeReach::EveryZone };
+            let wanted = ProbeQuestion { asked: &[], wanted: 4, reach };
             let targets = self.entries[entry].probe_targets(now, &ticket, &wanted);
             let ids: Vec<_> = targets.into_iter().map(|target| target.upstream).collect();
             let readings = self.readings(at, &ids);
