--- a/crates/pulleyctl/src/command_line.rs
+++ b/crates/pulleyctl/src/command_line.rs
@@ -15,6 +15,9 @@
 /// Time for a whole answer when the operator names none; a host itself gives up after 5 s.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// From when on an answer is late when the operator names no time.
+const DEFAULT_LATE: Duration = Duration::from_secs(1);
+
 /// Audit records shown when the operator names no limit.
 const DEFAULT_LIMIT: u32 = 50;
 
@@ -63,6 +66,12 @@
         id: String,
         files: Vec<PathBuf>,
     },
+    /// When and why requests were late or refused, by the log files of some hosts.
+    Summarize {
+        late: Duration,
+        as_csv: bool,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// A checked command line.
@@ -123,6 +132,8 @@
     sheet apply FILE       put a sheet in force (--expect, --change-id, --actor)
     sheet show             print the sheet in force
     explain ID FILE...     print what became of a request, from hosts' log files
+    summary FILE...        print late and refused requests by second, kind and cause, from
+                           hosts' log files (--late, --csv)
     status                 print what a host knows of the system
     upstreams              print the upstreams a host knows
     drain UPSTREAM         send an upstream no new work
@@ -150,6 +161,8 @@
     options.optopt("", "since", "audit: not before 2h ago, or 2026-12-02T08:00:00Z", "TIME");
     options.optopt("", "until", "audit: not after", "TIME");
     options.optopt("", "outcome", "audit: accepted, refused or member", "WORD");
+    options.optopt("", "late", "summary: answers that took longer are late (default 1s)", "TIME");
+    options.optflag("", "csv", "summary: print CSV");
     options.optopt("", "limit", "audit: most records (default 50)", "COUNT");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
@@ -178,6 +191,11 @@
                 id: id.to_owned(),
                 files: files.iter().map(PathBuf::from).collect(),
             }),
+            ["summary", ref files @ ..] if !files.is_empty() => Some(Command::Summarize {
+                late: self.duration("late").unwrap_or(DEFAULT_LATE),
+                as_csv: self.matches.opt_present("csv"),
+                files: files.iter().map(PathBuf::from).collect(),
+            }),
             ["replica", "list"] => Some(Command::ReplicaList),
             ["replica", "add", host] => self.parsed("replica add", host).map(Command::ReplicaAdd),
             ["replica", "remove", member] => {
--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use http::{Method, StatusCode};
 use pulley_core::process::ChangeId;
@@ -15,6 +16,7 @@
 use crate::command_line::{ApplyOrder, Command, CommandLine};
 use crate::exit_outcome::ExitOutcome;
 use crate::log_story::LogStory;
+use crate::log_summary::LogSummary;
 use crate::operator_client::{ClientFault, HostAnswer, OperatorClient};
 use crate::printed_form;
 
@@ -26,6 +28,9 @@
     if let Command::Explain { id, files } = &line.command {
         return explain(id, files);
     }
+    if let Command::Summarize { late, as_csv, files } = &line.command {
+        return summarize(*late, *as_csv, files);
+    }
     let key = match key_of(line.secret_file.as_deref()) {
         Ok(key) => key,
         Err(fault) => {
@@ -49,6 +54,7 @@
     match &line.command {
         Command::SheetCheck(file) => check_sheet(file, json),
         Command::Explain { id, files } => explain(id, files),
+        Command::Summarize { late, as_csv, files } => summarize(*late, *as_csv, files),
         Command::SheetApply(order) => apply_sheet(client, order, json).await,
         Command::SheetShow => {
             show(client, "/v1/sheet", json, |body| {
@@ -105,6 +111,28 @@
     }
 }
 
+fn summarize(late: Duration, as_csv: bool, files: &[PathBuf]) -> ExitOutcome {
+    let summary = match LogSummary::read(late, files) {
+        Ok(summary) => summary,
+        Err((file, error)) => return cannot_read(&file, &error),
+    };
+    if !as_csv {
+        print_line(&summary.printed());
+        return ExitOutcome::Done;
+    }
+    match summary.csv() {
+        Ok(text) => {
+            eprintln!("{}", summary.totals());
+            print_line(&text);
+            ExitOutcome::Done
+        }
+        Err(error) => {
+            eprintln!("not done; no CSV: {error}");
+            ExitOutcome::NotDone
+        }
+    }
+}
+
 // -----------------------------------------------------------------------------------------
 // Sheets
 
--- a/crates/pulleyctl/src/lib.rs
+++ b/crates/pulleyctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod exit_outcome;
 mod log_story;
+mod log_summary;
 mod operator_client;
 mod printed_form;
 
--- a/crates/pulleyctl/src/log_story.rs
+++ b/crates/pulleyctl/src/log_story.rs
@@ -72,19 +72,23 @@
 }
 
 fn read_line(file: &Path, line: &str) -> Option<LogLine> {
-    // A collector may have put something before the line.
-    let text = &line[line.find("ts=")?..];
+    let text = text_of(line)?;
     let at = humantime::parse_rfc3339(value_of(text, "ts")?).ok()?;
     Some(LogLine { at, file: file.to_owned(), text: text.to_owned() })
 }
 
+/// A line's text; a collector may have put something before it.
+pub(crate) fn text_of(line: &str) -> Option<&str> {
+    Some(&line[line.find("ts=")?..])
+}
+
 fn is_of_host(line: &str) -> bool {
     let event = value_of(line, "event").unwrap_or_default();
     !REQUEST_EVENTS.iter().any(|prefix| event.starts_with(prefix))
 }
 
 /// The value of a key, without quotes.
-fn value_of<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+pub(crate) fn value_of<'a>(line: &'a str, key: &str) -> Option<&'a str> {
     let pair = line.split(' ').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))?;
     Some(pair.trim_matches('"'))
 }
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -247,3 +247,50 @@
     assert_eq!(pulleyctl(&[], &["explain", "unknown", &one]).code, 1);
     assert_eq!(pulleyctl(&[], &["explain", "9c41"]).code, 2);
 }
+
+/// Many callers of an afternoon complain. The logs of all hosts are added up: in which second, for
+/// which kind and why answers were late or requests refused, with one request of each to follow, and
+/// how many lines could not be read.
+#[test]
+fn a_bad_afternoon_is_added_up_from_the_logs_of_many_hosts() {
+    let folder = TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).unwrap();
+        file.to_string_lossy().into_owned()
+    };
+    let one = write(
+        "entry-1.log",
+        "ts=2026-07-05T07:10:42.100Z event=request-answered upstream_us=700000 added_us=2000 slowdown=5 running=0 attempts=1 kind=check id=a1\n\
+         ts=2026-07-05T07:10:42.200Z event=request-answered upstream_us=100000 added_us=2000 slowdown=1 running=0 attempts=1 kind=check id=a2\n\
+         ts=2026-07-05T07:10:42.300Z event=request-refused kind=check cause=pool-busy id=a3\n\
+         ts=2026-07-05T07:10:42.400Z event=request-refused kind=check cause=pool-busy id=a4\n\
+         torn\n",
+    );
+    let two = write(
+        "entry-2.log",
+        "31.4 ts=2026-07-05T07:10:43.000Z event=request-answered upstream_us=200000 added_us=400000 slowdown=1 running=0 attempts=1 kind=check id=b1\n\
+         31.5 ts=2026-07-05T07:10:43.100Z event=request-answered upstream_us=600000 added_us=2000 slowdown=1 running=1 attempts=1 kind=check id=b2\n\
+         31.6 ts=2026-07-05T07:10:43.100Z event=listening\n",
+    );
+    let args = ["--late", "500ms", "--csv", "summary", &one, &two];
+    let outcome = pulleyctl(&[], &args);
+    assert_eq!(outcome.code, 0, "{}", outcome.err);
+    let rows: Vec<&str> = outcome.out.lines().collect();
+    assert_eq!(
+        rows,
+        [
+            "second,kind,outcome,cause,count,example",
+            "2026-07-05T07:10:42Z,check,late,upstream-slowed-down,1,a1",
+            "2026-07-05T07:10:42Z,check,refused,pool-busy,2,a3",
+            "2026-07-05T07:10:43Z,check,late,beside-other-work,1,b2",
+            "2026-07-05T07:10:43Z,check,late,kept-at-entry,1,b1",
+        ]
+    );
+    let totals = "8 lines, 1 unreadable; 4 answered, 3 of them late; 2 refused; 0 left out";
+    assert!(outcome.err.contains(totals), "{}", outcome.err);
+    let table = pulleyctl(&[], &["summary", &one, &two]);
+    assert!(table.out.contains("4 answered, 0 of them late; 2 refused"), "{}", table.out);
+    assert_eq!(pulleyctl(&[], &["summary"]).code, 2);
+    assert_eq!(pulleyctl(&[], &["summary", "/nowhere/entry.log"]).code, 2);
+}
