--- a/crates/pulley_bench/src/path/forwarder_way.rs
+++ b/crates/pulley_bench/src/path/forwarder_way.rs
@@ -87,6 +87,7 @@
         plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }),
         upstreams: known,
         readiness: HostReadiness::Ready,
+        evacuated: Arc::default(),
         live_entries: 1,
     })
 }
--- a/crates/pulley_bench/src/recovery/replica_cluster.rs
+++ b/crates/pulley_bench/src/recovery/replica_cluster.rs
@@ -182,7 +182,9 @@
                 let _ = self.answered.send((token, answer));
             }
             // Nobody asks for old audit records here.
-            DriverOutput::InForce(_) | DriverOutput::ReadAudit(_) => {}
+            DriverOutput::InForce(_)
+            | DriverOutput::ZonesInForce(_)
+            | DriverOutput::ReadAudit(_) => {}
         }
     }
 }
--- a/crates/pulley_core/src/process/registry/lease_table.rs
+++ b/crates/pulley_core/src/process/registry/lease_table.rs
@@ -9,6 +9,7 @@
 use super::shared_clock::LeaseEpoch;
 use super::{
     FastMap, PoolName, UpstreamChange, UpstreamId, UpstreamList, UpstreamRecord, UpstreamSequence,
+    ZoneName,
 };
 
 /// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
@@ -29,6 +30,8 @@
     pools: FastMap<PoolName, UpstreamList>,
     /// Upstreams that have changed since, each with the pool it belonged to.
     touched: FastMap<UpstreamId, PoolName>,
+    /// Zones whose upstreams get no work, in the order of their names.
+    evacuated: Vec<ZoneName>,
 }
 
 impl LeaseTable {
@@ -39,6 +42,7 @@
             changes: 0,
             pools: FastMap::default(),
             touched: FastMap::default(),
+            evacuated: Vec::new(),
         }
     }
 
@@ -62,6 +66,28 @@
         self.buckets.iter().fold(0, |all: u32, bucket| all.rotate_left(7) ^ bucket.digest())
     }
 
+    /// Whether new work may go to an upstream.
+    pub(crate) fn takes_work(&self, entry: &LeaseEntry, at: LeaseEpoch) -> bool {
+        entry.takes_work(at) && !self.is_evacuated(&entry.record.announcement.zone)
+    }
+
+    fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.evacuated.binary_search(zone).is_ok()
+    }
+
+    /// Takes over which zones' upstreams get no work; names are in order.
+    pub(crate) fn evacuate(&mut self, zones: &[ZoneName]) {
+        let before = std::mem::replace(&mut self.evacuated, zones.to_vec());
+        let is_in = |zones: &[ZoneName], zone| zones.binary_search(zone).is_ok();
+        for entry in self.buckets.iter().flat_map(LeaseBucket::entries) {
+            let zone = &entry.record.announcement.zone;
+            if is_in(&before, zone) != is_in(zones, zone) {
+                self.changes += 1;
+                touch(&mut self.touched, entry);
+            }
+        }
+    }
+
     /// Notes that an upstream was heard from directly.
     pub(crate) fn renew(&mut self, id: &UpstreamId, at: LeaseEpoch, heard: UpstreamSequence) {
         let Some(entry) = self.buckets[LeaseBucket::place(id)].lease_mut(id) else {
@@ -180,7 +206,7 @@
     pub(crate) fn pool_records(&self, now: LeaseEpoch) -> FastMap<PoolName, UpstreamList> {
         let mut pools: FastMap<PoolName, Vec<UpstreamRecord>> = FastMap::default();
         for entry in self.buckets.iter().flat_map(LeaseBucket::entries) {
-            let record = shown(entry, now);
+            let record = self.shown(entry, now);
             pools.entry(record.announcement.pool.clone()).or_default().push(record);
         }
         pools.into_iter().map(|(pool, records)| (pool, UpstreamList::from(records))).collect()
@@ -190,7 +216,7 @@
     pub(crate) fn pools(&mut self, now: LeaseEpoch) -> &FastMap<PoolName, UpstreamList> {
         let mut changes: FastMap<PoolName, Vec<UpstreamChange>> = FastMap::default();
         for (id, pool) in std::mem::take(&mut self.touched) {
-            let record = self.find(&id).map(|entry| shown(entry, now));
+            let record = self.find(&id).map(|entry| self.shown(entry, now));
             // Its id may stand for an upstream of another pool now.
             if record.as_ref().is_none_or(|record| record.announcement.pool != pool) {
                 let removed = UpstreamChange::Removed(id);
@@ -227,6 +253,12 @@
             .then_some(entry.record.announcement.address)
     }
 
+    /// What the traffic side is shown of an upstream.
+    fn shown(&self, entry: &LeaseEntry, now: LeaseEpoch) -> UpstreamRecord {
+        let announcement = entry.record.announcement.clone();
+        UpstreamRecord { announcement, takes_work: self.takes_work(entry, now) }
+    }
+
     fn admit(&mut self, now: LeaseEpoch, record: LeaseRecord, renewed: LeaseEpoch) -> bool {
         if renewed.age(now) >= RETENTION_EPOCHS || !self.has_room(renewed) {
             return false;
@@ -259,12 +291,6 @@
     }
 }
 
-/// What the traffic side is shown of an upstream.
-fn shown(entry: &LeaseEntry, now: LeaseEpoch) -> UpstreamRecord {
-    let announcement = entry.record.announcement.clone();
-    UpstreamRecord { announcement, takes_work: entry.takes_work(now) }
-}
-
 /// Notes that an upstream is to be shown anew. The pool it was last shown in is the one kept, so
 /// that it is taken out there when it has moved.
 fn touch(touched: &mut FastMap<UpstreamId, PoolName>, entry: &LeaseEntry) {
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -23,5 +23,5 @@
 use super::members::encoded;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, UpstreamId, UpstreamPhase,
-    UpstreamRecord, UpstreamSequence, UpstreamStart,
+    UpstreamRecord, UpstreamSequence, UpstreamStart, ZoneName,
 };
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -14,7 +14,7 @@
 use super::shared_clock::SharedClock;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
-    UpstreamList, UpstreamPhase, UpstreamStart,
+    UpstreamList, UpstreamPhase, UpstreamStart, ZoneName,
 };
 
 /// The part of a lease in which news reaches all hosts on its way round the ring. With the time
@@ -202,7 +202,7 @@
     #[must_use]
     pub fn takes_work(&self, now: Moment, id: &UpstreamId) -> bool {
         let epoch = self.clock.epoch(now);
-        self.table.find(id).is_some_and(|entry| entry.takes_work(epoch))
+        self.table.find(id).is_some_and(|entry| self.table.takes_work(entry, epoch))
     }
 
     /// When [`Self::tick`] next has something to do.
@@ -231,6 +231,12 @@
         Some((entry.record.start(), Bytes::from(record)))
     }
 
+    /// Takes over which zones are evacuated, in the order of their names: their upstreams are shown
+    /// as taking no work, whatever they announce and whenever they come.
+    pub fn evacuate(&mut self, zones: &[ZoneName]) {
+        self.table.evacuate(zones);
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Announcements and drains
 
--- a/crates/pulley_core/src/version/configuration_machine.rs
+++ b/crates/pulley_core/src/version/configuration_machine.rs
@@ -10,7 +10,7 @@
 use super::plan_diff::plan_diff;
 use super::{
     AuditChunk, AuditFilter, AuditRecord, AuditTrail, ChangeAnswer, ChangeRefusal, ConfigVersion,
-    LogIndex, StoredChange, StoredPlan,
+    LogIndex, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
 };
 use crate::process::{ActorName, ChangeId, FastMap};
 
@@ -69,6 +69,34 @@
         });
     }
 
+    /// Notes what became of an order for a zone in the audit trail.
+    pub(crate) fn note_zone(&mut self, index: LogIndex, order: &ZoneOrder, answer: &ZoneAnswer) {
+        let version = self.current.version;
+        let fault = match answer {
+            ZoneAnswer::Accepted { .. } => None,
+            ZoneAnswer::Overtaken { .. } => Some("another order came before"),
+            ZoneAnswer::TooMany => Some("too many zones are evacuated"),
+            ZoneAnswer::ChangeIdReused => Some("the change id stands for another order"),
+        };
+        let (outcome, answer) = match fault {
+            None => (SmolStr::new_static("zone"), ChangeAnswer::Accepted { version }),
+            Some(_) => {
+                (SmolStr::new_static("refused"), ChangeAnswer::Superseded { current: version })
+            }
+        };
+        let fault = fault.map(|fault| format!(", not done: {fault}")).unwrap_or_default();
+        self.audit.push(AuditRecord {
+            index: index.0,
+            unix_ms: order.received_unix_ms,
+            actor: order.actor.clone(),
+            change_id: order.change_id.clone(),
+            base: version,
+            diff: format!("zone {} {}{fault}", order.zone, order.zone_use),
+            outcome,
+            answer,
+        });
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn current(&self) -> &Arc<StoredPlan> {
--- a/crates/pulley_core/src/version/follower/mod.rs
+++ b/crates/pulley_core/src/version/follower/mod.rs
@@ -8,4 +8,4 @@
 pub use plan_follower::{PlanFollower, PlanStanding};
 pub use plan_follower_message::{PlanDigest, PlanSend, ReplicaSet};
 
-use super::{ConfigVersion, StoredPlan};
+use super::{ConfigVersion, EvacuatedZones, LogIndex, StoredPlan};
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -9,7 +9,7 @@
 
 use super::plan_follower_fetch::{FetchStep, PlanFetch};
 use super::plan_follower_message::{HeldPlan, LogReport, PlanContent, PlanLease, PlanMessage};
-use super::{ConfigVersion, PlanSend, ReplicaSet, StoredPlan};
+use super::{ConfigVersion, EvacuatedZones, LogIndex, PlanSend, ReplicaSet, StoredPlan};
 use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock, SharedTime};
 
 /// The time in which a lease reaches all hosts on its way round the ring.
@@ -85,6 +85,8 @@
     /// When each of the last versions was confirmed to be the latest, for the last time heard of.
     confirmations: VecDeque<(ConfigVersion, SharedTime)>,
     pub(super) held: Option<HeldPlan>,
+    /// The newest orders for zones heard of; always committed.
+    pub(super) evacuated: Arc<EvacuatedZones>,
     /// Plans held before, for hosts that have begun to fetch them, and until when.
     earlier: VecDeque<(Moment, HeldPlan)>,
     fetch: Option<PlanFetch>,
@@ -121,6 +123,7 @@
             lease: None,
             confirmations: VecDeque::new(),
             held: None,
+            evacuated: Arc::default(),
             earlier: VecDeque::new(),
             fetch: None,
             replica: None,
@@ -163,6 +166,13 @@
         self.held.as_ref().map_or(ConfigVersion::default(), |held| held.plan.version)
     }
 
+    /// The zones that are evacuated, as far as this host has heard; orders are never taken back by
+    /// earlier ones. Whether it has heard of all is what [`Self::standing`] tells.
+    #[must_use]
+    pub fn evacuated(&self) -> &Arc<EvacuatedZones> {
+        &self.evacuated
+    }
+
     /// How the host stands now.
     #[must_use]
     pub fn standing(&self, now: Moment) -> PlanStanding {
@@ -233,7 +243,8 @@
         }
     }
 
-    /// Whether a majority of replicas says that nothing past a version is in its logs.
+    /// Whether a majority of replicas says that nothing past a version, and no order for a zone past
+    /// those heard of, is in its logs.
     ///
     /// What was accepted is in the logs of a majority, and any two majorities share a replica: if
     /// none of a majority holds an entry past the version, none was accepted. An entry that is
@@ -255,7 +266,9 @@
             .map(|(_, answer)| answer)
             .collect();
         answers.len() >= latest.majority()
-            && answers.iter().all(|answer| answer.last_entry <= version)
+            && answers.iter().all(|answer| {
+                answer.last_entry <= version && answer.last_order <= self.evacuated.revision
+            })
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -268,13 +281,23 @@
         }
     }
 
+    /// Takes over orders for zones that this host's own replica knows to be committed.
+    pub fn committed_zones(&mut self, zones: &Arc<EvacuatedZones>) {
+        self.take_zones(zones);
+    }
+
     /// Notes what this host's replica holds, to be told to hosts without a lease; `last_entry` is
-    /// the latest version in the log, committed or not.
-    pub fn set_replica(&mut self, replicas: ReplicaSet, last_entry: ConfigVersion) {
+    /// the latest version in the log and `last_order` the latest order for a zone, committed or not.
+    pub fn set_replica(
+        &mut self,
+        replicas: ReplicaSet,
+        last_entry: ConfigVersion,
+        last_order: LogIndex,
+    ) {
         if self.replica.is_none() {
             self.serve_budget = REPLICA_BURST;
         }
-        self.replica = Some(LogReport { replicas, last_entry });
+        self.replica = Some(LogReport { replicas, last_entry, last_order });
     }
 
     /// Notes that this host has no replica any more.
@@ -289,7 +312,8 @@
     }
 
     /// Issues a lease as the leader. `confirmed` is when the round of heartbeats began that a
-    /// majority has answered; the version in force here must be all that was committed by then.
+    /// majority has answered; the version and the zones in force here must be all that was committed
+    /// by then.
     pub fn lead(&mut self, term: u64, replicas: ReplicaSet, confirmed: Moment) {
         let held = self.held.get_or_insert_with(|| HeldPlan::new(Arc::default()));
         let lease = PlanLease {
@@ -357,7 +381,8 @@
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
         let held = self.version();
         let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
-        Some(self.send(now, to, PlanContent::Lease { lease, held, digest }))
+        let evacuated = Arc::clone(&self.evacuated);
+        Some(self.send(now, to, PlanContent::Lease { lease, held, digest, evacuated }))
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -374,7 +399,8 @@
             self.clock.adopt(now, time);
         }
         match content {
-            PlanContent::Lease { lease, held, digest } => {
+            PlanContent::Lease { lease, held, digest, evacuated } => {
+                self.take_zones(&evacuated);
                 if self.welcomed {
                     self.take_lease(now, lease, Some((from, held)));
                     self.take_committed(now, from, (held, digest));
@@ -387,7 +413,8 @@
                 }
                 return vec![self.answer(now, from, nonce)];
             }
-            PlanContent::Answer { nonce, welcomed, lease, held, digest, replica } => {
+            PlanContent::Answer { nonce, welcomed, lease, held, digest, replica, evacuated } => {
+                self.take_zones(&evacuated);
                 if nonce == self.nonce {
                     self.is_answered = true;
                     self.clock.adopt(now, time);
@@ -422,6 +449,18 @@
         PlanSend { to, body: PlanMessage::pack(self.clock.read(now), content) }
     }
 
+    /// Takes over orders for zones if they are newer than those known.
+    ///
+    /// They go along with every lease, and whoever sends one knows of all orders that were committed
+    /// when it was issued. A host that holds a lease therefore has no upstream of a zone in use whose
+    /// evacuation was acknowledged before.
+    fn take_zones(&mut self, zones: &Arc<EvacuatedZones>) {
+        if zones.revision > self.evacuated.revision {
+            self.evacuated = Arc::clone(zones);
+            self.flood = true;
+        }
+    }
+
     /// Takes in a lease if it is the freshest.
     fn take_lease(
         &mut self,
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -1,5 +1,6 @@
 //! How a host asks others for the configuration while it has no lease, and answers those who ask.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -84,7 +85,9 @@
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now));
         let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
         let (welcomed, held, replica) = (self.welcomed, self.version(), self.replica.clone());
-        let answer = PlanContent::Answer { nonce, welcomed, lease, held, digest, replica };
+        let evacuated = Arc::clone(&self.evacuated);
+        let answer =
+            PlanContent::Answer { nonce, welcomed, lease, held, digest, replica, evacuated };
         self.send(now, to.clone(), answer)
     }
 
--- a/crates/pulley_core/src/version/follower/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use super::{ConfigVersion, StoredPlan};
+use super::{ConfigVersion, EvacuatedZones, LogIndex, StoredPlan};
 use crate::process::{HostId, MEMBER_BODY_LIMIT, SharedTime};
 
 /// How many bytes of a plan go into one message.
@@ -80,13 +80,21 @@
     pub(crate) replicas: ReplicaSet,
     /// The latest version in its log, committed or not.
     pub(crate) last_entry: ConfigVersion,
+    /// The latest order for a zone in its log, committed or not.
+    pub(crate) last_order: LogIndex,
 }
 
 /// What a message says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PlanContent {
-    /// The freshest lease known, and the version that the sender can pass on.
-    Lease { lease: PlanLease, held: ConfigVersion, digest: PlanDigest },
+    /// The freshest lease known, the version that the sender can pass on, and the zones that are
+    /// evacuated as far as the sender knows: at least as new as the lease.
+    Lease {
+        lease: PlanLease,
+        held: ConfigVersion,
+        digest: PlanDigest,
+        evacuated: Arc<EvacuatedZones>,
+    },
     /// Asks for a lease; the nonce shows that the answer is no older than the question.
     Ask { nonce: u64 },
     /// Answers, with what the sender holds and, if it is a replica, what its log says.
@@ -98,6 +106,7 @@
         held: ConfigVersion,
         digest: PlanDigest,
         replica: Option<LogReport>,
+        evacuated: Arc<EvacuatedZones>,
     },
     /// Asks for some chunks of a plan.
     Fetch { version: ConfigVersion, digest: PlanDigest, first: u32, count: u32 },
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -5,6 +5,7 @@
 mod change;
 mod configuration_machine;
 mod departure_machine;
+mod evacuation_machine;
 mod follower;
 mod ledger_machine;
 mod plan_diff;
@@ -13,6 +14,7 @@
 mod sequence_edit;
 mod sheet;
 mod stored_change;
+mod zone_order;
 
 pub use audit_archive::{AuditMessage, AuditRead};
 pub use audit_trail::{AUDIT_ANSWER_LIMIT, AUDIT_CHUNK, AUDIT_KEPT, AuditChunk, AuditTrail};
@@ -21,6 +23,7 @@
 };
 pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
 pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
+pub use evacuation_machine::{EVACUATED_LIMIT, EvacuationMachine};
 pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
@@ -42,3 +45,4 @@
     SheetUpload, SheetView, WorkLength,
 };
 pub use stored_change::{ChangeContent, StoredChange};
+pub use zone_order::{EvacuatedZones, ZoneAnswer, ZoneOrder, ZoneUpload, ZoneUse, ZoneUseFault};
--- a/crates/pulley_core/src/version/replica/driver_message.rs
+++ b/crates/pulley_core/src/version/replica/driver_message.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    AuditRead, AuditRecord, ConfigVersion, LogIndex, PersistBatch, PersistTicket, ReplicaAnswer,
-    ReplicaMember, ReplicaQuestion, StoredPlan, Term,
+    AuditRead, AuditRecord, ConfigVersion, EvacuatedZones, LogIndex, PersistBatch, PersistTicket,
+    ReplicaAnswer, ReplicaMember, ReplicaQuestion, StoredPlan, Term,
 };
 use crate::process::{HostId, MemberId};
 
@@ -77,6 +77,8 @@
     },
     /// A configuration is accepted and applies from now on.
     InForce(Arc<StoredPlan>),
+    /// These zones are evacuated from now on, and no others.
+    ZonesInForce(Arc<EvacuatedZones>),
 }
 
 /// How a replica is doing, for `pulleyctl status` and `pulleyctl replica list`.
--- a/crates/pulley_core/src/version/replica/driver_question.rs
+++ b/crates/pulley_core/src/version/replica/driver_question.rs
@@ -33,7 +33,10 @@
             return;
         }
         match question {
-            ReplicaQuestion::CurrentPlan | ReplicaQuestion::Applied | ReplicaQuestion::Audit(_) => {
+            ReplicaQuestion::CurrentPlan
+            | ReplicaQuestion::Applied
+            | ReplicaQuestion::EvacuatedZones
+            | ReplicaQuestion::Audit(_) => {
                 self.begin_read(now, token, question);
             }
             // Upstreams repeat that they leave until they are gone: one entry of the log is enough.
@@ -45,6 +48,9 @@
             ReplicaQuestion::Departure { start, .. } => {
                 self.append(now, token, LogCommand::Departure(start));
             }
+            ReplicaQuestion::OrderZone(order) => {
+                self.append(now, token, LogCommand::Zone(Box::new(order)));
+            }
             ReplicaQuestion::Apply(request) => {
                 let change = StoredChange::new(request, self.machines.configuration.current());
                 self.append(now, token, LogCommand::Change(Box::new(change)));
@@ -80,6 +86,9 @@
             }
             ReplicaQuestion::Departure { .. } => ReplicaAnswer::Done,
             ReplicaQuestion::Applied => ReplicaAnswer::Applied(self.node.taken_index()),
+            ReplicaQuestion::EvacuatedZones => {
+                ReplicaAnswer::Zones((**self.machines.evacuations.evacuated()).clone())
+            }
             _ => ReplicaAnswer::Plan((**self.machines.configuration.current()).clone()),
         };
         self.push_answer(waiting.token, answer);
@@ -190,5 +199,6 @@
             ReplicaAnswer::Refused(ReplicaRefusal::StaleToken)
         }
         MachineOutcome::Members(members) => ReplicaAnswer::Members(members),
+        MachineOutcome::Zone(answer) => ReplicaAnswer::Zone(answer),
     }
 }
--- a/crates/pulley_core/src/version/replica/log_entry.rs
+++ b/crates/pulley_core/src/version/replica/log_entry.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{LedgerCommand, LogIndex, LogTime, ReplicaMembership, StoredChange, Term};
+use super::{LedgerCommand, LogIndex, LogTime, ReplicaMembership, StoredChange, Term, ZoneOrder};
 use crate::process::{ActorName, UpstreamStart};
 
 /// Fixed part of an entry's size estimate, in bytes.
@@ -30,6 +30,8 @@
     Ledger(LedgerCommand),
     /// A start of an upstream has left.
     Departure(UpstreamStart),
+    /// An operator's order for a zone.
+    Zone(Box<ZoneOrder>),
 }
 
 /// One entry of the replicated log.
@@ -58,6 +60,9 @@
                 LogCommand::Change(change) => change.weight(),
                 LogCommand::Ledger(command) => command.weight(),
                 LogCommand::Departure(start) => start.id.as_str().len(),
+                LogCommand::Zone(order) => {
+                    order.change_id.as_str().len() + order.zone.as_str().len() + ENTRY_OVERHEAD
+                }
             }
     }
 }
--- a/crates/pulley_core/src/version/replica/mod.rs
+++ b/crates/pulley_core/src/version/replica/mod.rs
@@ -45,6 +45,7 @@
 use super::audit_archive::AuditArchive;
 use super::{
     AuditChunk, AuditFilter, AuditMessage, AuditRead, AuditRecord, ChangeAnswer, ChangeRequest,
-    ConfigVersion, ConfigurationMachine, DepartureMachine, KeyDigest, LedgerCommand, LedgerLimits,
-    LedgerMachine, LedgerOutcome, RequestDigest, StoredChange, StoredPlan,
+    ConfigVersion, ConfigurationMachine, DepartureMachine, EvacuatedZones, EvacuationMachine,
+    KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
+    StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
 };
--- a/crates/pulley_core/src/version/replica/replica_driver.rs
+++ b/crates/pulley_core/src/version/replica/replica_driver.rs
@@ -11,9 +11,10 @@
 use super::driver_founding::RejoinQuest;
 use super::driver_question::{WaitingQuestion, WaitingRead};
 use super::{
-    DiskId, DriverInput, DriverOutput, LogCommand, LogEntry, LogIndex, MachineOutcome, NodeEffects,
-    PeerMessage, RecoveredState, ReplicaAnswer, ReplicaEnvelope, ReplicaIdentity, ReplicaMachines,
-    ReplicaNode, ReplicaQuestion, ReplicaSettings, ReplicaSnapshot, ReplicaStatus,
+    ConfigVersion, DiskId, DriverInput, DriverOutput, LogCommand, LogEntry, LogIndex,
+    MachineOutcome, NodeEffects, PeerMessage, RecoveredState, ReplicaAnswer, ReplicaEnvelope,
+    ReplicaIdentity, ReplicaMachines, ReplicaNode, ReplicaQuestion, ReplicaSettings,
+    ReplicaSnapshot, ReplicaStatus,
 };
 use crate::process::{FastMap, HostId, MemberId, Moment};
 
@@ -297,7 +298,7 @@
         }
     }
 
-    /// Announces the version in force, once all that this replica held at its start is decided.
+    /// Announces the version in force and the evacuated zones, once all that this replica held at its start is decided.
     ///
     /// Just after a restart the replica replays its log and passes versions older than the one it
     /// had in force before; announcing them would let the host's version go down.
@@ -311,6 +312,8 @@
         self.recovered_last = LogIndex::default();
         let plan = self.machines.configuration.current().clone();
         self.outputs.push(DriverOutput::InForce(plan));
+        let zones = self.machines.evacuations.evacuated().clone();
+        self.outputs.push(DriverOutput::ZonesInForce(zones));
     }
 
     fn carry_out(&mut self, effects: NodeEffects) {
@@ -359,15 +362,19 @@
     }
 
     fn apply(&mut self, entry: &LogEntry) {
-        let before = self.machines.configuration.version();
+        let before = self.in_force();
         let outcome = self.machines.apply(entry);
         self.applied_weight += entry.weight();
-        if self.machines.configuration.version() > before {
-            self.in_force_due = true;
-        }
+        self.in_force_due |= self.in_force() > before;
         self.answer_waiting(entry, outcome);
     }
 
+    /// What the state machines hold that hosts are to have in force.
+    fn in_force(&self) -> (ConfigVersion, LogIndex) {
+        let machines = &self.machines;
+        (machines.configuration.version(), machines.evacuations.evacuated().revision)
+    }
+
     fn answer_waiting(&mut self, entry: &LogEntry, outcome: MachineOutcome) {
         let Some(waiting) = self.waiting.remove(&entry.index) else { return };
         let answer = if waiting.term == entry.term {
--- a/crates/pulley_core/src/version/replica/replica_machines.rs
+++ b/crates/pulley_core/src/version/replica/replica_machines.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ChangeAnswer, ConfigurationMachine, DepartureMachine, LedgerMachine, LedgerOutcome, LogCommand,
-    LogEntry, ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
+    ChangeAnswer, ConfigurationMachine, DepartureMachine, EvacuationMachine, LedgerMachine,
+    LedgerOutcome, LogCommand, LogEntry, ReplicaMembership, ReplicaSnapshot, SnapshotPlace,
+    ZoneAnswer,
 };
 
 /// What an entry brought about.
@@ -21,6 +22,8 @@
     Ledger(LedgerOutcome),
     /// The membership is this.
     Members(ReplicaMembership),
+    /// An order for a zone was decided.
+    Zone(ZoneAnswer),
 }
 
 /// The state machines that every replica runs over the one log.
@@ -32,21 +35,27 @@
     pub ledger: LedgerMachine,
     /// The upstreams that have left.
     pub departures: DepartureMachine,
+    /// The zones that operators have emptied.
+    pub evacuations: EvacuationMachine,
 }
 
 impl ReplicaMachines {
-    /// Reads the machines from a snapshot, which may hold no departures yet.
+    /// Reads the machines from a snapshot, which may hold no departures or evacuations yet.
     ///
     /// # Errors
     /// If the snapshot's state is not one that this release or the one before has written.
     pub fn restore(snapshot: &ReplicaSnapshot) -> postcard::Result<Self> {
         let (configuration, rest) = postcard::take_from_bytes(&snapshot.state)?;
         let (ledger, rest) = postcard::take_from_bytes(rest)?;
-        let departures = match rest {
-            [] => DepartureMachine::default(),
+        let (departures, rest) = match rest {
+            [] => (DepartureMachine::default(), rest),
+            rest => postcard::take_from_bytes(rest)?,
+        };
+        let evacuations = match rest {
+            [] => EvacuationMachine::default(),
             rest => postcard::from_bytes(rest)?,
         };
-        Ok(Self { configuration, ledger, departures })
+        Ok(Self { configuration, ledger, departures, evacuations })
     }
 
     /// Makes a snapshot of the machines.
@@ -76,6 +85,11 @@
                 self.departures.apply(entry.index, start);
                 MachineOutcome::Nothing
             }
+            LogCommand::Zone(order) => {
+                let answer = self.evacuations.apply(entry.index, order);
+                self.configuration.note_zone(entry.index, order, &answer);
+                MachineOutcome::Zone(answer)
+            }
         }
     }
 }
--- a/crates/pulley_core/src/version/replica/replica_question.rs
+++ b/crates/pulley_core/src/version/replica/replica_question.rs
@@ -5,7 +5,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, LogIndex, ReplicaMembership, StoredPlan,
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, LogIndex,
+    ReplicaMembership, StoredPlan, ZoneAnswer, ZoneOrder,
 };
 use crate::process::{HostId, MemberId, UpstreamStart};
 
@@ -101,6 +102,10 @@
         /// What to tell the hosts; see `UpstreamRegistry::departure`.
         record: Bytes,
     },
+    /// An operator's order for a zone.
+    OrderZone(ZoneOrder),
+    /// The zones that a quorum confirms to be evacuated.
+    EvacuatedZones,
 }
 
 /// Why the leader refused; refused always means not done.
@@ -159,4 +164,8 @@
     Audit(Vec<AuditRecord>),
     /// The membership after a change of it.
     Members(ReplicaMembership),
+    /// What became of an order for a zone.
+    Zone(ZoneAnswer),
+    /// The zones that are evacuated.
+    Zones(EvacuatedZones),
 }
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod differences_tests;
+mod evacuation_tests;
 mod member_table_tests;
 mod network;
 mod plan_follower_tests;
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pulley_core::process::PeerRing;
-use pulley_core::version::{PlanFollower, PlanStanding, ReplicaSet};
+use pulley_core::version::{LogIndex, PlanFollower, PlanStanding, ReplicaSet};
 use pulley_core::{ConfigVersion, HostId, Moment};
 
 use crate::network::{Network, host_name};
@@ -46,7 +46,7 @@
     let far: Vec<usize> = (3..12).collect();
     for replica in 0..5 {
         let replicas = network.replicas.clone();
-        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1));
+        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1), LogIndex::default());
     }
     network.split(&near, &far, true);
     network.run_for(4 * SECOND);
@@ -70,7 +70,7 @@
     network.run_for(SECOND);
     for replica in 0..5 {
         let replicas = network.replicas.clone();
-        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1));
+        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1), LogIndex::default());
     }
     network.leader = None;
     network.run_for(6 * SECOND);
@@ -79,7 +79,7 @@
     }
     // One replica holds an entry past the version: nobody knows whether it was accepted.
     let replicas = network.replicas.clone();
-    network.hosts[2].plans.set_replica(replicas, ConfigVersion(2));
+    network.hosts[2].plans.set_replica(replicas, ConfigVersion(2), LogIndex::default());
     network.run_for(2 * SECOND);
     let entry = &network.hosts[9].plans;
     assert_eq!(entry.standing(network.now), PlanStanding::Expired(ConfigVersion(1)));
--- a/crates/pulley_core/tests/members/restart_tests.rs
+++ b/crates/pulley_core/tests/members/restart_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pulley_core::version::{PlanStanding, ReplicaSet};
+use pulley_core::version::{LogIndex, PlanStanding, ReplicaSet};
 use pulley_core::{ConfigVersion, HostId};
 
 use crate::network::{Kind, Network, announcement, host_name};
@@ -44,7 +44,7 @@
     network.replicas = ReplicaSet { index: 1, hosts };
     for replica in 0..REPLICAS {
         let replicas = network.replicas.clone();
-        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1));
+        network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1), LogIndex::default());
     }
     network.run_for(SECOND);
     network.leader = Some((0, 1));
--- a/crates/pulley_core/tests/members/schedule_tests.rs
+++ b/crates/pulley_core/tests/members/schedule_tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pulley_core::process::{MemberState, UpstreamPhase};
-use pulley_core::version::ReplicaSet;
+use pulley_core::version::{LogIndex, ReplicaSet};
 use pulley_core::{ConfigVersion, Moment};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 
@@ -86,7 +86,7 @@
         let last = ConfigVersion(self.accepted.len() as u64 - 1);
         for replica in 0..5 {
             let replicas = self.network.replicas.clone();
-            self.network.hosts[replica].plans.set_replica(replicas, last);
+            self.network.hosts[replica].plans.set_replica(replicas, last, LogIndex::default());
         }
     }
 
--- a/crates/pulleyctl/src/command_line.rs
+++ b/crates/pulleyctl/src/command_line.rs
@@ -9,7 +9,7 @@
 use getopts::{Matches, Options};
 use pulley_core::HostId;
 use pulley_core::process::{ActorName, ChangeId, MemberId, UpstreamId};
-use pulley_core::version::{AuditFilter, ConfigVersion};
+use pulley_core::version::{AuditFilter, ConfigVersion, ZoneUpload, ZoneUse};
 use smol_str::SmolStr;
 
 /// Time for a whole answer when the operator names none; a host itself gives up after 5 s.
@@ -61,6 +61,9 @@
     ReplicaAdd(HostId),
     ReplicaRemove(MemberId),
     ReplicaList,
+    /// Empties a zone or takes it back.
+    ZoneOrder(ZoneUpload),
+    ZoneList,
     /// What became of a request, by the log files of some hosts.
     Explain {
         id: String,
@@ -137,6 +140,9 @@
     status                 print what a host knows of the system
     upstreams              print the upstreams a host knows
     drain UPSTREAM         send an upstream no new work
+    zone evacuate ZONE     send the upstreams of a zone no new work (--change-id, --actor)
+    zone restore ZONE      take the zone back (--change-id, --actor)
+    zone list              print the zones that are evacuated
     audit                  print the trail of changes (--since, --until, --actor,
                            --change-id, --outcome, --limit)
     replica list           print who holds the log
@@ -160,7 +166,7 @@
     options.optopt("", "actor", "who asks, or whose audit records", "NAME");
     options.optopt("", "since", "audit: not before 2h ago, or 2026-12-02T08:00:00Z", "TIME");
     options.optopt("", "until", "audit: not after", "TIME");
-    options.optopt("", "outcome", "audit: accepted, refused or member", "WORD");
+    options.optopt("", "outcome", "audit: accepted, refused, member or zone", "WORD");
     options.optopt("", "late", "summary: answers that took longer are late (default 1s)", "TIME");
     options.optflag("", "csv", "summary: print CSV");
     options.optopt("", "limit", "audit: most records (default 50)", "COUNT");
@@ -196,6 +202,9 @@
                 as_csv: self.matches.opt_present("csv"),
                 files: files.iter().map(PathBuf::from).collect(),
             }),
+            ["zone", "evacuate", zone] => self.zone_order(zone, ZoneUse::Evacuated),
+            ["zone", "restore", zone] => self.zone_order(zone, ZoneUse::InUse),
+            ["zone", "list"] => Some(Command::ZoneList),
             ["replica", "list"] => Some(Command::ReplicaList),
             ["replica", "add", host] => self.parsed("replica add", host).map(Command::ReplicaAdd),
             ["replica", "remove", member] => {
@@ -216,12 +225,26 @@
             self.faults
                 .push("--change-id needs the --expect or --as-version of the first try".to_owned());
         }
+        let actor = self.actor()?;
+        Some(ApplyOrder { file: PathBuf::from(file), expect, given, change_id, actor })
+    }
+
+    fn zone_order(&mut self, zone: &str, zone_use: ZoneUse) -> Option<Command> {
+        let zone = self.parsed("zone", zone)?;
+        let actor = self.actor()?;
+        let given = self.option("change-id");
+        let change_id =
+            given.or_else(|| format!("z-{:016x}", rand::random::<u64>()).parse().ok())?;
+        Some(Command::ZoneOrder(ZoneUpload { change_id, actor, zone, zone_use }))
+    }
+
+    /// Who asks.
+    fn actor(&mut self) -> Option<ActorName> {
         let name = self.text("actor", Some("PULLEYCTL_ACTOR"));
         let Some(name) = name.or_else(|| self.env.get("USER").cloned()) else {
             return self.fault("--actor: missing, as are PULLEYCTL_ACTOR and USER".to_owned());
         };
-        let actor = self.parsed("--actor", &name)?;
-        Some(ApplyOrder { file: PathBuf::from(file), expect, given, change_id, actor })
+        self.parsed("--actor", &name)
     }
 
     fn audit_filter(&mut self) -> AuditFilter {
@@ -238,9 +261,9 @@
     fn outcome(&mut self) -> Option<SmolStr> {
         let text = self.text("outcome", None)?;
         match text.as_str() {
-            "accepted" | "refused" | "member" => Some(SmolStr::from(text)),
+            "accepted" | "refused" | "member" | "zone" => Some(SmolStr::from(text)),
             _ => self.fault(format!(
-                "--outcome: {text:?} is not allowed; wanted: accepted, refused or member"
+                "--outcome: {text:?} is not allowed; wanted: accepted, refused, member or zone"
             )),
         }
     }
--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -10,6 +10,7 @@
 use pulley_core::process::ChangeId;
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ConfigVersion, SheetReader, SheetUpload, SheetView,
+    ZoneAnswer, ZoneUpload, ZoneUse,
 };
 use serde_json::{Value, json};
 
@@ -84,6 +85,10 @@
             })
             .await
         }
+        Command::ZoneOrder(upload) => order_zone(client, upload, json).await,
+        Command::ZoneList => {
+            show(client, "/v1/zones", json, |body| Some(printed_form::zones(body))).await
+        }
         Command::Drain(upstream) => {
             change(client, &Method::POST, "/v1/drain", json!({ "upstream": upstream }), json).await
         }
@@ -222,6 +227,39 @@
     format!("c-{:016x}", rand::random::<u64>()).parse().ok()
 }
 
+// -----------------------------------------------------------------------------------------
+// Zones
+
+async fn order_zone(client: &OperatorClient<'_>, upload: &ZoneUpload, json: bool) -> ExitOutcome {
+    // Printed before it is sent: an operator whose answer is lost needs it to send it again.
+    eprintln!("change id {}", upload.change_id);
+    let outcome = match client.write(&Method::POST, "/v1/zones", upload).await {
+        Err(fault) => report_fault(&fault),
+        Ok(answer) => match serde_json::from_value::<ZoneAnswer>(answer.body.clone()) {
+            Err(_) => report_refusal(&answer),
+            Ok(decided) => {
+                let printed = printed_form::zone_answer(upload, &decided);
+                print_line(&if json { answer.body.to_string() } else { printed });
+                match decided {
+                    ZoneAnswer::Accepted { .. } => ExitOutcome::Done,
+                    _ => ExitOutcome::NotDone,
+                }
+            }
+        },
+    };
+    if outcome == ExitOutcome::Unknown {
+        let word = match upload.zone_use {
+            ZoneUse::Evacuated => "evacuate",
+            ZoneUse::InUse => "restore",
+        };
+        let ZoneUpload { zone, change_id, actor, .. } = upload;
+        eprintln!(
+            "send it again: pulleyctl zone {word} {zone} --change-id {change_id} --actor {actor}"
+        );
+    }
+    outcome
+}
+
 // -----------------------------------------------------------------------------------------
 // Other commands
 
--- a/crates/pulleyctl/src/printed_form.rs
+++ b/crates/pulleyctl/src/printed_form.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use pulley_core::version::{AuditRecord, ChangeAnswer, ChangeRefusal};
+use pulley_core::version::{AuditRecord, ChangeAnswer, ChangeRefusal, ZoneAnswer, ZoneUpload};
 use serde_json::Value;
 
 /// The outcome of audit records about who holds the log.
@@ -51,6 +51,28 @@
     }
 }
 
+/// Prints the evacuated zones, one a line.
+pub(crate) fn zones(body: &Value) -> String {
+    let names = body.get("zones").and_then(Value::as_array).into_iter().flatten();
+    let names: Vec<&str> = names.filter_map(Value::as_str).collect();
+    if names.is_empty() { "no zone is evacuated".to_owned() } else { names.join("\n") }
+}
+
+/// Prints what became of an order for a zone.
+pub(crate) fn zone_answer(order: &ZoneUpload, answer: &ZoneAnswer) -> String {
+    let ZoneUpload { zone, zone_use, .. } = order;
+    match answer {
+        ZoneAnswer::Accepted { revision } => {
+            format!("accepted: {zone} {zone_use}, entry {revision}")
+        }
+        ZoneAnswer::Overtaken { current } => {
+            format!("refused: another order for {zone} came before, it is {current}")
+        }
+        ZoneAnswer::TooMany => "refused: too many zones are evacuated".to_owned(),
+        ZoneAnswer::ChangeIdReused => "refused: the change id stands for another order".to_owned(),
+    }
+}
+
 /// Prints upstreams as a table.
 pub(crate) fn upstreams(body: &Value) -> String {
     const FIELDS: [&str; 9] = [
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -197,6 +197,32 @@
     assert_eq!(pulleyctl(&[nobody()], &["sheet", "apply", file, "--actor=a"]).code, 1);
 }
 
+/// An operator empties a zone. Done, refused and unknown must be told apart: who takes a refused order
+/// for done sends machines away that still get work.
+#[test]
+fn an_order_for_a_zone_is_done_refused_or_unknown() {
+    let evacuate = ["zone", "evacuate", "z1", "--actor=ana", "--timeout=700ms"];
+    for (reply, code, text) in [
+        (HostReply::Answer(200, r#"{"accepted":{"revision":9}}"#), 0, "accepted: z1 evacuated"),
+        (HostReply::Answer(409, r#"{"overtaken":{"current":"in-use"}}"#), 1, "it is in-use"),
+        (HostReply::Answer(409, r#""too-many""#), 1, "too many zones"),
+        (HostReply::Answer(503, r#"{"error":"no-quorum","message":"1 of 3"}"#), 1, "1 of 3"),
+        (HostReply::Answer(504, r#"{"error":"unknown","message":"m"}"#), 3, "zone evacuate z1"),
+        (HostReply::CloseAfterReading, 3, "--change-id z-"),
+        (HostReply::Silence, 3, "--actor ana"),
+    ] {
+        let outcome = pulleyctl(&[stand_in_host(vec![reply])], &evacuate);
+        let said = outcome.out + &outcome.err;
+        assert_eq!(outcome.code, code, "{said}");
+        assert!(said.contains(text), "{said}");
+    }
+    let zones = r#"{"revision":9,"zones":["z1","z3"]}"#;
+    let host = stand_in_host(vec![HostReply::Answer(200, zones)]);
+    assert_eq!(pulleyctl(&[host], &["zone", "list"]).out, "z1\nz3\n");
+    let host = stand_in_host(vec![HostReply::Answer(200, r#"{"revision":9,"zones":[]}"#)]);
+    assert_eq!(pulleyctl(&[host], &["zone", "list"]).out, "no zone is evacuated\n");
+}
+
 #[test]
 fn a_faulty_command_line_is_usage() {
     for args in [
@@ -205,6 +231,9 @@
         &["sheet", "apply", SHEET, "--actor=a", "--change-id=c1"],
         &["sheet", "apply", "/nowhere", "--actor=a", "--expect=1"],
         &["drain", "two words"],
+        &["zone", "evacuate"],
+        &["zone", "evacuate", "two words", "--actor=a"],
+        &["zone", "restore", "z1"],
         &["audit", "--since=yesterday"],
         &["--server=localhost", "status"],
         &["--colour=red", "status"],
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -2,8 +2,8 @@
 
 use pulley_core::process::{Announcement, Incarnation, UpstreamStart};
 use pulley_core::version::{
-    AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, ReplicaAnswer,
-    ReplicaQuestion, ReplicaRefusal, StoredPlan,
+    AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones, ReplicaAnswer,
+    ReplicaQuestion, ReplicaRefusal, StoredPlan, ZoneAnswer,
 };
 use pulley_core::{Moment, UpstreamId};
 use smol_str::SmolStr;
@@ -22,6 +22,8 @@
     Plan(oneshot::Sender<Result<StoredPlan>>),
     Audit(oneshot::Sender<Result<Vec<AuditRecord>>>),
     Replica(oneshot::Sender<Result<serde_json::Value>>),
+    Zone(oneshot::Sender<Result<ZoneAnswer>>),
+    Zones(oneshot::Sender<Result<EvacuatedZones>>),
     Claim(oneshot::Sender<ClaimAnswer>),
     Done(oneshot::Sender<Result<()>>),
     /// An upstream's leaving, with the start that leaves.
@@ -50,6 +52,16 @@
                     other => Err(fault_of(other)),
                 }),
             ),
+            Self::Zone(reply) => drop(reply.send(match answer {
+                ReplicaAnswer::Zone(answer) => Ok(answer),
+                // It may hold all the same.
+                ReplicaAnswer::Unknown { .. } => Err(ControlFault::NoAnswer),
+                other => Err(fault_of(other)),
+            })),
+            Self::Zones(reply) => drop(reply.send(match answer {
+                ReplicaAnswer::Zones(zones) => Ok(zones),
+                other => Err(fault_of(other)),
+            })),
             Self::Claim(reply) => drop(reply.send(match answer {
                 ReplicaAnswer::Claim(claim) => claim,
                 _ => ClaimAnswer::Unavailable,
@@ -183,6 +195,13 @@
             ControlRequest::Replica(change, reply) => {
                 (ReplicaQuestion::Change(change), AnswerSlot::Replica(reply))
             }
+            ControlRequest::OrderZone(mut order, reply) => {
+                order.based_on = self.follower.evacuated().revision;
+                (ReplicaQuestion::OrderZone(*order), AnswerSlot::Zone(reply))
+            }
+            ControlRequest::EvacuatedZones(reply) => {
+                (ReplicaQuestion::EvacuatedZones, AnswerSlot::Zones(reply))
+            }
             ControlRequest::Claim(claim, reply) => {
                 let key = SmolStr::new(claim.key);
                 let claimant = ClaimantId(rand::random());
--- a/crates/pulleyd/src/process/control_api.rs
+++ b/crates/pulleyd/src/process/control_api.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use pulley_core::UpstreamId;
-use pulley_core::process::{Announcement, Incarnation};
-use pulley_core::version::{ChangeAnswer, ChangeRequest, StoredPlan};
+use pulley_core::process::{ActorName, Announcement, ChangeId, Incarnation, ZoneName};
+use pulley_core::version::{
+    ChangeAnswer, ChangeRequest, LogIndex, StoredPlan, ZoneAnswer, ZoneOrder, ZoneUse,
+};
 use smol_str::SmolStr;
 
-use super::{ControlFault, ControlHandle, ControlRequest, HostReadiness, Result, ViewCell};
+use super::{
+    ControlFault, ControlHandle, ControlRequest, HostReadiness, ProcessClock, Result, ViewCell,
+};
 
 /// Time the control thread has for an answer: whoever asks gives up after a second and asks
 /// another host, and should learn before that that this one does not know.
@@ -60,6 +64,27 @@
         asked.unwrap_or_else(|fault| ChangeAnswer::Unknown { why: SmolStr::new(fault.to_string()) })
     }
 
+    /// Empties a zone or takes it back.
+    ///
+    /// # Errors
+    /// Whatever kept a quorum from deciding it in time; the order may hold all the same.
+    pub async fn order_zone(
+        &self,
+        change_id: ChangeId,
+        actor: ActorName,
+        (zone, zone_use): (ZoneName, ZoneUse),
+    ) -> Result<ZoneAnswer> {
+        let order = Box::new(ZoneOrder {
+            change_id,
+            actor,
+            received_unix_ms: ProcessClock::unix_ms(),
+            zone,
+            zone_use,
+            based_on: LogIndex::default(),
+        });
+        within(self.control.ask(|reply| ControlRequest::OrderZone(order, reply))).await?
+    }
+
     /// The configuration that a quorum confirms to be current.
     ///
     /// # Errors
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -12,8 +12,8 @@
     UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
 use pulley_core::version::{
-    AuditRead, DriverInput, PersistBatch, PersistTicket, PlanFollower, PlanSend, QuestionNumber,
-    QuestionRouter, ReplicaDriver, StoredPlan,
+    AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
+    QuestionNumber, QuestionRouter, ReplicaDriver, StoredPlan,
 };
 use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
 
@@ -104,6 +104,8 @@
     pub(super) led: bool,
     /// Departures of upstreams that a quorum has confirmed.
     pub(super) departed: FastSet<UpstreamStart>,
+    /// The latest order for a zone that upstreams are shown by.
+    zones_shown: LogIndex,
     pub(super) recovery: UpstreamRecovery,
 }
 
@@ -118,6 +120,7 @@
     members: u64,
     upstreams: u64,
     version: u64,
+    zones: LogIndex,
     ready: bool,
     leaving: bool,
 }
@@ -161,6 +164,7 @@
             next_lease_token: LEASE_TOKENS,
             led: false,
             departed: FastSet::default(),
+            zones_shown: LogIndex::default(),
             recovery: UpstreamRecovery::new(parts.directory),
         }
     }
@@ -348,10 +352,12 @@
     /// Builds a new view if anything it shows has changed.
     fn refresh(&mut self, now: Moment) {
         let standing = self.follower.standing(now);
+        self.apply_zones();
         let marks = ViewMarks {
             members: self.members.changes(),
             upstreams: self.registry.changes(),
             version: self.follower.version().0,
+            zones: self.zones_shown,
             ready: standing.is_ready(),
             leaving: self.shutting_down,
         };
@@ -376,6 +382,15 @@
         self.publish(now, view);
     }
 
+    /// Shows upstreams by the latest orders for zones.
+    fn apply_zones(&mut self) {
+        let evacuated = self.follower.evacuated();
+        if evacuated.revision != self.zones_shown {
+            self.zones_shown = evacuated.revision;
+            self.registry.evacuate(&evacuated.zones);
+        }
+    }
+
     fn apply_members(&mut self) {
         let mut replicas: Vec<HostId> = self
             .members
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use pulley_core::process::{Announcement, Incarnation};
-use pulley_core::version::{AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, StoredPlan};
+use pulley_core::version::{
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, StoredPlan, ZoneAnswer,
+    ZoneOrder,
+};
 pub use pulley_core::version::{ClaimAnswer, FencingToken, RecordedAnswer, ReplicaChange};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
@@ -60,6 +63,10 @@
     Replica(ReplicaChange, oneshot::Sender<Result<serde_json::Value>>),
     /// An operator drains an upstream.
     Drain(pulley_core::UpstreamId, oneshot::Sender<Result<()>>),
+    /// An operator's order for a zone; the control thread fills in what it is based on.
+    OrderZone(Box<ZoneOrder>, oneshot::Sender<Result<ZoneAnswer>>),
+    /// The zones that a quorum confirms to be evacuated.
+    EvacuatedZones(oneshot::Sender<Result<EvacuatedZones>>),
     /// A claim on an idempotency key.
     Claim(ClaimRequest, oneshot::Sender<ClaimAnswer>),
     /// The outcome of a claimed request; no answer means that it may have run.
--- a/crates/pulleyd/src/process/control_replica.rs
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pulley_core::version::{
-    DriverInput, DriverOutput, LogCommand, QuestionNumber, ReplicaAnswer, ReplicaDriver,
+    DriverInput, DriverOutput, LogCommand, LogIndex, QuestionNumber, ReplicaAnswer, ReplicaDriver,
     ReplicaQuestion, ReplicaSet, RouterOutput,
 };
 use pulley_core::{ConfigVersion, Moment};
@@ -40,6 +40,7 @@
                 DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
                 DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
                 DriverOutput::InForce(plan) => self.follower.committed(plan),
+                DriverOutput::ZonesInForce(zones) => self.follower.committed_zones(&zones),
             }
         }
         self.recall_upstreams(now);
@@ -127,7 +128,9 @@
         self.lease_round = None;
         let Some(replica) = &self.replica else { return };
         let term = replica.node().term().0;
-        self.follower.committed(Arc::clone(replica.machines().configuration.current()));
+        let machines = replica.machines();
+        self.follower.committed(Arc::clone(machines.configuration.current()));
+        self.follower.committed_zones(machines.evacuations.evacuated());
         let set = replica_set(replica);
         self.follower.lead(term, set, began);
     }
@@ -136,7 +139,8 @@
     /// lease must know of it, because it may or may not have been accepted.
     fn report_log(&mut self) {
         let Some(replica) = &self.replica else { return };
-        self.follower.set_replica(replica_set(replica), last_version(replica));
+        let (last_version, last_order) = last_entries(replica);
+        self.follower.set_replica(replica_set(replica), last_version, last_order);
     }
 }
 
@@ -148,16 +152,20 @@
     }
 }
 
-/// The latest version that any entry of this log could make, committed or not.
-fn last_version(replica: &ReplicaDriver) -> ConfigVersion {
-    let node = replica.node();
-    let mut latest = replica.machines().configuration.version();
+/// The latest version that any entry of this log could make, and the latest order for a zone that
+/// could hold, committed or not.
+fn last_entries(replica: &ReplicaDriver) -> (ConfigVersion, LogIndex) {
+    let (node, machines) = (replica.node(), replica.machines());
+    let mut version = machines.configuration.version();
+    let mut order = machines.evacuations.evacuated().revision;
     let mut index = node.taken_index().next();
     while let Some(entry) = node.entry(index) {
-        if let LogCommand::Change(change) = &entry.command {
-            latest = latest.max(change.version());
+        match &entry.command {
+            LogCommand::Change(change) => version = version.max(change.version()),
+            LogCommand::Zone(_) => order = index,
+            _ => {}
         }
         index = index.next();
     }
-    latest
+    (version, order)
 }
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -19,6 +19,7 @@
             plan: self.plan_in_force(),
             upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
+            evacuated: Arc::clone(self.follower.evacuated()),
             live_entries: u32::try_from(live).unwrap_or(u32::MAX).max(1),
         }
     }
@@ -104,6 +105,7 @@
             "ready": standing.is_ready() && !self.shutting_down,
             "standing": standing_word(standing),
             "leader": self.follower.leader(now),
+            "evacuated": self.follower.evacuated().zones,
             "hosts": hosts,
             "upstreams": self.registry.known(),
             "replica": replica,
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -9,8 +9,12 @@
 
 use bytes::Bytes;
 use pulley_core::Moment;
-use pulley_core::process::{HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome};
-use pulley_core::version::{AuditRead, DriverInput, PersistBatch, PlanStanding, ReplicaMember};
+use pulley_core::process::{
+    HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome, ZoneName,
+};
+use pulley_core::version::{
+    AuditRead, DriverInput, LogIndex, PersistBatch, PlanStanding, ReplicaMember,
+};
 use slog::{Logger, error, info, warn};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -147,6 +151,8 @@
     believed: Option<ReplicaBelief>,
     /// How this host stood towards the configuration when that was last logged.
     standing: Option<PlanStanding>,
+    /// The latest order for a zone that was logged.
+    zones_told: LogIndex,
     next_key_check: Moment,
 }
 
@@ -247,6 +253,7 @@
         next_telling: now,
         believed: None,
         standing: None,
+        zones_told: LogIndex::default(),
         next_key_check: now + KEY_CHECK,
     };
     let requests = parts.requests;
@@ -470,13 +477,20 @@
         info!(self.logger, "membership"; "live" => self.core.members.live().count());
     }
 
-    /// Logs who leads and who votes, once that has changed.
+    /// Logs what is in force, who leads and who votes, once that has changed.
     fn report_belief(&mut self) {
         let standing = self.core.follower.standing(self.clock.now());
         if self.standing != Some(standing) {
             self.standing = Some(standing);
             info!(self.logger, "configuration"; "standing" => ?standing);
         }
+        let evacuated = self.core.follower.evacuated();
+        if self.zones_told != evacuated.revision {
+            self.zones_told = evacuated.revision;
+            let zones: Vec<&str> = evacuated.zones.iter().map(ZoneName::as_str).collect();
+            info!(self.logger, "zones-in-force"; "evacuated" => zones.join(","),
+                "revision" => evacuated.revision.0);
+        }
         let Some(replica) = &self.core.replica else { return };
         let node = replica.node();
         let belief = ReplicaBelief {
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -16,8 +16,8 @@
 use pulley_core::HostId;
 use pulley_core::process::{ActorName, ChangeId, MemberId, UpstreamId, UpstreamRecord};
 use pulley_core::version::{
-    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, SheetReader, SheetUpload,
-    SheetView,
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, EvacuatedZones, LogIndex,
+    SheetReader, SheetUpload, SheetView, ZoneAnswer, ZoneOrder, ZoneUpload,
 };
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -91,6 +91,7 @@
             .route("/v1/status", get(show_status))
             .route("/v1/upstreams", get(show_upstreams))
             .route("/v1/drain", post(drain_upstream))
+            .route("/v1/zones", get(show_zones).post(order_zone))
             .route("/v1/replicas", get(list_replicas).post(add_replica))
             .route("/v1/replicas/{member}", delete(remove_replica))
             .route("/status", get(show_status))
@@ -263,6 +264,37 @@
     (content_type, api.metrics.render()).into_response()
 }
 
+// -----------------------------------------------------------------------------------------
+// Zones
+
+async fn show_zones(State(api): State<OperatorApi>) -> Result<Json<EvacuatedZones>> {
+    Ok(Json(api.within(api.control.ask(ControlRequest::EvacuatedZones)).await??))
+}
+
+async fn order_zone(State(api): State<OperatorApi>, body: Bytes) -> Result<Response> {
+    let ZoneUpload { change_id, actor, zone, zone_use } = parse(&body)?;
+    let order = Box::new(ZoneOrder {
+        change_id: change_id.clone(),
+        actor: actor.clone(),
+        received_unix_ms: ProcessClock::unix_ms(),
+        zone: zone.clone(),
+        zone_use,
+        based_on: LogIndex::default(),
+    });
+    let question = api.control.ask(|reply| ControlRequest::OrderZone(order, reply));
+    let answer = api.within(question).await?;
+    info!(api.logger, "zone-order"; "change_id" => %change_id, "actor" => %actor, "zone" => %zone,
+        "use" => %zone_use, "answer" => ?answer);
+    let answer = answer?;
+    let status = match &answer {
+        ZoneAnswer::Accepted { .. } => StatusCode::OK,
+        ZoneAnswer::Overtaken { .. } | ZoneAnswer::TooMany | ZoneAnswer::ChangeIdReused => {
+            StatusCode::CONFLICT
+        }
+    };
+    Ok((status, Json(answer)).into_response())
+}
+
 // -----------------------------------------------------------------------------------------
 // Drains and replicas
 
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -40,6 +40,8 @@
     counters: Arc<TrafficCounters>,
     reading: Arc<Mutex<()>>,
     config_version: IntGauge,
+    zones_evacuated: IntGauge,
+    upstreams_evacuated: IntGauge,
     ready: IntGauge,
 }
 
@@ -72,6 +74,12 @@
             IntGauge::new("pulley_requests_in_progress", "Requests in this process.")?;
         let callers = IntGauge::new("pulley_callers_connections", "Open connections of callers.")?;
         let version = IntGauge::new("pulley_config_version", "Version of the configuration.")?;
+        let zones_evacuated =
+            IntGauge::new("pulley_zones_evacuated", "Zones that operators have emptied.")?;
+        let upstreams_evacuated = IntGauge::new(
+            "pulley_upstreams_evacuated",
+            "Upstreams known that get no work because their zone is evacuated.",
+        )?;
         let ready = IntGauge::new("pulley_ready", "1 if this host takes work.")?;
         let metrics = Self {
             registry: Registry::new(),
@@ -88,6 +96,8 @@
             counters: Arc::default(),
             reading: Arc::default(),
             config_version: version,
+            zones_evacuated,
+            upstreams_evacuated,
             ready,
         };
         metrics.register()?;
@@ -105,6 +115,8 @@
             self.registry.register(Box::new(series.clone()))?;
         }
         self.registry.register(Box::new(self.config_version.clone()))?;
+        self.registry.register(Box::new(self.zones_evacuated.clone()))?;
+        self.registry.register(Box::new(self.upstreams_evacuated.clone()))?;
         self.registry.register(Box::new(self.ready.clone()))
     }
 
@@ -153,6 +165,12 @@
         self.ready.set(i64::from(ready));
     }
 
+    /// Notes how many zones are evacuated, and how many upstreams get no work for it.
+    pub fn record_zones(&self, zones: usize, upstreams: usize) {
+        self.zones_evacuated.set(i64::try_from(zones).unwrap_or(i64::MAX));
+        self.upstreams_evacuated.set(i64::try_from(upstreams).unwrap_or(i64::MAX));
+    }
+
     // -------------------------------------------------------------------------------------
     // Reading
 
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use pulley_core::process::{FastMap, UpstreamList};
+use pulley_core::version::EvacuatedZones;
 use pulley_core::{ConfigVersion, Moment, PolicyPlan, PoolName};
 use smol_str::SmolStr;
 
@@ -36,6 +37,8 @@
     pub upstreams: FastMap<PoolName, UpstreamList>,
     /// Whether this host serves.
     pub readiness: HostReadiness,
+    /// The zones that operators have emptied; their upstreams take no work.
+    pub evacuated: Arc<EvacuatedZones>,
     /// How many entries are alive, this one included; connection limits are shared by it.
     pub live_entries: u32,
 }
@@ -47,11 +50,24 @@
             plan: Arc::default(),
             upstreams: FastMap::default(),
             readiness: HostReadiness::NotReady { why: SmolStr::new_static("starting") },
+            evacuated: Arc::default(),
             live_entries: 1,
         }
     }
 }
 
+impl RunningView {
+    /// How many upstreams get no work because their zone is evacuated.
+    #[must_use]
+    pub fn evacuated_upstreams(&self) -> usize {
+        if self.evacuated.zones.is_empty() {
+            return 0;
+        }
+        let records = self.upstreams.values().flat_map(|list| list.iter());
+        records.filter(|record| self.evacuated.contains(&record.announcement.zone)).count()
+    }
+}
+
 /// How long a view may be used without the control thread's word that it still holds.
 ///
 /// A process frozen by its neighbours wakes up with the view it had, while a newer configuration
--- a/crates/pulleyd/tests/control_apis.rs
+++ b/crates/pulleyd/tests/control_apis.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pulley_core::ConfigVersion;
-use pulley_core::version::ChangeAnswer;
+use pulley_core::version::{ChangeAnswer, EvacuatedZones, LogIndex, ZoneAnswer, ZoneUse};
 use pulleyd::connection::KeyRing;
 use pulleyd::process::{
     AnnounceApi, ApiServer, ControlFault, ControlHandle, ControlRequest, HostReadiness,
@@ -48,6 +48,19 @@
             ControlRequest::CurrentPlan(reply) => {
                 let _ = reply.send(Err(ControlFault::NoQuorum("2 of 3 replicas".to_owned())));
             }
+            ControlRequest::OrderZone(order, reply) if order.zone.as_str() == "lost" => {
+                let _ = reply.send(Err(ControlFault::NoAnswer));
+            }
+            ControlRequest::OrderZone(order, reply) => {
+                let _ = reply.send(Ok(match order.zone_use {
+                    ZoneUse::Evacuated => ZoneAnswer::Accepted { revision: LogIndex(7) },
+                    ZoneUse::InUse => ZoneAnswer::Overtaken { current: ZoneUse::Evacuated },
+                }));
+            }
+            ControlRequest::EvacuatedZones(reply) => {
+                let zones = vec!["z1".parse().unwrap()];
+                let _ = reply.send(Ok(EvacuatedZones { revision: LogIndex(7), zones }));
+            }
             ControlRequest::Audit(_, reply) => drop(reply.send(Ok(Vec::new()))),
             ControlRequest::Status(reply) => {
                 let _ = reply.send(Ok(serde_json::json!({ "version": 7 })));
@@ -169,6 +182,30 @@
     assert!(body.contains("no-quorum"), "{body}");
 }
 
+// An operator's order for a zone is answered as done, refused or unknown, and one that names no
+// zone is refused as unreadable: an operator who takes it for done sends machines away at work.
+#[tokio::test]
+async fn an_order_for_a_zone_is_accepted_refused_or_unknown() {
+    let host = test_host().await;
+    let order = |zone: &str, zone_use: &str| {
+        format!(r#"{{"change_id":"z-1","actor":"tester","zone":"{zone}","zone_use":"{zone_use}"}}"#)
+    };
+    for (zone, zone_use, status, text) in [
+        ("z1", "evacuated", 200, r#"{"accepted":{"revision":7}}"#),
+        ("z1", "in-use", 409, r#"{"overtaken":{"current":"evacuated"}}"#),
+        ("lost", "evacuated", 504, "unknown"),
+        ("", "evacuated", 400, "bad-request"),
+        ("two words", "evacuated", 400, "bad-request"),
+        ("z1", "closed", 400, "bad-request"),
+    ] {
+        let answer = call(host.operators, "POST", "/v1/zones", &order(zone, zone_use)).await;
+        assert_eq!(answer.0, status, "{zone} {zone_use}: {}", answer.1);
+        assert!(answer.1.contains(text), "{zone} {zone_use}: {}", answer.1);
+    }
+    let shown = call(host.operators, "GET", "/v1/zones", "").await;
+    assert_eq!(shown, (200, r#"{"revision":7,"zones":["z1"]}"#.to_owned()));
+}
+
 #[tokio::test]
 async fn metrics_and_status_are_served() {
     let host = test_host().await;
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -175,6 +175,7 @@
             plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }),
             upstreams: known,
             readiness: HostReadiness::Ready,
+            evacuated: Arc::default(),
             live_entries: 1,
         }
     }
--- a/crates/pulleyd/tests/process_support/stand_in_upstream.rs
+++ b/crates/pulleyd/tests/process_support/stand_in_upstream.rs
@@ -38,6 +38,17 @@
 impl StandInUpstream {
     /// Starts one that announces itself to one of these hosts after the other.
     pub(crate) fn start(id: &str, pool: &str, slots: u32, hosts: Vec<SocketAddr>) -> Self {
+        Self::start_in("z1", id, pool, slots, hosts)
+    }
+
+    /// The same in a zone.
+    pub(crate) fn start_in(
+        zone: &str,
+        id: &str,
+        pool: &str,
+        slots: u32,
+        hosts: Vec<SocketAddr>,
+    ) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -51,7 +62,7 @@
         let router = Router::new().fallback(answer).with_state(Arc::clone(&state));
         runtime.spawn(async move { axum::serve(listener, router).await });
         let told = Arc::clone(&state);
-        let (id, pool) = (id.to_owned(), pool.to_owned());
+        let (id, pool, zone) = (id.to_owned(), pool.to_owned(), zone.to_owned());
         runtime.spawn(async move {
             for sequence in 1_u64.. {
                 while told.is_silent.load(Ordering::SeqCst) {
@@ -59,7 +70,7 @@
                 }
                 let phase = *told.phase.lock().expect("no panic holds it");
                 let announcement = json!({
-                    "id": id, "address": address, "zone": "z1", "pool": pool, "slots": slots,
+                    "id": id, "address": address, "zone": zone, "pool": pool, "slots": slots,
                     "connections": 300, "incarnation": 1, "sequence": sequence, "phase": phase,
                 });
                 let target = hosts[usize::try_from(sequence).unwrap_or(0) % hosts.len()];
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -459,6 +459,7 @@
                 self.answers.insert(token, answer);
             }
             DriverOutput::InForce(plan) => self.invariants.note_in_force(number, plan.version),
+            DriverOutput::ZonesInForce(zones) => self.invariants.note_zones(number, &zones),
         }
     }
 
--- a/crates/pulleyd/tests/replica/invariants.rs
+++ b/crates/pulleyd/tests/replica/invariants.rs
@@ -7,8 +7,8 @@
 use pulley_core::ConfigVersion;
 use pulley_core::process::{ChangeId, MemberId};
 use pulley_core::version::{
-    ChangeAnswer, ClaimAnswer, FencingToken, LogEntry, LogIndex, ReplicaAnswer, ReplicaDriver,
-    ReplicaQuestion, Term,
+    ChangeAnswer, ClaimAnswer, EvacuatedZones, FencingToken, LogEntry, LogIndex, ReplicaAnswer,
+    ReplicaDriver, ReplicaQuestion, Term, ZoneAnswer,
 };
 use smol_str::SmolStr;
 
@@ -19,6 +19,12 @@
     committed: BTreeMap<LogIndex, Arc<LogEntry>>,
     checked: BTreeMap<usize, LogIndex>,
     in_force: BTreeMap<usize, ConfigVersion>,
+    /// The latest order for a zone in force on each host.
+    zones: BTreeMap<usize, LogIndex>,
+    /// The latest order for a zone that was accepted, and what held as of it.
+    pub(crate) newest_order: LogIndex,
+    /// The same when a read of the evacuated zones began.
+    zone_reads: BTreeMap<u64, LogIndex>,
     questions: BTreeMap<u64, ReplicaQuestion>,
     /// The newest version accepted when a read began.
     reads: BTreeMap<u64, ConfigVersion>,
@@ -75,6 +81,15 @@
         assert!(version >= former, "host {number} went from version {former} down to {version}");
     }
 
+    pub(crate) fn note_zones(&mut self, number: usize, zones: &EvacuatedZones) {
+        let former = self.zones.insert(number, zones.revision).unwrap_or_default();
+        assert!(
+            zones.revision >= former,
+            "host {number} went from order {former} back to {}",
+            zones.revision
+        );
+    }
+
     pub(crate) fn note_question(&mut self, token: u64, question: &ReplicaQuestion) {
         if let ReplicaQuestion::Release { key, token } = question {
             self.releases.push((key.clone(), *token));
@@ -83,6 +98,9 @@
             let newest = self.accepted.keys().max().copied().unwrap_or_default();
             self.reads.insert(token, newest);
         }
+        if *question == ReplicaQuestion::EvacuatedZones {
+            self.zone_reads.insert(token, self.newest_order);
+        }
         self.questions.insert(token, question.clone());
     }
 
@@ -106,6 +124,18 @@
                     plan.version
                 );
             }
+            (
+                ReplicaQuestion::OrderZone(_),
+                ReplicaAnswer::Zone(ZoneAnswer::Accepted { revision }),
+            ) => self.newest_order = self.newest_order.max(*revision),
+            (ReplicaQuestion::EvacuatedZones, ReplicaAnswer::Zones(zones)) => {
+                let newest = self.zone_reads.remove(&token).unwrap_or_default();
+                assert!(
+                    zones.revision >= newest,
+                    "a read gave order {} although {newest} was accepted before it began",
+                    zones.revision
+                );
+            }
             _ => {}
         }
     }
--- a/crates/pulleyd/tests/replica/main.rs
+++ b/crates/pulleyd/tests/replica/main.rs
@@ -3,6 +3,7 @@
 
 mod audit_tests;
 mod departure_tests;
+mod evacuation_tests;
 mod failure_tests;
 mod fake_cluster;
 mod fake_disk;
