Hold as many upstreams as an installation may have, so that hosts can agree

Cause: hosts kept 2,400 upstreams at most. A lease message of more than 3,100 upstreams would besides have been dropped by its receiver as too long. Change: 16,384 upstreams; lease messages are split; the directory on disk may be eight times as long. A test with 3,400 upstreams fails with the former limit (an upstream was known at 2 of 6 hosts).

--- a/crates/pulley_core/src/process/registry/lease_table.rs
+++ b/crates/pulley_core/src/process/registry/lease_table.rs
@@ -12,9 +12,12 @@
     ZoneName,
 };
 
-/// How many upstreams are known at most, expired ones included: twice the planned 1,200, so that
-/// every one of them may be replaced under a new id within the retention.
-pub const UPSTREAM_LIMIT: usize = 2_400;
+/// How many upstreams are known at most, expired ones included; some 5 MB on each host.
+///
+/// Past it hosts hold different upstreams, and compare all of them for ever without coming to agree.
+/// It therefore lies far beyond the planned 1,200, each of which may be replaced under a new id
+/// several times within the retention.
+pub const UPSTREAM_LIMIT: usize = 16_384;
 /// For how many epochs an expired upstream is remembered: 10 minutes. Until then a late message
 /// can't bring back what drained.
 const RETENTION_EPOCHS: u32 = 1_200;
--- a/crates/pulley_core/src/process/registry/registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -8,8 +8,8 @@
 use super::lease_bucket::{CODE_EXPIRED, LeaseBucket};
 use super::lease_record::{LeaseRecord, id_hash};
 use super::registry_message::{
-    AgedRecord, BucketCodes, BucketSummary, PackedCodes, RegistryContent, RegistryMessage,
-    SummaryItem, parts_of,
+    AgedRecord, BucketCodes, BucketSummary, LEASES_LIMIT, PackedCodes, RegistryContent,
+    RegistryMessage, SummaryItem, parts_of,
 };
 use super::shared_clock::LeaseEpoch;
 use super::{Moment, PeerRing, RegistrySend, UpstreamRegistry};
@@ -49,8 +49,8 @@
         }
         let sent = self.clock.epoch_of(message.time);
         match message.content {
-            RegistryContent::Leases { digest, codes } => {
-                self.take_leases(now, from, sent, (digest, &codes))
+            RegistryContent::Leases { digest, first, codes } => {
+                self.take_leases(now, from, sent, (digest, first as usize, &codes))
             }
             RegistryContent::BucketLeases { buckets } => {
                 self.take_bucket_leases(now, from, sent, &buckets)
@@ -136,10 +136,16 @@
         }
         let epoch = self.clock.epoch(now);
         let codes = self.table.buckets().iter().flat_map(|bucket| bucket.codes(epoch));
-        let codes = PackedCodes::pack(codes);
+        let codes: Vec<u8> = codes.collect();
         let digest = self.table.digest();
-        let body = self.pack(now, RegistryContent::Leases { digest, codes });
-        sends.push(RegistrySend { to: *to, body });
+        // An empty list still shows that nothing is known.
+        let parts = codes.chunks(LEASES_LIMIT).chain(codes.is_empty().then_some(&[][..]));
+        for (part, codes) in parts.enumerate() {
+            let first = u32::try_from(part * LEASES_LIMIT).unwrap_or(u32::MAX);
+            let codes = PackedCodes::pack(codes.iter().copied());
+            let body = self.pack(now, RegistryContent::Leases { digest, first, codes });
+            sends.push(RegistrySend { to: *to, body });
+        }
     }
 
     fn bucket_leases(&self, now: Moment, to: SocketAddr) -> Vec<RegistrySend> {
@@ -173,7 +179,7 @@
         now: Moment,
         from: SocketAddr,
         sent: LeaseEpoch,
-        (digest, codes): (u32, &PackedCodes),
+        (digest, first, codes): (u32, usize, &PackedCodes),
     ) -> Vec<RegistrySend> {
         if digest != self.table.digest() {
             if self.answered.is_some_and(|at| now.since(at) < ANSWER_PAUSE) {
@@ -186,7 +192,8 @@
         let mut place = 0;
         for bucket in 0..self.table.buckets().len() {
             let count = self.table.buckets()[bucket].len();
-            let codes = (place..place + count).map(|place| renewal(codes, place, sent));
+            let codes =
+                (place..place + count).map(|place| renewal(codes, place.checked_sub(first)?, sent));
             self.table.merge_ages(bucket, epoch, codes);
             place += count;
         }
--- a/crates/pulley_core/src/process/registry/registry_message.rs
+++ b/crates/pulley_core/src/process/registry/registry_message.rs
@@ -14,6 +14,9 @@
 /// What is left for a message's list after its other fields.
 pub(crate) const LIST_LIMIT: usize = REGISTRY_BODY_LIMIT - 32;
 
+/// How many leases go into one message: three bits each.
+pub(crate) const LEASES_LIMIT: usize = LIST_LIMIT / 3 * 8;
+
 /// A message to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistrySend {
@@ -59,8 +62,9 @@
 /// What a message says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum RegistryContent {
-    /// All leases, numbered by the order of bucket and id, for a host with the same records.
-    Leases { digest: u32, codes: PackedCodes },
+    /// Leases from a place on, numbered by the order of bucket and id, for a host with the same
+    /// records.
+    Leases { digest: u32, first: u32, codes: PackedCodes },
     /// Leases of some buckets, for a host that may lack a change; sent while changes spread.
     BucketLeases { buckets: Vec<BucketCodes> },
     /// Records that have just changed; passed on by whoever had not heard of them.
--- a/crates/pulley_core/src/process/registry/upstream_directory.rs
+++ b/crates/pulley_core/src/process/registry/upstream_directory.rs
@@ -12,7 +12,7 @@
 
 /// How large an encoded directory may be, in bytes: room for [`super::UPSTREAM_LIMIT`] upstreams with
 /// long names.
-pub const DIRECTORY_LIMIT: usize = 1 << 20;
+pub const DIRECTORY_LIMIT: usize = 8 << 20;
 
 /// How many epochs of its lease a recalled upstream has left, if it does not announce itself. Of
 /// a lease of four announcements these are two: enough for one that is late, and an upstream that
--- a/crates/pulley_core/tests/members/upstream_registry_tests.rs
+++ b/crates/pulley_core/tests/members/upstream_registry_tests.rs
@@ -182,3 +182,31 @@
     assert!(registry.takes_work(now + Duration::from_millis(4_900), &upstream.id));
     assert!(!registry.takes_work(now + Duration::from_millis(6_100), &upstream.id));
 }
+
+// An installation has grown to more upstreams than were planned for. Hosts that could hold only some
+// of them would hold different ones, and spend their links on comparing them for ever; what one
+// message cannot carry would let the leases of the others run out.
+#[test]
+fn thousands_of_upstreams_keep_their_leases_and_hosts_agree() {
+    let upstreams = 3_400;
+    let mut network = Network::new(6, 31);
+    network.run_for(2 * SECOND);
+    announce_for(&mut network, upstreams, 1, 6);
+    for host in &mut network.hosts {
+        host.sent.clear();
+    }
+    announce_for(&mut network, upstreams, 7, 4);
+    for upstream in [0, 1, 1_700, 3_398, 3_399] {
+        assert_eq!(takers(&network, upstream), 6, "upstream {upstream}");
+    }
+    let taking = |host: &crate::network::Host| {
+        let lists = host.registry.pool_records(network.now);
+        lists.values().flat_map(|list| list.iter()).filter(|record| record.takes_work).count()
+    };
+    for host in &network.hosts {
+        assert_eq!(taking(host), upstreams);
+        let (_, bytes) = host.sent[&crate::network::Kind::Upstream];
+        // Every lease takes three bits a round; records are compared no more.
+        assert!(bytes / 4 < 16_000, "{} bytes a second", bytes / 4);
+    }
+}
