Let three entries share what a cold upstream bears

Cause: every entry chose by itself whether to send to a cold upstream, by its word and a ramp of four seconds. Ruled out: a part of the rate for each entry (one request in 46 s at 197 entries); permits handed out by replicas (a round trip, and a dependency for what the list of live entries decides). Change: ColdGuard. Plans say what a cold upstream bears (WarmUpTerms, from WarmupS and WarmupPerS); three entries of its zone, by rendezvous hashing over the live ones, send it a third of that each. Cold is what it announces, or says on the answer to a probe; one that gets work again without a new start may be asked by anybody and gets work by its own word only. Plans are encoded otherwise than before: data folders of earlier builds are not read.

--- a/crates/pulley_bench/src/path/forwarder_way.rs
+++ b/crates/pulley_bench/src/path/forwarder_way.rs
@@ -88,6 +88,7 @@
         upstreams: known,
         readiness: HostReadiness::Ready,
         evacuated: Arc::default(),
+        entries: Arc::default(),
         live_entries: 1,
     })
 }
--- /dev/null
+++ b/crates/pulley_core/src/process/members/entry_zones.rs
@@ -0,0 +1,53 @@
+//! The live entries of each availability zone.
+
+use super::{FastMap, HostId, MemberRecord, UpstreamId, ZoneName, stable_hash};
+
+/// The live entries of each availability zone.
+///
+/// Which of them have a part in something is worked out by each from the same list, so that they
+/// agree without a message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryZones {
+    zones: FastMap<ZoneName, Vec<HostId>>,
+}
+
+impl EntryZones {
+    /// Sorts live hosts into their zones; those that carry no requests are left out.
+    pub fn of<'a>(live: impl IntoIterator<Item = &'a MemberRecord>) -> Self {
+        let mut zones: FastMap<ZoneName, Vec<HostId>> = FastMap::default();
+        for record in live.into_iter().filter(|record| record.roles.entry) {
+            zones.entry(record.zone.clone()).or_default().push(record.host.clone());
+        }
+        Self { zones }
+    }
+
+    /// Whether a host is one of the `count` entries that an upstream is assigned to: those of its
+    /// zone that rank highest for it, or of all zones if its own has no entry.
+    #[must_use]
+    pub fn is_assigned(
+        &self,
+        host: &HostId,
+        (zone, upstream): (&ZoneName, &UpstreamId),
+        count: usize,
+    ) -> bool {
+        let rank = |host: &HostId| stable_hash([upstream.as_str(), host.as_str()]);
+        let own = rank(host);
+        let is_ahead = |other: &&HostId| rank(other) > own;
+        match self.zones.get(zone) {
+            Some(entries) => {
+                entries.contains(host) && entries.iter().filter(is_ahead).count() < count
+            }
+            None => self.zones.values().flatten().filter(is_ahead).count() < count,
+        }
+    }
+}
+
+impl FromIterator<(ZoneName, HostId)> for EntryZones {
+    fn from_iter<I: IntoIterator<Item = (ZoneName, HostId)>>(entries: I) -> Self {
+        let mut zones: FastMap<ZoneName, Vec<HostId>> = FastMap::default();
+        for (zone, host) in entries {
+            zones.entry(zone).or_default().push(host);
+        }
+        Self { zones }
+    }
+}
--- a/crates/pulley_core/src/process/members/mod.rs
+++ b/crates/pulley_core/src/process/members/mod.rs
@@ -1,5 +1,6 @@
 //! Which hosts are alive, by probes and gossip among all of them.
 
+mod entry_zones;
 mod member_message;
 mod member_record;
 mod member_ring;
@@ -7,6 +8,7 @@
 mod member_settings;
 mod member_table;
 
+pub use entry_zones::EntryZones;
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
 pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
 pub use member_ring::PeerRing;
@@ -15,4 +17,4 @@
 
 pub(super) use member_message::encoded;
 
-use super::{FastMap, FastSet, HostId, Moment, QuantityFault, ZoneName};
+use super::{FastMap, FastSet, HostId, Moment, QuantityFault, UpstreamId, ZoneName, stable_hash};
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -19,8 +19,8 @@
 pub use fast_map::{FastMap, FastSet};
 pub use link_pacer::LinkPacer;
 pub use members::{
-    HostRoles, MEMBER_BODY_LIMIT, MemberIncarnation, MemberRecord, MemberSend, MemberSettings,
-    MemberState, MemberTable, PeerRing,
+    EntryZones, HostRoles, MEMBER_BODY_LIMIT, MemberIncarnation, MemberRecord, MemberSend,
+    MemberSettings, MemberState, MemberTable, PeerRing,
 };
 pub use moment::Moment;
 pub use names::{
@@ -28,7 +28,7 @@
     ZoneName,
 };
 pub use probe_budget::ProbeBudget;
-pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount};
+pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount, StartRate};
 pub use registry::{
     AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RecallProof, RegistryFault,
     RegistryResult, RegistrySend, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory, UpstreamList,
--- a/crates/pulley_core/src/process/quantities.rs
+++ b/crates/pulley_core/src/process/quantities.rs
@@ -69,6 +69,21 @@
     }
 }
 
+/// Requests a second, in thousandths.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StartRate(pub u32);
+
+impl StartRate {
+    /// The rate in requests a second.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "a request more or less in millions")]
+    pub fn per_second(self) -> f32 {
+        self.0 as f32 / 1_000.0
+    }
+}
+
 /// Numbers one voter or learner of the replicated log; never used again after removal.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -152,6 +167,30 @@
     }
 }
 
+impl fmt::Display for StartRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
+impl FromStr for StartRate {
+    type Err = QuantityFault;
+
+    fn from_str(text: &str) -> Result<Self, QuantityFault> {
+        const WANTED: &str = "a number of requests a second, from 0 to 1000000";
+        let value: f64 = text.trim().parse().map_err(|_| fault(text, WANTED))?;
+        if !(0.0..=1_000_000.0).contains(&value) {
+            return Err(fault(text, WANTED));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "range checked above"
+        )]
+        Ok(Self((value * 1_000.0).round() as u32))
+    }
+}
+
 impl fmt::Display for MemberId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "m{}", self.0)
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -15,7 +15,8 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{
-    CountLink, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord, ZoneName,
+    CountLink, EntryZones, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord,
+    ZoneName,
 };
 use crate::version::{KindPlan, PolicyPlan, WorkLength};
 
@@ -146,6 +147,7 @@
         let mut effects = Vec::new();
         let rows = moved_rows(&self.pool, &self.plan, &plan);
         self.plan = plan;
+        self.upstreams.set_warm_up(self.plan.warm_up(&self.pool));
         let old_shares = std::mem::take(&mut self.shares);
         self.shares = KindShares::new(&self.plan, &self.pool, &old_shares);
         self.told.clear();
@@ -169,6 +171,11 @@
         effects
     }
 
+    /// Takes over which entries are alive, who share what cold upstreams bear.
+    pub fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>) {
+        self.upstreams.set_entries(now, entries);
+    }
+
     /// Replaces what is known of the pool's upstreams.
     pub fn apply_upstreams(
         &mut self,
@@ -460,8 +467,10 @@
     ) -> SchedulerEffect {
         self.shares.kind_mut(local).own += 1;
         self.upstreams.count(1.0);
+        let warm_up = self.upstreams.warm_up();
         let slots = self.upstreams.at_mut(upstream);
         slots.start(now);
+        slots.cold.spend(now, warm_up);
         let running =
             RunningRequest { upstream, row: ticket.kind, started: now, cost: None, room: None };
         self.running.insert(ticket.number, running);
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -8,7 +8,7 @@
 use super::arrival_probes::{ProbeReading, SlotRoom, expected_cost, expected_queueing};
 use super::pool_scheduler::{LONGEST_RETRY, RunningRequest, SHORTEST_RETRY, WAIT_PART, refusal};
 use super::upstream_table::AskableUpstream;
-use super::{PoolScheduler, RefusalCause, RequestTicket, SchedulerEffects};
+use super::{LoadReport, PoolScheduler, RefusalCause, RequestTicket, SchedulerEffects};
 use crate::process::{Moment, UpstreamId};
 
 /// What going to another zone costs, in usual times of an answer: the way there and back takes a
@@ -185,6 +185,7 @@
             .filter_map(|reading| Some((self.reading_cost(now, reading)?, reading)))
             .min_by(|(a, _), (b, _)| a.rank().total_cmp(&b.rank()));
         let Some((UpstreamCost { cost, index, .. }, reading)) = best else {
+            readings.iter().for_each(|reading| self.note_reading(now, reading));
             return self.arrive_unasked(now, local, ticket);
         };
         if self.queue.len() > 0 || !self.may_start(local) || ticket.deadline <= now {
@@ -372,10 +373,15 @@
 
     fn note_reading(&mut self, now: Moment, reading: &ProbeReading) {
         if let Some(index) = self.upstreams.index_of(&reading.upstream) {
+            if let Some(left) = reading.report.cold_left {
+                self.upstreams.note_cold(now, index, left);
+            }
+            // What it said of that holds from now on, and no longer than until it says otherwise.
+            let report = LoadReport { cold_left: None, ..reading.report };
             let slots = self.upstreams.at_mut(index);
             // One that was passed on from here is no newer than it was.
-            if slots.reading.is_none_or(|(_, known)| known != reading.report) {
-                slots.reading = Some((now, reading.report));
+            if slots.reading.is_none_or(|(_, known)| known != report) {
+                slots.reading = Some((now, report));
             }
         }
     }
@@ -397,7 +403,7 @@
     fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<UpstreamCost> {
         let index = self.upstreams.index_of(&reading.upstream)?;
         let slots = self.upstreams.at(index);
-        if !slots.takes_work() {
+        if !slots.takes_work() || self.is_too_cold(now, index, reading) {
             return None;
         }
         let away = if slots.record.announcement.zone == self.zone { 0.0 } else { ZONE_DISTANCE };
@@ -408,6 +414,17 @@
         Some(UpstreamCost { cost, handicap: cost * late / part - cost + away, index })
     }
 
+    /// Whether an upstream is cold and nothing may be sent to it by this entry now. Its own word of
+    /// this moment goes before what was known.
+    fn is_too_cold(&self, now: Moment, index: usize, reading: &ProbeReading) -> bool {
+        let (cold, terms) = (&self.upstreams.at(index).cold, self.upstreams.warm_up());
+        match reading.report.cold_left {
+            Some(left) if left.is_zero() => false,
+            Some(_) => !cold.has_permit(now, terms),
+            None => cold.is_closed(now, terms),
+        }
+    }
+
     /// Learns from an answer how long the kind's work takes, and how its upstream's word holds.
     pub(super) fn note_answer(&mut self, now: Moment, local: usize, running: &RunningRequest) {
         let Some(cost) = running.cost else { return };
--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -99,6 +99,8 @@
     /// How long work takes there now, against its usual time, if it says so: its neighbours on the
     /// machine may slow it down.
     pub slowdown: Option<f32>,
+    /// For how long it is still cold, if it says so; zero once it has warmed up.
+    pub cold_left: Option<Duration>,
 }
 
 impl LoadReport {
--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{AttemptOutcome, LoadReport};
+use super::{AttemptOutcome, ColdGuard, LoadReport};
 use crate::process::{
     CountKey, Moment, UpstreamHealth, UpstreamNews, UpstreamPhase, UpstreamRecord,
 };
@@ -51,6 +51,8 @@
     pace: f32,
     paced_at: Moment,
     warming_since: Option<Moment>,
+    /// Bounds what is sent to it while it is cold.
+    pub(crate) cold: ColdGuard,
     trickle_at: Moment,
 }
 
@@ -71,12 +73,13 @@
             pace: 1.0,
             paced_at: now,
             warming_since: cold.then_some(now),
+            cold: ColdGuard::default(),
             trickle_at: now,
         }
     }
 
-    /// Takes over a newer announcement.
-    pub(crate) fn update(&mut self, now: Moment, record: &UpstreamRecord) {
+    /// Takes over a newer announcement; true if the upstream has started anew.
+    pub(crate) fn update(&mut self, now: Moment, record: &UpstreamRecord) -> bool {
         let restarted = record.announcement.incarnation > self.record.announcement.incarnation;
         if restarted {
             let cold = record.announcement.phase == UpstreamPhase::Warming;
@@ -85,9 +88,11 @@
             self.shared_usable = 1.0;
             self.reading = None;
             self.pace = 1.0;
+            self.cold = ColdGuard::default();
         }
         self.record = record.clone();
         self.listed = true;
+        restarted
     }
 
     /// Whether new work may go to it.
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -6,12 +6,13 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::UpstreamSlots;
 use super::subset_ranking::{SubsetRanking, SubsetShift};
+use super::{COLD_ENTRIES, UpstreamSlots};
 use crate::process::{
-    CountKey, CountLayout, FastMap, FastSet, HostId, Moment, UpstreamChange, UpstreamId,
-    UpstreamRecord, ZoneName, median_ms, stable_hash,
+    CountKey, CountLayout, EntryZones, FastMap, FastSet, HostId, Moment, UpstreamChange,
+    UpstreamId, UpstreamPhase, UpstreamRecord, ZoneName, median_ms, stable_hash,
 };
+use crate::version::WarmUpTerms;
 
 /// Upstreams compared, at most, however fresh the counts are: beyond that a choice costs more
 /// than it gains.
@@ -49,6 +50,10 @@
     /// The same by zone, as this entry ranks them.
     zones: FastMap<ZoneName, SubsetRanking>,
     layout: CountLayout,
+    /// What the pool's upstreams bear while they are cold.
+    warm_up: Option<WarmUpTerms>,
+    /// The live entries, which share that.
+    entries: Arc<EntryZones>,
     /// Where each place of the layout is kept.
     places: Vec<usize>,
     /// When what holds for the pool as a whole was last worked out.
@@ -83,6 +88,8 @@
             open: Vec::new(),
             zones: FastMap::default(),
             layout: CountLayout::default(),
+            warm_up: None,
+            entries: Arc::default(),
             places: Vec::new(),
             refreshed: Moment::ZERO,
             announced_slots: 0.0,
@@ -141,15 +148,77 @@
         let index = if let Some(index) = known {
             self.close(index);
             self.unlisted.retain(|other| *other != index);
-            self.slots[index].update(now, record);
+            let before = self.slots[index].takes_work();
+            let restarted = self.slots[index].update(now, record);
+            self.note_phase(now, index, before || restarted);
             index
         } else {
-            self.insert(UpstreamSlots::new(now, record))
+            let index = self.insert(UpstreamSlots::new(now, record));
+            self.note_phase(now, index, true);
+            index
         };
         self.open_up(index);
         !was_listed
     }
 
+    /// Notes by an upstream's record whether it is cold. One that gets work again without a new
+    /// start, as its zone is back in use, may have become cold meanwhile: its own word decides.
+    fn note_phase(&mut self, now: Moment, index: usize, is_known: bool) {
+        let Some(terms) = self.warm_up else { return };
+        let is_assigned = self.is_assigned(index);
+        let slots = &mut self.slots[index];
+        match slots.record.announcement.phase {
+            UpstreamPhase::Warming if !slots.cold.is_cold(now) => {
+                slots.cold.note_cold(now, terms.span, is_assigned);
+            }
+            UpstreamPhase::Ready if !is_known && slots.takes_work() => {
+                slots.cold.note_doubt(now, terms.span, is_assigned);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes what an upstream has said of how long it is cold.
+    pub(crate) fn note_cold(&mut self, now: Moment, index: usize, left: Duration) {
+        if left.is_zero() {
+            self.slots[index].cold.note_warm();
+        } else if self.warm_up.is_some() {
+            let is_assigned = self.is_assigned(index);
+            self.slots[index].cold.note_cold(now, left, is_assigned);
+        }
+    }
+
+    /// Whether this entry is one of those that send to an upstream while it is cold.
+    fn is_assigned(&self, index: usize) -> bool {
+        let announcement = &self.slots[index].record.announcement;
+        let upstream = (&announcement.zone, &announcement.id);
+        self.entries.is_assigned(&self.host, upstream, COLD_ENTRIES)
+    }
+
+    /// Takes over what the pool's upstreams bear while they are cold.
+    pub(crate) fn set_warm_up(&mut self, terms: Option<WarmUpTerms>) {
+        self.warm_up = terms;
+    }
+
+    /// What the pool's upstreams bear while they are cold.
+    pub(crate) fn warm_up(&self) -> Option<WarmUpTerms> {
+        self.warm_up
+    }
+
+    /// Takes over which entries are alive.
+    pub(crate) fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>) {
+        if Arc::ptr_eq(&self.entries, entries) {
+            return;
+        }
+        self.entries = Arc::clone(entries);
+        for index in 0..self.slots.len() {
+            if self.slots[index].cold.is_cold(now) {
+                let is_assigned = self.is_assigned(index);
+                self.slots[index].cold.assign(is_assigned);
+            }
+        }
+    }
+
     /// Notes that an upstream is no longer announced; true if it was.
     fn remove(&mut self, id: &UpstreamId) -> bool {
         let Some(index) = self.by_id.get(id).copied().filter(|index| self.slots[*index].listed)
@@ -255,7 +324,9 @@
         let open = self.open.iter().copied().filter(|index| {
             let slots = &self.slots[*index];
             let part = slots.usable_part(now).max(self.lift);
-            !slots.rests(now, part) && !passed(&slots.record.announcement.id)
+            !slots.rests(now, part)
+                && !slots.cold.is_unasked(now, self.warm_up)
+                && !passed(&slots.record.announcement.id)
         });
         let askable = open.map(|index| {
             let slots = &self.slots[index];
@@ -395,6 +466,7 @@
         if slots.own as f32 >= (usable * choice.own_slack).max(1.0)
             || load >= (usable * choice.slack).max(1.0)
             || slots.rests(choice.now, part)
+            || slots.cold.is_closed(choice.now, self.warm_up)
             || choice.avoid.contains(&slots.record.announcement.id)
         {
             return None;
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -42,7 +42,7 @@
 pub use sheet::{
     AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
     RequestPriority, RouteTerms, SheetColumn, SheetFault, SheetFaults, SheetPrinter, SheetReader,
-    SheetUpload, SheetView, WorkLength,
+    SheetUpload, SheetView, WarmUpTerms, WorkLength,
 };
 pub use stored_change::{ChangeContent, StoredChange};
 pub use zone_order::{EvacuatedZones, ZoneAnswer, ZoneOrder, ZoneUpload, ZoneUse, ZoneUseFault};
--- a/crates/pulley_core/src/version/sheet/mod.rs
+++ b/crates/pulley_core/src/version/sheet/mod.rs
@@ -9,7 +9,7 @@
 
 pub use plan::{
     AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
-    RequestPriority, RouteTerms, WorkLength,
+    RequestPriority, RouteTerms, WarmUpTerms, WorkLength,
 };
 pub use sheet_column::SheetColumn;
 pub use sheet_fault::{SheetFault, SheetFaults};
--- a/crates/pulley_core/src/version/sheet/plan.rs
+++ b/crates/pulley_core/src/version/sheet/plan.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::process::{KindName, PoolName, ProbeRate, ServiceName, ShareFraction, SlotCount};
+use crate::process::{
+    KindName, PoolName, ProbeRate, ServiceName, ShareFraction, SlotCount, StartRate,
+};
 
 /// Priority of a kind; 0 goes first, 9 last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -192,6 +194,17 @@
     pub pool: PoolName,
     /// Where its upstreams answer how loaded they are.
     pub probe_path: SmolStr,
+    /// What its upstreams bear after a start; none if they bear as much as later.
+    pub warm_up: Option<WarmUpTerms>,
+}
+
+/// What an upstream bears after its start, or after it has become cold again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUpTerms {
+    /// For how long it is cold.
+    pub span: Duration,
+    /// How many requests it bears meanwhile, from all entries together.
+    pub rate: StartRate,
 }
 
 impl PolicyPlan {
@@ -238,6 +251,12 @@
         self.pools.iter().find(|terms| terms.pool == *pool).map(|terms| &terms.probe_path)
     }
 
+    /// What the upstreams of a pool bear after a start, if that is less than later.
+    #[must_use]
+    pub fn warm_up(&self, pool: &PoolName) -> Option<WarmUpTerms> {
+        self.pools.iter().find(|terms| terms.pool == *pool).and_then(|terms| terms.warm_up)
+    }
+
     /// Most connections that one upstream of a pool takes, if a row says so.
     #[must_use]
     pub fn connections(&self, pool: &PoolName) -> Option<u32> {
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -95,6 +95,7 @@
         in_flight: Some(running),
         waiting: Some(waiting),
         slowdown: Some(slowdown),
+        cold_left: None,
     };
     ProbeReading { upstream: format!("u{index}").parse().expect("name"), report }
 }
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    CoordinatorOutput, FastMap, FastSet, MemberRecord, MemberSend, MemberSettings, MemberTable,
-    UpstreamDirectory, UpstreamRegistry, UpstreamStart,
+    CoordinatorOutput, EntryZones, FastMap, FastSet, MemberRecord, MemberSend, MemberSettings,
+    MemberTable, UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
 use pulley_core::version::{
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
@@ -106,6 +106,8 @@
     pub(super) departed: FastSet<UpstreamStart>,
     /// The latest order for a zone that upstreams are shown by.
     zones_shown: LogIndex,
+    /// The live entries of each zone as views show them.
+    pub(super) entries: Arc<EntryZones>,
     pub(super) recovery: UpstreamRecovery,
 }
 
@@ -165,6 +167,7 @@
             led: false,
             departed: FastSet::default(),
             zones_shown: LogIndex::default(),
+            entries: Arc::default(),
             recovery: UpstreamRecovery::new(parts.directory),
         }
     }
@@ -404,6 +407,7 @@
             }
         }
         replicas.sort();
+        self.entries = Arc::new(EntryZones::of(self.members.live()));
         if let Some(driver) = &mut self.replica {
             driver.apply_replicas(&replicas);
         }
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -20,6 +20,7 @@
             upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
             evacuated: Arc::clone(self.follower.evacuated()),
+            entries: Arc::clone(&self.entries),
             live_entries: u32::try_from(live).unwrap_or(u32::MAX).max(1),
         }
     }
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use pulley_core::process::{FastMap, UpstreamList};
+use pulley_core::process::{EntryZones, FastMap, UpstreamList};
 use pulley_core::version::EvacuatedZones;
 use pulley_core::{ConfigVersion, Moment, PolicyPlan, PoolName};
 use smol_str::SmolStr;
@@ -39,6 +39,8 @@
     pub readiness: HostReadiness,
     /// The zones that operators have emptied; their upstreams take no work.
     pub evacuated: Arc<EvacuatedZones>,
+    /// The live entries of each zone.
+    pub entries: Arc<EntryZones>,
     /// How many entries are alive, this one included; connection limits are shared by it.
     pub live_entries: u32,
 }
@@ -51,6 +53,7 @@
             upstreams: FastMap::default(),
             readiness: HostReadiness::NotReady { why: SmolStr::new_static("starting") },
             evacuated: Arc::default(),
+            entries: Arc::default(),
             live_entries: 1,
         }
     }
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -206,6 +206,7 @@
         }
     }
     let mut report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
+    report.cold_left = dialect.cold_left(&parts.headers);
     if !parts.status.is_success() {
         report.slowdown = Some(report.slowdown.unwrap_or(1.0) * UNWELL);
     }
--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -1,5 +1,7 @@
 //! Which headers the system speaks with callers and upstreams.
 
+use std::time::Duration;
+
 use http::HeaderValue;
 use http::header::{HeaderMap, HeaderName};
 use pulley_core::request::LoadReport;
@@ -31,6 +33,9 @@
     pub not_run: Option<HeaderName>,
     /// On an upstream's answers: without it, a success is not the upstream's own.
     pub proof: Option<HeaderName>,
+    /// On an upstream's answers to probes: milliseconds for which it is still cold. Without it the
+    /// upstream has warmed up.
+    pub cold_left: Option<HeaderName>,
     /// On an upstream's answers: its load.
     pub load: HeaderName,
     /// Reads the load.
@@ -44,6 +49,15 @@
 }
 
 impl HeaderDialect {
+    /// For how long an upstream says on the answer to a probe that it is cold; none if such answers
+    /// don't tell.
+    pub(super) fn cold_left(&self, headers: &HeaderMap) -> Option<Duration> {
+        let name = self.cold_left.as_ref()?;
+        let Some(value) = headers.get(name) else { return Some(Duration::ZERO) };
+        let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    }
+
     /// The caller's name for a request, if it gives one.
     pub(super) fn id_of(&self, headers: &HeaderMap) -> Option<SmolStr> {
         let value = headers.get(&self.request_id)?;
@@ -61,6 +75,7 @@
             instance: None,
             not_run: None,
             proof: None,
+            cold_left: None,
             load: LOAD_HEADER,
             read_load: read_load_report,
             load_counts_own: false,
--- a/crates/pulleyd/src/request/load_report.rs
+++ b/crates/pulleyd/src/request/load_report.rs
@@ -44,7 +44,7 @@
         }
     }
     let utilization = application.filter(|used| *used > 0.0).or(cpu).or(application)?;
-    let report = LoadReport { utilization, in_flight, waiting, slowdown };
+    let report = LoadReport { utilization, in_flight, waiting, slowdown, cold_left: None };
     (utilization <= UTILIZATION_LIMIT).then_some(report)
 }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -122,7 +122,11 @@
             }
             let upstreams = view.upstreams.get(pool).cloned().unwrap_or_default();
             let rate = self.part_of_probes(upstreams.len(), view.live_entries);
-            cell.state.lock().scheduler.set_probe_rate(rate);
+            {
+                let mut state = cell.state.lock();
+                state.scheduler.set_probe_rate(rate);
+                state.scheduler.set_entries(now, &view.entries);
+            }
             if let Some(effects) = cell.apply(now, &view.plan, upstreams) {
                 self.deliver(&cell, effects);
             }
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -162,7 +162,8 @@
     fn running_view(&self, upstreams: &[&FakeUpstream]) -> RunningView {
         let pool: PoolName = "pool".parse().expect("a name");
         let kinds = vec![self.kind(&pool, "balance", true), self.kind(&pool, "refund", false)];
-        let pools = vec![PoolTerms { pool: pool.clone(), probe_path: "/health".into() }];
+        let pools =
+            vec![PoolTerms { pool: pool.clone(), probe_path: "/health".into(), warm_up: None }];
         let records: Vec<_> = upstreams
             .iter()
             .enumerate()
@@ -176,6 +177,7 @@
             upstreams: known,
             readiness: HostReadiness::Ready,
             evacuated: Arc::default(),
+            entries: Arc::default(),
             live_entries: 1,
         }
     }
