Tell news of upstreams once to each host, and leave a bucket alone while news of it spreads

Cause: at 300 machines and 3,001 upstreams hosts spent their links on each other's news: every host passed each change on to four others, past 40 changes a second nothing was told but whole buckets compared, and a bucket that had changed a few hops away was compared at once though its news was under way. Ruled out: more buckets (their digests go along with every message while anything is unsettled); fewer copies without an order, where part of the hosts learns only by comparison. Change: news has a reach. Who stands 2^n places further on in the ring passes it on to those up to the next one told, so that each host is told by one other; what is told to everybody directly goes one place further. 200 changes a second in place of 40. A bucket that news has changed is not compared for 0.7 s.

--- a/crates/pulley_core/src/process/registry/registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -8,24 +8,26 @@
 use super::lease_bucket::{CODE_EXPIRED, LeaseBucket};
 use super::lease_record::{LeaseRecord, id_hash};
 use super::registry_message::{
-    AgedRecord, BucketCodes, BucketSummary, LEASES_LIMIT, PackedCodes, RegistryContent,
-    RegistryMessage, SummaryItem, parts_of,
+    AgedRecord, BucketCodes, BucketSummary, LEASES_LIMIT, NewsReach, PackedCodes, PendingNews,
+    RegistryContent, RegistryMessage, SummaryItem, parts_of,
 };
 use super::shared_clock::LeaseEpoch;
 use super::{Moment, PeerRing, RegistrySend, UpstreamRegistry};
 
-/// How many hosts each host tells of a change at once. Told by four, about one host in fifty
-/// learns of it only by the next comparison.
-const NEWS_TARGETS: u32 = 4;
 /// Changes a second that are told at once; more wait for the comparison of buckets, so that a
 /// thousand upstreams starting together don't fill the links. Drains are never held back.
-const NEWS_RATE: f64 = 40.0;
+const NEWS_RATE: f64 = 200.0;
 /// How many changes may be told in one burst.
-const NEWS_BURST: f64 = 80.0;
+const NEWS_BURST: f64 = 400.0;
 /// For how long after a change messages carry each bucket's digest.
 const UNSETTLED: Duration = Duration::from_secs(3);
 /// How often one bucket is compared record by record.
 const COMPARE_PAUSE: Duration = Duration::from_millis(250);
+/// How long a bucket is left alone after a change: as long as news takes to reach everybody.
+///
+/// While upstreams come and go all the time, hosts that are told of a change some hops apart would
+/// else compare whole buckets for it, which costs many times the news and tells nobody anything.
+const SPREADING: Duration = Duration::from_millis(700);
 /// How often a digest that differs is answered.
 const ANSWER_PAUSE: Duration = Duration::from_millis(50);
 /// How many messages may wait; more belong to a comparison that is repeated.
@@ -55,8 +57,8 @@
             RegistryContent::BucketLeases { buckets } => {
                 self.take_bucket_leases(now, from, sent, &buckets)
             }
-            RegistryContent::News { records } => {
-                self.take_records(now, sent, records, true);
+            RegistryContent::News { reach, records } => {
+                self.take_records(now, sent, records, Some(reach));
                 Vec::new()
             }
             RegistryContent::Summaries { buckets } => {
@@ -64,7 +66,7 @@
                 Vec::new()
             }
             RegistryContent::Records { records, wanted } => {
-                self.take_records(now, sent, records, false);
+                self.take_records(now, sent, records, None);
                 self.send_wanted(now, from, &wanted);
                 Vec::new()
             }
@@ -87,13 +89,13 @@
         sends: &mut Vec<RegistrySend>,
     ) {
         for records in parts_of(std::mem::take(&mut self.departures)) {
-            let body = self.pack(now, RegistryContent::News { records });
+            let body = self.pack(now, RegistryContent::News { reach: NewsReach::NEXT, records });
             let all = ring.peers().iter();
             sends.extend(all.map(|(_, to)| RegistrySend { to: *to, body: body.clone() }));
         }
     }
 
-    /// Tells some hosts of the changes that were heard of since.
+    /// Tells others of the changes that were heard of since, each as far as it is to go.
     pub(crate) fn tell_news(
         &mut self,
         now: Moment,
@@ -101,22 +103,24 @@
         sends: &mut Vec<RegistrySend>,
     ) {
         let mut news = std::mem::take(&mut self.news);
-        news.retain(|aged| {
-            let leaves = !aged.record.takes_work();
+        news.retain(|news| {
+            let leaves = !news.aged.record.takes_work();
             let afford = self.news_budget >= 1.0;
             if !leaves && afford {
                 self.news_budget -= 1.0;
             }
             leaves || afford
         });
-        for records in parts_of(news) {
-            let body = self.pack(now, RegistryContent::News { records });
-            let count = NEWS_TARGETS.min(ring.rounds());
-            let targets = (0..count).filter_map(|step| {
-                // Spread over the cycle, so that near and far hosts are told.
-                ring.target(self.round + step * ring.rounds() / count)
-            });
-            sends.extend(targets.map(|(_, to)| RegistrySend { to: *to, body: body.clone() }));
+        // Whoever stands `2^step` places further on tells those up to the next one told from here.
+        for step in 0..ring.rounds() {
+            let reach = NewsReach(u8::try_from(step).unwrap_or(u8::MAX));
+            let told = news.iter().filter(|news| news.reach > reach);
+            let told: Vec<AgedRecord> = told.map(|news| news.aged.clone()).collect();
+            let Some((_, to)) = ring.target(step) else { return };
+            for records in parts_of(told) {
+                let body = self.pack(now, RegistryContent::News { reach, records });
+                sends.push(RegistrySend { to: *to, body });
+            }
         }
     }
 
@@ -217,7 +221,7 @@
             if ours.digest() == theirs.digest {
                 let codes = (0..ours.len()).map(|place| renewal(&theirs.codes, place, sent));
                 self.table.merge_ages(place, epoch, codes);
-            } else {
+            } else if self.changed[place].is_none_or(|at| now.since(at) >= SPREADING) {
                 differing.push(place);
             }
         }
@@ -301,20 +305,21 @@
         now: Moment,
         sent: LeaseEpoch,
         records: Vec<AgedRecord>,
-        pass_on: bool,
+        news: Option<NewsReach>,
     ) {
         for aged in records {
-            self.take_record(now, aged.record, sent.minus(aged.age), pass_on);
+            self.take_record(now, aged.record, sent.minus(aged.age), news);
         }
     }
 
-    /// Merges one record; a change is told to others, if it is to be passed on.
+    /// Merges one record; true if that changed what is known. A change that is news is passed on as far
+    /// as it is to go.
     pub(crate) fn take_record(
         &mut self,
         now: Moment,
         record: LeaseRecord,
         renewed: LeaseEpoch,
-        pass_on: bool,
+        news: Option<NewsReach>,
     ) -> bool {
         let epoch = self.clock.epoch(now);
         let id = record.announcement.id.clone();
@@ -322,8 +327,13 @@
             return false;
         }
         self.unsettled = now + UNSETTLED;
-        if pass_on && let Some(entry) = self.table.find(&id) {
-            self.news.push(self.table.aged(entry, epoch));
+        let Some(reach) = news else { return true };
+        self.changed[LeaseBucket::place(&id)] = Some(now);
+        if reach > NewsReach::NONE
+            && let Some(entry) = self.table.find(&id)
+        {
+            let aged = self.table.aged(entry, epoch);
+            self.news.push(PendingNews { reach, aged });
         }
         true
     }
--- a/crates/pulley_core/src/process/registry/registry_message.rs
+++ b/crates/pulley_core/src/process/registry/registry_message.rs
@@ -59,6 +59,30 @@
     pub(crate) age: u32,
 }
 
+/// How far news is to be passed on: to the hosts up to `2^n` places further on in the ring.
+///
+/// Each host is told by one other only. Told by several, as where everybody tells a few chosen
+/// freely, hosts spent several times the bytes on what they knew already; on links of 2 Mbit/s the
+/// news of a release then left little room for requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct NewsReach(pub(crate) u8);
+
+impl NewsReach {
+    /// To nobody.
+    pub(crate) const NONE: Self = Self(0);
+    /// To the next host: a second way, where everybody is told directly.
+    pub(crate) const NEXT: Self = Self(1);
+    /// To all.
+    pub(crate) const ALL: Self = Self(u8::MAX);
+}
+
+/// A record that is to be told of.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingNews {
+    pub(crate) reach: NewsReach,
+    pub(crate) aged: AgedRecord,
+}
+
 /// What a message says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum RegistryContent {
@@ -67,8 +91,9 @@
     Leases { digest: u32, first: u32, codes: PackedCodes },
     /// Leases of some buckets, for a host that may lack a change; sent while changes spread.
     BucketLeases { buckets: Vec<BucketCodes> },
-    /// Records that have just changed; passed on by whoever had not heard of them.
-    News { records: Vec<AgedRecord> },
+    /// Records that have just changed; whoever had not heard of them passes them on to the hosts
+    /// that its reach covers.
+    News { reach: NewsReach, records: Vec<AgedRecord> },
     /// What the sender holds of buckets in which the receiver holds something else.
     Summaries { buckets: Vec<BucketSummary> },
     /// Records that the receiver lacks, and the hashes of those that the sender lacks.
--- a/crates/pulley_core/src/process/registry/upstream_directory.rs
+++ b/crates/pulley_core/src/process/registry/upstream_directory.rs
@@ -83,7 +83,7 @@
             if is_known || has_left(&record.start()) {
                 continue;
             }
-            recalled += usize::from(self.take_record(now, record, renewed, false));
+            recalled += usize::from(self.take_record(now, record, renewed, None));
         }
         recalled
     }
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -10,7 +10,7 @@
 use super::lease_bucket::BUCKETS;
 use super::lease_record::{LeaseRecord, phase_rank};
 use super::lease_table::LeaseTable;
-use super::registry_message::AgedRecord;
+use super::registry_message::{AgedRecord, NewsReach, PendingNews};
 use super::shared_clock::SharedClock;
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
@@ -110,7 +110,7 @@
     pub(crate) clock: SharedClock,
     pub(crate) table: LeaseTable,
     /// Records to tell of at the next tick.
-    pub(crate) news: Vec<AgedRecord>,
+    pub(crate) news: Vec<PendingNews>,
     /// Upstreams that said to this host that they leave; every host is told of them directly.
     pub(crate) departures: Vec<AgedRecord>,
     pub(crate) news_budget: f64,
@@ -119,6 +119,8 @@
     pub(crate) pages: VecDeque<RegistrySend>,
     /// Messages to hosts that have just started; they don't wait behind others' pages.
     pub(crate) introductions: VecDeque<RegistrySend>,
+    /// When news last changed each bucket.
+    pub(crate) changed: Vec<Option<Moment>>,
     /// When each bucket was last compared record by record.
     pub(crate) compared: Vec<Option<Moment>>,
     /// When a digest that differs was last answered.
@@ -152,6 +154,7 @@
             next_news: Moment::ZERO,
             pages: VecDeque::new(),
             introductions: VecDeque::new(),
+            changed: vec![None; BUCKETS],
             compared: vec![None; BUCKETS],
             answered: None,
             unsettled: Moment::ZERO,
@@ -303,7 +306,7 @@
         let gone = Announcement { phase: UpstreamPhase::Gone, ..known.clone() };
         let renewed = entry.renewed;
         let record = LeaseRecord { announcement: gone, drained: entry.record.drained };
-        self.take_record(now, record, renewed, true);
+        self.take_record(now, record, renewed, Some(NewsReach::ALL));
         self.tell_departure(now, id);
         true
     }
@@ -313,7 +316,7 @@
         let Ok(record) = postcard::from_bytes::<LeaseRecord>(body) else { return };
         let id = record.announcement.id.clone();
         let epoch = self.clock.epoch(now);
-        self.take_record(now, record, epoch, true);
+        self.take_record(now, record, epoch, Some(NewsReach::ALL));
         self.tell_departure(now, &id);
     }
 
@@ -328,7 +331,7 @@
             return;
         };
         let aged = self.table.aged(entry, epoch);
-        self.news.retain(|news| news.record.announcement.id != *id);
+        self.news.retain(|news| news.aged.record.announcement.id != *id);
         self.departures.push(aged);
     }
 
@@ -352,7 +355,7 @@
         };
         let drained = LeaseRecord { drained: true, ..entry.record.clone() };
         let renewed = entry.renewed;
-        self.take_record(now, drained, renewed, true);
+        self.take_record(now, drained, renewed, Some(NewsReach::ALL));
         Ok(())
     }
 
@@ -364,7 +367,7 @@
         let epoch = self.clock.epoch(now);
         let record = LeaseRecord::new(announcement);
         let id = record.announcement.id.clone();
-        if self.take_record(now, record, epoch, true) {
+        if self.take_record(now, record, epoch, Some(NewsReach::ALL)) {
             Ok(AnnounceOutcome::Registered)
         } else if self.table.find(&id).is_none() {
             Err(RegistryFault::Full)
