Ask upstreams and zones last that leave questions unanswered

Change: an upstream that has left a question unanswered is asked last for a second, or until it is heard; a zone with three of them and no word within 0.3 s is asked last as a whole, and requests look in all zones at once. It refuses nobody.

--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -110,7 +110,8 @@
         let asked = question.asked;
         let passed = |id: &UpstreamId| asked.contains(id) || ticket.avoid.contains(id);
         let mut open = self.upstreams.askable(now, &self.zone, passed);
-        if question.reach == ProbeReach::OwnZone && self.has_own_zone() {
+        let stays = question.reach == ProbeReach::OwnZone && self.has_own_zone(now);
+        if stays {
             open.retain(|upstream| !upstream.is_away);
         }
         open.shuffle(&mut self.rng);
@@ -125,8 +126,8 @@
         targets.collect()
     }
 
-    /// Orders upstreams to ask: those that have just said that they are bad go last, and else the own
-    /// zone and the others take turns.
+    /// Orders upstreams to ask: those that are silent or have just said that they are bad go last, and
+    /// else the own zone and the others take turns.
     ///
     /// Load it is for: one zone's callers ask more of its upstreams than other zones' do, in a rush or
     /// all day. Harm: with all of the own zone before any other, requests never left a zone of eighty
@@ -134,20 +135,35 @@
     /// idle. Reason for the limit: a request comes here again only once some of the own zone were
     /// asked in vain; half of its questions still go there, as bytes to other zones are dear.
     fn in_turns(&self, now: Moment, open: Vec<AskableUpstream>) -> Vec<AskableUpstream> {
-        let mut ranked: Vec<(bool, AskableUpstream)> = open
-            .into_iter()
-            .map(|upstream| (self.was_bad(now, upstream.index), upstream))
-            .collect();
+        let standing = |upstream: &AskableUpstream| {
+            let was_bad = self.was_bad(now, upstream.index);
+            2 * u8::from(upstream.is_silent) + u8::from(was_bad)
+        };
+        let mut ranked: Vec<(u8, AskableUpstream)> =
+            open.into_iter().map(|upstream| (standing(&upstream), upstream)).collect();
         // Stable, so that the order within the subset stays the random one.
-        ranked.sort_by_key(|(was_bad, upstream)| (*was_bad, upstream.is_away, upstream.is_outside));
+        ranked
+            .sort_by_key(|(standing, upstream)| (*standing, upstream.is_away, upstream.is_outside));
         let groups = ranked.chunk_by(|(a, x), (b, y)| (a, x.is_away) == (b, y.is_away));
         let turns = groups.flat_map(|group| group.iter().enumerate());
-        let mut turns: Vec<(usize, bool, AskableUpstream)> =
-            turns.map(|(turn, (was_bad, upstream))| (turn, *was_bad, *upstream)).collect();
-        turns.sort_by_key(|(turn, was_bad, upstream)| (*was_bad, *turn, upstream.is_away));
+        let mut turns: Vec<(usize, u8, AskableUpstream)> =
+            turns.map(|(turn, (standing, upstream))| (turn, *standing, *upstream)).collect();
+        turns.sort_by_key(|(turn, standing, upstream)| (*standing, *turn, upstream.is_away));
         turns.into_iter().map(|(_, _, upstream)| upstream).collect()
     }
 
+    /// Notes that an upstream has left a question unanswered.
+    ///
+    /// Load it is for: a zone's upstreams vanish without a word, and their leases hold for seconds yet.
+    /// Harm: requests of the zone ask one of them after the other, wait for each, and come late while
+    /// other zones have upstreams that stand idle. Reason for the limits: an upstream that is only
+    /// slow is asked again a second later, and so is a zone, by whoever finds no other.
+    pub fn note_unanswered(&mut self, now: Moment, upstream: &UpstreamId) {
+        if let Some(index) = self.upstreams.index_of(upstream) {
+            self.upstreams.at_mut(index).note_unanswered(now);
+        }
+    }
+
     /// Whether an upstream has said within the last moments that it is slowed down or full.
     fn was_bad(&self, now: Moment, index: usize) -> bool {
         let slots = self.upstreams.at(index);
@@ -157,7 +173,11 @@
         })
     }
 
-    fn has_own_zone(&self) -> bool {
+    /// Whether the own zone has upstreams that may be heard.
+    fn has_own_zone(&self, now: Moment) -> bool {
+        if self.upstreams.silent_zones(now).contains(&&self.zone) {
+            return false;
+        }
         self.upstreams.open().any(|slots| slots.record.announcement.zone == self.zone)
     }
 
@@ -245,6 +265,7 @@
     fn remembered(&self, now: Moment, ticket: &RequestTicket) -> Option<usize> {
         let known = self.readings_since(now, REMEMBERED, ticket);
         let costs = known.iter().filter_map(|reading| self.reading_cost(now, reading));
+        let costs = costs.filter(|found| !self.upstreams.at(found.index).is_silent(now));
         let worth = costs.filter(|found| found.cost <= WORTH_STARTING);
         worth.min_by(|a, b| a.rank().total_cmp(&b.rank())).map(|found| found.index)
     }
--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -21,6 +21,9 @@
 /// take long; 25 entries send six a second, which is enough to see that it has recovered.
 const TRICKLE_EVERY: Duration = Duration::from_secs(4);
 
+/// For how long an upstream is taken to be gone that has not answered a question.
+const SILENT_SPAN: Duration = Duration::from_secs(1);
+
 /// In which time half of a slow pace is forgotten, in seconds; the weight of one answer in it, and
 /// the most that one answer may count for.
 const PACE_MEMORY_S: f32 = 2.0;
@@ -47,6 +50,8 @@
     pub(crate) shared_usable: f32,
     /// What it said of its load last, and when.
     pub(crate) reading: Option<(Moment, LoadReport)>,
+    /// When it last left a question unanswered.
+    unanswered: Option<Moment>,
     /// How much longer its answers take than its own word promised, and since when.
     pace: f32,
     paced_at: Moment,
@@ -70,6 +75,7 @@
             health: UpstreamHealth::new(now),
             shared_usable: 1.0,
             reading: None,
+            unanswered: None,
             pace: 1.0,
             paced_at: now,
             warming_since: cold.then_some(now),
@@ -87,6 +93,7 @@
             self.health = UpstreamHealth::new(now);
             self.shared_usable = 1.0;
             self.reading = None;
+            self.unanswered = None;
             self.pace = 1.0;
             self.cold = ColdGuard::default();
         }
@@ -129,6 +136,18 @@
         self.paced_at = now;
     }
 
+    /// Notes that it has left a question unanswered.
+    pub(crate) fn note_unanswered(&mut self, now: Moment) {
+        self.unanswered = Some(now);
+    }
+
+    /// Whether it has left a question unanswered lately and said nothing since.
+    pub(crate) fn is_silent(&self, now: Moment) -> bool {
+        let Some(unanswered) = self.unanswered else { return false };
+        let has_spoken = self.reading.is_some_and(|(at, _)| at >= unanswered);
+        !has_spoken && now.since(unanswered) < SILENT_SPAN
+    }
+
     /// Whether it is to be left alone for now.
     pub(crate) fn rests(&self, now: Moment, usable_part: f32) -> bool {
         usable_part < IMPAIRED && now < self.trickle_at
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -21,6 +21,15 @@
 /// Upstreams compared when the counts say nothing any more.
 const FEWEST_CANDIDATES: usize = 2;
 
+/// From how many silent upstreams on a zone counts as silent, if none of it was heard within a while.
+/// One in six may have crashed on a bad day, so that three in a row by chance are rare.
+const SILENT_LEAST: usize = 3;
+const HEARD_SPAN: Duration = Duration::from_millis(300);
+
+/// How much an upstream that has left a question unanswered ranks behind others, in requests
+/// outstanding at one slot. It refuses nobody: where this host's own link is full, all are silent.
+const SILENT_COST: f32 = 4.0;
+
 /// What going to another zone costs, in requests outstanding at one slot.
 const ZONE_COST: f32 = 0.05;
 
@@ -69,6 +78,8 @@
 /// An upstream that may be asked how loaded it is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AskableUpstream {
+    /// Whether it has left a question unanswered lately, or its zone is silent.
+    pub(crate) is_silent: bool,
     /// Whether it is in another zone.
     pub(crate) is_away: bool,
     /// Whether it is outside the entry's subset of its zone.
@@ -314,6 +325,19 @@
         self.by_id.get(id).copied()
     }
 
+    /// The zones from which nobody is heard: several of their upstreams have left questions
+    /// unanswered lately, and none has said anything since.
+    pub(crate) fn silent_zones(&self, now: Moment) -> Vec<&ZoneName> {
+        let mut zones: FastMap<&ZoneName, (usize, bool)> = FastMap::default();
+        for slots in self.open() {
+            let (silent, heard) = zones.entry(&slots.record.announcement.zone).or_default();
+            *silent += usize::from(slots.is_silent(now));
+            *heard |= slots.reading.is_some_and(|(at, _)| now.since(at) < HEARD_SPAN);
+        }
+        let is_silent = |(silent, heard): (usize, bool)| silent >= SILENT_LEAST && !heard;
+        zones.into_iter().filter(|(_, counts)| is_silent(*counts)).map(|(zone, _)| zone).collect()
+    }
+
     /// Upstreams that may be asked how loaded they are.
     pub(crate) fn askable(
         &self,
@@ -328,10 +352,13 @@
                 && !slots.cold.is_unasked(now, self.warm_up)
                 && !passed(&slots.record.announcement.id)
         });
+        let silent_zones = self.silent_zones(now);
         let askable = open.map(|index| {
             let slots = &self.slots[index];
+            let is_silent =
+                slots.is_silent(now) || silent_zones.contains(&&slots.record.announcement.zone);
             let is_away = slots.record.announcement.zone != *zone;
-            AskableUpstream { is_away, is_outside: !slots.in_subset, index }
+            AskableUpstream { is_silent, is_away, is_outside: !slots.in_subset, index }
         });
         askable.collect()
     }
@@ -472,7 +499,8 @@
             return None;
         }
         let away = if slots.record.announcement.zone == *choice.zone { 0.0 } else { ZONE_COST };
-        Some((load + 1.0) / usable + away)
+        let silent = if slots.is_silent(choice.now) { SILENT_COST } else { 0.0 };
+        Some((load + 1.0) / usable + away + silent)
     }
 
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -12,7 +12,7 @@
 };
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, ProbeQuestion, ProbeReach, ProbeReading,
-    RequestNumber, RequestTicket, SchedulerEffect,
+    ProbeTarget, RequestNumber, RequestTicket, SchedulerEffect,
 };
 use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
 use pulley_core::{Moment, PolicyPlan, RefusalCause};
@@ -372,3 +372,55 @@
     asked.sort_unstable();
     assert_eq!(asked, ["u0", "u2"]);
 }
+
+fn zone_of(target: &ProbeTarget) -> &'static str {
+    let index: u16 = target.upstream.as_str()[1..].parse().expect("a number");
+    if index < 20 { "a" } else { "b" }
+}
+
+// The upstreams of the entry's zone vanish without a word, while their leases hold for seconds yet. A
+// request that goes on asking them, each for a while, comes late; the next one must turn to the other
+// zone at once, and nobody may be given up for good.
+#[test]
+fn a_zone_that_has_fallen_silent_is_asked_after_the_others() {
+    let records: Vec<_> =
+        (0..40).map(|index| upstream(index, if index < 20 { "a" } else { "b" }, 4)).collect();
+    let mut scheduler = entry(3, &records);
+    scheduler.set_probe_rate(300.0);
+    let now = Moment::ZERO + Duration::from_secs(1);
+    let ask = |scheduler: &mut PoolScheduler, now: Moment| {
+        let question = ProbeQuestion { asked: &[], wanted: 3, reach: ProbeReach::OwnZone };
+        scheduler.probe_targets(now, &ticket(1, now), &question)
+    };
+    let first = ask(&mut scheduler, now);
+    assert!(first.iter().all(|target| zone_of(target) == "a"));
+    // One that is silent is no sign of a zone that is: others of it are asked.
+    scheduler.note_unanswered(now, &first[0].upstream);
+    let second = ask(&mut scheduler, now + 40 * MS);
+    assert!(second.iter().all(|target| zone_of(target) == "a" && *target != first[0]));
+    for target in first.iter().chain(&second) {
+        scheduler.note_unanswered(now + 80 * MS, &target.upstream);
+    }
+    let third = ask(&mut scheduler, now + 90 * MS);
+    assert!(third.iter().all(|target| zone_of(target) == "b"), "{third:?}");
+    // A word from the zone, or a second without a question, brings it back.
+    let heard = ProbeReading { upstream: first[0].upstream.clone(), ..reading(0, 0, 0, 1.0) };
+    scheduler.arrive_probed(now + 100 * MS, &ticket(2, now + 100 * MS), &[heard]);
+    assert!(ask(&mut scheduler, now + 110 * MS).iter().all(|target| zone_of(target) == "a"));
+    let later = now + 1_500 * MS;
+    assert!(ask(&mut scheduler, later).iter().all(|target| zone_of(target) == "a"));
+}
+
+// This host's own link is full, and nobody at all is heard. Requests must still find an upstream.
+#[test]
+fn with_all_upstreams_silent_requests_still_start() {
+    let records: Vec<_> = (0..3).map(|index| upstream(index, "a", 2)).collect();
+    let mut scheduler = entry(4, &records);
+    let now = Moment::ZERO + Duration::from_secs(1);
+    for record in &records {
+        scheduler.note_unanswered(now, &record.announcement.id);
+    }
+    let question = ProbeQuestion { asked: &[], wanted: 3, reach: ProbeReach::OwnZone };
+    assert_eq!(scheduler.probe_targets(now, &ticket(1, now), &question).len(), 3);
+    assert!(chosen(&scheduler.arrive(now, &ticket(2, now))).is_some());
+}
--- /dev/null
+++ b/crates/pulley_core/tests/many_entries/main.rs
@@ -0,0 +1,7 @@
+//! Decisions that hundreds of entries come to side by side, in virtual time.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod cold_upstreams;
+mod entry_fleet;
+mod silent_zone;
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -138,6 +138,8 @@
         ticket: &RequestTicket,
         targets: Vec<ProbeTarget>,
     ) {
+        let mut silent: Vec<UpstreamId> =
+            targets.iter().map(|target| target.upstream.clone()).collect();
         let now = context.clock.now();
         let mut limit = now + PROBE_WAIT.min(ticket.deadline.since(now) / LEFT_PART);
         let mut asking: FuturesUnordered<_> = targets
@@ -153,11 +155,12 @@
             })
             .collect();
         while let Some(answer) = context.timer.limit(limit, asking.next()).await {
-            let Some((upstream, answer)) = answer else { return };
+            let Some((upstream, answer)) = answer else { break };
             let Some((report, link)) = answer else {
                 self.unanswered += 1;
                 continue;
             };
+            silent.retain(|other| *other != upstream);
             self.readings.retain(|reading| reading.upstream != upstream);
             self.readings.push(ProbeReading { upstream: upstream.clone(), report });
             self.links.push((upstream, link));
@@ -169,6 +172,11 @@
                 _ => {}
             }
         }
+        // Who was not waited for because another has room may answer yet.
+        let was_waited_for = context.clock.now() >= now + PROBE_WAIT;
+        if was_waited_for || asking.is_empty() {
+            context.schedulers.note_unanswered(&row.pool, &silent);
+        }
         if asking.is_empty() {
             return;
         }
--- a/crates/pulleyd/src/request/scheduler_set_probes.rs
+++ b/crates/pulleyd/src/request/scheduler_set_probes.rs
@@ -3,7 +3,7 @@
 use pulley_core::request::{
     PoolScheduler, ProbeQuestion, ProbeReading, ProbeTarget, RequestTicket,
 };
-use pulley_core::{Moment, PoolName};
+use pulley_core::{Moment, PoolName, UpstreamId};
 
 use super::SchedulerSet;
 
@@ -39,6 +39,13 @@
         self.look(pool, |scheduler, now| scheduler.has_heard(now)).unwrap_or_default()
     }
 
+    /// Notes that upstreams have left a question unanswered.
+    pub fn note_unanswered(&self, pool: &PoolName, upstreams: &[UpstreamId]) {
+        self.look(pool, |scheduler, now| {
+            upstreams.iter().for_each(|upstream| scheduler.note_unanswered(now, upstream));
+        });
+    }
+
     /// Until when a request may look for an upstream that is worth starting at.
     #[must_use]
     pub fn patience(&self, pool: &PoolName, ticket: &RequestTicket) -> Moment {
