Ask refused callers to stay away for as long as the pool has been full

Those who had been refused came back within a few hundred milliseconds, late already, and took the slots of those who could be in time. Ruled out: yielding by what callers have left of their deadline. Change: BusySpell. A refusal names about as long as the pool has been full, 2.5 s at most, over half of that at random.

--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as one request.
 
 mod arrival_probes;
+mod busy_spell;
 mod cold_guard;
 mod kind_shares;
 mod pool_scheduler;
@@ -27,6 +28,7 @@
 };
 pub use verdict::{RefusalCause, RequestVerdict};
 
+pub(crate) use busy_spell::BusySpell;
 pub(crate) use cold_guard::{COLD_ENTRIES, ColdGuard};
 pub(crate) use kind_shares::{FIRST_PRIORITY, KindShares, LeaseTerms, kind_digest};
 pub(crate) use upstream_slots::UpstreamSlots;
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -10,7 +10,7 @@
 use super::arrival_probes::{ArrivalBudget, FillingCost, SlotRoom};
 use super::pool_scheduler_counts::ToldCounts;
 use super::{
-    AttemptOutcome, FIRST_PRIORITY, KindShares, LeaseTerms, LoadReport, RefusalCause,
+    AttemptOutcome, BusySpell, FIRST_PRIORITY, KindShares, LeaseTerms, LoadReport, RefusalCause,
     RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects, UpstreamChoice, UpstreamTable,
     WaitQueue, WaitingRequest,
 };
@@ -113,6 +113,8 @@
     pub(super) probes: ArrivalBudget,
     /// How much longer work takes at the pool's upstreams when it takes their last slot.
     pub(super) filling: FillingCost,
+    /// For how long the pool has been full.
+    pub(super) busy_spell: BusySpell,
 }
 
 impl PoolScheduler {
@@ -138,6 +140,7 @@
             freed: None,
             probes: ArrivalBudget::new(),
             filling: FillingCost::default(),
+            busy_spell: BusySpell::default(),
         }
     }
 
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -223,7 +223,8 @@
             }
             let slots = self.upstreams.at(index).slots();
             let queueing = expected_queueing(slots, &reading.report, self.base(local));
-            let retry_after = queueing.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+            let soonest = queueing.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+            let retry_after = self.busy_spell.refuse(now, soonest, &mut self.rng);
             return vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)];
         }
         let room = SlotRoom::of(self.upstreams.at(index).slots(), &reading.report);
@@ -257,7 +258,8 @@
         {
             return vec![self.start(now, local, found, ticket)];
         }
-        let retry_after = self.base(local).clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        let soonest = self.base(local).clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        let retry_after = self.busy_spell.refuse(now, soonest, &mut self.rng);
         vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)]
     }
 
--- a/crates/pulley_core/tests/many_entries/cold_upstreams.rs
+++ b/crates/pulley_core/tests/many_entries/cold_upstreams.rs
@@ -16,7 +16,7 @@
     let mut pool = EntryFleet::new(200, 117, Some(warm_up()), 1);
     pool.run(Duration::from_secs(2), 280.0);
     pool.chill(0, true);
-    (pool.in_time, pool.asked) = (0, 0);
+    pool.count_anew();
     pool.run(COLD_SPAN, 2_000.0);
     let busiest = pool.busiest_second();
     assert!(busiest <= COLD_MOST, "{busiest} requests in one second");
@@ -70,7 +70,7 @@
     pool.run(Duration::from_secs(4), 280.0);
     pool.chill(2, false);
     pool.tell(&records(true), 0);
-    (pool.in_time, pool.asked) = (0, 0);
+    pool.count_anew();
     pool.run(COLD_SPAN + Duration::from_secs(2), 2_000.0);
     let busiest = pool.busiest_second();
     assert!(busiest <= COLD_MOST, "{busiest} requests in one second");
--- a/crates/pulley_core/tests/many_entries/entry_fleet.rs
+++ b/crates/pulley_core/tests/many_entries/entry_fleet.rs
@@ -126,6 +126,8 @@
 struct AskingRequest {
     entry: usize,
     begun: Duration,
+    /// How often its caller has come back.
+    returns: u32,
     stage: u32,
     is_first: bool,
     asked: Vec<UpstreamId>,
@@ -144,8 +146,13 @@
     asking: BTreeMap<(Duration, u64), AskingRequest>,
     /// What entries are still to hear, and when.
     news: BTreeMap<(Duration, u64), (usize, Vec<UpstreamRecord>)>,
-    pub(crate) in_time: u64,
-    pub(crate) asked: u64,
+    /// How often callers come back that were refused, and whether they do when they are told to.
+    pub(crate) caller_returns: u32,
+    pub(crate) are_patient: bool,
+    /// From when on requests are counted.
+    counted_from: Duration,
+    in_time: u64,
+    asked: u64,
 }
 
 impl EntryFleet {
@@ -177,6 +184,9 @@
             asked_at: FastMap::default(),
             asking: BTreeMap::new(),
             news: BTreeMap::new(),
+            caller_returns: 0,
+            are_patient: true,
+            counted_from: Duration::ZERO,
             in_time: 0,
             asked: 0,
         };
@@ -227,6 +237,11 @@
         }
     }
 
+    /// Counts requests from now on only.
+    pub(crate) fn count_anew(&mut self) {
+        (self.counted_from, self.in_time, self.asked) = (self.now, 0, 0);
+    }
+
     /// A zone's upstreams vanish without a word: what they work on is lost.
     pub(crate) fn darken(&mut self, zone: usize) {
         for index in (0..self.upstreams.len()).filter(|index| index % 3 == zone) {
@@ -288,7 +303,8 @@
     fn end(&mut self, entry: usize, number: u64, outcome: AttemptOutcome) {
         let now = Moment::ZERO + self.now;
         let asked_at = self.asked_at.remove(&number);
-        let is_in_time = asked_at.is_some_and(|at| self.now - at <= TARGET);
+        let is_in_time =
+            asked_at.is_some_and(|at| at >= self.counted_from && self.now - at <= TARGET);
         self.in_time += u64::from(is_in_time && outcome == AttemptOutcome::Answered);
         let effects = self.entries[entry].finish(now, RequestNumber(number), outcome, None);
         self.carry_out(entry, effects);
@@ -299,6 +315,7 @@
         let request = AskingRequest {
             entry,
             begun: self.now,
+            returns: 0,
             stage: 0,
             is_first: true,
             asked: Vec::new(),
@@ -377,17 +394,25 @@
 
     fn place(&mut self, ticket: &RequestTicket, request: &AskingRequest) {
         let now = Moment::ZERO + self.now;
-        let entry = request.entry;
+        let AskingRequest { entry, begun, returns, .. } = *request;
         let patience = self.entries[entry].patience(now, ticket);
         let effects = self.entries[entry].arrive_probed(now, ticket, &request.readings);
-        self.asked_at.insert(ticket.number.0, request.begun);
-        let is_refused = matches!(effects.as_slice(), [SchedulerEffect::Refuse { .. }]);
+        self.asked_at.insert(ticket.number.0, begun);
+        let refused = match effects.as_slice() {
+            [SchedulerEffect::Refuse { retry_after, .. }] => Some(*retry_after),
+            _ => None,
+        };
         self.carry_out(entry, effects);
-        if is_refused && now + FULL_PAUSE < patience {
+        let Some(retry_after) = refused else { return };
+        let asked_again = |returns, is_first| {
             let (asked, readings) = (Vec::new(), Vec::new());
-            let AskingRequest { entry, begun, .. } = *request;
-            let again = AskingRequest { entry, begun, stage: 0, is_first: false, asked, readings };
-            self.later(FULL_PAUSE, again);
+            AskingRequest { entry, begun, returns, stage: 0, is_first, asked, readings }
+        };
+        if now + FULL_PAUSE < patience {
+            self.later(FULL_PAUSE, asked_again(returns, false));
+        } else if returns < self.caller_returns {
+            let wait = if self.are_patient { retry_after } else { FULL_PAUSE };
+            self.later(wait, asked_again(returns + 1, true));
         }
     }
 
--- a/crates/pulley_core/tests/many_entries/main.rs
+++ b/crates/pulley_core/tests/many_entries/main.rs
@@ -4,4 +4,5 @@
 
 mod cold_upstreams;
 mod entry_fleet;
+mod returning_callers;
 mod silent_zone;
--- a/crates/pulley_core/tests/many_entries/silent_zone.rs
+++ b/crates/pulley_core/tests/many_entries/silent_zone.rs
@@ -12,7 +12,7 @@
     let mut fleet = EntryFleet::new(60, 60, None, 5);
     fleet.run(Duration::from_secs(2), 600.0);
     fleet.darken(0);
-    (fleet.in_time, fleet.asked) = (0, 0);
+    fleet.count_anew();
     fleet.run(Duration::from_secs(3), 600.0);
     assert!(fleet.in_time() > 0.9, "in time: {}", fleet.in_time());
 }
