Rank a cold upstream by its own word, and ask it as those of the subset

Change: what a pool's sheet bounds is ranked by its own word; a cold upstream that may be used is asked like the subset.

--- a/crates/pulley_core/src/request/upstream_slots.rs
+++ b/crates/pulley_core/src/request/upstream_slots.rs
@@ -102,6 +102,11 @@
         restarted
     }
 
+    /// Takes its own word for how slow it is at first, as what it gets is bounded otherwise.
+    pub(crate) fn skip_warming(&mut self) {
+        self.warming_since = None;
+    }
+
     /// Whether new work may go to it.
     pub(crate) fn takes_work(&self) -> bool {
         self.listed && self.record.takes_work
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -178,6 +178,7 @@
         let Some(terms) = self.warm_up else { return };
         let is_assigned = self.is_assigned(index);
         let slots = &mut self.slots[index];
+        slots.skip_warming();
         match slots.record.announcement.phase {
             UpstreamPhase::Warming if !slots.cold.is_cold(now) => {
                 slots.cold.note_cold(now, terms.span, is_assigned);
@@ -358,7 +359,9 @@
             let is_silent =
                 slots.is_silent(now) || silent_zones.contains(&&slots.record.announcement.zone);
             let is_away = slots.record.announcement.zone != *zone;
-            AskableUpstream { is_silent, is_away, is_outside: !slots.in_subset, index }
+            // What is set aside for this entry is asked as if it were of its subset.
+            let is_outside = !slots.in_subset && !slots.cold.is_cold(now);
+            AskableUpstream { is_silent, is_away, is_outside, index }
         });
         askable.collect()
     }
