Leave an upstream's last slot free where filling it slows down all that runs there

Upstreams of four slots that take 1.7 times as long when they are full end 2.35 requests in the time in which three end 3, so that the pools did a quarter less just in the rush. Change: what a last slot delays others by (expected_harm) counts where its learned cost says that the upstream does less with it filled, from four slots on until answers have shown otherwise; learned also from requests that found room beside a nearly full set and ended beside a full one, as nobody need take a last slot for it.

--- a/crates/pulley_core/src/request/arrival_probes.rs
+++ b/crates/pulley_core/src/request/arrival_probes.rs
@@ -32,6 +32,10 @@
 /// where a spell has begun after the probe.
 const ANSWER_SPREAD: f32 = 0.5;
 
+/// From how many slots on an upstream is taken to do less with the last one filled, until answers have
+/// shown otherwise. With fewer slots the last is too large a part to be left free on a guess.
+const HARMED_SLOTS: f32 = 4.0;
+
 /// From which part of its slots on an upstream counts as nearly full.
 const NEARLY_FULL: f32 = 0.75;
 
@@ -134,6 +138,14 @@
         if is_less { (self.cost + doubt).max(LEAST_FILLING) } else { FIRST_FILLING }
     }
 
+    /// Whether an upstream does more in the same time with its last slot left free.
+    ///
+    /// Whatever takes it slows down all that runs there: where work takes longer by more than one part
+    /// in the other slots, fewer requests end.
+    fn harms(self, slots: f32) -> bool {
+        slots >= HARMED_SLOTS && self.cost * (slots - 1.0) > 1.0
+    }
+
     /// Learns from an answer that took a last slot and so many usual times.
     pub(crate) fn note(&mut self, times: f32) {
         self.answers = (self.answers + 1.0).min(1.0 / FILLING_WEIGHT);
@@ -160,6 +172,20 @@
     slowdown * (1.0 + filling.or_first() * fullness + ahead)
 }
 
+/// By how much a request that takes an upstream's last slot, or waits for one, delays those that run there, in usual
+/// times of an answer; none where the upstream does more with it filled.
+///
+/// Load it is for: rushes, in which most free slots are last ones. Harm: upstreams of four slots that
+/// slow down by two thirds when they are full do a quarter less with four requests than with three,
+/// so that filling them turns a rush that a pool could bear into one that it cannot. Reason for the
+/// limit: what one request gains is set against what the others lose.
+#[expect(clippy::cast_precision_loss, reason = "slots and requests are few")]
+pub(crate) fn expected_harm(slots: f32, report: &LoadReport, filling: FillingCost) -> f32 {
+    let is_filled = SlotRoom::of(slots, report) != SlotRoom::Free;
+    let running = report.in_flight.map_or(0.0, |count| count as f32);
+    if is_filled && filling.harms(slots) { filling.or_first() * running } else { 0.0 }
+}
+
 /// What room a request finds at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SlotRoom {
@@ -171,6 +197,12 @@
     Full,
 }
 
+/// Whether an upstream has one slot free at most besides the one that a request takes.
+#[expect(clippy::cast_precision_loss, reason = "slots and requests are few")]
+pub(crate) fn is_nearly_full(slots: f32, report: &LoadReport) -> bool {
+    report.in_flight.map_or(0.0, |count| count as f32) + 2.0 >= slots
+}
+
 impl SlotRoom {
     /// The room at an upstream, by its own word.
     pub(crate) fn of(slots: f32, report: &LoadReport) -> Self {
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -83,6 +83,8 @@
     pub(super) cost: Option<f32>,
     /// What room it found there, by the same word.
     pub(super) room: Option<SlotRoom>,
+    /// Whether one more request was enough to fill it.
+    pub(super) was_near: bool,
 }
 
 /// One pool's scheduler at one entry.
@@ -244,7 +246,7 @@
             let kind = self.shares.kind_mut(local);
             kind.own = kind.own.saturating_sub(1);
             if outcome == AttemptOutcome::Answered {
-                self.note_answer(now, local, &running);
+                self.note_answer(now, local, &running, report);
             }
         }
         self.finishes = self.finishes.wrapping_add(1);
@@ -474,8 +476,14 @@
         let slots = self.upstreams.at_mut(upstream);
         slots.start(now);
         slots.cold.spend(now, warm_up);
-        let running =
-            RunningRequest { upstream, row: ticket.kind, started: now, cost: None, room: None };
+        let running = RunningRequest {
+            upstream,
+            row: ticket.kind,
+            started: now,
+            cost: None,
+            room: None,
+            was_near: false,
+        };
         self.running.insert(ticket.number, running);
         let announcement = &slots.record.announcement;
         SchedulerEffect::Start {
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -5,7 +5,9 @@
 
 use rand::seq::SliceRandom;
 
-use super::arrival_probes::{ProbeReading, SlotRoom, expected_cost, expected_queueing};
+use super::arrival_probes::{
+    ProbeReading, SlotRoom, expected_cost, expected_harm, expected_queueing, is_nearly_full,
+};
 use super::pool_scheduler::{LONGEST_RETRY, RunningRequest, SHORTEST_RETRY, WAIT_PART, refusal};
 use super::upstream_table::AskableUpstream;
 use super::{LoadReport, PoolScheduler, RefusalCause, RequestTicket, SchedulerEffects};
@@ -19,6 +21,10 @@
 /// a busy one comes to 1.6 at two slots; the slowest usual spell is 5.
 const WORTH_STARTING: f32 = 2.0;
 
+/// The part of its time for which a request runs beside a full set of others, if it found room and
+/// its upstream was full when it ended.
+const FULL_PART: f32 = 0.5;
+
 /// How much larger than usual a request's work may be and still be in time, before other zones are
 /// asked as well.
 const LARGE_WORK: f32 = 1.6;
@@ -169,7 +175,9 @@
         let slots = self.upstreams.at(index);
         slots.reading.is_some_and(|(at, report)| {
             now.since(at) <= BAD_SPAN
-                && expected_cost(slots.slots(), &report, self.filling) > WORTH_STARTING
+                && expected_cost(slots.slots(), &report, self.filling)
+                    + expected_harm(slots.slots(), &report, self.filling)
+                    > WORTH_STARTING
         })
     }
 
@@ -186,7 +194,7 @@
     #[must_use]
     pub fn best_cost(&self, now: Moment, readings: &[ProbeReading]) -> Option<f32> {
         let costs = readings.iter().filter_map(|reading| self.reading_cost(now, reading));
-        costs.map(|found| found.cost).min_by(f32::total_cmp)
+        costs.map(|found| found.cost + found.harm).min_by(f32::total_cmp)
     }
 
     /// Takes a new request whose upstreams have been asked: it starts at the one that will answer
@@ -204,7 +212,7 @@
             .iter()
             .filter_map(|reading| Some((self.reading_cost(now, reading)?, reading)))
             .min_by(|(a, _), (b, _)| a.rank().total_cmp(&b.rank()));
-        let Some((UpstreamCost { cost, index, .. }, reading)) = best else {
+        let Some((UpstreamCost { cost, harm, index, .. }, reading)) = best else {
             readings.iter().for_each(|reading| self.note_reading(now, reading));
             return self.arrive_unasked(now, local, ticket);
         };
@@ -215,7 +223,9 @@
             self.note_reading(now, reading);
         }
         self.probes.fill(now);
-        if self.is_kept(now, local, ticket, (index, reading), cost) {
+        if self.is_kept(now, local, ticket, (index, reading), cost)
+            || (harm > 0.0 && ticket.target.is_some())
+        {
             if self.probes.is_spent()
                 && let Some(found) = self.remembered(now, ticket)
             {
@@ -227,11 +237,14 @@
             let retry_after = self.busy_spell.refuse(now, soonest, &mut self.rng);
             return vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)];
         }
-        let room = SlotRoom::of(self.upstreams.at(index).slots(), &reading.report);
+        let slots = self.upstreams.at(index).slots();
+        let room = SlotRoom::of(slots, &reading.report);
+        let was_near = is_nearly_full(slots, &reading.report);
         let started = self.start(now, local, index, ticket);
         if let Some(running) = self.running.get_mut(&ticket.number) {
             running.cost = Some(cost);
             running.room = Some(room);
+            running.was_near = was_near;
         }
         vec![started]
     }
@@ -268,7 +281,7 @@
         let known = self.readings_since(now, REMEMBERED, ticket);
         let costs = known.iter().filter_map(|reading| self.reading_cost(now, reading));
         let costs = costs.filter(|found| !self.upstreams.at(found.index).is_silent(now));
-        let worth = costs.filter(|found| found.cost <= WORTH_STARTING);
+        let worth = costs.filter(|found| found.cost + found.harm <= WORTH_STARTING);
         worth.min_by(|a, b| a.rank().total_cmp(&b.rank())).map(|found| found.index)
     }
 
@@ -434,7 +447,8 @@
         let part = (slots.usable_part(now) / self.upstreams.usual_part()).clamp(LEAST_PART, 1.0);
         let late = if self.is_overdue(now, index) { OVERDUE_COST } else { 1.0 };
         let cost = own_word * slots.pace(now);
-        Some(UpstreamCost { cost, handicap: cost * late / part - cost + away, index })
+        let harm = expected_harm(slots.slots(), &reading.report, self.filling);
+        Some(UpstreamCost { cost, harm, handicap: cost * late / part - cost + away, index })
     }
 
     /// Whether an upstream is cold and nothing may be sent to it by this entry now. Its own word of
@@ -448,8 +462,20 @@
         }
     }
 
+    /// Whether an upstream was full when a request ended that its report no longer counts.
+    fn was_filled(&self, index: usize, report: Option<LoadReport>) -> bool {
+        let slots = self.upstreams.at(index).slots();
+        report.is_some_and(|report| SlotRoom::of(slots, &report) != SlotRoom::Free)
+    }
+
     /// Learns from an answer how long the kind's work takes, and how its upstream's word holds.
-    pub(super) fn note_answer(&mut self, now: Moment, local: usize, running: &RunningRequest) {
+    pub(super) fn note_answer(
+        &mut self,
+        now: Moment,
+        local: usize,
+        running: &RunningRequest,
+        report: Option<LoadReport>,
+    ) {
         let Some(cost) = running.cost else { return };
         let took = now.since(running.started);
         let promised = self.base(local).as_secs_f32() * cost;
@@ -458,6 +484,13 @@
         // Each of the two is learned from what the other has no part in: learned from the same
         // answers, one would make up for whatever the other is wrong by.
         match running.room {
+            // Nobody need take a last slot to learn what it costs: others do, by chance.
+            Some(SlotRoom::Free)
+                if running.was_near && self.was_filled(running.upstream, report) =>
+            {
+                let longer = (took.as_secs_f32() / promised - 1.0) / FULL_PART;
+                self.filling.note(1.0 + longer);
+            }
             Some(SlotRoom::Free) => self.note_base(local, cost, took),
             Some(SlotRoom::Last) => {
                 let usual = promised / (1.0 + self.filling.or_first());
@@ -472,6 +505,8 @@
 #[derive(Clone, Copy, Debug)]
 struct UpstreamCost {
     cost: f32,
+    /// By how much it would delay those that run there.
+    harm: f32,
     /// What speaks against it besides: another zone, failures lately. It ranks upstreams and
     /// refuses none, as a moment's waiting changes nothing about it.
     handicap: f32,
@@ -480,6 +515,6 @@
 
 impl UpstreamCost {
     fn rank(&self) -> f32 {
-        self.cost + self.handicap
+        self.cost + self.harm + self.handicap
     }
 }
--- a/crates/pulley_core/tests/many_entries/main.rs
+++ b/crates/pulley_core/tests/many_entries/main.rs
@@ -4,5 +4,6 @@
 
 mod cold_upstreams;
 mod entry_fleet;
+mod last_slots;
 mod returning_callers;
 mod silent_zone;
