--- a/crates/pulley_core/src/process/members/entry_zones.rs
+++ b/crates/pulley_core/src/process/members/entry_zones.rs
@@ -14,11 +14,8 @@
 impl EntryZones {
     /// Sorts live hosts into their zones; those that carry no requests are left out.
     pub fn of<'a>(live: impl IntoIterator<Item = &'a MemberRecord>) -> Self {
-        let mut zones: FastMap<ZoneName, Vec<HostId>> = FastMap::default();
-        for record in live.into_iter().filter(|record| record.roles.entry) {
-            zones.entry(record.zone.clone()).or_default().push(record.host.clone());
-        }
-        Self { zones }
+        let entries = live.into_iter().filter(|record| record.roles.entry);
+        entries.map(|record| (record.zone.clone(), record.host.clone())).collect()
     }
 
     /// Whether a host is one of the `count` entries that an upstream is assigned to: those of its
--- a/crates/pulley_core/src/process/quantities.rs
+++ b/crates/pulley_core/src/process/quantities.rs
@@ -139,6 +139,24 @@
     }
 }
 
+/// Reads a number of so many a second at most, in thousandths.
+fn read_thousandths(text: &str, most: f64, wanted: &'static str) -> Result<u32, QuantityFault> {
+    let plain = text.trim().replacen(',', ".", 1);
+    if plain.is_empty() || !plain.chars().all(|c| c.is_ascii_digit() || c == '.') {
+        return Err(fault(text, wanted));
+    }
+    let value: f64 = plain.parse().map_err(|_| fault(text, wanted))?;
+    if !(0.0..=most).contains(&value) {
+        return Err(fault(text, wanted));
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "range checked above"
+    )]
+    Ok((value * 1_000.0).round() as u32)
+}
+
 impl fmt::Display for ProbeRate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
@@ -149,21 +167,7 @@
     type Err = QuantityFault;
 
     fn from_str(text: &str) -> Result<Self, QuantityFault> {
-        const WANTED: &str = "a number of probes a second, from 0 to 100000";
-        let plain = text.trim().replacen(',', ".", 1);
-        if plain.is_empty() || !plain.chars().all(|c| c.is_ascii_digit() || c == '.') {
-            return Err(fault(text, WANTED));
-        }
-        let value: f64 = plain.parse().map_err(|_| fault(text, WANTED))?;
-        if !(0.0..=100_000.0).contains(&value) {
-            return Err(fault(text, WANTED));
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "range checked above"
-        )]
-        Ok(Self((value * 1_000.0).round() as u32))
+        read_thousandths(text, 100_000.0, "a number of probes a second, from 0 to 100000").map(Self)
     }
 }
 
@@ -177,17 +181,8 @@
     type Err = QuantityFault;
 
     fn from_str(text: &str) -> Result<Self, QuantityFault> {
-        const WANTED: &str = "a number of requests a second, from 0 to 1000000";
-        let value: f64 = text.trim().parse().map_err(|_| fault(text, WANTED))?;
-        if !(0.0..=1_000_000.0).contains(&value) {
-            return Err(fault(text, WANTED));
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "range checked above"
-        )]
-        Ok(Self((value * 1_000.0).round() as u32))
+        read_thousandths(text, 1_000_000.0, "a number of requests a second, from 0 to 1000000")
+            .map(Self)
     }
 }
 
--- /dev/null
+++ b/crates/pulleyd/tests/process_failures/zone_tests.rs
@@ -0,0 +1,77 @@
+//! Zones that operators empty, while real processes are frozen, killed and started.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::process_support::{StandInUpstream, TestCluster, wait_until};
+use crate::{ABAY, IN_FORCE_LIMIT};
+
+/// Orders a use for a zone through any of the hosts until it is acknowledged; returns how long that
+/// took.
+fn order_zone(cluster: &TestCluster, hosts: &[usize], zone: &str, zone_use: &str) -> Duration {
+    let began = Instant::now();
+    let mut tries = hosts.iter().cycle();
+    let done = wait_until(Duration::from_secs(30), || {
+        let host = *tries.next().expect("at least one host");
+        let id = format!("{zone}-{zone_use}-{host}-{}", began.elapsed().as_millis());
+        let body =
+            json!({ "change_id": id, "actor": "tester", "zone": zone, "zone_use": zone_use });
+        let answer = cluster.operator(host).send("POST", "/v1/zones", body.to_string().as_bytes());
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    assert!(done, "{zone} {zone_use} was not acknowledged");
+    began.elapsed()
+}
+
+// An operator empties a zone while the leader is frozen, loses all hosts right after that is
+// acknowledged, and starts them again; an entry joins meanwhile. Machines of the zone are being
+// taken away: work that reaches them is cut off.
+#[test]
+fn an_evacuated_zone_gets_no_work_through_a_frozen_leader_and_a_restart_of_all_hosts() {
+    let mut cluster = TestCluster::start(3, 1);
+    let addresses = cluster.announce_addresses();
+    let emptied = StandInUpstream::start_in("z2", "u1", "balances", 6, addresses.clone());
+    let staying = StandInUpstream::start("u2", "balances", 6, addresses);
+    cluster.apply_surely(&[0, 1, 2], "first", 0, ABAY);
+    cluster.await_version(&[0, 1, 2, 3], 1);
+    let call_all = |cluster: &TestCluster, hosts: &[usize]| {
+        hosts.iter().all(|host| {
+            cluster.caller(*host).get("/balances/1").is_ok_and(|answer| answer.status == 200)
+        })
+    };
+    assert!(wait_until(Duration::from_secs(30), || call_all(&cluster, &[0, 1, 2, 3])
+        && emptied.total() > 0
+        && staying.total() > 0));
+
+    let leader = cluster.leader(&[0, 1, 2]).expect("a leader answers");
+    cluster.hosts[leader].signal(Signal::SIGSTOP);
+    let others: Vec<usize> = (0..3).filter(|host| *host != leader).collect();
+    order_zone(&cluster, &others, "z2", "evacuated");
+    cluster.hosts[leader].signal(Signal::SIGCONT);
+    for host in &mut cluster.hosts {
+        host.end(Signal::SIGKILL);
+    }
+    for host in &mut cluster.hosts {
+        host.restart();
+    }
+    let founders = "h1=m1,h2=m2,h3=m3";
+    cluster.add("h5", "entry", founders);
+    let hosts = [0, 1, 2, 3, 4];
+    cluster.await_version(&hosts, 1);
+    std::thread::sleep(IN_FORCE_LIMIT);
+    let before = emptied.total();
+    assert!(wait_until(Duration::from_secs(30), || call_all(&cluster, &hosts)));
+    for _ in 0..20 {
+        assert!(call_all(&cluster, &hosts));
+    }
+    assert_eq!(emptied.total(), before, "work reached the evacuated zone");
+    let status = cluster.status(4).expect("it answers");
+    assert_eq!(status.pointer("/evacuated/0"), Some(&json!("z2")));
+
+    order_zone(&cluster, &hosts, "z2", "in-use");
+    assert!(wait_until(Duration::from_secs(30), || {
+        call_all(&cluster, &hosts) && emptied.total() > before
+    }));
+}
--- a/crates/pulleyd/tests/replica/departure_tests.rs
+++ b/crates/pulleyd/tests/replica/departure_tests.rs
@@ -17,7 +17,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::fake_cluster::{FakeCluster, NetworkFaults, change};
+use super::fake_cluster::{FakeCluster, change};
 use super::fake_disk::FakeDisk;
 use super::schedule_tests::{ScheduleRun, ScheduleStep};
 
@@ -112,14 +112,7 @@
 /// Returns how many departures were acknowledged, and how many starts were proved.
 fn run_schedule(seed: u64, steps: Vec<ScheduleStep>) -> (u64, u64) {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut cluster = FakeCluster::with_settings(5, seed, settings());
-    cluster.faults = NetworkFaults {
-        loss: 0.05,
-        doubled: 0.05,
-        slowest: Duration::from_millis(40),
-        slowest_write: Duration::from_millis(60),
-    };
-    cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+    let cluster = FakeCluster::in_bad_weather(5, seed, settings());
     let mut run = ScheduleRun::of(cluster).with_disks_to_lose(2);
     let mut asked: Vec<(u64, u64)> = Vec::new();
     let mut left: Vec<u64> = Vec::new();
--- a/crates/pulleyd/tests/replica/evacuation_tests.rs
+++ b/crates/pulleyd/tests/replica/evacuation_tests.rs
@@ -13,7 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::fake_cluster::{FakeCluster, NetworkFaults, change};
+use super::fake_cluster::{FakeCluster, change};
 use super::schedule_tests::{ScheduleRun, ScheduleStep};
 
 /// How many schedules are run.
@@ -95,14 +95,7 @@
 /// Returns how many orders were accepted, and how many were overtaken.
 fn run_schedule(seed: u64, steps: Vec<ScheduleStep>) -> (u64, u64) {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut cluster = FakeCluster::with_settings(5, seed, settings());
-    cluster.faults = NetworkFaults {
-        loss: 0.05,
-        doubled: 0.05,
-        slowest: Duration::from_millis(40),
-        slowest_write: Duration::from_millis(60),
-    };
-    cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+    let cluster = FakeCluster::in_bad_weather(5, seed, settings());
     let mut run = ScheduleRun::of(cluster).with_disks_to_lose(2);
     let mut sent: BTreeMap<u64, ZoneOrder> = BTreeMap::new();
     for step in steps {
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -104,6 +104,19 @@
         cluster
     }
 
+    /// A cluster all of whose hosts vote, on a network that loses, doubles and delays messages.
+    pub(crate) fn in_bad_weather(size: usize, seed: u64, settings: ReplicaSettings) -> Self {
+        let mut cluster = Self::with_settings(size, seed, settings);
+        cluster.faults = NetworkFaults {
+            loss: 0.05,
+            doubled: 0.05,
+            slowest: Duration::from_millis(40),
+            slowest_write: Duration::from_millis(60),
+        };
+        cluster.run_until(Duration::from_secs(20), Self::all_vote);
+        cluster
+    }
+
     /// Adds a host with an empty disk and starts it.
     pub(crate) fn add_host(&mut self, host: HostId, member: MemberId) -> usize {
         let cluster = "test".parse().expect("a valid name");
--- a/crates/pulleyd/tests/replica/schedule_tests.rs
+++ b/crates/pulleyd/tests/replica/schedule_tests.rs
@@ -101,14 +101,7 @@
     fn new(size: usize, seed: u64) -> Self {
         let ledger = LedgerLimits { capacity: 4, ..LedgerLimits::default() };
         let settings = ReplicaSettings::default().with_ledger(ledger).with_snapshot_weight(2_000);
-        let mut cluster = FakeCluster::with_settings(size, seed, settings);
-        cluster.faults = NetworkFaults {
-            loss: 0.05,
-            doubled: 0.05,
-            slowest: Duration::from_millis(40),
-            slowest_write: Duration::from_millis(60),
-        };
-        cluster.run_until(Duration::from_secs(20), FakeCluster::all_vote);
+        let cluster = FakeCluster::in_bad_weather(size, seed, settings);
         // As many disks may be lost as the cluster can do without.
         Self { disks_to_lose: (size - 1) / 2, ..Self::of(cluster) }
     }
