Work out who sends to a cold upstream only for those that are cold

Cause: read as a newcomer: every change of every upstream's record ranked all entries of its zone, though hardly any is cold. Change: the ranking moved behind the question; decisions as before (tests of many_entries, arrival_probes, pool_scheduler green).

--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -176,17 +176,16 @@
     /// start, as its zone is back in use, may have become cold meanwhile: its own word decides.
     fn note_phase(&mut self, now: Moment, index: usize, is_known: bool) {
         let Some(terms) = self.warm_up else { return };
-        let is_assigned = self.is_assigned(index);
         let slots = &mut self.slots[index];
         slots.skip_warming();
-        match slots.record.announcement.phase {
-            UpstreamPhase::Warming if !slots.cold.is_cold(now) => {
-                slots.cold.note_cold(now, terms.span, is_assigned);
-            }
-            UpstreamPhase::Ready if !is_known && slots.takes_work() => {
-                slots.cold.note_doubt(now, terms.span, is_assigned);
-            }
-            _ => {}
+        let (phase, is_cold) = (slots.record.announcement.phase, slots.cold.is_cold(now));
+        let is_doubtful = phase == UpstreamPhase::Ready && !is_known && slots.takes_work();
+        if phase == UpstreamPhase::Warming && !is_cold {
+            let is_assigned = self.is_assigned(index);
+            self.slots[index].cold.note_cold(now, terms.span, is_assigned);
+        } else if is_doubtful {
+            let is_assigned = self.is_assigned(index);
+            self.slots[index].cold.note_doubt(now, terms.span, is_assigned);
         }
     }
 
