--- a/crates/pulley_core/src/version/follower/mod.rs
+++ b/crates/pulley_core/src/version/follower/mod.rs
@@ -4,8 +4,11 @@
 mod plan_follower_asking;
 mod plan_follower_fetch;
 mod plan_follower_message;
+mod plan_follower_spreading;
+mod plan_spread_counts;
 
 pub use plan_follower::{PlanFollower, PlanStanding};
 pub use plan_follower_message::{PlanDigest, PlanSend, ReplicaSet};
+pub use plan_spread_counts::SpreadCounts;
 
 use super::{ConfigVersion, EvacuatedZones, LogIndex, StoredPlan};
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -7,9 +7,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::plan_follower_fetch::{FetchStep, PlanFetch};
+use super::plan_follower_fetch::PlanFetch;
 use super::plan_follower_message::{HeldPlan, LogReport, PlanContent, PlanLease, PlanMessage};
-use super::{ConfigVersion, EvacuatedZones, LogIndex, PlanSend, ReplicaSet, StoredPlan};
+use super::{
+    ConfigVersion, EvacuatedZones, LogIndex, PlanSend, ReplicaSet, SpreadCounts, StoredPlan,
+};
 use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock, SharedTime};
 
 /// The time in which a lease reaches all hosts on its way round the ring.
@@ -30,8 +32,8 @@
 const CONFIRMATIONS: usize = 32;
 /// How long and how many plans are kept that were in force before. While changes come in quick
 /// succession, a slow host's question for one arrives when its source has the next already.
-const EARLIER_TERM: Duration = Duration::from_secs(1);
-const EARLIER_LIMIT: usize = 8;
+pub(super) const EARLIER_TERM: Duration = Duration::from_secs(1);
+pub(super) const EARLIER_LIMIT: usize = 8;
 /// How many hosts that asked too early are remembered: all of an installation at the planned size.
 pub(super) const ASKER_LIMIT: usize = 2_048;
 /// How many requests for chunks a host answers a second; who gets no answer asks another host.
@@ -88,21 +90,22 @@
     /// The newest orders for zones heard of; always committed.
     pub(super) evacuated: Arc<EvacuatedZones>,
     /// Plans held before, for hosts that have begun to fetch them, and until when.
-    earlier: VecDeque<(Moment, HeldPlan)>,
-    fetch: Option<PlanFetch>,
+    pub(super) earlier: VecDeque<(Moment, HeldPlan)>,
+    pub(super) fetch: Option<PlanFetch>,
+    pub(super) counts: SpreadCounts,
     pub(super) replica: Option<LogReport>,
     pub(super) answers: FastMap<HostId, (Moment, LogReport)>,
     /// Who has asked this host before it could tell anything, with the number of the last question.
     pub(super) askers: FastMap<HostId, u64>,
     holders: FastMap<HostId, ConfigVersion>,
-    serve_budget: f64,
-    last_tick: Moment,
+    pub(super) serve_budget: f64,
+    pub(super) last_tick: Moment,
     next_round: Moment,
     round: u32,
     /// Hosts that say of themselves that they hold a replica.
     pub(super) likely_replicas: Vec<HostId>,
     /// Whether a new version is to be told of at once.
-    flood: bool,
+    pub(super) flood: bool,
     /// Whether the host serves on by the last version it knew when it can learn of no newer one.
     serves_on: bool,
 }
@@ -126,6 +129,7 @@
             evacuated: Arc::default(),
             earlier: VecDeque::new(),
             fetch: None,
+            counts: SpreadCounts::default(),
             replica: None,
             answers: FastMap::default(),
             askers: FastMap::default(),
@@ -201,6 +205,18 @@
         &self.holders
     }
 
+    /// What spreading configurations has cost this host so far.
+    #[must_use]
+    pub const fn spread_counts(&self) -> SpreadCounts {
+        self.counts
+    }
+
+    /// The version that is being fetched, if one is.
+    #[must_use]
+    pub fn fetching(&self) -> Option<ConfigVersion> {
+        self.fetch.as_ref().map(|fetch| fetch.version)
+    }
+
     /// When [`Self::tick`] next has something to do.
     #[must_use]
     pub fn next_wakeup(&self) -> Moment {
@@ -363,7 +379,10 @@
             self.next_round = now + round_pause(ring);
         }
         self.ask_around(now, ring, &mut sends);
+        let was_asked = self.fetch.as_ref().is_some_and(PlanFetch::was_asked);
         if let Some((to, content)) = self.fetch.as_mut().and_then(|fetch| fetch.ask(now)) {
+            self.counts.windows_asked += 1;
+            self.counts.windows_overdue += u64::from(was_asked);
             sends.push(self.send(now, to, content));
         }
         sends
@@ -377,7 +396,7 @@
         steps.filter_map(|round| ring.target(round)).map(|(host, _)| host.clone()).collect()
     }
 
-    fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
+    pub(super) fn tell_lease(&self, now: Moment, to: HostId) -> Option<PlanSend> {
         let lease = self.lease.clone().filter(|_| self.welcomed && self.lease_holds(now))?;
         let held = self.version();
         let digest = self.held.as_ref().map(|held| held.digest).unwrap_or_default();
@@ -480,117 +499,6 @@
             fetch.add_source(host);
         }
     }
-
-    /// Wants the version that a lease names, unless another one is on its way already.
-    ///
-    /// Changes in quick succession would else each throw away what is on its way: hosts that are
-    /// slow stayed at the version before a storm for as long as it lasted, two seconds and more.
-    fn want(&mut self, now: Moment, lease: &PlanLease) {
-        if lease.version == ConfigVersion::default() && self.held.is_none() {
-            self.held = Some(HeldPlan::new(Arc::default()));
-        }
-        let held = self.held.as_ref().is_some_and(|held| held.plan.version == lease.version);
-        let is_busy = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.version >= lease.version || fetch.is_coming(now));
-        if !held && !is_busy {
-            self.fetch = Some(PlanFetch::new(lease.version, lease.digest));
-        }
-    }
-
-    /// Takes up what another host has in force. That is always committed, whoever leads now. It
-    /// goes before a later version that nobody is known to hold yet.
-    fn take_committed(
-        &mut self,
-        now: Moment,
-        from: &HostId,
-        (version, digest): (ConfigVersion, super::PlanDigest),
-    ) {
-        let held = self.held.as_ref().map(|held| held.plan.version);
-        let is_busy = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.version == version || fetch.is_coming(now));
-        if version > ConfigVersion::default() && held < Some(version) && !is_busy {
-            self.fetch = Some(PlanFetch::new(version, digest));
-        }
-        if let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.version == version) {
-            fetch.add_source(from);
-        }
-    }
-
-    // ---------------------------------------------------------------------------------------------
-    // Plans
-
-    fn serve(
-        &mut self,
-        now: Moment,
-        to: &HostId,
-        (version, digest): (ConfigVersion, super::PlanDigest),
-        wanted: std::ops::Range<u32>,
-    ) -> Vec<PlanSend> {
-        if self.serve_budget < 1.0 {
-            return Vec::new();
-        }
-        let earlier = self.earlier.iter().map(|(_, plan)| plan);
-        let known = self.held.iter().chain(earlier).find(|held| held.digest == digest);
-        let Some(held) = known else {
-            // It has moved on since it told of that version: it tells of the one it has now.
-            self.serve_budget -= 1.0;
-            return self.tell_lease(now, to.clone()).into_iter().collect();
-        };
-        self.serve_budget -= 1.0;
-        let total = held.chunk_count();
-        let last = wanted.end.min(wanted.start.saturating_add(32));
-        (wanted.start..last)
-            .filter_map(|index| held.chunk(index).map(|body| (index, body)))
-            .map(|(index, body)| PlanContent::Chunk { version, digest, index, total, body })
-            .map(|content| self.send(now, to.clone(), content))
-            .collect()
-    }
-
-    fn take_chunk(
-        &mut self,
-        now: Moment,
-        (version, digest): (ConfigVersion, super::PlanDigest),
-        place: (u32, u32),
-        body: bytes::Bytes,
-    ) -> Vec<PlanSend> {
-        let fetch = self.fetch.as_mut().filter(|f| f.version == version && f.digest == digest);
-        let Some(fetch) = fetch else {
-            return Vec::new();
-        };
-        match fetch.take(now, place, body) {
-            FetchStep::Wait => Vec::new(),
-            FetchStep::Ask(to, content) => vec![self.send(now, to, content)],
-            FetchStep::Done(plan) => {
-                self.hold(plan);
-                let leader = self.lease.as_ref().map(|lease| lease.leader.clone());
-                let leader = leader.filter(|leader| *leader != self.host);
-                let held = PlanContent::Held { version: self.version() };
-                leader.map(|to| self.send(now, to, held)).into_iter().collect()
-            }
-        }
-    }
-
-    /// Puts a plan in force, unless a later one is already.
-    fn hold(&mut self, plan: HeldPlan) {
-        if self.held.as_ref().is_some_and(|held| held.plan.version >= plan.plan.version) {
-            return;
-        }
-        let version = plan.plan.version;
-        if let Some(before) = self.held.replace(plan) {
-            self.earlier.push_back((self.last_tick + EARLIER_TERM, before));
-        }
-        while self.earlier.len() > EARLIER_LIMIT {
-            self.earlier.pop_front();
-        }
-        if self.fetch.as_ref().is_some_and(|fetch| fetch.version <= version) {
-            self.fetch = None;
-        }
-        self.flood = true;
-    }
 }
 
 /// The pause between two rounds of one host.
--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -55,6 +55,11 @@
         !self.sources.is_empty() && self.source == 0 && !is_overdue
     }
 
+    /// Whether chunks were asked for and not all have come.
+    pub(crate) fn was_asked(&self) -> bool {
+        self.asked.is_some()
+    }
+
     pub(crate) fn next_wakeup(&self) -> Option<Moment> {
         if self.sources.is_empty() {
             return None;
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -113,6 +113,7 @@
             "replicas": replica.as_ref().map(|status| &status.members),
             "count_age_ms": self.count_ages(now),
             "control": self.transport_status(),
+            "spread": self.follower.spread_counts(),
             "coordinates": self.counts.scopes(),
             "running": self.schedulers.running(),
             "waiting": self.schedulers.waiting(),
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -13,7 +13,7 @@
     HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome, ZoneName,
 };
 use pulley_core::version::{
-    AuditRead, DriverInput, LogIndex, PersistBatch, PlanStanding, ReplicaMember,
+    AuditRead, DriverInput, LogIndex, PersistBatch, PlanStanding, ReplicaMember, SpreadCounts,
 };
 use slog::{Logger, error, info, warn};
 use thiserror::Error;
@@ -42,6 +42,8 @@
 /// The pause between two lines on the members: where hundreds of hosts start together, each hears
 /// of them one by one.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
+/// The shortest pause between two log lines on what spreading configurations costs.
+const SPREAD_PAUSE: Duration = Duration::from_secs(1);
 
 /// How often the secret file is looked at for changed keys.
 const KEY_CHECK: Duration = Duration::from_secs(2);
@@ -148,6 +150,8 @@
     /// Up to which change of the members the log tells of them, and when it next may.
     told_mark: u64,
     next_telling: Moment,
+    spread_told: SpreadCounts,
+    next_spread_telling: Moment,
     believed: Option<ReplicaBelief>,
     /// How this host stood towards the configuration when that was last logged.
     standing: Option<PlanStanding>,
@@ -251,6 +255,8 @@
         known_mark: u64::MAX,
         told_mark: u64::MAX,
         next_telling: now,
+        spread_told: SpreadCounts::default(),
+        next_spread_telling: now,
         believed: None,
         standing: None,
         zones_told: LogIndex::default(),
@@ -407,6 +413,7 @@
         }
         self.report_members(mark);
         self.report_belief();
+        self.report_spread();
         if let Some(outcome) = self.core.take_recall() {
             info!(self.logger, "upstreams-recalled"; "outcome" => ?outcome);
         }
@@ -514,6 +521,25 @@
             "failure" => status.failure.as_ref().map(ToString::to_string));
     }
 
+    /// Logs what spreading configurations costs, while it does.
+    fn report_spread(&mut self) {
+        let now = self.clock.now();
+        let counts = self.core.follower.spread_counts();
+        if counts == self.spread_told || now < self.next_spread_telling {
+            return;
+        }
+        self.spread_told = counts;
+        self.next_spread_telling = now + SPREAD_PAUSE;
+        let follower = &self.core.follower;
+        let fetching = follower.fetching().map(|version| version.to_string());
+        info!(self.logger, "configuration-spread"; "version" => %follower.version(),
+            "fetching" => fetching, "fetches" => counts.fetches,
+            "dropped_fetches" => counts.dropped_fetches, "windows_asked" => counts.windows_asked,
+            "windows_overdue" => counts.windows_overdue, "chunks_taken" => counts.chunks_taken,
+            "chunks_unwanted" => counts.chunks_unwanted, "windows_served" => counts.windows_served,
+            "windows_unserved" => counts.windows_unserved, "chunks_served" => counts.chunks_served);
+    }
+
     fn apply_addresses(&mut self) {
         for host in self.core.members.take_moved() {
             match self.core.members.find(&host) {
