Show that a change of many rows takes many seconds on slow links

What callers saw: 404 for added routes for many seconds after the change was acknowledged, and late answers meanwhile. Cause: the fake network of the members tests gave every link any rate, so that a plan pulled whole by everybody cost nothing. Change: links of limited rate for the fake network, each way, with a queue of half a second and callers who take a steady part of it; off by default, with the same random draws as before. Plans of rows with random-looking names, committed by all replicas within 10 ms. Bounds from the promises: in force everywhere within 2 s, no queue over 150 ms (half of what callers want their answers within), one over 100 ms at most in a hundredth of the entries' link time.

--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -4,6 +4,13 @@
 mod daemon_group;
 mod gossip_cost;
 mod linear_fit;
+#[path = "../../../pulley_core/tests/members/link_model.rs"]
+#[allow(
+    dead_code,
+    unreachable_pub,
+    reason = "shared with pulley_core's tests, which use more of it"
+)]
+mod link_model;
 mod message_cost;
 #[path = "../../../pulley_core/tests/members/network.rs"]
 #[allow(
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -4,10 +4,14 @@
 
 mod differences_tests;
 mod evacuation_tests;
+mod link_model;
 mod member_table_tests;
 mod network;
 mod plan_follower_tests;
 mod restart_tests;
+mod route_rows;
 mod schedule_tests;
 mod upstream_directory_tests;
 mod upstream_registry_tests;
+mod wide_change;
+mod wide_change_tests;
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::link_model::LinkModel;
+
 /// What a datagram costs besides its body: UDP and IP headers, format, name of 8 bytes, tag.
 pub(crate) const WIRE_OVERHEAD: usize = 28 + 3 + 8 + 16;
 
@@ -65,9 +68,11 @@
     }
 }
 
+/// What happens to a host; where links are limited, a message arrives at one before it is delivered.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Wake(usize),
+    Arrive { to: usize, from: SocketAddr, kind: Kind, body: Bytes },
     Deliver { to: usize, from: SocketAddr, kind: Kind, body: Bytes },
 }
 
@@ -80,6 +85,8 @@
     /// The leader's index, if one issues leases.
     pub(crate) leader: Option<(usize, u64)>,
     pub(crate) replicas: ReplicaSet,
+    /// What the hosts' links bear; without, everything.
+    pub(crate) links: Option<LinkModel>,
     events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
     number: u64,
     rng: SmallRng,
@@ -131,6 +138,7 @@
             cuts: BTreeSet::new(),
             leader: None,
             replicas: ReplicaSet::default(),
+            links: None,
             events: BinaryHeap::new(),
             number: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -237,8 +245,16 @@
         };
         let sheet: String = (0..rows).map(|row| self.sheet_row(row)).collect();
         let plan = StoredPlan { version: ConfigVersion(version), sheet, ..StoredPlan::default() };
-        self.hosts[leader].plans.committed(std::sync::Arc::new(plan));
-        self.lead();
+        self.commit(leader, Arc::new(plan));
+    }
+
+    /// Has a replica know that a version is committed; the leader tells at once.
+    pub(crate) fn commit(&mut self, replica: usize, plan: Arc<StoredPlan>) {
+        self.hosts[replica].plans.committed(plan);
+        match self.leader {
+            Some((leader, _)) if leader == replica => self.lead(),
+            _ => self.after(replica),
+        }
     }
 
     fn sheet_row(&mut self, row: usize) -> String {
@@ -279,6 +295,16 @@
                 }
                 self.tick(index);
             }
+            Event::Arrive { to, from, kind, body } => {
+                let (now, bytes) = (self.now, body.len() + WIRE_OVERHEAD);
+                let through = match &mut self.links {
+                    Some(links) => links.arrive(to, now, bytes),
+                    None => Some(now),
+                };
+                if let Some(at) = through {
+                    self.push(at, Event::Deliver { to, from, kind, body });
+                }
+            }
             Event::Deliver { to, from, kind, body } => {
                 let host = &mut self.hosts[to];
                 if !host.up {
@@ -356,17 +382,27 @@
             let sent = self.hosts[from].sent.entry(kind).or_default();
             sent.0 += 1;
             sent.1 += (body.len() + WIRE_OVERHEAD) as u64;
+            let (now, bytes) = (self.now, body.len() + WIRE_OVERHEAD);
+            let left = match &mut self.links {
+                Some(links) => links.leave(from, now, bytes),
+                None => Some(now),
+            };
             let to = index_of(to);
             let copies = 1 + usize::from(self.rng.random_bool(self.weather.doubles));
             for _ in 0..copies {
                 let lost = self.rng.random_bool(self.weather.loss);
                 let delay = self.rng.random_range(self.weather.delay.0..=self.weather.delay.1);
-                if lost || to >= self.hosts.len() || self.cuts.contains(&(from, to)) {
+                let Some(left) = left.filter(|_| !lost) else { continue };
+                if to >= self.hosts.len() || self.cuts.contains(&(from, to)) {
                     continue;
                 }
-                let at = self.now + Duration::from_micros(delay);
-                let from = self.hosts[from].address;
-                self.push(at, Event::Deliver { to, from, kind, body: body.clone() });
+                let at = left + Duration::from_micros(delay);
+                let (from, body) = (self.hosts[from].address, body.clone());
+                let event = match self.links {
+                    Some(_) => Event::Arrive { to, from, kind, body },
+                    None => Event::Deliver { to, from, kind, body },
+                };
+                self.push(at, event);
             }
         }
     }
--- /dev/null
+++ b/crates/pulley_core/tests/members/wide_change.rs
@@ -0,0 +1,168 @@
+//! A change of many rows, and one of a single row right after, at hosts with links of limited rate.
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pulley_core::version::{LogIndex, PlanStanding, ReplicaSet, StoredPlan};
+use pulley_core::{ConfigVersion, HostId, Moment};
+
+use super::link_model::{LinkFigures, LinkModel, LinkTerms};
+use super::network::{Host, Kind, Network, host_name};
+use super::route_rows::RouteRows;
+
+/// How many hosts hold a replica, on links that bear everything.
+pub(crate) const REPLICAS: usize = 5;
+const REPLICA_LINK: LinkTerms = LinkTerms { rate: 125_000_000, callers: 0 };
+/// The rows in force before the change.
+const ROWS_BEFORE: usize = 48;
+/// The versions: before, with the added rows, with one weight changed.
+const VERSIONS: [u64; 3] = [3, 6, 8];
+/// How long after the first change the second is accepted.
+const BETWEEN: Duration = Duration::from_millis(100);
+/// How long after the one before it a replica learns that a version is committed.
+const REPLICA_LAG: Duration = Duration::from_millis(2);
+const STEP: Duration = Duration::from_millis(1);
+
+/// What changes, and where.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WideChange {
+    pub(crate) hosts: usize,
+    pub(crate) entry_link: LinkTerms,
+    pub(crate) added_rows: usize,
+    /// From which wait on a queue at a link counts as long.
+    pub(crate) long_queue: Duration,
+    pub(crate) seed: u64,
+}
+
+/// What was seen of a change.
+#[derive(Clone, Debug)]
+pub(crate) struct ChangeFigures {
+    /// By host, how long after its acceptance the last version was in force; none if not in time.
+    pub(crate) in_force: Vec<Option<Duration>>,
+    /// By host, how much it sent of messages that spread the configuration.
+    pub(crate) sent: Vec<u64>,
+    /// By host, what was seen of its link: sending and receiving.
+    pub(crate) links: Vec<[LinkFigures; 2]>,
+    /// From the first acceptance to the end.
+    pub(crate) watched: Duration,
+}
+
+impl ChangeFigures {
+    /// How many hosts lack the last version in the end.
+    pub(crate) fn lacking(&self) -> usize {
+        self.in_force.iter().filter(|time| time.is_none()).count()
+    }
+
+    /// When the so-manieth part of the hosts had the last version, if they came to have it.
+    pub(crate) fn part_in_force(&self, part: f64) -> Option<Duration> {
+        let mut times: Vec<Option<Duration>> = self.in_force.clone();
+        times.sort_by_key(|time| time.unwrap_or(Duration::MAX));
+        let place = (times.len() as f64 * part).ceil().max(1.0) as usize - 1;
+        times[place]
+    }
+
+    /// The longest queue at a link of the entries.
+    pub(crate) fn longest_queue(&self) -> Duration {
+        self.entry_queues().map(|figures| figures.longest).max().unwrap_or_default()
+    }
+
+    /// In which part of the entries' time a queue at their links was long.
+    pub(crate) fn long_share(&self) -> f64 {
+        let long: Duration = self.entry_queues().map(|figures| figures.long_time).sum();
+        long.as_secs_f64() / (self.watched.as_secs_f64() * self.entry_queues().count() as f64)
+    }
+
+    /// How many datagrams were dropped at links of entries.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.entry_queues().map(|figures| figures.dropped).sum()
+    }
+
+    /// The mean and the most that hosts of a range sent.
+    pub(crate) fn sent_by(&self, hosts: Range<usize>) -> (u64, u64) {
+        let sent = &self.sent[hosts];
+        let most = sent.iter().max().copied().unwrap_or(0);
+        (sent.iter().sum::<u64>() / sent.len().max(1) as u64, most)
+    }
+
+    fn entry_queues(&self) -> impl Iterator<Item = &LinkFigures> {
+        self.links.iter().skip(REPLICAS).flatten()
+    }
+}
+
+impl WideChange {
+    /// Makes both changes and watches until the last version is in force everywhere, but at least
+    /// for `least` and at most for `most` after its acceptance.
+    pub(crate) fn run(&self, least: Duration, most: Duration) -> ChangeFigures {
+        let mut rows = RouteRows::new(self.seed);
+        rows.add(ROWS_BEFORE);
+        let mut network = self.network(&rows.version(VERSIONS[0]));
+        rows.add(self.added_rows);
+        let first = rows.version(VERSIONS[1]);
+        rows.weigh(ROWS_BEFORE / 2, 90);
+        let last = rows.version(VERSIONS[2]);
+
+        let begun = network.now;
+        accept(&mut network, &first);
+        network.run_until(begun + BETWEEN);
+        let accepted = network.now;
+        let mut in_force = vec![None; self.hosts];
+        accept(&mut network, &last);
+        loop {
+            note_in_force(&network, accepted, &mut in_force);
+            let watched = network.now.since(accepted);
+            let is_done = in_force.iter().all(Option::is_some) && watched >= least;
+            if is_done || watched >= most {
+                break;
+            }
+            network.run_for(STEP);
+        }
+        let sent = |host: &Host| host.sent.get(&Kind::Plan).map_or(0, |sum| sum.1);
+        let sent = network.hosts.iter().map(sent).collect();
+        let now = network.now;
+        let links = network.links.as_mut().expect("links were set");
+        let links = (0..self.hosts).map(|host| links.figures(host, now)).collect();
+        ChangeFigures { in_force, sent, links, watched: now.since(begun) }
+    }
+
+    /// Hosts that know each other and have the first version in force, with links at rest.
+    fn network(&self, plan: &Arc<StoredPlan>) -> Network {
+        let mut network = Network::new(self.hosts, self.seed);
+        let replicas: Vec<HostId> = (0..REPLICAS).map(host_name).collect();
+        network.replicas = ReplicaSet { index: 1, hosts: replicas.clone() };
+        network.hosts.iter_mut().for_each(|host| host.plans.apply_replicas(&replicas));
+        network.leader = Some((0, 1));
+        accept(&mut network, plan);
+        network.run_for(Duration::from_secs(8));
+        let terms = |host| if host < REPLICAS { REPLICA_LINK } else { self.entry_link };
+        let terms: Vec<LinkTerms> = (0..self.hosts).map(terms).collect();
+        network.links = Some(LinkModel::new(&terms, network.now, self.long_queue));
+        network.run_for(Duration::from_secs(1));
+        for host in &mut network.hosts {
+            assert_eq!(host.plans.standing(network.now), PlanStanding::InForce(plan.version));
+            host.sent.clear();
+        }
+        network.links = Some(LinkModel::new(&terms, network.now, self.long_queue));
+        network
+    }
+}
+
+/// A majority has a version on its disks: the leader tells at once, the other replicas know soon.
+fn accept(network: &mut Network, plan: &Arc<StoredPlan>) {
+    for replica in 0..REPLICAS {
+        let replicas = network.replicas.clone();
+        let plans = &mut network.hosts[replica].plans;
+        plans.set_replica(replicas, plan.version, LogIndex::default());
+        network.commit(replica, Arc::clone(plan));
+        network.run_for(REPLICA_LAG);
+    }
+}
+
+fn note_in_force(network: &Network, accepted: Moment, in_force: &mut [Option<Duration>]) {
+    let wanted = PlanStanding::InForce(ConfigVersion(VERSIONS[2]));
+    for (host, time) in network.hosts.iter().zip(in_force) {
+        if time.is_none() && host.plans.standing(network.now) == wanted {
+            *time = Some(network.now.since(accepted));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/tests/members/wide_change_tests.rs
@@ -0,0 +1,61 @@
+//! A change of many rows, at hundreds of hosts with slow links.
+
+use std::time::Duration;
+
+use crate::link_model::LinkTerms;
+use crate::wide_change::{ChangeFigures, REPLICAS, WideChange};
+
+/// A change is in force everywhere this long after its acceptance.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+/// Callers want answers within 300 ms: a queue at one link may take half of that.
+const LONGEST_QUEUE: Duration = Duration::from_millis(150);
+/// From this on a queue is long, which one link in a hundred may have.
+const LONG_QUEUE: Duration = Duration::from_millis(100);
+const LONG_SHARE: f64 = 0.01;
+
+fn change_of(added_rows: usize) -> ChangeFigures {
+    let entry_link = LinkTerms { rate: 175_000, callers: 87_500 };
+    let change =
+        WideChange { hosts: 186, entry_link, added_rows, long_queue: LONG_QUEUE, seed: 51 };
+    change.run(IN_FORCE_WITHIN, IN_FORCE_WITHIN)
+}
+
+fn assert_in_force(figures: &ChangeFigures) {
+    let (entries, replicas) = (figures.sent_by(REPLICAS..186), figures.sent_by(0..REPLICAS));
+    assert_eq!(
+        figures.lacking(),
+        0,
+        "hosts without the last version {IN_FORCE_WITHIN:?} after its acceptance; half had it after \
+         {:?}; entries sent {entries:?} bytes (mean, most), replicas {replicas:?}",
+        figures.part_in_force(0.5),
+    );
+}
+
+fn assert_links_free(figures: &ChangeFigures) {
+    let (longest, share) = (figures.longest_queue(), figures.long_share());
+    let dropped = figures.dropped();
+    assert!(
+        longest <= LONGEST_QUEUE && share <= LONG_SHARE,
+        "a queue of {longest:?} at a link of an entry, in {:.1} % of the time one over \
+         {LONG_QUEUE:?}, {dropped} datagrams dropped there",
+        share * 100.0,
+    );
+}
+
+#[test]
+fn a_change_of_many_rows_is_in_force_everywhere_within_seconds() {
+    assert_in_force(&change_of(1_400));
+}
+
+/// What spreads the change goes by the same links as callers' requests and answers.
+#[test]
+fn callers_do_not_wait_behind_a_change_of_many_rows() {
+    assert_links_free(&change_of(1_400));
+}
+
+#[test]
+fn a_change_of_few_rows_is_in_force_everywhere_and_holds_up_nobody() {
+    let figures = change_of(10);
+    assert_in_force(&figures);
+    assert_links_free(&figures);
+}
