Show that chunks of a plan panic a host that knows no source of it

Cause: a host that wants a version anew, hearing of it from one that lacks it, remembers no source. Chunks asked for before then fill a window, and the next window's source is taken from the empty list: remainder with a divisor of zero in PlanFetch::take.

--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -7,6 +7,7 @@
 use pulley_core::{ConfigVersion, HostId, Moment};
 
 use crate::network::{Network, host_name};
+use crate::route_rows::RouteRows;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -170,3 +171,36 @@
     assert_eq!(entry.standing(at(16)), PlanStanding::InForce(ConfigVersion(0)));
     assert!(replica.tick(at(17), &ring).is_empty(), "once is enough");
 }
+
+/// Chunks came that were asked for before the host began anew with the version, knowing nobody who
+/// holds it: changes follow each other, and links are slow. The host's follower panicked.
+#[test]
+fn chunks_that_come_before_a_source_is_known_end_no_host() {
+    let [mut leader, mut first, mut second] =
+        [0, 1, 2].map(|index| PlanFollower::new(host_name(index), index as u64));
+    let at = |millis| Moment::ZERO + Duration::from_millis(millis);
+    let ring = PeerRing::default();
+    let mut rows = RouteRows::new(52);
+    rows.add(1_400);
+    leader.committed(rows.version(1));
+    leader.lead(1, ReplicaSet { index: 1, hosts: vec![host_name(0)] }, at(1));
+    first.apply_replicas(&[host_name(0)]);
+    for send in first.tick(at(10), &ring) {
+        for answer in leader.receive(at(11), &host_name(1), &send.body) {
+            first.receive(at(12), &host_name(0), &answer.body);
+        }
+    }
+    second.apply_replicas(&[host_name(1)]);
+    for send in second.tick(at(20), &ring) {
+        for answer in first.receive(at(21), &host_name(2), &send.body) {
+            second.receive(at(22), &host_name(1), &answer.body);
+        }
+    }
+    // The second host has heard of the version from one that lacks it itself.
+    for send in first.tick(at(30), &ring) {
+        for chunk in leader.receive(at(31), &host_name(1), &send.body) {
+            second.receive(at(32), &host_name(0), &chunk.body);
+        }
+    }
+    assert_eq!(second.version(), ConfigVersion(0));
+}
