Measure how a change of many rows spreads over slow links

Cause: a single size is no measure of a spread; links, hosts and rows differ by installation. Change: `pulley_bench capacity spread`, a line each for numbers of hosts, rates of the entries' links and added rows: time until the last version is in force with half of the hosts and with all, bytes sent by entries and replicas, queues at entries' links.

--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -4,31 +4,35 @@
 mod daemon_group;
 mod gossip_cost;
 mod linear_fit;
-#[path = "../../../pulley_core/tests/members/link_model.rs"]
-#[allow(
-    dead_code,
-    unreachable_pub,
-    reason = "shared with pulley_core's tests, which use more of it"
-)]
-mod link_model;
 mod message_cost;
-#[path = "../../../pulley_core/tests/members/network.rs"]
+mod process_cost;
+mod spread_cost;
+
+#[path = "../../../pulley_core/tests/members"]
 #[allow(
     dead_code,
     unreachable_pub,
     reason = "shared with pulley_core's tests, which use more of it"
 )]
-mod network;
-mod process_cost;
+mod virtual_hosts {
+    pub(super) mod link_model;
+    pub(super) mod network;
+    mod route_rows;
+    pub(super) mod wide_change;
+}
 
 use eyre::{Result, bail};
 
+use virtual_hosts::{link_model, network, wide_change};
+
 const USAGE: &str = "usage: pulley_bench capacity gossip [--hosts N] [--upstreams N] [--seconds N]
          [--plan-rows N] [--seed N]
        pulley_bench capacity processes [--daemon FILE] [--hosts N,…] [--upstreams N,…]
          [--seconds N] [--changes N] [--sheet FILE]
        pulley_bench capacity messages
        pulley_bench capacity changes [--hosts N,…] [--upstreams N]
+       pulley_bench capacity spread [--hosts N,…] [--link-bytes N,…] [--rows N,…]
+         [--callers-percent N] [--seconds N] [--seed N]
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
         over the real state machines; --plan-rows publishes a plan of so many rows at the end
@@ -36,7 +40,10 @@
         announce themselves, and slopes fitted to them
 messages: processor time of a sealed datagram over a socket and of an announcement
 changes: processor time that the change of one upstream, or the restart of one host, costs another
-         host, by the number of hosts";
+         host, by the number of hosts
+spread: time until a change that adds so many rows, and one of a weight right after, are in force
+        with half of the hosts and with all, what is sent for it and how long queues get at the
+        entries' links of so many bytes a second, of which callers take a part; in virtual time";
 
 /// Runs one of the measurements.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
@@ -46,6 +53,7 @@
         "messages" => message_cost::run(),
         "changes" => change_cost::run(rest),
         "processes" => process_cost::run(rest),
+        "spread" => spread_cost::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
             Ok(())
--- a/crates/pulley_core/tests/members/wide_change.rs
+++ b/crates/pulley_core/tests/members/wide_change.rs
@@ -107,8 +107,12 @@
         network.run_until(begun + BETWEEN);
         let accepted = network.now;
         let mut in_force = vec![None; self.hosts];
-        accept(&mut network, &last);
+        let mut replicas = (0..REPLICAS).zip(0..).peekable();
         loop {
+            let is_due = |(_, lag): &(usize, u32)| network.now >= accepted + REPLICA_LAG * *lag;
+            if let Some((replica, _)) = replicas.next_if(is_due) {
+                commit(&mut network, replica, &last);
+            }
             note_in_force(&network, accepted, &mut in_force);
             let watched = network.now.since(accepted);
             let is_done = in_force.iter().all(Option::is_some) && watched >= least;
@@ -150,14 +154,17 @@
 /// A majority has a version on its disks: the leader tells at once, the other replicas know soon.
 fn accept(network: &mut Network, plan: &Arc<StoredPlan>) {
     for replica in 0..REPLICAS {
-        let replicas = network.replicas.clone();
-        let plans = &mut network.hosts[replica].plans;
-        plans.set_replica(replicas, plan.version, LogIndex::default());
-        network.commit(replica, Arc::clone(plan));
+        commit(network, replica, plan);
         network.run_for(REPLICA_LAG);
     }
 }
 
+fn commit(network: &mut Network, replica: usize, plan: &Arc<StoredPlan>) {
+    let replicas = network.replicas.clone();
+    network.hosts[replica].plans.set_replica(replicas, plan.version, LogIndex::default());
+    network.commit(replica, Arc::clone(plan));
+}
+
 fn note_in_force(network: &Network, accepted: Moment, in_force: &mut [Option<Duration>]) {
     let wanted = PlanStanding::InForce(ConfigVersion(VERSIONS[2]));
     for (host, time) in network.hosts.iter().zip(in_force) {
