--- /dev/null
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -0,0 +1,251 @@
+//! Plans as they travel between hosts: what differs from a version that the receiver holds.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::plan_follower_message::{PLAN_LIMIT, PlanDigest};
+use super::{
+    CallerLimits, ConfigVersion, KindPlan, PolicyPlan, PoolTerms, SequenceEdit, apply_edits,
+    edits_between,
+};
+use crate::process::FastMap;
+
+/// The most rows that a plan is built with on the word of another host.
+const ROW_LIMIT: usize = 65_536;
+/// How many steps are kept, for hosts that hold an earlier version.
+const STEPS_KEPT: usize = 64;
+/// How many bytes the steps kept may have together.
+const STEP_BYTES_KEPT: usize = 1024 * 1024;
+/// The longest way from one version to another; where there is none so short, the plan goes whole.
+const PATH_LIMIT: usize = 32;
+/// How many ways are kept ready, for hosts that ask for the rest of one.
+const PATHS_KEPT: usize = 8;
+
+/// From which version to which; from 0, the empty plan, a whole one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct DeltaSpan {
+    pub(crate) from: ConfigVersion,
+    pub(crate) to: ConfigVersion,
+}
+
+impl DeltaSpan {
+    /// Whether a host that holds a version gets to a later one by it.
+    pub(crate) fn leads_on(self, held: ConfigVersion) -> bool {
+        self.to > held && (self.from == held || self.from == ConfigVersion::default())
+    }
+}
+
+/// A plan in force at a host.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldPlan {
+    pub(crate) version: ConfigVersion,
+    pub(crate) plan: Arc<PolicyPlan>,
+    /// Over the encoded plan, so that hosts whose releases compress differently agree.
+    pub(crate) digest: PlanDigest,
+}
+
+impl HeldPlan {
+    pub(crate) fn new(version: ConfigVersion, plan: Arc<PolicyPlan>) -> Self {
+        let encoded = postcard::to_stdvec(&(version, &*plan));
+        let encoded = encoded.expect("plain data types always encode");
+        Self { version, plan, digest: PlanDigest::of(&encoded) }
+    }
+
+    /// The plan before the first.
+    pub(crate) fn empty() -> Self {
+        Self::new(ConfigVersion::default(), Arc::default())
+    }
+
+    /// Makes a later plan out of this one.
+    ///
+    /// `body` are the steps to it, as [`DeltaHistory::path`] gives them; none if they don't fit, or
+    /// lead to another plan than the one with the digest.
+    pub(crate) fn advance(&self, span: DeltaSpan, digest: PlanDigest, body: &[u8]) -> Option<Self> {
+        let is_whole = span.from == ConfigVersion::default();
+        let mut plan = if is_whole { PolicyPlan::default() } else { (*self.plan).clone() };
+        for (_, packed) in split_steps(body)? {
+            plan = StepBody::unpack(packed)?.apply(plan)?;
+        }
+        let later = Self::new(span.to, Arc::new(plan));
+        (later.digest == digest).then_some(later)
+    }
+}
+
+/// What one step changes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StepBody {
+    limits: Option<CallerLimits>,
+    pools: Option<Vec<PoolTerms>>,
+    rows: Vec<SequenceEdit<KindPlan>>,
+}
+
+impl StepBody {
+    fn between(before: &PolicyPlan, after: &PolicyPlan) -> Self {
+        Self {
+            limits: (before.limits != after.limits).then_some(after.limits),
+            pools: (before.pools != after.pools).then(|| after.pools.clone()),
+            rows: edits_between(&before.kinds, &after.kinds, &after.kinds),
+        }
+    }
+
+    fn pack(&self) -> Bytes {
+        let encoded = postcard::to_stdvec(self).expect("plain data types always encode");
+        Bytes::from(lz4_flex::compress_prepend_size(&encoded))
+    }
+
+    fn unpack(packed: &[u8]) -> Option<Self> {
+        // The size that the packed form claims is memory to be set aside: it is checked first.
+        let claimed = u32::from_le_bytes(*packed.first_chunk()?);
+        if usize::try_from(claimed).ok()? > PLAN_LIMIT {
+            return None;
+        }
+        let encoded = lz4_flex::decompress_size_prepended(packed).ok()?;
+        postcard::from_bytes(&encoded).ok()
+    }
+
+    fn apply(self, before: PolicyPlan) -> Option<PolicyPlan> {
+        let count = |edit: &SequenceEdit<KindPlan>| match edit {
+            SequenceEdit::Copy { count, .. } => *count as usize,
+            SequenceEdit::Insert(rows) => rows.len(),
+        };
+        // A few bytes can claim to copy all rows many times over.
+        let rows = self.rows.iter().map(count).fold(0_usize, usize::saturating_add);
+        if rows > ROW_LIMIT {
+            return None;
+        }
+        Some(PolicyPlan {
+            kinds: apply_edits(&before.kinds, &self.rows)?,
+            limits: self.limits.unwrap_or(before.limits),
+            pools: self.pools.unwrap_or(before.pools),
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PlanStep {
+    span: DeltaSpan,
+    /// Of the plan that it leads to, if that is known.
+    digest: Option<PlanDigest>,
+    packed: Bytes,
+}
+
+/// A way from one version to another, ready to be sent in chunks.
+#[derive(Clone, Debug)]
+pub(crate) struct DeltaPath {
+    pub(crate) span: DeltaSpan,
+    /// Of the plan that it leads to.
+    pub(crate) digest: PlanDigest,
+    pub(crate) body: Bytes,
+}
+
+/// The steps between the latest versions.
+///
+/// A step is made where a change is applied, and passed on as it is. Hosts that hold the same steps
+/// make the same bytes out of them, so chunks of one way may come from several hosts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DeltaHistory {
+    steps: VecDeque<PlanStep>,
+    bytes: usize,
+    paths: VecDeque<DeltaPath>,
+}
+
+impl DeltaHistory {
+    /// Notes the step between two plans that were in force here one after the other.
+    pub(crate) fn note_step(&mut self, before: &HeldPlan, after: &HeldPlan) {
+        let span = DeltaSpan { from: before.version, to: after.version };
+        let packed = StepBody::between(&before.plan, &after.plan).pack();
+        self.push(PlanStep { span, digest: Some(after.digest), packed });
+    }
+
+    /// Notes a way that came from another host and was gone, which then can be passed on.
+    pub(crate) fn note_taken(&mut self, path: DeltaPath) {
+        let mut from = path.span.from;
+        for (to, packed) in split_steps(&path.body).unwrap_or_default() {
+            let digest = (to == path.span.to).then_some(path.digest);
+            let packed = Bytes::copy_from_slice(packed);
+            if from > ConfigVersion::default() {
+                self.push(PlanStep { span: DeltaSpan { from, to }, digest, packed });
+            }
+            from = to;
+        }
+        self.note_path(path);
+    }
+
+    fn note_path(&mut self, path: DeltaPath) {
+        let is_known = self.paths.iter().any(|known| known.span == path.span);
+        if !is_known {
+            self.paths.push_back(path);
+        }
+        while self.paths.len() > PATHS_KEPT {
+            self.paths.pop_front();
+        }
+    }
+
+    /// The way that a host has begun to fetch, if it is still known.
+    pub(crate) fn find(&mut self, span: DeltaSpan) -> Option<DeltaPath> {
+        let known = self.paths.iter().find(|path| path.span == span).cloned();
+        known.or_else(|| {
+            let path = self.compose(span)?;
+            self.note_path(path.clone());
+            Some(path)
+        })
+    }
+
+    /// The way to the plan held, for a host that holds version `from`.
+    pub(crate) fn path(&mut self, from: ConfigVersion, held: &HeldPlan) -> DeltaPath {
+        let known = self.find(DeltaSpan { from, to: held.version });
+        known.unwrap_or_else(|| self.whole(held))
+    }
+
+    fn whole(&mut self, held: &HeldPlan) -> DeltaPath {
+        let span = DeltaSpan { from: ConfigVersion::default(), to: held.version };
+        if let Some(path) = self.paths.iter().find(|path| path.span == span) {
+            return path.clone();
+        }
+        let packed = StepBody::between(&PolicyPlan::default(), &held.plan).pack();
+        let body = join_steps([(held.version, &packed)].into_iter());
+        let path = DeltaPath { span, digest: held.digest, body };
+        self.note_path(path.clone());
+        path
+    }
+
+    fn compose(&self, span: DeltaSpan) -> Option<DeltaPath> {
+        let by_start: FastMap<ConfigVersion, &PlanStep> =
+            self.steps.iter().map(|step| (step.span.from, step)).collect();
+        let mut way: Vec<&PlanStep> = Vec::new();
+        let mut reached = span.from;
+        while reached < span.to && way.len() < PATH_LIMIT {
+            let step = by_start.get(&reached)?;
+            reached = step.span.to;
+            way.push(step);
+        }
+        let last = way.last().filter(|_| reached == span.to)?;
+        let digest = last.digest?;
+        let body = join_steps(way.iter().map(|step| (step.span.to, &step.packed)));
+        (body.len() <= PLAN_LIMIT).then_some(DeltaPath { span, digest, body })
+    }
+
+    fn push(&mut self, step: PlanStep) {
+        self.bytes += step.packed.len();
+        self.steps.push_back(step);
+        while self.steps.len() > STEPS_KEPT
+            || (self.bytes > STEP_BYTES_KEPT && self.steps.len() > 1)
+        {
+            let oldest = self.steps.pop_front();
+            self.bytes -= oldest.map_or(0, |step| step.packed.len());
+        }
+    }
+}
+
+fn join_steps<'step>(steps: impl Iterator<Item = (ConfigVersion, &'step Bytes)>) -> Bytes {
+    let steps: Vec<(ConfigVersion, &[u8])> = steps.map(|(to, step)| (to, &step[..])).collect();
+    Bytes::from(postcard::to_stdvec(&steps).expect("plain data types always encode"))
+}
+
+/// The steps of a way: to which version each leads, and its packed form.
+fn split_steps(body: &[u8]) -> Option<Vec<(ConfigVersion, &[u8])>> {
+    postcard::from_bytes(body).ok()
+}
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -7,10 +7,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::plan_delta::{DeltaHistory, HeldPlan};
 use super::plan_follower_fetch::PlanFetch;
-use super::plan_follower_message::{HeldPlan, LogReport, PlanContent, PlanLease, PlanMessage};
+use super::plan_follower_message::{LogReport, PlanContent, PlanLease, PlanMessage};
+use super::plan_serve_budget::ServeBudget;
 use super::{
-    ConfigVersion, EvacuatedZones, LogIndex, PlanSend, ReplicaSet, SpreadCounts, StoredPlan,
+    ConfigVersion, EvacuatedZones, LogIndex, PlanSend, PolicyPlan, ReplicaSet, SpreadCounts,
 };
 use crate::process::{FastMap, HostId, Moment, PeerRing, SharedClock, SharedTime};
 
@@ -30,21 +32,8 @@
 const FLOOD_TARGETS: u32 = 3;
 /// How many versions' last confirmations are remembered; a host further behind is not ready.
 const CONFIRMATIONS: usize = 32;
-/// How long and how many plans are kept that were in force before. While changes come in quick
-/// succession, a slow host's question for one arrives when its source has the next already.
-pub(super) const EARLIER_TERM: Duration = Duration::from_secs(1);
-pub(super) const EARLIER_LIMIT: usize = 8;
 /// How many hosts that asked too early are remembered: all of an installation at the planned size.
 pub(super) const ASKER_LIMIT: usize = 2_048;
-/// How many requests for chunks a host answers a second; who gets no answer asks another host.
-const SERVE_RATE: f64 = 64.0;
-/// How many requests for chunks may be answered in one burst.
-const SERVE_BURST: f64 = 128.0;
-/// The same for a host with a replica: all of an installation at the planned size.
-///
-/// When all hosts restart together every entry asks the replicas for the plan at one moment. Those
-/// that get no answer ask again a while later and refuse their callers until then.
-const REPLICA_BURST: f64 = 2_048.0;
 
 /// How a host stands towards the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,8 +59,9 @@
 /// The follower of one host; every host has one, replicas and the leader included.
 ///
 /// A lease goes from host to host like upstream leases do, so the leader sends no more than others.
-/// A plan is announced by version and digest and pulled from whoever told of it, so that each host
-/// receives it once and sends it about once.
+/// A new version is announced by its number and digest. What leads to it from the version held is
+/// pulled from a replica, or, where none answers, from another host that holds it: as much as the
+/// change is large, and no more of any link than callers can spare.
 #[derive(Clone, Debug)]
 pub struct PlanFollower {
     pub(super) host: HostId,
@@ -89,8 +79,8 @@
     pub(super) held: Option<HeldPlan>,
     /// The newest orders for zones heard of; always committed.
     pub(super) evacuated: Arc<EvacuatedZones>,
-    /// Plans held before, for hosts that have begun to fetch them, and until when.
-    pub(super) earlier: VecDeque<(Moment, HeldPlan)>,
+    /// The steps to the plan held, for hosts that hold an earlier one.
+    pub(super) history: DeltaHistory,
     pub(super) fetch: Option<PlanFetch>,
     pub(super) counts: SpreadCounts,
     pub(super) replica: Option<LogReport>,
@@ -98,12 +88,13 @@
     /// Who has asked this host before it could tell anything, with the number of the last question.
     pub(super) askers: FastMap<HostId, u64>,
     holders: FastMap<HostId, ConfigVersion>,
-    pub(super) serve_budget: f64,
-    pub(super) last_tick: Moment,
+    pub(super) serve_budget: ServeBudget,
     next_round: Moment,
     round: u32,
     /// Hosts that say of themselves that they hold a replica.
     pub(super) likely_replicas: Vec<HostId>,
+    /// Those of them that are in the own zone.
+    pub(super) near_replicas: Vec<HostId>,
     /// Whether a new version is to be told of at once.
     pub(super) flood: bool,
     /// Whether the host serves on by the last version it knew when it can learn of no newer one.
@@ -127,18 +118,18 @@
             confirmations: VecDeque::new(),
             held: None,
             evacuated: Arc::default(),
-            earlier: VecDeque::new(),
+            history: DeltaHistory::default(),
             fetch: None,
             counts: SpreadCounts::default(),
             replica: None,
             answers: FastMap::default(),
             askers: FastMap::default(),
             holders: FastMap::default(),
-            serve_budget: SERVE_BURST,
-            last_tick: Moment::ZERO,
+            serve_budget: ServeBudget::new(None),
             next_round: Moment::ZERO,
             round: 0,
             likely_replicas: Vec::new(),
+            near_replicas: Vec::new(),
             flood: false,
             serves_on: false,
         }
@@ -155,19 +146,26 @@
         self
     }
 
+    /// Sets what the host's link bears, in bytes a second: plans get a part of it.
+    #[must_use]
+    pub fn with_link_rate(mut self, rate: Option<f64>) -> Self {
+        self.serve_budget = ServeBudget::new(rate);
+        self
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Queries
 
     /// The configuration in force, if one is known; its version never goes down.
     #[must_use]
-    pub fn in_force(&self) -> Option<&Arc<StoredPlan>> {
+    pub fn in_force(&self) -> Option<&Arc<PolicyPlan>> {
         self.held.as_ref().map(|held| &held.plan)
     }
 
     /// The version in force; 0 before the first.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
-        self.held.as_ref().map_or(ConfigVersion::default(), |held| held.plan.version)
+        self.held.as_ref().map_or(ConfigVersion::default(), |held| held.version)
     }
 
     /// The zones that are evacuated, as far as this host has heard; orders are never taken back by
@@ -183,7 +181,7 @@
         let Some(held) = self.held.as_ref().filter(|_| self.welcomed) else {
             return PlanStanding::Starting;
         };
-        let version = held.plan.version;
+        let version = held.version;
         if self.is_confirmed(now, version) {
             return PlanStanding::InForce(version);
         }
@@ -214,7 +212,7 @@
     /// The version that is being fetched, if one is.
     #[must_use]
     pub fn fetching(&self) -> Option<ConfigVersion> {
-        self.fetch.as_ref().map(|fetch| fetch.version)
+        self.fetch.as_ref().map(PlanFetch::goal)
     }
 
     /// When [`Self::tick`] next has something to do.
@@ -290,13 +288,6 @@
     // ---------------------------------------------------------------------------------------------
     // What the log says
 
-    /// Puts a version in force that this host's own replica knows to be committed.
-    pub fn committed(&mut self, plan: Arc<StoredPlan>) {
-        if self.held.as_ref().is_none_or(|held| held.plan.version < plan.version) {
-            self.hold(HeldPlan::new(plan));
-        }
-    }
-
     /// Takes over orders for zones that this host's own replica knows to be committed.
     pub fn committed_zones(&mut self, zones: &Arc<EvacuatedZones>) {
         self.take_zones(zones);
@@ -310,9 +301,6 @@
         last_entry: ConfigVersion,
         last_order: LogIndex,
     ) {
-        if self.replica.is_none() {
-            self.serve_budget = REPLICA_BURST;
-        }
         self.replica = Some(LogReport { replicas, last_entry, last_order });
     }
 
@@ -327,22 +315,28 @@
         self.likely_replicas = hosts.to_vec();
     }
 
+    /// Notes which of them are in the own zone: plans come from there, as links between zones are
+    /// dear.
+    pub fn prefer_replicas(&mut self, near: Vec<HostId>) {
+        self.near_replicas = near;
+    }
+
     /// Issues a lease as the leader. `confirmed` is when the round of heartbeats began that a
     /// majority has answered; the version and the zones in force here must be all that was committed
     /// by then.
     pub fn lead(&mut self, term: u64, replicas: ReplicaSet, confirmed: Moment) {
-        let held = self.held.get_or_insert_with(|| HeldPlan::new(Arc::default()));
+        let held = self.held.get_or_insert_with(HeldPlan::empty);
         let lease = PlanLease {
             term,
             confirmed: self.clock.read(confirmed),
-            version: held.plan.version,
+            version: held.version,
             digest: held.digest,
             leader: self.host.clone(),
             replicas,
         };
         // A majority's answers are as fresh as any host's.
         self.welcomed = true;
-        self.take_lease(confirmed, lease, None);
+        self.take_lease(lease);
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -362,11 +356,6 @@
 
     /// Does what is due by now; the ring is that of the live hosts.
     pub fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<PlanSend> {
-        let refill = now.since(self.last_tick).as_secs_f64() * SERVE_RATE;
-        let burst = if self.replica.is_some() { REPLICA_BURST } else { SERVE_BURST };
-        self.serve_budget = (self.serve_budget + refill).min(burst);
-        self.last_tick = now;
-        self.earlier.retain(|(until, _)| now < *until);
         let mut sends = self.answer_askers(now);
         if std::mem::take(&mut self.flood) {
             let told: Vec<HostId> = self.flood_targets(ring);
@@ -379,17 +368,11 @@
             self.next_round = now + round_pause(ring);
         }
         self.ask_around(now, ring, &mut sends);
-        let was_asked = self.fetch.as_ref().is_some_and(PlanFetch::was_asked);
-        if let Some((to, content)) = self.fetch.as_mut().and_then(|fetch| fetch.ask(now)) {
-            self.counts.windows_asked += 1;
-            self.counts.windows_overdue += u64::from(was_asked);
-            sends.push(self.send(now, to, content));
-        }
+        sends.extend(self.ask_for_plan(now));
         sends
     }
 
-    /// Whom to tell of a version as soon as it is in force here. Each of them pulls the plan from
-    /// here, so that few are told: with all of a cycle's hosts the leader would send ten copies.
+    /// Whom to tell of a version as soon as it is known here; each of them tells as many.
     fn flood_targets(&self, ring: &PeerRing) -> Vec<HostId> {
         let count = FLOOD_TARGETS.min(ring.rounds());
         let steps = (0..count).map(|step| self.round + step * ring.rounds() / count);
@@ -421,8 +404,8 @@
             PlanContent::Lease { lease, held, digest, evacuated } => {
                 self.take_zones(&evacuated);
                 if self.welcomed {
-                    self.take_lease(now, lease, Some((from, held)));
-                    self.take_committed(now, from, (held, digest));
+                    self.take_lease(lease);
+                    self.take_committed(from, (held, digest));
                 }
             }
             PlanContent::Ask { nonce } => {
@@ -440,22 +423,15 @@
                     self.take_answer(now, from, replica);
                     self.welcomed |= welcomed;
                     if let Some(lease) = lease {
-                        self.take_lease(now, lease, Some((from, held)));
+                        self.take_lease(lease);
                     }
-                    self.take_committed(now, from, (held, digest));
+                    self.take_committed(from, (held, digest));
                 }
             }
-            PlanContent::Fetch { version, digest, first, count } => {
-                return self.serve(
-                    now,
-                    from,
-                    (version, digest),
-                    first..first.saturating_add(count),
-                );
-            }
-            PlanContent::Chunk { version, digest, index, total, body } => {
-                return self.take_chunk(now, (version, digest), (index, total), body);
+            PlanContent::Fetch { held, span, first, wanted } => {
+                return self.serve(now, from, (held, span), (first, wanted));
             }
+            PlanContent::Chunk(chunk) => return self.take_chunk(now, from, chunk),
             PlanContent::Held { version } => {
                 let known = self.holders.entry(from.clone()).or_default();
                 *known = version.max(*known);
@@ -480,24 +456,17 @@
         }
     }
 
-    /// Takes in a lease if it is the freshest.
-    fn take_lease(
-        &mut self,
-        now: Moment,
-        lease: PlanLease,
-        source: Option<(&HostId, ConfigVersion)>,
-    ) {
-        let newer = self.lease.as_ref().is_none_or(|known| known.rank() < lease.rank());
-        if newer && lease.version >= self.version() {
-            self.want(now, &lease);
-            self.note_confirmation(lease.version, lease.confirmed);
-            self.lease = Some(lease);
-        }
-        if let (Some(fetch), Some((host, held))) = (self.fetch.as_mut(), source)
-            && held == fetch.version
+    /// Takes in a lease if it is the freshest; a new version is told of at once.
+    fn take_lease(&mut self, lease: PlanLease) {
+        let known = self.lease.as_ref();
+        if known.is_some_and(|known| known.rank() >= lease.rank()) || lease.version < self.version()
         {
-            fetch.add_source(host);
+            return;
         }
+        self.flood |= known.is_none_or(|known| known.version < lease.version);
+        self.want(&lease);
+        self.note_confirmation(lease.version, lease.confirmed);
+        self.lease = Some(lease);
     }
 }
 
--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -1,144 +1,275 @@
-//! Fetching one plan in chunks from hosts that hold it.
+//! Fetching what leads to a later plan, in chunks, from hosts that hold it.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use super::ConfigVersion;
-use super::plan_follower_message::{CHUNK_BYTES, HeldPlan, PLAN_LIMIT, PlanContent, PlanDigest};
+use super::plan_delta::{DeltaPath, DeltaSpan};
+use super::plan_follower_message::{CHUNK_BYTES, PLAN_LIMIT, PlanChunk, PlanContent, PlanDigest};
 use crate::process::{HostId, Moment};
 
-/// How many chunks are asked for at once: enough to fill a round trip, few enough for the buffer
-/// of a receiving socket.
-const WINDOW: u32 = 16;
+/// How many chunks are asked for at once, at most: as many as a request can name.
+const WINDOW_LIMIT: u32 = 16;
+/// How many are asked for at first: on a slow link, no more than callers' bytes can wait behind.
+const WINDOW_START: u32 = 4;
+/// How long after its first chunk a window's last one is meant to come; a window that takes twice as
+/// long fills the link, and is halved.
+const WINDOW_AIM: Duration = Duration::from_millis(40);
 /// How long a window may take until the rest of it is asked for again, from another host.
-const RETRY: Duration = Duration::from_millis(150);
-/// How many hosts that hold the plan are remembered.
-const SOURCE_LIMIT: usize = 8;
+const RETRY: Duration = Duration::from_millis(200);
+/// How many windows in a row may bring nothing until what has come is given up: nobody may hold the
+/// rest of it any more.
+const FRUITLESS_LIMIT: u32 = 2;
+/// How many hosts that hold the plan are remembered, besides replicas.
+const HOLDER_LIMIT: usize = 8;
 
-/// A plan on its way.
+/// What has come of the way to a later plan.
 #[derive(Clone, Debug)]
-pub(crate) struct PlanFetch {
-    pub(crate) version: ConfigVersion,
-    pub(crate) digest: PlanDigest,
-    sources: Vec<HostId>,
-    source: usize,
+struct PartialPath {
+    span: DeltaSpan,
+    digest: PlanDigest,
     chunks: Vec<Option<Bytes>>,
+}
+
+impl PartialPath {
+    fn missing(&self) -> impl Iterator<Item = usize> {
+        let chunks = self.chunks.iter().enumerate();
+        chunks.filter(|(_, chunk)| chunk.is_none()).map(|(place, _)| place)
+    }
+}
+
+/// The way to a later plan, as far as it has come.
+#[derive(Clone, Debug)]
+pub(crate) struct PlanFetch {
+    goal: ConfigVersion,
+    goal_digest: PlanDigest,
+    /// Hosts with a replica, in the order in which they are to be asked.
+    replicas: Vec<HostId>,
+    /// Other hosts that said they hold the goal.
+    holders: Vec<HostId>,
+    /// How often the host to be asked has changed.
+    turn: usize,
+    path: Option<PartialPath>,
     window: u32,
+    /// How many chunks of the window have not come.
+    awaited: u32,
+    fruitless: u32,
+    wants_whole: bool,
     asked: Option<Moment>,
+    /// When the first chunk of the window came.
+    begun: Option<Moment>,
 }
 
 impl PlanFetch {
-    pub(crate) fn new(version: ConfigVersion, digest: PlanDigest) -> Self {
+    /// Makes a fetch that asks hosts with a replica, the first first.
+    pub(crate) fn new(goal: ConfigVersion, digest: PlanDigest, replicas: Vec<HostId>) -> Self {
         Self {
-            version,
-            digest,
-            sources: Vec::new(),
-            source: 0,
-            chunks: vec![None],
-            window: 0,
+            goal,
+            goal_digest: digest,
+            replicas,
+            holders: Vec::new(),
+            turn: 0,
+            path: None,
+            window: WINDOW_START,
+            awaited: 0,
+            fruitless: 0,
+            wants_whole: false,
             asked: None,
+            begun: None,
         }
     }
 
-    /// Notes a host that holds the plan.
-    pub(crate) fn add_source(&mut self, host: &HostId) {
-        if !self.sources.contains(host) && self.sources.len() < SOURCE_LIMIT {
-            self.sources.push(host.clone());
-        }
+    // ---------------------------------------------------------------------------------------------
+    // Queries
+
+    /// The latest version known to be accepted.
+    pub(crate) const fn goal(&self) -> ConfigVersion {
+        self.goal
     }
 
-    /// Whether it is on its way: somebody holds it, and nobody was asked in vain. Those who were may
-    /// have moved on to a later version.
-    pub(crate) fn is_coming(&self, now: Moment) -> bool {
-        let is_overdue = self.asked.is_some_and(|asked| now.since(asked) >= RETRY);
-        !self.sources.is_empty() && self.source == 0 && !is_overdue
+    pub(crate) fn next_wakeup(&self) -> Option<Moment> {
+        self.source()?;
+        Some(self.asked.map_or(Moment::ZERO, |asked| asked + RETRY))
     }
 
-    /// Whether chunks were asked for and not all have come.
-    pub(crate) fn was_asked(&self) -> bool {
-        self.asked.is_some()
+    /// The host to be asked: replicas and holders by turns, where there are both.
+    fn source(&self) -> Option<&HostId> {
+        let (list, place) = match (self.replicas.is_empty(), self.holders.is_empty()) {
+            (false, true) => (&self.replicas, self.turn),
+            (true, _) => (&self.holders, self.turn),
+            (false, false) if self.turn.is_multiple_of(2) => (&self.replicas, self.turn / 2),
+            (false, false) => (&self.holders, self.turn / 2),
+        };
+        (!list.is_empty()).then(|| &list[place % list.len()])
     }
 
-    pub(crate) fn next_wakeup(&self) -> Option<Moment> {
-        if self.sources.is_empty() {
-            return None;
+    // ---------------------------------------------------------------------------------------------
+    // What others say
+
+    /// Notes a later version than the goal; what has come so far stays of use.
+    pub(crate) fn raise(&mut self, goal: ConfigVersion, digest: PlanDigest) {
+        if goal >= self.goal {
+            (self.goal, self.goal_digest) = (goal, digest);
         }
-        Some(self.asked.map_or(Moment::ZERO, |asked| asked + RETRY))
     }
 
-    /// Asks for what is missing, if nothing was asked for or the answer is overdue.
-    pub(crate) fn ask(&mut self, now: Moment) -> Option<(HostId, PlanContent)> {
-        if let Some(asked) = self.asked {
-            if now.since(asked) < RETRY {
-                return None;
-            }
-            // The source may have gone, or serve too many: the next one is asked.
-            self.source += 1;
+    /// Notes that a way that came whole did not lead to its plan: the next one has to be a whole plan.
+    pub(crate) fn reject(&mut self, now: Moment) {
+        self.wants_whole = true;
+        self.asked = Some(now);
+    }
+
+    /// Notes which version is in force here now; what has come on another way to it is of no use.
+    pub(crate) fn note_held(&mut self, held: ConfigVersion) {
+        let leads_on = |path: &PartialPath| path.span.leads_on(held);
+        if !self.path.as_ref().is_none_or(leads_on) {
+            self.path = None;
+            self.asked = None;
         }
-        if self.sources.is_empty() {
-            return None;
+    }
+
+    /// Notes a host that holds the goal.
+    pub(crate) fn add_holder(&mut self, host: &HostId) {
+        let is_known = self.holders.contains(host) || self.replicas.contains(host);
+        if !is_known && self.holders.len() < HOLDER_LIMIT {
+            self.holders.push(host.clone());
         }
-        self.asked = Some(now);
-        let source = self.sources[self.source % self.sources.len()].clone();
-        Some((source, self.request()))
     }
 
-    /// Takes a chunk; returns the plan if it was the last one missing, or what to ask for next.
+    /// Notes that a host holds nothing of use; if it was asked, another one is.
+    pub(crate) fn pass_over(&mut self, host: &HostId) {
+        let sources = self.replicas.len() + self.holders.len();
+        // Once all were asked in vain, the next question waits until the last one is overdue.
+        if self.asked.is_some() && self.source() == Some(host) && self.turn < 2 * sources {
+            self.turn += 1;
+            self.asked = None;
+        }
+    }
+
+    /// Takes a chunk; returns the whole way if it was the last one missing.
     pub(crate) fn take(
         &mut self,
         now: Moment,
-        (index, total): (u32, u32),
-        body: Bytes,
+        from: &HostId,
+        held: ConfigVersion,
+        chunk: PlanChunk,
     ) -> FetchStep {
+        let PlanChunk { span, digest, index, total, body } = chunk;
         let count = usize::try_from(total).unwrap_or(usize::MAX);
         let place = usize::try_from(index).unwrap_or(usize::MAX);
-        if count > PLAN_LIMIT / CHUNK_BYTES || place >= count || body.len() > CHUNK_BYTES {
-            return FetchStep::Wait;
+        let is_wrong = span.to == self.goal && digest != self.goal_digest;
+        let is_sound = place < count && count <= PLAN_LIMIT / CHUNK_BYTES;
+        if !span.leads_on(held) || is_wrong || !is_sound || body.len() > CHUNK_BYTES {
+            return FetchStep::Unwanted;
         }
-        if self.chunks.len() != count {
-            self.chunks = vec![None; count];
+        let fits = |path: &PartialPath| {
+            path.span == span && path.digest == digest && path.chunks.len() == count
+        };
+        if !self.path.as_ref().is_some_and(fits) {
+            // The host that is asked holds no more of the way begun: it gives another one.
+            if self.path.is_some() && self.source() != Some(from) {
+                return FetchStep::Unwanted;
+            }
+            self.path = Some(PartialPath { span, digest, chunks: vec![None; count] });
         }
-        self.chunks[place] = Some(body);
-        let Some(missing) = self.chunks.iter().position(Option::is_none) else {
-            return self.finish();
+        let Some(path) = self.path.as_mut().filter(|path| path.chunks[place].is_none()) else {
+            return FetchStep::Unwanted;
         };
-        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
-        if missing < self.window + WINDOW {
-            return FetchStep::Wait;
+        path.chunks[place] = Some(body);
+        self.fruitless = 0;
+        self.awaited = self.awaited.saturating_sub(1);
+        let begun = *self.begun.get_or_insert(now);
+        if path.missing().next().is_none() {
+            return self.finish();
+        }
+        if self.awaited == 0 {
+            self.fit_window(now.since(begun));
+            self.asked = None;
+        }
+        FetchStep::Taken
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Questions
+
+    /// Asks for what is missing, if nothing was asked for or the answer is overdue.
+    pub(crate) fn ask(&mut self, now: Moment, held: ConfigVersion) -> Option<PlanQuestion> {
+        let is_overdue = self.asked.is_some();
+        if self.asked.is_some_and(|asked| now.since(asked) < RETRY) {
+            return None;
+        }
+        if is_overdue {
+            self.turn += 1;
+            self.window = (self.window / 2).max(1);
+            self.fruitless += 1;
         }
-        self.window = missing;
+        if self.fruitless > FRUITLESS_LIMIT {
+            self.path = None;
+            self.fruitless = 0;
+        }
+        let to = self.source()?.clone();
         self.asked = Some(now);
-        let source = self.sources[self.source % self.sources.len()].clone();
-        FetchStep::Ask(source, self.request())
+        self.begun = None;
+        let (first, wanted) = self.wanted();
+        self.awaited = wanted.count_ones();
+        let span = self.path.as_ref().map(|path| path.span);
+        let held = if self.wants_whole { ConfigVersion::default() } else { held };
+        let content = PlanContent::Fetch { held, span, first, wanted };
+        Some(PlanQuestion { to, content, is_overdue })
     }
 
-    fn request(&self) -> PlanContent {
-        let missing = self.chunks.iter().position(Option::is_none).unwrap_or(0);
-        let first = u32::try_from(missing).unwrap_or(0);
-        let count = self.window + WINDOW - first.clamp(self.window, self.window + WINDOW - 1);
-        PlanContent::Fetch { version: self.version, digest: self.digest, first, count }
+    /// The first chunk wanted, and a bit for each that is wanted from there on.
+    fn wanted(&self) -> (u32, u16) {
+        let Some(path) = &self.path else {
+            return (0, bits(0..self.window));
+        };
+        let missing = path.missing().filter_map(|place| u32::try_from(place).ok());
+        let missing: Vec<u32> = missing.take(self.window as usize).collect();
+        let first = missing.first().copied().unwrap_or(0);
+        (first, bits(missing.into_iter().map(|place| place - first)))
+    }
+
+    /// Asks for more at a time where windows come quickly, and for less where they fill a link.
+    fn fit_window(&mut self, took: Duration) {
+        if took <= WINDOW_AIM {
+            self.window = (self.window * 2).min(WINDOW_LIMIT);
+        } else if took > 2 * WINDOW_AIM {
+            self.window = (self.window / 2).max(1);
+        }
     }
 
     fn finish(&mut self) -> FetchStep {
-        let body: Vec<u8> = self.chunks.iter().flatten().flatten().copied().collect();
-        // Chunks of another plan than the one meant: all are thrown away and asked for anew.
-        let Some(plan) = HeldPlan::decode(self.version, self.digest, body) else {
-            self.chunks = vec![None];
-            self.window = 0;
-            return FetchStep::Wait;
-        };
-        FetchStep::Done(plan)
+        self.asked = None;
+        self.awaited = 0;
+        let Some(path) = self.path.take() else { return FetchStep::Taken };
+        let body: Vec<u8> = path.chunks.iter().flatten().flatten().copied().collect();
+        let (span, digest) = (path.span, path.digest);
+        FetchStep::Done(DeltaPath { span, digest, body: Bytes::from(body) })
     }
 }
 
+/// A bit for each place below the width of a request.
+fn bits(places: impl Iterator<Item = u32>) -> u16 {
+    places.filter(|place| *place < WINDOW_LIMIT).fold(0, |bits, place| bits | 1 << place)
+}
+
+/// What to ask whom.
+#[derive(Clone, Debug)]
+pub(crate) struct PlanQuestion {
+    pub(crate) to: HostId,
+    pub(crate) content: PlanContent,
+    /// Whether an earlier question had no whole answer in time.
+    pub(crate) is_overdue: bool,
+}
+
 /// What follows from a chunk.
 #[derive(Clone, Debug)]
 pub(crate) enum FetchStep {
-    /// More of the window is under way.
-    Wait,
-    /// The next window is to be asked for.
-    Ask(HostId, PlanContent),
-    /// The plan is whole.
-    Done(HeldPlan),
+    /// It is of no use.
+    Unwanted,
+    /// More is missing.
+    Taken,
+    /// The way is whole.
+    Done(DeltaPath),
 }
--- a/crates/pulley_core/src/version/follower/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_message.rs
@@ -6,13 +6,14 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use super::{ConfigVersion, EvacuatedZones, LogIndex, StoredPlan};
+use super::plan_delta::DeltaSpan;
+use super::{ConfigVersion, EvacuatedZones, LogIndex};
 use crate::process::{HostId, MEMBER_BODY_LIMIT, SharedTime};
 
 /// How many bytes of a plan go into one message.
 pub(crate) const CHUNK_BYTES: usize = 1_100;
-/// The longest plan that is spread, in bytes; a sheet of 44 services takes about a tenth.
-pub(crate) const PLAN_LIMIT: usize = 1024 * 1024;
+/// The longest plan that is spread, in bytes of its encoding: some 50,000 rows.
+pub(crate) const PLAN_LIMIT: usize = 4 * 1024 * 1024;
 
 /// A message to send, by datagram.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,14 +109,32 @@
         replica: Option<LogReport>,
         evacuated: Arc<EvacuatedZones>,
     },
-    /// Asks for some chunks of a plan.
-    Fetch { version: ConfigVersion, digest: PlanDigest, first: u32, count: u32 },
-    /// One chunk of a plan.
-    Chunk { version: ConfigVersion, digest: PlanDigest, index: u32, total: u32, body: Bytes },
+    /// Asks for chunks of the way from the version held to the latest, or of the way already begun.
+    Fetch {
+        held: ConfigVersion,
+        span: Option<DeltaSpan>,
+        /// The first chunk wanted.
+        first: u32,
+        /// A bit for each chunk wanted, from the first on.
+        wanted: u16,
+    },
+    /// One chunk of such a way.
+    Chunk(PlanChunk),
     /// Tells the leader that a version is in force at the sender.
     Held { version: ConfigVersion },
 }
 
+/// One chunk of the way from one version to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlanChunk {
+    pub(crate) span: DeltaSpan,
+    /// Of the plan that the way leads to.
+    pub(crate) digest: PlanDigest,
+    pub(crate) index: u32,
+    pub(crate) total: u32,
+    pub(crate) body: Bytes,
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlanMessage {
@@ -139,50 +158,3 @@
         }
     }
 }
-
-/// A plan with its compressed encoding, ready to be passed on.
-#[derive(Clone, Debug)]
-pub(crate) struct HeldPlan {
-    pub(crate) plan: Arc<StoredPlan>,
-    /// Over the encoding before compression, which may differ between releases.
-    pub(crate) digest: PlanDigest,
-    packed: Bytes,
-}
-
-impl HeldPlan {
-    pub(crate) fn new(plan: Arc<StoredPlan>) -> Self {
-        let encoded = postcard::to_stdvec(&*plan).expect("plain data types always encode");
-        let packed = Bytes::from(lz4_flex::compress_prepend_size(&encoded));
-        Self { digest: PlanDigest::of(&encoded), packed, plan }
-    }
-
-    /// Decodes a plan that came in chunks, if it is the one meant.
-    pub(crate) fn decode(
-        version: ConfigVersion,
-        digest: PlanDigest,
-        packed: Vec<u8>,
-    ) -> Option<Self> {
-        // The size that the packed form claims is memory to be set aside: it is checked first.
-        let claimed = u32::from_le_bytes(*packed.first_chunk()?);
-        if usize::try_from(claimed).ok()? > PLAN_LIMIT {
-            return None;
-        }
-        let encoded = lz4_flex::decompress_size_prepended(&packed).ok()?;
-        if PlanDigest::of(&encoded) != digest {
-            return None;
-        }
-        let plan: StoredPlan = postcard::from_bytes(&encoded).ok()?;
-        let same = plan.version == version;
-        same.then(|| Self { plan: Arc::new(plan), digest, packed: Bytes::from(packed) })
-    }
-
-    pub(crate) fn chunk_count(&self) -> u32 {
-        u32::try_from(self.packed.len().div_ceil(CHUNK_BYTES)).unwrap_or(u32::MAX)
-    }
-
-    pub(crate) fn chunk(&self, index: u32) -> Option<Bytes> {
-        let start = usize::try_from(index).ok()?.checked_mul(CHUNK_BYTES)?;
-        let end = self.packed.len().min(start.saturating_add(CHUNK_BYTES));
-        (start < end).then(|| self.packed.slice(start..end))
-    }
-}
--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -2,76 +2,144 @@
 
 use std::sync::Arc;
 
-use super::plan_follower::{EARLIER_LIMIT, EARLIER_TERM, PlanFollower};
+use rand::seq::SliceRandom;
+
+use super::plan_delta::{DeltaPath, DeltaSpan, HeldPlan};
+use super::plan_follower::PlanFollower;
 use super::plan_follower_fetch::{FetchStep, PlanFetch};
-use super::plan_follower_message::{HeldPlan, PlanContent, PlanLease};
-use super::{ConfigVersion, PlanDigest, PlanSend};
+use super::plan_follower_message::{CHUNK_BYTES, PlanChunk, PlanContent, PlanLease};
+use super::{ConfigVersion, PlanDigest, PlanSend, StoredPlan};
 use crate::process::{HostId, Moment};
 
 impl PlanFollower {
-    /// Wants the version that a lease names, unless another one is on its way already.
-    ///
-    /// Changes in quick succession would else each throw away what is on its way: hosts that are
-    /// slow stayed at the version before a storm for as long as it lasted, two seconds and more.
-    pub(super) fn want(&mut self, now: Moment, lease: &PlanLease) {
+    // ---------------------------------------------------------------------------------------------
+    // Fetching
+
+    /// Wants the version that a lease names.
+    pub(super) fn want(&mut self, lease: &PlanLease) {
         if lease.version == ConfigVersion::default() && self.held.is_none() {
-            self.held = Some(HeldPlan::new(Arc::default()));
-        }
-        let held = self.held.as_ref().is_some_and(|held| held.plan.version == lease.version);
-        let is_busy = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.version >= lease.version || fetch.is_coming(now));
-        if !held && !is_busy {
-            self.begin_fetch(lease.version, lease.digest);
+            self.held = Some(HeldPlan::empty());
         }
+        self.seek(lease.version, lease.digest);
     }
 
-    /// Takes up what another host has in force. That is always committed, whoever leads now. It
-    /// goes before a later version that nobody is known to hold yet.
+    /// Takes up what another host has in force. That is always committed, whoever leads now.
     pub(super) fn take_committed(
         &mut self,
-        now: Moment,
         from: &HostId,
         (version, digest): (ConfigVersion, PlanDigest),
     ) {
-        let held = self.held.as_ref().map(|held| held.plan.version);
-        let is_busy = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.version == version || fetch.is_coming(now));
-        if version > ConfigVersion::default() && held < Some(version) && !is_busy {
-            self.begin_fetch(version, digest);
+        self.seek(version, digest);
+        let Some(fetch) = &mut self.fetch else { return };
+        if version >= fetch.goal() {
+            fetch.add_holder(from);
+        } else if version <= self.held.as_ref().map(|held| held.version).unwrap_or_default() {
+            fetch.pass_over(from);
         }
-        if let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.version == version) {
-            fetch.add_source(from);
+    }
+
+    /// Fetches a version, unless it is in force; a fetch under way goes on, to the later of both.
+    fn seek(&mut self, version: ConfigVersion, digest: PlanDigest) {
+        if version <= self.version() {
+            return;
+        }
+        if let Some(fetch) = &mut self.fetch {
+            fetch.raise(version, digest);
+            return;
+        }
+        self.counts.fetches += 1;
+        self.fetch = Some(PlanFetch::new(version, digest, self.replicas_to_ask()));
+    }
+
+    /// The hosts with a replica, those of the own zone first; which of these goes first is up to
+    /// chance, so that all have about the same to do.
+    fn replicas_to_ask(&mut self) -> Vec<HostId> {
+        let leased = self.lease.as_ref().map(|lease| &lease.replicas.hosts);
+        let live = Some(&self.likely_replicas).filter(|live| !live.is_empty());
+        let mut replicas = live.or(leased).cloned().unwrap_or_default();
+        replicas.retain(|host| *host != self.host);
+        replicas.shuffle(&mut self.rng);
+        replicas.sort_by_key(|host| !self.near_replicas.contains(host));
+        replicas
+    }
+
+    /// Asks for what is missing, if it is time to.
+    pub(super) fn ask_for_plan(&mut self, now: Moment) -> Option<PlanSend> {
+        let held = self.version();
+        let question = self.fetch.as_mut()?.ask(now, held)?;
+        self.counts.windows_asked += 1;
+        self.counts.windows_overdue += u64::from(question.is_overdue);
+        Some(self.send(now, question.to, question.content))
+    }
+
+    pub(super) fn take_chunk(
+        &mut self,
+        now: Moment,
+        from: &HostId,
+        chunk: PlanChunk,
+    ) -> Vec<PlanSend> {
+        let held = self.version();
+        let taken = self.fetch.as_mut().map(|fetch| fetch.take(now, from, held, chunk));
+        match taken {
+            None | Some(FetchStep::Unwanted) => self.counts.chunks_unwanted += 1,
+            Some(FetchStep::Taken) => self.counts.chunks_taken += 1,
+            Some(FetchStep::Done(path)) => {
+                self.counts.chunks_taken += 1;
+                return self.follow(now, path);
+            }
         }
+        self.ask_for_plan(now).into_iter().collect()
+    }
+
+    /// Puts the plan in force to which a way leads, and tells the leader.
+    fn follow(&mut self, now: Moment, path: DeltaPath) -> Vec<PlanSend> {
+        let empty = HeldPlan::empty;
+        let held = self.held.clone().unwrap_or_else(empty);
+        let Some(later) = held.advance(path.span, path.digest, &path.body) else {
+            self.counts.dropped_paths += 1;
+            if let Some(fetch) = &mut self.fetch {
+                fetch.reject(now);
+            }
+            return Vec::new();
+        };
+        self.history.note_taken(path);
+        self.hold(later);
+        let leader = self.lease.as_ref().map(|lease| lease.leader.clone());
+        let leader = leader.filter(|leader| *leader != self.host);
+        let held = PlanContent::Held { version: self.version() };
+        let told = leader.map(|to| self.send(now, to, held));
+        told.into_iter().chain(self.ask_for_plan(now)).collect()
     }
 
+    // ---------------------------------------------------------------------------------------------
+    // Passing on
+
+    /// Answers a question for chunks of the way from the version that a host holds.
     pub(super) fn serve(
         &mut self,
         now: Moment,
         to: &HostId,
-        (version, digest): (ConfigVersion, PlanDigest),
-        wanted: std::ops::Range<u32>,
+        (from, span): (ConfigVersion, Option<DeltaSpan>),
+        (first, wanted): (u32, u16),
     ) -> Vec<PlanSend> {
-        if self.serve_budget < 1.0 {
+        let Some(held) = self.held.clone().filter(|held| held.version > from) else {
+            return self.tell_lease(now, to.clone()).into_iter().collect();
+        };
+        let bytes = wanted.count_ones() as usize * CHUNK_BYTES;
+        if !self.serve_budget.take(now, bytes) {
             self.counts.windows_unserved += 1;
             return Vec::new();
         }
-        let earlier = self.earlier.iter().map(|(_, plan)| plan);
-        let known = self.held.iter().chain(earlier).find(|held| held.digest == digest);
-        let Some(held) = known else {
-            // It has moved on since it told of that version: it tells of the one it has now.
-            self.serve_budget -= 1.0;
-            return self.tell_lease(now, to.clone()).into_iter().collect();
+        let begun = span.and_then(|span| self.history.find(span));
+        let (path, first, wanted) = match begun {
+            Some(path) => (path, first, wanted),
+            None => (self.history.path(from, &held), 0, lowest_bits(wanted.count_ones())),
         };
-        self.serve_budget -= 1.0;
-        let total = held.chunk_count();
-        let last = wanted.end.min(wanted.start.saturating_add(32));
-        let chunks: Vec<PlanSend> = (wanted.start..last)
-            .filter_map(|index| held.chunk(index).map(|body| (index, body)))
-            .map(|(index, body)| PlanContent::Chunk { version, digest, index, total, body })
+        let total = u32::try_from(path.body.len().div_ceil(CHUNK_BYTES)).unwrap_or(u32::MAX);
+        let places = (0..u16::BITS).filter(|bit| wanted & (1 << bit) != 0);
+        let places = places.filter_map(|bit| first.checked_add(bit)).filter(|at| *at < total);
+        let chunks: Vec<PlanSend> = places
+            .map(|index| PlanContent::Chunk(path_chunk(&path, index, total)))
             .map(|content| self.send(now, to.clone(), content))
             .collect();
         self.counts.windows_served += 1;
@@ -79,56 +147,44 @@
         chunks
     }
 
-    fn begin_fetch(&mut self, version: ConfigVersion, digest: PlanDigest) {
-        self.counts.fetches += 1;
-        self.counts.dropped_fetches += u64::from(self.fetch.is_some());
-        self.fetch = Some(PlanFetch::new(version, digest));
-    }
+    // ---------------------------------------------------------------------------------------------
+    // Holding
 
-    pub(super) fn take_chunk(
-        &mut self,
-        now: Moment,
-        (version, digest): (ConfigVersion, PlanDigest),
-        place: (u32, u32),
-        body: bytes::Bytes,
-    ) -> Vec<PlanSend> {
-        let fetch = self.fetch.as_mut().filter(|f| f.version == version && f.digest == digest);
-        let Some(fetch) = fetch else {
-            self.counts.chunks_unwanted += 1;
-            return Vec::new();
-        };
-        self.counts.chunks_taken += 1;
-        match fetch.take(now, place, body) {
-            FetchStep::Wait => Vec::new(),
-            FetchStep::Ask(to, content) => {
-                self.counts.windows_asked += 1;
-                vec![self.send(now, to, content)]
-            }
-            FetchStep::Done(plan) => {
-                self.hold(plan);
-                let leader = self.lease.as_ref().map(|lease| lease.leader.clone());
-                let leader = leader.filter(|leader| *leader != self.host);
-                let held = PlanContent::Held { version: self.version() };
-                leader.map(|to| self.send(now, to, held)).into_iter().collect()
-            }
+    /// Puts a version in force that this host's own replica knows to be committed.
+    pub fn committed(&mut self, plan: &StoredPlan) {
+        if self.held.as_ref().is_some_and(|held| held.version >= plan.version) {
+            return;
+        }
+        let later = HeldPlan::new(plan.version, Arc::new(plan.plan.clone()));
+        if let Some(held) = self.held.as_ref().filter(|held| held.version.0 > 0) {
+            self.history.note_step(held, &later);
         }
+        self.hold(later);
     }
 
     /// Puts a plan in force, unless a later one is already.
-    pub(super) fn hold(&mut self, plan: HeldPlan) {
-        if self.held.as_ref().is_some_and(|held| held.plan.version >= plan.plan.version) {
+    fn hold(&mut self, plan: HeldPlan) {
+        let version = plan.version;
+        if self.held.as_ref().is_some_and(|held| held.version >= version) {
             return;
         }
-        let version = plan.plan.version;
-        if let Some(before) = self.held.replace(plan) {
-            self.earlier.push_back((self.last_tick + EARLIER_TERM, before));
+        self.held = Some(plan);
+        match &mut self.fetch {
+            Some(fetch) if fetch.goal() > version => fetch.note_held(version),
+            _ => self.fetch = None,
         }
-        while self.earlier.len() > EARLIER_LIMIT {
-            self.earlier.pop_front();
-        }
-        if self.fetch.as_ref().is_some_and(|fetch| fetch.version <= version) {
-            self.fetch = None;
-        }
-        self.flood = true;
+        // Whoever has told of it by a lease has told that it is to be had.
+        self.flood |= self.lease.as_ref().is_none_or(|lease| lease.version < version);
     }
 }
+
+fn path_chunk(path: &DeltaPath, index: u32, total: u32) -> PlanChunk {
+    let start = index as usize * CHUNK_BYTES;
+    let end = path.body.len().min(start + CHUNK_BYTES);
+    let (span, digest) = (path.span, path.digest);
+    PlanChunk { span, digest, index, total, body: path.body.slice(start..end) }
+}
+
+fn lowest_bits(count: u32) -> u16 {
+    u16::MAX.checked_shr(u16::BITS - count).unwrap_or(0)
+}
--- a/crates/pulley_core/src/version/follower/plan_spread_counts.rs
+++ b/crates/pulley_core/src/version/follower/plan_spread_counts.rs
@@ -10,8 +10,8 @@
 pub struct SpreadCounts {
     /// Fetches of a plan that were begun.
     pub fetches: u64,
-    /// Fetches that were dropped before the plan was whole.
-    pub dropped_fetches: u64,
+    /// Ways to a later plan that came whole and did not lead to it.
+    pub dropped_paths: u64,
     /// Requests for chunks sent.
     pub windows_asked: u64,
     /// Of these, sent as the answer to an earlier one had not come in time.
--- a/crates/pulley_core/src/version/sheet/plan.rs
+++ b/crates/pulley_core/src/version/sheet/plan.rs
@@ -75,7 +75,7 @@
 ///
 /// Several rows may match the same requests if each names another pool: the requests are then
 /// split over the pools by weight.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RouteTerms {
     /// Which host names match; a named one goes before any.
     pub host: HostMatch,
@@ -146,7 +146,7 @@
 }
 
 /// One row of the sheet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KindPlan {
     /// The pool whose upstreams answer.
     pub pool: PoolName,
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -3,7 +3,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,11 +11,12 @@
     MemberTable, SlotCount, UpstreamPhase, UpstreamRegistry, UpstreamSequence,
 };
 use pulley_core::version::{PlanFollower, ReplicaSet, StoredPlan};
-use pulley_core::{ConfigVersion, HostId, Moment, UpstreamId};
+use pulley_core::{HostId, Moment, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::link_model::LinkModel;
+use super::route_rows::RouteRows;
 
 /// What a datagram costs besides its body: UDP and IP headers, format, name of 8 bytes, tag.
 pub(crate) const WIRE_OVERHEAD: usize = 28 + 3 + 8 + 16;
@@ -243,13 +243,13 @@
         let Some((leader, _)) = self.leader else {
             return;
         };
-        let sheet: String = (0..rows).map(|row| self.sheet_row(row)).collect();
-        let plan = StoredPlan { version: ConfigVersion(version), sheet, ..StoredPlan::default() };
-        self.commit(leader, Arc::new(plan));
+        let mut plan = RouteRows::new(version);
+        plan.add(rows);
+        self.commit(leader, &plan.version(version));
     }
 
     /// Has a replica know that a version is committed; the leader tells at once.
-    pub(crate) fn commit(&mut self, replica: usize, plan: Arc<StoredPlan>) {
+    pub(crate) fn commit(&mut self, replica: usize, plan: &StoredPlan) {
         self.hosts[replica].plans.committed(plan);
         match self.leader {
             Some((leader, _)) if leader == replica => self.lead(),
@@ -257,17 +257,6 @@
         }
     }
 
-    fn sheet_row(&mut self, row: usize) -> String {
-        let (service, kind) = (row % 44, row / 44);
-        let mut number = |end: u32| self.rng.random_range(0..end);
-        let (priority, share, slots) = (number(10), number(100), number(8));
-        let (deadline, probes) = (number(5_000), number(1_000));
-        format!(
-            "pool{service},service{service},kind{kind},GET,/service{service}/kind{kind},\
-             {priority},{share}%,{slots},{deadline},yes,short,0.{probes}\n"
-        )
-    }
-
     /// The moment a leader confirms its majority: the fake takes it as given.
     fn lead(&mut self) {
         if let Some((leader, term)) = self.leader
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -182,7 +182,7 @@
     let ring = PeerRing::default();
     let mut rows = RouteRows::new(52);
     rows.add(1_400);
-    leader.committed(rows.version(1));
+    leader.committed(&rows.version(1));
     leader.lead(1, ReplicaSet { index: 1, hosts: vec![host_name(0)] }, at(1));
     first.apply_replicas(&[host_name(0)]);
     for send in first.tick(at(10), &ring) {
@@ -197,10 +197,15 @@
         }
     }
     // The second host has heard of the version from one that lacks it itself.
-    for send in first.tick(at(30), &ring) {
-        for chunk in leader.receive(at(31), &host_name(1), &send.body) {
-            second.receive(at(32), &host_name(0), &chunk.body);
-        }
+    let asked = first.tick(at(220), &ring);
+    let chunks: Vec<_> = asked
+        .iter()
+        .flat_map(|send| leader.receive(at(221), &host_name(1), &send.body))
+        .filter(|send| send.body.len() > 1_000)
+        .collect();
+    assert!(!chunks.is_empty());
+    for chunk in chunks {
+        second.receive(at(222), &host_name(0), &chunk.body);
     }
     assert_eq!(second.version(), ConfigVersion(0));
 }
--- a/crates/pulley_core/tests/members/wide_change.rs
+++ b/crates/pulley_core/tests/members/wide_change.rs
@@ -162,7 +162,7 @@
 fn commit(network: &mut Network, replica: usize, plan: &Arc<StoredPlan>) {
     let replicas = network.replicas.clone();
     network.hosts[replica].plans.set_replica(replicas, plan.version, LogIndex::default());
-    network.commit(replica, Arc::clone(plan));
+    network.commit(replica, plan);
 }
 
 fn note_in_force(network: &Network, accepted: Moment, in_force: &mut [Option<Duration>]) {
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -13,9 +13,9 @@
 };
 use pulley_core::version::{
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
-    QuestionNumber, QuestionRouter, ReplicaDriver, StoredPlan,
+    QuestionNumber, QuestionRouter, ReplicaDriver,
 };
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, Moment, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
 use super::control_counts::{CountCarrier, ProbeReport};
@@ -73,6 +73,8 @@
     pub(crate) share_counts: bool,
     pub(crate) upstream_lease: Duration,
     pub(crate) serves_on: bool,
+    /// What the host's link bears, in bytes a second, if that is known.
+    pub(crate) link_rate: Option<f64>,
     pub(crate) seed: u64,
 }
 
@@ -95,8 +97,6 @@
     seen: Option<(ViewMarks, Moment)>,
     /// When a new view is due that waits for more changes.
     view_due: Option<Moment>,
-    /// The plan in force as views show it.
-    pub(super) shown_plan: Option<(Arc<StoredPlan>, Arc<PolicyPlan>)>,
     pub(super) lease_round: Option<(u64, Moment)>,
     pub(super) next_lease_round: Moment,
     pub(super) next_lease_token: u64,
@@ -147,7 +147,8 @@
             members,
             registry: UpstreamRegistry::with_lease(parts.upstream_lease),
             follower: PlanFollower::new(host.clone(), parts.seed ^ 1)
-                .with_serving_on(parts.serves_on),
+                .with_serving_on(parts.serves_on)
+                .with_link_rate(parts.link_rate),
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 2),
             counts: CountCarrier::new(host, parts.share_counts),
@@ -160,7 +161,6 @@
             transport: TransportCounts::default(),
             seen: None,
             view_due: None,
-            shown_plan: None,
             lease_round: None,
             next_lease_round: Moment::ZERO,
             next_lease_token: LEASE_TOKENS,
@@ -412,6 +412,11 @@
             driver.apply_replicas(&replicas);
         }
         self.follower.apply_replicas(&replicas);
+        let zone = &self.members.own().zone;
+        let is_near =
+            |host: &&HostId| self.members.find(host).is_some_and(|record| record.zone == *zone);
+        let near = replicas.iter().filter(is_near).cloned().collect();
+        self.follower.prefer_replicas(near);
         self.router.apply_replicas(replicas);
     }
 
--- a/crates/pulleyd/src/process/control_replica.rs
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -1,7 +1,6 @@
 //! The control thread's part with the replicated log: the replica of this host, if it has one, and
 //! the questions that go to whichever replica leads.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use pulley_core::version::{
@@ -39,7 +38,7 @@
                 }
                 DriverOutput::ReadAudit(read) => self.outputs.push(ControlOutput::ReadAudit(read)),
                 DriverOutput::Answer { token, answer } => self.driver_answered(now, token, answer),
-                DriverOutput::InForce(plan) => self.follower.committed(plan),
+                DriverOutput::InForce(plan) => self.follower.committed(&plan),
                 DriverOutput::ZonesInForce(zones) => self.follower.committed_zones(&zones),
             }
         }
@@ -129,7 +128,7 @@
         let Some(replica) = &self.replica else { return };
         let term = replica.node().term().0;
         let machines = replica.machines();
-        self.follower.committed(Arc::clone(machines.configuration.current()));
+        self.follower.committed(machines.configuration.current());
         self.follower.committed_zones(machines.evacuations.evacuated());
         let set = replica_set(replica);
         self.follower.lead(term, set, began);
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use pulley_core::Moment;
 use pulley_core::version::{PlanStanding, ReplicaDriver};
-use pulley_core::{Moment, PolicyPlan};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
@@ -16,7 +16,7 @@
         let live = self.members.live_entries();
         RunningView {
             version: self.follower.version(),
-            plan: self.plan_in_force(),
+            plan: self.follower.in_force().map(Arc::clone).unwrap_or_default(),
             upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
             evacuated: Arc::clone(self.follower.evacuated()),
@@ -25,20 +25,6 @@
         }
     }
 
-    /// The sheet in force; the same one until another is, so that who follows views sees whether
-    /// it has changed.
-    fn plan_in_force(&mut self) -> Arc<PolicyPlan> {
-        let Some(stored) = self.follower.in_force() else { return Arc::default() };
-        if let Some((known, plan)) = &self.shown_plan
-            && Arc::ptr_eq(known, stored)
-        {
-            return Arc::clone(plan);
-        }
-        let plan = Arc::new(stored.plan.clone());
-        self.shown_plan = Some((Arc::clone(stored), Arc::clone(&plan)));
-        plan
-    }
-
     fn readiness(&self, standing: PlanStanding) -> HostReadiness {
         let why = match standing {
             PlanStanding::InForce(version) | PlanStanding::Static(version) if version.0 > 0 => {
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -42,6 +42,8 @@
 /// The pause between two lines on the members: where hundreds of hosts start together, each hears
 /// of them one by one.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
+/// Bytes in a kilobit.
+const BYTES_PER_KBIT: f64 = 125.0;
 /// The shortest pause between two log lines on what spreading configurations costs.
 const SPREAD_PAUSE: Duration = Duration::from_secs(1);
 
@@ -238,6 +240,7 @@
         share_counts: settings.share_counts,
         upstream_lease: settings.traffic.upstream_lease,
         serves_on: settings.traffic.serves_on,
+        link_rate: settings.traffic.link_kbps.map(|rate| f64::from(rate) * BYTES_PER_KBIT),
         seed,
     });
     let control = ControlLoop {
@@ -534,7 +537,7 @@
         let fetching = follower.fetching().map(|version| version.to_string());
         info!(self.logger, "configuration-spread"; "version" => %follower.version(),
             "fetching" => fetching, "fetches" => counts.fetches,
-            "dropped_fetches" => counts.dropped_fetches, "windows_asked" => counts.windows_asked,
+            "dropped_paths" => counts.dropped_paths, "windows_asked" => counts.windows_asked,
             "windows_overdue" => counts.windows_overdue, "chunks_taken" => counts.chunks_taken,
             "chunks_unwanted" => counts.chunks_unwanted, "windows_served" => counts.windows_served,
             "windows_unserved" => counts.windows_unserved, "chunks_served" => counts.chunks_served);
