Answer at once where a host's link bears no more of a plan, and ask for less at a time on slow links

What callers saw: nothing yet. The first form of the new spread left questions without an answer once a host's part of its link was used up, which cost each asker 200 ms; and a window was let grow until its chunks took 40 to 80 ms at the link, behind which callers' bytes wait.

Change: such a question is answered by Busy, and the next host is asked; once all were asked in vain they are left alone for 200 ms. Windows are meant to take 20 ms. The virtual hosts serve by the rate of their own links, as those of a deployment do.

--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -405,7 +405,7 @@
                 self.take_zones(&evacuated);
                 if self.welcomed {
                     self.take_lease(lease);
-                    self.take_committed(from, (held, digest));
+                    self.take_committed(now, from, (held, digest));
                 }
             }
             PlanContent::Ask { nonce } => {
@@ -425,13 +425,19 @@
                     if let Some(lease) = lease {
                         self.take_lease(lease);
                     }
-                    self.take_committed(from, (held, digest));
+                    self.take_committed(now, from, (held, digest));
                 }
             }
             PlanContent::Fetch { held, span, first, wanted } => {
                 return self.serve(now, from, (held, span), (first, wanted));
             }
             PlanContent::Chunk(chunk) => return self.take_chunk(now, from, chunk),
+            PlanContent::Busy => {
+                if let Some(fetch) = &mut self.fetch {
+                    fetch.pass_over(now, from);
+                }
+                return self.ask_for_plan(now).into_iter().collect();
+            }
             PlanContent::Held { version } => {
                 let known = self.holders.entry(from.clone()).or_default();
                 *known = version.max(*known);
--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -15,7 +15,7 @@
 const WINDOW_START: u32 = 4;
 /// How long after its first chunk a window's last one is meant to come; a window that takes twice as
 /// long fills the link, and is halved.
-const WINDOW_AIM: Duration = Duration::from_millis(40);
+const WINDOW_AIM: Duration = Duration::from_millis(20);
 /// How long a window may take until the rest of it is asked for again, from another host.
 const RETRY: Duration = Duration::from_millis(200);
 /// How many windows in a row may bring nothing until what has come is given up: nobody may hold the
@@ -55,6 +55,8 @@
     /// How many chunks of the window have not come.
     awaited: u32,
     fruitless: u32,
+    /// How many hosts in a row had nothing to give.
+    passed_over: usize,
     wants_whole: bool,
     asked: Option<Moment>,
     /// When the first chunk of the window came.
@@ -74,6 +76,7 @@
             window: WINDOW_START,
             awaited: 0,
             fruitless: 0,
+            passed_over: 0,
             wants_whole: false,
             asked: None,
             begun: None,
@@ -137,14 +140,16 @@
         }
     }
 
-    /// Notes that a host holds nothing of use; if it was asked, another one is.
-    pub(crate) fn pass_over(&mut self, host: &HostId) {
-        let sources = self.replicas.len() + self.holders.len();
-        // Once all were asked in vain, the next question waits until the last one is overdue.
-        if self.asked.is_some() && self.source() == Some(host) && self.turn < 2 * sources {
-            self.turn += 1;
-            self.asked = None;
+    /// Notes that a host has nothing of use or no room for it; if it was asked, another one is.
+    pub(crate) fn pass_over(&mut self, now: Moment, host: &HostId) {
+        if self.asked.is_none() || self.source() != Some(host) {
+            return;
         }
+        self.turn += 1;
+        self.passed_over += 1;
+        // Once all were asked in vain, they are left alone for a while.
+        let sources = self.replicas.len() + self.holders.len();
+        self.asked = self.passed_over.is_multiple_of(sources).then_some(now);
     }
 
     /// Takes a chunk; returns the whole way if it was the last one missing.
@@ -178,6 +183,7 @@
         };
         path.chunks[place] = Some(body);
         self.fruitless = 0;
+        self.passed_over = 0;
         self.awaited = self.awaited.saturating_sub(1);
         let begun = *self.begun.get_or_insert(now);
         if path.missing().next().is_none() {
--- a/crates/pulley_core/src/version/follower/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_message.rs
@@ -120,6 +120,8 @@
     },
     /// One chunk of such a way.
     Chunk(PlanChunk),
+    /// Answers a question for chunks: the sender's link bears no more of them now.
+    Busy,
     /// Tells the leader that a version is in force at the sender.
     Held { version: ConfigVersion },
 }
--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -26,6 +26,7 @@
     /// Takes up what another host has in force. That is always committed, whoever leads now.
     pub(super) fn take_committed(
         &mut self,
+        now: Moment,
         from: &HostId,
         (version, digest): (ConfigVersion, PlanDigest),
     ) {
@@ -34,7 +35,7 @@
         if version >= fetch.goal() {
             fetch.add_holder(from);
         } else if version <= self.held.as_ref().map(|held| held.version).unwrap_or_default() {
-            fetch.pass_over(from);
+            fetch.pass_over(now, from);
         }
     }
 
@@ -128,7 +129,7 @@
         let bytes = wanted.count_ones() as usize * CHUNK_BYTES;
         if !self.serve_budget.take(now, bytes) {
             self.counts.windows_unserved += 1;
-            return Vec::new();
+            return vec![self.send(now, to.clone(), PlanContent::Busy)];
         }
         let begun = span.and_then(|span| self.history.find(span));
         let (path, first, wanted) = match begun {
--- a/crates/pulley_core/tests/members/wide_change.rs
+++ b/crates/pulley_core/tests/members/wide_change.rs
@@ -142,7 +142,8 @@
         let terms: Vec<LinkTerms> = (0..self.hosts).map(terms).collect();
         network.links = Some(LinkModel::new(&terms, network.now, self.long_queue));
         network.run_for(Duration::from_secs(1));
-        for host in &mut network.hosts {
+        for (host, terms) in network.hosts.iter_mut().zip(&terms) {
+            host.plans = host.plans.clone().with_link_rate(Some(f64::from(terms.rate)));
             assert_eq!(host.plans.standing(network.now), PlanStanding::InForce(plan.version));
             host.sent.clear();
         }
