Deny nothing for good by a configuration known to be old

Callers of routes that had just been accepted got 404 for seconds from hosts that hadn't fetched the new version yet, and clients don't retry a 404. The same held for 413 and 431 by limits that the new version may have raised.

Cause: a host that knew from a lease that a newer version was accepted still answered as if the version in its hands were all there is.

The follower now tells which newer version it awaits (from the freshest lease and from what it fetches of another host's), views show it at once, and while there is one, a request that the version in force denies is refused as not run: 503 configuration-behind, come back in 0.2 s. A request to a host that has just started waits for the newer version as it does for the first. Rows that match are served as before; what no version can allow (malformed, over the process's own limit) and what the newest version known lacks is denied as before. The log line of a refusal says which version was awaited.

The test with real daemons failed in 10 of 26 runs at first: SIGSTOP had been sent but the replicas still ran and gave the entry the plan (its log says InForce(2) 3 ms after it woke). It now waits until they have stopped: 14 of 14 runs beside four busy loops.

--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -81,6 +81,8 @@
     KeyConflict,
     /// The request is malformed or over a size limit.
     BadRequest,
+    /// The configuration held here doesn't allow it, but a newer one was accepted that may.
+    ConfigurationBehind,
 }
 
 impl RefusalCause {
@@ -99,6 +101,7 @@
             Self::LedgerUnavailable => "ledger-unavailable",
             Self::KeyConflict => "key-conflict",
             Self::BadRequest => "bad-request",
+            Self::ConfigurationBehind => "configuration-behind",
         }
     }
 }
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -89,7 +89,7 @@
     pub(super) evacuated: Arc<EvacuatedZones>,
     /// Plans held before, for hosts that have begun to fetch them, and until when.
     earlier: VecDeque<(Moment, HeldPlan)>,
-    fetch: Option<PlanFetch>,
+    pub(super) fetch: Option<PlanFetch>,
     pub(super) replica: Option<LogReport>,
     pub(super) answers: FastMap<HostId, (Moment, LogReport)>,
     /// Who has asked this host before it could tell anything, with the number of the last question.
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -5,9 +5,9 @@
 
 use rand::Rng;
 
-use super::PlanSend;
 use super::plan_follower::{ANSWER_TERM, PlanFollower, START_PAUSE};
 use super::plan_follower_message::{LogReport, PlanContent};
+use super::{ConfigVersion, PlanSend};
 use crate::process::{HostId, Moment, PeerRing};
 
 /// How often hosts are asked while there is no lease.
@@ -16,6 +16,15 @@
 const ASK_PEERS: usize = 2;
 
 impl PlanFollower {
+    /// The newest accepted version that this host has heard of, if it lacks it: whoever is asked for
+    /// what only that version has can't say here that it doesn't exist.
+    #[must_use]
+    pub fn awaited(&self) -> Option<ConfigVersion> {
+        let told = self.lease.as_ref().map(|lease| lease.version);
+        let held_elsewhere = self.fetch.as_ref().map(|fetch| fetch.version);
+        told.max(held_elsewhere).filter(|newest| *newest > self.version())
+    }
+
     /// Whether there is an answer now for those who have asked too early.
     pub(super) fn has_askers(&self) -> bool {
         self.welcomed && self.held.is_some() && !self.askers.is_empty()
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -1,9 +1,10 @@
 //! Which configuration is in force where.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pulley_core::process::PeerRing;
-use pulley_core::version::{LogIndex, PlanFollower, PlanStanding, ReplicaSet};
+use pulley_core::version::{LogIndex, PlanFollower, PlanStanding, ReplicaSet, StoredPlan};
 use pulley_core::{ConfigVersion, HostId, Moment};
 
 use crate::network::{Network, host_name};
@@ -170,3 +171,45 @@
     assert_eq!(entry.standing(at(16)), PlanStanding::InForce(ConfigVersion(0)));
     assert!(replica.tick(at(17), &ring).is_empty(), "once is enough");
 }
+
+// Guards against hosts that take their version for the newest while they fetch a newer one.
+#[test]
+fn a_host_awaits_a_version_that_it_has_heard_of_until_that_is_in_force() {
+    let mut network = with_leader(12, 41);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    network.weather.delay = (20_000, 45_000);
+    network.publish(2, 3_000);
+    let mut waited = vec![false; 12];
+    for _ in 0..400 {
+        network.run_for(Duration::from_millis(5));
+        for (index, host) in network.hosts.iter().enumerate() {
+            let awaited = host.plans.awaited();
+            assert!(awaited.is_none_or(|awaited| awaited > host.plans.version()), "host {index}");
+            waited[index] |= awaited == Some(ConfigVersion(2));
+        }
+    }
+    assert!(waited[1..].iter().all(|waited| *waited), "{waited:?}");
+    assert!(!waited[0], "the leader has it");
+    assert_eq!(at_version(&network, 2), 12);
+    assert!(network.hosts.iter().all(|host| host.plans.awaited().is_none()));
+}
+
+// Guards against a host that counts leases only: without a leader, what others hold is newer, too.
+#[test]
+fn a_host_awaits_what_another_holds_without_a_lease() {
+    let mut holder = PlanFollower::new(host_name(0), 1);
+    let mut entry = PlanFollower::new(host_name(1), 2);
+    let at = |millis| Moment::ZERO + Duration::from_millis(millis);
+    let plan = StoredPlan { version: ConfigVersion(6), ..StoredPlan::default() };
+    holder.committed(Arc::new(plan));
+    entry.apply_replicas(&[host_name(0)]);
+    assert_eq!(entry.awaited(), None);
+    for send in entry.tick(at(10), &PeerRing::default()) {
+        for told in holder.receive(at(11), &host_name(1), &send.body) {
+            entry.receive(at(12), &host_name(0), &told.body);
+        }
+    }
+    assert_eq!(entry.awaited(), Some(ConfigVersion(6)));
+    assert_eq!(holder.awaited(), None);
+}
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -15,7 +15,7 @@
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
     QuestionNumber, QuestionRouter, ReplicaDriver, StoredPlan,
 };
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use pulley_core::{ConfigVersion, HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
 use super::control_counts::{CountCarrier, ProbeReport};
@@ -122,15 +122,20 @@
     members: u64,
     upstreams: u64,
     version: u64,
+    awaited: Option<ConfigVersion>,
     zones: LogIndex,
     ready: bool,
     leaving: bool,
 }
 
 impl ViewMarks {
-    /// Whether hosts and upstreams are all that differs.
+    /// Whether all that differs is hosts, upstreams, or which newer version is awaited. That one is
+    /// awaited at all must show at once: callers are denied nothing for good from then on.
     fn can_wait(&self, other: &Self) -> bool {
-        let without = |marks: &Self| Self { members: 0, upstreams: 0, ..*marks };
+        let without = |marks: &Self| {
+            let awaited = marks.awaited.map(|_| ConfigVersion::default());
+            Self { members: 0, upstreams: 0, awaited, ..*marks }
+        };
         without(self) == without(other)
     }
 }
@@ -360,6 +365,7 @@
             members: self.members.changes(),
             upstreams: self.registry.changes(),
             version: self.follower.version().0,
+            awaited: self.follower.awaited(),
             zones: self.zones_shown,
             ready: standing.is_ready(),
             leaving: self.shutting_down,
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -16,6 +16,7 @@
         let live = self.members.live_entries();
         RunningView {
             version: self.follower.version(),
+            awaited: self.follower.awaited(),
             plan: self.plan_in_force(),
             upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -31,6 +31,8 @@
 pub struct RunningView {
     /// The configuration in force.
     pub version: ConfigVersion,
+    /// The newest accepted version heard of, while it isn't in force here.
+    pub awaited: Option<ConfigVersion>,
     /// Its checked sheet.
     pub plan: Arc<PolicyPlan>,
     /// The upstreams of each pool.
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Self {
             version: ConfigVersion::default(),
+            awaited: None,
             plan: Arc::default(),
             upstreams: FastMap::default(),
             readiness: HostReadiness::NotReady { why: SmolStr::new_static("starting") },
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use pulley_core::request::{not_ready_retry, start_wait};
-use pulley_core::version::{CallerLimits, KindPlan};
+use pulley_core::version::KindPlan;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
 use slog::info;
 use smol_str::SmolStr;
@@ -27,7 +27,7 @@
 use super::request_run::{PlannedKind, RequestRun};
 use super::traffic_counters::RequestSeat;
 use super::{AnswerBody, BodySource, RequestFault, SystemAnswer, TrafficContext, TrafficCounters};
-use crate::process::HostReadiness;
+use crate::process::{HostReadiness, RunningView};
 
 /// What a step of a request's way gives, or the answer that ends it.
 type Result<T> = std::result::Result<T, SystemAnswer>;
@@ -39,6 +39,10 @@
 /// How soon a caller may come back to a host that is full.
 const HOST_RETRY: Duration = Duration::from_secs(1);
 
+/// How soon a caller may come back to a host that lacks the newest configuration: that is on its way,
+/// and a caller with a second left waits no longer than a third of it.
+const BEHIND_RETRY: Duration = Duration::from_millis(200);
+
 /// How often a request that waits for its host to get ready looks again.
 const START_LOOK: Duration = Duration::from_millis(10);
 
@@ -149,7 +153,7 @@
         let method = request.method().as_str();
         let host = named_host(request.uri(), request.headers());
         let found = view.plan.find(host, method, request.uri().path(), rand::random());
-        let Some((_, row)) = found else { return true };
+        let Some((_, row)) = found else { return view.awaited.is_none() };
         let upstreams = view.upstreams.get(&row.pool);
         upstreams.is_some_and(|records| records.iter().any(|record| record.takes_work))
     }
@@ -223,11 +227,15 @@
         self.check_readiness()?;
         let view = self.context.view.load();
         let (parts, body) = request.into_parts();
-        check_shape(&parts, self.context.caller_limits())?;
+        check_size(&parts, self.context.limits.header_bytes, &view)?;
+        if is_ambiguous(&parts) {
+            return Err(SystemAnswer::refused(RefusalCause::BadRequest, None));
+        }
         let (host, path) = (named_host(&parts.uri, &parts.headers), parts.uri.path());
         let found = view.plan.find(host, parts.method.as_str(), path, rand::random());
         let Some((kind, row)) = found else {
-            return Err(SystemAnswer::refused(RefusalCause::NoSuchKind, None));
+            let denial = SystemAnswer::refused(RefusalCause::NoSuchKind, None);
+            return Err(deny_by_plan(&view, denial));
         };
         let is_trusted = self.context.is_trusted(self.caller);
         let dialect = &self.context.dialect;
@@ -238,22 +246,40 @@
     }
 }
 
-/// Refuses what is larger than callers may send, or could be read in two ways.
-fn check_shape(parts: &Parts, limits: CallerLimits) -> Result<()> {
+/// Refuses what is larger than this process or the configuration in force lets callers send.
+fn check_size(parts: &Parts, host_header_bytes: u64, view: &RunningView) -> Result<()> {
     let too_large =
-        |status, cause| Err(SystemAnswer::failed(status, RequestVerdict::NotRun, cause, None));
-    if header_bytes(&parts.headers) as u64 > limits.header_bytes {
-        return too_large(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large");
+        |status, cause| SystemAnswer::failed(status, RequestVerdict::NotRun, cause, None);
+    let header_bytes = header_bytes(&parts.headers) as u64;
+    let headers_too_large =
+        || too_large(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large");
+    if header_bytes > host_header_bytes {
+        return Err(headers_too_large());
     }
-    if body_bytes(&parts.headers).is_some_and(|bytes| bytes > limits.body_bytes) {
-        return too_large(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
+    let limits = view.plan.limits;
+    if header_bytes > limits.header_bytes {
+        return Err(deny_by_plan(view, headers_too_large()));
     }
-    if is_ambiguous(parts) {
-        return Err(SystemAnswer::refused(RefusalCause::BadRequest, None));
+    if body_bytes(&parts.headers).is_some_and(|bytes| bytes > limits.body_bytes) {
+        let denial = too_large(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
+        return Err(deny_by_plan(view, denial));
     }
     Ok(())
 }
 
+/// What a caller is told where the configuration in force denies its request.
+///
+/// Load it is for: a change reaches hundreds of hosts over seconds, and callers of what it adds come
+/// to all of them at once. Harm: denied for good, a caller never comes back, though the configuration
+/// accepted allows its request. Reason for the limit: only while a newer version is known to be on its
+/// way, so that what no version allows is soon denied.
+fn deny_by_plan(view: &RunningView, denial: SystemAnswer) -> SystemAnswer {
+    match view.awaited {
+        Some(_) => SystemAnswer::refused(RefusalCause::ConfigurationBehind, Some(BEHIND_RETRY)),
+        None => denial,
+    }
+}
+
 /// The host name that a request is for; empty if it names none.
 fn named_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
     let authority = uri.authority().map(|authority| authority.as_str());
@@ -331,6 +357,7 @@
         RequestVerdict::MayHaveRun => TrafficCounters::add(&counters.may_have_run),
         RequestVerdict::Ran => {}
     }
+    let view = context.view.load();
     let mut response = answer.into_response(&context.dialect);
     info!(context.logger, "request-refused"; "id" => asked.id.as_deref(),
         "kind" => asked.row.map(|row| row.kind.to_string()),
@@ -338,7 +365,7 @@
         "verdict" => %answer.verdict, "attempts" => asked.attempts,
         "upstream" => asked.upstream.as_ref().map(ToString::to_string),
         "held_ms" => u64::try_from(asked.held.as_millis()).unwrap_or(u64::MAX),
-        "config" => context.view.load().version.0,
+        "config" => view.version.0, "awaited" => view.awaited.map(|version| version.0),
         "retry_after_ms" => answer.retry_after.map(|delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)));
     if is_last {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -33,6 +33,7 @@
             RefusalCause::DeadlineTooClose => StatusCode::GATEWAY_TIMEOUT,
             RefusalCause::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             RefusalCause::NotReady
+            | RefusalCause::ConfigurationBehind
             | RefusalCause::PlanChanged
             | RefusalCause::PoolBusy
             | RefusalCause::NoUpstream
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -173,6 +173,7 @@
         known.insert(pool, records.into());
         RunningView {
             version: ConfigVersion::default(),
+            awaited: None,
             plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }),
             upstreams: known,
             readiness: HostReadiness::Ready,
--- a/crates/pulleyd/tests/process_failures/main.rs
+++ b/crates/pulleyd/tests/process_failures/main.rs
@@ -1,5 +1,6 @@
 //! What must hold while real processes are killed, paused and raced.
 
+mod behind_tests;
 mod process_support;
 mod zone_tests;
 
--- a/crates/pulleyd/tests/process_failures/process_support/daemon_process.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/daemon_process.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
+use nix::sys::wait::{WaitPidFlag, WaitStatus, waitpid};
 use nix::unistd::Pid;
 
 use super::test_cluster::wait_until;
@@ -75,6 +76,15 @@
         kill(pid, signal).expect("the process is ours");
     }
 
+    /// Stops the process and waits until none of its threads runs: a moment later it still answers.
+    pub(crate) fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_raw(i32::try_from(child.id()).expect("a process id"));
+        let stopped = waitpid(pid, Some(WaitPidFlag::WUNTRACED)).expect("a child of ours");
+        assert!(matches!(stopped, WaitStatus::Stopped(..)), "{} ended: {stopped:?}", self.host);
+    }
+
     /// Sends a signal and waits for the end; returns the exit code, if there is one.
     pub(crate) fn end(&mut self, signal: Signal) -> Option<i32> {
         self.signal(signal);
