Show on-call engineers which hosts lag behind a change

Metrics told the version in force on a host but not that it knew of a newer one, so that a host that fetches too slowly looked like one that hasn't heard.

The test with a real entry that can't fetch a change looks for it, and so does control_apis (neither could be built before; there was no such metric).

--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -424,6 +424,7 @@
     loop {
         let current = view.load();
         metrics.record_view(current.version.0, view.readiness() == HostReadiness::Ready);
+        metrics.record_awaited(current.awaited);
         metrics.record_zones(current.evacuated.zones.len(), current.evacuated_upstreams());
         tokio::time::sleep(METRICS_PACE).await;
     }
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -9,8 +9,8 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use pulley_core::RequestVerdict;
 use pulley_core::version::KindPlan;
+use pulley_core::{ConfigVersion, RequestVerdict};
 
 use crate::request::TrafficCounters;
 
@@ -40,6 +40,7 @@
     counters: Arc<TrafficCounters>,
     reading: Arc<Mutex<()>>,
     config_version: IntGauge,
+    config_version_awaited: IntGauge,
     zones_evacuated: IntGauge,
     upstreams_evacuated: IntGauge,
     ready: IntGauge,
@@ -74,6 +75,10 @@
             IntGauge::new("pulley_requests_in_progress", "Requests in this process.")?;
         let callers = IntGauge::new("pulley_callers_connections", "Open connections of callers.")?;
         let version = IntGauge::new("pulley_config_version", "Version of the configuration.")?;
+        let version_awaited = IntGauge::new(
+            "pulley_config_version_awaited",
+            "Newest accepted version heard of while it isn't in force here; 0 if it is.",
+        )?;
         let zones_evacuated =
             IntGauge::new("pulley_zones_evacuated", "Zones that operators have emptied.")?;
         let upstreams_evacuated = IntGauge::new(
@@ -96,6 +101,7 @@
             counters: Arc::default(),
             reading: Arc::default(),
             config_version: version,
+            config_version_awaited: version_awaited,
             zones_evacuated,
             upstreams_evacuated,
             ready,
@@ -115,6 +121,7 @@
             self.registry.register(Box::new(series.clone()))?;
         }
         self.registry.register(Box::new(self.config_version.clone()))?;
+        self.registry.register(Box::new(self.config_version_awaited.clone()))?;
         self.registry.register(Box::new(self.zones_evacuated.clone()))?;
         self.registry.register(Box::new(self.upstreams_evacuated.clone()))?;
         self.registry.register(Box::new(self.ready.clone()))
@@ -165,6 +172,12 @@
         self.ready.set(i64::from(ready));
     }
 
+    /// Notes which newer version this host has heard of and lacks, if there is one.
+    pub fn record_awaited(&self, awaited: Option<ConfigVersion>) {
+        let awaited = awaited.unwrap_or_default().0;
+        self.config_version_awaited.set(i64::try_from(awaited).unwrap_or(i64::MAX));
+    }
+
     /// Notes how many zones are evacuated, and how many upstreams get no work for it.
     pub fn record_zones(&self, zones: usize, upstreams: usize) {
         self.zones_evacuated.set(i64::try_from(zones).unwrap_or(i64::MAX));
--- a/crates/pulleyd/tests/control_apis.rs
+++ b/crates/pulleyd/tests/control_apis.rs
@@ -86,6 +86,7 @@
     let logger = Logger::root(Discard, o!());
     let metrics = ProcessMetrics::new().unwrap();
     metrics.record_view(7, true);
+    metrics.record_awaited(Some(ConfigVersion(8)));
     let operators = OperatorApi::new(control.clone(), view.clone(), metrics, keys, logger);
     let upstreams = AnnounceApi::new(control, view.clone());
     TestHost {
@@ -212,6 +213,7 @@
     let (status, body) = call(host.operators, "GET", "/metrics", "").await;
     assert_eq!(status, 200);
     assert!(body.contains("pulley_config_version 7"), "{body}");
+    assert!(body.contains("pulley_config_version_awaited 8"), "{body}");
     assert_eq!(call(host.operators, "GET", "/status", "").await.1, r#"{"version":7}"#);
     assert_eq!(call(host.operators, "GET", "/v1/audit?limit=5", "").await.0, 200);
     assert_eq!(call(host.operators, "GET", "/v1/audit?colour=red", "").await.0, 400);
--- a/crates/pulleyd/tests/process_failures/behind_tests.rs
+++ b/crates/pulleyd/tests/process_failures/behind_tests.rs
@@ -9,6 +9,7 @@
 
 /// Long enough for the others' rounds to reach the entry.
 const ROUNDS: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_secs(20);
 /// In which an accepted change is to be in force everywhere, and so not denied any more.
 const HEARD_LIMIT: Duration = Duration::from_secs(2);
 
@@ -42,6 +43,11 @@
         cluster.hosts[3].log()
     );
     assert_eq!(cluster.health(3), Some((1, true)));
+    let shows = || {
+        let metrics = cluster.operator(3).get("/metrics").map(|answer| answer.text());
+        metrics.is_ok_and(|metrics| metrics.contains("\npulley_config_version_awaited 2\n"))
+    };
+    assert!(wait_until(PATIENCE, shows), "the metric");
 
     cluster.hosts[..3].iter().for_each(|host| host.signal(Signal::SIGCONT));
     cluster.await_version(&[3], 2);
