Hold callers' connections to the limits in force, not to those they began with

A caller whose connection was opened under a sheet with narrow header limits kept getting the library's 431, without a verdict and the connection closed, after a newer sheet had raised them, for as long as the connection lasted.

Cause: the library's limit on headers was set from the plan in force when the connection was accepted. It is the process's own limit now; the plan's is looked at with each request, as before, and answered with a verdict.

Failing before: headers of 30 KB in pieces of 4 KB on a connection opened under a limit of 1 KiB, raised to 32 KiB since, got "HTTP/1.1 431 Request Header Fields Too L"; sent in one write they passed, as the library had read them whole. Costs: under a sheet with narrow limits a connection may buffer up to twice the process's limit (64 KiB by default) as under any other sheet.

--- a/crates/pulleyd/src/connection/caller_listener.rs
+++ b/crates/pulleyd/src/connection/caller_listener.rs
@@ -15,7 +15,6 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use parking_lot::Mutex;
 use pulley_core::process::FastMap;
-use pulley_core::version::CallerLimits;
 use slog::{debug, info, warn};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
@@ -202,12 +201,12 @@
         seat: ConnectionSeat,
     ) {
         let arrival = forwarder.arrival();
-        let limits = self.context.caller_limits();
-        let builder = server_builder(limits);
+        let header_timeout = self.context.header_timeout();
+        let builder = server_builder(self.context.limits.header_bytes, header_timeout);
         let connection = builder.serve_connection(TokioIo::new(stream), forwarder).into_owned();
         let watched = self.graceful.watch(connection);
         let logger = self.context.logger.clone();
-        let first_limit = self.context.timer.after(limits.header_timeout);
+        let first_limit = self.context.timer.after(header_timeout);
         self.tasks.spawn(async move {
             let _seat = seat;
             if let Some(Err(fault)) = until_first_limit(watched, first_limit, arrival).await {
@@ -297,14 +296,16 @@
     }
 }
 
-fn server_builder(limits: CallerLimits) -> auto::Builder<TokioExecutor> {
-    let header_list = u32::try_from(limits.header_bytes).unwrap_or(u32::MAX);
-    let header_bytes = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
+/// The library's limit on headers is the process's own. It holds for as long as the connection, and
+/// the plan in force, which may allow less, is another by then: that is looked at with each request.
+fn server_builder(header_bytes: u64, header_timeout: Duration) -> auto::Builder<TokioExecutor> {
+    let header_list = u32::try_from(header_bytes).unwrap_or(u32::MAX);
+    let header_bytes = usize::try_from(header_bytes).unwrap_or(usize::MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
+        .header_read_timeout(header_timeout)
         // Up to the limit the answer is our own with its verdict; beyond twice it, the library's.
         .max_buf_size(header_bytes.saturating_mul(2).max(16 * 1024));
     builder
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -8,7 +8,6 @@
 use parking_lot::Mutex;
 use pulley_core::process::LinkPacer;
 use pulley_core::request::RequestNumber;
-use pulley_core::version::CallerLimits;
 use slog::Logger;
 
 use super::{HeaderDialect, SchedulerSet, TrafficCounters, TrustedCallers};
@@ -152,14 +151,10 @@
         self
     }
 
-    /// What callers may send: the less of what the plan in force and the process allow.
-    pub(crate) fn caller_limits(&self) -> CallerLimits {
-        let plan = self.view.load().plan.limits;
-        CallerLimits {
-            header_bytes: plan.header_bytes.min(self.limits.header_bytes),
-            header_timeout: plan.header_timeout.min(self.limits.header_timeout),
-            ..plan
-        }
+    /// How long a caller may take to send headers: the less of what the plan in force and the process
+    /// allow.
+    pub(crate) fn header_timeout(&self) -> Duration {
+        self.view.load().plan.limits.header_timeout.min(self.limits.header_timeout)
     }
 
     /// Whether a caller's attempt and priority headers are believed.
--- a/crates/pulleyd/tests/request_behind.rs
+++ b/crates/pulleyd/tests/request_behind.rs
@@ -10,6 +10,7 @@
 use pulley_core::{ConfigVersion, PolicyPlan};
 use pulleyd::process::{HostReadiness, RunningView};
 use pulleyd::request::HeaderDialect;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Less than a host's own limit of 32 KiB.
 const PLAN_HEADER_BYTES: u64 = 1_024;
@@ -160,3 +161,29 @@
         assert_eq!(summary(&answer), "503 not-run not-ready");
     }
 }
+
+// Guards against a 431 for as long as a connection lasts, by limits that a later version has raised.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_is_held_to_the_limits_in_force_and_not_to_those_it_began_with() {
+    let upstream = FakeUpstream::healthy("done").await;
+    let entry = TestEntry::start(&[&upstream]).await;
+    let wide = entry.context.view.load();
+    narrow(&entry);
+    let mut caller =
+        entry.raw("POST /balance HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n").await;
+    let mut answer = vec![0; 4_096];
+    let read = caller.read(&mut answer).await.expect("an answer");
+    assert!(answer[..read].starts_with(b"HTTP/1.1 200 "));
+    entry.context.view.store(RunningView::clone(&wide));
+    let long = "x".repeat(30_000);
+    let head =
+        format!("POST /balance HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\ncontent-length: 0\r\n\r\n");
+    for part in head.as_bytes().chunks(4_096) {
+        // What it says once it reads no more is looked at below.
+        let _ = caller.write_all(part).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let read = caller.read(&mut answer).await.expect("an answer");
+    let start = String::from_utf8_lossy(&answer[..read.min(40)]).into_owned();
+    assert!(start.starts_with("HTTP/1.1 200 "), "{start}");
+}
