--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -209,9 +209,10 @@
         self.counts
     }
 
-    /// The version that is being fetched, if one is.
+    /// The newest accepted version that this host has heard of, if it lacks it: whoever is asked for
+    /// what only that version has can't say here that it doesn't exist.
     #[must_use]
-    pub fn fetching(&self) -> Option<ConfigVersion> {
+    pub fn awaited(&self) -> Option<ConfigVersion> {
         self.fetch.as_ref().map(PlanFetch::goal)
     }
 
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -534,9 +534,9 @@
         self.spread_told = counts;
         self.next_spread_telling = now + SPREAD_PAUSE;
         let follower = &self.core.follower;
-        let fetching = follower.fetching().map(|version| version.to_string());
+        let awaited = follower.awaited().map(|version| version.to_string());
         info!(self.logger, "configuration-spread"; "version" => %follower.version(),
-            "fetching" => fetching, "fetches" => counts.fetches,
+            "awaited" => awaited, "fetches" => counts.fetches,
             "dropped_paths" => counts.dropped_paths, "windows_asked" => counts.windows_asked,
             "windows_overdue" => counts.windows_overdue, "chunks_taken" => counts.chunks_taken,
             "chunks_unwanted" => counts.chunks_unwanted, "windows_served" => counts.windows_served,
