--- a/crates/pulley_bench/src/recovery/mod.rs
+++ b/crates/pulley_bench/src/recovery/mod.rs
@@ -8,6 +8,7 @@
 mod in_force_figures;
 mod memory_figures;
 mod replica_cluster;
+mod size_figures;
 mod start_figures;
 mod stream_figures;
 mod traffic_figures;
@@ -27,6 +28,7 @@
   in-force from accepted to in force, over real pulleyd processes built beside this program
   audit    a search through old audit records
   memory   bytes a claim, an audit record and a change id
+  sizes    what one change takes, by how many routes the configuration has
 
 DIR holds the replicas' data folders; its disk decides the figures. N is the number of hosts for
 in-force; 3, 15 and 29 if it is not given.";
@@ -54,7 +56,11 @@
                 sizes = vec![count.parse()?];
                 rest.next();
             }
-            ("audit" | "in-force" | "changes" | "claims" | "start" | "traffic" | "memory", _) => {
+            (
+                "audit" | "in-force" | "changes" | "claims" | "start" | "traffic" | "memory"
+                | "sizes",
+                _,
+            ) => {
                 parts.push(argument.as_str());
             }
             _ => bail!("cannot use {argument}\n{USAGE}"),
@@ -64,6 +70,9 @@
     if wanted("changes") {
         stream_figures::measure_changes(&folder)?;
     }
+    if wanted("sizes") {
+        size_figures::measure_sizes()?;
+    }
     if wanted("claims") {
         stream_figures::measure_claims(&folder)?;
     }
