Refuse a configuration that cannot be carried, and carry 14,000 routes

A configuration of 14,000 routes with a version of its operator's was taken, put into the log whole, and fitted no frame between replicas (2 MiB): it was never committed and held up every change, claim and departure behind it for good. The control listener took bodies of 4 MiB, of which the frame's limit knew nothing. Shown by many_routes_at_once_do_not_hold_up_the_log, over a network in memory that now drops what no link carries: no answer within 10 s before this, accepted now.

A split route has a row for each of its pools, so a body within its limit may have a plan over it: whatever is too large is refused with 413 and the limit, on the host that takes it and again by the leader, before it is proposed.

The largest that passes, 4 MiB of printable characters at random and rows of 60,000 such, is accepted and in force on all replicas in the test. What an unproved caller may make a host read grows from 8 MiB to 8.75 MiB.

--- a/crates/pulley_core/src/version/change.rs
+++ b/crates/pulley_core/src/version/change.rs
@@ -79,6 +79,11 @@
         /// Every fault, a line each.
         faults: String,
     },
+    /// It is larger than what the system can carry everywhere.
+    TooLarge {
+        /// What is too large, and the limit.
+        fault: String,
+    },
 }
 
 /// What became of a change.
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod audit_trail;
 mod change;
 mod configuration_machine;
+mod configuration_size;
 mod departure_machine;
 mod evacuation_machine;
 mod follower;
@@ -22,6 +23,9 @@
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
 };
 pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
+pub use configuration_size::{
+    CHANGE_BYTES_LIMIT, PLAN_BYTES_LIMIT, PLAN_ROW_LIMIT, SHEET_LIMIT, SizeFault,
+};
 pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
 pub use evacuation_machine::{EVACUATED_LIMIT, EvacuationMachine};
 pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet};
--- a/crates/pulley_core/src/version/replica/driver_question.rs
+++ b/crates/pulley_core/src/version/replica/driver_question.rs
@@ -3,9 +3,10 @@
 use smol_str::SmolStr;
 
 use super::{
-    ClaimAnswer, DriverOutput, KeyDigest, LedgerCommand, LedgerOutcome, LogCommand, MachineOutcome,
-    RecordedAnswer, ReplicaAnswer, ReplicaChange, ReplicaDriver, ReplicaQuestion, ReplicaRefusal,
-    RequestDigest, StoredChange, Term,
+    ChangeAnswer, ChangeRefusal, ChangeRequest, ClaimAnswer, DriverOutput, KeyDigest,
+    LedgerCommand, LedgerOutcome, LogCommand, MachineOutcome, RecordedAnswer, ReplicaAnswer,
+    ReplicaChange, ReplicaDriver, ReplicaQuestion, ReplicaRefusal, RequestDigest, SizeFault,
+    StoredChange, Term,
 };
 use crate::process::{HostId, MemberId, Moment};
 
@@ -51,10 +52,7 @@
             ReplicaQuestion::OrderZone(order) => {
                 self.append(now, token, LogCommand::Zone(Box::new(order)));
             }
-            ReplicaQuestion::Apply(request) => {
-                let change = StoredChange::new(request, self.machines.configuration.current());
-                self.append(now, token, LogCommand::Change(Box::new(change)));
-            }
+            ReplicaQuestion::Apply(request) => self.append_change(now, token, request),
             ReplicaQuestion::Claim { key, digest, claimant } => {
                 let limits = self.settings.ledger;
                 let key = KeyDigest::of(&key);
@@ -114,6 +112,17 @@
         self.node.read(now, self.next_read);
     }
 
+    fn append_change(&mut self, now: Moment, token: u64, request: ChangeRequest) {
+        if let Err(fault) = SizeFault::check(&request) {
+            let refusal = ChangeRefusal::TooLarge { fault: fault.to_string() };
+            self.push_answer(token, ReplicaAnswer::Change(ChangeAnswer::Refused(refusal)));
+            return;
+        }
+        let current = self.machines.configuration.current();
+        let change = StoredChange::new(request, current);
+        self.append(now, token, LogCommand::Change(Box::new(change)));
+    }
+
     fn append_ledger(&mut self, now: Moment, token: u64, command: LedgerCommand) {
         self.append(now, token, LogCommand::Ledger(command));
     }
--- a/crates/pulley_core/src/version/replica/mod.rs
+++ b/crates/pulley_core/src/version/replica/mod.rs
@@ -44,8 +44,8 @@
 
 use super::audit_archive::AuditArchive;
 use super::{
-    AuditChunk, AuditFilter, AuditMessage, AuditRead, AuditRecord, ChangeAnswer, ChangeRequest,
-    ConfigVersion, ConfigurationMachine, DepartureMachine, EvacuatedZones, EvacuationMachine,
-    KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
-    StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
+    AuditChunk, AuditFilter, AuditMessage, AuditRead, AuditRecord, ChangeAnswer, ChangeRefusal,
+    ChangeRequest, ConfigVersion, ConfigurationMachine, DepartureMachine, EvacuatedZones,
+    EvacuationMachine, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome,
+    RequestDigest, SizeFault, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
 };
--- a/crates/pulley_core/src/version/sheet/sheet_reader.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_reader.rs
@@ -10,6 +10,7 @@
     RouteTerms, SheetColumn, SheetFault, SheetFaults, WorkLength,
 };
 use crate::process::{FastMap, KindName, PoolName, ServiceName, ShareFraction, SlotCount};
+use crate::version::{PLAN_ROW_LIMIT, SHEET_LIMIT};
 
 /// What reading gives: a plan, or every fault.
 type Result<T> = std::result::Result<T, SheetFaults>;
@@ -20,6 +21,9 @@
 /// Most rows read; the scheduler looks through the rows of a pool at each decision.
 const ROW_LIMIT: usize = 4_096;
 
+// What passes here must pass through the log and between hosts.
+const _: () = assert!(SHEET_BYTES_LIMIT <= SHEET_LIMIT && ROW_LIMIT <= PLAN_ROW_LIMIT);
+
 /// Longest deadline, in milliseconds.
 const DEADLINE_MS_LIMIT: u64 = 600_000;
 
--- a/crates/pulleyctl/src/printed_form.rs
+++ b/crates/pulleyctl/src/printed_form.rs
@@ -218,6 +218,9 @@
         ChangeAnswer::Refused(ChangeRefusal::SheetFaulty { faults }) => {
             format!("refused, not done: the sheet is faulty\n{faults}")
         }
+        ChangeAnswer::Refused(ChangeRefusal::TooLarge { fault }) => {
+            format!("refused, not done: {fault}")
+        }
         ChangeAnswer::Unknown { why } => format!("unknown: {why}"),
     }
 }
--- a/crates/pulleyd/src/connection/peer_frame.rs
+++ b/crates/pulleyd/src/connection/peer_frame.rs
@@ -4,14 +4,19 @@
 
 use bytes::Bytes;
 use pulley_core::HostId;
+use pulley_core::version::CHANGE_BYTES_LIMIT;
 pub use pulley_wire::peer_capnp::FrameClass;
 
 /// The largest body of one frame on a link, in bytes; larger things go in chunks.
 ///
-/// A frame over it is never sent, so it must hold the largest log entry: a sheet of 400 KiB, its
-/// checked plan of at most 520 KiB, and the 128 KiB of other entries that may travel with it. An
-/// entry that fits no frame would be proposed, never committed, and hold up the log for good.
-pub const FRAME_LIMIT: usize = 2 * 1024 * 1024;
+/// A frame over it is never sent, so it holds the largest change that is accepted, and the other
+/// entries that may travel with it. An entry that fits no frame would be proposed, never committed,
+/// and hold up the log for good.
+pub const FRAME_LIMIT: usize = CHANGE_BYTES_LIMIT + OTHER_ENTRIES_BYTES;
+
+/// Room for the entries that may travel with a change.
+const OTHER_ENTRIES_BYTES: usize = 128 << 10;
+
 /// The largest body of a datagram, in bytes, so that with its header it fits an Ethernet frame.
 pub const DATAGRAM_LIMIT: usize = 1_200;
 
--- a/crates/pulleyd/src/connection/peer_link_caller.rs
+++ b/crates/pulleyd/src/connection/peer_link_caller.rs
@@ -22,7 +22,7 @@
 
 use super::peer_frame::FRAME_LIMIT;
 use super::peer_gate::{LinkNonces, LinkProof, NONCE_LENGTH, ProofSide};
-use super::peer_link_queue::{LinkQueue, QueuedFrame};
+use super::peer_link_queue::{BATCH_BYTES, LinkQueue, QueuedFrame};
 use super::peer_link_settings::LinkSettings;
 
 /// How many calls may be unanswered before frames wait in the queue instead.
@@ -91,8 +91,8 @@
 pub(crate) fn reader_options() -> ReaderOptions {
     const WORD: usize = 8;
     let mut options = ReaderOptions::new();
-    // A batch is at most its byte limit and one frame more; twice that leaves room for pointers.
-    options.traversal_limit_in_words(Some(4 * FRAME_LIMIT / WORD));
+    // A batch is at most its byte limit and one frame more; the rest is room for pointers.
+    options.traversal_limit_in_words(Some((FRAME_LIMIT + 4 * BATCH_BYTES) / WORD));
     options
 }
 
--- a/crates/pulleyd/src/connection/peer_link_queue.rs
+++ b/crates/pulleyd/src/connection/peer_link_queue.rs
@@ -11,7 +11,7 @@
 /// How many frames go into one call.
 const BATCH_FRAMES: usize = 64;
 /// How many bytes go into one call, its last frame aside.
-const BATCH_BYTES: usize = 128 * 1024;
+pub(crate) const BATCH_BYTES: usize = 128 * 1024;
 
 /// One frame that waits.
 #[derive(Clone, Debug)]
--- a/crates/pulleyd/src/connection/peer_link_settings.rs
+++ b/crates/pulleyd/src/connection/peer_link_settings.rs
@@ -6,6 +6,7 @@
 use pulley_core::HostId;
 use pulley_core::process::ClusterId;
 
+use super::peer_frame::FRAME_LIMIT;
 use super::peer_key_ring::KeyRing;
 
 /// Settings of [`super::PeerLinks`].
@@ -37,7 +38,7 @@
             heartbeat: Duration::from_millis(500),
             idle_limit: Duration::from_secs(60),
             queue_frames: 1_024,
-            queue_bytes: 8 * 1024 * 1024,
+            queue_bytes: 2 * FRAME_LIMIT,
         }
     }
 
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -2,8 +2,8 @@
 
 use pulley_core::process::{Announcement, Incarnation, UpstreamStart};
 use pulley_core::version::{
-    AuditRecord, ChangeAnswer, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones, ReplicaAnswer,
-    ReplicaQuestion, ReplicaRefusal, StoredPlan, ZoneAnswer,
+    AuditRecord, ChangeAnswer, ChangeRefusal, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones,
+    ReplicaAnswer, ReplicaQuestion, ReplicaRefusal, SizeFault, StoredPlan, ZoneAnswer,
 };
 use pulley_core::{Moment, UpstreamId};
 use smol_str::SmolStr;
@@ -184,6 +184,11 @@
     fn ask_leader(&mut self, now: Moment, request: ControlRequest) {
         let (question, slot) = match request {
             ControlRequest::Apply(change, reply) => {
+                if let Err(fault) = SizeFault::check(&change) {
+                    let refusal = ChangeRefusal::TooLarge { fault: fault.to_string() };
+                    let _ = reply.send(ChangeAnswer::Refused(refusal));
+                    return;
+                }
                 (ReplicaQuestion::Apply(*change), AnswerSlot::Change(reply))
             }
             ControlRequest::CurrentPlan(reply) => {
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -199,6 +199,7 @@
         ChangeAnswer::Refused(ChangeRefusal::SheetFaulty { .. }) => {
             StatusCode::UNPROCESSABLE_ENTITY
         }
+        ChangeAnswer::Refused(ChangeRefusal::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
         ChangeAnswer::Refused(_) => StatusCode::CONFLICT,
         ChangeAnswer::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
     }
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -10,6 +10,7 @@
     ReplicaDriver, ReplicaIdentity, ReplicaQuestion, ReplicaSettings, ReplicaStatus,
 };
 use pulley_core::{ConfigVersion, Moment};
+use pulleyd::connection::FRAME_LIMIT;
 use pulleyd::version::{LogStorage, read_audit};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -478,6 +479,10 @@
 
     fn send(&mut self, number: usize, to: &HostId, body: &Bytes) {
         let Some(to) = self.hosts.iter().position(|host| host.identity.host == *to) else { return };
+        // Links carry no larger frame.
+        if body.len() > FRAME_LIMIT {
+            return;
+        }
         let from = self.hosts[number].identity.host.clone();
         let copies = if self.random.random_bool(self.faults.doubled) { 2 } else { 1 };
         for _ in 0..copies {
--- /dev/null
+++ b/crates/pulleyd/tests/replica/large_configuration_tests.rs
@@ -0,0 +1,188 @@
+//! Configurations of thousands of routes: what is accepted must get through everywhere.
+
+use std::time::Duration;
+
+use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
+use pulley_core::version::{
+    ChangeAnswer, ChangeRefusal, ChangeRequest, HostMatch, KindPlan, MethodMatch, PLAN_BYTES_LIMIT,
+    PLAN_ROW_LIMIT, PolicyPlan, QuestionRouter, ReplicaAnswer, ReplicaQuestion, RequestPriority,
+    RouteTerms, RouterOutput, SHEET_LIMIT, SizeFault, WorkLength,
+};
+use pulley_core::{ConfigVersion, Moment};
+use pulleyd::connection::FRAME_LIMIT;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::fake_cluster::{FakeCluster, host_name};
+
+/// Ten times the routes that an operator has added at once.
+const MANY_ROUTES: usize = 14_000;
+
+/// A configuration as operators send it, in one line, with names that have little in common.
+pub(crate) struct RouteSheet {
+    routes: Vec<(String, KindPlan)>,
+}
+
+impl RouteSheet {
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let routes = (0..count).map(|number| route(number, &mut random)).collect();
+        Self { routes }
+    }
+
+    fn sheet(&self, version: u64) -> String {
+        let routes = self.routes.iter().map(|(text, row)| {
+            let weight = row.route.weight;
+            format!("{{{text},\"TrafficSplit\":[{{\"Service\":\"{}\",\"Weight\":{weight}}}],\"MaxAttempts\":2}}", row.pool)
+        });
+        let routes: Vec<String> = routes.collect();
+        format!(
+            "{{\"Version\":\"{version:08x}\",\"Routes\":[{}],\"Services\":[]}}",
+            routes.join(",")
+        )
+    }
+
+    pub(crate) fn request(&self, version: u64) -> ChangeRequest {
+        let kinds = self.routes.iter().map(|(_, row)| row.clone()).collect();
+        ChangeRequest {
+            change_id: format!("change-{version}").parse().expect("a valid name"),
+            actor: "operator".parse().expect("a valid name"),
+            expect: ConfigVersion::default(),
+            given: Some(ConfigVersion(version)),
+            received_unix_ms: 1_700_000_000_000,
+            sheet: self.sheet(version),
+            plan: PolicyPlan { kinds, ..PolicyPlan::default() },
+        }
+    }
+
+    fn question(&self, version: u64) -> ReplicaQuestion {
+        ReplicaQuestion::Apply(self.request(version))
+    }
+}
+
+fn word(random: &mut StdRng, length: usize) -> String {
+    (0..length).map(|_| char::from(random.random_range(b'a'..=b'z'))).collect()
+}
+
+fn route(number: usize, random: &mut StdRng) -> (String, KindPlan) {
+    let name = format!("r-{}{number}", word(random, 5));
+    let host = format!("{}.example", word(random, 6));
+    let path = format!("/{}/{}/", word(random, 7), word(random, 4));
+    let text = format!(
+        "\"Name\":\"{name}\",\"Host\":\"{host}\",\"PathPrefix\":\"{path}\",\"Kind\":\"safe\",\
+         \"TimeoutS\":0.8,\"TargetLatencyS\":0.3,\"Priority\":2"
+    );
+    let row = KindPlan {
+        pool: format!("pool-{}", number % 300).parse().expect("a valid name"),
+        service: format!("pool-{}", number % 300).parse().expect("a valid name"),
+        kind: name.parse().expect("a valid name"),
+        method: MethodMatch::Any,
+        path_prefix: path.into(),
+        priority: RequestPriority(2),
+        share: ShareFraction::from_parts(0).expect("at most the whole"),
+        reserved_slots: SlotCount(0),
+        deadline: Duration::from_millis(800),
+        idempotent: true,
+        length: WorkLength::Short,
+        probe_budget: ProbeRate(0),
+        route: RouteTerms { host: HostMatch::Only(host.into()), ..RouteTerms::default() },
+    };
+    (text, row)
+}
+
+fn accepted(version: u64) -> ReplicaAnswer {
+    ReplicaAnswer::Change(ChangeAnswer::Accepted { version: ConfigVersion(version) })
+}
+
+// A change of 14,000 routes was put into the log, fitted no frame and held up all that came after it.
+#[test]
+fn many_routes_at_once_do_not_hold_up_the_log() {
+    let mut cluster = FakeCluster::new(5, 1);
+    cluster.wait_for_leader();
+    let few = RouteSheet::new(140, 1);
+    let many = RouteSheet::new(MANY_ROUTES, 1);
+    assert_eq!(cluster.settle_quickly(&few.question(5)), accepted(5));
+    assert_eq!(cluster.settle_quickly(&many.question(6)), accepted(6));
+    assert_eq!(cluster.settle_quickly(&few.question(7)), accepted(7));
+    cluster.run(Duration::from_secs(1));
+    for number in 0..5 {
+        assert_eq!(cluster.version(number), ConfigVersion(7));
+    }
+}
+
+// What is too large for a frame was put into the log; it is to be refused before.
+#[test]
+fn what_is_too_large_is_refused_and_never_logged() {
+    let mut cluster = FakeCluster::new(3, 4);
+    let leader = cluster.wait_for_leader();
+    cluster.run(Duration::from_secs(1));
+    let last = cluster.driver(leader).node().last_index();
+    let few = RouteSheet::new(10, 4);
+    let row = few.request(1).plan.kinds[0].clone();
+    let long = KindPlan { path_prefix: "x".repeat(2_000).into(), ..row.clone() };
+    let [mut sheet, mut rows, mut plan] = [1, 2, 3].map(|version| few.request(version));
+    sheet.sheet = " ".repeat(SHEET_LIMIT + 1);
+    rows.plan.kinds = vec![row; PLAN_ROW_LIMIT + 1];
+    plan.plan.kinds = vec![long; PLAN_BYTES_LIMIT / 2_000 + 1];
+    for request in [sheet, rows, plan] {
+        let fault = SizeFault::check(&request).expect_err("it is too large").to_string();
+        let refused = ChangeAnswer::Refused(ChangeRefusal::TooLarge { fault });
+        let question = ReplicaQuestion::Apply(request);
+        assert_eq!(cluster.settle_quickly(&question), ReplicaAnswer::Change(refused));
+    }
+    assert_eq!(cluster.driver(leader).node().last_index(), last);
+}
+
+// The largest that is accepted, of characters that nothing packs, must pass through all the same.
+#[test]
+fn the_largest_configuration_accepted_passes_through() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut request = RouteSheet::new(1, 5).request(6);
+    request.sheet =
+        (0..SHEET_LIMIT).map(|_| char::from(random.random_range(b' '..=b'~'))).collect();
+    let row = request.plan.kinds[0].clone();
+    while SizeFault::check(&request).is_ok() {
+        let path_prefix = word(&mut random, 60_000).into();
+        request.plan.kinds.push(KindPlan { path_prefix, ..row.clone() });
+    }
+    request.plan.kinds.pop();
+    let mut cluster = FakeCluster::new(3, 5);
+    cluster.wait_for_leader();
+    let question = ReplicaQuestion::Apply(request);
+    assert_eq!(cluster.settle_quickly(&question), accepted(6));
+    cluster.run(Duration::from_secs(1));
+    for number in 0..3 {
+        assert_eq!(cluster.version(number), ConfigVersion(6));
+    }
+    let current = cluster.driver(0).machines().configuration.current();
+    let answer = ReplicaAnswer::Plan((**current).clone());
+    for bytes in [routed(&question), answered(&answer)] {
+        assert!(bytes > SHEET_LIMIT && bytes <= FRAME_LIMIT, "{bytes} bytes");
+    }
+}
+
+/// Bytes of a question on its way to the leader.
+fn routed(question: &ReplicaQuestion) -> usize {
+    let mut router = QuestionRouter::new(host_name(0), 1);
+    router.apply_replicas(vec![host_name(1)]);
+    let (_, outputs) = router.ask(Moment::ZERO, question.clone()).expect("it has room");
+    sent_bytes(&outputs)
+}
+
+/// Bytes of an answer on its way back.
+fn answered(answer: &ReplicaAnswer) -> usize {
+    let mut asker = QuestionRouter::new(host_name(0), 1);
+    asker.apply_replicas(vec![host_name(1)]);
+    let (_, outputs) = asker.ask(Moment::ZERO, ReplicaQuestion::CurrentPlan).expect("it has room");
+    let [RouterOutput::Send { body, .. }] = &outputs[..] else { panic!("not sent") };
+    let mut leader = QuestionRouter::new(host_name(1), 1);
+    leader.apply_replicas(vec![host_name(1)]);
+    let asked = leader.receive(Moment::ZERO, &host_name(0), body);
+    let [RouterOutput::AskLocal { number, .. }] = &asked[..] else { panic!("not taken") };
+    sent_bytes(&leader.local_answer(Moment::ZERO, *number, answer.clone()))
+}
+
+fn sent_bytes(outputs: &[RouterOutput]) -> usize {
+    let [RouterOutput::Send { body, .. }] = outputs else { panic!("not sent") };
+    body.len()
+}
--- a/crates/pulleyd/tests/replica/main.rs
+++ b/crates/pulleyd/tests/replica/main.rs
@@ -11,5 +11,6 @@
 mod growth_schedule_tests;
 mod growth_tests;
 mod invariants;
+mod large_configuration_tests;
 mod schedule_tests;
 mod storage_tests;
