Keep changes with a given version as differences, packed

A sheet in one line, as JSON comes, was one piece for the difference as well.

The leader now keeps it as a difference from what is in force, unless its log holds a change that is not applied yet. Then nothing can come between the entry and its base: the entries before it are those of the leader's log when it was appended, under whatever leader it is committed. Behind another change it is kept whole. Pieces are lines and JSON objects; pools and limits are part of the difference; both forms are packed, and the size that a packed form claims, the rows and the sheet that come of it are bounded before memory is set aside. Should a difference meet another base all the same, nothing changes, the operator is asked to send again (503), and the change id is not used up.

--- a/crates/pulley_core/src/version/configuration_machine.rs
+++ b/crates/pulley_core/src/version/configuration_machine.rs
@@ -49,6 +49,11 @@
         }
         let (answer, diff) = self.decide(change);
         self.note(index, change, diff, &answer);
+        let moved = matches!(answer, ChangeAnswer::Refused(ChangeRefusal::VersionMoved { .. }));
+        if moved && change.given.is_some() {
+            // Nothing is wrong with it: sent again, it is kept against what is in force by then.
+            return answer;
+        }
         self.remember(id, ChangeOutcome { fingerprint, answer: answer.clone() });
         answer
     }
@@ -151,8 +156,12 @@
         given: ConfigVersion,
     ) -> (ChangeAnswer, String) {
         let current = self.current.version;
-        let Some((sheet, plan)) = change.build(&self.current).filter(|_| given >= current) else {
+        if given < current {
             return (ChangeAnswer::Superseded { current }, String::new());
+        }
+        let Some((sheet, plan)) = change.build(&self.current) else {
+            let refusal = ChangeRefusal::VersionMoved { current };
+            return (ChangeAnswer::Refused(refusal), String::new());
         };
         if given == current {
             let answer = match sheet == self.current.sheet {
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -9,6 +9,7 @@
 mod evacuation_machine;
 mod follower;
 mod ledger_machine;
+mod packed_value;
 mod plan_diff;
 mod question_router;
 mod replica;
@@ -32,6 +33,7 @@
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
 };
+pub use packed_value::PackedValue;
 pub use question_router::{QuestionNumber, QuestionRouter, RouterOutput};
 pub use replica::{
     AppendOutcome, AppendReply, AppendRequest, ClaimAnswer, ClaimantId, DiskId, DriverInput,
--- a/crates/pulley_core/src/version/replica/driver_question.rs
+++ b/crates/pulley_core/src/version/replica/driver_question.rs
@@ -119,7 +119,10 @@
             return;
         }
         let current = self.machines.configuration.current();
-        let change = StoredChange::new(request, current);
+        let change = match self.node.holds_untaken_change() {
+            false => StoredChange::new(request, current),
+            true => StoredChange::behind_others(request, current),
+        };
         self.append(now, token, LogCommand::Change(Box::new(change)));
     }
 
--- a/crates/pulley_core/src/version/replica/replica_node.rs
+++ b/crates/pulley_core/src/version/replica/replica_node.rs
@@ -12,9 +12,9 @@
 use super::replica_leading::LeaderState;
 use super::replica_log::ReplicaLog;
 use super::{
-    AuditChunk, LogEntry, LogIndex, LogTime, PersistBatch, PersistTicket, RecoveredState,
-    ReplicaEnvelope, ReplicaMembership, ReplicaMessage, ReplicaSettings, ReplicaSnapshot,
-    SnapshotPlace, Term, VoteRecord,
+    AuditChunk, LogCommand, LogEntry, LogIndex, LogTime, PersistBatch, PersistTicket,
+    RecoveredState, ReplicaEnvelope, ReplicaMembership, ReplicaMessage, ReplicaSettings,
+    ReplicaSnapshot, SnapshotPlace, Term, VoteRecord,
 };
 use crate::process::{MemberId, Moment};
 
@@ -347,6 +347,19 @@
         self.taken
     }
 
+    /// Whether the log holds a change of the configuration that has not been given out yet.
+    #[must_use]
+    pub fn holds_untaken_change(&self) -> bool {
+        let mut index = self.taken.next();
+        while let Some(entry) = self.log.entry(index) {
+            if matches!(entry.command, LogCommand::Change(_)) {
+                return true;
+            }
+            index = index.next();
+        }
+        false
+    }
+
     /// The last entry on this replica's disk.
     #[must_use]
     pub fn durable_index(&self) -> LogIndex {
--- a/crates/pulley_core/src/version/sequence_edit.rs
+++ b/crates/pulley_core/src/version/sequence_edit.rs
@@ -47,18 +47,27 @@
     edits
 }
 
-/// Makes the new sequence; `None` if the edits were not made for this old one.
-pub(crate) fn apply_edits<T: Clone>(old: &[T], edits: &[SequenceEdit<T>]) -> Option<Vec<T>> {
+/// Makes the new sequence; `None` if the edits were not made for this old one, or more than `limit`
+/// items come of them.
+pub(crate) fn apply_edits<T: Clone>(
+    old: &[T],
+    edits: &[SequenceEdit<T>],
+    limit: usize,
+) -> Option<Vec<T>> {
     let mut new = Vec::new();
     for edit in edits {
-        match edit {
+        let items = match edit {
             SequenceEdit::Copy { from, count } => {
                 let from = *from as usize;
                 let to = from.checked_add(*count as usize)?;
-                new.extend_from_slice(old.get(from..to)?);
+                old.get(from..to)?
             }
-            SequenceEdit::Insert(items) => new.extend_from_slice(items),
+            SequenceEdit::Insert(items) => items.as_slice(),
+        };
+        if new.len() + items.len() > limit {
+            return None;
         }
+        new.extend_from_slice(items);
     }
     Some(new)
 }
--- a/crates/pulley_core/src/version/stored_change.rs
+++ b/crates/pulley_core/src/version/stored_change.rs
@@ -4,33 +4,37 @@
 use sha2::{Digest, Sha256};
 
 use super::sequence_edit::{SequenceEdit, apply_edits, edits_between};
-use super::{ChangeRequest, ConfigVersion, KindPlan, PolicyPlan, StoredPlan};
+use super::{
+    CHANGE_BYTES_LIMIT, CallerLimits, ChangeRequest, ConfigVersion, KindPlan, PLAN_ROW_LIMIT,
+    PackedValue, PolicyPlan, PoolTerms, SHEET_LIMIT, StoredPlan,
+};
 use crate::process::{ActorName, ChangeId};
 
-/// About how many bytes a row or an edit takes besides its text.
-const ITEM_OVERHEAD: usize = 48;
+/// About how many bytes an edit takes besides its text.
+const EDIT_OVERHEAD: usize = 12;
 
 /// What a change makes of the sheet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ChangeContent {
-    /// The whole sheet; its base was not known when it was appended.
-    Whole {
-        /// The sheet as the operator gave it.
-        sheet: String,
-        /// The checked sheet.
-        plan: PolicyPlan,
-    },
+    /// The whole sheet as the operator gave it and its plan; its base was not known when it was
+    /// appended, or it has little in common with it.
+    Whole(PackedValue),
     /// What differs from the base.
-    Edit {
-        /// Lines of the sheet.
-        lines: Vec<SequenceEdit<String>>,
-        /// Rows of the checked sheet.
-        rows: Vec<SequenceEdit<KindPlan>>,
-    },
+    Edit(PackedValue),
     /// Nothing: another version was in force already, so the change can only be refused.
     Outdated,
 }
 
+/// What differs between two versions.
+#[derive(Debug, Serialize, Deserialize)]
+struct PlanEdit {
+    /// Pieces of the sheet.
+    pieces: Vec<SequenceEdit<String>>,
+    rows: Vec<SequenceEdit<KindPlan>>,
+    pools: Vec<SequenceEdit<PoolTerms>>,
+    limits: CallerLimits,
+}
+
 /// A change as the log keeps it.
 ///
 /// Operators send whole sheets, of which a change mostly touches a few rows. At 2,100 changes a day
@@ -55,43 +59,38 @@
 }
 
 impl StoredChange {
-    /// Makes the log's form of a request, given the version in force at the leader.
+    /// Makes the log's form of a request, given the version that will be in force when it is
+    /// applied, unless the log holds changes that are not applied yet; see [`Self::behind_others`].
     #[must_use]
     pub fn new(request: ChangeRequest, current: &StoredPlan) -> Self {
-        let fingerprint = request_fingerprint(&request);
-        if request.given.is_some() {
-            return Self::with_given_version(request, current, fingerprint);
-        }
-        let content = match request.expect.cmp(&current.version) {
-            std::cmp::Ordering::Less => ChangeContent::Outdated,
-            std::cmp::Ordering::Equal => edit_content(request.sheet, request.plan, current),
-            std::cmp::Ordering::Greater => {
-                ChangeContent::Whole { sheet: request.sheet, plan: request.plan }
-            }
-        };
-        Self {
-            change_id: request.change_id,
-            actor: request.actor,
-            expect: request.expect,
-            given: None,
-            received_unix_ms: request.received_unix_ms,
-            fingerprint,
-            content,
-        }
+        Self::stored(request, current, |request| match request.expect.cmp(&current.version) {
+            _ if request.given.is_some() => edit_content(request, current),
+            std::cmp::Ordering::Equal => edit_content(request, current),
+            _ => whole_content(request),
+        })
     }
 
-    /// Such a change is based on no version: what is in force when it is applied may be another
-    /// than now, so it is kept whole, unless it is too old already to be of use.
-    fn with_given_version(request: ChangeRequest, current: &StoredPlan, fingerprint: u128) -> Self {
-        let is_outdated = request.given.is_some_and(|given| given < current.version);
-        let content = match is_outdated {
-            true => ChangeContent::Outdated,
-            false => ChangeContent::Whole { sheet: request.sheet, plan: request.plan },
-        };
+    /// Makes the log's form of a request that other changes go before: what will be in force when
+    /// it is applied may be another version than now, so it is kept whole.
+    #[must_use]
+    pub fn behind_others(request: ChangeRequest, current: &StoredPlan) -> Self {
+        Self::stored(request, current, whole_content)
+    }
+
+    fn stored(
+        request: ChangeRequest,
+        current: &StoredPlan,
+        content: impl FnOnce(&ChangeRequest) -> ChangeContent,
+    ) -> Self {
+        let is_outdated = request.given.unwrap_or(request.expect) < current.version;
+        let fingerprint = request_fingerprint(&request);
+        let content = if is_outdated { ChangeContent::Outdated } else { content(&request) };
+        // One with a version of its own is based on none: it is told what it is kept against.
+        let expect = if request.given.is_some() { current.version } else { request.expect };
         Self {
             change_id: request.change_id,
             actor: request.actor,
-            expect: current.version,
+            expect,
             given: request.given,
             received_unix_ms: request.received_unix_ms,
             fingerprint,
@@ -105,17 +104,21 @@
         self.given.unwrap_or_else(|| self.expect.next())
     }
 
-    /// Makes the sheet and its plan, given the version it is based on.
+    /// Makes the sheet and its plan, given the version in force.
+    ///
+    /// `None` if there is nothing to make, or it is kept against another version.
     #[must_use]
     pub fn build(&self, base: &StoredPlan) -> Option<(String, PolicyPlan)> {
         match &self.content {
-            ChangeContent::Whole { sheet, plan } => Some((sheet.clone(), plan.clone())),
-            ChangeContent::Edit { lines, rows } => {
-                let sheet = apply_edits(&lines_of(&base.sheet), lines)?.concat();
-                let kinds = apply_edits(&base.plan.kinds, rows)?;
-                Some((sheet, PolicyPlan { kinds, ..base.plan.clone() }))
+            ChangeContent::Whole(packed) => packed.unpack(CHANGE_BYTES_LIMIT),
+            ChangeContent::Edit(packed) if base.version == self.expect => {
+                let edit: PlanEdit = packed.unpack(CHANGE_BYTES_LIMIT)?;
+                let sheet = edited_sheet(&pieces_of(&base.sheet), &edit.pieces)?;
+                let kinds = apply_edits(&base.plan.kinds, &edit.rows, PLAN_ROW_LIMIT)?;
+                let pools = apply_edits(&base.plan.pools, &edit.pools, PLAN_ROW_LIMIT)?;
+                Some((sheet, PolicyPlan { kinds, limits: edit.limits, pools }))
             }
-            ChangeContent::Outdated => None,
+            ChangeContent::Edit(_) | ChangeContent::Outdated => None,
         }
     }
 
@@ -125,48 +128,76 @@
         let names = self.change_id.as_str().len() + self.actor.as_str().len();
         names
             + match &self.content {
-                // The checked plan is about as large as the sheet it was read from.
-                ChangeContent::Whole { sheet, plan } => {
-                    2 * sheet.len() + plan.kinds.len() * ITEM_OVERHEAD
-                }
-                ChangeContent::Edit { lines, rows } => {
-                    2 * lines.iter().map(line_weight).sum::<usize>() + rows.len() * ITEM_OVERHEAD
-                }
+                ChangeContent::Whole(packed) | ChangeContent::Edit(packed) => packed.size(),
                 ChangeContent::Outdated => 0,
             }
     }
 }
 
-fn edit_content(sheet: String, plan: PolicyPlan, current: &StoredPlan) -> ChangeContent {
-    let same_limits = plan.limits == current.plan.limits;
-    let same_pools = plan.pools == current.plan.pools;
-    let (Ok(old_rows), Ok(new_rows), true) =
-        (row_keys(&current.plan), row_keys(&plan), same_limits && same_pools)
-    else {
-        return ChangeContent::Whole { sheet, plan };
+fn whole_content(request: &ChangeRequest) -> ChangeContent {
+    ChangeContent::Whole(PackedValue::pack(&(&request.sheet, &request.plan)))
+}
+
+fn edit_content(request: &ChangeRequest, current: &StoredPlan) -> ChangeContent {
+    let (old, new) = (&current.plan, &request.plan);
+    let (old_pieces, new_pieces) = (pieces_of(&current.sheet), pieces_of(&request.sheet));
+    let pieces = edits_between(&old_pieces, &new_pieces, &new_pieces);
+    let (Some(rows), Some(pools), true) = (
+        encoded_edits(&old.kinds, &new.kinds),
+        encoded_edits(&old.pools, &new.pools),
+        pieces.iter().map(edit_weight).sum::<usize>() < request.sheet.len(),
+    ) else {
+        return whole_content(request);
     };
-    let rows = edits_between(&old_rows, &new_rows, &plan.kinds);
-    let (old_lines, new_lines) = (lines_of(&current.sheet), lines_of(&sheet));
-    let lines = edits_between(&old_lines, &new_lines, &new_lines);
-    let edited: usize = lines.iter().map(line_weight).sum();
-    if edited >= sheet.len() {
-        return ChangeContent::Whole { sheet, plan };
-    }
-    ChangeContent::Edit { lines, rows }
+    let pieces = pieces.into_iter().map(owned_edit).collect();
+    ChangeContent::Edit(PackedValue::pack(&PlanEdit { pieces, rows, pools, limits: new.limits }))
+}
+
+fn encoded_edits<T: Clone + Serialize>(old: &[T], new: &[T]) -> Option<Vec<SequenceEdit<T>>> {
+    let keys = |items: &[T]| -> postcard::Result<Vec<Vec<u8>>> {
+        items.iter().map(postcard::to_allocvec).collect()
+    };
+    Some(edits_between(&keys(old).ok()?, &keys(new).ok()?, new))
 }
 
-fn row_keys(plan: &PolicyPlan) -> postcard::Result<Vec<Vec<u8>>> {
-    plan.kinds.iter().map(postcard::to_allocvec).collect()
+/// Pieces of which a change mostly touches a few: lines, and objects where the sheet is JSON, which
+/// often stands in one line.
+fn pieces_of(sheet: &str) -> Vec<&str> {
+    sheet.split_inclusive(['\n', '}']).collect()
 }
 
-fn lines_of(sheet: &str) -> Vec<String> {
-    sheet.split_inclusive('\n').map(str::to_owned).collect()
+fn owned_edit(edit: SequenceEdit<&str>) -> SequenceEdit<String> {
+    match edit {
+        SequenceEdit::Copy { from, count } => SequenceEdit::Copy { from, count },
+        SequenceEdit::Insert(pieces) => {
+            SequenceEdit::Insert(pieces.into_iter().map(str::to_owned).collect())
+        }
+    }
+}
+
+/// Makes the new sheet; `None` if the edits were not made for this old one, or it is too large.
+fn edited_sheet(old: &[&str], edits: &[SequenceEdit<String>]) -> Option<String> {
+    let mut sheet = String::new();
+    for edit in edits {
+        match edit {
+            SequenceEdit::Copy { from, count } => {
+                let from = *from as usize;
+                let to = from.checked_add(*count as usize)?;
+                old.get(from..to)?.iter().for_each(|piece| sheet.push_str(piece));
+            }
+            SequenceEdit::Insert(pieces) => pieces.iter().for_each(|piece| sheet.push_str(piece)),
+        }
+        if sheet.len() > SHEET_LIMIT {
+            return None;
+        }
+    }
+    Some(sheet)
 }
 
-fn line_weight(edit: &SequenceEdit<String>) -> usize {
+fn edit_weight(edit: &SequenceEdit<&str>) -> usize {
     match edit {
-        SequenceEdit::Copy { .. } => ITEM_OVERHEAD / 4,
-        SequenceEdit::Insert(lines) => lines.iter().map(String::len).sum(),
+        SequenceEdit::Copy { .. } => EDIT_OVERHEAD,
+        SequenceEdit::Insert(pieces) => pieces.iter().map(|piece| piece.len()).sum(),
     }
 }
 
--- a/crates/pulley_core/tests/mutated_messages.rs
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -16,10 +16,11 @@
     UpstreamSequence,
 };
 use pulley_core::version::{
-    DriverInput, DriverOutput, PlanFollower, QuestionRouter, RecoveredState, ReplicaDriver,
-    ReplicaIdentity, ReplicaQuestion, ReplicaSet, ReplicaSettings, RouterOutput, SheetReader,
+    ChangeRequest, ConfigurationMachine, DriverInput, DriverOutput, LogIndex, PlanFollower,
+    QuestionRouter, RecoveredState, ReplicaDriver, ReplicaIdentity, ReplicaQuestion, ReplicaSet,
+    ReplicaSettings, RouterOutput, SheetReader, StoredChange, StoredPlan,
 };
-use pulley_core::{HostId, Moment};
+use pulley_core::{ConfigVersion, HostId, Moment};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -252,6 +253,47 @@
     });
 }
 
+/// A change of a sheet large enough to be packed.
+fn large_change(version: u64) -> ChangeRequest {
+    let sheet = (0..4_000).map(|number| format!("{{\"Row\":{}}}\n", number * version)).collect();
+    ChangeRequest {
+        change_id: format!("change-{version}").parse().unwrap(),
+        actor: "operator".parse().unwrap(),
+        expect: ConfigVersion::default(),
+        given: Some(ConfigVersion(version)),
+        received_unix_ms: 0,
+        sheet,
+        plan: SheetReader::read(include_bytes!("../../../examples/kolkhi.csv")).unwrap(),
+    }
+}
+
+#[test]
+fn no_mutated_change_of_the_log_panics() {
+    let mut machine = ConfigurationMachine::default();
+    machine.apply(LogIndex(1), &StoredChange::new(large_change(1), machine.current()));
+    let current = machine.current().clone();
+    let mut request = large_change(2);
+    request.sheet = format!("{}one line more\n", current.sheet);
+    request.plan.kinds.pop();
+    let stored = [
+        StoredChange::new(request, &current),
+        StoredChange::behind_others(large_change(3), &current),
+        StoredChange::new(large_change(1), &StoredPlan::default()),
+    ];
+    let recorded: Vec<Bytes> =
+        stored.iter().map(|change| postcard::to_allocvec(change).unwrap().into()).collect();
+    let mut read = 0;
+    feed(7, &recorded, |bytes| {
+        if let Ok(change) = postcard::from_bytes::<StoredChange>(bytes) {
+            read += 1;
+            machine.clone().apply(LogIndex(2), &change);
+            let _ = change.build(&current);
+        }
+    });
+    assert!(read > 0);
+    assert_eq!(machine.version(), ConfigVersion(1));
+}
+
 #[test]
 fn no_mutated_message_of_the_router_panics() {
     let now = Moment::ZERO + Duration::from_secs(1);
@@ -264,6 +306,11 @@
             RouterOutput::Send { body, .. } => Some(body),
             _ => None,
         }));
+        let (_, outputs) = router.ask(now, ReplicaQuestion::Apply(large_change(2))).unwrap();
+        questions.extend(outputs.into_iter().filter_map(|output| match output {
+            RouterOutput::Send { body, .. } => Some(body),
+            _ => None,
+        }));
         questions.extend(router.tick(now + Duration::from_secs(1)).into_iter().filter_map(
             |output| match output {
                 RouterOutput::Send { body, .. } => Some(body),
--- a/crates/pulley_core/tests/stored_change.rs
+++ b/crates/pulley_core/tests/stored_change.rs
@@ -5,8 +5,9 @@
 use pulley_core::ConfigVersion;
 use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
 use pulley_core::version::{
-    ChangeContent, ChangeRequest, KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms,
-    StoredChange, StoredPlan, WorkLength,
+    CHANGE_BYTES_LIMIT, ChangeAnswer, ChangeContent, ChangeRefusal, ChangeRequest,
+    ConfigurationMachine, KindPlan, LogIndex, MethodMatch, PolicyPlan, PoolTerms, RequestPriority,
+    RouteTerms, StoredChange, StoredPlan, WorkLength,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -96,3 +97,91 @@
     let ahead = StoredChange::new(request(4, sheet, plan), &base);
     assert!(matches!(ahead.content, ChangeContent::Whole { .. }));
 }
+
+/// A JSON sheet in one line, as some operators send it.
+fn json_of(numbers: &[u8]) -> String {
+    let rows: Vec<String> = numbers.iter().map(|n| format!("{{\"Name\":\"{n}\"}}")).collect();
+    format!("{{\"Rows\":[{}]}}", rows.join(","))
+}
+
+fn given(version: u64, numbers: &[u8]) -> ChangeRequest {
+    let (_, plan) = sheet_of(numbers);
+    let change_id = format!("change-{version}").parse().expect("a valid name");
+    let sheet = json_of(numbers);
+    ChangeRequest { change_id, given: Some(ConfigVersion(version)), ..request(0, sheet, plan) }
+}
+
+// A change with a version of the operator's, in one line, was kept whole in the log each time.
+#[test]
+fn a_change_with_a_given_version_is_kept_as_a_difference() {
+    let numbers: Vec<u8> = (0..200).collect();
+    let (_, plan) = sheet_of(&numbers);
+    let base = StoredPlan { version: ConfigVersion(3), sheet: json_of(&numbers), plan };
+    let mut edited = numbers.clone();
+    edited[77] = 250;
+    edited.extend([251, 252]);
+    let asked = given(9, &edited);
+    let change = StoredChange::new(asked.clone(), &base);
+    assert!(matches!(change.content, ChangeContent::Edit(_)));
+    let size = postcard::to_allocvec(&change).expect("can be encoded").len();
+    assert!(size < asked.sheet.len() / 8, "{size} bytes");
+    assert_eq!(change.build(&base), Some((asked.sheet, asked.plan)));
+}
+
+// Pools and limits change with the rows where services are added; the difference must hold them.
+#[test]
+fn a_difference_holds_pools_and_limits_too() {
+    let numbers: Vec<u8> = (0..100).collect();
+    let base = plan_at(1, &numbers);
+    let (sheet, mut plan) = sheet_of(&numbers);
+    let pool = "added".parse().expect("a valid name");
+    plan.pools.push(PoolTerms { pool, probe_path: "/".into(), warm_up: None });
+    plan.limits.body_bytes = 7;
+    let change = StoredChange::new(request(1, sheet.clone(), plan.clone()), &base);
+    assert!(matches!(change.content, ChangeContent::Edit(_)));
+    assert_eq!(change.build(&base), Some((sheet, plan)));
+}
+
+// Should a difference ever meet another version than its own, it must change nothing, and its
+// operator must be able to send it again.
+#[test]
+fn a_difference_against_another_version_changes_nothing() {
+    let mut machine = ConfigurationMachine::default();
+    let numbers: Vec<u8> = (0..100).collect();
+    let mut edited = numbers.clone();
+    edited[3] = 200;
+    let first = StoredChange::new(given(1, &numbers), machine.current());
+    machine.apply(LogIndex(1), &first);
+    let stale = StoredChange::new(given(5, &edited), machine.current());
+    let second = StoredChange::new(given(2, &[1, 2, 3]), machine.current());
+    machine.apply(LogIndex(2), &second);
+    let before = machine.current().clone();
+    let refusal = ChangeRefusal::VersionMoved { current: ConfigVersion(2) };
+    assert_eq!(machine.apply(LogIndex(3), &stale), ChangeAnswer::Refused(refusal));
+    assert_eq!(machine.current(), &before);
+    let again = StoredChange::new(given(5, &edited), machine.current());
+    let accepted = ChangeAnswer::Accepted { version: ConfigVersion(5) };
+    assert_eq!(machine.apply(LogIndex(4), &again), accepted);
+    // From here on it is known as a resend, however it is kept.
+    assert_eq!(machine.apply(LogIndex(5), &stale), accepted);
+}
+
+// The size that a packed form claims is memory to be set aside.
+#[test]
+fn a_packed_change_that_claims_gigabytes_is_not_unpacked() {
+    let base = plan_at(0, &[]);
+    let (sheet, plan) = sheet_of(&[1, 2]);
+    let mut change = StoredChange::new(request(1, sheet, plan), &base);
+    let claims = |size: u32| {
+        let mut bytes = size.to_le_bytes().to_vec();
+        bytes.extend([0xff; 64]);
+        let encoded = postcard::to_allocvec(&bytes).expect("can be encoded");
+        postcard::from_bytes(&encoded).expect("bytes are a packed value")
+    };
+    for size in [u32::MAX, u32::try_from(CHANGE_BYTES_LIMIT).expect("a small limit") + 1] {
+        change.content = ChangeContent::Whole(claims(size));
+        assert_eq!(change.build(&base), None);
+        change.content = ChangeContent::Edit(claims(size));
+        assert_eq!(change.build(&base), None);
+    }
+}
--- a/crates/pulleyd/tests/replica/large_configuration_tests.rs
+++ b/crates/pulleyd/tests/replica/large_configuration_tests.rs
@@ -1,19 +1,20 @@
 //! Configurations of thousands of routes: what is accepted must get through everywhere.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
 use pulley_core::version::{
-    ChangeAnswer, ChangeRefusal, ChangeRequest, HostMatch, KindPlan, MethodMatch, PLAN_BYTES_LIMIT,
-    PLAN_ROW_LIMIT, PolicyPlan, QuestionRouter, ReplicaAnswer, ReplicaQuestion, RequestPriority,
-    RouteTerms, RouterOutput, SHEET_LIMIT, SizeFault, WorkLength,
+    ChangeAnswer, ChangeRefusal, ChangeRequest, HostMatch, KindPlan, LogCommand, MethodMatch,
+    PLAN_BYTES_LIMIT, PLAN_ROW_LIMIT, PolicyPlan, QuestionRouter, ReplicaAnswer, ReplicaQuestion,
+    ReplicaSettings, RequestPriority, RouteTerms, RouterOutput, SHEET_LIMIT, SizeFault, WorkLength,
 };
 use pulley_core::{ConfigVersion, Moment};
 use pulleyd::connection::FRAME_LIMIT;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::fake_cluster::{FakeCluster, host_name};
+use super::fake_cluster::{FakeCluster, NetworkFaults, host_name};
 
 /// Ten times the routes that an operator has added at once.
 const MANY_ROUTES: usize = 14_000;
@@ -30,6 +31,11 @@
         Self { routes }
     }
 
+    /// Gives one route another weight.
+    fn weigh(&mut self, place: usize, weight: u32) {
+        self.routes[place].1.route.weight = weight;
+    }
+
     fn sheet(&self, version: u64) -> String {
         let routes = self.routes.iter().map(|(text, row)| {
             let weight = row.route.weight;
@@ -94,6 +100,19 @@
     ReplicaAnswer::Change(ChangeAnswer::Accepted { version: ConfigVersion(version) })
 }
 
+/// Bytes of the latest change in the leader's log.
+fn last_change_bytes(cluster: &FakeCluster) -> usize {
+    let node = cluster.driver(cluster.leader().expect("one leads")).node();
+    let mut index = node.last_index();
+    loop {
+        let entry = node.entry(index).expect("the log holds a change");
+        if matches!(entry.command, LogCommand::Change(_)) {
+            return postcard::to_allocvec(&**entry).expect("can be encoded").len();
+        }
+        index = index.previous();
+    }
+}
+
 // A change of 14,000 routes was put into the log, fitted no frame and held up all that came after it.
 #[test]
 fn many_routes_at_once_do_not_hold_up_the_log() {
@@ -110,6 +129,85 @@
     }
 }
 
+// One weight of 14,000 routes was changed, and every replica was sent all of them.
+#[test]
+fn one_weight_of_many_routes_is_small_in_the_log() {
+    let mut cluster = FakeCluster::new(3, 2);
+    cluster.wait_for_leader();
+    let mut routes = RouteSheet::new(MANY_ROUTES, 2);
+    assert_eq!(cluster.settle_quickly(&routes.question(6)), accepted(6));
+    routes.weigh(7_000, 7);
+    assert_eq!(cluster.settle_quickly(&routes.question(8)), accepted(8));
+    let bytes = last_change_bytes(&cluster);
+    assert!(bytes < 1_024, "{bytes} bytes");
+    cluster.run(Duration::from_secs(1));
+    let asked = routes.request(8);
+    for number in 0..3 {
+        let plan = cluster.driver(number).machines().configuration.current().clone();
+        assert!(plan.sheet == asked.sheet && plan.plan == asked.plan);
+    }
+}
+
+// Kept against the version in force while another change was under way, it met another base.
+#[test]
+fn a_change_right_behind_another_builds_what_was_sent() {
+    let mut cluster = FakeCluster::new(3, 3);
+    cluster.wait_for_leader();
+    let mut routes = RouteSheet::new(200, 3);
+    assert_eq!(cluster.settle_quickly(&routes.question(1)), accepted(1));
+    let leader = cluster.wait_for_leader();
+    let tokens = (2..6).map(|version| {
+        routes.weigh(version as usize, 7);
+        (version, cluster.ask(leader, routes.question(version)))
+    });
+    let tokens: Vec<(u64, u64)> = tokens.collect();
+    cluster.run(Duration::from_secs(1));
+    for (version, token) in tokens {
+        assert_eq!(cluster.answers.get(&token), Some(&accepted(version)));
+    }
+    let plan = cluster.driver(leader).machines().configuration.current().clone();
+    assert_eq!((&plan.sheet, &plan.plan), (&routes.request(5).sheet, &routes.request(5).plan));
+}
+
+// Leaders die and messages are lost while changes come in bursts: what is in force under a version
+// is what was sent under it, on every replica.
+#[test]
+fn bursts_of_changes_in_bad_weather_build_what_was_sent() {
+    for seed in 0..40 {
+        let mut cluster = FakeCluster::in_bad_weather(3, seed, ReplicaSettings::default());
+        let mut routes = RouteSheet::new(30, seed);
+        let mut sent = BTreeMap::new();
+        for version in 1..60_u64 {
+            routes.weigh(version as usize % 30, version as u32);
+            sent.insert(version, routes.request(version));
+            for number in 0..3 {
+                if cluster.is_up(number) {
+                    cluster.ask(number, routes.question(version));
+                }
+            }
+            let pause = cluster.random.random_range(0..60);
+            cluster.run(Duration::from_millis(pause));
+            if version % 20 == 10 {
+                let leader = cluster.wait_for_leader();
+                cluster.kill(leader);
+                cluster.run(Duration::from_millis(50));
+                cluster.start(leader);
+            }
+        }
+        cluster.faults = NetworkFaults::NONE;
+        cluster.wait_for_leader();
+        assert_eq!(cluster.settle(&routes.question(60)), accepted(60));
+        sent.insert(60, routes.request(60));
+        cluster.run(Duration::from_secs(3));
+        for number in 0..3 {
+            let plan = cluster.driver(number).machines().configuration.current().clone();
+            let asked = &sent[&plan.version.0];
+            assert_eq!(plan.version, ConfigVersion(60), "seed {seed}");
+            assert!(plan.sheet == asked.sheet && plan.plan == asked.plan, "seed {seed}");
+        }
+    }
+}
+
 // What is too large for a frame was put into the log; it is to be refused before.
 #[test]
 fn what_is_too_large_is_refused_and_never_logged() {
