Pack large questions and answers, and give them time on their way

A configuration went from the host that took it to the leader as it stood, and was sent again in full to the next replica 0.7 s later although the first was still receiving it; a host with a slow link then carried it several times over. A question for the configuration in force was answered with the checked plan as well, which nobody looked at. Shown by the two tests of question_router, which failed before.

Messages over 16 KiB are packed; a replica gets longer by what the message takes at 512 KiB/s, at most 2 s, so that another can still be tried; the answer is the sheet with its version.

--- a/crates/pulley_core/src/version/configuration_machine.rs
+++ b/crates/pulley_core/src/version/configuration_machine.rs
@@ -10,7 +10,7 @@
 use super::plan_diff::plan_diff;
 use super::{
     AuditChunk, AuditFilter, AuditRecord, AuditTrail, ChangeAnswer, ChangeRefusal, ConfigVersion,
-    LogIndex, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
+    LogIndex, SheetView, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
 };
 use crate::process::{ActorName, ChangeId, FastMap};
 
@@ -108,6 +108,12 @@
         &self.current
     }
 
+    /// The sheet in force, with its version.
+    #[must_use]
+    pub fn sheet(&self) -> SheetView {
+        SheetView { version: self.current.version, sheet: self.current.sheet.clone() }
+    }
+
     /// The version in force.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/crates/pulley_core/src/version/question_router.rs
+++ b/crates/pulley_core/src/version/question_router.rs
@@ -6,13 +6,23 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{ReplicaAnswer, ReplicaQuestion};
+use super::{CHANGE_BYTES_LIMIT, PackedValue, ReplicaAnswer, ReplicaQuestion};
 use crate::process::{FastMap, HostId, Moment};
 
 /// How long one replica may take before the next is tried: several times the worst commit seen
 /// between zones, but short enough that three replicas can be tried within a question's time.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
 
+/// The slowest that a link is taken to be, in bytes a second: a replica may take longer by what a
+/// large question needs on its way, or it would be sent again, in full, while it still arrives.
+const SLOWEST_LINK: usize = 512 << 10;
+
+/// The longest that one replica may take, however large the question, so that another can be tried.
+const LONGEST_ATTEMPT: Duration = Duration::from_secs(2);
+
+/// How many bytes a message takes before it is packed.
+const PACKED_FROM: usize = 16 << 10;
+
 /// How long a question may take in all, an election in between included.
 const QUESTION_LIMIT: Duration = Duration::from_secs(4);
 
@@ -30,8 +40,34 @@
 /// What hosts send each other about questions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum RouterMessage {
-    Question { number: QuestionNumber, question: ReplicaQuestion },
-    Answer { number: QuestionNumber, answer: ReplicaAnswer },
+    Question {
+        number: QuestionNumber,
+        question: ReplicaQuestion,
+    },
+    Answer {
+        number: QuestionNumber,
+        answer: ReplicaAnswer,
+    },
+    /// One of the others, compressed: a question with a configuration or an answer with one.
+    Packed(PackedValue),
+}
+
+impl RouterMessage {
+    fn encode(&self) -> Bytes {
+        let body = postcard::to_stdvec(self).unwrap_or_default();
+        if body.len() < PACKED_FROM {
+            return Bytes::from(body);
+        }
+        let packed = Self::Packed(PackedValue::pack(self));
+        Bytes::from(postcard::to_stdvec(&packed).unwrap_or_default())
+    }
+
+    fn decode(body: &[u8]) -> Option<Self> {
+        match postcard::from_bytes(body).ok()? {
+            Self::Packed(packed) => packed.unpack(CHANGE_BYTES_LIMIT),
+            plain => Some(plain),
+        }
+    }
 }
 
 /// What the router wants done.
@@ -138,7 +174,7 @@
 
     /// Takes a message of another host's router; what cannot be read is dropped.
     pub fn receive(&mut self, now: Moment, from: &HostId, body: &[u8]) -> Vec<RouterOutput> {
-        let Ok(message) = postcard::from_bytes::<RouterMessage>(body) else { return Vec::new() };
+        let Some(message) = RouterMessage::decode(body) else { return Vec::new() };
         match message {
             RouterMessage::Question { number, question } => {
                 self.forwarded(now, from, number, question)
@@ -153,6 +189,8 @@
                 }
                 self.answered(now, number, answer)
             }
+            // Packed twice: nobody sends that.
+            RouterMessage::Packed(_) => Vec::new(),
         }
     }
 
@@ -241,7 +279,6 @@
             self.replicas.get(pending.tried % count).cloned()
         });
         pending.tried += 1;
-        pending.retry_at = now + ATTEMPT_LIMIT;
         let Some(target) = target else {
             pending.retry_at = now + LEADERLESS_PAUSE;
             return Vec::new();
@@ -249,9 +286,12 @@
         pending.asked_of = Some(target.clone());
         let question = pending.question.clone();
         if target == self.host {
+            pending.retry_at = now + ATTEMPT_LIMIT;
             return vec![RouterOutput::AskLocal { number, question }];
         }
-        vec![send(&target, &RouterMessage::Question { number, question })]
+        let body = RouterMessage::Question { number, question }.encode();
+        pending.retry_at = now + attempt_limit(body.len());
+        vec![RouterOutput::Send { to: target, body }]
     }
 
     fn answered(
@@ -298,11 +338,15 @@
     }
 }
 
+fn attempt_limit(bytes: usize) -> Duration {
+    let on_link = Duration::from_millis((bytes * 1_000 / SLOWEST_LINK) as u64);
+    (ATTEMPT_LIMIT + on_link).min(LONGEST_ATTEMPT)
+}
+
 fn unknown(why: &'static str) -> ReplicaAnswer {
     ReplicaAnswer::Unknown { why: SmolStr::new_static(why) }
 }
 
 fn send(to: &HostId, message: &RouterMessage) -> RouterOutput {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
-    RouterOutput::Send { to: to.clone(), body: Bytes::from(body) }
+    RouterOutput::Send { to: to.clone(), body: message.encode() }
 }
--- a/crates/pulley_core/src/version/replica/driver_question.rs
+++ b/crates/pulley_core/src/version/replica/driver_question.rs
@@ -87,7 +87,7 @@
             ReplicaQuestion::EvacuatedZones => {
                 ReplicaAnswer::Zones((**self.machines.evacuations.evacuated()).clone())
             }
-            _ => ReplicaAnswer::Plan((**self.machines.configuration.current()).clone()),
+            _ => ReplicaAnswer::Sheet(self.machines.configuration.sheet()),
         };
         self.push_answer(waiting.token, answer);
     }
--- a/crates/pulley_core/src/version/replica/mod.rs
+++ b/crates/pulley_core/src/version/replica/mod.rs
@@ -47,5 +47,5 @@
     AuditChunk, AuditFilter, AuditMessage, AuditRead, AuditRecord, ChangeAnswer, ChangeRefusal,
     ChangeRequest, ConfigVersion, ConfigurationMachine, DepartureMachine, EvacuatedZones,
     EvacuationMachine, KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome,
-    RequestDigest, SizeFault, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
+    RequestDigest, SheetView, SizeFault, StoredChange, StoredPlan, ZoneAnswer, ZoneOrder,
 };
--- a/crates/pulley_core/src/version/replica/replica_question.rs
+++ b/crates/pulley_core/src/version/replica/replica_question.rs
@@ -6,7 +6,7 @@
 
 use super::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, LogIndex,
-    ReplicaMembership, StoredPlan, ZoneAnswer, ZoneOrder,
+    ReplicaMembership, SheetView, ZoneAnswer, ZoneOrder,
 };
 use crate::process::{HostId, MemberId, UpstreamStart};
 
@@ -155,8 +155,8 @@
     Done,
     /// It was not done.
     Refused(ReplicaRefusal),
-    /// The configuration in force.
-    Plan(StoredPlan),
+    /// The sheet in force.
+    Sheet(SheetView),
     /// The last entry applied; whoever has applied it too knows all that was acknowledged before
     /// the question.
     Applied(LogIndex),
--- /dev/null
+++ b/crates/pulley_core/tests/question_router.rs
@@ -0,0 +1,86 @@
+//! Questions on their way to the leader.
+
+use std::time::Duration;
+
+use pulley_core::process::HostId;
+use pulley_core::version::{
+    ChangeRequest, PolicyPlan, QuestionRouter, ReplicaAnswer, ReplicaQuestion, RouterOutput,
+    SheetView,
+};
+use pulley_core::{ConfigVersion, Moment};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const START: Moment = Moment::ZERO;
+
+fn host(number: usize) -> HostId {
+    format!("host-{number}").parse().expect("a valid name")
+}
+
+fn router(own: usize) -> QuestionRouter {
+    let mut router = QuestionRouter::new(host(own), 1);
+    router.apply_replicas(vec![host(1), host(2)]);
+    router
+}
+
+/// A change whose sheet nothing packs.
+fn change(bytes: usize) -> ReplicaQuestion {
+    let mut random = StdRng::seed_from_u64(1);
+    ReplicaQuestion::Apply(ChangeRequest {
+        change_id: "change".parse().expect("a valid name"),
+        actor: "operator".parse().expect("a valid name"),
+        expect: ConfigVersion(0),
+        given: Some(ConfigVersion(7)),
+        received_unix_ms: 0,
+        sheet: (0..bytes).map(|_| char::from(random.random_range(b' '..=b'~'))).collect(),
+        plan: PolicyPlan::default(),
+    })
+}
+
+fn sent(outputs: &[RouterOutput]) -> Option<usize> {
+    match outputs {
+        [RouterOutput::Send { body, .. }] => Some(body.len()),
+        [] => None,
+        _ => panic!("one message at most"),
+    }
+}
+
+// A change of a megabyte was sent to every replica in turn while the first still received it.
+#[test]
+fn a_large_question_is_not_sent_again_while_it_is_on_its_way() {
+    for (bytes, again) in [(100, 700), (512 << 10, 1_700), (3 << 20, 2_000)] {
+        let mut router = router(0);
+        let (_, outputs) = router.ask(START, change(bytes)).expect("it has room");
+        assert!(sent(&outputs).is_some_and(|sent| sent >= bytes));
+        let just_before = START + Duration::from_millis(again - 1);
+        assert_eq!(sent(&router.tick(just_before)), None, "{bytes} bytes");
+        let later = START + Duration::from_millis(again + 60);
+        assert!(sent(&router.tick(later)).is_some(), "{bytes} bytes");
+    }
+}
+
+// A configuration of some thousand routes went over slow links as it stood.
+#[test]
+fn configurations_are_packed_on_their_way_there_and_back() {
+    let rows: Vec<String> = (0..10_000).map(|row| format!("{{\"Name\":\"row-{row}\"}}")).collect();
+    let (sheet, version) = (rows.join(","), ConfigVersion(7));
+    let ReplicaQuestion::Apply(request) = change(0) else { panic!("a change") };
+    let put = ReplicaQuestion::Apply(ChangeRequest { sheet: sheet.clone(), ..request });
+    let shown = ReplicaAnswer::Sheet(SheetView { version, sheet: sheet.clone() });
+    let (mut asker, mut leader) = (router(0), router(1));
+    for question in [put, ReplicaQuestion::CurrentPlan] {
+        let (asked, outputs) = asker.ask(START, question.clone()).expect("it has room");
+        let [RouterOutput::Send { body, .. }] = &outputs[..] else { panic!("not sent") };
+        assert!(body.len() < sheet.len() / 2, "{} bytes", body.len());
+        let taken = leader.receive(START, &host(0), body);
+        let [RouterOutput::AskLocal { number, question: arrived }] = &taken[..] else {
+            panic!("not taken")
+        };
+        assert_eq!(*arrived, question);
+        let back = leader.local_answer(START, *number, shown.clone());
+        let [RouterOutput::Send { body, .. }] = &back[..] else { panic!("not answered") };
+        assert!(body.len() < sheet.len() / 2, "{} bytes", body.len());
+        let answered = asker.receive(START, &host(1), body);
+        assert_eq!(answered, [RouterOutput::Answer { number: asked, answer: shown.clone() }]);
+    }
+}
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -3,7 +3,7 @@
 use pulley_core::process::{Announcement, Incarnation, UpstreamStart};
 use pulley_core::version::{
     AuditRecord, ChangeAnswer, ChangeRefusal, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones,
-    ReplicaAnswer, ReplicaQuestion, ReplicaRefusal, SizeFault, StoredPlan, ZoneAnswer,
+    ReplicaAnswer, ReplicaQuestion, ReplicaRefusal, SheetView, SizeFault, ZoneAnswer,
 };
 use pulley_core::{Moment, UpstreamId};
 use smol_str::SmolStr;
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(crate) enum AnswerSlot {
     Change(oneshot::Sender<ChangeAnswer>),
-    Plan(oneshot::Sender<Result<StoredPlan>>),
+    Sheet(oneshot::Sender<Result<SheetView>>),
     Audit(oneshot::Sender<Result<Vec<AuditRecord>>>),
     Replica(oneshot::Sender<Result<serde_json::Value>>),
     Zone(oneshot::Sender<Result<ZoneAnswer>>),
@@ -37,8 +37,8 @@
     pub(crate) fn answer(self, answer: ReplicaAnswer) {
         match self {
             Self::Change(reply) => drop(reply.send(change_answer(answer))),
-            Self::Plan(reply) => drop(reply.send(match answer {
-                ReplicaAnswer::Plan(plan) => Ok(plan),
+            Self::Sheet(reply) => drop(reply.send(match answer {
+                ReplicaAnswer::Sheet(sheet) => Ok(sheet),
                 other => Err(fault_of(other)),
             })),
             Self::Audit(reply) => drop(reply.send(match answer {
@@ -192,7 +192,7 @@
                 (ReplicaQuestion::Apply(*change), AnswerSlot::Change(reply))
             }
             ControlRequest::CurrentPlan(reply) => {
-                (ReplicaQuestion::CurrentPlan, AnswerSlot::Plan(reply))
+                (ReplicaQuestion::CurrentPlan, AnswerSlot::Sheet(reply))
             }
             ControlRequest::Audit(filter, reply) => {
                 (ReplicaQuestion::Audit(filter), AnswerSlot::Audit(reply))
--- a/crates/pulleyd/src/process/control_api.rs
+++ b/crates/pulleyd/src/process/control_api.rs
@@ -5,7 +5,7 @@
 use pulley_core::UpstreamId;
 use pulley_core::process::{ActorName, Announcement, ChangeId, Incarnation, ZoneName};
 use pulley_core::version::{
-    ChangeAnswer, ChangeRequest, LogIndex, StoredPlan, ZoneAnswer, ZoneOrder, ZoneUse,
+    ChangeAnswer, ChangeRequest, LogIndex, SheetView, ZoneAnswer, ZoneOrder, ZoneUse,
 };
 use smol_str::SmolStr;
 
@@ -85,11 +85,11 @@
         within(self.control.ask(|reply| ControlRequest::OrderZone(order, reply))).await?
     }
 
-    /// The configuration that a quorum confirms to be current.
+    /// The sheet that a quorum confirms to be current.
     ///
     /// # Errors
     /// Whatever kept a quorum from confirming it.
-    pub async fn current_plan(&self) -> Result<StoredPlan> {
+    pub async fn current_plan(&self) -> Result<SheetView> {
         within(self.control.ask(ControlRequest::CurrentPlan)).await?
     }
 }
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -4,7 +4,7 @@
 
 use pulley_core::process::{Announcement, Incarnation};
 use pulley_core::version::{
-    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, StoredPlan, ZoneAnswer,
+    AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, SheetView, ZoneAnswer,
     ZoneOrder,
 };
 pub use pulley_core::version::{ClaimAnswer, FencingToken, RecordedAnswer, ReplicaChange};
@@ -53,8 +53,8 @@
     ObservedDrain(pulley_core::UpstreamId),
     /// An operator's change.
     Apply(Box<ChangeRequest>, oneshot::Sender<ChangeAnswer>),
-    /// The configuration that a quorum confirms to be current.
-    CurrentPlan(oneshot::Sender<Result<StoredPlan>>),
+    /// The sheet that a quorum confirms to be current.
+    CurrentPlan(oneshot::Sender<Result<SheetView>>),
     /// The audit trail.
     Audit(AuditFilter, oneshot::Sender<Result<Vec<AuditRecord>>>),
     /// The host's status as JSON.
@@ -94,7 +94,7 @@
     /// Asks a question and waits for its answer.
     ///
     /// ```ignore
-    /// let plan = handle.ask(ControlRequest::CurrentPlan).await??;
+    /// let sheet = handle.ask(ControlRequest::CurrentPlan).await??;
     /// ```
     ///
     /// # Errors
--- a/crates/pulleyd/src/process/control_replica.rs
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -122,7 +122,7 @@
 
     fn lease_confirmed(&mut self, token: u64, answer: &ReplicaAnswer) {
         let Some((expected, began)) = self.lease_round else { return };
-        if token != expected || !matches!(answer, ReplicaAnswer::Plan(_)) {
+        if token != expected || !matches!(answer, ReplicaAnswer::Sheet(_)) {
             return;
         }
         self.lease_round = None;
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -137,8 +137,7 @@
 // Sheets
 
 async fn show_sheet(State(api): State<OperatorApi>) -> Result<Json<SheetView>> {
-    let plan = api.within(api.control.ask(ControlRequest::CurrentPlan)).await??;
-    Ok(Json(SheetView { version: plan.version, sheet: plan.sheet }))
+    Ok(Json(api.within(api.control.ask(ControlRequest::CurrentPlan)).await??))
 }
 
 async fn apply_sheet(State(api): State<OperatorApi>, body: Bytes) -> Result<Response> {
--- a/crates/pulleyd/tests/replica/failure_tests.rs
+++ b/crates/pulleyd/tests/replica/failure_tests.rs
@@ -253,7 +253,7 @@
     let read = cluster.ask(old, ReplicaQuestion::CurrentPlan);
     let write = cluster.ask(old, change("late", 1));
     cluster.run(Duration::from_secs(3));
-    assert!(!matches!(&cluster.answers[&read], ReplicaAnswer::Plan(plan) if plan.version.0 < 2));
+    assert!(!matches!(&cluster.answers[&read], ReplicaAnswer::Sheet(plan) if plan.version.0 < 2));
     assert!(matches!(cluster.answers[&write], ReplicaAnswer::Unknown { .. }));
     assert_eq!(cluster.version(old), ConfigVersion(2));
 }
--- a/crates/pulleyd/tests/replica/invariants.rs
+++ b/crates/pulleyd/tests/replica/invariants.rs
@@ -116,7 +116,7 @@
                 ReplicaQuestion::Claim { key, .. },
                 ReplicaAnswer::Claim(ClaimAnswer::Granted(token)),
             ) => self.note_grant(&key, *token),
-            (ReplicaQuestion::CurrentPlan, ReplicaAnswer::Plan(plan)) => {
+            (ReplicaQuestion::CurrentPlan, ReplicaAnswer::Sheet(plan)) => {
                 let newest = self.reads.remove(&token).unwrap_or_default();
                 assert!(
                     plan.version >= newest,
--- a/crates/pulleyd/tests/replica/large_configuration_tests.rs
+++ b/crates/pulleyd/tests/replica/large_configuration_tests.rs
@@ -252,8 +252,7 @@
     for number in 0..3 {
         assert_eq!(cluster.version(number), ConfigVersion(6));
     }
-    let current = cluster.driver(0).machines().configuration.current();
-    let answer = ReplicaAnswer::Plan((**current).clone());
+    let answer = ReplicaAnswer::Sheet(cluster.driver(0).machines().configuration.sheet());
     for bytes in [routed(&question), answered(&answer)] {
         assert!(bytes > SHEET_LIMIT && bytes <= FRAME_LIMIT, "{bytes} bytes");
     }
