Let heartbeats wait for a large frame on a slow link

A link whose heartbeats stay unanswered three times, 1.5 s, is taken for silent: it is replaced and all that waits for the host is dropped. Heartbeats wait behind the frames on the same connection, so a frame that takes longer than that on a slow link ended the link each time it was sent, and a large question or answer with a configuration never passed. Shown by a_large_frame_gets_through_a_slow_link, which failed before: a frame of 256 KiB at 256 KiB/s, one link taken for silent.

Heartbeats may now stay unanswered for as long as the bytes under way take at 128 KiB/s, 4 s at most. With nothing under way a silent link is noticed as soon as before; a_silent_link_is_replaced is as it was. That the largest frame passes a real link has a test as well.

--- a/crates/pulleyd/src/connection/peer_link_caller.rs
+++ b/crates/pulleyd/src/connection/peer_link_caller.rs
@@ -29,6 +29,10 @@
 const CALL_WINDOW: usize = 16;
 /// How many heartbeats may go unanswered until the link is replaced.
 const MISSED_LIMIT: u32 = 2;
+/// The slowest that a link is taken to be, in bytes a second: heartbeats wait behind what is on it.
+const SLOWEST_LINK: usize = 128 << 10;
+/// The longest that heartbeats may wait for what is on the link, before they count as unanswered.
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
 /// How long connecting and proving may take together.
 const ENTRY_LIMIT: Duration = Duration::from_secs(2);
 /// The first pause after a failure to connect; it doubles up to the last.
@@ -218,22 +222,29 @@
     ///
     /// Something between two hosts may lose track of a connection: TCP then calls it open for many
     /// minutes and everything written to it vanishes. Every answer shows that the link lives; if
-    /// two heartbeats stay unanswered it is given up, and the next frame opens a new one.
+    /// two heartbeats stay unanswered it is given up, and the next frame opens a new one. A large
+    /// frame on a slow link holds heartbeats up, so they have longer while it is under way.
     async fn serve(&self, link: &OpenLink) -> LinkEnd {
         let heartbeat = self.settings.heartbeat;
         let mut calls = FuturesUnordered::new();
         let mut ticker = interval_at(Instant::now() + heartbeat, heartbeat);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (mut heard, mut missed, mut beat) = (true, 0, 0);
+        let mut under_way = 0;
         let mut last_frame = Instant::now();
         loop {
             tokio::select! {
                 () = self.queue.filled(), if calls.len() < CALL_WINDOW => {
                     last_frame = Instant::now();
-                    calls.push(self.deliver(link));
+                    let (bytes, answer) = self.deliver(link);
+                    under_way += bytes;
+                    calls.push(answer);
                 }
                 Some(answer) = calls.next() => match answer {
-                    Ok(()) => heard = true,
+                    Ok(bytes) => {
+                        under_way -= bytes;
+                        heard = true;
+                    }
                     Err(error) => return LinkEnd::Call(error),
                 },
                 _ = ticker.tick() => {
@@ -241,7 +252,7 @@
                         return LinkEnd::Idle;
                     }
                     missed = if heard { 0 } else { missed + 1 };
-                    if missed > MISSED_LIMIT {
+                    if missed > MISSED_LIMIT + beats_behind(under_way, heartbeat) {
                         return LinkEnd::Silent;
                     }
                     heard = false;
@@ -252,7 +263,8 @@
         }
     }
 
-    fn deliver(&self, link: &OpenLink) -> Promise<(), capnp::Error> {
+    /// Sends the next frames; gives their bytes, and again with the answer.
+    fn deliver(&self, link: &OpenLink) -> (usize, Promise<usize, capnp::Error>) {
         let batch = self.queue.take_batch();
         let bytes: usize = batch.iter().map(|frame| frame.body.len()).sum();
         add(&self.counters.frames, batch.len());
@@ -265,13 +277,21 @@
             frame.set_body(body);
         }
         let answer = request.send().promise;
-        Promise::from_future(async move { answer.await.map(|_| ()) })
+        (bytes, Promise::from_future(async move { answer.await.map(|_| bytes) }))
     }
 }
 
-fn send_heartbeat(link: &OpenLink, sequence: u64) -> Promise<(), capnp::Error> {
+/// How many heartbeats may wait behind bytes that are under way.
+fn beats_behind(bytes: usize, heartbeat: Duration) -> u32 {
+    let wait = Duration::from_secs_f64(bytes as f64 / SLOWEST_LINK as f64).min(LONGEST_WAIT);
+    let beats = wait.as_nanos() / heartbeat.as_nanos().max(1);
+    u32::try_from(beats).unwrap_or(u32::MAX / 2)
+}
+
+/// Asks for a sign of life; none of the bytes under way are its own.
+fn send_heartbeat(link: &OpenLink, sequence: u64) -> Promise<usize, capnp::Error> {
     let mut request = link.session.heartbeat_request();
     request.get().set_sequence(sequence);
     let answer = request.send().promise;
-    Promise::from_future(async move { answer.await.map(|_| ()) })
+    Promise::from_future(async move { answer.await.map(|_| 0) })
 }
--- a/crates/pulleyd/tests/peer_links.rs
+++ b/crates/pulleyd/tests/peer_links.rs
@@ -144,6 +144,75 @@
         .await;
 }
 
+/// Passes the bytes of one connection, one way at a certain rate in bytes a second.
+async fn slow_forwarder(to: SocketAddr, rate: usize) -> SocketAddr {
+    const STEP: Duration = Duration::from_millis(10);
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            let far = TcpStream::connect(to).await.unwrap();
+            let (mut near_read, mut near_write) = near.into_split();
+            let (mut far_read, mut far_write) = far.into_split();
+            tokio::task::spawn_local(async move {
+                let _ = tokio::io::copy(&mut far_read, &mut near_write).await;
+            });
+            tokio::task::spawn_local(async move {
+                let mut buffer = vec![0; rate / 100];
+                while let Ok(length @ 1..) = near_read.read(&mut buffer).await {
+                    if far_write.write_all(&buffer[..length]).await.is_err() {
+                        return;
+                    }
+                    tokio::time::sleep(STEP).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A frame took longer on a slow link than heartbeats may stay unanswered: the link was taken for
+/// silent and replaced, and all that waited behind the frame was dropped.
+#[tokio::test]
+async fn a_large_frame_gets_through_a_slow_link() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", OLD)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            let address = slow_forwarder(two.local_address(), 256 << 10).await;
+            one.set_address(&host("two"), address);
+            send_until_received(&one, &host("two"), &mut frames).await;
+            let body = Bytes::from(vec![7; 256 << 10]);
+            assert!(one.send(&host("two"), FrameClass::Operator, body.clone()));
+            let large = async { while frames.recv().await.unwrap().body != body {} };
+            timeout(PATIENCE, large).await.unwrap();
+            assert_eq!(one.counts().silent, 0);
+        })
+        .await;
+}
+
+/// What may be sent must pass: the other side bounds what it reads, too.
+#[tokio::test]
+async fn the_largest_frame_gets_through() {
+    LocalSet::new()
+        .run_until(async {
+            let (mut one, _one_frames) = links(settings("one", OLD)).await;
+            let (two, mut frames) = links(settings("two", OLD)).await;
+            one.set_address(&host("two"), two.local_address());
+            send_until_received(&one, &host("two"), &mut frames).await;
+            let body = Bytes::from(vec![7; FRAME_LIMIT]);
+            for _ in 0..60 {
+                one.send(&host("two"), FrameClass::Ledger, Bytes::from(vec![1; 2_100]));
+            }
+            assert!(one.send(&host("two"), FrameClass::Replication, body.clone()));
+            let large = async { while frames.recv().await.unwrap().body != body {} };
+            timeout(PATIENCE, large).await.unwrap();
+            assert_eq!(one.counts().failed, 0);
+        })
+        .await;
+}
+
 /// A host with another installation's key connects, by mistake or not. Its frames must not get in.
 #[tokio::test]
 async fn a_wrong_key_gets_no_link() {
