--- a/crates/pulley_bench/src/recovery/size_figures.rs
+++ b/crates/pulley_bench/src/recovery/size_figures.rs
@@ -27,6 +27,7 @@
         let whole = request(&rows, 1)?;
         let empty = ReplicaMachines::default();
         let full = measure("whole", count, &empty, &whole)?;
+        measure_lookups(&whole.plan)?;
         rows[count / 2].route.weight = 7;
         let one_weight = request(&rows, 2)?;
         measure("one-weight", count, &full, &one_weight)?;
@@ -71,6 +72,30 @@
     Ok(after)
 }
 
+/// Measures what entries ask of a plan: a row for each request, the rest when upstreams change.
+fn measure_lookups(plan: &PolicyPlan) -> Result<()> {
+    let rows: Vec<&KindPlan> = plan.kinds.iter().step_by(plan.kinds.len() / 100 + 1).collect();
+    let (_, find_ms) = repeated(|| {
+        let found = rows.iter().filter_map(|row| {
+            let HostMatch::Only(host) = &row.route.host else { return None };
+            plan.find(host, "POST", &row.path_prefix, 0)
+        });
+        Ok(found.count())
+    })?;
+    let (pools, pools_ms) = repeated(|| Ok(plan.pools()))?;
+    let (_, connections_ms) =
+        repeated(|| Ok(pools.iter().filter_map(|pool| plan.connections(pool)).count()))?;
+    println!(
+        "part=lookups routes={} pools={} find_us={:.2} pools_us={:.1} connections_us_per_pool={:.2}",
+        plan.kinds.len(),
+        pools.len(),
+        find_ms * 1e3 / rows.len() as f64,
+        pools_ms * 1e3,
+        connections_ms * 1e3 / pools.len() as f64,
+    );
+    Ok(())
+}
+
 /// The last outcome of a step and the median of its times, in milliseconds.
 fn repeated<T>(mut step: impl FnMut() -> Result<T>) -> Result<(T, f64)> {
     let mut times = Vec::new();
