Wait for large questions as long as a slow link takes

A question had 4 s in all and a replica 2 s of them, however large the question: one of 1.1 MB (14,000 routes, packed) takes 6 s on a link of 175 KB/s, and was sent again in full, three times over, behind itself. Both times now grow by what the message takes at 128 KiB/s, by 10 s at most, and so does the time that heartbeats may wait behind it. Shown by a_large_question_is_not_given_up_while_it_is_on_its_way and the changed limits of a_large_question_is_not_sent_again_while_it_is_on_its_way, which ask for more than before.

--- a/crates/pulley_core/src/version/question_router.rs
+++ b/crates/pulley_core/src/version/question_router.rs
@@ -13,12 +13,12 @@
 /// between zones, but short enough that three replicas can be tried within a question's time.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
 
-/// The slowest that a link is taken to be, in bytes a second: a replica may take longer by what a
-/// large question needs on its way, or it would be sent again, in full, while it still arrives.
-const SLOWEST_LINK: usize = 512 << 10;
+/// The slowest that a link is taken to be, in bytes a second: a question has longer by what it needs
+/// on its way, or a large one would be sent again, in full, while it still arrives.
+const SLOWEST_LINK: usize = 128 << 10;
 
-/// The longest that one replica may take, however large the question, so that another can be tried.
-const LONGEST_ATTEMPT: Duration = Duration::from_secs(2);
+/// The longest that a question is taken to need on its way.
+const LONGEST_WAY: Duration = Duration::from_secs(10);
 
 /// How many bytes a message takes before it is packed.
 const PACKED_FROM: usize = 16 << 10;
@@ -108,6 +108,7 @@
     question: ReplicaQuestion,
     asked_of: Option<HostId>,
     tried: usize,
+    asked_at: Moment,
     retry_at: Moment,
     give_up_at: Moment,
 }
@@ -232,6 +233,7 @@
             question,
             asked_of: None,
             tried: 0,
+            asked_at: now,
             retry_at: now,
             give_up_at: now + QUESTION_LIMIT,
         };
@@ -290,7 +292,9 @@
             return vec![RouterOutput::AskLocal { number, question }];
         }
         let body = RouterMessage::Question { number, question }.encode();
-        pending.retry_at = now + attempt_limit(body.len());
+        let way = time_on_link(body.len());
+        pending.retry_at = now + ATTEMPT_LIMIT + way;
+        pending.give_up_at = pending.asked_at + QUESTION_LIMIT + way;
         vec![RouterOutput::Send { to: target, body }]
     }
 
@@ -338,9 +342,8 @@
     }
 }
 
-fn attempt_limit(bytes: usize) -> Duration {
-    let on_link = Duration::from_millis((bytes * 1_000 / SLOWEST_LINK) as u64);
-    (ATTEMPT_LIMIT + on_link).min(LONGEST_ATTEMPT)
+fn time_on_link(bytes: usize) -> Duration {
+    Duration::from_millis((bytes * 1_000 / SLOWEST_LINK) as u64).min(LONGEST_WAY)
 }
 
 fn unknown(why: &'static str) -> ReplicaAnswer {
--- a/crates/pulley_core/tests/question_router.rs
+++ b/crates/pulley_core/tests/question_router.rs
@@ -48,7 +48,7 @@
 // A change of a megabyte was sent to every replica in turn while the first still received it.
 #[test]
 fn a_large_question_is_not_sent_again_while_it_is_on_its_way() {
-    for (bytes, again) in [(100, 700), (512 << 10, 1_700), (3 << 20, 2_000)] {
+    for (bytes, again) in [(100, 700), (128 << 10, 1_700), (512 << 10, 4_700)] {
         let mut router = router(0);
         let (_, outputs) = router.ask(START, change(bytes)).expect("it has room");
         assert!(sent(&outputs).is_some_and(|sent| sent >= bytes));
@@ -59,6 +59,19 @@
     }
 }
 
+// A change of a megabyte was given up after 4 s, though it was still on its way over a slow link.
+#[test]
+fn a_large_question_is_not_given_up_while_it_is_on_its_way() {
+    for (bytes, limit) in [(100, 4_000), (1 << 20, 12_000)] {
+        let mut router = router(0);
+        router.ask(START, change(bytes)).expect("it has room");
+        router.tick(START + Duration::from_millis(limit - 1));
+        assert_eq!(router.waiting(), 1, "{bytes} bytes");
+        router.tick(START + Duration::from_millis(limit + 100));
+        assert_eq!(router.waiting(), 0, "{bytes} bytes");
+    }
+}
+
 // A configuration of some thousand routes went over slow links as it stood.
 #[test]
 fn configurations_are_packed_on_their_way_there_and_back() {
--- a/crates/pulleyd/src/connection/peer_link_caller.rs
+++ b/crates/pulleyd/src/connection/peer_link_caller.rs
@@ -32,7 +32,7 @@
 /// The slowest that a link is taken to be, in bytes a second: heartbeats wait behind what is on it.
 const SLOWEST_LINK: usize = 128 << 10;
 /// The longest that heartbeats may wait for what is on the link, before they count as unanswered.
-const LONGEST_WAIT: Duration = Duration::from_secs(4);
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
 /// How long connecting and proving may take together.
 const ENTRY_LIMIT: Duration = Duration::from_secs(2);
 /// The first pause after a failure to connect; it doubles up to the last.
