Give large bodies on slow links longer to arrive

A body had 5 s to arrive whatever its length: over a link of 175 KB/s a configuration of more than 875 KB, some 3,600 routes, was answered 408, which ends an operator's call at the third attempt. Shown by a_large_body_has_longer_to_arrive: 408 before, read to its end now.

A body has as much longer as its announced length takes at 128 KiB/s; one that announces none, or little, has 5 s as before, and nobody longer than the listener's largest body takes.

--- a/crates/pulleyd/src/process/api_server.rs
+++ b/crates/pulleyd/src/process/api_server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
 use axum::http::StatusCode;
 use axum::middleware::{self, Next};
@@ -25,9 +25,12 @@
 /// for ever.
 const HEADER_TIME: Duration = Duration::from_secs(5);
 
-/// Time a client has to send its body.
+/// Time a client has to send its body, besides what a body of the announced length takes.
 const BODY_TIME: Duration = Duration::from_secs(5);
 
+/// The slowest that a client's link is taken to be, in bytes a second.
+const SLOWEST_LINK: usize = 128 << 10;
+
 /// Largest header block, in bytes.
 const HEADER_BYTES: u32 = 16 << 10;
 
@@ -133,9 +136,11 @@
 
 async fn read_body(request: Request, body_bytes: usize) -> Result<Request> {
     let (parts, body) = request.into_parts();
+    let announced = body.size_hint().lower().min(body_bytes as u64);
+    let time = BODY_TIME + Duration::from_millis(announced * 1_000 / SLOWEST_LINK as u64);
     let body = Limited::new(body, body_bytes).collect();
-    let Ok(collected) = tokio::time::timeout(BODY_TIME, body).await else {
-        let message = format!("the body did not arrive within {}s", BODY_TIME.as_secs());
+    let Ok(collected) = tokio::time::timeout(time, body).await else {
+        let message = format!("the body did not arrive within {}s", time.as_secs());
         return Err(ApiFault::new(StatusCode::REQUEST_TIMEOUT, "too-slow", message));
     };
     match collected {
--- a/crates/pulleyd/tests/control_apis.rs
+++ b/crates/pulleyd/tests/control_apis.rs
@@ -347,6 +347,24 @@
     assert!((100..2_900).contains(&accepted), "both outcomes are tried: {accepted}");
 }
 
+/// A large sheet came over a slow link, and was cut off after the time that a small one has.
+#[tokio::test]
+async fn a_large_body_has_longer_to_arrive() {
+    let host = test_host().await;
+    let body = upload(4, &"x,".repeat(256 << 10));
+    let bytes = request("POST", "/v1/sheet", "secret", &body);
+    let mut stream = TcpStream::connect(host.operators).await.unwrap();
+    let (first, rest) = bytes.split_at(bytes.len() / 2);
+    stream.write_all(first).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    let _ = stream.write_all(rest).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    tokio::time::timeout(PATIENCE, reading).await.unwrap().unwrap();
+    // Read to its end, it is found to be no sheet.
+    assert_eq!(status_of(&String::from_utf8_lossy(&answer)), 422);
+}
+
 /// An operator's client that is broken or hostile meets the same limits, once it has the key.
 #[tokio::test]
 async fn the_operators_listener_has_limits_too() {
