--- a/crates/pulley_bench/src/recovery/memory_figures.rs
+++ b/crates/pulley_bench/src/recovery/memory_figures.rs
@@ -88,7 +88,7 @@
 }
 
 /// Memory of this process that is in use, from the operating system.
-fn resident_bytes() -> u64 {
+pub(super) fn resident_bytes() -> u64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
     pages.unwrap_or_default() * PAGE_BYTES
--- a/crates/pulley_bench/src/recovery/size_figures.rs
+++ b/crates/pulley_bench/src/recovery/size_figures.rs
@@ -7,16 +7,20 @@
 use pulley_core::version::{
     ChangeAnswer, ChangeRequest, ConfigVersion, ConfigurationMachine, HostMatch, KindPlan,
     LogCommand, LogEntry, LogIndex, LogTime, PolicyPlan, QuestionRouter, ReplicaMachines,
-    ReplicaQuestion, RouterOutput, SnapshotPlace, StoredChange, Term,
+    ReplicaQuestion, RouterOutput, SnapshotPlace, StoredChange, StoredPlan, Term,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::memory_figures::resident_bytes;
 use super::stream_figures::row_plan;
 
 /// How often a step is repeated; the median counts.
 const REPEATS: usize = 9;
 
+/// Copies of a configuration that are held at once, to tell what one takes.
+const COPIES: usize = 8;
+
 /// Routes of the configurations measured.
 const SIZES: [usize; 4] = [140, 1_400, 5_000, 14_000];
 
@@ -28,6 +32,7 @@
         let empty = ReplicaMachines::default();
         let full = measure("whole", count, &empty, &whole)?;
         measure_lookups(&whole.plan)?;
+        measure_memory(&whole)?;
         rows[count / 2].route.weight = 7;
         let one_weight = request(&rows, 2)?;
         measure("one-weight", count, &full, &one_weight)?;
@@ -72,6 +77,20 @@
     Ok(after)
 }
 
+/// Measures what a configuration in force takes in memory, as read from a snapshot.
+fn measure_memory(request: &ChangeRequest) -> Result<()> {
+    let version = ConfigVersion(1);
+    let plan = StoredPlan { version, sheet: request.sheet.clone(), plan: request.plan.clone() };
+    let encoded = postcard::to_stdvec(&plan)?;
+    let before = resident_bytes();
+    let held: Vec<StoredPlan> = (0..COPIES)
+        .map(|_| postcard::from_bytes(&encoded))
+        .collect::<std::result::Result<_, _>>()?;
+    let bytes = resident_bytes().saturating_sub(before) / held.len() as u64;
+    println!("part=plan-memory routes={} resident_bytes={bytes}", request.plan.kinds.len());
+    Ok(())
+}
+
 /// Measures what entries ask of a plan: a row for each request, the rest when upstreams change.
 fn measure_lookups(plan: &PolicyPlan) -> Result<()> {
     let rows: Vec<&KindPlan> = plan.kinds.iter().step_by(plan.kinds.len() / 100 + 1).collect();
