--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -4,10 +4,12 @@
 mod audit_trail;
 mod change;
 mod configuration_machine;
+mod configuration_size;
 mod departure_machine;
 mod evacuation_machine;
 mod follower;
 mod ledger_machine;
+mod packed_value;
 mod plan_diff;
 mod question_router;
 mod replica;
@@ -22,12 +24,16 @@
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRefusal, ChangeRequest, ConfigVersion, StoredPlan,
 };
 pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
+pub use configuration_size::{
+    CHANGE_BYTES_LIMIT, PLAN_BYTES_LIMIT, PLAN_ROW_LIMIT, SHEET_LIMIT, SizeFault,
+};
 pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
 pub use evacuation_machine::{EVACUATED_LIMIT, EvacuationMachine};
 pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet, SpreadCounts};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
 };
+pub use packed_value::PackedValue;
 pub use question_router::{QuestionNumber, QuestionRouter, RouterOutput};
 pub use replica::{
     AppendOutcome, AppendReply, AppendRequest, ClaimAnswer, ClaimantId, DiskId, DriverInput,
--- a/crates/pulley_core/src/version/question_router.rs
+++ b/crates/pulley_core/src/version/question_router.rs
@@ -6,13 +6,23 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{ReplicaAnswer, ReplicaQuestion};
+use super::{CHANGE_BYTES_LIMIT, PackedValue, ReplicaAnswer, ReplicaQuestion};
 use crate::process::{FastMap, HostId, Moment};
 
 /// How long one replica may take before the next is tried: several times the worst commit seen
 /// between zones, but short enough that three replicas can be tried within a question's time.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
 
+/// The slowest that a link is taken to be, in bytes a second: a question has longer by what it needs
+/// on its way, or a large one would be sent again, in full, while it still arrives.
+const SLOWEST_LINK: usize = 128 << 10;
+
+/// The longest that a question is taken to need on its way.
+const LONGEST_WAY: Duration = Duration::from_secs(10);
+
+/// How many bytes a message takes before it is packed.
+const PACKED_FROM: usize = 16 << 10;
+
 /// How long a question may take in all, an election in between included.
 const QUESTION_LIMIT: Duration = Duration::from_secs(4);
 
@@ -30,8 +40,34 @@
 /// What hosts send each other about questions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum RouterMessage {
-    Question { number: QuestionNumber, question: ReplicaQuestion },
-    Answer { number: QuestionNumber, answer: ReplicaAnswer },
+    Question {
+        number: QuestionNumber,
+        question: ReplicaQuestion,
+    },
+    Answer {
+        number: QuestionNumber,
+        answer: ReplicaAnswer,
+    },
+    /// One of the others, compressed: a question with a configuration or an answer with one.
+    Packed(PackedValue),
+}
+
+impl RouterMessage {
+    fn encode(&self) -> Bytes {
+        let body = postcard::to_stdvec(self).unwrap_or_default();
+        if body.len() < PACKED_FROM {
+            return Bytes::from(body);
+        }
+        let packed = Self::Packed(PackedValue::pack(self));
+        Bytes::from(postcard::to_stdvec(&packed).unwrap_or_default())
+    }
+
+    fn decode(body: &[u8]) -> Option<Self> {
+        match postcard::from_bytes(body).ok()? {
+            Self::Packed(packed) => packed.unpack(CHANGE_BYTES_LIMIT),
+            plain => Some(plain),
+        }
+    }
 }
 
 /// What the router wants done.
@@ -72,6 +108,7 @@
     question: ReplicaQuestion,
     asked_of: Option<HostId>,
     tried: usize,
+    asked_at: Moment,
     retry_at: Moment,
     give_up_at: Moment,
 }
@@ -138,7 +175,7 @@
 
     /// Takes a message of another host's router; what cannot be read is dropped.
     pub fn receive(&mut self, now: Moment, from: &HostId, body: &[u8]) -> Vec<RouterOutput> {
-        let Ok(message) = postcard::from_bytes::<RouterMessage>(body) else { return Vec::new() };
+        let Some(message) = RouterMessage::decode(body) else { return Vec::new() };
         match message {
             RouterMessage::Question { number, question } => {
                 self.forwarded(now, from, number, question)
@@ -153,6 +190,8 @@
                 }
                 self.answered(now, number, answer)
             }
+            // Packed twice: nobody sends that.
+            RouterMessage::Packed(_) => Vec::new(),
         }
     }
 
@@ -194,6 +233,7 @@
             question,
             asked_of: None,
             tried: 0,
+            asked_at: now,
             retry_at: now,
             give_up_at: now + QUESTION_LIMIT,
         };
@@ -241,7 +281,6 @@
             self.replicas.get(pending.tried % count).cloned()
         });
         pending.tried += 1;
-        pending.retry_at = now + ATTEMPT_LIMIT;
         let Some(target) = target else {
             pending.retry_at = now + LEADERLESS_PAUSE;
             return Vec::new();
@@ -249,9 +288,14 @@
         pending.asked_of = Some(target.clone());
         let question = pending.question.clone();
         if target == self.host {
+            pending.retry_at = now + ATTEMPT_LIMIT;
             return vec![RouterOutput::AskLocal { number, question }];
         }
-        vec![send(&target, &RouterMessage::Question { number, question })]
+        let body = RouterMessage::Question { number, question }.encode();
+        let way = time_on_link(body.len());
+        pending.retry_at = now + ATTEMPT_LIMIT + way;
+        pending.give_up_at = pending.asked_at + QUESTION_LIMIT + way;
+        vec![RouterOutput::Send { to: target, body }]
     }
 
     fn answered(
@@ -298,11 +342,14 @@
     }
 }
 
+fn time_on_link(bytes: usize) -> Duration {
+    Duration::from_millis((bytes * 1_000 / SLOWEST_LINK) as u64).min(LONGEST_WAY)
+}
+
 fn unknown(why: &'static str) -> ReplicaAnswer {
     ReplicaAnswer::Unknown { why: SmolStr::new_static(why) }
 }
 
 fn send(to: &HostId, message: &RouterMessage) -> RouterOutput {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
-    RouterOutput::Send { to: to.clone(), body: Bytes::from(body) }
+    RouterOutput::Send { to: to.clone(), body: message.encode() }
 }
