--- a/crates/pulley_core/src/version/follower/plan_delta.rs
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -8,13 +8,11 @@
 
 use super::plan_follower_message::{PLAN_LIMIT, PlanDigest};
 use super::{
-    CallerLimits, ConfigVersion, KindPlan, PolicyPlan, PoolTerms, SequenceEdit, apply_edits,
-    edits_between,
+    CallerLimits, ConfigVersion, KindPlan, PLAN_ROW_LIMIT, PolicyPlan, PoolTerms, SequenceEdit,
+    apply_edits, edits_between,
 };
 use crate::process::FastMap;
 
-/// The most rows that a plan is built with on the word of another host.
-const ROW_LIMIT: usize = 65_536;
 /// How many steps are kept, for hosts that hold an earlier version.
 const STEPS_KEPT: usize = 64;
 /// How many bytes the steps kept may have together.
@@ -107,17 +105,8 @@
     }
 
     fn apply(self, before: PolicyPlan) -> Option<PolicyPlan> {
-        let count = |edit: &SequenceEdit<KindPlan>| match edit {
-            SequenceEdit::Copy { count, .. } => *count as usize,
-            SequenceEdit::Insert(rows) => rows.len(),
-        };
-        // A few bytes can claim to copy all rows many times over.
-        let rows = self.rows.iter().map(count).fold(0_usize, usize::saturating_add);
-        if rows > ROW_LIMIT {
-            return None;
-        }
         Some(PolicyPlan {
-            kinds: apply_edits(&before.kinds, &self.rows)?,
+            kinds: apply_edits(&before.kinds, &self.rows, PLAN_ROW_LIMIT)?,
             limits: self.limits.unwrap_or(before.limits),
             pools: self.pools.unwrap_or(before.pools),
         })
--- a/crates/pulley_core/src/version/follower/plan_follower_message.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_message.rs
@@ -7,13 +7,13 @@
 use sha2::{Digest, Sha256};
 
 use super::plan_delta::DeltaSpan;
-use super::{ConfigVersion, EvacuatedZones, LogIndex};
+use super::{ConfigVersion, EvacuatedZones, LogIndex, PLAN_BYTES_LIMIT};
 use crate::process::{HostId, MEMBER_BODY_LIMIT, SharedTime};
 
 /// How many bytes of a plan go into one message.
 pub(crate) const CHUNK_BYTES: usize = 1_100;
-/// The longest plan that is spread, in bytes of its encoding: some 50,000 rows.
-pub(crate) const PLAN_LIMIT: usize = 4 * 1024 * 1024;
+/// The most bytes of a way to a plan, packed or not: a whole plan, with room for what packing adds.
+pub(crate) const PLAN_LIMIT: usize = PLAN_BYTES_LIMIT + (128 << 10);
 
 /// A message to send, by datagram.
 #[derive(Clone, Debug, PartialEq, Eq)]
