Measure what the rows of a configuration cost an entry

`pulley_bench capacity plans` times, by the number of rows: finding a row, placing a request, taking over a view with and without a new plan, a round of counts, and what the shown plan takes in memory.

--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -12,6 +12,7 @@
     reason = "shared with pulley_core's tests, which use more of it"
 )]
 mod network;
+mod plan_cost;
 mod process_cost;
 
 use eyre::{Result, bail};
@@ -22,6 +23,7 @@
          [--seconds N] [--changes N] [--sheet FILE]
        pulley_bench capacity messages
        pulley_bench capacity changes [--hosts N,…] [--upstreams N]
+       pulley_bench capacity plans [--rows N,…]
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
         over the real state machines; --plan-rows publishes a plan of so many rows at the end
@@ -29,7 +31,8 @@
         announce themselves, and slopes fitted to them
 messages: processor time of a sealed datagram over a socket and of an announcement
 changes: processor time that the change of one upstream, or the restart of one host, costs another
-         host, by the number of hosts";
+         host, by the number of hosts
+plans:  processor time of a request, a view and a change at an entry, by the configuration's rows";
 
 /// Runs one of the measurements.
 pub(crate) fn run(arguments: &[String]) -> Result<()> {
@@ -38,6 +41,7 @@
         "gossip" => gossip_cost::run(rest),
         "messages" => message_cost::run(),
         "changes" => change_cost::run(rest),
+        "plans" => plan_cost::run(rest),
         "processes" => process_cost::run(rest),
         "--help" | "-h" => {
             println!("{USAGE}");
--- a/crates/pulley_bench/src/path/mod.rs
+++ b/crates/pulley_bench/src/path/mod.rs
@@ -23,6 +23,8 @@
 use forwarder_way::ForwarderWay;
 use stand_in_upstream::StandInUpstream;
 
+pub(crate) use thread_time::resident_bytes;
+
 /// Upstreams that the forwarders share the load among.
 const UPSTREAMS: usize = 4;
 
--- a/crates/pulley_bench/src/path/thread_time.rs
+++ b/crates/pulley_bench/src/path/thread_time.rs
@@ -28,7 +28,7 @@
 ///
 /// # Errors
 /// If the system does not tell.
-pub(super) fn resident_bytes() -> Result<u64> {
+pub(crate) fn resident_bytes() -> Result<u64> {
     let status = fs::read_to_string("/proc/self/status")?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kibibytes = line.and_then(|line| line.split_whitespace().next()).unwrap_or("0");
