Find a request's row without looking through all rows

Callers waited longer the more routes a configuration had: each request went through all rows three times, on hosts that have 0.07 of a core. An IndexedPlan, made once a version when it comes into force, holds the rows by host name and sorted prefix; a request costs a look-up and a binary search. It lies around the stored plan, so what is logged, written and compared stays as it was, and the whole copy of the rows that each change made is gone.

--- a/crates/pulley_bench/src/capacity/change_cost.rs
+++ b/crates/pulley_bench/src/capacity/change_cost.rs
@@ -12,7 +12,7 @@
 use pulley_core::version::{
     KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms, WorkLength,
 };
-use pulley_core::{Moment, PoolName};
+use pulley_core::{IndexedPlan, Moment, PoolName};
 use pulleyd::process::{HostReadiness, ProcessClock, RunningView};
 use pulleyd::request::SchedulerSet;
 
@@ -49,7 +49,7 @@
     members: MemberTable,
     registry: UpstreamRegistry,
     schedulers: SchedulerSet,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     hosts: usize,
     upstreams: usize,
     now: Moment,
@@ -62,7 +62,7 @@
             members: MemberTable::new(record(0, 0), MemberSettings::default(), 1),
             registry: UpstreamRegistry::with_lease(Duration::from_secs(3_600)),
             schedulers: SchedulerSet::new("host0000".parse()?, "zone0".parse()?, clock, 1),
-            plan: Arc::new(plan()?),
+            plan: Arc::new(plan()?.into()),
             hosts,
             upstreams,
             now: Moment::ZERO,
--- a/crates/pulley_bench/src/capacity/plan_cost.rs
+++ b/crates/pulley_bench/src/capacity/plan_cost.rs
@@ -14,7 +14,7 @@
 use pulley_core::version::{
     HostMatch, KindPlan, MethodMatch, RequestPriority, RouteTerms, StoredPlan, WorkLength,
 };
-use pulley_core::{Moment, PolicyPlan, PoolName};
+use pulley_core::{IndexedPlan, Moment, PolicyPlan, PoolName};
 use pulleyd::process::{HostReadiness, ProcessClock, RunningView};
 use pulleyd::request::SchedulerSet;
 
@@ -59,8 +59,8 @@
 }
 
 /// The plan as a host shows it to its traffic side after a change.
-fn shown(stored: &Arc<StoredPlan>) -> Arc<PolicyPlan> {
-    Arc::new(stored.plan.clone())
+fn shown(stored: &Arc<StoredPlan>) -> Arc<IndexedPlan> {
+    Arc::new(IndexedPlan::new(Arc::clone(stored)))
 }
 
 /// Memory that the shown plan takes besides the stored one.
@@ -192,8 +192,7 @@
 }
 
 fn coordinator(stored: &Arc<StoredPlan>) -> Result<PoolCoordinator> {
-    let mut coordinator =
-        PoolCoordinator::new(pool(0)?, "a".parse()?, "h0".parse()?, Moment::ZERO);
+    let mut coordinator = PoolCoordinator::new(pool(0)?, "a".parse()?, "h0".parse()?, Moment::ZERO);
     coordinator.apply_plan(Moment::ZERO, shown(stored));
     coordinator.apply_upstreams(Moment::ZERO, &records()?);
     Ok(coordinator)
--- a/crates/pulley_bench/src/decisions/decision_cost.rs
+++ b/crates/pulley_bench/src/decisions/decision_cost.rs
@@ -30,7 +30,7 @@
 fn call_cost(upstreams: u16) -> Result<u128> {
     let zone: ZoneName = "a".parse()?;
     let mut scheduler = PoolScheduler::new("h1".parse()?, zone, "cover".parse()?, 7);
-    scheduler.apply_plan(Moment::ZERO, Arc::new(plan()?));
+    scheduler.apply_plan(Moment::ZERO, Arc::new(plan()?.into()));
     scheduler.apply_upstreams(Moment::ZERO, &records(upstreams)?);
     let outstanding = u64::from(upstreams);
     let begin = Instant::now();
@@ -61,7 +61,7 @@
     let mut coordinator =
         PoolCoordinator::new("cover".parse()?, zone.clone(), "h0".parse()?, Moment::ZERO)
             .with_bytes_per_second(u32::MAX);
-    coordinator.apply_plan(Moment::ZERO, Arc::new(plan()?));
+    coordinator.apply_plan(Moment::ZERO, Arc::new(plan()?.into()));
     coordinator.apply_upstreams(Moment::ZERO, &records);
     let mut deltas: Vec<(HostId, CountDelta)> = Vec::new();
     for entry in 0..ENTRIES {
--- a/crates/pulley_bench/src/decisions/forward_dispatcher.rs
+++ b/crates/pulley_bench/src/decisions/forward_dispatcher.rs
@@ -48,7 +48,7 @@
 
 impl Dispatcher for ForwardDispatcher {
     fn begin(&mut self, world: &mut SimWorld) -> Result<()> {
-        let plan = Arc::new(world.deployment.plan()?);
+        let plan = Arc::new(world.deployment.plan()?.into());
         for pool in 0..world.deployment.pools.len() {
             let mut owners = Vec::new();
             for owner in 0..OWNERS {
--- a/crates/pulley_bench/src/decisions/shared_dispatcher.rs
+++ b/crates/pulley_bench/src/decisions/shared_dispatcher.rs
@@ -8,7 +8,7 @@
     COUNT_BYTES_PER_SECOND, CoordinatorOutput, PoolCoordinator, ProbeOutcome, coordinator_for,
 };
 use pulley_core::request::{AttemptOutcome, LoadReport, PoolScheduler, SchedulerEffect};
-use pulley_core::{HostId, Moment, PolicyPlan, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, ZoneName};
 use rand::Rng;
 
 use super::dispatcher::Dispatcher;
@@ -34,7 +34,7 @@
 /// Real schedulers on every entry, real coordinators on some.
 #[derive(Debug, Default)]
 pub(crate) struct SharedDispatcher {
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     hosts: Vec<HostId>,
     zones: Vec<ZoneName>,
     /// By entry, then by pool.
@@ -227,7 +227,7 @@
 impl Dispatcher for SharedDispatcher {
     fn begin(&mut self, world: &mut SimWorld) -> Result<()> {
         let deployment = world.deployment.clone();
-        self.plan = Arc::new(deployment.plan()?);
+        self.plan = Arc::new(deployment.plan()?.into());
         let hosts = (0..deployment.entries).map(|entry| deployment.host_name(entry));
         self.hosts = hosts.collect::<Result<_>>()?;
         let zones = (0..deployment.zones).map(|zone| deployment.zone_name(zone));
--- a/crates/pulley_bench/src/path/forwarder_way.rs
+++ b/crates/pulley_bench/src/path/forwarder_way.rs
@@ -84,7 +84,7 @@
     known.insert(pool, records?.into());
     Ok(RunningView {
         version: ConfigVersion::default(),
-        plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }),
+        plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }.into()),
         upstreams: known,
         readiness: HostReadiness::Ready,
         evacuated: Arc::default(),
--- a/crates/pulley_core/src/lib.rs
+++ b/crates/pulley_core/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use process::{FastMap, FastSet, HostId, Moment, PoolName, UpstreamId, ZoneName};
 pub use request::{RefusalCause, RequestVerdict};
-pub use version::{ConfigVersion, PolicyPlan};
+pub use version::{ConfigVersion, IndexedPlan, PolicyPlan};
--- a/crates/pulley_core/src/process/counts/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/counts/pool_coordinator.rs
@@ -20,7 +20,7 @@
     ZoneName,
 };
 use crate::request::{LoadReport, kind_digest};
-use crate::version::PolicyPlan;
+use crate::version::IndexedPlan;
 
 /// Bytes a second that counts may cost one host, all its pools together: a host's 17 KB/s for
 /// all control, less what membership and replication need.
@@ -106,7 +106,7 @@
     zone: ZoneName,
     host: HostId,
     key: CountKey,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     plan_digest: u16,
     kinds: usize,
     leads: bool,
@@ -184,7 +184,7 @@
     }
 
     /// Puts a newer plan in force.
-    pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) {
+    pub fn apply_plan(&mut self, now: Moment, plan: Arc<IndexedPlan>) {
         let (digest, kinds) = kind_digest(&plan, &self.pool);
         (self.plan_digest, self.kinds) = (digest, kinds);
         self.plan = plan;
--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -4,7 +4,7 @@
 
 use super::{KindDemand, divide_slots};
 use crate::process::{CountKey, FastMap, Moment, PoolName, digest_of};
-use crate::version::{KindPlan, PolicyPlan, RequestPriority, WorkLength};
+use crate::version::{IndexedPlan, KindPlan, RequestPriority, WorkLength};
 
 /// Of so many starts from the queue, one goes to whoever has waited longest of the lower
 /// priorities, so that a steady flood of first kinds delays them but never starves them.
@@ -70,7 +70,7 @@
 
 impl KindShares {
     /// Reads a pool's kinds from the plan; counts of kinds that stay are kept.
-    pub(crate) fn new(plan: &PolicyPlan, pool: &PoolName, old: &Self) -> Self {
+    pub(crate) fn new(plan: &IndexedPlan, pool: &PoolName, old: &Self) -> Self {
         let mut shares = Self::default();
         let mut names: Vec<&str> = Vec::new();
         for (row, kind) in plan.kinds.iter().enumerate().filter(|(_, kind)| kind.pool == *pool) {
@@ -274,7 +274,7 @@
 
 /// A digest of a pool's kinds in the order of the plan, and how many there are.
 #[must_use]
-pub(crate) fn kind_digest(plan: &PolicyPlan, pool: &PoolName) -> (u16, usize) {
+pub(crate) fn kind_digest(plan: &IndexedPlan, pool: &PoolName) -> (u16, usize) {
     let kinds = plan.kinds.iter().filter(|kind| kind.pool == *pool);
     let keys: Vec<CountKey> = kinds.map(key_of).collect();
     (digest_of(&keys), keys.len())
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -18,7 +18,7 @@
     CountLink, EntryZones, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord,
     ZoneName,
 };
-use crate::version::{KindPlan, PolicyPlan, WorkLength};
+use crate::version::{IndexedPlan, KindPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
@@ -96,7 +96,7 @@
     pub(crate) pool: PoolName,
     pub(crate) host: HostId,
     pub(super) zone: ZoneName,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     pub(crate) shares: KindShares,
     pub(crate) upstreams: UpstreamTable,
     pub(crate) link: Option<CountLink>,
@@ -148,7 +148,7 @@
 
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
     /// gone is refused.
-    pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) -> SchedulerEffects {
+    pub fn apply_plan(&mut self, now: Moment, plan: Arc<IndexedPlan>) -> SchedulerEffects {
         let mut effects = Vec::new();
         let rows = moved_rows(&self.pool, &self.plan, &plan);
         self.plan = plan;
@@ -543,7 +543,7 @@
 ///
 /// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of thousands
 /// of rows holds up the control thread for so long that a leader loses its lease.
-fn moved_rows(pool: &PoolName, old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
+fn moved_rows(pool: &PoolName, old: &IndexedPlan, new: &IndexedPlan) -> FastMap<usize, usize> {
     let named: FastMap<_, usize> =
         rows_of(pool, new).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
     rows_of(pool, old)
@@ -553,7 +553,7 @@
 
 fn rows_of<'a>(
     pool: &'a PoolName,
-    plan: &'a PolicyPlan,
+    plan: &'a IndexedPlan,
 ) -> impl Iterator<Item = (usize, &'a KindPlan)> {
     plan.kinds.iter().enumerate().filter(move |(_, kind)| kind.pool == *pool)
 }
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -40,7 +40,7 @@
 };
 pub use sequence_edit::SequenceEdit;
 pub use sheet::{
-    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
+    AnswerSize, CallerLimits, HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
     RequestPriority, RouteTerms, SheetColumn, SheetFault, SheetFaults, SheetPrinter, SheetReader,
     SheetUpload, SheetView, WarmUpTerms, WorkLength,
 };
--- a/crates/pulley_core/src/version/sheet/mod.rs
+++ b/crates/pulley_core/src/version/sheet/mod.rs
@@ -1,12 +1,15 @@
 //! Sheets as operators write them, and the plan that is read from one.
 
+mod indexed_plan;
 mod plan;
+mod route_index;
 mod sheet_column;
 mod sheet_fault;
 mod sheet_printer;
 mod sheet_reader;
 mod sheet_upload;
 
+pub use indexed_plan::IndexedPlan;
 pub use plan::{
     AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
     RequestPriority, RouteTerms, WarmUpTerms, WorkLength,
--- a/crates/pulley_core/src/version/sheet/plan.rs
+++ b/crates/pulley_core/src/version/sheet/plan.rs
@@ -22,17 +22,6 @@
     Only(SmolStr),
 }
 
-impl MethodMatch {
-    /// Whether a request's method fits.
-    #[must_use]
-    pub fn fits(&self, method: &str) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(wanted) => wanted == method,
-        }
-    }
-}
-
 /// Which host names a row matches.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum HostMatch {
@@ -43,23 +32,6 @@
     Only(SmolStr),
 }
 
-impl HostMatch {
-    /// Whether a request's host name fits; it may have a port, and capitals.
-    #[must_use]
-    pub fn fits(&self, host: &str) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(wanted) => without_port(host).eq_ignore_ascii_case(wanted),
-        }
-    }
-}
-
-/// The host name of an authority; the colons of an IPv6 address stand in brackets.
-fn without_port(authority: &str) -> &str {
-    let port_at = authority.rfind(':').filter(|at| !authority[*at..].contains(']'));
-    port_at.map_or(authority, |at| &authority[..at])
-}
-
 /// How large a kind's answers are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -208,43 +180,6 @@
 }
 
 impl PolicyPlan {
-    /// Finds the row for a request: a named host goes before any, then the longest path prefix
-    /// wins, then a named method. Among rows that match alike `draw`, a random number, chooses by
-    /// their weights.
-    ///
-    /// The choice falls once a request and holds for all its attempts: moved to another pool when
-    /// its own is full, a tenth meant to try out a new release would grow with the load.
-    #[must_use]
-    pub fn find(
-        &self,
-        host: &str,
-        method: &str,
-        path: &str,
-        draw: u32,
-    ) -> Option<(usize, &KindPlan)> {
-        let fits = |row: &&KindPlan| {
-            path.starts_with(row.path_prefix.as_str())
-                && row.method.fits(method)
-                && row.route.host.fits(host)
-        };
-        let best = self.kinds.iter().filter(fits).map(match_rank).max()?;
-        let equals = || {
-            let rows = self.kinds.iter().enumerate();
-            rows.filter(|(_, row)| fits(row) && match_rank(row) == best)
-        };
-        let total: u64 = equals().map(|(_, row)| u64::from(row.route.weight)).sum();
-        let mut left = u64::from(draw) % total.max(1);
-        for (index, row) in equals() {
-            let weight = u64::from(row.route.weight);
-            if left < weight {
-                return Some((index, row));
-            }
-            left -= weight;
-        }
-        // All weights are 0: nobody is meant to be served, but a row matched.
-        equals().next()
-    }
-
     /// Where a pool's upstreams answer how loaded they are, if the plan says so.
     #[must_use]
     pub fn probe_path(&self, pool: &PoolName) -> Option<&SmolStr> {
@@ -292,9 +227,3 @@
         ProbeRate(total)
     }
 }
-
-/// How narrowly a row matches; the greatest goes first.
-fn match_rank(row: &KindPlan) -> (bool, usize, bool) {
-    let names_host = row.route.host != HostMatch::Any;
-    (names_host, row.path_prefix.len(), row.method != MethodMatch::Any)
-}
--- a/crates/pulley_core/tests/arrival_probes/main.rs
+++ b/crates/pulley_core/tests/arrival_probes/main.rs
@@ -15,14 +15,14 @@
     ProbeTarget, RequestNumber, RequestTicket, SchedulerEffect,
 };
 use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
-use pulley_core::{Moment, PolicyPlan, RefusalCause};
+use pulley_core::{IndexedPlan, Moment, PolicyPlan, RefusalCause};
 
 use noisy_pool::{NoisyPool, PoolShape, SecondFigures};
 
 pub(crate) const MS: Duration = Duration::from_millis(1);
 const TARGET: Duration = Duration::from_millis(400);
 
-fn plan_for(target: Duration) -> Arc<PolicyPlan> {
+fn plan_for(target: Duration) -> Arc<IndexedPlan> {
     let kind = KindPlan {
         pool: "cover".parse().expect("name"),
         service: "cover".parse().expect("name"),
@@ -38,7 +38,7 @@
         probe_budget: ProbeRate(0),
         route: RouteTerms { target: Some(target), ..RouteTerms::default() },
     };
-    Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() })
+    Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }.into())
 }
 
 pub(crate) fn upstream(index: u16, zone: &str, slots: u32) -> UpstreamRecord {
--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -14,7 +14,7 @@
     RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, divide_slots,
 };
 use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
-use pulley_core::{HostId, Moment, PolicyPlan, RequestVerdict};
+use pulley_core::{HostId, IndexedPlan, Moment, PolicyPlan, RequestVerdict};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,7 +27,7 @@
     QuickCheck::new().rng(generator).tests(60).quickcheck(property);
 }
 
-fn plan() -> Arc<PolicyPlan> {
+fn plan() -> Arc<IndexedPlan> {
     let row = |kind: &str, priority: u8, parts: u16, length| KindPlan {
         pool: "cover".parse().expect("name"),
         service: kind.parse().expect("name"),
@@ -48,7 +48,7 @@
         row("usual", 3, 5_000, WorkLength::Short),
         row("long", 6, 2_000, WorkLength::Long),
     ];
-    Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() })
+    Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() }.into())
 }
 
 fn records(count: u16) -> Vec<UpstreamRecord> {
--- /dev/null
+++ b/crates/pulley_core/tests/indexed_plan.rs
@@ -0,0 +1,129 @@
+//! What an indexed plan answers, against a search through all rows.
+
+use std::time::Duration;
+
+use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
+use pulley_core::version::{
+    HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms,
+    WorkLength,
+};
+use quickcheck::{Arbitrary, Gen};
+
+/// Plans that a property is tried on, and requests to each.
+const PLANS: u64 = 2_000;
+const REQUESTS: usize = 40;
+
+const HOSTS: [&str; 7] = ["a.example", "A.example", "b.example", "[::1]", "b:80", "é.example", ""];
+const PORTS: [&str; 3] = ["", ":8080", ":"];
+const METHODS: [&str; 3] = ["GET", "POST", "get"];
+/// Few pieces, so that prefixes begin with each other.
+const PIECES: [&str; 6] = ["a", "b", "/", "a/", "é", "0"];
+
+fn chosen<'a>(random: &mut Gen, among: &[&'a str]) -> &'a str {
+    random.choose(among).copied().unwrap_or_default()
+}
+
+fn number(random: &mut Gen, below: usize) -> usize {
+    usize::arbitrary(random) % below
+}
+
+fn path(random: &mut Gen, longest: usize) -> String {
+    let pieces = number(random, longest + 1);
+    (0..pieces).fold("/".to_owned(), |path, _| path + chosen(random, &PIECES))
+}
+
+fn row(random: &mut Gen, place: usize) -> KindPlan {
+    let host = match bool::arbitrary(random) {
+        true => HostMatch::Any,
+        false => HostMatch::Only(chosen(random, &HOSTS).into()),
+    };
+    let method = match bool::arbitrary(random) {
+        true => MethodMatch::Any,
+        false => MethodMatch::Only(chosen(random, &METHODS).into()),
+    };
+    let path_prefix = if number(random, 20) == 0 { String::new() } else { path(random, 4) };
+    let weight = u32::try_from(number(random, 4)).expect("small");
+    KindPlan {
+        pool: format!("pool-{}", number(random, 4)).parse().expect("a valid name"),
+        service: "service".parse().expect("a valid name"),
+        kind: format!("kind-{place}").parse().expect("a valid name"),
+        method,
+        path_prefix: path_prefix.into(),
+        priority: RequestPriority(1),
+        share: ShareFraction::WHOLE,
+        reserved_slots: SlotCount(0),
+        deadline: Duration::from_millis(100),
+        idempotent: true,
+        length: WorkLength::Short,
+        probe_budget: ProbeRate(0),
+        route: RouteTerms { host, weight, ..RouteTerms::default() },
+    }
+}
+
+fn plan(random: &mut Gen) -> PolicyPlan {
+    let rows = number(random, 60);
+    let kinds = (0..rows).map(|place| row(random, place)).collect();
+    PolicyPlan { kinds, ..PolicyPlan::default() }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rfind(':') {
+        Some(at) if !host[at..].contains(']') => &host[..at],
+        _ => host,
+    }
+}
+
+fn matches(row: &KindPlan, host: &str, method: &str, path: &str) -> bool {
+    let host_fits = match &row.route.host {
+        HostMatch::Any => true,
+        HostMatch::Only(wanted) => without_port(host).eq_ignore_ascii_case(wanted),
+    };
+    let method_fits = match &row.method {
+        MethodMatch::Any => true,
+        MethodMatch::Only(wanted) => wanted == method,
+    };
+    host_fits && method_fits && path.starts_with(row.path_prefix.as_str())
+}
+
+/// Searches through all rows.
+fn searched(plan: &PolicyPlan, host: &str, method: &str, path: &str, draw: u32) -> Option<usize> {
+    let rank = |row: &KindPlan| {
+        let (host, method) = (&row.route.host, &row.method);
+        (*host != HostMatch::Any, row.path_prefix.len(), *method != MethodMatch::Any)
+    };
+    let rows = plan.kinds.iter().enumerate();
+    let fitting: Vec<_> = rows.filter(|(_, row)| matches(row, host, method, path)).collect();
+    let best = fitting.iter().map(|(_, row)| rank(row)).max()?;
+    let alike: Vec<_> = fitting.into_iter().filter(|(_, row)| rank(row) == best).collect();
+    // Each row stands as often as its weight says.
+    let tickets: Vec<usize> =
+        alike.iter().flat_map(|(place, row)| (0..row.route.weight).map(|_| *place)).collect();
+    match tickets.is_empty() {
+        true => alike.first().map(|(place, _)| *place),
+        false => Some(tickets[draw as usize % tickets.len()]),
+    }
+}
+
+#[test]
+fn each_request_gets_the_row_that_a_search_through_all_finds() {
+    let mut found = 0;
+    for seed in 0..PLANS {
+        let mut random = Gen::from_size_and_seed(64, seed);
+        let plan = plan(&mut random);
+        let indexed = IndexedPlan::from(plan.clone());
+        for _ in 0..REQUESTS {
+            let host = chosen(&mut random, &HOSTS).to_owned() + chosen(&mut random, &PORTS);
+            let (method, path) = (chosen(&mut random, &METHODS), path(&mut random, 7));
+            let draw = u32::arbitrary(&mut random);
+            let row = indexed.find(&host, method, &path, draw).map(|(place, _)| place);
+            assert_eq!(
+                row,
+                searched(&plan, &host, method, &path, draw),
+                "{host:?} {method} {path} {draw} {plan:#?}"
+            );
+            found += usize::from(row.is_some());
+        }
+    }
+    let asked = usize::try_from(PLANS).expect("few") * REQUESTS;
+    assert!(found > asked / 4 && found < asked, "{found} of {asked} have a row");
+}
--- a/crates/pulley_core/tests/many_entries/entry_fleet.rs
+++ b/crates/pulley_core/tests/many_entries/entry_fleet.rs
@@ -13,8 +13,8 @@
     RequestNumber, RequestTicket, SchedulerEffect,
 };
 use pulley_core::version::{
-    AnswerSize, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms, RequestPriority,
-    RouteTerms, WarmUpTerms, WorkLength,
+    AnswerSize, HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
+    RequestPriority, RouteTerms, WarmUpTerms, WorkLength,
 };
 use pulley_core::{Moment, UpstreamId};
 use rand::rngs::StdRng;
@@ -39,7 +39,7 @@
     WarmUpTerms { span: COLD_SPAN, rate: StartRate(COLD_RATE) }
 }
 
-fn plan(warm_up: Option<WarmUpTerms>) -> Arc<PolicyPlan> {
+fn plan(warm_up: Option<WarmUpTerms>) -> Arc<IndexedPlan> {
     let pool = "cover".parse().unwrap();
     let kind = KindPlan {
         pool,
@@ -65,7 +65,7 @@
     };
     let pools =
         vec![PoolTerms { pool: "cover".parse().unwrap(), probe_path: "/health".into(), warm_up }];
-    Arc::new(PolicyPlan { kinds: vec![kind], pools, ..PolicyPlan::default() })
+    Arc::new(PolicyPlan { kinds: vec![kind], pools, ..PolicyPlan::default() }.into())
 }
 
 pub(crate) fn record(index: usize, incarnation: u64, phase: UpstreamPhase) -> UpstreamRecord {
--- a/crates/pulley_core/tests/pool_scheduler.rs
+++ b/crates/pulley_core/tests/pool_scheduler.rs
@@ -52,7 +52,8 @@
     let host = "h1".parse().expect("name");
     let zone = "a".parse().expect("name");
     let mut scheduler = PoolScheduler::new(host, zone, "cover".parse().expect("name"), 7);
-    scheduler.apply_plan(Moment::ZERO, Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() }));
+    scheduler
+        .apply_plan(Moment::ZERO, Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() }.into()));
     let records: Vec<_> = (0..upstreams).map(|index| upstream(index, slots)).collect();
     scheduler.apply_upstreams(Moment::ZERO, &records);
     scheduler
--- a/crates/pulley_core/tests/sheet.rs
+++ b/crates/pulley_core/tests/sheet.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, clippy::needless_pass_by_value, reason = "a test may end there")]
 
-use pulley_core::version::{PolicyPlan, SheetColumn, SheetFaults, SheetPrinter, SheetReader};
+use pulley_core::version::{
+    IndexedPlan, PolicyPlan, SheetColumn, SheetFaults, SheetPrinter, SheetReader,
+};
 use quickcheck::{Gen, QuickCheck};
 use std::time::Duration;
 
@@ -202,6 +204,7 @@
         "old,desk,all,any,/q/long/,1,50%,0,800,yes,short,0,,,,,,",
         "old,desk,one,any,/q/,1,50%,0,800,yes,short,0,a.example,,,,,",
     ]))
+    .map(IndexedPlan::from)
     .unwrap();
     let kind = |host: &str, path: &str| {
         plan.find(host, "GET", path, 0).map(|(_, row)| row.kind.to_string())
@@ -219,6 +222,7 @@
         "new,desk,check-new,any,/q/,1,50%,0,800,yes,short,0,,10,,,,",
         "old,desk,check-old,any,/q/,1,50%,0,800,yes,short,0,,90,,,,",
     ]))
+    .map(IndexedPlan::from)
     .unwrap();
     let new = (0..10_000_u32).filter(|draw| {
         let (_, row) = plan.find("a", "GET", "/q/x", draw.wrapping_mul(2_654_435_761)).unwrap();
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -13,9 +13,9 @@
 };
 use pulley_core::version::{
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
-    QuestionNumber, QuestionRouter, ReplicaDriver, StoredPlan,
+    QuestionNumber, QuestionRouter, ReplicaDriver,
 };
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
 use super::control_counts::{CountCarrier, ProbeReport};
@@ -96,7 +96,7 @@
     /// When a new view is due that waits for more changes.
     view_due: Option<Moment>,
     /// The plan in force as views show it.
-    pub(super) shown_plan: Option<(Arc<StoredPlan>, Arc<PolicyPlan>)>,
+    pub(super) shown_plan: Arc<IndexedPlan>,
     pub(super) lease_round: Option<(u64, Moment)>,
     pub(super) next_lease_round: Moment,
     pub(super) next_lease_token: u64,
@@ -160,7 +160,7 @@
             transport: TransportCounts::default(),
             seen: None,
             view_due: None,
-            shown_plan: None,
+            shown_plan: Arc::default(),
             lease_round: None,
             next_lease_round: Moment::ZERO,
             next_lease_token: LEASE_TOKENS,
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -8,7 +8,7 @@
     COUNT_BYTES_PER_SECOND, CoordinatorOutput, CountDelta, CountSum, FastMap, PoolCoordinator,
     ProbeOutcome, UpstreamRecord, coordinator_for,
 };
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::RunningView;
@@ -215,7 +215,7 @@
         &mut self,
         now: Moment,
         scope: &CountScope,
-        plan: &Arc<PolicyPlan>,
+        plan: &Arc<IndexedPlan>,
         records: &[UpstreamRecord],
     ) {
         let coordinator = self.coordinators.entry(scope.clone()).or_insert_with(|| {
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use pulley_core::version::{PlanStanding, ReplicaDriver};
-use pulley_core::{Moment, PolicyPlan};
+use pulley_core::{IndexedPlan, Moment};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
@@ -27,16 +27,12 @@
 
     /// The sheet in force; the same one until another is, so that who follows views sees whether
     /// it has changed.
-    fn plan_in_force(&mut self) -> Arc<PolicyPlan> {
+    fn plan_in_force(&mut self) -> Arc<IndexedPlan> {
         let Some(stored) = self.follower.in_force() else { return Arc::default() };
-        if let Some((known, plan)) = &self.shown_plan
-            && Arc::ptr_eq(known, stored)
-        {
-            return Arc::clone(plan);
+        if !Arc::ptr_eq(self.shown_plan.stored(), stored) {
+            self.shown_plan = Arc::new(IndexedPlan::new(Arc::clone(stored)));
         }
-        let plan = Arc::new(stored.plan.clone());
-        self.shown_plan = Some((Arc::clone(stored), Arc::clone(&plan)));
-        plan
+        Arc::clone(&self.shown_plan)
     }
 
     fn readiness(&self, standing: PlanStanding) -> HostReadiness {
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use pulley_core::process::{EntryZones, FastMap, UpstreamList};
 use pulley_core::version::EvacuatedZones;
-use pulley_core::{ConfigVersion, Moment, PolicyPlan, PoolName};
+use pulley_core::{ConfigVersion, IndexedPlan, Moment, PoolName};
 use smol_str::SmolStr;
 
 use super::ProcessClock;
@@ -32,7 +32,7 @@
     /// The configuration in force.
     pub version: ConfigVersion,
     /// Its checked sheet.
-    pub plan: Arc<PolicyPlan>,
+    pub plan: Arc<IndexedPlan>,
     /// The upstreams of each pool.
     pub upstreams: FastMap<PoolName, UpstreamList>,
     /// Whether this host serves.
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -14,7 +14,7 @@
     AttemptOutcome, ProbeReach, ProbeReading, RequestTicket, RetryDecision, RetryQuestion,
 };
 use pulley_core::version::{KindPlan, WorkLength};
-use pulley_core::{Moment, PolicyPlan, RequestVerdict, UpstreamId};
+use pulley_core::{IndexedPlan, Moment, RequestVerdict, UpstreamId};
 use slog::info;
 
 use super::answer_body::UpstreamAnswer;
@@ -39,13 +39,13 @@
 /// A request's kind in the plan that was in force when it came.
 #[derive(Clone, Debug)]
 pub(super) struct PlannedKind {
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     index: usize,
 }
 
 impl PlannedKind {
     /// Names the kind at a place that the plan has.
-    pub(super) const fn new(plan: Arc<PolicyPlan>, index: usize) -> Self {
+    pub(super) const fn new(plan: Arc<IndexedPlan>, index: usize) -> Self {
         Self { plan, index }
     }
 
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -13,7 +13,7 @@
     RetryAllowance, RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, RefusalCause, UpstreamId, ZoneName};
 use tokio::sync::{Notify, oneshot};
 
 use crate::process::{ProcessClock, RunningView, TimerService};
@@ -72,7 +72,7 @@
 pub(super) struct PoolState {
     pub(super) scheduler: PoolScheduler,
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     upstreams: UpstreamList,
     /// Upstreams that said in an answer that they drain, with the start that said so.
     drained: FastMap<UpstreamId, Incarnation>,
@@ -178,7 +178,7 @@
     /// A request is admitted under one plan and tried again under a later one, in which its row has
     /// another place or none. Taken by its old place, it would be counted as another kind.
     #[must_use]
-    pub fn current_row(&self, plan: &Arc<PolicyPlan>, index: usize) -> Option<usize> {
+    pub fn current_row(&self, plan: &Arc<IndexedPlan>, index: usize) -> Option<usize> {
         let row = &plan.kinds[index];
         let cell = self.cell(&row.pool)?;
         let current = Arc::clone(&cell.state.lock().plan);
@@ -363,7 +363,7 @@
     fn apply(
         &self,
         now: Moment,
-        plan: &Arc<PolicyPlan>,
+        plan: &Arc<IndexedPlan>,
         upstreams: UpstreamList,
     ) -> Option<SchedulerEffects> {
         let mut state = self.state.lock();
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -173,7 +173,7 @@
         known.insert(pool, records.into());
         RunningView {
             version: ConfigVersion::default(),
-            plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }),
+            plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }.into()),
             upstreams: known,
             readiness: HostReadiness::Ready,
             evacuated: Arc::default(),
