Ask a plan about a pool without looking through all rows

Each view, that is each change of an upstream, listed the pools by going through all rows; each change of the configuration did so several times for each pool; each second, each upstream in use had its connections looked up so; and a coordinator summed up its pool's probe budget at every look at what is due, up to 500 times a second. All of it ran beside callers' requests. An IndexedPlan holds what its rows say of each pool, worked out with the rest of it.

--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -73,7 +73,7 @@
     pub(crate) fn new(plan: &IndexedPlan, pool: &PoolName, old: &Self) -> Self {
         let mut shares = Self::default();
         let mut names: Vec<&str> = Vec::new();
-        for (row, kind) in plan.kinds.iter().enumerate().filter(|(_, kind)| kind.pool == *pool) {
+        for (row, kind) in plan.rows_of(pool) {
             let name = kind.service.as_str();
             let service = names.iter().position(|known| *known == name).unwrap_or(names.len());
             if service == names.len() {
@@ -275,8 +275,7 @@
 /// A digest of a pool's kinds in the order of the plan, and how many there are.
 #[must_use]
 pub(crate) fn kind_digest(plan: &IndexedPlan, pool: &PoolName) -> (u16, usize) {
-    let kinds = plan.kinds.iter().filter(|kind| kind.pool == *pool);
-    let keys: Vec<CountKey> = kinds.map(key_of).collect();
+    let keys: Vec<CountKey> = plan.rows_of(pool).map(|(_, kind)| key_of(kind)).collect();
     (digest_of(&keys), keys.len())
 }
 
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -18,7 +18,7 @@
     CountLink, EntryZones, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord,
     ZoneName,
 };
-use crate::version::{IndexedPlan, KindPlan, WorkLength};
+use crate::version::{IndexedPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
@@ -545,19 +545,12 @@
 /// of rows holds up the control thread for so long that a leader loses its lease.
 fn moved_rows(pool: &PoolName, old: &IndexedPlan, new: &IndexedPlan) -> FastMap<usize, usize> {
     let named: FastMap<_, usize> =
-        rows_of(pool, new).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
-    rows_of(pool, old)
+        new.rows_of(pool).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
+    old.rows_of(pool)
         .filter_map(|(row, kind)| Some((row, *named.get(&(&kind.service, &kind.kind))?)))
         .collect()
 }
 
-fn rows_of<'a>(
-    pool: &'a PoolName,
-    plan: &'a IndexedPlan,
-) -> impl Iterator<Item = (usize, &'a KindPlan)> {
-    plan.kinds.iter().enumerate().filter(move |(_, kind)| kind.pool == *pool)
-}
-
 pub(super) fn refusal(
     number: RequestNumber,
     cause: RefusalCause,
--- a/crates/pulley_core/src/version/sheet/indexed_plan.rs
+++ b/crates/pulley_core/src/version/sheet/indexed_plan.rs
@@ -3,8 +3,12 @@
 use std::ops::Deref;
 use std::sync::Arc;
 
+use smol_str::SmolStr;
+
+use super::pool_summary::PoolSummary;
 use super::route_index::RouteIndex;
-use super::{KindPlan, PolicyPlan};
+use super::{KindPlan, PolicyPlan, WarmUpTerms};
+use crate::process::{FastMap, PoolName, ProbeRate};
 use crate::version::StoredPlan;
 
 /// A plan in force, made once a version; what each request or view asks of it does not take longer
@@ -13,14 +17,27 @@
 pub struct IndexedPlan {
     stored: Arc<StoredPlan>,
     routes: RouteIndex,
+    /// The pools in order of first mention.
+    pool_names: Vec<PoolName>,
+    summaries: FastMap<PoolName, PoolSummary>,
 }
 
 impl IndexedPlan {
     /// Works out what readers look up.
     #[must_use]
     pub fn new(stored: Arc<StoredPlan>) -> Self {
-        let routes = RouteIndex::new(&stored.plan.kinds);
-        Self { stored, routes }
+        let plan = &stored.plan;
+        let routes = RouteIndex::new(&plan.kinds);
+        let mut pools = PoolGathering::default();
+        for (row, kind) in plan.kinds.iter().enumerate() {
+            pools.summary_of(&kind.pool).add(row, kind);
+        }
+        for terms in &plan.pools {
+            pools.summary_of(&terms.pool).set_terms(terms);
+        }
+        let pool_names: Vec<PoolName> = pools.names.into_iter().cloned().collect();
+        let summaries = pool_names.iter().cloned().zip(pools.summaries).collect();
+        Self { stored, routes, pool_names, summaries }
     }
 
     /// The plan as it is stored.
@@ -46,6 +63,67 @@
         let row = self.routes.find(&self.kinds, host, method, path, draw)?;
         Some((row, &self.kinds[row]))
     }
+
+    /// The pools named, each once, in order of first mention.
+    #[must_use]
+    pub fn pools(&self) -> &[PoolName] {
+        &self.pool_names
+    }
+
+    /// Whether a pool is named.
+    #[must_use]
+    pub fn names_pool(&self, pool: &PoolName) -> bool {
+        self.summaries.contains_key(pool)
+    }
+
+    /// The rows of a pool with their places, in the plan's order.
+    pub fn rows_of(&self, pool: &PoolName) -> impl Iterator<Item = (usize, &KindPlan)> {
+        let rows = self.summaries.get(pool).map_or(&[][..], |summary| &summary.rows);
+        rows.iter().map(|row| (*row, &self.kinds[*row]))
+    }
+
+    /// Where a pool's upstreams answer how loaded they are, if the plan says so.
+    #[must_use]
+    pub fn probe_path(&self, pool: &PoolName) -> Option<&SmolStr> {
+        self.summaries.get(pool)?.probe_path.as_ref()
+    }
+
+    /// What the upstreams of a pool bear after a start, if that is less than later.
+    #[must_use]
+    pub fn warm_up(&self, pool: &PoolName) -> Option<WarmUpTerms> {
+        self.summaries.get(pool)?.warm_up
+    }
+
+    /// Most connections that one upstream of a pool takes, if a row says so.
+    #[must_use]
+    pub fn connections(&self, pool: &PoolName) -> Option<u32> {
+        self.summaries.get(pool)?.connections
+    }
+
+    /// Probes a second that all hosts together may send to a pool.
+    #[must_use]
+    pub fn probe_budget(&self, pool: &PoolName) -> ProbeRate {
+        self.summaries.get(pool).map_or(ProbeRate(0), |summary| summary.probe_budget)
+    }
+}
+
+/// The pools of a plan while its rows are gone through.
+#[derive(Default)]
+struct PoolGathering<'a> {
+    places: FastMap<&'a PoolName, usize>,
+    names: Vec<&'a PoolName>,
+    summaries: Vec<PoolSummary>,
+}
+
+impl<'a> PoolGathering<'a> {
+    fn summary_of(&mut self, pool: &'a PoolName) -> &mut PoolSummary {
+        let place = *self.places.entry(pool).or_insert(self.names.len());
+        if place == self.names.len() {
+            self.names.push(pool);
+            self.summaries.push(PoolSummary::default());
+        }
+        &mut self.summaries[place]
+    }
 }
 
 impl Deref for IndexedPlan {
--- a/crates/pulley_core/src/version/sheet/mod.rs
+++ b/crates/pulley_core/src/version/sheet/mod.rs
@@ -2,6 +2,7 @@
 
 mod indexed_plan;
 mod plan;
+mod pool_summary;
 mod route_index;
 mod sheet_column;
 mod sheet_fault;
--- a/crates/pulley_core/tests/indexed_plan.rs
+++ b/crates/pulley_core/tests/indexed_plan.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
+use pulley_core::PoolName;
+use pulley_core::process::{ProbeRate, ShareFraction, SlotCount, StartRate};
 use pulley_core::version::{
-    HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms,
-    WorkLength,
+    HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, PoolTerms, RequestPriority,
+    RouteTerms, WarmUpTerms, WorkLength,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -13,6 +14,9 @@
 const PLANS: u64 = 2_000;
 const REQUESTS: usize = 40;
 
+/// Pools that a plan may name.
+const POOLS: usize = 6;
+
 const HOSTS: [&str; 7] = ["a.example", "A.example", "b.example", "[::1]", "b:80", "é.example", ""];
 const PORTS: [&str; 3] = ["", ":8080", ":"];
 const METHODS: [&str; 3] = ["GET", "POST", "get"];
@@ -32,6 +36,24 @@
     (0..pieces).fold("/".to_owned(), |path, _| path + chosen(random, &PIECES))
 }
 
+fn small(random: &mut Gen, below: usize) -> u32 {
+    u32::try_from(number(random, below)).expect("small")
+}
+
+fn pool(place: usize) -> PoolName {
+    format!("pool-{place}").parse().expect("a valid name")
+}
+
+fn terms(random: &mut Gen) -> PoolTerms {
+    let span = Duration::from_millis(u64::arbitrary(random) % 1_000);
+    let warm_up = WarmUpTerms { span, rate: StartRate(small(random, 9)) };
+    PoolTerms {
+        pool: pool(number(random, POOLS)),
+        probe_path: path(random, 3).into(),
+        warm_up: bool::arbitrary(random).then_some(warm_up),
+    }
+}
+
 fn row(random: &mut Gen, place: usize) -> KindPlan {
     let host = match bool::arbitrary(random) {
         true => HostMatch::Any,
@@ -42,9 +64,10 @@
         false => MethodMatch::Only(chosen(random, &METHODS).into()),
     };
     let path_prefix = if number(random, 20) == 0 { String::new() } else { path(random, 4) };
-    let weight = u32::try_from(number(random, 4)).expect("small");
+    let weight = small(random, 4);
+    let connections = bool::arbitrary(random).then(|| small(random, 100));
     KindPlan {
-        pool: format!("pool-{}", number(random, 4)).parse().expect("a valid name"),
+        pool: pool(number(random, POOLS)),
         service: "service".parse().expect("a valid name"),
         kind: format!("kind-{place}").parse().expect("a valid name"),
         method,
@@ -55,15 +78,16 @@
         deadline: Duration::from_millis(100),
         idempotent: true,
         length: WorkLength::Short,
-        probe_budget: ProbeRate(0),
-        route: RouteTerms { host, weight, ..RouteTerms::default() },
+        probe_budget: ProbeRate(u32::arbitrary(random)),
+        route: RouteTerms { host, weight, connections, ..RouteTerms::default() },
     }
 }
 
 fn plan(random: &mut Gen) -> PolicyPlan {
     let rows = number(random, 60);
     let kinds = (0..rows).map(|place| row(random, place)).collect();
-    PolicyPlan { kinds, ..PolicyPlan::default() }
+    let pools = (0..number(random, 4)).map(|_| terms(random)).collect();
+    PolicyPlan { kinds, pools, ..PolicyPlan::default() }
 }
 
 fn without_port(host: &str) -> &str {
@@ -127,3 +151,32 @@
     let asked = usize::try_from(PLANS).expect("few") * REQUESTS;
     assert!(found > asked / 4 && found < asked, "{found} of {asked} have a row");
 }
+
+#[test]
+fn each_pool_is_told_what_a_search_through_all_rows_finds() {
+    for seed in 0..PLANS {
+        let plan = plan(&mut Gen::from_size_and_seed(64, seed));
+        let indexed = IndexedPlan::from(plan.clone());
+        let mut named: Vec<&PoolName> = Vec::new();
+        let rows = plan.kinds.iter().map(|row| &row.pool);
+        for pool in rows.chain(plan.pools.iter().map(|terms| &terms.pool)) {
+            if !named.contains(&pool) {
+                named.push(pool);
+            }
+        }
+        assert_eq!(indexed.pools().iter().collect::<Vec<_>>(), named);
+        for pool in (0..POOLS).map(pool) {
+            let rows = plan.kinds.iter().enumerate();
+            let rows: Vec<_> = rows.filter(|(_, row)| row.pool == pool).collect();
+            let connections = rows.iter().filter_map(|(_, row)| row.route.connections).min();
+            let budgets = rows.iter().map(|(_, row)| row.probe_budget.0);
+            let terms = plan.pools.iter().find(|terms| terms.pool == pool);
+            assert_eq!(indexed.names_pool(&pool), named.contains(&&pool));
+            assert_eq!(indexed.rows_of(&pool).collect::<Vec<_>>(), rows);
+            assert_eq!(indexed.connections(&pool), connections);
+            assert_eq!(indexed.probe_budget(&pool).0, budgets.fold(0, u32::saturating_add));
+            assert_eq!(indexed.probe_path(&pool), terms.map(|terms| &terms.probe_path));
+            assert_eq!(indexed.warm_up(&pool), terms.and_then(|terms| terms.warm_up));
+        }
+    }
+}
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -86,11 +86,11 @@
         }
         let mut assigned: FastMap<CountScope, HostId> = FastMap::default();
         for pool in view.plan.pools() {
-            let records = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            let records = view.upstreams.get(pool).cloned().unwrap_or_default();
             let records: Vec<UpstreamRecord> =
                 records.iter().map(|record| UpstreamRecord::clone(record)).collect();
             for zone in zones_of(&records) {
-                let Some(coordinator) = coordinator_for(&pool, &zone, live) else { continue };
+                let Some(coordinator) = coordinator_for(pool, &zone, live) else { continue };
                 let scope = (pool.clone(), zone);
                 if *coordinator == self.host {
                     self.coordinate(now, &scope, &view.plan, &records);
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -114,8 +114,7 @@
     /// Takes over a view: new pools, plans and upstreams. Unchanged parts cost a comparison.
     pub fn apply_view(&self, view: &RunningView) {
         let now = self.clock.now();
-        let pools = view.plan.pools();
-        for pool in &pools {
+        for pool in view.plan.pools() {
             let cell = self.cell_or_new(pool, view.live_entries);
             if let Some(allowance) = self.retry_allowance {
                 cell.state.lock().retries.share(allowance, view.live_entries);
@@ -131,7 +130,7 @@
                 self.deliver(&cell, effects);
             }
         }
-        self.retire_pools(&pools);
+        self.retire_pools(&view.plan);
     }
 
     /// Asks for an upstream and waits in the pool's queue until there is one or none can be had.
@@ -185,10 +184,9 @@
         if Arc::ptr_eq(&current, plan) {
             return Some(index);
         }
-        let is_same = |other: &KindPlan| {
-            other.pool == row.pool && other.service == row.service && other.kind == row.kind
-        };
-        current.kinds.iter().position(is_same)
+        let is_same = |other: &KindPlan| other.service == row.service && other.kind == row.kind;
+        let mut rows = current.rows_of(&row.pool);
+        rows.find(|(_, other)| is_same(other)).map(|(place, _)| place)
     }
 
     /// Reports how an attempt that was started has ended.
@@ -300,9 +298,9 @@
     }
 
     /// Drops pools that the plan no longer names, once nothing waits in them.
-    fn retire_pools(&self, named: &[PoolName]) {
+    fn retire_pools(&self, plan: &IndexedPlan) {
         let is_kept = |pool: &PoolName, cell: &Arc<PoolCell>| {
-            named.contains(pool) || !cell.state.lock().waiting.is_empty()
+            plan.names_pool(pool) || !cell.state.lock().waiting.is_empty()
         };
         if self.pools.load().iter().all(|(pool, cell)| is_kept(pool, cell)) {
             return;
