Take over a new plan in time that grows with its rows, not with their square

At each change of the configuration every pool compared each of its rows with every row it had before, to keep their counts, and named all its rows anew though few or none had requests. Rows that hold counts are found by their key, and only rows with requests that wait or run are looked for in the new plan.

--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{KindDemand, divide_slots};
-use crate::process::{CountKey, FastMap, Moment, PoolName, digest_of};
+use crate::process::{CountKey, FastMap, Moment, PoolName, ServiceName, digest_of};
 use crate::version::{IndexedPlan, KindPlan, RequestPriority, WorkLength};
 
 /// Of so many starts from the queue, one goes to whoever has waited longest of the lower
@@ -45,7 +45,8 @@
 pub(crate) struct KindShares {
     kinds: Vec<KindState>,
     services: Vec<ServiceState>,
-    by_row: FastMap<usize, usize>,
+    /// Each kind's row in the plan, in the plan's order.
+    rows: Vec<usize>,
     digest: u16,
     starts: u32,
     /// Whether more is asked for than the pool has room for.
@@ -72,32 +73,34 @@
     /// Reads a pool's kinds from the plan; counts of kinds that stay are kept.
     pub(crate) fn new(plan: &IndexedPlan, pool: &PoolName, old: &Self) -> Self {
         let mut shares = Self::default();
-        let mut names: Vec<&str> = Vec::new();
+        let mut services: FastMap<&ServiceName, usize> = FastMap::default();
+        let used = old.kinds.iter().filter(|kind| kind.is_known());
+        let known_kinds: FastMap<CountKey, &KindState> =
+            used.map(|kind| (kind.key, kind)).collect();
         for (row, kind) in plan.rows_of(pool) {
-            let name = kind.service.as_str();
-            let service = names.iter().position(|known| *known == name).unwrap_or(names.len());
-            if service == names.len() {
-                names.push(name);
+            let service = *services.entry(&kind.service).or_insert(shares.services.len());
+            if service == shares.services.len() {
                 shares.services.push(ServiceState { share: 0.0 });
             }
             shares.services[service].share += f32::from(kind.share.parts()) / 10_000.0;
             let mut state = KindState::new(kind, service);
-            if let Some(known) = old.kinds.iter().find(|known| known.key == state.key) {
+            if let Some(known) = known_kinds.get(&state.key) {
                 state.own = known.own;
                 state.foreign = known.foreign;
                 state.base_ms = known.base_ms;
             }
-            shares.by_row.insert(row, shares.kinds.len());
+            shares.rows.push(row);
             shares.kinds.push(state);
         }
         shares.room = f32::INFINITY;
-        shares.digest = kind_digest(plan, pool).0;
+        let keys: Vec<CountKey> = shares.kinds.iter().map(|kind| kind.key).collect();
+        shares.digest = digest_of(&keys);
         shares
     }
 
     /// A kind's place among the pool's, by its row in the plan.
     pub(crate) fn local(&self, row: usize) -> Option<usize> {
-        self.by_row.get(&row).copied()
+        self.rows.binary_search(&row).ok()
     }
 
     pub(crate) fn kind(&self, local: usize) -> &KindState {
@@ -270,6 +273,11 @@
             is_held: false,
         }
     }
+
+    /// Whether it holds anything that outlasts a plan.
+    fn is_known(&self) -> bool {
+        self.own > 0 || self.foreign > 0 || self.base_ms > 0.0
+    }
 }
 
 /// A digest of a pool's kinds in the order of the plan, and how many there are.
@@ -280,5 +288,5 @@
 }
 
 fn key_of(kind: &KindPlan) -> CountKey {
-    CountKey::of(&format!("{}/{}", kind.service, kind.kind))
+    CountKey::of(&[kind.service.as_str(), "/", kind.kind.as_str()].concat())
 }
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -15,8 +15,8 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{
-    CountLink, EntryZones, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord,
-    ZoneName,
+    CountLink, EntryZones, FastMap, FastSet, HostId, Moment, PoolName, UpstreamChange,
+    UpstreamRecord, ZoneName,
 };
 use crate::version::{IndexedPlan, WorkLength};
 
@@ -150,13 +150,15 @@
     /// gone is refused.
     pub fn apply_plan(&mut self, now: Moment, plan: Arc<IndexedPlan>) -> SchedulerEffects {
         let mut effects = Vec::new();
-        let rows = moved_rows(&self.pool, &self.plan, &plan);
+        let waiting = self.queue.drain();
+        let in_use = waiting.iter().map(|request| request.ticket.kind);
+        let in_use = in_use.chain(self.running.values().map(|running| running.row)).collect();
+        let rows = moved_rows(&self.pool, &self.plan, &plan, &in_use);
         self.plan = plan;
         self.upstreams.set_warm_up(self.plan.warm_up(&self.pool));
         let old_shares = std::mem::take(&mut self.shares);
         self.shares = KindShares::new(&self.plan, &self.pool, &old_shares);
         self.told.clear();
-        let waiting = self.queue.drain();
         self.queue = WaitQueue::new(self.shares.len());
         for mut request in waiting {
             let row = rows.get(&request.ticket.kind).copied();
@@ -539,15 +541,24 @@
     }
 }
 
-/// The new row of each of a pool's rows of the old plan that is still there.
+/// The new row of each row of the old plan that is in use, if it is still there.
 ///
-/// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of thousands
-/// of rows holds up the control thread for so long that a leader loses its lease.
-fn moved_rows(pool: &PoolName, old: &IndexedPlan, new: &IndexedPlan) -> FastMap<usize, usize> {
+/// Each pool looks at its own rows by name, and only for what waits or runs: a sheet of thousands of
+/// rows would otherwise hold up the control thread for so long that a leader loses its lease.
+fn moved_rows(
+    pool: &PoolName,
+    old: &IndexedPlan,
+    new: &IndexedPlan,
+    in_use: &FastSet<usize>,
+) -> FastMap<usize, usize> {
+    if in_use.is_empty() {
+        return FastMap::default();
+    }
+    let old_kinds = in_use.iter().filter_map(|row| Some((*row, old.kinds.get(*row)?)));
     let named: FastMap<_, usize> =
-        new.rows_of(pool).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
-    old.rows_of(pool)
-        .filter_map(|(row, kind)| Some((row, *named.get(&(&kind.service, &kind.kind))?)))
+        old_kinds.map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
+    new.rows_of(pool)
+        .filter_map(|(row, kind)| Some((*named.get(&(&kind.service, &kind.kind))?, row)))
         .collect()
 }
 
