Time rounds of counts by the kinds that a message tells of

Rounds are made as rare as the bytes of a message ask, and a message was taken to tell of every row of a pool. With 1,400 rows in a pool whose bound is 3,000 bytes a second (5 upstreams), a round took 1,000 ms, the longest there is, in place of 193 ms, and entries placed requests by counts so much older. Only the kinds told are counted, in the time and in the totals that entries add up and remember: 1,400 rows take the time that 100 take.

--- a/crates/pulley_core/src/process/counts/count_rows.rs
+++ b/crates/pulley_core/src/process/counts/count_rows.rs
@@ -115,12 +115,12 @@
 }
 
 impl CountTotals {
-    /// Makes empty totals for a list and kinds.
+    /// Makes empty totals for a list and as many of the kinds as a message tells.
     pub(crate) fn new(upstreams: usize, kinds: usize) -> Self {
         Self {
             in_flight: vec![0; upstreams],
             news: vec![UpstreamNews::default(); upstreams],
-            kinds: vec![(0, 0); kinds],
+            kinds: vec![(0, 0); kinds.min(KINDS_PER_MESSAGE)],
             hosts: 0,
         }
     }
@@ -172,7 +172,7 @@
         if all.is_empty() {
             all.push(CountRows { layout: layout.digest(), plan, ..CountRows::default() });
         }
-        let kinds = self.kinds.iter().take(KINDS_PER_MESSAGE);
+        let kinds = self.kinds.iter();
         all[0].kinds = kinds
             .map(|(in_flight, queued)| KindUse {
                 in_flight: saturate(*in_flight as usize),
--- a/crates/pulley_core/src/process/counts/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/counts/pool_coordinator.rs
@@ -13,7 +13,7 @@
 use super::count_key::stable_hash;
 use super::count_link::STEP_UNIT;
 use super::count_message::{split_route, tree_depth};
-use super::count_rows::saturate;
+use super::count_rows::{KINDS_PER_MESSAGE, saturate};
 use super::{
     CountDelta, CountEpoch, CountKey, CountLayout, CountRound, CountRows, CountSum, CountTotals,
     FastMap, HostId, Moment, PoolName, ProbeBudget, ProbeRate, UpstreamId, UpstreamRecord,
@@ -373,7 +373,8 @@
             FIRST_INTERVAL
         };
         let cool = if self.heat < COOL { 2 } else { 1 };
-        let rows = u32::try_from(self.layout.len() + 2 * self.kinds).unwrap_or(u32::MAX);
+        let kinds = self.kinds.min(KINDS_PER_MESSAGE);
+        let rows = u32::try_from(self.layout.len() + 2 * kinds).unwrap_or(u32::MAX);
         let message = MESSAGE_OVERHEAD + rows;
         // Each entry sends two messages a round on average, one up and one down; the coordinator
         // sends one more, with the whole route.
--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -121,9 +121,12 @@
     }
 
     /// What this entry has running and waiting of each kind.
-    pub(crate) fn own_uses(&self, queued: impl Fn(usize) -> usize) -> Vec<(u32, u32)> {
-        let waiting = |local| u32::try_from(queued(local)).unwrap_or(u32::MAX);
-        self.kinds.iter().enumerate().map(|(local, kind)| (kind.own, waiting(local))).collect()
+    pub(crate) fn own_uses(
+        &self,
+        queued: impl Fn(usize) -> usize,
+    ) -> impl Iterator<Item = (u32, u32)> {
+        let waiting = move |local| u32::try_from(queued(local)).unwrap_or(u32::MAX);
+        self.kinds.iter().enumerate().map(move |(local, kind)| (kind.own, waiting(local)))
     }
 
     /// Takes in what all entries have running and waiting, less what this one told of its own.
--- a/crates/pulley_core/src/request/pool_scheduler_counts.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_counts.rs
@@ -181,7 +181,8 @@
             }
         }
         let queue = &self.queue;
-        totals.kinds = self.shares.own_uses(|local| queue.len_of(local));
+        let uses = self.shares.own_uses(|local| queue.len_of(local));
+        totals.kinds.iter_mut().zip(uses).for_each(|(told, used)| *told = used);
         totals.hosts = 1;
         totals
     }
--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -247,6 +247,27 @@
     assert_eq!(counted.collect::<Vec<_>>(), [3]);
 }
 
+// A message tells of a bounded number of kinds, however many the configuration has.
+#[test]
+fn rounds_are_no_rarer_for_a_large_plan() {
+    let interval_of = |rows: usize| {
+        let (pool, zone) = ("cover".parse().expect("name"), "a".parse().expect("name"));
+        let mut coordinator =
+            PoolCoordinator::new(pool, zone, host(9), Moment::ZERO).with_bytes_per_second(3_000);
+        let row = |place: usize| {
+            let kind = format!("kind-{place}").parse().expect("name");
+            KindPlan { kind, probe_budget: ProbeRate(0), ..plan().kinds[1].clone() }
+        };
+        let kinds = (0..rows).map(row).collect();
+        let plan = PolicyPlan { kinds, ..PolicyPlan::default() };
+        coordinator.apply_plan(Moment::ZERO, Arc::new(plan.into()));
+        coordinator.apply_upstreams(Moment::ZERO, &records(5));
+        coordinator.tick(Moment::ZERO + Duration::from_secs(1));
+        coordinator.next_wakeup()
+    };
+    assert_eq!(interval_of(1_400), interval_of(100));
+}
+
 // Every service asks for more than there is. If the parts added up to more than the pool, the
 // upstreams would queue what nobody can overtake any more; if to less, slots would stand idle.
 #[test]
