Place a request without going through all kinds of its pool

Each arrival and each end of a request went through all rows of its pool for which of them wait, for what this entry has running, for reserved slots that are free, and for what its service has used. The queue knows which kinds wait, and the sums are kept as requests start and end; they are worked out anew only when other entries' counts come in.

--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -19,10 +19,10 @@
     pub(crate) length: WorkLength,
     pub(crate) service: usize,
     /// This entry's own requests outstanding.
-    pub(crate) own: u32,
+    own: u32,
     /// The other entries' requests outstanding and waiting, as of the newest sum.
-    pub(crate) foreign: u32,
-    pub(crate) foreign_queued: u32,
+    foreign: u32,
+    foreign_queued: u32,
     /// Requests this entry may have outstanding while the kind is held to a part.
     pub(crate) leased: f32,
     /// Until when an answer is worth most, from its request on.
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug)]
 struct ServiceState {
     share: f32,
+    /// Requests of its kinds outstanding, from all entries.
+    used: u32,
 }
 
 /// The kinds of one pool and their services' shares.
@@ -48,6 +50,10 @@
     /// Each kind's row in the plan, in the plan's order.
     rows: Vec<usize>,
     digest: u16,
+    /// This entry's own requests outstanding, of all kinds.
+    own: u32,
+    /// Slots that are reserved and not in use by their kinds.
+    unused_reserves: u32,
     starts: u32,
     /// Whether more is asked for than the pool has room for.
     is_tight: bool,
@@ -80,7 +86,7 @@
         for (row, kind) in plan.rows_of(pool) {
             let service = *services.entry(&kind.service).or_insert(shares.services.len());
             if service == shares.services.len() {
-                shares.services.push(ServiceState { share: 0.0 });
+                shares.services.push(ServiceState { share: 0.0, used: 0 });
             }
             shares.services[service].share += f32::from(kind.share.parts()) / 10_000.0;
             let mut state = KindState::new(kind, service);
@@ -95,6 +101,7 @@
         shares.room = f32::INFINITY;
         let keys: Vec<CountKey> = shares.kinds.iter().map(|kind| kind.key).collect();
         shares.digest = digest_of(&keys);
+        shares.add_up();
         shares
     }
 
@@ -137,6 +144,7 @@
             kind.foreign = total.0.saturating_sub(own.0);
             kind.foreign_queued = total.1.saturating_sub(own.1);
         }
+        self.add_up();
     }
 
     /// Divides room for `slots` requests among the kinds, and of each kind's part gives this
@@ -213,8 +221,7 @@
         if kind.is_held {
             return (kind.own as f32) < kind.leased;
         }
-        let all: u32 = self.kinds.iter().map(|kind| kind.own).sum();
-        (all as f32) < self.room
+        (self.own as f32) < self.room
     }
 
     /// Forgets what other entries have running and waiting.
@@ -223,21 +230,22 @@
             kind.foreign = 0;
             kind.foreign_queued = 0;
         }
+        self.add_up();
         self.is_tight = false;
     }
 
     /// Slots that others than this kind must leave free: reserved and not in use by their kind.
     pub(crate) fn reserved_from(&self, local: usize) -> u32 {
-        let others = self.kinds.iter().enumerate().filter(|(other, _)| *other != local);
-        others.map(|(_, kind)| kind.reserved.saturating_sub(kind.own + kind.foreign)).sum()
+        self.unused_reserves - self.kinds[local].unused_reserve()
     }
 
     /// Orders waiting kinds; the least goes first: by priority, then by who has used less of its
     /// share.
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
     pub(crate) fn rank(&self, local: usize) -> (RequestPriority, u32) {
         let kind = &self.kinds[local];
-        let used = self.used(kind.service);
-        let ratio = used / self.services[kind.service].share.max(f32::MIN_POSITIVE);
+        let service = &self.services[kind.service];
+        let ratio = service.used as f32 / service.share.max(f32::MIN_POSITIVE);
         (kind.priority, ratio.to_bits())
     }
 
@@ -247,10 +255,37 @@
         self.starts == 0
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
-    fn used(&self, service: usize) -> f32 {
-        let kinds = self.kinds.iter().filter(|kind| kind.service == service);
-        kinds.map(|kind| kind.own + kind.foreign).sum::<u32>() as f32
+    /// Counts a request of a kind as outstanding.
+    pub(crate) fn note_start(&mut self, local: usize) {
+        self.change_own(local, |own| own + 1);
+    }
+
+    /// Counts a request of a kind as outstanding no more.
+    pub(crate) fn note_finish(&mut self, local: usize) {
+        self.change_own(local, |own| own.saturating_sub(1));
+    }
+
+    /// Changes one kind's count and, by as much, the sums that it is part of.
+    fn change_own(&mut self, local: usize, change: impl FnOnce(u32) -> u32) {
+        let kind = &mut self.kinds[local];
+        let service = &mut self.services[kind.service];
+        self.own -= kind.own;
+        service.used -= kind.used();
+        self.unused_reserves -= kind.unused_reserve();
+        kind.own = change(kind.own);
+        self.own += kind.own;
+        service.used += kind.used();
+        self.unused_reserves += kind.unused_reserve();
+    }
+
+    /// Works out the sums anew, after the counts of many kinds have changed.
+    fn add_up(&mut self) {
+        self.services.iter_mut().for_each(|service| service.used = 0);
+        for kind in &self.kinds {
+            self.services[kind.service].used += kind.used();
+        }
+        self.own = self.kinds.iter().map(|kind| kind.own).sum();
+        self.unused_reserves = self.kinds.iter().map(KindState::unused_reserve).sum();
     }
 }
 
@@ -277,6 +312,16 @@
         }
     }
 
+    /// Requests outstanding, from all entries.
+    fn used(&self) -> u32 {
+        self.own + self.foreign
+    }
+
+    /// Slots reserved for it that it does not use.
+    fn unused_reserve(&self) -> u32 {
+        self.reserved.saturating_sub(self.used())
+    }
+
     /// Whether it holds anything that outlasts a plan.
     fn is_known(&self) -> bool {
         self.own > 0 || self.foreign > 0 || self.base_ms > 0.0
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -245,8 +245,7 @@
             self.upstreams.count(-1.0);
         }
         if let Some(local) = self.shares.local(running.row) {
-            let kind = self.shares.kind_mut(local);
-            kind.own = kind.own.saturating_sub(1);
+            self.shares.note_finish(local);
             if outcome == AttemptOutcome::Answered {
                 self.note_answer(now, local, &running, report);
             }
@@ -378,8 +377,7 @@
         if self.queue.len() == 0 {
             return None;
         }
-        let mut order: Vec<usize> =
-            (0..self.shares.len()).filter(|local| self.queue.len_of(*local) > 0).collect();
+        let mut order = self.queue.waiting().to_vec();
         if order.len() > 1 {
             order.sort_by_key(|local| {
                 let deadline = self.queue.first(*local).map(|first| first.ticket.deadline);
@@ -472,7 +470,7 @@
         upstream: usize,
         ticket: &RequestTicket,
     ) -> SchedulerEffect {
-        self.shares.kind_mut(local).own += 1;
+        self.shares.note_start(local);
         self.upstreams.count(1.0);
         let warm_up = self.upstreams.warm_up();
         let slots = self.upstreams.at_mut(upstream);
@@ -502,7 +500,7 @@
     /// learn it while they can still act, and no slot is spent on an answer nobody awaits.
     fn refuse_late(&mut self, now: Moment, effects: &mut SchedulerEffects) {
         let usual = self.usual();
-        for local in 0..self.shares.len() {
+        for local in self.queue.waiting().to_vec() {
             while let Some(first) = self.queue.first(local) {
                 if first.ticket.deadline - usual > now {
                     break;
--- a/crates/pulley_core/src/request/wait_queue.rs
+++ b/crates/pulley_core/src/request/wait_queue.rs
@@ -18,13 +18,15 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WaitQueue {
     kinds: Vec<BTreeMap<WaitKey, WaitingRequest>>,
+    /// The kinds of which requests wait, in order.
+    waiting: Vec<usize>,
     places: FastMap<RequestNumber, (usize, Moment)>,
 }
 
 impl WaitQueue {
     /// Makes an empty queue with a place for each kind.
     pub(crate) fn new(kinds: usize) -> Self {
-        Self { kinds: vec![BTreeMap::new(); kinds], places: FastMap::default() }
+        Self { kinds: vec![BTreeMap::new(); kinds], ..Self::default() }
     }
 
     /// Adds a request of the `local` kind.
@@ -32,25 +34,37 @@
         let key = (waiting.ticket.deadline, waiting.ticket.number);
         self.places.insert(waiting.ticket.number, (local, waiting.ticket.deadline));
         self.kinds[local].insert(key, waiting);
+        if let Err(place) = self.waiting.binary_search(&local) {
+            self.waiting.insert(place, local);
+        }
     }
 
     /// Takes a kind's request with the earliest deadline.
     pub(crate) fn pop(&mut self, local: usize) -> Option<WaitingRequest> {
         let (_, waiting) = self.kinds[local].pop_first()?;
         self.places.remove(&waiting.ticket.number);
+        self.note_taken(local);
         Some(waiting)
     }
 
     /// Takes a request out, wherever it waits.
     pub(crate) fn remove(&mut self, number: RequestNumber) -> Option<WaitingRequest> {
         let (local, deadline) = self.places.remove(&number)?;
-        self.kinds[local].remove(&(deadline, number))
+        let waiting = self.kinds[local].remove(&(deadline, number));
+        self.note_taken(local);
+        waiting
     }
 
     /// Takes out all requests.
     pub(crate) fn drain(&mut self) -> Vec<WaitingRequest> {
         self.places.clear();
-        self.kinds.iter_mut().flat_map(|kind| std::mem::take(kind).into_values()).collect()
+        let waiting = std::mem::take(&mut self.waiting).into_iter();
+        waiting.flat_map(|local| std::mem::take(&mut self.kinds[local]).into_values()).collect()
+    }
+
+    /// The kinds of which requests wait, in order.
+    pub(crate) fn waiting(&self) -> &[usize] {
+        &self.waiting
     }
 
     /// A kind's request with the earliest deadline.
@@ -83,6 +97,15 @@
 
     /// The earliest deadline in the queue.
     pub(crate) fn earliest(&self) -> Option<Moment> {
-        self.kinds.iter().filter_map(|kind| kind.first_key_value()).map(|(key, _)| key.0).min()
+        let firsts = self.waiting.iter().filter_map(|local| self.first(*local));
+        firsts.map(|first| first.ticket.deadline).min()
+    }
+
+    fn note_taken(&mut self, local: usize) {
+        if self.kinds[local].is_empty()
+            && let Ok(place) = self.waiting.binary_search(&local)
+        {
+            self.waiting.remove(place);
+        }
     }
 }
