Divide a pool among the kinds that have requests

With each round of counts an entry divided every pool's room among all kinds of the pool, though most rows of a large sheet have no request at any one time. Kinds without one get nothing and change nothing of the others' parts, so they are left out; what each kind is given stays the same.

--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -161,11 +161,16 @@
     /// all be sent at once when a pool has just stopped being tight.
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
     pub(crate) fn lease(&mut self, terms: &LeaseTerms, queued: impl Fn(usize) -> usize) {
-        let own: Vec<f32> = (0..self.kinds.len())
-            .map(|local| (self.kinds[local].own as usize + queued(local)) as f32)
+        // Most rows of a large sheet have no request at any one time, and divide nothing.
+        let asking: Vec<usize> = (0..self.kinds.len())
+            .filter(|local| self.kinds[*local].is_used() || queued(*local) > 0)
+            .collect();
+        let own: Vec<f32> = asking
+            .iter()
+            .map(|local| (self.kinds[*local].own as usize + queued(*local)) as f32)
             .collect();
         let demands: Vec<KindDemand> =
-            (0..self.kinds.len()).map(|local| self.demand(local, own[local])).collect();
+            asking.iter().zip(&own).map(|(local, own)| self.demand(*local, *own)).collect();
         let all: f32 = demands.iter().map(|demand| demand.wanted).sum();
         self.is_tight = all > terms.slots;
         let spare = (terms.slots - all).max(0.0) / terms.entries.max(1.0) * SPARE_GIVEN;
@@ -174,11 +179,16 @@
         // Long work does not queue at upstreams: a short request that comes to wait behind a long
         // one waits ten times its own time. So it gets its part of the slots themselves.
         let given_long = divide_slots(terms.long_slots, &demands);
-        for (local, kind) in self.kinds.iter_mut().enumerate() {
+        for kind in &mut self.kinds {
+            kind.leased = 0.0;
+            kind.is_held = self.is_tight;
+        }
+        for (place, local) in asking.into_iter().enumerate() {
+            let kind = &mut self.kinds[local];
             let is_long = kind.length == WorkLength::Long;
-            let given = if is_long { given_long[local] } else { given[local] };
-            kind.leased = given * own[local] / demands[local].wanted.max(1.0);
-            kind.is_held = self.is_tight || given < demands[local].wanted;
+            let given = if is_long { given_long[place] } else { given[place] };
+            kind.leased = given * own[place] / demands[place].wanted.max(1.0);
+            kind.is_held = self.is_tight || given < demands[place].wanted;
         }
     }
 
@@ -317,6 +327,11 @@
         self.own + self.foreign
     }
 
+    /// Whether any entry has a request of it.
+    fn is_used(&self) -> bool {
+        self.used() + self.foreign_queued > 0
+    }
+
     /// Slots reserved for it that it does not use.
     fn unused_reserve(&self) -> u32 {
         self.reserved.saturating_sub(self.used())
