--- a/crates/pulley_core/src/version/sheet/sheet_reader.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_reader.rs
@@ -17,7 +17,7 @@
 /// Largest sheet read, in bytes; 44 services with a few kinds each need under 64 KiB.
 const SHEET_BYTES_LIMIT: usize = 400 << 10;
 
-/// Most rows read; the scheduler looks through the rows of a pool at each decision.
+/// Most rows read; entries work through all of them at each change of the sheet.
 const ROW_LIMIT: usize = 4_096;
 
 /// Longest deadline, in milliseconds.
