--- a/crates/pulley_bench/src/capacity/mod.rs
+++ b/crates/pulley_bench/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 mod gossip_cost;
 mod linear_fit;
 mod message_cost;
+mod plan_cost;
 mod process_cost;
 mod spread_cost;
 
@@ -33,6 +34,7 @@
        pulley_bench capacity changes [--hosts N,…] [--upstreams N]
        pulley_bench capacity spread [--hosts N,…] [--link-bytes N,…] [--rows N,…]
          [--callers-percent N] [--seconds N] [--seed N]
+       pulley_bench capacity plans [--rows N,…]
 
 gossip: bytes and time of membership, upstream leases and configuration in virtual time,
         over the real state machines; --plan-rows publishes a plan of so many rows at the end
@@ -41,6 +43,7 @@
 messages: processor time of a sealed datagram over a socket and of an announcement
 changes: processor time that the change of one upstream, or the restart of one host, costs another
          host, by the number of hosts
+plans:  processor time of a request, a view and a change at an entry, by the configuration's rows
 spread: time until a change that adds so many rows, and one of a weight right after, are in force
         with half of the hosts and with all, what is sent for it and how long queues get at the
         entries' links of so many bytes a second, of which callers take a part; in virtual time";
@@ -52,6 +55,7 @@
         "gossip" => gossip_cost::run(rest),
         "messages" => message_cost::run(),
         "changes" => change_cost::run(rest),
+        "plans" => plan_cost::run(rest),
         "processes" => process_cost::run(rest),
         "spread" => spread_cost::run(rest),
         "--help" | "-h" => {
--- a/crates/pulley_bench/src/path/forwarder_way.rs
+++ b/crates/pulley_bench/src/path/forwarder_way.rs
@@ -85,7 +85,7 @@
     Ok(RunningView {
         version: ConfigVersion::default(),
         awaited: None,
-        plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }),
+        plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }.into()),
         upstreams: known,
         readiness: HostReadiness::Ready,
         evacuated: Arc::default(),
--- a/crates/pulley_core/src/process/counts/pool_coordinator.rs
+++ b/crates/pulley_core/src/process/counts/pool_coordinator.rs
@@ -13,14 +13,14 @@
 use super::count_key::stable_hash;
 use super::count_link::STEP_UNIT;
 use super::count_message::{split_route, tree_depth};
-use super::count_rows::saturate;
+use super::count_rows::{KINDS_PER_MESSAGE, saturate};
 use super::{
     CountDelta, CountEpoch, CountKey, CountLayout, CountRound, CountRows, CountSum, CountTotals,
     FastMap, HostId, Moment, PoolName, ProbeBudget, ProbeRate, UpstreamId, UpstreamRecord,
     ZoneName,
 };
 use crate::request::{LoadReport, kind_digest};
-use crate::version::PolicyPlan;
+use crate::version::IndexedPlan;
 
 /// Bytes a second that counts may cost one host, all its pools together: a host's 17 KB/s for
 /// all control, less what membership and replication need.
@@ -106,7 +106,7 @@
     zone: ZoneName,
     host: HostId,
     key: CountKey,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     plan_digest: u16,
     kinds: usize,
     leads: bool,
@@ -183,8 +183,12 @@
         self.bytes_per_second = bytes_per_second.max(1);
     }
 
-    /// Puts a newer plan in force.
-    pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) {
+    /// Puts a plan in force; the one that is changes nothing.
+    pub fn apply_plan(&mut self, now: Moment, plan: Arc<IndexedPlan>) {
+        // Views come with every change of an upstream; a round must not lose its reports to each.
+        if Arc::ptr_eq(&self.plan, &plan) {
+            return;
+        }
         let (digest, kinds) = kind_digest(&plan, &self.pool);
         (self.plan_digest, self.kinds) = (digest, kinds);
         self.plan = plan;
@@ -369,7 +373,8 @@
             FIRST_INTERVAL
         };
         let cool = if self.heat < COOL { 2 } else { 1 };
-        let rows = u32::try_from(self.layout.len() + 2 * self.kinds).unwrap_or(u32::MAX);
+        let kinds = self.kinds.min(KINDS_PER_MESSAGE);
+        let rows = u32::try_from(self.layout.len() + 2 * kinds).unwrap_or(u32::MAX);
         let message = MESSAGE_OVERHEAD + rows;
         // Each entry sends two messages a round on average, one up and one down; the coordinator
         // sends one more, with the whole route.
--- a/crates/pulley_core/src/request/kind_shares.rs
+++ b/crates/pulley_core/src/request/kind_shares.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{KindDemand, divide_slots};
-use crate::process::{CountKey, FastMap, Moment, PoolName, digest_of};
-use crate::version::{KindPlan, PolicyPlan, RequestPriority, WorkLength};
+use crate::process::{CountKey, FastMap, Moment, PoolName, ServiceName, digest_of};
+use crate::version::{IndexedPlan, KindPlan, RequestPriority, WorkLength};
 
 /// Of so many starts from the queue, one goes to whoever has waited longest of the lower
 /// priorities, so that a steady flood of first kinds delays them but never starves them.
@@ -19,10 +19,10 @@
     pub(crate) length: WorkLength,
     pub(crate) service: usize,
     /// This entry's own requests outstanding.
-    pub(crate) own: u32,
+    own: u32,
     /// The other entries' requests outstanding and waiting, as of the newest sum.
-    pub(crate) foreign: u32,
-    pub(crate) foreign_queued: u32,
+    foreign: u32,
+    foreign_queued: u32,
     /// Requests this entry may have outstanding while the kind is held to a part.
     pub(crate) leased: f32,
     /// Until when an answer is worth most, from its request on.
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug)]
 struct ServiceState {
     share: f32,
+    /// Requests of its kinds outstanding, from all entries.
+    used: u32,
 }
 
 /// The kinds of one pool and their services' shares.
@@ -45,8 +47,13 @@
 pub(crate) struct KindShares {
     kinds: Vec<KindState>,
     services: Vec<ServiceState>,
-    by_row: FastMap<usize, usize>,
+    /// Each kind's row in the plan, in the plan's order.
+    rows: Vec<usize>,
     digest: u16,
+    /// This entry's own requests outstanding, of all kinds.
+    own: u32,
+    /// Slots that are reserved and not in use by their kinds.
+    unused_reserves: u32,
     starts: u32,
     /// Whether more is asked for than the pool has room for.
     is_tight: bool,
@@ -70,34 +77,37 @@
 
 impl KindShares {
     /// Reads a pool's kinds from the plan; counts of kinds that stay are kept.
-    pub(crate) fn new(plan: &PolicyPlan, pool: &PoolName, old: &Self) -> Self {
+    pub(crate) fn new(plan: &IndexedPlan, pool: &PoolName, old: &Self) -> Self {
         let mut shares = Self::default();
-        let mut names: Vec<&str> = Vec::new();
-        for (row, kind) in plan.kinds.iter().enumerate().filter(|(_, kind)| kind.pool == *pool) {
-            let name = kind.service.as_str();
-            let service = names.iter().position(|known| *known == name).unwrap_or(names.len());
-            if service == names.len() {
-                names.push(name);
-                shares.services.push(ServiceState { share: 0.0 });
+        let mut services: FastMap<&ServiceName, usize> = FastMap::default();
+        let used = old.kinds.iter().filter(|kind| kind.is_known());
+        let known_kinds: FastMap<CountKey, &KindState> =
+            used.map(|kind| (kind.key, kind)).collect();
+        for (row, kind) in plan.rows_of(pool) {
+            let service = *services.entry(&kind.service).or_insert(shares.services.len());
+            if service == shares.services.len() {
+                shares.services.push(ServiceState { share: 0.0, used: 0 });
             }
             shares.services[service].share += f32::from(kind.share.parts()) / 10_000.0;
             let mut state = KindState::new(kind, service);
-            if let Some(known) = old.kinds.iter().find(|known| known.key == state.key) {
+            if let Some(known) = known_kinds.get(&state.key) {
                 state.own = known.own;
                 state.foreign = known.foreign;
                 state.base_ms = known.base_ms;
             }
-            shares.by_row.insert(row, shares.kinds.len());
+            shares.rows.push(row);
             shares.kinds.push(state);
         }
         shares.room = f32::INFINITY;
-        shares.digest = kind_digest(plan, pool).0;
+        let keys: Vec<CountKey> = shares.kinds.iter().map(|kind| kind.key).collect();
+        shares.digest = digest_of(&keys);
+        shares.add_up();
         shares
     }
 
     /// A kind's place among the pool's, by its row in the plan.
     pub(crate) fn local(&self, row: usize) -> Option<usize> {
-        self.by_row.get(&row).copied()
+        self.rows.binary_search(&row).ok()
     }
 
     pub(crate) fn kind(&self, local: usize) -> &KindState {
@@ -118,9 +128,12 @@
     }
 
     /// What this entry has running and waiting of each kind.
-    pub(crate) fn own_uses(&self, queued: impl Fn(usize) -> usize) -> Vec<(u32, u32)> {
-        let waiting = |local| u32::try_from(queued(local)).unwrap_or(u32::MAX);
-        self.kinds.iter().enumerate().map(|(local, kind)| (kind.own, waiting(local))).collect()
+    pub(crate) fn own_uses(
+        &self,
+        queued: impl Fn(usize) -> usize,
+    ) -> impl Iterator<Item = (u32, u32)> {
+        let waiting = move |local| u32::try_from(queued(local)).unwrap_or(u32::MAX);
+        self.kinds.iter().enumerate().map(move |(local, kind)| (kind.own, waiting(local)))
     }
 
     /// Takes in what all entries have running and waiting, less what this one told of its own.
@@ -131,6 +144,7 @@
             kind.foreign = total.0.saturating_sub(own.0);
             kind.foreign_queued = total.1.saturating_sub(own.1);
         }
+        self.add_up();
     }
 
     /// Divides room for `slots` requests among the kinds, and of each kind's part gives this
@@ -147,11 +161,16 @@
     /// all be sent at once when a pool has just stopped being tight.
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
     pub(crate) fn lease(&mut self, terms: &LeaseTerms, queued: impl Fn(usize) -> usize) {
-        let own: Vec<f32> = (0..self.kinds.len())
-            .map(|local| (self.kinds[local].own as usize + queued(local)) as f32)
+        // Most rows of a large sheet have no request at any one time, and divide nothing.
+        let asking: Vec<usize> = (0..self.kinds.len())
+            .filter(|local| self.kinds[*local].is_used() || queued(*local) > 0)
+            .collect();
+        let own: Vec<f32> = asking
+            .iter()
+            .map(|local| (self.kinds[*local].own as usize + queued(*local)) as f32)
             .collect();
         let demands: Vec<KindDemand> =
-            (0..self.kinds.len()).map(|local| self.demand(local, own[local])).collect();
+            asking.iter().zip(&own).map(|(local, own)| self.demand(*local, *own)).collect();
         let all: f32 = demands.iter().map(|demand| demand.wanted).sum();
         self.is_tight = all > terms.slots;
         let spare = (terms.slots - all).max(0.0) / terms.entries.max(1.0) * SPARE_GIVEN;
@@ -160,11 +179,16 @@
         // Long work does not queue at upstreams: a short request that comes to wait behind a long
         // one waits ten times its own time. So it gets its part of the slots themselves.
         let given_long = divide_slots(terms.long_slots, &demands);
-        for (local, kind) in self.kinds.iter_mut().enumerate() {
+        for kind in &mut self.kinds {
+            kind.leased = 0.0;
+            kind.is_held = self.is_tight;
+        }
+        for (place, local) in asking.into_iter().enumerate() {
+            let kind = &mut self.kinds[local];
             let is_long = kind.length == WorkLength::Long;
-            let given = if is_long { given_long[local] } else { given[local] };
-            kind.leased = given * own[local] / demands[local].wanted.max(1.0);
-            kind.is_held = self.is_tight || given < demands[local].wanted;
+            let given = if is_long { given_long[place] } else { given[place] };
+            kind.leased = given * own[place] / demands[place].wanted.max(1.0);
+            kind.is_held = self.is_tight || given < demands[place].wanted;
         }
     }
 
@@ -207,8 +231,7 @@
         if kind.is_held {
             return (kind.own as f32) < kind.leased;
         }
-        let all: u32 = self.kinds.iter().map(|kind| kind.own).sum();
-        (all as f32) < self.room
+        (self.own as f32) < self.room
     }
 
     /// Forgets what other entries have running and waiting.
@@ -217,21 +240,22 @@
             kind.foreign = 0;
             kind.foreign_queued = 0;
         }
+        self.add_up();
         self.is_tight = false;
     }
 
     /// Slots that others than this kind must leave free: reserved and not in use by their kind.
     pub(crate) fn reserved_from(&self, local: usize) -> u32 {
-        let others = self.kinds.iter().enumerate().filter(|(other, _)| *other != local);
-        others.map(|(_, kind)| kind.reserved.saturating_sub(kind.own + kind.foreign)).sum()
+        self.unused_reserves - self.kinds[local].unused_reserve()
     }
 
     /// Orders waiting kinds; the least goes first: by priority, then by who has used less of its
     /// share.
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
     pub(crate) fn rank(&self, local: usize) -> (RequestPriority, u32) {
         let kind = &self.kinds[local];
-        let used = self.used(kind.service);
-        let ratio = used / self.services[kind.service].share.max(f32::MIN_POSITIVE);
+        let service = &self.services[kind.service];
+        let ratio = service.used as f32 / service.share.max(f32::MIN_POSITIVE);
         (kind.priority, ratio.to_bits())
     }
 
@@ -241,10 +265,37 @@
         self.starts == 0
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^24")]
-    fn used(&self, service: usize) -> f32 {
-        let kinds = self.kinds.iter().filter(|kind| kind.service == service);
-        kinds.map(|kind| kind.own + kind.foreign).sum::<u32>() as f32
+    /// Counts a request of a kind as outstanding.
+    pub(crate) fn note_start(&mut self, local: usize) {
+        self.change_own(local, |own| own + 1);
+    }
+
+    /// Counts a request of a kind as outstanding no more.
+    pub(crate) fn note_finish(&mut self, local: usize) {
+        self.change_own(local, |own| own.saturating_sub(1));
+    }
+
+    /// Changes one kind's count and, by as much, the sums that it is part of.
+    fn change_own(&mut self, local: usize, change: impl FnOnce(u32) -> u32) {
+        let kind = &mut self.kinds[local];
+        let service = &mut self.services[kind.service];
+        self.own -= kind.own;
+        service.used -= kind.used();
+        self.unused_reserves -= kind.unused_reserve();
+        kind.own = change(kind.own);
+        self.own += kind.own;
+        service.used += kind.used();
+        self.unused_reserves += kind.unused_reserve();
+    }
+
+    /// Works out the sums anew, after the counts of many kinds have changed.
+    fn add_up(&mut self) {
+        self.services.iter_mut().for_each(|service| service.used = 0);
+        for kind in &self.kinds {
+            self.services[kind.service].used += kind.used();
+        }
+        self.own = self.kinds.iter().map(|kind| kind.own).sum();
+        self.unused_reserves = self.kinds.iter().map(KindState::unused_reserve).sum();
     }
 }
 
@@ -270,16 +321,35 @@
             is_held: false,
         }
     }
+
+    /// Requests outstanding, from all entries.
+    fn used(&self) -> u32 {
+        self.own + self.foreign
+    }
+
+    /// Whether any entry has a request of it.
+    fn is_used(&self) -> bool {
+        self.used() + self.foreign_queued > 0
+    }
+
+    /// Slots reserved for it that it does not use.
+    fn unused_reserve(&self) -> u32 {
+        self.reserved.saturating_sub(self.used())
+    }
+
+    /// Whether it holds anything that outlasts a plan.
+    fn is_known(&self) -> bool {
+        self.own > 0 || self.foreign > 0 || self.base_ms > 0.0
+    }
 }
 
 /// A digest of a pool's kinds in the order of the plan, and how many there are.
 #[must_use]
-pub(crate) fn kind_digest(plan: &PolicyPlan, pool: &PoolName) -> (u16, usize) {
-    let kinds = plan.kinds.iter().filter(|kind| kind.pool == *pool);
-    let keys: Vec<CountKey> = kinds.map(key_of).collect();
+pub(crate) fn kind_digest(plan: &IndexedPlan, pool: &PoolName) -> (u16, usize) {
+    let keys: Vec<CountKey> = plan.rows_of(pool).map(|(_, kind)| key_of(kind)).collect();
     (digest_of(&keys), keys.len())
 }
 
 fn key_of(kind: &KindPlan) -> CountKey {
-    CountKey::of(&format!("{}/{}", kind.service, kind.kind))
+    CountKey::of(&[kind.service.as_str(), "/", kind.kind.as_str()].concat())
 }
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -15,10 +15,10 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{
-    CountLink, EntryZones, FastMap, HostId, Moment, PoolName, UpstreamChange, UpstreamRecord,
-    ZoneName,
+    CountLink, EntryZones, FastMap, FastSet, HostId, Moment, PoolName, UpstreamChange,
+    UpstreamRecord, ZoneName,
 };
-use crate::version::{KindPlan, PolicyPlan, WorkLength};
+use crate::version::{IndexedPlan, WorkLength};
 
 /// Requests that one entry lets wait for one pool. The expected wait refuses long before this on
 /// any ordinary day; the bound keeps memory finite when deadlines are hours.
@@ -96,7 +96,7 @@
     pub(crate) pool: PoolName,
     pub(crate) host: HostId,
     pub(super) zone: ZoneName,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     pub(crate) shares: KindShares,
     pub(crate) upstreams: UpstreamTable,
     pub(crate) link: Option<CountLink>,
@@ -148,15 +148,17 @@
 
     /// Puts a newer plan in force. Requests that wait move to their rows in it; one whose kind is
     /// gone is refused.
-    pub fn apply_plan(&mut self, now: Moment, plan: Arc<PolicyPlan>) -> SchedulerEffects {
+    pub fn apply_plan(&mut self, now: Moment, plan: Arc<IndexedPlan>) -> SchedulerEffects {
         let mut effects = Vec::new();
-        let rows = moved_rows(&self.pool, &self.plan, &plan);
+        let waiting = self.queue.drain();
+        let in_use = waiting.iter().map(|request| request.ticket.kind);
+        let in_use = in_use.chain(self.running.values().map(|running| running.row)).collect();
+        let rows = moved_rows(&self.pool, &self.plan, &plan, &in_use);
         self.plan = plan;
         self.upstreams.set_warm_up(self.plan.warm_up(&self.pool));
         let old_shares = std::mem::take(&mut self.shares);
         self.shares = KindShares::new(&self.plan, &self.pool, &old_shares);
         self.told.clear();
-        let waiting = self.queue.drain();
         self.queue = WaitQueue::new(self.shares.len());
         for mut request in waiting {
             let row = rows.get(&request.ticket.kind).copied();
@@ -243,8 +245,7 @@
             self.upstreams.count(-1.0);
         }
         if let Some(local) = self.shares.local(running.row) {
-            let kind = self.shares.kind_mut(local);
-            kind.own = kind.own.saturating_sub(1);
+            self.shares.note_finish(local);
             if outcome == AttemptOutcome::Answered {
                 self.note_answer(now, local, &running, report);
             }
@@ -376,8 +377,7 @@
         if self.queue.len() == 0 {
             return None;
         }
-        let mut order: Vec<usize> =
-            (0..self.shares.len()).filter(|local| self.queue.len_of(*local) > 0).collect();
+        let mut order = self.queue.waiting().to_vec();
         if order.len() > 1 {
             order.sort_by_key(|local| {
                 let deadline = self.queue.first(*local).map(|first| first.ticket.deadline);
@@ -470,7 +470,7 @@
         upstream: usize,
         ticket: &RequestTicket,
     ) -> SchedulerEffect {
-        self.shares.kind_mut(local).own += 1;
+        self.shares.note_start(local);
         self.upstreams.count(1.0);
         let warm_up = self.upstreams.warm_up();
         let slots = self.upstreams.at_mut(upstream);
@@ -500,7 +500,7 @@
     /// learn it while they can still act, and no slot is spent on an answer nobody awaits.
     fn refuse_late(&mut self, now: Moment, effects: &mut SchedulerEffects) {
         let usual = self.usual();
-        for local in 0..self.shares.len() {
+        for local in self.queue.waiting().to_vec() {
             while let Some(first) = self.queue.first(local) {
                 if first.ticket.deadline - usual > now {
                     break;
@@ -539,25 +539,27 @@
     }
 }
 
-/// The new row of each of a pool's rows of the old plan that is still there.
+/// The new row of each row of the old plan that is in use, if it is still there.
 ///
-/// Each pool looks at its own rows by name: compared one by one over all pools, a sheet of thousands
-/// of rows holds up the control thread for so long that a leader loses its lease.
-fn moved_rows(pool: &PoolName, old: &PolicyPlan, new: &PolicyPlan) -> FastMap<usize, usize> {
+/// Each pool looks at its own rows by name, and only for what waits or runs: a sheet of thousands of
+/// rows would otherwise hold up the control thread for so long that a leader loses its lease.
+fn moved_rows(
+    pool: &PoolName,
+    old: &IndexedPlan,
+    new: &IndexedPlan,
+    in_use: &FastSet<usize>,
+) -> FastMap<usize, usize> {
+    if in_use.is_empty() {
+        return FastMap::default();
+    }
+    let old_kinds = in_use.iter().filter_map(|row| Some((*row, old.kinds.get(*row)?)));
     let named: FastMap<_, usize> =
-        rows_of(pool, new).map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
-    rows_of(pool, old)
-        .filter_map(|(row, kind)| Some((row, *named.get(&(&kind.service, &kind.kind))?)))
+        old_kinds.map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
+    new.rows_of(pool)
+        .filter_map(|(row, kind)| Some((*named.get(&(&kind.service, &kind.kind))?, row)))
         .collect()
 }
 
-fn rows_of<'a>(
-    pool: &'a PoolName,
-    plan: &'a PolicyPlan,
-) -> impl Iterator<Item = (usize, &'a KindPlan)> {
-    plan.kinds.iter().enumerate().filter(move |(_, kind)| kind.pool == *pool)
-}
-
 pub(super) fn refusal(
     number: RequestNumber,
     cause: RefusalCause,
--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -14,7 +14,7 @@
     RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, divide_slots,
 };
 use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
-use pulley_core::{HostId, Moment, PolicyPlan, RequestVerdict};
+use pulley_core::{HostId, IndexedPlan, Moment, PolicyPlan, RequestVerdict};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,7 +27,7 @@
     QuickCheck::new().rng(generator).tests(60).quickcheck(property);
 }
 
-fn plan() -> Arc<PolicyPlan> {
+fn plan() -> Arc<IndexedPlan> {
     let row = |kind: &str, priority: u8, parts: u16, length| KindPlan {
         pool: "cover".parse().expect("name"),
         service: kind.parse().expect("name"),
@@ -48,7 +48,7 @@
         row("usual", 3, 5_000, WorkLength::Short),
         row("long", 6, 2_000, WorkLength::Long),
     ];
-    Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() })
+    Arc::new(PolicyPlan { kinds, ..PolicyPlan::default() }.into())
 }
 
 fn records(count: u16) -> Vec<UpstreamRecord> {
@@ -219,6 +219,55 @@
     coordinator
 }
 
+// Views come with each change of an upstream, many times between two rounds.
+#[test]
+fn a_view_without_a_new_plan_loses_no_report() {
+    let (now, plan) = (Moment::ZERO, plan());
+    let (pool, zone) = ("cover".parse().expect("name"), "a".parse().expect("name"));
+    let mut coordinator = PoolCoordinator::new(pool, zone, host(9), now);
+    coordinator.apply_plan(now, Arc::clone(&plan));
+    coordinator.apply_upstreams(now, &records(5));
+    let (pool, zone) = ("cover".parse().expect("name"), "a".parse().expect("name"));
+    let mut scheduler = PoolScheduler::new(host(0), zone, pool, 5);
+    scheduler.apply_plan(now, Arc::clone(&plan));
+    scheduler.apply_upstreams(now, &records(5));
+    for number in 0..3 {
+        scheduler.arrive(now, &ticket(number, 1, now + Duration::from_secs(1)));
+    }
+    for (_, delta) in scheduler.take_deltas(now) {
+        coordinator.receive(now, &host(0), &delta);
+    }
+    coordinator.apply_plan(now, plan);
+    coordinator.apply_upstreams(now, &records(5));
+    let published = coordinator.tick(now + Duration::from_secs(1)).into_iter();
+    let counted = published.filter_map(|output| match output {
+        CoordinatorOutput::Publish { sum, .. } => Some(sum.rows.in_flight.iter().sum::<u16>()),
+        CoordinatorOutput::Probe { .. } => None,
+    });
+    assert_eq!(counted.collect::<Vec<_>>(), [3]);
+}
+
+// A message tells of a bounded number of kinds, however many the configuration has.
+#[test]
+fn rounds_are_no_rarer_for_a_large_plan() {
+    let interval_of = |rows: usize| {
+        let (pool, zone) = ("cover".parse().expect("name"), "a".parse().expect("name"));
+        let mut coordinator =
+            PoolCoordinator::new(pool, zone, host(9), Moment::ZERO).with_bytes_per_second(3_000);
+        let row = |place: usize| {
+            let kind = format!("kind-{place}").parse().expect("name");
+            KindPlan { kind, probe_budget: ProbeRate(0), ..plan().kinds[1].clone() }
+        };
+        let kinds = (0..rows).map(row).collect();
+        let plan = PolicyPlan { kinds, ..PolicyPlan::default() };
+        coordinator.apply_plan(Moment::ZERO, Arc::new(plan.into()));
+        coordinator.apply_upstreams(Moment::ZERO, &records(5));
+        coordinator.tick(Moment::ZERO + Duration::from_secs(1));
+        coordinator.next_wakeup()
+    };
+    assert_eq!(interval_of(1_400), interval_of(100));
+}
+
 // Every service asks for more than there is. If the parts added up to more than the pool, the
 // upstreams would queue what nobody can overtake any more; if to less, slots would stand idle.
 #[test]
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -15,7 +15,7 @@
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
     QuestionNumber, QuestionRouter, ReplicaDriver,
 };
-use pulley_core::{ConfigVersion, HostId, Moment, PoolName, UpstreamId, ZoneName};
+use pulley_core::{ConfigVersion, HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::AnswerSlot;
 use super::control_counts::{CountCarrier, ProbeReport};
@@ -97,6 +97,8 @@
     seen: Option<(ViewMarks, Moment)>,
     /// When a new view is due that waits for more changes.
     view_due: Option<Moment>,
+    /// The plan in force as views show it.
+    pub(super) shown_plan: Arc<IndexedPlan>,
     pub(super) lease_round: Option<(u64, Moment)>,
     pub(super) next_lease_round: Moment,
     pub(super) next_lease_token: u64,
@@ -166,6 +168,7 @@
             transport: TransportCounts::default(),
             seen: None,
             view_due: None,
+            shown_plan: Arc::default(),
             lease_round: None,
             next_lease_round: Moment::ZERO,
             next_lease_token: LEASE_TOKENS,
--- a/crates/pulleyd/src/process/control_counts.rs
+++ b/crates/pulleyd/src/process/control_counts.rs
@@ -8,7 +8,7 @@
     COUNT_BYTES_PER_SECOND, CoordinatorOutput, CountDelta, CountSum, FastMap, PoolCoordinator,
     ProbeOutcome, UpstreamRecord, coordinator_for,
 };
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::RunningView;
@@ -86,11 +86,11 @@
         }
         let mut assigned: FastMap<CountScope, HostId> = FastMap::default();
         for pool in view.plan.pools() {
-            let records = view.upstreams.get(&pool).cloned().unwrap_or_default();
+            let records = view.upstreams.get(pool).cloned().unwrap_or_default();
             let records: Vec<UpstreamRecord> =
                 records.iter().map(|record| UpstreamRecord::clone(record)).collect();
             for zone in zones_of(&records) {
-                let Some(coordinator) = coordinator_for(&pool, &zone, live) else { continue };
+                let Some(coordinator) = coordinator_for(pool, &zone, live) else { continue };
                 let scope = (pool.clone(), zone);
                 if *coordinator == self.host {
                     self.coordinate(now, &scope, &view.plan, &records);
@@ -215,7 +215,7 @@
         &mut self,
         now: Moment,
         scope: &CountScope,
-        plan: &Arc<PolicyPlan>,
+        plan: &Arc<IndexedPlan>,
         records: &[UpstreamRecord],
     ) {
         let coordinator = self.coordinators.entry(scope.clone()).or_insert_with(|| {
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use pulley_core::Moment;
 use pulley_core::version::{PlanStanding, ReplicaDriver};
+use pulley_core::{IndexedPlan, Moment};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
@@ -17,7 +17,7 @@
         RunningView {
             version: self.follower.version(),
             awaited: self.follower.awaited(),
-            plan: self.follower.in_force().map(Arc::clone).unwrap_or_default(),
+            plan: self.plan_in_force(),
             upstreams: self.registry.pools(now).clone(),
             readiness: self.readiness(standing),
             evacuated: Arc::clone(self.follower.evacuated()),
@@ -26,6 +26,16 @@
         }
     }
 
+    /// The sheet in force; the same one until another is, so that who follows views sees whether
+    /// it has changed.
+    fn plan_in_force(&mut self) -> Arc<IndexedPlan> {
+        let Some(plan) = self.follower.in_force() else { return Arc::default() };
+        if !Arc::ptr_eq(self.shown_plan.shared(), plan) {
+            self.shown_plan = Arc::new(IndexedPlan::new(Arc::clone(plan)));
+        }
+        Arc::clone(&self.shown_plan)
+    }
+
     fn readiness(&self, standing: PlanStanding) -> HostReadiness {
         let why = match standing {
             PlanStanding::InForce(version) | PlanStanding::Static(version) if version.0 > 0 => {
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -13,7 +13,7 @@
     RetryAllowance, RetryBudget, RetryDecision, RetryQuestion, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
-use pulley_core::{HostId, Moment, PolicyPlan, PoolName, RefusalCause, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, RefusalCause, UpstreamId, ZoneName};
 use tokio::sync::{Notify, oneshot};
 
 use crate::process::{ProcessClock, RunningView, TimerService};
@@ -72,7 +72,7 @@
 pub(super) struct PoolState {
     pub(super) scheduler: PoolScheduler,
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
-    plan: Arc<PolicyPlan>,
+    plan: Arc<IndexedPlan>,
     upstreams: UpstreamList,
     /// Upstreams that said in an answer that they drain, with the start that said so.
     drained: FastMap<UpstreamId, Incarnation>,
@@ -114,8 +114,7 @@
     /// Takes over a view: new pools, plans and upstreams. Unchanged parts cost a comparison.
     pub fn apply_view(&self, view: &RunningView) {
         let now = self.clock.now();
-        let pools = view.plan.pools();
-        for pool in &pools {
+        for pool in view.plan.pools() {
             let cell = self.cell_or_new(pool, view.live_entries);
             if let Some(allowance) = self.retry_allowance {
                 cell.state.lock().retries.share(allowance, view.live_entries);
@@ -131,7 +130,7 @@
                 self.deliver(&cell, effects);
             }
         }
-        self.retire_pools(&pools);
+        self.retire_pools(&view.plan);
     }
 
     /// Asks for an upstream and waits in the pool's queue until there is one or none can be had.
@@ -178,17 +177,16 @@
     /// A request is admitted under one plan and tried again under a later one, in which its row has
     /// another place or none. Taken by its old place, it would be counted as another kind.
     #[must_use]
-    pub fn current_row(&self, plan: &Arc<PolicyPlan>, index: usize) -> Option<usize> {
+    pub fn current_row(&self, plan: &Arc<IndexedPlan>, index: usize) -> Option<usize> {
         let row = &plan.kinds[index];
         let cell = self.cell(&row.pool)?;
         let current = Arc::clone(&cell.state.lock().plan);
         if Arc::ptr_eq(&current, plan) {
             return Some(index);
         }
-        let is_same = |other: &KindPlan| {
-            other.pool == row.pool && other.service == row.service && other.kind == row.kind
-        };
-        current.kinds.iter().position(is_same)
+        let is_same = |other: &KindPlan| other.service == row.service && other.kind == row.kind;
+        let mut rows = current.rows_of(&row.pool);
+        rows.find(|(_, other)| is_same(other)).map(|(place, _)| place)
     }
 
     /// Reports how an attempt that was started has ended.
@@ -300,9 +298,9 @@
     }
 
     /// Drops pools that the plan no longer names, once nothing waits in them.
-    fn retire_pools(&self, named: &[PoolName]) {
+    fn retire_pools(&self, plan: &IndexedPlan) {
         let is_kept = |pool: &PoolName, cell: &Arc<PoolCell>| {
-            named.contains(pool) || !cell.state.lock().waiting.is_empty()
+            plan.names_pool(pool) || !cell.state.lock().waiting.is_empty()
         };
         if self.pools.load().iter().all(|(pool, cell)| is_kept(pool, cell)) {
             return;
@@ -363,7 +361,7 @@
     fn apply(
         &self,
         now: Moment,
-        plan: &Arc<PolicyPlan>,
+        plan: &Arc<IndexedPlan>,
         upstreams: UpstreamList,
     ) -> Option<SchedulerEffects> {
         let mut state = self.state.lock();
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -174,7 +174,7 @@
         RunningView {
             version: ConfigVersion::default(),
             awaited: None,
-            plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }),
+            plan: Arc::new(PolicyPlan { kinds, pools, ..PolicyPlan::default() }.into()),
             upstreams: known,
             readiness: HostReadiness::Ready,
             evacuated: Arc::default(),
--- a/crates/pulleyd/tests/request_behind.rs
+++ b/crates/pulleyd/tests/request_behind.rs
@@ -31,7 +31,7 @@
         body_bytes: PLAN_BODY_BYTES,
         ..known.plan.limits
     };
-    let plan = Arc::new(PolicyPlan { limits, ..PolicyPlan::clone(&known.plan) });
+    let plan = Arc::new(PolicyPlan { limits, ..PolicyPlan::clone(&known.plan) }.into());
     view.store(RunningView { plan, ..RunningView::clone(&known) });
 }
 
