--- a/crates/pulley_bench/src/recovery/size_figures.rs
+++ b/crates/pulley_bench/src/recovery/size_figures.rs
@@ -160,9 +160,9 @@
 fn request(rows: &[KindPlan], version: u64) -> Result<ChangeRequest> {
     let texts = rows.iter().map(|row| {
         format!(
-            "{{\"Name\":\"{}\",\"Host\":{:?},\"PathPrefix\":\"{}\",\"Kind\":\"safe\",\
-             \"TimeoutS\":0.8,\"TargetLatencyS\":0.3,\"Priority\":2,\"TrafficSplit\":\
-             [{{\"Service\":\"{}\",\"Weight\":{}}}],\"MaxAttempts\":2}}",
+            "{{\"Name\":\"{}\",\"Host\":{:?},\"path_start\":\"{}\",\"Kind\":\"safe\",\
+             \"time_lim\":0.8,\"target_seconds\":0.3,\"Priority\":2,\"divided_over\":\
+             [{{\"Service\":\"{}\",\"Weight\":{}}}],\"most_trials\":2}}",
             row.kind, row.route.host, row.path_prefix, row.pool, row.route.weight
         )
     });
--- a/crates/pulleyd/tests/replica/large_configuration_tests.rs
+++ b/crates/pulleyd/tests/replica/large_configuration_tests.rs
@@ -39,11 +39,15 @@
     fn sheet(&self, version: u64) -> String {
         let routes = self.routes.iter().map(|(text, row)| {
             let weight = row.route.weight;
-            format!("{{{text},\"TrafficSplit\":[{{\"Service\":\"{}\",\"Weight\":{weight}}}],\"MaxAttempts\":2}}", row.pool)
+            format!(
+                "{{{text},\"divided_over\":[{{\"Service\":\"{}\",\"Weight\":{weight}}}],\
+                 \"most_trials\":2}}",
+                row.pool
+            )
         });
         let routes: Vec<String> = routes.collect();
         format!(
-            "{{\"Version\":\"{version:08x}\",\"Routes\":[{}],\"Services\":[]}}",
+            "{{\"Version\":\"{version:08x}\",\"Routes\":[{}],\"pool_set\":[]}}",
             routes.join(",")
         )
     }
@@ -75,8 +79,8 @@
     let host = format!("{}.example", word(random, 6));
     let path = format!("/{}/{}/", word(random, 7), word(random, 4));
     let text = format!(
-        "\"Name\":\"{name}\",\"Host\":\"{host}\",\"PathPrefix\":\"{path}\",\"Kind\":\"safe\",\
-         \"TimeoutS\":0.8,\"TargetLatencyS\":0.3,\"Priority\":2"
+        "\"Name\":\"{name}\",\"Host\":\"{host}\",\"path_start\":\"{path}\",\"Kind\":\"safe\",\
+         \"time_lim\":0.8,\"target_seconds\":0.3,\"Priority\":2"
     );
     let row = KindPlan {
         pool: format!("pool-{}", number % 300).parse().expect("a valid name"),
