Renew the lease without copying the configuration

A leader confirms twice a second by a quorum read that it leads. The read that asks only how far the log is applied proves the same: both are answered once a majority has answered a message sent after them. Not measured apart.

--- a/crates/pulleyd/src/process/control_replica.rs
+++ b/crates/pulleyd/src/process/control_replica.rs
@@ -115,13 +115,13 @@
         }
         self.next_lease_token += 1;
         self.lease_round = Some((self.next_lease_token, now));
-        let question = ReplicaQuestion::CurrentPlan;
+        let question = ReplicaQuestion::Applied;
         self.drive(now, DriverInput::Ask { token: self.next_lease_token, question });
     }
 
     fn lease_confirmed(&mut self, token: u64, answer: &ReplicaAnswer) {
         let Some((expected, began)) = self.lease_round else { return };
-        if token != expected || !matches!(answer, ReplicaAnswer::Sheet(_)) {
+        if token != expected || !matches!(answer, ReplicaAnswer::Applied(_)) {
             return;
         }
         self.lease_round = None;
