Send rows of a plan by column, deflated

What callers saw: nothing yet. With 14,000 rows added at once the step took 457 KB, 33 bytes a row, which half of a link of 175,000 B/s bears in 5.2 s: callers would get 404 for the new routes for as long.

Cause: rows were encoded one after the other and compressed by LZ4, which has no code shorter than a byte for a letter. Two random names of 15 letters together need 10 bytes, the rest of these rows less than 2.

Change: a difference between two plans is `PlanDifference`, in a file of its own. Its new rows travel by column (`RowColumns`): each different value once and for each row which it is; values that go together share a column. Of a name goes only what it doesn't share with the one before, and these letters stand beside each other and are deflated apart, so that their codes fit them alone. Repetitions below six bytes are left out: in random names they take more room than their letters. lz4_flex is no longer needed. What another host says is bounded as before: inflating ends at 4 MB, rows, origins of rows and the sum of all names' bytes are checked before they are made, columns have to agree.

Tests: any difference arrives as it was made, 300 random pairs of plans; mutated columns behind the compression; one test each for the bounds of inflated bytes, rows and names, each of which was seen to fail without its bound.

--- a/crates/pulley_core/src/version/follower/mod.rs
+++ b/crates/pulley_core/src/version/follower/mod.rs
@@ -1,14 +1,17 @@
 //! How every host comes to have the current configuration in force.
 
 mod plan_delta;
+mod plan_difference;
 mod plan_follower;
 mod plan_follower_asking;
 mod plan_follower_fetch;
 mod plan_follower_message;
 mod plan_follower_spreading;
+mod plan_rows;
 mod plan_serve_budget;
 mod plan_spread_counts;
 
+pub use plan_difference::PlanDifference;
 pub use plan_follower::{PlanFollower, PlanStanding};
 pub use plan_follower_message::{PlanDigest, PlanSend, ReplicaSet};
 pub use plan_spread_counts::SpreadCounts;
--- a/crates/pulley_core/src/version/follower/plan_delta.rs
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -6,15 +6,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::plan_difference::PlanDifference;
 use super::plan_follower_message::{PLAN_LIMIT, PlanDigest};
-use super::{
-    CallerLimits, ConfigVersion, KindPlan, PolicyPlan, PoolTerms, SequenceEdit, apply_edits,
-    edits_between,
-};
+use super::{ConfigVersion, PolicyPlan};
 use crate::process::FastMap;
 
-/// The most rows that a plan is built with on the word of another host.
-const ROW_LIMIT: usize = 65_536;
 /// How many steps are kept, for hosts that hold an earlier version.
 const STEPS_KEPT: usize = 64;
 /// How many bytes the steps kept may have together.
@@ -67,63 +63,13 @@
         let is_whole = span.from == ConfigVersion::default();
         let mut plan = if is_whole { PolicyPlan::default() } else { (*self.plan).clone() };
         for (_, packed) in split_steps(body)? {
-            plan = StepBody::unpack(packed)?.apply(plan)?;
+            plan = PlanDifference::unpack(packed)?.apply(&plan)?;
         }
         let later = Self::new(span.to, Arc::new(plan));
         (later.digest == digest).then_some(later)
     }
 }
 
-/// What one step changes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct StepBody {
-    limits: Option<CallerLimits>,
-    pools: Option<Vec<PoolTerms>>,
-    rows: Vec<SequenceEdit<KindPlan>>,
-}
-
-impl StepBody {
-    fn between(before: &PolicyPlan, after: &PolicyPlan) -> Self {
-        Self {
-            limits: (before.limits != after.limits).then_some(after.limits),
-            pools: (before.pools != after.pools).then(|| after.pools.clone()),
-            rows: edits_between(&before.kinds, &after.kinds, &after.kinds),
-        }
-    }
-
-    fn pack(&self) -> Bytes {
-        let encoded = postcard::to_stdvec(self).expect("plain data types always encode");
-        Bytes::from(lz4_flex::compress_prepend_size(&encoded))
-    }
-
-    fn unpack(packed: &[u8]) -> Option<Self> {
-        // The size that the packed form claims is memory to be set aside: it is checked first.
-        let claimed = u32::from_le_bytes(*packed.first_chunk()?);
-        if usize::try_from(claimed).ok()? > PLAN_LIMIT {
-            return None;
-        }
-        let encoded = lz4_flex::decompress_size_prepended(packed).ok()?;
-        postcard::from_bytes(&encoded).ok()
-    }
-
-    fn apply(self, before: PolicyPlan) -> Option<PolicyPlan> {
-        let count = |edit: &SequenceEdit<KindPlan>| match edit {
-            SequenceEdit::Copy { count, .. } => *count as usize,
-            SequenceEdit::Insert(rows) => rows.len(),
-        };
-        // A few bytes can claim to copy all rows many times over.
-        let rows = self.rows.iter().map(count).fold(0_usize, usize::saturating_add);
-        if rows > ROW_LIMIT {
-            return None;
-        }
-        Some(PolicyPlan {
-            kinds: apply_edits(&before.kinds, &self.rows)?,
-            limits: self.limits.unwrap_or(before.limits),
-            pools: self.pools.unwrap_or(before.pools),
-        })
-    }
-}
-
 #[derive(Clone, Debug)]
 struct PlanStep {
     span: DeltaSpan,
@@ -156,7 +102,7 @@
     /// Notes the step between two plans that were in force here one after the other.
     pub(crate) fn note_step(&mut self, before: &HeldPlan, after: &HeldPlan) {
         let span = DeltaSpan { from: before.version, to: after.version };
-        let packed = StepBody::between(&before.plan, &after.plan).pack();
+        let packed = PlanDifference::between(&before.plan, &after.plan).pack();
         self.push(PlanStep { span, digest: Some(after.digest), packed });
     }
 
@@ -205,7 +151,7 @@
         if let Some(path) = self.paths.iter().find(|path| path.span == span) {
             return path.clone();
         }
-        let packed = StepBody::between(&PolicyPlan::default(), &held.plan).pack();
+        let packed = PlanDifference::between(&PolicyPlan::default(), &held.plan).pack();
         let body = join_steps([(held.version, &packed)].into_iter());
         let path = DeltaPath { span, digest: held.digest, body };
         self.note_path(path.clone());
--- /dev/null
+++ b/crates/pulley_core/src/version/follower/plan_difference.rs
@@ -0,0 +1,121 @@
+//! What changes from one plan to another, and how that travels.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::plan_rows::{ROW_LIMIT, RowColumns, deflate, inflate};
+use super::{
+    CallerLimits, KindPlan, PolicyPlan, PoolTerms, SequenceEdit, apply_edits, edits_between,
+};
+
+/// What changes from one plan to another.
+#[derive(Clone, Debug)]
+pub struct PlanDifference {
+    limits: Option<CallerLimits>,
+    pools: Option<Vec<PoolTerms>>,
+    rows: Vec<SequenceEdit<KindPlan>>,
+}
+
+/// Where rows of the later plan come from.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum RowOrigin {
+    /// From the plan before.
+    Copy { from: u32, count: u32 },
+    /// From the new rows: the next ones.
+    Insert { count: u32 },
+}
+
+/// A difference as it travels, but for the letters of names.
+#[derive(Debug, Serialize, Deserialize)]
+struct StepColumns {
+    limits: Option<CallerLimits>,
+    pools: Option<Vec<PoolTerms>>,
+    origins: Vec<RowOrigin>,
+    rows: RowColumns,
+}
+
+impl PlanDifference {
+    /// Finds what changes.
+    #[must_use]
+    pub fn between(before: &PolicyPlan, after: &PolicyPlan) -> Self {
+        Self {
+            limits: (before.limits != after.limits).then_some(after.limits),
+            pools: (before.pools != after.pools).then(|| after.pools.clone()),
+            rows: edits_between(&before.kinds, &after.kinds, &after.kinds),
+        }
+    }
+
+    /// The form in which it travels: the same bytes wherever it is packed.
+    ///
+    /// # Panics
+    ///
+    /// If there are 2³² new rows or more.
+    #[must_use]
+    pub fn pack(&self) -> Bytes {
+        let origin = |edit: &SequenceEdit<KindPlan>| match edit {
+            SequenceEdit::Copy { from, count } => RowOrigin::Copy { from: *from, count: *count },
+            SequenceEdit::Insert(rows) => {
+                let count = u32::try_from(rows.len()).expect("a plan has far fewer rows");
+                RowOrigin::Insert { count }
+            }
+        };
+        let inserted = self.rows.iter().filter_map(|edit| match edit {
+            SequenceEdit::Copy { .. } => None,
+            SequenceEdit::Insert(rows) => Some(rows),
+        });
+        let mut letters = Vec::new();
+        let columns = StepColumns {
+            limits: self.limits,
+            pools: self.pools.clone(),
+            origins: self.rows.iter().map(origin).collect(),
+            rows: RowColumns::split(&inserted.flatten().collect::<Vec<_>>(), &mut letters),
+        };
+        let columns = postcard::to_stdvec(&columns).expect("plain data types always encode");
+        let columns = deflate(&columns);
+        let parts = (&columns[..], &deflate(&letters)[..]);
+        Bytes::from(postcard::to_stdvec(&parts).expect("plain data types always encode"))
+    }
+
+    /// Reads that form; none if it is damaged, or has more rows or longer columns than a plan may
+    /// have.
+    #[must_use]
+    pub fn unpack(packed: &[u8]) -> Option<Self> {
+        let (columns, letters): (&[u8], &[u8]) = postcard::from_bytes(packed).ok()?;
+        let StepColumns { limits, pools, origins, rows } =
+            postcard::from_bytes(&inflate(columns)?).ok()?;
+        // Each stands for a row at least.
+        if origins.len() > ROW_LIMIT {
+            return None;
+        }
+        let mut inserted = rows.join(&inflate(letters)?)?.into_iter();
+        let edit = |origin: RowOrigin| match origin {
+            RowOrigin::Copy { from, count } => Some(SequenceEdit::Copy { from, count }),
+            RowOrigin::Insert { count } => {
+                let rows: Vec<KindPlan> = inserted.by_ref().take(count as usize).collect();
+                (rows.len() == count as usize).then_some(SequenceEdit::Insert(rows))
+            }
+        };
+        let rows = origins.into_iter().map(edit).collect::<Option<Vec<_>>>()?;
+        inserted.next().is_none().then_some(Self { limits, pools, rows })
+    }
+
+    /// Makes the later plan out of the one before; none if it was not made for that one, or leads to
+    /// more rows than a plan may have.
+    #[must_use]
+    pub fn apply(self, before: &PolicyPlan) -> Option<PolicyPlan> {
+        let count = |edit: &SequenceEdit<KindPlan>| match edit {
+            SequenceEdit::Copy { count, .. } => *count as usize,
+            SequenceEdit::Insert(rows) => rows.len(),
+        };
+        // A few bytes can claim to copy all rows many times over.
+        let rows = self.rows.iter().map(count).fold(0_usize, usize::saturating_add);
+        if rows > ROW_LIMIT {
+            return None;
+        }
+        Some(PolicyPlan {
+            kinds: apply_edits(&before.kinds, &self.rows)?,
+            limits: self.limits.unwrap_or(before.limits),
+            pools: self.pools.unwrap_or_else(|| before.pools.clone()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/pulley_core/src/version/follower/plan_rows.rs
@@ -0,0 +1,254 @@
+//! Rows of a plan as they travel: by column, so that what repeats takes next to no room.
+
+use std::hash::Hash;
+use std::time::Duration;
+
+use miniz_oxide::deflate::core::{
+    CompressionStrategy, CompressorOxide, TDEFLFlush, TDEFLStatus, compress,
+    create_comp_flags_from_zip_params,
+};
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::KindPlan;
+use super::plan_follower_message::PLAN_LIMIT;
+use crate::process::{
+    FastMap, KindName, PoolName, ProbeRate, ServiceName, ShareFraction, SlotCount,
+};
+use crate::version::{AnswerSize, HostMatch, MethodMatch, RequestPriority, RouteTerms, WorkLength};
+
+/// The most rows that are made on the word of another host.
+pub(crate) const ROW_LIMIT: usize = 65_536;
+/// How far the compressor looks for repetitions, from 0 to 10.
+const DEFLATE_LEVEL: i32 = 4;
+/// Stands for a column's next new value.
+const NEW_VALUE: u32 = 0;
+
+/// Rows by column; the letters of their kinds and paths are kept apart.
+///
+/// Values that go together share a column.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct RowColumns {
+    kinds: NameColumn,
+    paths: NameColumn,
+    /// Pool, service and host name.
+    owners: ValueColumn<(PoolName, ServiceName, HostMatch)>,
+    methods: ValueColumn<MethodMatch>,
+    /// Priority, attempts, and whether running it twice does no harm.
+    handling: ValueColumn<(RequestPriority, u8, bool)>,
+    /// Deadline and target.
+    times: ValueColumn<(Duration, Option<Duration>)>,
+    sizes: ValueColumn<(WorkLength, AnswerSize)>,
+    weights: ValueColumn<u32>,
+    /// Share, slots kept free and probe budget.
+    capacities: ValueColumn<(ShareFraction, SlotCount, ProbeRate)>,
+    connections: ValueColumn<Option<u32>>,
+}
+
+impl RowColumns {
+    /// Splits rows into columns, and puts the letters of names beside each other.
+    pub(crate) fn split(rows: &[&KindPlan], letters: &mut Vec<u8>) -> Self {
+        let owner =
+            |row: &KindPlan| (row.pool.clone(), row.service.clone(), row.route.host.clone());
+        let handling = |row: &KindPlan| (row.priority, row.route.attempts, row.idempotent);
+        let capacity = |row: &KindPlan| (row.share, row.reserved_slots, row.probe_budget);
+        Self {
+            kinds: NameColumn::new(rows, |row| row.kind.as_str(), letters),
+            paths: NameColumn::new(rows, |row| &row.path_prefix, letters),
+            owners: ValueColumn::new(rows, owner),
+            methods: ValueColumn::new(rows, |row| row.method.clone()),
+            handling: ValueColumn::new(rows, handling),
+            times: ValueColumn::new(rows, |row| (row.deadline, row.route.target)),
+            sizes: ValueColumn::new(rows, |row| (row.length, row.route.answers)),
+            weights: ValueColumn::new(rows, |row| row.route.weight),
+            capacities: ValueColumn::new(rows, capacity),
+            connections: ValueColumn::new(rows, |row| row.route.connections),
+        }
+    }
+
+    /// Makes the rows again; none if there are too many, or the columns don't belong together.
+    pub(crate) fn join(self, letters: &[u8]) -> Option<Vec<KindPlan>> {
+        let count = self.kinds.places.len();
+        if count > ROW_LIMIT {
+            return None;
+        }
+        let (kinds, letters) = self.kinds.read(letters)?;
+        let (paths, letters) = self.paths.read(letters)?;
+        let (mut kinds, mut paths) = (kinds.items(count)?, paths.items(count)?);
+        let mut owners = self.owners.items(count)?;
+        let mut methods = self.methods.items(count)?;
+        let mut handling = self.handling.items(count)?;
+        let mut times = self.times.items(count)?;
+        let mut sizes = self.sizes.items(count)?;
+        let mut weights = self.weights.items(count)?;
+        let mut capacities = self.capacities.items(count)?;
+        let mut connections = self.connections.items(count)?;
+        let mut row = || {
+            let (pool, service, host) = owners.next()?.clone();
+            let (priority, attempts, idempotent) = *handling.next()?;
+            let (deadline, target) = *times.next()?;
+            let (length, answers) = *sizes.next()?;
+            let (share, reserved_slots, probe_budget) = *capacities.next()?;
+            let weight = *weights.next()?;
+            let connections = *connections.next()?;
+            Some(KindPlan {
+                pool,
+                service,
+                kind: KindName::try_from(kinds.next()?.clone()).ok()?,
+                method: methods.next()?.clone(),
+                path_prefix: paths.next()?.clone(),
+                priority,
+                share,
+                reserved_slots,
+                deadline,
+                idempotent,
+                length,
+                probe_budget,
+                route: RouteTerms { host, weight, attempts, answers, target, connections },
+            })
+        };
+        let rows = (0..count).map(|_| row()).collect::<Option<Vec<_>>>()?;
+        letters.is_empty().then_some(rows)
+    }
+}
+
+/// One value a row: each different one once, and for each row which it is.
+#[derive(Debug, Serialize, Deserialize)]
+struct ValueColumn<V> {
+    /// For each row [`NEW_VALUE`], or the number of a value from 1 on.
+    places: Vec<u32>,
+    values: Vec<V>,
+}
+
+impl<V: Clone + Eq + Hash> ValueColumn<V> {
+    fn new<'row>(rows: &[&'row KindPlan], value: impl Fn(&'row KindPlan) -> V) -> Self {
+        let mut known = FastMap::<V, u32>::default();
+        let mut column = Self { places: Vec::with_capacity(rows.len()), values: Vec::new() };
+        let mut number = NEW_VALUE;
+        for row in rows {
+            let value = value(row);
+            let place = known.get(&value).copied().unwrap_or(NEW_VALUE);
+            if place == NEW_VALUE {
+                number += 1;
+                known.insert(value.clone(), number);
+                column.values.push(value);
+            }
+            column.places.push(place);
+        }
+        column
+    }
+}
+
+impl<V> ValueColumn<V> {
+    /// The value of each row, if there are as many as wanted; it ends early at one that is missing.
+    fn items(&self, count: usize) -> Option<impl Iterator<Item = &V>> {
+        let mut new = self.values.iter();
+        let items = self.places.iter().map_while(move |place| match *place {
+            NEW_VALUE => new.next(),
+            number => self.values.get(number as usize - 1),
+        });
+        (self.places.len() == count).then_some(items)
+    }
+}
+
+/// One name a row: of each different one how much it shares with the one before.
+#[derive(Debug, Serialize, Deserialize)]
+struct NameColumn {
+    /// As in [`ValueColumn`].
+    places: Vec<u32>,
+    /// How many bytes at its start are those of the name before.
+    heads: Vec<u32>,
+    /// How many bytes at its end are those of the name before.
+    tails: Vec<u32>,
+    /// How many bytes it has; those between stand among the letters.
+    lengths: Vec<u32>,
+}
+
+impl NameColumn {
+    fn new<'row>(
+        rows: &[&'row KindPlan],
+        name: impl Fn(&'row KindPlan) -> &'row str,
+        letters: &mut Vec<u8>,
+    ) -> Self {
+        let ValueColumn { places, values } = ValueColumn::new(rows, name);
+        let (mut heads, mut tails, mut lengths) = (Vec::new(), Vec::new(), Vec::new());
+        let mut before: &[u8] = &[];
+        for name in values.iter().map(|name| name.as_bytes()) {
+            let alike = |(one, other): &(&u8, &u8)| one == other;
+            let head = before.iter().zip(name).take_while(alike).count();
+            let rests = before[head..].iter().rev().zip(name[head..].iter().rev());
+            let tail = rests.take_while(alike).count();
+            letters.extend_from_slice(&name[head..name.len() - tail]);
+            heads.push(byte_count(head));
+            tails.push(byte_count(tail));
+            lengths.push(byte_count(name.len()));
+            before = name;
+        }
+        Self { places, heads, tails, lengths }
+    }
+
+    /// Makes the names again; returns the letters that are left, too.
+    fn read(self, letters: &[u8]) -> Option<(ValueColumn<SmolStr>, &[u8])> {
+        let Self { places, heads, tails, lengths } = self;
+        if heads.len() != lengths.len() || tails.len() != lengths.len() {
+            return None;
+        }
+        // A few bytes can claim names that share long parts.
+        let bytes: u64 = lengths.iter().copied().map(u64::from).sum();
+        if usize::try_from(bytes).ok()? > PLAN_LIMIT {
+            return None;
+        }
+        let mut left = letters;
+        let mut values: Vec<SmolStr> = Vec::with_capacity(lengths.len());
+        let mut before: Vec<u8> = Vec::new();
+        for ((head, tail), length) in heads.iter().zip(&tails).zip(&lengths) {
+            let (head, tail) = (*head as usize, *tail as usize);
+            let middle = (*length as usize).checked_sub(head)?.checked_sub(tail)?;
+            let (new, rest) = left.split_at_checked(middle)?;
+            let before_rest = before.get(head..)?;
+            let tail_at = before_rest.len().checked_sub(tail)?;
+            let name = [&before[..head], new, &before_rest[tail_at..]].concat();
+            values.push(SmolStr::new(std::str::from_utf8(&name).ok()?));
+            before = name;
+            left = rest;
+        }
+        Some((ValueColumn { places, values }, left))
+    }
+}
+
+fn byte_count(count: usize) -> u32 {
+    u32::try_from(count).expect("names are far below 4 GB")
+}
+
+/// Compresses bytes, the same way wherever it is done.
+pub(crate) fn deflate(mut plain: &[u8]) -> Vec<u8> {
+    // Short repetitions in random names take more room than their letters.
+    let strategy = CompressionStrategy::Filtered;
+    let flags = create_comp_flags_from_zip_params(DEFLATE_LEVEL, 0, strategy.into());
+    let mut compressor = CompressorOxide::new(flags);
+    let mut packed = vec![0; plain.len() / 2 + 64];
+    let mut filled = 0;
+    loop {
+        let room = &mut packed[filled..];
+        let (status, read, written) = compress(&mut compressor, plain, room, TDEFLFlush::Finish);
+        filled += written;
+        match status {
+            TDEFLStatus::Done => break,
+            TDEFLStatus::Okay => {
+                plain = &plain[read..];
+                packed.resize(2 * packed.len(), 0);
+            }
+            TDEFLStatus::BadParam | TDEFLStatus::PutBufFailed => {
+                unreachable!("there is no callback, and the compressor was not finished before")
+            }
+        }
+    }
+    packed.truncate(filled);
+    packed
+}
+
+/// Takes compression back; none if that gives more than a plan may have.
+pub(crate) fn inflate(packed: &[u8]) -> Option<Vec<u8>> {
+    decompress_to_vec_with_limit(packed, PLAN_LIMIT).ok()
+}
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -24,7 +24,9 @@
 pub use configuration_machine::{ConfigurationMachine, OUTCOMES_KEPT};
 pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
 pub use evacuation_machine::{EVACUATED_LIMIT, EvacuationMachine};
-pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet, SpreadCounts};
+pub use follower::{
+    PlanDifference, PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet, SpreadCounts,
+};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
 };
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -7,6 +7,7 @@
 mod link_model;
 mod member_table_tests;
 mod network;
+mod plan_difference_tests;
 mod plan_follower_tests;
 mod restart_tests;
 mod route_rows;
