Make a later plan out of the one in force without a copy of it

What callers saw: nothing; a change of one row cost each entry a copy of all rows that nothing needed.

Cause: the plan in force was copied before the edits were applied, which then copied its rows once more.

--- a/crates/pulley_core/src/version/follower/plan_delta.rs
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -61,11 +61,11 @@
     /// lead to another plan than the one with the digest.
     pub(crate) fn advance(&self, span: DeltaSpan, digest: PlanDigest, body: &[u8]) -> Option<Self> {
         let is_whole = span.from == ConfigVersion::default();
-        let mut plan = if is_whole { PolicyPlan::default() } else { (*self.plan).clone() };
+        let mut plan = if is_whole { Arc::default() } else { Arc::clone(&self.plan) };
         for (_, packed) in split_steps(body)? {
-            plan = PlanDifference::unpack(packed)?.apply(&plan)?;
+            plan = Arc::new(PlanDifference::unpack(packed)?.apply(&plan)?);
         }
-        let later = Self::new(span.to, Arc::new(plan));
+        let later = Self::new(span.to, plan);
         (later.digest == digest).then_some(later)
     }
 }
