Refuse a way of more steps than hosts compose

What callers saw: nothing. Each step of a way that another host sends may inflate to 4 MB, from some 4 KB; a way of 4 MB, the longest that is taken, has room for about a thousand such steps, or for many more small ones, and a host would go through all of them.

Change: a way of more than 32 steps, which no host composes, is refused before the first is unpacked.

Not measured, and no test of its own: the messages that carry a way are private to the crate.

--- a/crates/pulley_core/src/version/follower/plan_delta.rs
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -191,7 +191,9 @@
     Bytes::from(postcard::to_stdvec(&steps).expect("plain data types always encode"))
 }
 
-/// The steps of a way: to which version each leads, and its packed form.
+/// The steps of a way, if it is no longer than allowed: to which version each leads, and its packed
+/// form.
 fn split_steps(body: &[u8]) -> Option<Vec<(ConfigVersion, &[u8])>> {
-    postcard::from_bytes(body).ok()
+    let steps: Vec<(ConfigVersion, &[u8])> = postcard::from_bytes(body).ok()?;
+    (steps.len() <= PATH_LIMIT).then_some(steps)
 }
