--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -29,7 +29,9 @@
 };
 pub use departure_machine::{DEPARTURES_KEPT, DepartureMachine};
 pub use evacuation_machine::{EVACUATED_LIMIT, EvacuationMachine};
-pub use follower::{PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet, SpreadCounts};
+pub use follower::{
+    PlanDifference, PlanDigest, PlanFollower, PlanSend, PlanStanding, ReplicaSet, SpreadCounts,
+};
 pub use ledger_machine::{
     KeyDigest, LedgerCommand, LedgerLimits, LedgerMachine, LedgerOutcome, RequestDigest,
 };
