Keep whole plans ready for hosts that fetch them during a storm of changes

Hosts that started while changes came had no configuration for as long as they came, and refused their callers. A whole plan takes a slow link longer than the eight ways kept ready lasted: each change brings new ones, and the oldest was dropped though a host was in the middle of it. A whole plan of an earlier version cannot be made again, so the host began anew with the latest.

Evidence: with 40 hosts at 175,000 bytes a second, 3,000 rows and a change every 60 ms (virtual time) a host that started took 588 chunks in 9 s and had nothing in force; the test passes now.

Whole plans are kept apart from steps, and of both those used last: a host asks for the rest of its plan far more often than others begin with another.

--- a/crates/pulley_core/src/version/follower/plan_delta.rs
+++ b/crates/pulley_core/src/version/follower/plan_delta.rs
@@ -21,6 +21,8 @@
 const PATH_LIMIT: usize = 32;
 /// How many ways are kept ready, for hosts that ask for the rest of one.
 const PATHS_KEPT: usize = 8;
+/// How many whole plans are: of an earlier version none can be made again.
+const WHOLES_KEPT: usize = 4;
 
 /// From which version to which; from 0, the empty plan, a whole one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -138,7 +140,9 @@
 pub(crate) struct DeltaHistory {
     steps: VecDeque<PlanStep>,
     bytes: usize,
+    /// Steps and whole plans, those used last at the end.
     paths: VecDeque<DeltaPath>,
+    wholes: VecDeque<DeltaPath>,
 }
 
 impl DeltaHistory {
@@ -164,19 +168,35 @@
     }
 
     fn note_path(&mut self, path: DeltaPath) {
-        let is_known = self.paths.iter().any(|known| known.span == path.span);
-        if !is_known {
-            self.paths.push_back(path);
+        let (kept, limit) = self.kept(path.span);
+        if kept.iter().any(|known| known.span == path.span) {
+            return;
         }
-        while self.paths.len() > PATHS_KEPT {
-            self.paths.pop_front();
+        kept.push_back(path);
+        while kept.len() > limit {
+            kept.pop_front();
         }
     }
 
+    fn kept(&mut self, span: DeltaSpan) -> (&mut VecDeque<DeltaPath>, usize) {
+        match span.from == ConfigVersion::default() {
+            true => (&mut self.wholes, WHOLES_KEPT),
+            false => (&mut self.paths, PATHS_KEPT),
+        }
+    }
+
+    /// A way that is kept ready; it stays so for as long as hosts ask for it often.
+    fn known(&mut self, span: DeltaSpan) -> Option<DeltaPath> {
+        let (kept, _) = self.kept(span);
+        let place = kept.iter().position(|path| path.span == span)?;
+        let path = kept.remove(place)?;
+        kept.push_back(path.clone());
+        Some(path)
+    }
+
     /// The way that a host has begun to fetch, if it is still known.
     pub(crate) fn find(&mut self, span: DeltaSpan) -> Option<DeltaPath> {
-        let known = self.paths.iter().find(|path| path.span == span).cloned();
-        known.or_else(|| {
+        self.known(span).or_else(|| {
             let path = self.compose(span)?;
             self.note_path(path.clone());
             Some(path)
@@ -191,8 +211,8 @@
 
     fn whole(&mut self, held: &HeldPlan) -> DeltaPath {
         let span = DeltaSpan { from: ConfigVersion::default(), to: held.version };
-        if let Some(path) = self.paths.iter().find(|path| path.span == span) {
-            return path.clone();
+        if let Some(path) = self.known(span) {
+            return path;
         }
         let packed = StepBody::between(&PolicyPlan::default(), &held.plan).pack();
         let body = join_steps([(held.version, &packed)].into_iter());
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -8,6 +8,7 @@
 mod member_table_tests;
 mod network;
 mod plan_follower_tests;
+mod plan_source_tests;
 mod restart_tests;
 mod route_rows;
 mod schedule_tests;
