Count what a host passes on of plans by what it sends

Hosts were told to come later although the link had room. A question asks for a window of chunks and was charged with all of them, though most changes take one small chunk: a host with a link of 175,000 bytes a second answered 5 of 40 that asked for a change of one row at once, and now all 40 (virtual time).

The room is looked at before and the bytes sent are taken out after; overdrawing stays as it was.

--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -126,8 +126,7 @@
         let Some(held) = self.held.clone().filter(|held| held.version > from) else {
             return self.tell_lease(now, to.clone()).into_iter().collect();
         };
-        let bytes = wanted.count_ones() as usize * CHUNK_BYTES;
-        if !self.serve_budget.take(now, bytes) {
+        if !self.serve_budget.has_room(now) {
             self.counts.windows_unserved += 1;
             return vec![self.send(now, to.clone(), PlanContent::Busy)];
         }
@@ -143,6 +142,7 @@
             .map(|index| PlanContent::Chunk(path_chunk(&path, index, total)))
             .map(|content| self.send(now, to.clone(), content))
             .collect();
+        self.serve_budget.take(chunks.iter().map(|chunk| chunk.body.len()).sum());
         self.counts.windows_served += 1;
         self.counts.chunks_served += chunks.len() as u64;
         chunks
--- a/crates/pulley_core/src/version/follower/plan_serve_budget.rs
+++ b/crates/pulley_core/src/version/follower/plan_serve_budget.rs
@@ -34,16 +34,17 @@
         (self.link * BURST_TIME.as_secs_f64()).max(BURST_FLOOR)
     }
 
-    /// Takes bytes out, unless there are none left.
-    pub(crate) fn take(&mut self, now: Moment, bytes: usize) -> bool {
+    /// Whether any bytes are left now.
+    pub(crate) fn has_room(&mut self, now: Moment) -> bool {
         let refill = now.since(self.refilled).as_secs_f64() * self.link * LINK_PART;
         self.refilled = now;
         self.left = (self.left + refill).min(self.burst());
-        if self.left <= 0.0 {
-            return false;
-        }
-        // The last answer may overdraw: half an answer would cost its asker another question.
+        self.left > 0.0
+    }
+
+    /// Takes out bytes that go out now, even if there are fewer left: half an answer would cost its
+    /// asker another question.
+    pub(crate) fn take(&mut self, bytes: usize) {
         self.left -= bytes as f64;
-        true
     }
 }
--- a/crates/pulley_core/tests/members/plan_source_tests.rs
+++ b/crates/pulley_core/tests/members/plan_source_tests.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pulley_core::ConfigVersion;
-use pulley_core::version::{ReplicaSet, StoredPlan};
+use pulley_core::process::PeerRing;
+use pulley_core::version::{PlanFollower, ReplicaSet, StoredPlan};
+use pulley_core::{ConfigVersion, HostId, Moment};
 
 use crate::link_model::{LinkModel, LinkTerms};
 use crate::network::{Network, host_name};
@@ -59,3 +60,89 @@
     let counts = network.hosts[30].plans.spread_counts();
     assert!(had_after.is_some(), "nothing in force after 9 s: {counts:?}");
 }
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+/// Two hosts that answer each other at once.
+struct HostPair {
+    names: [HostId; 2],
+    rings: [PeerRing; 2],
+    holder: PlanFollower,
+    entry: PlanFollower,
+    now: Moment,
+}
+
+impl HostPair {
+    /// A replica that leads, with a link of some rate, and an entry that has just started.
+    fn new(seed: u64, rate: f64, plan: &StoredPlan) -> Self {
+        let mut network = Network::new(2, seed);
+        network.run_for(3 * SECOND);
+        let names = [host_name(0), host_name(1)];
+        let rings = [0, 1].map(|host| network.hosts[host].members.ring().clone());
+        let mut holder = PlanFollower::new(names[0].clone(), seed).with_link_rate(Some(rate));
+        let mut entry = PlanFollower::new(names[1].clone(), seed + 1);
+        holder.committed(plan);
+        entry.apply_replicas(&names[..1]);
+        let mut pair = Self { names, rings, holder, entry, now: at(1) };
+        pair.lead();
+        pair
+    }
+
+    fn lead(&mut self) {
+        let replicas = ReplicaSet { index: 1, hosts: vec![self.names[0].clone()] };
+        self.holder.lead(1, replicas, self.now);
+    }
+
+    fn accept(&mut self, plan: &StoredPlan) {
+        self.holder.committed(plan);
+        self.lead();
+    }
+
+    /// Lets time pass; what each message to the entry becomes is up to the caller.
+    fn run(&mut self, millis: u64, mut pass: impl FnMut(&[u8]) -> Option<Vec<u8>>) {
+        for _ in 0..millis {
+            self.now = self.now + Duration::from_millis(1);
+            if self.now.micros().is_multiple_of(200_000) {
+                self.lead();
+            }
+            let mut asked = self.entry.tick(self.now, &self.rings[1]);
+            let mut told = self.holder.tick(self.now, &self.rings[0]);
+            while !asked.is_empty() || !told.is_empty() {
+                for question in asked.drain(..) {
+                    told.extend(self.holder.receive(self.now, &self.names[1], &question.body));
+                }
+                for body in told.drain(..).filter_map(|answer| pass(&answer.body)) {
+                    asked.extend(self.entry.receive(self.now, &self.names[0], &body));
+                }
+            }
+        }
+    }
+}
+
+// Guards against a holder that counts what it is asked for: most changes take one small chunk.
+#[test]
+fn what_a_holder_may_pass_on_counts_by_what_it_sends() {
+    let mut rows = RouteRows::new(67);
+    rows.add(20);
+    let mut pair = HostPair::new(67, 175_000.0, &rows.version(1));
+    pair.run(3_000, |body| Some(body.to_vec()));
+    rows.weigh(3, 90);
+    let (later, now) = (rows.version(2), pair.now);
+    pair.accept(&later);
+    let told = pair.holder.tick(now, &pair.rings[0]);
+    for lease in told {
+        pair.entry.receive(now, &pair.names[0], &lease.body);
+    }
+    let asked = pair.entry.tick(now, &pair.rings[1]);
+    let before = pair.holder.spread_counts();
+    for host in 10..50 {
+        for question in &asked {
+            pair.holder.receive(now, &host_name(host), &question.body);
+        }
+    }
+    let counts = pair.holder.spread_counts();
+    let served = counts.windows_served - before.windows_served;
+    assert_eq!((served, counts.windows_unserved), (40, 0), "{counts:?}");
+}
