Answer hosts that ask for a plan in vain, and know the answer for one

Entries that know the replicas had the configuration 0.2 s late after a start: whoever was asked first often did not hold it yet, and its asker waited until the question was overdue. There were three ways to that: a host without a lease said nothing; a host that has just started did not look at what a lease's sender holds; and the host that was asked was worked out from the lists at the time of the answer, so that an answer no longer counted once another holder was known.

The test that was there, in which entries don't know the replicas, passes as before.

What another host holds is always committed, so a host that does not know the time may use it; the lease itself still waits until it does.

--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -406,8 +406,8 @@
                 self.take_zones(&evacuated);
                 if self.welcomed {
                     self.take_lease(lease);
-                    self.take_committed(now, from, (held, digest));
                 }
+                self.take_committed(now, from, (held, digest));
             }
             PlanContent::Ask { nonce } => {
                 let is_early = !self.welcomed || self.held.is_none();
--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -59,6 +59,8 @@
     passed_over: usize,
     wants_whole: bool,
     asked: Option<Moment>,
+    /// Who was asked then: the lists may be others by the time of the answer.
+    asked_of: Option<HostId>,
     /// When the first chunk of the window came.
     begun: Option<Moment>,
 }
@@ -79,6 +81,7 @@
             passed_over: 0,
             wants_whole: false,
             asked: None,
+            asked_of: None,
             begun: None,
         }
     }
@@ -142,7 +145,7 @@
 
     /// Notes that a host has nothing of use or no room for it; if it was asked, another one is.
     pub(crate) fn pass_over(&mut self, now: Moment, host: &HostId) {
-        if self.asked.is_none() || self.source() != Some(host) {
+        if self.asked.is_none() || self.asked_of.as_ref() != Some(host) {
             return;
         }
         self.turn += 1;
@@ -173,7 +176,7 @@
         };
         if !self.path.as_ref().is_some_and(fits) {
             // The host that is asked holds no more of the way begun: it gives another one.
-            if self.path.is_some() && self.source() != Some(from) {
+            if self.path.is_some() && self.asked_of.as_ref() != Some(from) {
                 return FetchStep::Unwanted;
             }
             self.path = Some(PartialPath { span, digest, chunks: vec![None; count] });
@@ -216,6 +219,7 @@
         }
         let to = self.source()?.clone();
         self.asked = Some(now);
+        self.asked_of = Some(to.clone());
         self.begun = None;
         let (first, wanted) = self.wanted();
         self.awaited = wanted.count_ones();
--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -124,7 +124,9 @@
         (first, wanted): (u32, u16),
     ) -> Vec<PlanSend> {
         let Some(held) = self.held.clone().filter(|held| held.version > from) else {
-            return self.tell_lease(now, to.clone()).into_iter().collect();
+            // Without an answer its asker would wait for one before it asks another host.
+            let nothing = || self.send(now, to.clone(), PlanContent::Busy);
+            return vec![self.tell_lease(now, to.clone()).unwrap_or_else(nothing)];
         };
         if !self.serve_budget.has_room(now) {
             self.counts.windows_unserved += 1;
--- a/crates/pulley_core/tests/members/restart_tests.rs
+++ b/crates/pulley_core/tests/members/restart_tests.rs
@@ -38,6 +38,16 @@
 /// get theirs at once.
 #[test]
 fn all_entries_have_the_configuration_as_soon_as_there_is_a_leader() {
+    assert_in_force_at_once(false);
+}
+
+// Guards against entries that wait for an answer of replicas that have not heard of the leader yet.
+#[test]
+fn entries_that_know_the_replicas_have_the_configuration_as_soon_as_one_of_them_does() {
+    assert_in_force_at_once(true);
+}
+
+fn assert_in_force_at_once(knows_replicas: bool) {
     const HOSTS: usize = 300;
     let mut network = Network::new(HOSTS, 42);
     let hosts = (0..REPLICAS).map(host_name).collect();
@@ -46,6 +56,10 @@
         let replicas = network.replicas.clone();
         network.hosts[replica].plans.set_replica(replicas, ConfigVersion(1), LogIndex::default());
     }
+    if knows_replicas {
+        let replicas = network.replicas.hosts.clone();
+        network.hosts.iter_mut().for_each(|host| host.plans.apply_replicas(&replicas));
+    }
     network.run_for(SECOND);
     network.leader = Some((0, 1));
     network.publish(1, 10);
