Keep what has come of a plan while those asked have no room

Answers that there is no room counted as silence, and after three in a row a host threw away all chunks that had come and began anew: the more hosts asked, the more each of them had to ask for.

Whoever answers gives another way if it doesn't know the one begun, so only silence can mean that nobody holds the rest; and a pause after all have been asked is no overdue question.

--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -61,6 +61,8 @@
     asked: Option<Moment>,
     /// Who was asked then: the lists may be others by the time of the answer.
     asked_of: Option<HostId>,
+    /// Whether nobody was asked then, as all had nothing to give.
+    rests: bool,
     /// When the first chunk of the window came.
     begun: Option<Moment>,
 }
@@ -82,6 +84,7 @@
             wants_whole: false,
             asked: None,
             asked_of: None,
+            rests: false,
             begun: None,
         }
     }
@@ -145,14 +148,17 @@
 
     /// Notes that a host has nothing of use or no room for it; if it was asked, another one is.
     pub(crate) fn pass_over(&mut self, now: Moment, host: &HostId) {
-        if self.asked.is_none() || self.asked_of.as_ref() != Some(host) {
+        if self.asked.is_none() || self.rests || self.asked_of.as_ref() != Some(host) {
             return;
         }
         self.turn += 1;
         self.passed_over += 1;
+        // Whoever answers gives another way if it doesn't know the one begun.
+        self.fruitless = 0;
         // Once all were asked in vain, they are left alone for a while.
         let sources = self.replicas.len() + self.holders.len();
-        self.asked = self.passed_over.is_multiple_of(sources).then_some(now);
+        self.rests = self.passed_over.is_multiple_of(sources);
+        self.asked = self.rests.then_some(now);
     }
 
     /// Takes a chunk; returns the whole way if it was the last one missing.
@@ -204,7 +210,7 @@
 
     /// Asks for what is missing, if nothing was asked for or the answer is overdue.
     pub(crate) fn ask(&mut self, now: Moment, held: ConfigVersion) -> Option<PlanQuestion> {
-        let is_overdue = self.asked.is_some();
+        let is_overdue = self.asked.is_some() && !self.rests;
         if self.asked.is_some_and(|asked| now.since(asked) < RETRY) {
             return None;
         }
@@ -220,6 +226,7 @@
         let to = self.source()?.clone();
         self.asked = Some(now);
         self.asked_of = Some(to.clone());
+        self.rests = false;
         self.begun = None;
         let (first, wanted) = self.wanted();
         self.awaited = wanted.count_ones();
--- a/crates/pulley_core/tests/members/plan_source_tests.rs
+++ b/crates/pulley_core/tests/members/plan_source_tests.rs
@@ -61,6 +61,21 @@
     assert!(had_after.is_some(), "nothing in force after 9 s: {counts:?}");
 }
 
+// Guards against hosts that give up what has come because those asked have no room for a while.
+#[test]
+fn entries_cut_off_from_all_replicas_get_a_wide_change_from_few_peers() {
+    let mut rows = RouteRows::new(62);
+    rows.add(48);
+    let mut network = with_links(40, 62, &rows.version(1));
+    let (replicas, far): (Vec<usize>, Vec<usize>) = ((0..5).collect(), (7..40).collect());
+    network.split(&replicas, &far, true);
+    rows.add(1_400);
+    commit_everywhere(&mut network, &rows.version(2));
+    network.run_for(20 * SECOND);
+    let lacking = network.hosts.iter().filter(|host| host.plans.version() < ConfigVersion(2));
+    assert_eq!(lacking.count(), 0);
+}
+
 fn at(millis: u64) -> Moment {
     Moment::ZERO + Duration::from_millis(millis)
 }
@@ -119,6 +134,26 @@
             }
         }
     }
+
+    fn chunks_taken(&self) -> u64 {
+        self.entry.spread_counts().chunks_taken
+    }
+}
+
+// Guards against a host that gives up what has come because the one asked has no room for a while.
+#[test]
+fn a_host_keeps_what_has_come_while_the_holder_has_no_room() {
+    let mut rows = RouteRows::new(64);
+    rows.add(1_400);
+    let plan = rows.version(1);
+    let mut quick = HostPair::new(64, 125_000_000.0, &plan);
+    quick.run(3_000, |body| Some(body.to_vec()));
+    assert_eq!(quick.entry.version(), ConfigVersion(1));
+    let mut slow = HostPair::new(64, 60_000.0, &plan);
+    slow.run(10_000, |body| Some(body.to_vec()));
+    assert_eq!(slow.entry.version(), ConfigVersion(1));
+    let counts = slow.entry.spread_counts();
+    assert_eq!(counts.chunks_taken, quick.chunks_taken(), "{counts:?}");
 }
 
 // Guards against a holder that counts what it is asked for: most changes take one small chunk.
