Fetch steps again after a damaged way was replaced by a whole plan

A host that once dropped a way that did not lead to its plan asked for whole plans until it had the latest version, so during a storm of changes each change cost it a whole one.

--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -131,6 +131,7 @@
 
     /// Notes which version is in force here now; what has come on another way to it is of no use.
     pub(crate) fn note_held(&mut self, held: ConfigVersion) {
+        self.wants_whole = false;
         let leads_on = |path: &PartialPath| path.span.leads_on(held);
         if !self.path.as_ref().is_none_or(leads_on) {
             self.path = None;
--- a/crates/pulley_core/tests/members/plan_source_tests.rs
+++ b/crates/pulley_core/tests/members/plan_source_tests.rs
@@ -156,6 +156,38 @@
     assert_eq!(counts.chunks_taken, quick.chunks_taken(), "{counts:?}");
 }
 
+// Guards against whole plans for every later change, once one way to a plan was damaged.
+#[test]
+fn a_way_that_was_damaged_once_makes_no_later_change_a_whole_plan() {
+    let mut rows = RouteRows::new(65);
+    rows.add(1_400);
+    let mut pair = HostPair::new(65, 125_000_000.0, &rows.version(1));
+    pair.run(3_000, |body| Some(body.to_vec()));
+    assert_eq!(pair.entry.version(), ConfigVersion(1));
+    let whole = pair.chunks_taken();
+    (0..20).for_each(|row| rows.weigh(row, 90));
+    pair.accept(&rows.version(2));
+    let (mut is_damaged, mut let_through) = (false, 10);
+    pair.run(350, |body| {
+        let mut body = body.to_vec();
+        if !is_damaged && body.len() > 400 {
+            is_damaged = true;
+            *body.last_mut()? ^= 0x55;
+        } else if body.len() > 1_000 {
+            let_through -= 1;
+        }
+        (let_through > 0).then_some(body)
+    });
+    assert!(is_damaged && pair.entry.spread_counts().dropped_paths == 1);
+    assert_eq!(pair.entry.version(), ConfigVersion(1));
+    rows.weigh(20, 90);
+    pair.accept(&rows.version(3));
+    pair.run(3_000, |body| Some(body.to_vec()));
+    assert_eq!(pair.entry.version(), ConfigVersion(3));
+    let taken = pair.chunks_taken();
+    assert!(taken < 3 * whole, "{taken} chunks where a whole plan takes {whole}");
+}
+
 // Guards against a holder that counts what it is asked for: most changes take one small chunk.
 #[test]
 fn what_a_holder_may_pass_on_counts_by_what_it_sends() {
