Ask the hosts that hold replicas and plans now, not those of the fetch's beginning

A host that could not get a version for long stayed without it for good: it went on to ask the replicas it knew when it began, and the first eight holders it heard of. If replicas had moved meanwhile, and the holders were gone, it asked nobody that lives, though it heard of them. A host that heard its first lease before it knew of any replica asked only other entries.

Evidence: two tests in virtual time in which the replica, or all eight holders, are replaced; in both the host was still without the plan 5 and 10 s later, and has it now.

Replicas are taken over whenever they are others; a holder that does not answer makes room for another one if no more can be noted.

--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -314,6 +314,7 @@
     /// told who does.
     pub fn apply_replicas(&mut self, hosts: &[HostId]) {
         self.likely_replicas = hosts.to_vec();
+        self.meet_replicas();
     }
 
     /// Notes which of them are in the own zone: plans come from there, as links between zones are
@@ -474,6 +475,7 @@
         self.want(&lease);
         self.note_confirmation(lease.version, lease.confirmed);
         self.lease = Some(lease);
+        self.meet_replicas();
     }
 }
 
--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Notes which hosts have a replica now; those known keep their places while they are the same.
+    pub(crate) fn meet_replicas(&mut self, replicas: Vec<HostId>) {
+        let is_same = replicas.len() == self.replicas.len()
+            && replicas.iter().all(|host| self.replicas.contains(host));
+        if !is_same {
+            self.holders.retain(|host| !replicas.contains(host));
+            self.replicas = replicas;
+        }
+    }
+
     /// Notes that a way that came whole did not lead to its plan: the next one has to be a whole plan.
     pub(crate) fn reject(&mut self, now: Moment) {
         self.wants_whole = true;
@@ -216,6 +226,7 @@
             return None;
         }
         if is_overdue {
+            self.forget_silent_holder();
             self.turn += 1;
             self.window = (self.window / 2).max(1);
             self.fruitless += 1;
@@ -237,6 +248,13 @@
         Some(PlanQuestion { to, content, is_overdue })
     }
 
+    /// Makes room for another holder if the one asked has not answered and no more can be noted.
+    fn forget_silent_holder(&mut self) {
+        if self.holders.len() >= HOLDER_LIMIT {
+            self.holders.retain(|host| Some(host) != self.asked_of.as_ref());
+        }
+    }
+
     /// The first chunk wanted, and a bit for each that is wanted from there on.
     fn wanted(&self) -> (u32, u16) {
         let Some(path) = &self.path else {
--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -52,6 +52,17 @@
         self.fetch = Some(PlanFetch::new(version, digest, self.replicas_to_ask()));
     }
 
+    /// Has a fetch under way ask the hosts that have a replica now.
+    pub(super) fn meet_replicas(&mut self) {
+        if self.fetch.is_none() {
+            return;
+        }
+        let replicas = self.replicas_to_ask();
+        if let Some(fetch) = &mut self.fetch {
+            fetch.meet_replicas(replicas);
+        }
+    }
+
     /// The hosts with a replica, those of the own zone first; which of these goes first is up to
     /// chance, so that all have about the same to do.
     fn replicas_to_ask(&mut self) -> Vec<HostId> {
--- a/crates/pulley_core/tests/members/plan_source_tests.rs
+++ b/crates/pulley_core/tests/members/plan_source_tests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pulley_core::process::PeerRing;
-use pulley_core::version::{PlanFollower, ReplicaSet, StoredPlan};
+use pulley_core::version::{PlanFollower, PlanSend, ReplicaSet, StoredPlan};
 use pulley_core::{ConfigVersion, HostId, Moment};
 
 use crate::link_model::{LinkModel, LinkTerms};
@@ -80,6 +80,56 @@
     Moment::ZERO + Duration::from_millis(millis)
 }
 
+/// Has a host answer what another sent it; gives the answers.
+fn answers(
+    now: Moment,
+    from: &HostId,
+    to: (&HostId, &mut PlanFollower),
+    sends: &[PlanSend],
+) -> Vec<PlanSend> {
+    let (name, follower) = to;
+    let mine = sends.iter().filter(|send| send.to == *name);
+    mine.flat_map(|send| follower.receive(now, from, &send.body)).collect()
+}
+
+// Guards against a host that asks only those that held replicas when it began to fetch.
+#[test]
+fn a_host_asks_the_replicas_of_now_for_what_it_has_awaited_for_long() {
+    let ring = PeerRing::default();
+    let (old, new, own) = (host_name(1), host_name(2), host_name(3));
+    let mut entry = PlanFollower::new(own.clone(), 1);
+    let mut rows = RouteRows::new(63);
+    rows.add(20);
+    let mut former = PlanFollower::new(old.clone(), 2);
+    former.committed(&rows.version(1));
+    former.lead(1, ReplicaSet { index: 1, hosts: vec![old.clone()] }, at(1));
+    entry.apply_replicas(std::slice::from_ref(&old));
+    let asked = entry.tick(at(10), &ring);
+    for answer in answers(at(11), &own, (&old, &mut former), &asked) {
+        entry.receive(at(12), &old, &answer.body);
+    }
+    assert_eq!(entry.awaited(), Some(ConfigVersion(1)));
+    // The only replica that it knows of is gone, and another host holds the log now.
+    entry.apply_replicas(std::slice::from_ref(&new));
+    let mut later = PlanFollower::new(new.clone(), 3);
+    later.committed(&rows.version(1));
+    later.lead(2, ReplicaSet { index: 2, hosts: vec![new.clone()] }, at(100));
+    let mut reached = 0;
+    for round in 0..100 {
+        let now = at(100 + 50 * round);
+        later.lead(2, ReplicaSet { index: 2, hosts: vec![new.clone()] }, now);
+        let sends = entry.tick(now, &ring);
+        reached += sends.iter().filter(|send| send.to == new).count();
+        for answer in answers(now, &own, (&new, &mut later), &sends) {
+            let more = entry.receive(now, &new, &answer.body);
+            for answer in answers(now, &own, (&new, &mut later), &more) {
+                entry.receive(now, &new, &answer.body);
+            }
+        }
+    }
+    assert_eq!(entry.version(), ConfigVersion(1), "asked {reached} times");
+}
+
 /// Two hosts that answer each other at once.
 struct HostPair {
     names: [HostId; 2],
@@ -188,6 +238,39 @@
     assert!(taken < 3 * whole, "{taken} chunks where a whole plan takes {whole}");
 }
 
+// Guards against a host that knows enough holders, all of them gone, and asks no other one.
+#[test]
+fn a_host_asks_others_when_all_holders_that_it_knows_are_silent() {
+    let own = host_name(12);
+    let mut network = Network::new(13, 66);
+    network.run_for(3 * SECOND);
+    let ring = network.hosts[12].members.ring().clone();
+    let mut entry = PlanFollower::new(own.clone(), 66);
+    let mut rows = RouteRows::new(66);
+    rows.add(1_400);
+    let plan = rows.version(1);
+    let mut holders: Vec<PlanFollower> =
+        (0..12).map(|index| PlanFollower::new(host_name(index), index as u64)).collect();
+    holders.iter_mut().for_each(|holder| holder.committed(&plan));
+    // The first eight say what they hold, but no chunk of it arrives; then only the others are left.
+    for round in 0..400 {
+        let now = at(1_000 + 50 * round);
+        let mut asked = entry.tick(now, &ring);
+        while let Some(send) = asked.pop() {
+            let index: usize = send.to.as_str()[4..].parse().unwrap();
+            if (index < 8) != (round < 200) {
+                continue;
+            }
+            for answer in holders[index].receive(now, &own, &send.body) {
+                if index >= 8 || answer.body.len() < 900 {
+                    asked.extend(entry.receive(now, &send.to, &answer.body));
+                }
+            }
+        }
+    }
+    assert_eq!(entry.version(), ConfigVersion(1));
+}
+
 // Guards against a holder that counts what it is asked for: most changes take one small chunk.
 #[test]
 fn what_a_holder_may_pass_on_counts_by_what_it_sends() {
