Guard against hosts that are woken with nothing to do while plans spread

No fault was seen: with loss, doubled messages, replicas that restart with an empty history, entries cut off from all replicas and a change every 0.2 s, no host has anything due right after it has done what was, and all have the last version in the end (virtual time).

--- a/crates/pulley_core/tests/members/plan_source_tests.rs
+++ b/crates/pulley_core/tests/members/plan_source_tests.rs
@@ -296,3 +296,41 @@
     let served = counts.windows_served - before.windows_served;
     assert_eq!((served, counts.windows_unserved), (40, 0), "{counts:?}");
 }
+
+// Guards against a control thread that is woken again and again with nothing to do.
+#[test]
+fn a_host_that_has_done_what_is_due_has_nothing_due() {
+    let mut rows = RouteRows::new(68);
+    rows.add(48);
+    let mut network = with_links(24, 68, &rows.version(1));
+    let replicas = network.replicas.hosts.clone();
+    network.hosts.iter_mut().for_each(|host| host.plans.apply_replicas(&replicas));
+    network.weather.loss = 0.1;
+    network.weather.doubles = 0.1;
+    rows.add(1_400);
+    for version in 2..40 {
+        rows.weigh(version as usize, 90);
+        match version {
+            10 => network.split(&(0..5).collect::<Vec<_>>(), &(9..24).collect::<Vec<_>>(), true),
+            20 => network.split(&(0..5).collect::<Vec<_>>(), &(9..24).collect::<Vec<_>>(), false),
+            25 => network.restart(20),
+            30 => (1..5).for_each(|replica| network.restart(replica)),
+            _ => {}
+        }
+        commit_everywhere(&mut network, &rows.version(version));
+        for _ in 0..30 {
+            network.run_for(Duration::from_millis(7));
+            let now = network.now;
+            for (index, host) in network.hosts.iter_mut().enumerate() {
+                let (mut plans, ring) = (host.plans.clone(), host.members.ring().clone());
+                plans.tick(now, &ring);
+                plans.tick(now, &ring);
+                let next = plans.next_wakeup();
+                assert!(next > now, "host {index} at {now}, version {version}: {next}");
+            }
+        }
+    }
+    network.run_for(5 * SECOND);
+    let lacking = network.hosts.iter().filter(|host| host.plans.version() < ConfigVersion(39));
+    assert_eq!(lacking.count(), 0);
+}
