--- a/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_fetch.rs
@@ -59,6 +59,10 @@
     passed_over: usize,
     wants_whole: bool,
     asked: Option<Moment>,
+    /// Who was asked then: the lists may be others by the time of the answer.
+    asked_of: Option<HostId>,
+    /// Whether nobody was asked then, as all had nothing to give.
+    rests: bool,
     /// When the first chunk of the window came.
     begun: Option<Moment>,
 }
@@ -79,6 +83,8 @@
             passed_over: 0,
             wants_whole: false,
             asked: None,
+            asked_of: None,
+            rests: false,
             begun: None,
         }
     }
@@ -117,6 +123,16 @@
         }
     }
 
+    /// Notes which hosts have a replica now; those known keep their places while they are the same.
+    pub(crate) fn meet_replicas(&mut self, replicas: Vec<HostId>) {
+        let is_same = replicas.len() == self.replicas.len()
+            && replicas.iter().all(|host| self.replicas.contains(host));
+        if !is_same {
+            self.holders.retain(|host| !replicas.contains(host));
+            self.replicas = replicas;
+        }
+    }
+
     /// Notes that a way that came whole did not lead to its plan: the next one has to be a whole plan.
     pub(crate) fn reject(&mut self, now: Moment) {
         self.wants_whole = true;
@@ -125,6 +141,7 @@
 
     /// Notes which version is in force here now; what has come on another way to it is of no use.
     pub(crate) fn note_held(&mut self, held: ConfigVersion) {
+        self.wants_whole = false;
         let leads_on = |path: &PartialPath| path.span.leads_on(held);
         if !self.path.as_ref().is_none_or(leads_on) {
             self.path = None;
@@ -142,14 +159,17 @@
 
     /// Notes that a host has nothing of use or no room for it; if it was asked, another one is.
     pub(crate) fn pass_over(&mut self, now: Moment, host: &HostId) {
-        if self.asked.is_none() || self.source() != Some(host) {
+        if self.asked.is_none() || self.rests || self.asked_of.as_ref() != Some(host) {
             return;
         }
         self.turn += 1;
         self.passed_over += 1;
+        // Whoever answers gives another way if it doesn't know the one begun.
+        self.fruitless = 0;
         // Once all were asked in vain, they are left alone for a while.
         let sources = self.replicas.len() + self.holders.len();
-        self.asked = self.passed_over.is_multiple_of(sources).then_some(now);
+        self.rests = self.passed_over.is_multiple_of(sources);
+        self.asked = self.rests.then_some(now);
     }
 
     /// Takes a chunk; returns the whole way if it was the last one missing.
@@ -173,7 +193,7 @@
         };
         if !self.path.as_ref().is_some_and(fits) {
             // The host that is asked holds no more of the way begun: it gives another one.
-            if self.path.is_some() && self.source() != Some(from) {
+            if self.path.is_some() && self.asked_of.as_ref() != Some(from) {
                 return FetchStep::Unwanted;
             }
             self.path = Some(PartialPath { span, digest, chunks: vec![None; count] });
@@ -201,11 +221,12 @@
 
     /// Asks for what is missing, if nothing was asked for or the answer is overdue.
     pub(crate) fn ask(&mut self, now: Moment, held: ConfigVersion) -> Option<PlanQuestion> {
-        let is_overdue = self.asked.is_some();
+        let is_overdue = self.asked.is_some() && !self.rests;
         if self.asked.is_some_and(|asked| now.since(asked) < RETRY) {
             return None;
         }
         if is_overdue {
+            self.forget_silent_holder();
             self.turn += 1;
             self.window = (self.window / 2).max(1);
             self.fruitless += 1;
@@ -216,6 +237,8 @@
         }
         let to = self.source()?.clone();
         self.asked = Some(now);
+        self.asked_of = Some(to.clone());
+        self.rests = false;
         self.begun = None;
         let (first, wanted) = self.wanted();
         self.awaited = wanted.count_ones();
@@ -225,6 +248,13 @@
         Some(PlanQuestion { to, content, is_overdue })
     }
 
+    /// Makes room for another holder if the one asked has not answered and no more can be noted.
+    fn forget_silent_holder(&mut self) {
+        if self.holders.len() >= HOLDER_LIMIT {
+            self.holders.retain(|host| Some(host) != self.asked_of.as_ref());
+        }
+    }
+
     /// The first chunk wanted, and a bit for each that is wanted from there on.
     fn wanted(&self) -> (u32, u16) {
         let Some(path) = &self.path else {
--- a/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_spreading.rs
@@ -52,6 +52,17 @@
         self.fetch = Some(PlanFetch::new(version, digest, self.replicas_to_ask()));
     }
 
+    /// Has a fetch under way ask the hosts that have a replica now.
+    pub(super) fn meet_replicas(&mut self) {
+        if self.fetch.is_none() {
+            return;
+        }
+        let replicas = self.replicas_to_ask();
+        if let Some(fetch) = &mut self.fetch {
+            fetch.meet_replicas(replicas);
+        }
+    }
+
     /// The hosts with a replica, those of the own zone first; which of these goes first is up to
     /// chance, so that all have about the same to do.
     fn replicas_to_ask(&mut self) -> Vec<HostId> {
@@ -124,10 +135,11 @@
         (first, wanted): (u32, u16),
     ) -> Vec<PlanSend> {
         let Some(held) = self.held.clone().filter(|held| held.version > from) else {
-            return self.tell_lease(now, to.clone()).into_iter().collect();
+            // Without an answer its asker would wait for one before it asks another host.
+            let nothing = || self.send(now, to.clone(), PlanContent::Busy);
+            return vec![self.tell_lease(now, to.clone()).unwrap_or_else(nothing)];
         };
-        let bytes = wanted.count_ones() as usize * CHUNK_BYTES;
-        if !self.serve_budget.take(now, bytes) {
+        if !self.serve_budget.has_room(now) {
             self.counts.windows_unserved += 1;
             return vec![self.send(now, to.clone(), PlanContent::Busy)];
         }
@@ -143,6 +155,7 @@
             .map(|index| PlanContent::Chunk(path_chunk(&path, index, total)))
             .map(|content| self.send(now, to.clone(), content))
             .collect();
+        self.serve_budget.take(chunks.iter().map(|chunk| chunk.body.len()).sum());
         self.counts.windows_served += 1;
         self.counts.chunks_served += chunks.len() as u64;
         chunks
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -9,6 +9,7 @@
 mod network;
 mod plan_difference_tests;
 mod plan_follower_tests;
+mod plan_source_tests;
 mod restart_tests;
 mod route_rows;
 mod schedule_tests;
