--- a/crates/pulleyd/src/process/api_server.rs
+++ b/crates/pulleyd/src/process/api_server.rs
@@ -63,7 +63,8 @@
     /// Makes a server; it accepts once it runs.
     #[must_use]
     pub fn new(listener: TcpListener, router: Router, limits: ApiLimits, logger: Logger) -> Self {
-        Self { listener, router, limits, logger }
+        let noting = middleware::from_fn_with_state(logger.clone(), note_refused_body);
+        Self { listener, router: router.layer(noting), limits, logger }
     }
 
     /// Accepts and serves until `stop` is done, then lets open requests end for two seconds.
@@ -122,6 +123,17 @@
     }
 }
 
+/// Logs that a request was refused for its body: it got no further, and its handler logs nothing.
+async fn note_refused_body(State(logger): State<Logger>, request: Request, next: Next) -> Response {
+    let (path, announced) = (request.uri().path().to_owned(), request.body().size_hint().exact());
+    let response = next.run(request).await;
+    if matches!(response.status(), StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT) {
+        warn!(logger, "body-refused"; "path" => path, "status" => response.status().as_u16(),
+            "announced_bytes" => announced);
+    }
+    response
+}
+
 /// Reads each body whole before the handler sees it, within a size and a time.
 pub(super) fn with_bounded_bodies(router: Router, body_bytes: usize) -> Router {
     router.layer(middleware::from_fn_with_state(body_bytes, bound_body))
