--- a/crates/pulley_core/src/version/configuration_size.rs
+++ b/crates/pulley_core/src/version/configuration_size.rs
@@ -7,21 +7,18 @@
 
 /// The most bytes of a sheet as the operator sends it; all other limits of size follow from it.
 ///
-/// 14,000 routes of 400 bytes fit, with room for their services.
-pub const SHEET_LIMIT: usize = 6 << 20;
+/// 14,000 routes of 240 bytes fit, with room for their services.
+pub const SHEET_LIMIT: usize = 4 << 20;
 
 /// The fewest bytes of a sheet that a row of the plan stands for, on average.
-const SHEET_ROW_BYTES: usize = 192;
+const SHEET_ROW_BYTES: usize = 128;
 
 /// The most rows of a checked plan, and the most pools.
 pub const PLAN_ROW_LIMIT: usize = SHEET_LIMIT / SHEET_ROW_BYTES;
 
 /// The most bytes of a checked plan, encoded. A split route has a row for each of its pools, so a
 /// sheet within its limit may have a plan that is not.
-pub const PLAN_BYTES_LIMIT: usize = PLAN_ROW_LIMIT * PLAN_ROW_BYTES;
-
-/// The bytes of a checked row, encoded, that each of the most rows may have on average.
-const PLAN_ROW_BYTES: usize = 128;
+pub const PLAN_BYTES_LIMIT: usize = SHEET_LIMIT;
 
 /// Room for a change's names and edits, and for what packing adds to what cannot be made smaller.
 const ENVELOPE_BYTES: usize = 128 << 10;
--- a/crates/pulleyd/src/process/api_server.rs
+++ b/crates/pulleyd/src/process/api_server.rs
@@ -6,7 +6,7 @@
 
 use axum::Router;
 use axum::body::{Body, HttpBody};
-use axum::extract::{Request, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::StatusCode;
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
@@ -136,6 +136,8 @@
 
 /// Reads each body whole before the handler sees it, within a size and a time.
 pub(super) fn with_bounded_bodies(router: Router, body_bytes: usize) -> Router {
+    // Handlers' readers of bodies have a lower limit of their own.
+    let router = router.layer(DefaultBodyLimit::disable());
     router.layer(middleware::from_fn_with_state(body_bytes, bound_body))
 }
 
--- a/crates/pulleyd/src/process/daemon_protocol.rs
+++ b/crates/pulleyd/src/process/daemon_protocol.rs
@@ -24,7 +24,9 @@
         Self { builder, limits }
     }
 
-    pub(super) fn build(self, control: ControlApi) -> (Router, ApiLimits) {
+    /// Builds the router for a listener, with the listener's limits.
+    #[must_use]
+    pub fn build(self, control: ControlApi) -> (Router, ApiLimits) {
         let Self { builder, limits } = self;
         (with_bounded_bodies(builder(control), limits.body_bytes), limits)
     }
