--- a/crates/pulleyd/src/process/daemon_protocol.rs
+++ b/crates/pulleyd/src/process/daemon_protocol.rs
@@ -25,7 +25,6 @@
     }
 
     /// Builds the router for a listener, with the listener's limits.
-    #[must_use]
     pub fn build(self, control: ControlApi) -> (Router, ApiLimits) {
         let Self { builder, limits } = self;
         (with_bounded_bodies(builder(control), limits.body_bytes), limits)
