--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod busy_period;
 mod cold_rate_limit;
 mod kind_shares;
+mod limit_reading;
 mod pool_scheduler;
 mod pool_scheduler_counts;
 mod pool_scheduler_probes;
@@ -18,6 +19,7 @@
 mod wait_queue;
 
 pub use arrival_probes::ProbeReading;
+pub use limit_reading::LimitReading;
 pub use pool_scheduler::PoolScheduler;
 pub use pool_scheduler_probes::{ProbeQuery, ProbeReach, ProbeTarget};
 pub use retry_budget::{GiveUpCause, RetryAllowance, RetryBudget, RetryDecision, RetryInputs};
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -213,6 +213,8 @@
     retries_denied: IntCounter,
     cut_short: IntCounter,
     malformed_reports: IntCounter,
+    limits_named: IntCounter,
+    malformed_limits: IntCounter,
     unrecorded: IntCounter,
     callers_refused: IntCounter,
 }
@@ -242,6 +244,14 @@
                 "pulley_malformed_load_reports_total",
                 "Load reports that could not be read.",
             )?,
+            limits_named: IntCounter::new(
+                "pulley_upstream_limits_named_total",
+                "Answers in which an upstream named a request limit.",
+            )?,
+            malformed_limits: IntCounter::new(
+                "pulley_malformed_limits_total",
+                "Request limits of upstreams that could not be read.",
+            )?,
             unrecorded: IntCounter::new(
                 "pulley_unrecorded_outcomes_total",
                 "Outcomes of claimed requests that the ledger did not take.",
@@ -253,7 +263,7 @@
         })
     }
 
-    fn all(&self) -> [&IntCounter; 9] {
+    fn all(&self) -> [&IntCounter; 11] {
         [
             &self.requests,
             &self.not_run,
@@ -262,6 +272,8 @@
             &self.retries_denied,
             &self.cut_short,
             &self.malformed_reports,
+            &self.limits_named,
+            &self.malformed_limits,
             &self.unrecorded,
             &self.callers_refused,
         ]
@@ -275,6 +287,8 @@
         raise_to(&self.retries_denied, &counters.retries_denied);
         raise_to(&self.cut_short, &counters.cut_short);
         raise_to(&self.malformed_reports, &counters.malformed_reports);
+        raise_to(&self.limits_named, &counters.limits_named);
+        raise_to(&self.malformed_limits, &counters.malformed_limits);
         raise_to(&self.unrecorded, &counters.unrecorded);
         raise_to(&self.callers_refused, &counters.callers_refused);
     }
--- a/crates/pulleyd/src/request/answer_metadata.rs
+++ b/crates/pulleyd/src/request/answer_metadata.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use pulley_core::RequestVerdict;
-use pulley_core::request::LoadReport;
+use pulley_core::request::{LimitReading, LoadReport};
 
 use super::protocol_headers::{CAUSE_HEADER, DRAINING_HEADER, VERDICT_HEADER};
 use super::request_headers::{strip_hop_by_hop, strip_own_headers};
@@ -34,6 +34,8 @@
     pub(super) is_draining: bool,
     /// The upstream's load, if reported.
     pub(super) report: Option<LoadReport>,
+    /// The request limit that the upstream names.
+    pub(super) limit: LimitReading,
     /// How long to send it no requests, if it shed this one.
     pub(super) retry_after: Duration,
     /// Whether the status says that the request was not run and no header confirms it.
@@ -65,6 +67,7 @@
             retried_downstream: dialect.sends_system_headers && headers.contains_key(CAUSE_HEADER),
             is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
             report,
+            limit: read_limit(headers, dialect, counters),
             retry_after: retry_after(headers, dialect),
             is_unconfirmed_not_run: !is_shed
                 && !dialect.sends_system_headers
@@ -110,6 +113,20 @@
     report
 }
 
+fn read_limit(
+    headers: &HeaderMap,
+    dialect: &HeaderDialect,
+    counters: &TrafficCounters,
+) -> LimitReading {
+    let limit = dialect.limit(headers);
+    match limit {
+        LimitReading::Named(_) => TrafficCounters::add(&counters.limits_named),
+        LimitReading::Unreadable => TrafficCounters::add(&counters.malformed_limits),
+        LimitReading::Absent => {}
+    }
+    limit
+}
+
 fn retry_after(headers: &HeaderMap, dialect: &HeaderDialect) -> Duration {
     let value = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
     let seconds = value.and_then(|value| value.trim().parse::<f64>().ok());
--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -4,10 +4,10 @@
 
 use http::HeaderValue;
 use http::header::{HeaderMap, HeaderName};
-use pulley_core::request::LoadReport;
+use pulley_core::request::{LimitReading, LoadReport};
 use smol_str::SmolStr;
 
-use super::protocol_headers::{DEADLINE_HEADER, LOAD_HEADER, REQUEST_ID_HEADER};
+use super::protocol_headers::{DEADLINE_HEADER, LIMIT_HEADER, LOAD_HEADER, REQUEST_ID_HEADER};
 use super::read_load_report;
 
 /// Reads an upstream's load report from a header's value.
@@ -37,6 +37,8 @@
     /// On an upstream's probe answers: milliseconds for which it is still cold. If the header is
     /// missing, the upstream has warmed up.
     pub cold_left: Option<HeaderName>,
+    /// On an upstream's responses: the requests a second that it takes from all hosts together.
+    pub limit: HeaderName,
     /// On an upstream's responses: its load.
     pub load: HeaderName,
     /// Parses the load header.
@@ -60,6 +62,18 @@
         Duration::try_from_secs_f64(millis / 1_000.0).ok()
     }
 
+    /// Reads from an upstream's response which request limit it names. Of several values the lowest
+    /// counts.
+    pub(super) fn limit(&self, headers: &HeaderMap) -> LimitReading {
+        let values = headers.get_all(&self.limit);
+        let rates = values.iter().filter_map(|value| value.to_str().ok()?.parse().ok());
+        match rates.min() {
+            Some(rate) => LimitReading::Named(rate),
+            None if headers.contains_key(&self.limit) => LimitReading::Unreadable,
+            None => LimitReading::Absent,
+        }
+    }
+
     /// Returns the caller's request id, if it sent one.
     pub(super) fn id_of(&self, headers: &HeaderMap) -> Option<SmolStr> {
         let value = headers.get(&self.request_id)?;
@@ -78,6 +92,7 @@
             not_run: None,
             answer_signature: None,
             cold_left: None,
+            limit: LIMIT_HEADER,
             load: LOAD_HEADER,
             read_load: read_load_report,
             load_includes_answered: false,
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -29,8 +29,8 @@
 pub use header_dialect::{HeaderDialect, LoadReader};
 pub use load_report::read_load_report;
 pub use protocol_headers::{
-    ATTEMPT_HEADER, CAUSE_HEADER, DEADLINE_HEADER, DRAINING_HEADER, KEY_HEADER, LOAD_HEADER,
-    PRIORITY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER,
+    ATTEMPT_HEADER, CAUSE_HEADER, DEADLINE_HEADER, DRAINING_HEADER, KEY_HEADER, LIMIT_HEADER,
+    LOAD_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER,
 };
 pub use request_body::{BodyCursor, BodySource, RequestBody, RequestFault};
 pub(crate) use request_forwarder::FirstRequestFlag;
--- a/crates/pulleyd/src/request/protocol_headers.rs
+++ b/crates/pulleyd/src/request/protocol_headers.rs
@@ -22,6 +22,10 @@
 /// On an upstream's responses: `true` if it takes no new work from now on.
 pub const DRAINING_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-draining");
 
+/// On an upstream's responses: the requests a second that it takes from all hosts together, as a
+/// decimal number, for as long as its responses name it.
+pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-request-limit");
+
 /// On an upstream's responses: its load, in the text format of Open Request Cost Aggregation.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -149,6 +149,7 @@
         let metadata =
             AnswerMetadata::take(&mut response, &self.context.dialect, &self.context.counters);
         attempt.set_report(metadata.report);
+        self.record_limit(metadata.limit);
         if metadata.is_draining {
             self.observe_drain(&upstream);
         }
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -11,7 +11,8 @@
 use http::{Response, StatusCode};
 use parking_lot::Mutex;
 use pulley_core::request::{
-    AttemptOutcome, ProbeReach, ProbeReading, RequestTicket, RetryDecision, RetryInputs,
+    AttemptOutcome, LimitReading, ProbeReach, ProbeReading, RequestTicket, RetryDecision,
+    RetryInputs,
 };
 use pulley_core::version::{KindPlan, WorkLength};
 use pulley_core::{IndexedPlan, Moment, RequestVerdict, UpstreamId};
@@ -73,6 +74,8 @@
     sent: Option<SentAttempt>,
     /// The load that the upstream of the attempt placed last had reported before, if known.
     reading: Option<ProbeReading>,
+    /// The request limit that the upstream which answered last named.
+    limit: LimitReading,
     claim: Option<LedgerClaim>,
 }
 
@@ -181,6 +184,10 @@
         self.progress.lock().reading = reading.cloned();
     }
 
+    pub(super) fn record_limit(&self, limit: LimitReading) {
+        self.progress.lock().limit = limit;
+    }
+
     pub(super) fn record_sending(&self, sent: SentAttempt) {
         let mut progress = self.progress.lock();
         if let Some(claim) = &mut progress.claim {
@@ -298,6 +305,7 @@
             "running" => report.and_then(|report| report.in_flight),
             "waiting" => report.and_then(|report| report.waiting),
             "slowdown" => report.and_then(|report| report.slowdown),
+            "limit" => logged_limit(progress.limit),
             "added_us" => micros(added), "upstream_us" => micros(upstream));
         if let Some(metrics) = &self.context.metrics {
             metrics.record_answer(self.row(), status.as_u16(), added, upstream);
@@ -336,7 +344,7 @@
         info!(self.context.logger, "attempt-failed"; "id" => self.id(),
             "attempts" => self.attempts(), "cause" => fault.answer.cause,
             "verdict" => %fault.answer.verdict, "kind" => %self.row().kind,
-            "upstream" => upstream);
+            "upstream" => upstream, "limit" => logged_limit(progress.limit));
     }
 
     fn should_retry(&self, fault: &AttemptFault) -> bool {
@@ -387,6 +395,11 @@
     }
 }
 
+/// Returns the text to log for a request limit; `None` if the answer named none.
+fn logged_limit(limit: LimitReading) -> Option<String> {
+    (limit != LimitReading::Absent).then(|| limit.to_string())
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/pulleyd/src/request/traffic_counters.rs
+++ b/crates/pulleyd/src/request/traffic_counters.rs
@@ -21,6 +21,10 @@
     pub cut_short: AtomicU64,
     /// Load reports that could not be parsed.
     pub malformed_reports: AtomicU64,
+    /// Responses in which an upstream named a request limit.
+    pub limits_named: AtomicU64,
+    /// Request limits that could not be parsed.
+    pub malformed_limits: AtomicU64,
     /// Outcomes of claimed requests that the ledger did not record.
     pub unrecorded: AtomicU64,
     /// Caller connections refused because the process is full.
