--- a/crates/pulleyd/tests/process_failures/process_support/stand_in_upstream.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/stand_in_upstream.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::extract::{Request, State};
-use axum::response::IntoResponse;
+use axum::response::{AppendHeaders, IntoResponse};
 use serde_json::json;
 use tokio::runtime::Runtime;
 
@@ -26,6 +26,10 @@
     /// The phase that a host acknowledged last.
     acknowledged: Mutex<&'static str>,
     announcing_stopped: AtomicBool,
+    /// The value of the request limit that its answers name.
+    limit: Mutex<Option<&'static str>>,
+    /// When each request arrived.
+    arrivals: Mutex<Vec<Instant>>,
 }
 
 /// A running stand-in upstream; dropping it stops it.
@@ -112,6 +116,21 @@
         self.state.announcing_stopped.store(true, Ordering::SeqCst);
     }
 
+    /// Sets the request limit that its answers name from now on.
+    pub(crate) fn set_limit(&self, limit: Option<&'static str>) {
+        *self.state.limit.lock().expect("the lock is not poisoned") = limit;
+    }
+
+    /// Returns the largest number of requests that arrived within one span, from a moment on.
+    pub(crate) fn most_arrivals(&self, from: Instant, span: Duration) -> usize {
+        let arrivals = self.state.arrivals.lock().expect("the lock is not poisoned");
+        let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+        let within = |start: &Instant| {
+            counted.iter().filter(|at| *at >= start && **at < *start + span).count()
+        };
+        counted.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Returns how many requests it has run.
     pub(crate) fn total(&self) -> u64 {
         self.state.total.load(Ordering::SeqCst)
@@ -128,9 +147,12 @@
     let work = work.unwrap_or("none").to_owned();
     *state.runs.lock().expect("the lock is not poisoned").entry(work.clone()).or_default() += 1;
     state.total.fetch_add(1, Ordering::SeqCst);
+    state.arrivals.lock().expect("the lock is not poisoned").push(Instant::now());
+    let limit = *state.limit.lock().expect("the lock is not poisoned");
     let delay = state.delay_ms.load(Ordering::SeqCst);
     if delay > 0 {
         tokio::time::sleep(Duration::from_millis(delay)).await;
     }
-    format!("done {work} {}", request.uri().path())
+    let headers = limit.map(|limit| [("jacinthpulley-request-limit", limit)]);
+    (AppendHeaders(headers.into_iter().flatten()), format!("done {work} {}", request.uri().path()))
 }
