Share permits for upstreams that name a request limit

Callers noticed nothing; the upstream in need was not relieved.

Cause: no decision read the limit. Had each entry kept to it by itself, the sum over twenty entries would still have been many times the limit: by the record no entry alone sent more than 2.3 a second. Class: a bound over all hosts that each host can only keep for itself.

Change: one entry, the issuer by rendezvous hashing over the live entries, holds a token bucket for the upstream, and a request is sent there only with a permit. Limits are known to every host: changes go along the ring, hosts that start ask for them. A new issuer waits until its predecessor is out of use, a deputy issues a quarter while the issuer does not answer, and a side of a partition with at most half of the entries uses its part only. Where every upstream needs a permit and none can be had, the request is refused at once (upstreams-limited).

--- a/crates/pulley_core/src/process/members/entry_zones.rs
+++ b/crates/pulley_core/src/process/members/entry_zones.rs
@@ -18,6 +18,30 @@
         entries.map(|record| (record.zone.clone(), record.host.clone())).collect()
     }
 
+    /// Returns the number of live entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.zones.values().map(Vec::len).sum()
+    }
+
+    /// Whether no entry is live.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// Returns the entries of an upstream's zone, or those of all zones if that has none, from the
+    /// highest rendezvous hash for the upstream to the lowest.
+    pub(crate) fn ranked(&self, zone: &ZoneName, upstream: &UpstreamId) -> Vec<&HostId> {
+        let mut entries: Vec<&HostId> = match self.zones.get(zone) {
+            Some(entries) => entries.iter().collect(),
+            None => self.zones.values().flatten().collect(),
+        };
+        let rank = |host: &HostId| stable_hash([upstream.as_str(), host.as_str()]);
+        entries.sort_by_cached_key(|host| std::cmp::Reverse((rank(host), HostId::clone(host))));
+        entries
+    }
+
     /// Whether a host is one of the `count` entries that an upstream is assigned to.
     ///
     /// These are the entries of the upstream's zone with the highest rendezvous hash for it. If
--- a/crates/pulley_core/src/process/members/member_table.rs
+++ b/crates/pulley_core/src/process/members/member_table.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::member_message::{MemberMessage, MemberPurpose, MemberUpdate};
-use super::member_roster::{MemberRoster, SYNC_TRANSMISSIONS, UpdateOutcome};
+use super::member_roster::{MemberEntry, MemberRoster, SYNC_TRANSMISSIONS, UpdateOutcome};
 use super::{
     FastSet, HostId, MemberRecord, MemberSend, MemberSettings, MemberState, Moment, PeerRing,
 };
@@ -136,6 +136,19 @@
         self.roster.live_entries() + usize::from(self.own.roles.entry && !self.left)
     }
 
+    /// Returns the number of entries that were lost within the last `span` without leaving. They may
+    /// be at work beyond a partition.
+    #[must_use]
+    pub fn lost_entries(&self, now: Moment, span: Duration) -> usize {
+        let is_lost = |entry: &&MemberEntry| {
+            let update = &entry.update;
+            update.state == MemberState::Dead
+                && update.record.roles.entry
+                && now.since(entry.since) < span
+        };
+        self.roster.entries().filter(is_lost).count()
+    }
+
     /// Returns a host's description, if the host is live.
     #[must_use]
     pub fn find(&self, host: &HostId) -> Option<&MemberRecord> {
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod counts;
 mod fast_map;
+mod limits;
 mod link_pacer;
 mod members;
 mod moment;
@@ -17,6 +18,10 @@
     ProbeOutcome, UpstreamOutcomes, coordinator_for,
 };
 pub use fast_map::{FastMap, FastSet};
+pub use limits::{
+    LIMIT_BODY_LIMIT, LimitExchange, LimitOutput, LimitRecord, ObservedLimit, PermitAnswer,
+    PermitAsk, PermitCounts,
+};
 pub use link_pacer::LinkPacer;
 pub use members::{
     EntryZones, HostRoles, MEMBER_BODY_LIMIT, MemberIncarnation, MemberRecord, MemberSend,
@@ -31,8 +36,8 @@
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount, StartRate};
 pub use registry::{
     AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RecallProof, RegistryFault,
-    RegistryResult, RegistrySend, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory, UpstreamList,
-    UpstreamRegistry,
+    RegistryResult, RegistrySend, SharedTime, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory,
+    UpstreamList, UpstreamRegistry,
 };
 pub use upstream::{
     Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart,
@@ -42,4 +47,4 @@
     CountLayout, CountLink, CountTotals, LAYOUT_KEYS_PERIOD, UpstreamHealth, digest_of, median_ms,
     stable_hash,
 };
-pub(crate) use registry::{SharedClock, SharedTime};
+pub(crate) use registry::SharedClock;
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -18,7 +18,10 @@
 pub use upstream_list::{UpstreamChange, UpstreamList};
 pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
 
-pub(crate) use shared_clock::{SharedClock, SharedTime};
+pub use shared_clock::SharedTime;
+
+pub(crate) use registry_message::{UpdateReach, split_by_size};
+pub(crate) use shared_clock::SharedClock;
 
 use super::members::encoded;
 use super::{
--- a/crates/pulley_core/src/process/registry/shared_clock.rs
+++ b/crates/pulley_core/src/process/registry/shared_clock.rs
@@ -33,11 +33,18 @@
     }
 }
 
-/// A reading of the shared time in milliseconds, as carried in messages.
+/// A time in milliseconds that all hosts agree on to within a message's delay.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub(crate) struct SharedTime(pub(crate) u64);
+pub struct SharedTime(pub(crate) u64);
+
+impl SharedTime {
+    /// Returns the time one millisecond later.
+    pub(crate) const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
 
 /// A shared time: the highest reading received so far. Every host follows the earliest-started
 /// clock and lags it by at most the message's delay. Between readings each host's own monotonic
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -11,7 +11,7 @@
 use super::lease_record::{LeaseRecord, phase_rank};
 use super::lease_table::LeaseTable;
 use super::registry_message::{AgedRecord, PendingUpdate, UpdateReach};
-use super::shared_clock::SharedClock;
+use super::shared_clock::{SharedClock, SharedTime};
 use super::{
     Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, RegistrySend, UpstreamId,
     UpstreamList, UpstreamPhase, UpstreamStart, ZoneName,
@@ -187,6 +187,12 @@
         self.table.changes
     }
 
+    /// Returns the time that hosts share.
+    #[must_use]
+    pub fn shared_time(&self, now: Moment) -> SharedTime {
+        self.clock.read(now)
+    }
+
     /// The number of known upstreams, including expired ones.
     #[must_use]
     pub fn upstream_count(&self) -> usize {
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -7,12 +7,14 @@
 mod limit_reading;
 mod pool_scheduler;
 mod pool_scheduler_counts;
+mod pool_scheduler_limits;
 mod pool_scheduler_probes;
 mod retry_budget;
 mod share_leases;
 mod start_wait;
 mod subset_ranking;
 mod ticket;
+mod upstream_limit;
 mod upstream_state;
 mod upstream_table;
 mod verdict;
@@ -28,11 +30,13 @@
 pub use ticket::{
     AttemptOutcome, LoadReport, RequestNumber, RequestTicket, SchedulerEffect, SchedulerEffects,
 };
+pub use upstream_limit::LimitSighting;
 pub use verdict::{RefusalCause, RequestVerdict};
 
 pub(crate) use busy_period::BusyPeriod;
 pub(crate) use cold_rate_limit::{COLD_ENTRIES, ColdRateLimit};
 pub(crate) use kind_shares::{FIRST_PRIORITY, KindShares, LeaseTerms, kind_digest};
+pub(crate) use upstream_limit::UpstreamLimit;
 pub(crate) use upstream_state::UpstreamState;
 pub(crate) use upstream_table::{UpstreamChoice, UpstreamTable};
 pub(crate) use wait_queue::{WaitQueue, WaitingRequest};
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -15,7 +15,7 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{
-    CountLink, EntryZones, FastMap, FastSet, HostId, Moment, PoolName, UpstreamChange,
+    CountLink, EntryZones, FastMap, FastSet, HostId, Moment, PermitAsk, PoolName, UpstreamChange,
     UpstreamRecord, ZoneName,
 };
 use crate::version::{IndexedPlan, WorkLength};
@@ -121,6 +121,12 @@
     pub(super) last_slot_cost: LastSlotCost,
     /// How long the pool has been full.
     pub(super) busy_period: BusyPeriod,
+    /// Questions for permits that are to be asked.
+    pub(super) permit_asks: Vec<PermitAsk>,
+    /// The request that last asked for permits.
+    pub(super) asked_for: Option<RequestNumber>,
+    /// When to look at the queue again, because permits may be asked for then.
+    next_look_at: Option<Moment>,
 }
 
 impl PoolScheduler {
@@ -147,6 +153,9 @@
             probes: ArrivalBudget::new(),
             last_slot_cost: LastSlotCost::default(),
             busy_period: BusyPeriod::default(),
+            permit_asks: Vec::new(),
+            asked_for: None,
+            next_look_at: None,
         }
     }
 
@@ -226,6 +235,10 @@
         if let Some(cause) = self.refusal_cause(now, kind_index, ticket) {
             return vec![refusal(number, cause, self.retry_after(kind_index))];
         }
+        let latest = now + ticket.deadline.since(now).mul_f32(MAX_WAIT_PART);
+        if let Some(refused) = self.refuse_limited(now, number, latest) {
+            return vec![refused];
+        }
         self.queue.push(kind_index, WaitingRequest { ticket: ticket.clone(), arrived: now });
         let mut effects = Vec::new();
         self.dispatch(now, &mut effects);
@@ -288,7 +301,7 @@
     pub fn next_wakeup(&self) -> Option<Moment> {
         let refuse_at = self.queue.earliest()? - self.usual();
         let expires_at = self.link.as_ref().and_then(CountLink::expires_at);
-        Some(expires_at.map_or(refuse_at, |at| at.min(refuse_at)))
+        [expires_at, self.next_look_at, Some(refuse_at)].into_iter().flatten().min()
     }
 
     /// Returns the pool that it schedules.
@@ -380,6 +393,11 @@
             self.record_start_gap(now, kind_index, waiting.arrived);
             effects.push(self.start(now, kind_index, upstream, &waiting.ticket));
         }
+        self.next_look_at = None;
+        if self.queue.len() > 0 {
+            self.ask_for_queue(now);
+            self.next_look_at = self.upstreams.next_ask_at(now);
+        }
     }
 
     fn next_start(&mut self, now: Moment) -> Option<(usize, usize)> {
@@ -490,6 +508,7 @@
         let state = self.upstreams.at_mut(upstream);
         state.start(now);
         state.cold.spend(now, warm_up);
+        state.limit.spend(now);
         let running = RunningRequest {
             upstream,
             row: ticket.kind,
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -131,7 +131,9 @@
         let candidates = self.alternate_zones(now, candidates);
         self.probes.refill(now);
         let limit = if self.probes.is_ample() { query.wanted } else { SCARCE_PROBES };
-        let count = self.probes.take(now, limit.min(query.wanted).min(candidates.len()));
+        let limit = limit.min(query.wanted);
+        let candidates = self.take_permitted(now, ticket, candidates, limit);
+        let count = self.probes.take(now, candidates.len());
         let targets = candidates.into_iter().take(count).map(|upstream| {
             let announcement = &self.upstreams.at(upstream.index).record.announcement;
             ProbeTarget { upstream: announcement.id.clone(), address: announcement.address }
@@ -139,6 +141,37 @@
         targets.collect()
     }
 
+    /// Returns the first `count` upstreams to which a request may be sent. If the order names one
+    /// before them that needs a permit, the permit is asked for. This request does not wait for it
+    /// as long as other upstreams can take it.
+    fn take_permitted(
+        &mut self,
+        now: Moment,
+        ticket: &RequestTicket,
+        candidates: Vec<ProbeCandidate>,
+        count: usize,
+    ) -> Vec<ProbeCandidate> {
+        let mut permitted = Vec::new();
+        let mut limited = None;
+        for candidate in candidates {
+            if permitted.len() == count {
+                break;
+            }
+            if !candidate.needs_permit {
+                permitted.push(candidate);
+                continue;
+            }
+            let next_ask_at = self.upstreams.at(candidate.index).limit.next_ask_at(now);
+            if limited.is_none() && next_ask_at.is_some_and(|at| at <= now) {
+                limited = Some(candidate.index);
+            }
+        }
+        if let Some(index) = limited {
+            self.ask_for_request(now, index, ticket.number);
+        }
+        permitted
+    }
+
     /// Orders upstreams for probing. Silent upstreams and those with a recent bad report go last.
     /// Apart from that, upstreams of this entry's zone alternate with those of other zones.
     ///
@@ -190,12 +223,14 @@
         })
     }
 
-    /// Whether this entry's zone has upstreams that take work and is not silent.
+    /// Whether this entry's zone has upstreams that take work now and is not silent.
     fn own_zone_responds(&self, now: Moment) -> bool {
         if self.upstreams.silent_zones(now).contains(&&self.zone) {
             return false;
         }
-        self.upstreams.available().any(|state| state.record.announcement.zone == self.zone)
+        self.upstreams.available().any(|state| {
+            state.record.announcement.zone == self.zone && !state.limit.is_blocked(now)
+        })
     }
 
     /// Returns the cost of a request at the best of the probed upstreams, in usual answer times:
@@ -282,6 +317,9 @@
         {
             return vec![self.start(now, kind_index, found, ticket)];
         }
+        if let Some(refused) = self.refuse_limited(now, ticket.number, now) {
+            return vec![refused];
+        }
         let soonest = self.base_time(kind_index).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
         let retry_after = self.busy_period.record_refusal(now, soonest, &mut self.rng);
         vec![refusal(ticket.number, RefusalCause::PoolBusy, retry_after)]
@@ -466,7 +504,10 @@
     fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<PlacementCost> {
         let index = self.upstreams.index_of(&reading.upstream)?;
         let state = self.upstreams.at(index);
-        if !state.takes_work() || self.is_cold_blocked(now, index, reading) {
+        if !state.takes_work()
+            || state.limit.is_blocked(now)
+            || self.is_cold_blocked(now, index, reading)
+        {
             return None;
         }
         let away = if state.record.announcement.zone == self.zone { 0.0 } else { ZONE_PENALTY };
--- a/crates/pulley_core/src/request/upstream_state.rs
+++ b/crates/pulley_core/src/request/upstream_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{AttemptOutcome, ColdRateLimit, LoadReport};
+use super::{AttemptOutcome, ColdRateLimit, LoadReport, UpstreamLimit};
 use crate::process::{
     CountKey, Moment, UpstreamHealth, UpstreamOutcomes, UpstreamPhase, UpstreamRecord,
 };
@@ -60,6 +60,8 @@
     warming_since: Option<Moment>,
     /// Rate limit while the upstream is cold.
     pub(crate) cold: ColdRateLimit,
+    /// The request limit that the upstream names.
+    pub(crate) limit: UpstreamLimit,
     next_trickle_at: Moment,
 }
 
@@ -82,6 +84,7 @@
             ratio_updated: now,
             warming_since: cold.then_some(now),
             cold: ColdRateLimit::default(),
+            limit: UpstreamLimit::default(),
             next_trickle_at: now,
         }
     }
@@ -98,6 +101,7 @@
             self.unanswered_at = None;
             self.latency_ratio = 1.0;
             self.cold = ColdRateLimit::default();
+            self.limit = UpstreamLimit::default();
         }
         self.record = record.clone();
         self.listed = true;
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -86,6 +86,8 @@
     pub(crate) in_other_zone: bool,
     /// Whether it is outside the entry's subset of its zone.
     pub(crate) is_outside: bool,
+    /// Whether a request may be sent to it only with a permit that this entry does not hold.
+    pub(crate) needs_permit: bool,
     /// Its index in the table.
     pub(crate) index: usize,
 }
@@ -365,11 +367,41 @@
             let in_other_zone = state.record.announcement.zone != *zone;
             // A cold upstream that is assigned to this entry is probed as if it were in its subset.
             let is_outside = !state.in_subset && !state.cold.is_cold(now);
-            ProbeCandidate { is_silent, in_other_zone, is_outside, index }
+            let needs_permit = state.limit.is_blocked(now);
+            ProbeCandidate { is_silent, in_other_zone, is_outside, needs_permit, index }
         });
         probe_candidates.collect()
     }
 
+    /// Returns when a permit for one of the upstreams may be had at the earliest, if a request can be
+    /// sent to none of them without one. `None` if one may arrive at any moment.
+    pub(crate) fn limited_until(&self, now: Moment) -> Option<Moment> {
+        let mut earliest: Option<Moment> = None;
+        for state in self.available() {
+            let until = state.limit.blocked_until(now)?;
+            earliest = Some(earliest.map_or(until, |known| known.min(until)));
+        }
+        earliest
+    }
+
+    /// Whether requests can be sent to none of the upstreams without a permit.
+    pub(crate) fn all_blocked(&self, now: Moment) -> bool {
+        self.available().all(|state| state.limit.is_blocked(now))
+    }
+
+    /// Returns up to `count` upstreams for which permits may be asked now.
+    pub(crate) fn askable(&self, now: Moment, count: usize) -> Vec<usize> {
+        let is_due = |index: &usize| {
+            self.states[*index].limit.next_ask_at(now).is_some_and(|next| next <= now)
+        };
+        self.available.iter().copied().filter(is_due).take(count).collect()
+    }
+
+    /// Returns when permits are next to be asked for; `None` if no upstream needs any.
+    pub(crate) fn next_ask_at(&self, now: Moment) -> Option<Moment> {
+        self.available().filter_map(|state| state.limit.next_ask_at(now)).min()
+    }
+
     pub(crate) fn at_mut(&mut self, index: usize) -> &mut UpstreamState {
         &mut self.states[index]
     }
@@ -506,6 +538,7 @@
             || load >= (usable * choice.overcommit).max(1.0)
             || state.is_paused(choice.now, part)
             || state.cold.is_blocked(choice.now, self.warm_up)
+            || state.limit.is_blocked(choice.now)
             || choice.avoid.contains(&state.record.announcement.id)
         {
             return None;
--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -84,6 +84,8 @@
     BadRequest,
     /// The configuration held here doesn't allow the request, but a newer accepted one may.
     ConfigurationBehind,
+    /// Every upstream of the pool has named a request limit, and none has any of it left.
+    UpstreamsLimited,
 }
 
 impl RefusalCause {
@@ -103,6 +105,7 @@
             Self::KeyConflict => "key-conflict",
             Self::BadRequest => "bad-request",
             Self::ConfigurationBehind => "configuration-behind",
+            Self::UpstreamsLimited => "upstreams-limited",
         }
     }
 }
--- a/crates/pulley_wire/schema/peer.capnp
+++ b/crates/pulley_wire/schema/peer.capnp
@@ -46,4 +46,5 @@
   ledger @4;
   operator @5;
   upstreams @6;
+  limits @7;
 }
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -112,6 +112,14 @@
                 seeds.into_iter().for_each(|seed| self.members.add_seed(seed));
             }
             ControlRequest::ObservedDrain(id) => self.registry.observe_drain(now, &id),
+            ControlRequest::ObservedLimit(observed) => {
+                self.limits.observe(now, self.registry.shared_time(now), observed);
+                self.flush_limits(now);
+            }
+            ControlRequest::AskPermits(asks) => {
+                asks.iter().for_each(|ask| self.limits.ask(now, ask));
+                self.flush_limits(now);
+            }
             ControlRequest::Drain(id, reply) => {
                 let outcome = self.registry.operator_drain(now, &id);
                 let _ =
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    CoordinatorOutput, EntryZones, FastMap, FastSet, MemberRecord, MemberSend, MemberSettings,
-    MemberTable, UpstreamDirectory, UpstreamRegistry, UpstreamStart,
+    CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitOutput, LimitRecord,
+    MemberRecord, MemberSend, MemberSettings, MemberTable, UpstreamDirectory, UpstreamRegistry,
+    UpstreamStart,
 };
 use pulley_core::version::{
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
@@ -87,6 +88,9 @@
     pub(super) replica: Option<ReplicaDriver>,
     pub(super) router: QuestionRouter,
     pub(super) counts: CountExchange,
+    pub(super) limits: LimitExchange,
+    /// Limits of upstreams that are new to this host and not logged yet.
+    new_limits: Vec<LimitRecord>,
     pub(super) pending_answers: FastMap<QuestionNumber, PendingAnswer>,
     pub(super) founders: Vec<HostId>,
     pub(super) outputs: Vec<ControlOutput>,
@@ -119,6 +123,9 @@
 /// loss of power. A request may be placed by a view that is stale by this much.
 const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long entries that were lost without leaving are assumed to be at work beyond a partition.
+const LOST_ENTRY_SPAN: Duration = Duration::from_secs(30);
+
 /// The inputs of a view. A new view is built when any of them changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ViewInputs {
@@ -161,7 +168,9 @@
                 .with_link_rate(parts.link_rate),
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 2),
-            counts: CountExchange::new(host, parts.share_counts),
+            counts: CountExchange::new(host.clone(), parts.share_counts),
+            limits: LimitExchange::new(Moment::ZERO, host),
+            new_limits: Vec::new(),
             pending_answers: FastMap::default(),
             founders: parts.founders,
             outputs: Vec::new(),
@@ -205,6 +214,8 @@
         self.route(now, routed);
         self.renew_lease(now);
         self.tick_counts(now);
+        self.limits.tick(now, &ring);
+        self.flush_limits(now);
         self.refresh(now);
         std::mem::take(&mut self.outputs)
     }
@@ -230,7 +241,10 @@
                 self.send_plans(plans);
             }
             // These classes are sent as datagrams only.
-            FrameClass::Membership | FrameClass::Counts | FrameClass::Upstreams => {}
+            FrameClass::Membership
+            | FrameClass::Counts
+            | FrameClass::Upstreams
+            | FrameClass::Limits => {}
         }
         self.refresh(now);
         std::mem::take(&mut self.outputs)
@@ -261,6 +275,10 @@
                 self.send_plans(plans);
             }
             FrameClass::Counts => self.counts.receive(now, sender, body, &self.schedulers),
+            FrameClass::Limits => {
+                self.limits.receive(now, sender, body);
+                self.flush_limits(now);
+            }
             FrameClass::Replication | FrameClass::Ledger | FrameClass::Operator => {}
         }
         self.refresh(now);
@@ -314,6 +332,7 @@
             self.router.next_wakeup(),
             self.view_due,
             self.counts.next_wakeup(&self.schedulers),
+            self.limits.next_wakeup(),
         ];
         for due in optional.into_iter().flatten() {
             next = next.min(due);
@@ -363,6 +382,34 @@
         }
     }
 
+    /// Carries out what the exchange of limits asks for.
+    pub(super) fn flush_limits(&mut self, now: Moment) {
+        for output in self.limits.take_outputs() {
+            match output {
+                LimitOutput::ToHost { to, body } => {
+                    let Some(record) = self.members.find(&to) else { continue };
+                    let address = record.peer_address;
+                    self.datagram(address, FrameClass::Limits, body);
+                }
+                LimitOutput::ToAddress { to, body } => {
+                    self.datagram(to, FrameClass::Limits, body);
+                }
+                LimitOutput::Permits(answer) => self.schedulers.receive_permits(now, &answer),
+                LimitOutput::Limit { record, is_new } => {
+                    self.schedulers.apply_limit(now, &record);
+                    if is_new {
+                        self.new_limits.push(record);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes the limits that this host has learned of since the last call.
+    pub(crate) fn take_new_limits(&mut self) -> Vec<LimitRecord> {
+        std::mem::take(&mut self.new_limits)
+    }
+
     /// Confirms the current view, and publishes a new one if any of its inputs has changed.
     fn refresh(&mut self, now: Moment) {
         let standing = self.follower.standing(now);
@@ -391,7 +438,7 @@
             self.published.is_none_or(|(published, _)| published.members != inputs.members);
         self.published = Some((inputs, now));
         if members_changed {
-            self.apply_members();
+            self.apply_members(now);
             self.transfer_state_to_entries(now);
         }
         let view = self.build_view(now, standing);
@@ -407,7 +454,7 @@
         }
     }
 
-    fn apply_members(&mut self) {
+    fn apply_members(&mut self, now: Moment) {
         let mut replicas: Vec<HostId> = self
             .members
             .live()
@@ -421,6 +468,8 @@
         }
         replicas.sort();
         self.entries = Arc::new(EntryZones::of(self.members.live()));
+        let lost = self.members.lost_entries(now, LOST_ENTRY_SPAN);
+        self.limits.set_entries(now, &self.entries, lost);
         if let Some(driver) = &mut self.replica {
             driver.set_replicas(&replicas);
         }
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pulley_core::process::{Announcement, Incarnation};
+use pulley_core::process::{Announcement, Incarnation, ObservedLimit, PermitAsk};
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, SheetView, ZoneAnswer,
     ZoneOrder,
@@ -51,6 +51,11 @@
     Seeds(Vec<SocketAddr>),
     /// An upstream said in an answer that it drains.
     ObservedDrain(pulley_core::UpstreamId),
+    /// An upstream named a request limit in an answer, or no longer names one.
+    ObservedLimit(ObservedLimit),
+    /// Asks for permits to send requests to upstreams that have named a limit. The answers go to the
+    /// schedulers.
+    AskPermits(Vec<PermitAsk>),
     /// An operator's change of the configuration.
     Apply(Box<ChangeRequest>, oneshot::Sender<ChangeAnswer>),
     /// Asks for the sheet that a quorum confirms to be current.
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -62,6 +62,15 @@
         Value::Object(ages.collect())
     }
 
+    /// Returns the requests a second that upstreams have said they take, by upstream.
+    fn limit_rates(&self) -> Value {
+        let rates = self.limits.limits().filter_map(|record| {
+            let rate = record.rate?.per_second();
+            Some((record.upstream.to_string(), json!(rate)))
+        });
+        Value::Object(rates.collect())
+    }
+
     /// Returns the counts of control messages since the process started. Bytes exclude the headers
     /// of IP, UDP and TCP, but include the overhead that links add to their frames.
     fn transport_status(&self) -> Value {
@@ -112,6 +121,8 @@
             "count_age_ms": self.count_ages(now),
             "control": self.transport_status(),
             "spread": self.follower.spread_counts(),
+            "limits": self.limit_rates(),
+            "permits": self.limits.counts(),
             "coordinates": self.counts.scopes(),
             "running": self.schedulers.running(),
             "waiting": self.schedulers.waiting(),
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -306,13 +306,16 @@
     }
 }
 
-/// Removes and returns the next output if it is a datagram to the same host. One datagram then
-/// carries both.
+/// Removes and returns the next output if it is a datagram to the same host, so that one datagram
+/// carries both. Limits are left out: hosts of earlier builds reject datagrams that contain them.
 fn take_same(
     outputs: &mut VecDeque<ControlOutput>,
     host: SocketAddr,
 ) -> Option<(FrameClass, Bytes)> {
-    let is_same = |output: &mut ControlOutput| matches!(output, ControlOutput::Datagram { to, .. } if *to == host);
+    let is_same = |output: &mut ControlOutput| {
+        matches!(output, ControlOutput::Datagram { to, class, .. }
+            if *to == host && *class != FrameClass::Limits)
+    };
     match outputs.pop_front_if(is_same) {
         Some(ControlOutput::Datagram { class, body, .. }) => Some((class, body)),
         _ => None,
@@ -371,8 +374,10 @@
                 }
                 ControlOutput::Datagram { to, class, body } => {
                     let mut parts = vec![(class, body)];
-                    while let Some(part) = take_same(&mut outputs, to) {
-                        parts.push(part);
+                    if class != FrameClass::Limits {
+                        while let Some(part) = take_same(&mut outputs, to) {
+                            parts.push(part);
+                        }
                     }
                     self.datagrams.send_bundle(to, &parts);
                 }
@@ -417,6 +422,7 @@
             self.apply_addresses();
         }
         self.log_members(mark);
+        self.log_limits();
         self.log_cluster_state();
         self.log_spread();
         if let Some(outcome) = self.core.take_recall_outcome() {
@@ -491,6 +497,14 @@
         info!(self.logger, "membership"; "live" => self.core.members.live().count());
     }
 
+    /// Logs the limits of upstreams that this host has just learned of.
+    fn log_limits(&mut self) {
+        for record in self.core.take_new_limits() {
+            let rate = record.rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            info!(self.logger, "upstream-limit"; "upstream" => %record.upstream, "rate" => rate);
+        }
+    }
+
     /// Logs the configuration in force, the evacuated zones, the leader and the members of the log
     /// if they have changed.
     fn log_cluster_state(&mut self) {
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -227,7 +227,8 @@
         let (host, zone) = (settings.host_id.clone(), settings.zone.clone());
         let schedulers = SchedulerSet::new(host, zone, clock, rand::random())
             .with_retry_allowance(retry_allowance(&settings))
-            .with_arrival_probes(rate_from_setting(settings.traffic.arrival_probe_rate));
+            .with_arrival_probes(rate_from_setting(settings.traffic.arrival_probe_rate))
+            .with_control(handle.clone());
         let schedulers = Arc::new(schedulers);
         let metrics = ProcessMetrics::new()?;
         let parts = Self {
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -9,10 +9,10 @@
 use http::{Method, Request, Uri};
 use pulley_core::connection::RepeatSafety;
 use pulley_core::request::{
-    LoadReport, ProbeQuery, ProbeReach, ProbeReading, ProbeTarget, RequestTicket,
+    LimitSighting, LoadReport, ProbeQuery, ProbeReach, ProbeReading, ProbeTarget, RequestTicket,
 };
 use pulley_core::version::{AnswerSize, KindPlan};
-use pulley_core::{Moment, UpstreamId};
+use pulley_core::{Moment, PoolName, UpstreamId};
 
 use super::{RequestBody, TrafficContext};
 use crate::connection::{LinkRequest, Unused, UpstreamLink};
@@ -157,10 +157,10 @@
         let mut pending: FuturesUnordered<_> = targets
             .into_iter()
             .map(|target| {
-                let (context, path) = (Arc::clone(context), path.clone());
+                let (context, path, pool) = (Arc::clone(context), path.clone(), row.pool.clone());
                 async move {
                     let end = now + PROBE_TIMEOUT;
-                    let reply = probe_one(&context, &path, &target, end);
+                    let reply = probe_one(&context, &pool, &path, &target, end);
                     let answer = context.timer.run_until(end, reply).await.flatten();
                     (target.upstream, answer)
                 }
@@ -207,6 +207,7 @@
 /// Sends one probe. Returns `None` if there is no answer or another upstream answered.
 async fn probe_one(
     context: &TrafficContext,
+    pool: &PoolName,
     path: &Uri,
     target: &ProbeTarget,
     deadline: Moment,
@@ -218,6 +219,7 @@
         deadline,
     };
     let link = context.connections.checkout(request).await.ok()?;
+    let sent_at = context.clock.now();
     let (parts, link) = link.probe(probe_request(context, path, target)?).await?;
     let dialect = &context.dialect;
     if let Some(name) = &dialect.upstream_id {
@@ -226,6 +228,9 @@
             return None;
         }
     }
+    let reading = dialect.limit(&parts.headers);
+    let sighting = LimitSighting { reading, sent_at, is_probe: true };
+    context.schedulers.observe_limit(pool, &target.upstream, sighting);
     let mut report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
     report.cold_left = dialect.cold_left(&parts.headers);
     if !parts.status.is_success() {
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -18,6 +18,7 @@
 mod request_run;
 mod scheduler_set;
 mod scheduler_set_counts;
+mod scheduler_set_limits;
 mod scheduler_set_probes;
 mod system_answer;
 mod traffic_context;
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::select;
 use http::header::{HeaderMap, HeaderValue};
 use http::uri::{PathAndQuery, Uri};
 use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use pulley_core::connection::RepeatSafety;
-use pulley_core::request::{AttemptOutcome, ProbeReach, RequestTicket};
+use pulley_core::request::{AttemptOutcome, LimitSighting, ProbeReach, RequestTicket};
 use pulley_core::version::AnswerSize;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
 
@@ -38,6 +39,10 @@
 /// would stay idle for longer.
 const PLACEMENT_RETRY_DELAY: Duration = Duration::from_millis(30);
 
+/// How long a request may wait for a permit where every upstream has a request limit. Questions for
+/// permits take a few milliseconds, and a permit that is not there by then goes to another request.
+const PERMIT_WAIT: Duration = Duration::from_millis(80);
+
 /// Divides the time in which a request can still meet its target. During the resulting part, a
 /// request with a large response probes upstreams of its own zone only.
 const LARGE_OWN_ZONE_DIVISOR: u32 = 2;
@@ -64,10 +69,12 @@
             let probed = ArrivalProbing::probe(&self.context, self.row(), &ticket, reach).await;
             match self.place(&ticket, probed).await {
                 Ok(placed) => break placed,
-                Err(fault) if !self.may_wait(&fault, placement_deadline) => return Err(fault),
+                Err(fault) if !self.may_wait(&fault, started, placement_deadline) => {
+                    return Err(fault);
+                }
                 Err(_) => {}
             }
-            let _ = self.context.timer.after(PLACEMENT_RETRY_DELAY).await;
+            self.wait_to_probe_again().await;
             // The request's number was released with the refusal. It is still the same request, so
             // it adds nothing more to the retry budget.
             ticket.number = self.context.next_number();
@@ -105,10 +112,25 @@
         if is_first || waited < own_zone_time { ProbeReach::OwnZone } else { ProbeReach::EveryZone }
     }
 
-    /// Whether a request that was not placed may probe again a little later.
-    fn may_wait(&self, fault: &AttemptFault, placement_deadline: Moment) -> bool {
-        let is_busy = fault.answer.cause == RefusalCause::PoolBusy.as_str();
-        is_busy && self.context.clock.now() + PLACEMENT_RETRY_DELAY < placement_deadline
+    /// Whether a request that was not placed at `started` may probe again a little later.
+    fn may_wait(&self, fault: &AttemptFault, started: Moment, placement_deadline: Moment) -> bool {
+        let latest = if fault.answer.cause == RefusalCause::UpstreamsLimited.as_str() {
+            let due = self.context.schedulers.permit_due(&self.row().pool);
+            let limit = placement_deadline.min(started + PERMIT_WAIT);
+            due.filter(|due| *due < limit).map(|_| limit)
+        } else {
+            let is_busy = fault.answer.cause == RefusalCause::PoolBusy.as_str();
+            is_busy.then_some(placement_deadline)
+        };
+        latest.is_some_and(|latest| self.context.clock.now() + PLACEMENT_RETRY_DELAY < latest)
+    }
+
+    /// Waits before the request looks for an upstream again. It does so at once when permits for an
+    /// upstream with a request limit have been granted or denied.
+    async fn wait_to_probe_again(&self) {
+        let pause = pin!(self.context.timer.after(PLACEMENT_RETRY_DELAY));
+        let permits = pin!(self.context.schedulers.permits_answered(&self.row().pool));
+        let _ = select(pause, permits).await;
     }
 
     async fn place(&self, ticket: &RequestTicket, probed: ArrivalProbing) -> Result<PlacedRequest> {
@@ -135,6 +157,7 @@
         let mut attempt = AttemptGuard::new(schedulers, self.row().pool.clone(), ticket.number);
         let upstream = placed.upstream.clone();
         self.record_tried(&upstream);
+        let sent_at = self.context.clock.now();
         let (mut response, link) = match self.send(placed).await {
             Ok(sent) => sent,
             Err(fault) => {
@@ -150,6 +173,8 @@
             AnswerMetadata::take(&mut response, &self.context.dialect, &self.context.counters);
         attempt.set_report(metadata.report);
         self.record_limit(metadata.limit);
+        let sighting = LimitSighting { reading: metadata.limit, sent_at, is_probe: false };
+        self.context.schedulers.observe_limit(&self.row().pool, &upstream, sighting);
         if metadata.is_draining {
             self.observe_drain(&upstream);
         }
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -16,7 +16,7 @@
 use pulley_core::{HostId, IndexedPlan, Moment, PoolName, RefusalCause, UpstreamId, ZoneName};
 use tokio::sync::{Notify, oneshot};
 
-use crate::process::{ProcessClock, RunningView, TimerService};
+use crate::process::{ControlHandle, ProcessClock, RunningView, TimerService};
 
 /// How long the timer task sleeps if no scheduler asks to be woken.
 const IDLE_TICK: Duration = Duration::from_secs(1);
@@ -59,6 +59,8 @@
     probe_rate: f32,
     /// Read by every request and changed only with the plan, so that reads write no shared memory.
     pub(super) pools: ArcSwap<FastMap<PoolName, Arc<PoolCell>>>,
+    /// The channel to the control thread, which asks other hosts for permits.
+    pub(super) control: Option<ControlHandle>,
     armed: AtomicU64,
     rearmed: Notify,
 }
@@ -66,6 +68,8 @@
 #[derive(Debug)]
 pub(super) struct PoolCell {
     pub(super) state: Mutex<PoolState>,
+    /// Notified when questions for permits have been answered.
+    pub(super) permits_answered: Notify,
 }
 
 #[derive(Debug)]
@@ -91,6 +95,7 @@
             retry_allowance: None,
             probe_rate: 0.0,
             pools: ArcSwap::default(),
+            control: None,
             armed: AtomicU64::new(u64::MAX),
             rearmed: Notify::new(),
         }
@@ -103,6 +108,13 @@
         self
     }
 
+    /// Sends questions for permits and news of request limits to the control thread.
+    #[must_use]
+    pub fn with_control(mut self, control: ControlHandle) -> Self {
+        self.control = Some(control);
+        self
+    }
+
     /// Lets arriving requests probe upstreams; `rate` is the number of probes per upstream and
     /// second over all entries.
     #[must_use]
@@ -161,6 +173,7 @@
                 None => state.scheduler.arrive(now, ticket),
                 Some(readings) => state.scheduler.arrive_probed(now, ticket, readings),
             };
+            self.send_asks(&mut state);
             // Most requests are decided at once and need no queue.
             if let Some(placement) = take_only_decision(&mut effects, ticket.number) {
                 return placement;
@@ -291,7 +304,7 @@
                 .retry_allowance
                 .map_or_else(RetryBudget::new, |allowance| RetryBudget::within(allowance, entries)),
         };
-        let cell = Arc::new(PoolCell { state: Mutex::new(state) });
+        let cell = Arc::new(PoolCell { state: Mutex::new(state), permits_answered: Notify::new() });
         self.pools.rcu(|pools| {
             let mut pools = FastMap::clone(pools);
             pools.entry(pool.clone()).or_insert_with(|| Arc::clone(&cell));
@@ -352,7 +365,12 @@
     }
 
     fn rearm(&self, cell: &PoolCell) {
-        let Some(due) = cell.state.lock().scheduler.next_wakeup() else { return };
+        let due = {
+            let mut state = cell.state.lock();
+            self.send_asks(&mut state);
+            state.scheduler.next_wakeup()
+        };
+        let Some(due) = due else { return };
         if due.micros() < self.armed.load(Ordering::SeqCst) {
             self.armed.store(due.micros(), Ordering::SeqCst);
             self.rearmed.notify_one();
--- a/crates/pulleyd/src/request/scheduler_set_probes.rs
+++ b/crates/pulleyd/src/request/scheduler_set_probes.rs
@@ -80,12 +80,16 @@
 
     /// Runs a query on a pool's scheduler that neither starts nor ends a request; `None` for an
     /// unknown pool.
-    fn with_scheduler<T>(
+    pub(super) fn with_scheduler<T>(
         &self,
         pool: &PoolName,
         query: impl FnOnce(&mut PoolScheduler, Moment) -> T,
     ) -> Option<T> {
         let now = self.clock.now();
-        Some(query(&mut self.cell(pool)?.state.lock().scheduler, now))
+        let cell = self.cell(pool)?;
+        let mut state = cell.state.lock();
+        let answer = query(&mut state.scheduler, now);
+        self.send_asks(&mut state);
+        Some(answer)
     }
 }
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -36,6 +36,7 @@
             | RefusalCause::ConfigurationBehind
             | RefusalCause::PlanChanged
             | RefusalCause::PoolBusy
+            | RefusalCause::UpstreamsLimited
             | RefusalCause::NoUpstream
             | RefusalCause::HostFull
             | RefusalCause::LedgerUnavailable => StatusCode::SERVICE_UNAVAILABLE,
