Divide budgets by lost entries too, which may be at work beyond a partition

The probe budget, an upstream's connections and the retries saved were divided by the entries that a host sees alive. Where half of the entries lose sight of the other half, each half took the whole: upstreams would be probed up to 1.6 times as often as the budget says, and refuse connections beyond their number.

--- a/crates/pulley_bench/src/path/full_forwarder.rs
+++ b/crates/pulley_bench/src/path/full_forwarder.rs
@@ -91,7 +91,7 @@
         readiness: HostReadiness::Ready,
         evacuated: Arc::default(),
         entries: Arc::default(),
-        live_entries: 1,
+        sharing_entries: 1,
     })
 }
 
--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -110,13 +110,14 @@
         Self { rules, share: 1, next_number: 0, links, idle }
     }
 
-    /// Sets this entry's share: the upstream's connection limit divided by the live entries.
+    /// Sets this entry's share: the upstream's connection limit divided by the entries
+    /// that share it.
     ///
     /// The share is rounded down. If all entries rounded up, they would exceed the limit and the
     /// upstream would refuse the last ones to connect. The share is at least 1, because otherwise
     /// an entry could not send at all.
-    pub fn set_share(&mut self, connections: u32, live_entries: u32) {
-        let share = connections / live_entries.max(1);
+    pub fn set_share(&mut self, connections: u32, sharing_entries: u32) {
+        let share = connections / sharing_entries.max(1);
         self.share = usize::try_from(share.max(1)).unwrap_or(usize::MAX);
     }
 
--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -126,7 +126,7 @@
     // ---------------------------------------------------------------------------------------------
     // Inputs
 
-    /// Sets the live entries, and how many have been lost recently without leaving.
+    /// Sets the live entries, and how many have been lost without leaving.
     pub fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>, lost: usize) {
         self.issuer.set_entries(now, entries, lost);
     }
--- a/crates/pulley_core/src/process/limits/permit_issuer.rs
+++ b/crates/pulley_core/src/process/limits/permit_issuer.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Sets the live entries, and how many have been lost recently without leaving.
+    /// Sets the live entries, and how many have been lost without leaving.
     ///
     /// Lost entries may be at work on the other side of a partition. Where at most half of all are
     /// seen, these use only their part of each limit, because the other side may use the rest.
--- a/crates/pulley_core/src/process/members/member_table.rs
+++ b/crates/pulley_core/src/process/members/member_table.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::member_message::{MemberMessage, MemberPurpose, MemberUpdate};
-use super::member_roster::{MemberEntry, MemberRoster, SYNC_TRANSMISSIONS, UpdateOutcome};
+use super::member_roster::{MemberRoster, SYNC_TRANSMISSIONS, UpdateOutcome};
 use super::{
     FastSet, HostId, MemberRecord, MemberSend, MemberSettings, MemberState, Moment, PeerRing,
 };
@@ -136,17 +136,21 @@
         self.roster.live_entries() + usize::from(self.own.roles.entry && !self.left)
     }
 
-    /// Returns the number of entries that were lost within the last `span` without leaving. They may
-    /// be at work beyond a partition.
+    /// Returns the number of entries that are remembered as dead. They did not leave, and may be at
+    /// work beyond a partition.
     #[must_use]
-    pub fn lost_entries(&self, now: Moment, span: Duration) -> usize {
-        let is_lost = |entry: &&MemberEntry| {
-            let update = &entry.update;
-            update.state == MemberState::Dead
-                && update.record.roles.entry
-                && now.since(entry.since) < span
-        };
-        self.roster.entries().filter(is_lost).count()
+    pub fn lost_entries(&self) -> usize {
+        let entries = self.roster.entries().map(|entry| &entry.update);
+        let is_lost =
+            |update: &&MemberUpdate| update.state == MemberState::Dead && update.record.roles.entry;
+        entries.filter(is_lost).count()
+    }
+
+    /// Returns the number of entries that share what holds for all hosts together: those that are
+    /// live, and those that may be at work beyond a partition.
+    #[must_use]
+    pub fn sharing_entries(&self) -> usize {
+        self.live_entries() + self.lost_entries()
     }
 
     /// Returns a host's description, if the host is live.
--- a/crates/pulley_core/tests/members/member_table_tests.rs
+++ b/crates/pulley_core/tests/members/member_table_tests.rs
@@ -107,3 +107,20 @@
     called.dedup();
     assert_eq!(called, seeds);
 }
+
+/// Half of the hosts cannot see the other half, and both go on serving. Each half takes the whole
+/// of every limit that holds over all hosts, such as the probe budget.
+#[test]
+fn the_shares_of_two_halves_add_up_to_one_whole() {
+    let mut network = Network::new(20, 9);
+    network.run_for(Duration::from_secs(5));
+    let (left, right): (Vec<usize>, Vec<usize>) = ((0..10).collect(), (10..20).collect());
+    network.set_partition(&left, &right, true);
+    for _ in 0..120 {
+        network.run_for(Duration::from_millis(500));
+        let shares = network.hosts.iter().map(|host| 1.0 / host.members.sharing_entries() as f64);
+        let sum: f64 = shares.sum();
+        assert!(sum <= 1.01, "the shares are {sum} of the whole at {}", network.now);
+    }
+    assert_eq!(live_counts(&network), vec![10; 20]);
+}
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -151,5 +151,5 @@
     let useful = usize::try_from(announcement.slots.0).unwrap_or(usize::MAX);
     let planned = view.plan.connections(&announcement.pool);
     let connections = planned.unwrap_or(u32::MAX).min(announcement.connections);
-    links.set_share(connections, view.live_entries, useful.max(1));
+    links.set_share(connections, view.sharing_entries, useful.max(1));
 }
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -98,9 +98,9 @@
 
     /// Sets this entry's share of the upstream's connections, and how many are useful at the same
     /// time.
-    pub(super) fn set_share(&self, connections: u32, live_entries: u32, useful: usize) {
+    pub(super) fn set_share(&self, connections: u32, sharing_entries: u32, useful: usize) {
         let mut state = self.state.lock();
-        state.table.set_share(connections, live_entries);
+        state.table.set_share(connections, sharing_entries);
         state.useful = useful;
     }
 
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -123,9 +123,6 @@
 /// loss of power. A request may be placed by a view that is stale by this much.
 const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How long entries that were lost without leaving are assumed to be at work beyond a partition.
-const LOST_ENTRY_SPAN: Duration = Duration::from_secs(30);
-
 /// The inputs of a view. A new view is built when any of them changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ViewInputs {
@@ -468,7 +465,7 @@
         }
         replicas.sort();
         self.entries = Arc::new(EntryZones::of(self.members.live()));
-        let lost = self.members.lost_entries(now, LOST_ENTRY_SPAN);
+        let lost = self.members.lost_entries();
         self.limits.set_entries(now, &self.entries, lost);
         if let Some(driver) = &mut self.replica {
             driver.set_replicas(&replicas);
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -13,7 +13,7 @@
 impl ControlCore {
     /// Returns the current view.
     pub(super) fn build_view(&mut self, now: Moment, standing: PlanStanding) -> RunningView {
-        let live = self.members.live_entries();
+        let sharing = self.members.sharing_entries();
         RunningView {
             version: self.follower.version(),
             awaited_version: self.follower.awaited_version(),
@@ -22,7 +22,7 @@
             readiness: self.readiness(standing),
             evacuated: Arc::clone(self.follower.evacuated()),
             entries: Arc::clone(&self.entries),
-            live_entries: u32::try_from(live).unwrap_or(u32::MAX).max(1),
+            sharing_entries: u32::try_from(sharing).unwrap_or(u32::MAX).max(1),
         }
     }
 
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -45,8 +45,9 @@
     pub evacuated: Arc<EvacuatedZones>,
     /// The live entries of each zone.
     pub entries: Arc<EntryZones>,
-    /// The number of live entries, this one included. Connection limits are divided by it.
-    pub live_entries: u32,
+    /// The number of entries that share what holds for all hosts together: probes, connections and
+    /// retries. It includes this one, and entries that may be at work beyond a partition.
+    pub sharing_entries: u32,
 }
 
 impl Default for RunningView {
@@ -59,7 +60,7 @@
             readiness: HostReadiness::NotReady { why: SmolStr::new_static("starting") },
             evacuated: Arc::default(),
             entries: Arc::default(),
-            live_entries: 1,
+            sharing_entries: 1,
         }
     }
 }
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -127,12 +127,12 @@
     pub fn apply_view(&self, view: &RunningView) {
         let now = self.clock.now();
         for pool in view.plan.pools() {
-            let cell = self.cell_or_new(pool, view.live_entries);
+            let cell = self.cell_or_new(pool, view.sharing_entries);
             if let Some(allowance) = self.retry_allowance {
-                cell.state.lock().retries.share(allowance, view.live_entries);
+                cell.state.lock().retries.share(allowance, view.sharing_entries);
             }
             let upstreams = view.upstreams.get(pool).cloned().unwrap_or_default();
-            let rate = self.probe_share(upstreams.len(), view.live_entries);
+            let rate = self.probe_share(upstreams.len(), view.sharing_entries);
             {
                 let mut state = cell.state.lock();
                 state.scheduler.set_probe_rate(rate);
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -178,7 +178,7 @@
             readiness: HostReadiness::Ready,
             evacuated: Arc::default(),
             entries: Arc::default(),
-            live_entries: 1,
+            sharing_entries: 1,
         }
     }
 
