Share a cold upstream's rate between both sides of a partition

The rate to a cold upstream holds for all entries together. Each side of a partition assigned the upstream to three entries of its own, and both sent the whole rate: a cold upstream crashes at twice what it bears. A side that sees at most half of the entries now uses its part, by the rule that the issuers of permits follow already (EntryZones::usable_part).

--- a/crates/pulley_bench/src/capacity/change_cost.rs
+++ b/crates/pulley_bench/src/capacity/change_cost.rs
@@ -124,7 +124,7 @@
             plan: Arc::clone(&self.plan),
             upstreams: self.registry.pools(self.now).clone(),
             readiness: HostReadiness::Ready,
-            live_entries: u32::try_from(live).unwrap_or(u32::MAX),
+            sharing_entries: u32::try_from(live).unwrap_or(u32::MAX),
             ..RunningView::default()
         };
         self.schedulers.apply_view(&view);
--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -126,9 +126,9 @@
     // ---------------------------------------------------------------------------------------------
     // Inputs
 
-    /// Sets the live entries, and how many have been lost without leaving.
-    pub fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>, lost: usize) {
-        self.issuer.set_entries(now, entries, lost);
+    /// Sets the live entries.
+    pub fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>) {
+        self.issuer.set_entries(now, entries);
     }
 
     /// Takes in what an answer to this host has shown at the shared time `time`.
--- a/crates/pulley_core/src/process/limits/permit_issuer.rs
+++ b/crates/pulley_core/src/process/limits/permit_issuer.rs
@@ -53,8 +53,6 @@
     entries: Arc<EntryZones>,
     /// Lists of entries that were replaced within the takeover delay, and when.
     former: VecDeque<(Moment, Arc<EntryZones>)>,
-    /// The fraction of each limit that the hosts which this one can see may use.
-    live_fraction: f32,
     slices: FastMap<(UpstreamId, usize), IssuedSlice>,
 }
 
@@ -65,20 +63,12 @@
             started_at: now,
             entries: Arc::default(),
             former: VecDeque::new(),
-            live_fraction: 1.0,
             slices: FastMap::default(),
         }
     }
 
-    /// Sets the live entries, and how many have been lost without leaving.
-    ///
-    /// Lost entries may be at work on the other side of a partition. Where at most half of all are
-    /// seen, these use only their part of each limit, because the other side may use the rest.
-    #[expect(clippy::cast_precision_loss, reason = "hosts are few")]
-    pub(crate) fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>, lost: usize) {
-        let live = entries.len();
-        let is_minority = lost >= live.max(1);
-        self.live_fraction = if is_minority { live as f32 / (live + lost) as f32 } else { 1.0 };
+    /// Sets the live entries.
+    pub(crate) fn set_entries(&mut self, now: Moment, entries: &Arc<EntryZones>) {
         if *self.entries != **entries {
             self.former.push_back((now, Arc::clone(&self.entries)));
             while self.former.len() > MAX_FORMER_LISTS {
@@ -117,7 +107,7 @@
             return PermitGrant { permits: 0, retry_after: DISAGREEMENT_RETRY };
         }
         let role_fraction = if is_issuer { 1.0 } else { DEPUTY_FRACTION };
-        let rate = limited.rate.per_second() * role_fraction * self.live_fraction / slices;
+        let rate = limited.rate.per_second() * role_fraction * self.entries.usable_part() / slices;
         let rate = rate.max(MIN_RATE / slices);
         let opens_at = if is_issuer { self.opens_at(now, limited, slice) } else { now };
         let issued = self
--- a/crates/pulley_core/src/process/members/entry_zones.rs
+++ b/crates/pulley_core/src/process/members/entry_zones.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EntryZones {
     zones: FastMap<ZoneName, Vec<HostId>>,
+    /// Entries that were lost without leaving.
+    lost: usize,
 }
 
 impl EntryZones {
@@ -18,6 +20,25 @@
         entries.map(|record| (record.zone.clone(), record.host.clone())).collect()
     }
 
+    /// Sets how many entries were lost without leaving. They may be at work beyond a partition.
+    #[must_use]
+    pub fn with_lost(mut self, lost: usize) -> Self {
+        self.lost = lost;
+        self
+    }
+
+    /// Returns the part that the live entries may use of what holds for all hosts together.
+    ///
+    /// Two sides of a partition that each assign work among the entries they see would use the whole
+    /// twice. A side that sees at most half of all entries uses its part.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "entries are few")]
+    pub fn usable_part(&self) -> f32 {
+        let live = self.len();
+        let is_minority = self.lost >= live.max(1);
+        if is_minority { live as f32 / (live + self.lost) as f32 } else { 1.0 }
+    }
+
     /// Returns the number of live entries.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -71,6 +92,6 @@
         for (zone, host) in entries {
             zones.entry(zone).or_default().push(host);
         }
-        Self { zones }
+        Self { zones, lost: 0 }
     }
 }
--- a/crates/pulley_core/src/process/quantities.rs
+++ b/crates/pulley_core/src/process/quantities.rs
@@ -82,6 +82,18 @@
     pub fn per_second(self) -> f32 {
         self.0 as f32 / 1_000.0
     }
+
+    /// Returns a part of the rate, given as a number from 0 to 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "not above the rate itself"
+    )]
+    pub fn scaled(self, part: f32) -> Self {
+        Self((self.0 as f32 * part.clamp(0.0, 1.0)) as u32)
+    }
 }
 
 /// The id of a voter or learner of the replicated log; never reused after removal.
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -62,6 +62,8 @@
     zones: FastMap<ZoneName, SubsetRanking>,
     layout: CountLayout,
     /// Limits for the pool's upstreams while they are cold.
+    plan_warm_up: Option<WarmUpTerms>,
+    /// The part of these limits that the live entries may use.
     warm_up: Option<WarmUpTerms>,
     /// The live entries, which share those limits.
     entries: Arc<EntryZones>,
@@ -103,6 +105,7 @@
             available: Vec::new(),
             zones: FastMap::default(),
             layout: CountLayout::default(),
+            plan_warm_up: None,
             warm_up: None,
             entries: Arc::default(),
             places: Vec::new(),
@@ -182,7 +185,7 @@
     /// without a restart, because its zone is back in use, may have turned cold in the meantime. It
     /// is suspected to be cold until its own report decides or the warm-up time has passed.
     fn record_phase(&mut self, now: Moment, index: usize, is_known: bool) {
-        let Some(terms) = self.warm_up else { return };
+        let Some(terms) = self.plan_warm_up else { return };
         let state = &mut self.states[index];
         state.skip_ramp();
         let (phase, is_cold) = (state.record.announcement.phase, state.cold.is_cold(now));
@@ -200,7 +203,7 @@
     pub(crate) fn record_cold(&mut self, now: Moment, index: usize, left: Duration) {
         if left.is_zero() {
             self.states[index].cold.record_warm();
-        } else if self.warm_up.is_some() {
+        } else if self.plan_warm_up.is_some() {
             let is_assigned = self.is_assigned(index);
             self.states[index].cold.record_cold(now, left, is_assigned);
         }
@@ -215,10 +218,12 @@
 
     /// Sets the limits for the pool's upstreams while they are cold.
     pub(crate) fn set_warm_up(&mut self, terms: Option<WarmUpTerms>) {
-        self.warm_up = terms;
+        self.plan_warm_up = terms;
+        self.update_warm_up();
     }
 
-    /// Returns the limits for the pool's upstreams while they are cold.
+    /// Returns the limits for the pool's upstreams while they are cold, as far as the live entries may
+    /// use them.
     pub(crate) fn warm_up(&self) -> Option<WarmUpTerms> {
         self.warm_up
     }
@@ -229,6 +234,7 @@
             return;
         }
         self.entries = Arc::clone(entries);
+        self.update_warm_up();
         for index in 0..self.states.len() {
             if self.states[index].cold.is_cold(now) {
                 let is_assigned = self.is_assigned(index);
@@ -237,6 +243,12 @@
         }
     }
 
+    fn update_warm_up(&mut self) {
+        let part = self.entries.usable_part();
+        let usable = |terms: WarmUpTerms| WarmUpTerms { rate: terms.rate.scaled(part), ..terms };
+        self.warm_up = self.plan_warm_up.map(usable);
+    }
+
     /// Marks an upstream as no longer announced. Returns true if it was announced.
     fn remove(&mut self, id: &UpstreamId) -> bool {
         let Some(index) = self.by_id.get(id).copied().filter(|index| self.states[*index].listed)
--- a/crates/pulley_core/tests/limits/limit_fleet.rs
+++ b/crates/pulley_core/tests/limits/limit_fleet.rs
@@ -256,7 +256,7 @@
         let named = live
             .iter()
             .map(|index| (ZONES[index % ZONES.len()].parse().unwrap(), host_name(*index)));
-        let entries: Arc<EntryZones> = Arc::new(named.collect());
+        let entries: Arc<EntryZones> = Arc::new(named.collect::<EntryZones>().with_lost(lost));
         let now = self.moment();
         for index in who {
             let others = live.iter().filter(|other| *other != index);
@@ -266,7 +266,7 @@
                 host.serves_from = host.serves_from.or(Some(self.now + START_TIME));
             }
             host.ring = PeerRing::new(&host_name(*index), others);
-            host.exchange.set_entries(now, &entries, lost);
+            host.exchange.set_entries(now, &entries);
             host.scheduler.set_entries(now, &entries);
         }
     }
--- a/crates/pulley_core/tests/many_entries/entry_fleet.rs
+++ b/crates/pulley_core/tests/many_entries/entry_fleet.rs
@@ -40,7 +40,7 @@
     WarmUpTerms { span: COLD_SPAN, rate: StartRate(COLD_RATE) }
 }
 
-fn plan(warm_up: Option<WarmUpTerms>) -> Arc<IndexedPlan> {
+pub(crate) fn plan(warm_up: Option<WarmUpTerms>) -> Arc<IndexedPlan> {
     let pool = "cover".parse().unwrap();
     let kind = KindPlan {
         pool,
--- a/crates/pulley_core/tests/many_entries/main.rs
+++ b/crates/pulley_core/tests/many_entries/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod cold_partition;
 mod cold_upstreams;
 mod entry_fleet;
 mod last_slots;
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -464,9 +464,9 @@
             }
         }
         replicas.sort();
-        self.entries = Arc::new(EntryZones::of(self.members.live()));
-        let lost = self.members.lost_entries();
-        self.limits.set_entries(now, &self.entries, lost);
+        let entries = EntryZones::of(self.members.live());
+        self.entries = Arc::new(entries.with_lost(self.members.lost_entries()));
+        self.limits.set_entries(now, &self.entries);
         if let Some(driver) = &mut self.replica {
             driver.set_replicas(&replicas);
         }
