--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -195,6 +195,9 @@
         if now >= self.next_reminder {
             self.next_reminder = now + REMINDER_INTERVAL;
             self.issuer.prune(now);
+            for record in self.table.expire(now) {
+                self.outputs.push(LimitOutput::Limit { record, is_new: true });
+            }
             let known = self.table.records().cloned();
             let reminders = known.map(|record| LimitOutput::Limit { record, is_new: false });
             self.outputs.extend(reminders);
--- a/crates/pulley_core/src/process/limits/limit_table.rs
+++ b/crates/pulley_core/src/process/limits/limit_table.rs
@@ -15,10 +15,14 @@
 /// change or have just started.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The minimum interval between sends of changes. Answers that name another limit each time would
+/// otherwise cost every host a message each.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a limit that has ended is remembered, so that an older record does not bring it back.
 const ENDED_RETENTION: Duration = Duration::from_secs(60);
 
-/// How long a limit is remembered that no answer has confirmed.
+/// How long a limit stays in force that no answer has confirmed.
 const NAMED_RETENTION: Duration = Duration::from_secs(600);
 
 /// Maximum number of known limits.
@@ -41,6 +45,7 @@
     known: FastMap<UpstreamId, KnownLimit>,
     /// Changes to be passed on at the next tick.
     updates: Vec<(UpdateReach, LimitRecord)>,
+    next_update: Moment,
     next_sync: Moment,
     round: u32,
 }
@@ -78,6 +83,8 @@
         if is_known || is_full {
             return false;
         }
+        let replaced = self.updates.extract_if(.., |(_, old)| old.upstream == record.upstream);
+        let reach = replaced.map(|(reach, _)| reach).fold(reach, UpdateReach::max);
         if reach > UpdateReach::NONE {
             self.updates.push((reach, record.clone()));
         }
@@ -85,23 +92,44 @@
         true
     }
 
-    /// Returns the messages that are due, and drops old records.
+    /// Returns the messages that are due.
     pub(crate) fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<(SocketAddr, Bytes)> {
-        let mut sends = self.send_updates(ring);
+        let mut sends = Vec::new();
+        if !self.updates.is_empty() && now >= self.next_update {
+            self.next_update = now + UPDATE_INTERVAL;
+            sends = self.send_updates(ring);
+        }
         if now >= self.next_sync {
             self.next_sync = now + SYNC_INTERVAL;
-            self.known.retain(|_, known| now.since(known.since) < retention(&known.record));
             sends.extend(self.send_part(ring));
         }
         sends
     }
 
+    /// Drops limits that ended long ago, and ends those that no answer has confirmed for long.
+    /// Returns the ones that it has ended. Every host does so by itself.
+    pub(crate) fn expire(&mut self, now: Moment) -> Vec<LimitRecord> {
+        let is_kept = |known: &KnownLimit| {
+            known.record.rate.is_some() || now.since(known.since) < ENDED_RETENTION
+        };
+        self.known.retain(|_, known| is_kept(known));
+        let mut ended = Vec::new();
+        for known in self.known.values_mut() {
+            let is_old = now.since(known.since) >= NAMED_RETENTION;
+            if is_old && known.record.rate.take().is_some() {
+                known.record.observed_at = known.record.observed_at.next();
+                known.since = now;
+                ended.push(known.record.clone());
+            }
+        }
+        ended
+    }
+
     /// Returns when [`Self::tick`] next has something to do; `None` if no limit is known.
     pub(crate) fn next_wakeup(&self) -> Option<Moment> {
-        if !self.updates.is_empty() {
-            return Some(Moment::ZERO);
-        }
-        (!self.known.is_empty()).then_some(self.next_sync)
+        let update_at = (!self.updates.is_empty()).then_some(self.next_update);
+        let sync_at = (!self.known.is_empty()).then_some(self.next_sync);
+        update_at.into_iter().chain(sync_at).min()
     }
 
     /// Passes changes on along the ring, each as far as its reach allows.
@@ -133,7 +161,3 @@
         Some((*to, LimitMessage::Records { reach: UpdateReach::NONE, records }.pack()))
     }
 }
-
-fn retention(record: &LimitRecord) -> Duration {
-    if record.rate.is_some() { NAMED_RETENTION } else { ENDED_RETENTION }
-}
--- a/crates/pulley_core/src/request/pool_scheduler_limits.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_limits.rs
@@ -49,6 +49,12 @@
         Some(self.tick(now))
     }
 
+    /// Returns the number of upstreams that have a request limit.
+    #[must_use]
+    pub fn limited_upstreams(&self) -> usize {
+        self.upstreams.available().filter(|state| state.limit.is_limited()).count()
+    }
+
     /// Takes the questions for permits that are to be asked.
     pub fn take_permit_asks(&mut self) -> Vec<PermitAsk> {
         std::mem::take(&mut self.permit_asks)
--- a/crates/pulley_core/src/request/upstream_limit.rs
+++ b/crates/pulley_core/src/request/upstream_limit.rs
@@ -84,6 +84,11 @@
 }
 
 impl UpstreamLimit {
+    /// Whether the upstream names a limit, as far as this entry knows.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.rate.is_some()
+    }
+
     /// Whether no request may be sent now.
     pub(crate) fn is_blocked(&self, now: Moment) -> bool {
         self.rate.is_some() && self.held(now) == 0
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -123,6 +123,7 @@
             "spread": self.follower.spread_counts(),
             "limits": self.limit_rates(),
             "permits": self.limits.counts(),
+            "limited": self.schedulers.limited_upstreams(),
             "coordinates": self.counts.scopes(),
             "running": self.schedulers.running(),
             "waiting": self.schedulers.waiting(),
--- a/crates/pulleyd/src/request/answer_metadata.rs
+++ b/crates/pulleyd/src/request/answer_metadata.rs
@@ -34,8 +34,9 @@
     pub(super) is_draining: bool,
     /// The upstream's load, if reported.
     pub(super) report: Option<LoadReport>,
-    /// The request limit that the upstream names.
-    pub(super) limit: LimitReading,
+    /// What the answer says of the upstream's request limit; `None` if it may not come from the
+    /// upstream, or says nothing because the request did not run.
+    pub(super) limit: Option<LimitReading>,
     /// How long to send it no requests, if it shed this one.
     pub(super) retry_after: Duration,
     /// Whether the status says that the request was not run and no header confirms it.
@@ -67,7 +68,8 @@
             retried_downstream: dialect.sends_system_headers && headers.contains_key(CAUSE_HEADER),
             is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
             report,
-            limit: read_limit(headers, dialect, counters),
+            limit: Some(read_limit(headers, dialect, counters))
+                .filter(|limit| !is_misdirected && is_telling(*limit, status)),
             retry_after: retry_after(headers, dialect),
             is_unconfirmed_not_run: !is_shed
                 && !dialect.sends_system_headers
@@ -127,6 +129,12 @@
     limit
 }
 
+/// Whether an answer shows an upstream's request limit, or that it has none. A failure without a
+/// limit may be made by something else on the way, and would end a limit that is still in force.
+fn is_telling(limit: LimitReading, status: StatusCode) -> bool {
+    limit != LimitReading::Absent || status.is_success()
+}
+
 fn retry_after(headers: &HeaderMap, dialect: &HeaderDialect) -> Duration {
     let value = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
     let seconds = value.and_then(|value| value.trim().parse::<f64>().ok());
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -9,7 +9,8 @@
 use http::{Method, Request, Uri};
 use pulley_core::connection::RepeatSafety;
 use pulley_core::request::{
-    LimitSighting, LoadReport, ProbeQuery, ProbeReach, ProbeReading, ProbeTarget, RequestTicket,
+    LimitReading, LimitSighting, LoadReport, ProbeQuery, ProbeReach, ProbeReading, ProbeTarget,
+    RequestTicket,
 };
 use pulley_core::version::{AnswerSize, KindPlan};
 use pulley_core::{Moment, PoolName, UpstreamId};
@@ -229,8 +230,10 @@
         }
     }
     let reading = dialect.limit(&parts.headers);
-    let sighting = LimitSighting { reading, sent_at, is_probe: true };
-    context.schedulers.observe_limit(pool, &target.upstream, sighting);
+    if reading != LimitReading::Absent || parts.status.is_success() {
+        let sighting = LimitSighting { reading, sent_at, is_probe: true };
+        context.schedulers.observe_limit(pool, &target.upstream, sighting);
+    }
     let mut report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
     report.cold_left = dialect.cold_left(&parts.headers);
     if !parts.status.is_success() {
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -172,9 +172,11 @@
         let metadata =
             AnswerMetadata::take(&mut response, &self.context.dialect, &self.context.counters);
         attempt.set_report(metadata.report);
-        self.record_limit(metadata.limit);
-        let sighting = LimitSighting { reading: metadata.limit, sent_at, is_probe: false };
-        self.context.schedulers.observe_limit(&self.row().pool, &upstream, sighting);
+        self.record_limit(metadata.limit.unwrap_or_default());
+        if let Some(reading) = metadata.limit {
+            let sighting = LimitSighting { reading, sent_at, is_probe: false };
+            self.context.schedulers.observe_limit(&self.row().pool, &upstream, sighting);
+        }
         if metadata.is_draining {
             self.observe_drain(&upstream);
         }
--- a/crates/pulleyd/src/request/scheduler_set_limits.rs
+++ b/crates/pulleyd/src/request/scheduler_set_limits.rs
@@ -21,6 +21,13 @@
         }
     }
 
+    /// Returns the number of upstreams in all pools that have a request limit.
+    #[must_use]
+    pub fn limited_upstreams(&self) -> usize {
+        let cells = self.pools.load();
+        cells.values().map(|cell| cell.state.lock().scheduler.limited_upstreams()).sum()
+    }
+
     /// Applies a limit that this host has learned of.
     pub fn apply_limit(&self, now: Moment, record: &LimitRecord) {
         for cell in self.pools.load().values() {
