Let soak runs name request limits and check their sums

Upstreams name 0.4 to 90 requests a second for seconds, beside all other faults; drawn apart from them, so that the kept seeds give the same faults as before. Checked as the users' rule says it: from 3 s after the first answer that named the limit, over the entries that passed on such an answer half a second before and were not killed, stopped or paused themselves since.

--- a/crates/pulley_soak/src/fault_schedule.rs
+++ b/crates/pulley_soak/src/fault_schedule.rs
@@ -13,6 +13,9 @@
 /// Time without new faults at the end, so that the system can recover.
 const FAULT_FREE_END: Duration = Duration::from_secs(5);
 
+/// Distinguishes the random numbers for limits from those for other faults.
+const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
+
 /// Pauses between faults, in milliseconds. After the short ones, faults overlap.
 const PAUSES_MS: [u64; 4] = [50, 300, 900, 1_800];
 
@@ -75,6 +78,15 @@
         /// How long it is down.
         down: Duration,
     },
+    /// Makes an upstream name a request limit for a while.
+    Limit {
+        /// Index of the upstream.
+        upstream: usize,
+        /// The requests a second, in tenths.
+        tenths: u32,
+        /// How long it names the limit.
+        span: Duration,
+    },
     /// Applies changes of the sheet in quick succession.
     ChangeBurst {
         /// Number of changes.
@@ -108,6 +120,14 @@
             faults.push(ScheduledFault { at, fault: draw_fault(&mut random, sizes) });
             at += Duration::from_millis(PAUSES_MS[random.random_range(0..PAUSES_MS.len())]);
         }
+        // Drawn apart from the other faults, so that a seed gives the same ones as before.
+        let mut limits = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+        let mut at = FAULT_FREE_START;
+        while at < end {
+            faults.push(ScheduledFault { at, fault: draw_limit(&mut limits, sizes.2) });
+            at += Duration::from_millis(limits.random_range(1_000..5_000));
+        }
+        faults.sort_by_key(|fault| fault.at);
         Self(faults)
     }
 }
@@ -134,6 +154,14 @@
     }
 }
 
+fn draw_limit(random: &mut SmallRng, upstreams: usize) -> SoakFault {
+    const TENTHS: [u32; 6] = [4, 15, 45, 120, 300, 900];
+    let upstream = random.random_range(0..upstreams);
+    let tenths = TENTHS[random.random_range(0..TENTHS.len())];
+    let span = Duration::from_millis(random.random_range(4_000..12_000));
+    SoakFault::Limit { upstream, tenths, span }
+}
+
 fn draw_mode(random: &mut SmallRng) -> ProxyMode {
     match random.random_range(0..5) {
         0 => ProxyMode::Delay(Duration::from_millis(random.random_range(20..400))),
--- a/crates/pulley_soak/src/lib.rs
+++ b/crates/pulley_soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod daemon_process;
 mod fault_proxy;
 mod fault_schedule;
+mod limit_check;
 mod request_history;
 mod soak_caller;
 mod soak_operator;
--- a/crates/pulley_soak/src/request_history.rs
+++ b/crates/pulley_soak/src/request_history.rs
@@ -7,6 +7,8 @@
 use pulley_core::process::FastMap;
 use smol_str::SmolStr;
 
+use crate::limit_check::{LimitSpan, UpstreamRun};
+
 /// How long an upstream may still get new work after its drain was acknowledged.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
@@ -72,6 +74,10 @@
     stops: Vec<(usize, Instant)>,
     /// Spans of time with faults in upstreams or in the connections to them.
     upstream_faults: Vec<(Instant, Instant)>,
+    /// Limits that upstreams have named.
+    limits: Vec<LimitSpan>,
+    /// Spans of time in which an entry itself was killed, stopped or paused.
+    entry_faults: Vec<(usize, Instant, Instant)>,
     findings: Vec<SoakFinding>,
 }
 
@@ -119,6 +125,21 @@
         self.state.lock().upstream_faults.push((from, until));
     }
 
+    /// Records that an upstream's answers name a limit from now on, or none.
+    pub fn record_limit(&self, upstream: &str, rate: Option<f64>) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let named = state.limits.iter_mut().filter(|limit| limit.upstream == upstream);
+        named.for_each(|limit| limit.until = limit.until.or(Some(now)));
+        let span = |rate| LimitSpan { upstream: upstream.into(), rate, from: now, until: None };
+        state.limits.extend(rate.map(span));
+    }
+
+    /// Records that an entry itself is killed, stopped or paused in a span of time.
+    pub fn record_entry_fault(&self, entry: usize, from: Instant, until: Instant) {
+        self.state.lock().entry_faults.push((entry, from, until));
+    }
+
     /// Records that an entry gets its first shutdown signal.
     pub fn record_stop(&self, entry: usize) {
         self.state.lock().stops.push((entry, Instant::now()));
@@ -153,6 +174,7 @@
         for (id, record) in &state.requests {
             findings.extend(state.check(id, record));
         }
+        findings.extend(state.check_limits());
         findings
     }
 }
@@ -162,6 +184,26 @@
         self.findings.push(SoakFinding { guarantee, observed });
     }
 
+    /// Returns findings for upstreams that got more than the limits they named.
+    fn check_limits(&self) -> Vec<SoakFinding> {
+        let mut runs = Vec::new();
+        for record in self.requests.values() {
+            let succeeded = match &record.outcome {
+                Some((at, CallerOutcome::Success(_))) => Some(*at),
+                _ => None,
+            };
+            let last = record.runs.len().saturating_sub(1);
+            for (place, (upstream, at)) in record.runs.iter().enumerate() {
+                let answered = succeeded.filter(|_| place == last);
+                let (upstream, entry) = (upstream.clone(), record.entry);
+                runs.push(UpstreamRun { upstream, entry, at: *at, answered });
+            }
+        }
+        let observed = self.limits.iter().filter_map(|span| span.check(&runs, &self.entry_faults));
+        let guarantee = "named limits are kept";
+        observed.map(|observed| SoakFinding { guarantee, observed }).collect()
+    }
+
     fn was_disturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let overlaps = |d: &&Disturbance| d.entry == entry && d.from <= until && d.until >= from;
         self.disturbances.iter().any(|disturbance| overlaps(&disturbance))
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -214,6 +214,7 @@
             SoakFault::Proxy { upstream, mode, span } => self.disturb(upstream, mode, span),
             SoakFault::Drain { upstream } => self.drain(upstream),
             SoakFault::Crash { upstream, down } => self.crash(upstream, down),
+            SoakFault::Limit { upstream, tenths, span } => self.limit(upstream, tenths, span),
             SoakFault::ChangeBurst { changes } => {
                 self.versions.extra_changes.fetch_add(changes, Ordering::Relaxed);
             }
@@ -225,6 +226,7 @@
     fn record_disturbance(&self, host: usize, span: Duration) {
         let now = Instant::now();
         let until = now + span + RECOVERY_SPAN;
+        self.history.record_entry_fault(host, now, until);
         let others = if host < self.settings.replicas { self.daemons.len() } else { 0 };
         for entry in (0..others).chain([host]) {
             self.history.record_disturbance(entry, now, until);
@@ -281,6 +283,7 @@
             // The daemon counts as disturbed from its end on. Requests in flight before that had to
             // be answered.
             let (now, until) = (Instant::now(), Instant::now() + RECOVERY_SPAN);
+            history.record_entry_fault(host, began, until);
             let others = if host < replicas { count } else { 0 };
             for entry in (0..others).chain([host]) {
                 history.record_disturbance(entry, now, until);
@@ -329,6 +332,15 @@
         });
     }
 
+    fn limit(&mut self, upstream: usize, tenths: u32, span: Duration) {
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        self.faults.spawn(async move {
+            upstream.lock().await.name_limit(Some(tenths));
+            tokio::time::sleep(span).await;
+            upstream.lock().await.name_limit(None);
+        });
+    }
+
     fn crash(&mut self, upstream: usize, down: Duration) {
         let until = Instant::now() + down + Duration::from_secs(1);
         self.history.record_upstream_fault(Instant::now(), until);
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -52,6 +52,8 @@
 struct RunningUpstream {
     id: String,
     phase: Arc<Mutex<&'static str>>,
+    /// The value of the request limit that its answers name.
+    limit: Arc<Mutex<Option<String>>>,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
     announcing: JoinHandle<()>,
@@ -80,7 +82,9 @@
         let id = format!("u{}-{}", self.index, self.starts);
         let (stop, stopped) = watch::channel(false);
         let phase = Arc::new(Mutex::new("ready"));
-        let serving = serve(listener, id.clone(), Arc::clone(&self.history), stopped);
+        let limit = Arc::new(Mutex::new(None));
+        let named = Arc::clone(&limit);
+        let serving = serve(listener, id.clone(), Arc::clone(&self.history), named, stopped);
         let announcing = Announcer {
             id: id.clone(),
             address: self.proxy.address,
@@ -91,6 +95,7 @@
         self.running = Some(RunningUpstream {
             id,
             phase,
+            limit,
             stop,
             serving: tokio::spawn(serving),
             announcing: tokio::spawn(announcing.run(self.index)),
@@ -101,6 +106,7 @@
     /// Stops the upstream without an announcement, and closes its connections.
     pub(crate) fn crash(&mut self) {
         let Some(running) = self.running.take() else { return };
+        self.history.record_limit(&running.id, None);
         running.announcing.abort();
         running.stop.send_replace(true);
         running.serving.abort();
@@ -113,6 +119,14 @@
         *running.phase.lock() = "draining";
         Some(&running.id)
     }
+
+    /// Sets the request limit that its answers name, in tenths of a request a second.
+    pub(crate) fn name_limit(&self, tenths: Option<u32>) {
+        let Some(running) = &self.running else { return };
+        let rate = tenths.map(|tenths| f64::from(tenths) / 10.0);
+        *running.limit.lock() = rate.map(|rate| rate.to_string());
+        self.history.record_limit(&running.id, rate);
+    }
 }
 
 impl Drop for SoakUpstream {
@@ -125,13 +139,19 @@
     listener: TcpListener,
     id: String,
     history: Arc<RequestHistory>,
+    limit: Arc<Mutex<Option<String>>>,
     stopped: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let (id, history, mut stopped) = (id.clone(), Arc::clone(&history), stopped.clone());
-        let service = service_fn(move |request| answer(request, id.clone(), Arc::clone(&history)));
+        let limit = Arc::clone(&limit);
+        let service = service_fn(move |request| {
+            let answering = answer(request, id.clone(), Arc::clone(&history));
+            let limit = Arc::clone(&limit);
+            async move { Ok::<_, Infallible>(with_limit(answering.await, limit.lock().as_deref())) }
+        });
         connections.spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             tokio::select! {
@@ -146,11 +166,11 @@
     request: Request<Incoming>,
     upstream: String,
     history: Arc<RequestHistory>,
-) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     let header = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
     let Some(id) = header.map(str::to_owned) else {
-        return Ok(Response::new(Full::new(Bytes::new())));
+        return Response::new(Full::new(Bytes::new()));
     };
     if path != "/health" {
         history.record_run(&id, &upstream);
@@ -159,7 +179,14 @@
         tokio::time::sleep(work).await;
     }
     let length = if path.starts_with("/file") { LONG_ANSWER } else { SHORT_ANSWER };
-    Ok(Response::new(Full::new(Bytes::from(answer_body(&id, length)))))
+    Response::new(Full::new(Bytes::from(answer_body(&id, length))))
+}
+
+fn with_limit(mut answer: Response<Full<Bytes>>, limit: Option<&str>) -> Response<Full<Bytes>> {
+    if let Some(value) = limit.and_then(|limit| limit.parse().ok()) {
+        answer.headers_mut().insert("jacinthpulley-request-limit", value);
+    }
+    answer
 }
 
 /// Announces an upstream until it is aborted.
--- a/crates/pulley_soak/tests/checks.rs
+++ b/crates/pulley_soak/tests/checks.rs
@@ -85,6 +85,33 @@
     assert!(cut(&|history| history.record_upstream_fault(Instant::now(), soon)).is_empty());
 }
 
+// Entries that have passed on an answer with a limit send more than it allows. Those that have not
+// are no finding, nor those that were killed since.
+#[test]
+fn requests_above_a_named_limit_are_found() {
+    let found = |told: bool, killed: bool| {
+        let history = RequestHistory::default();
+        history.record_limit("u1", Some(2.0));
+        for number in 0..400 {
+            let id = format!("r{number}");
+            history.record_sent(&id, 0, true);
+            history.record_run(&id, "u1");
+            if told {
+                history.record_outcome(&id, complete_answer(&id));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let now = Instant::now();
+        if killed {
+            history.record_entry_fault(0, now - Duration::from_secs(8), now);
+        }
+        violated_guarantees(&history)
+    };
+    assert_eq!(found(true, false), ["named limits are kept"]);
+    assert!(found(false, false).is_empty());
+    assert!(found(true, true).is_empty());
+}
+
 // A seed whose run had findings must give the same schedule of faults again.
 #[test]
 fn a_seed_always_draws_the_same_faults() {
