--- a/crates/pulley_core/tests/limits/main.rs
+++ b/crates/pulley_core/tests/limits/main.rs
@@ -4,5 +4,7 @@
 
 mod changing_limits;
 mod changing_views;
+mod exchange_rules;
+mod fleet_requests;
 mod limit_fleet;
 mod sums_over_hosts;
--- a/crates/pulley_core/tests/mutated_messages.rs
+++ b/crates/pulley_core/tests/mutated_messages.rs
@@ -7,13 +7,14 @@
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use pulley_core::process::{
-    Announcement, HostRoles, Incarnation, MemberId, MemberIncarnation, MemberRecord,
-    MemberSettings, MemberTable, PeerRing, SlotCount, UpstreamPhase, UpstreamRegistry,
-    UpstreamSequence,
+    Announcement, EntryZones, HostRoles, Incarnation, LimitExchange, LimitOutput, MemberId,
+    MemberIncarnation, MemberRecord, MemberSettings, MemberTable, ObservedLimit, PeerRing,
+    PermitAsk, SlotCount, StartRate, UpstreamPhase, UpstreamRegistry, UpstreamSequence,
 };
 use pulley_core::version::{
     ChangeRequest, ConfigurationMachine, DriverInput, DriverOutput, LogIndex, PlanFollower,
@@ -172,6 +173,55 @@
     assert!(registries[1].announce(now, announcement(9)).is_ok());
 }
 
+#[test]
+fn no_mutated_limit_message_panics() {
+    let entries: EntryZones = (0..2).map(|number| ("a".parse().unwrap(), host(number))).collect();
+    let entries = Arc::new(entries);
+    let mut exchanges: Vec<LimitExchange> = (0..2)
+        .map(|number| {
+            let mut exchange = LimitExchange::new(Moment::ZERO, host(number));
+            exchange.set_entries(Moment::ZERO, &entries);
+            exchange
+        })
+        .collect();
+    let ring = |own: u16| PeerRing::new(&host(own), vec![(host(1 - own), address(1 - own))]);
+    let time = UpstreamRegistry::new().shared_time(Moment::ZERO);
+    let mut recorded = Vec::new();
+    let mut now = Moment::ZERO;
+    for step in 0..20_u16 {
+        now = now + Duration::from_millis(300);
+        for from in 0..2_u16 {
+            let (upstream, incarnation) = (announcement(step % 5).id, Incarnation(5));
+            let rate = (step % 3 > 0).then_some(StartRate(u32::from(step) * 500));
+            let observed = ObservedLimit { upstream: upstream.clone(), incarnation, rate };
+            let zone = "a".parse().unwrap();
+            let number = u32::from(step);
+            let ask = PermitAsk { upstream, zone, number, wanted: 3, asks_deputy: step % 2 == 0 };
+            let own = &mut exchanges[usize::from(from)];
+            own.observe(now, time, observed);
+            own.ask(now, &ask);
+            own.tick(now, &ring(from));
+            let bodies: Vec<Bytes> = own.take_outputs().into_iter().filter_map(sent_body).collect();
+            for body in bodies {
+                exchanges[usize::from(1 - from)].receive(now, &host(from), &body);
+                recorded.push(body);
+            }
+        }
+    }
+    feed_mutations(8, &recorded, |bytes| {
+        exchanges[1].receive(now, &host(0), bytes);
+        exchanges[1].take_outputs();
+    });
+    exchanges[1].tick(now + Duration::from_secs(1), &ring(1));
+}
+
+fn sent_body(output: LimitOutput) -> Option<Bytes> {
+    match output {
+        LimitOutput::ToHost { body, .. } | LimitOutput::ToAddress { body, .. } => Some(body),
+        LimitOutput::Permits(_) | LimitOutput::Limit { .. } => None,
+    }
+}
+
 #[test]
 fn no_mutated_plan_message_panics() {
     let mut leader = PlanFollower::new(host(0), 1);
--- a/crates/pulley_fuzz/tests/fuzz_targets.rs
+++ b/crates/pulley_fuzz/tests/fuzz_targets.rs
@@ -9,8 +9,8 @@
 use bolero::check;
 use pulley_core::Moment;
 use pulley_core::process::{
-    HostRoles, MemberIncarnation, MemberRecord, MemberSettings, MemberTable, PeerRing,
-    UpstreamRegistry,
+    HostRoles, LimitExchange, MemberIncarnation, MemberRecord, MemberSettings, MemberTable,
+    PeerRing, UpstreamRegistry,
 };
 use pulley_core::version::{PlanFollower, SheetReader};
 
@@ -68,6 +68,17 @@
     });
 }
 
+// The same for limits and permits. An unreadable datagram must not give a permit.
+#[test]
+fn limit_datagrams() {
+    check!().with_iterations(INPUTS).with_max_len(LONGEST).for_each(|input: &[u8]| {
+        let mut exchange = LimitExchange::new(Moment::ZERO, "h1".parse().unwrap());
+        exchange.receive(Moment::ZERO, &"h2".parse().unwrap(), input);
+        exchange.tick(Moment::ZERO, &PeerRing::default());
+        assert_eq!(exchange.counts().issued, 0);
+    });
+}
+
 // The same for messages about the configuration. Unreadable datagrams must not put a configuration
 // in force.
 #[test]
