--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -69,7 +69,7 @@
 /// A limit holds for all hosts together. Equal parts of it for each host would be useless where a
 /// host has one request in ten seconds, and would add up to more wherever hosts disagree on how
 /// many they are. So one entry issues the permits of an upstream, and a request is sent to that
-/// upstream only with a permit. Permits last less than a second, so that what a lost host holds is
+/// upstream only with a permit. Permits last for seconds at most, so that what a lost host holds is
 /// soon of no use.
 #[derive(Clone, Debug)]
 pub struct LimitExchange {
