--- a/crates/pulley_core/src/process/limits/mod.rs
+++ b/crates/pulley_core/src/process/limits/mod.rs
@@ -13,6 +13,8 @@
 pub use limit_message::{LIMIT_BODY_LIMIT, PermitAnswer, PermitAsk};
 pub use limit_record::{LimitRecord, ObservedLimit};
 
+pub(crate) use permit_bucket::PermitBucket;
+
 use super::members::encoded;
 use super::registry::{UpdateReach, split_by_size};
 use super::{
--- a/crates/pulley_core/src/process/limits/permit_bucket.rs
+++ b/crates/pulley_core/src/process/limits/permit_bucket.rs
@@ -1,14 +1,9 @@
-//! The token bucket from which one host issues an upstream's permits.
+//! The token bucket from which one host issues permits.
 
 use std::time::Duration;
 
 use super::{FastMap, HostId, Moment};
 
-/// Capacity of a bucket: this many seconds of its rate, and at least a few permits. Together with
-/// the life of a permit it bounds what the upstream gets in any span of seconds.
-const CAPACITY_SECONDS: f32 = 0.25;
-const MIN_CAPACITY: f32 = 2.0;
-
 /// The time for which one answer covers an entry's fair part of the rate.
 const ANSWER_SECONDS: f32 = 0.5;
 
@@ -31,20 +26,48 @@
     pub(crate) retry_after: Duration,
 }
 
-/// The permits for one slice of an upstream's limit.
+/// The permits of one host for one slice of an upstream's limit, or for one organisation's quota.
 #[derive(Clone, Debug)]
 pub(crate) struct PermitBucket {
     tokens: f32,
+    capacity: f32,
     refilled_at: Moment,
     askers: FastMap<HostId, Moment>,
     pruned_at: Moment,
 }
 
 impl PermitBucket {
-    /// Creates a full bucket for a rate in permits a second.
-    pub(crate) fn new(now: Moment, rate: f32) -> Self {
+    /// Creates a full bucket.
+    pub(crate) fn new(now: Moment, capacity: f32) -> Self {
         let askers = FastMap::default();
-        Self { tokens: capacity(rate), refilled_at: now, askers, pruned_at: now }
+        Self { tokens: capacity, capacity, refilled_at: now, askers, pruned_at: now }
+    }
+
+    /// Returns what part of its capacity the bucket holds; negative if more was used.
+    pub(crate) fn level(&self) -> f32 {
+        self.tokens / self.capacity
+    }
+
+    /// Returns the capacity.
+    pub(crate) fn capacity(&self) -> f32 {
+        self.capacity
+    }
+
+    /// Sets the part of its capacity that the bucket holds.
+    pub(crate) fn set_level(&mut self, level: f32) {
+        self.tokens = level * self.capacity;
+    }
+
+    /// Sets the capacity. What the bucket holds beyond it is lost.
+    pub(crate) fn set_capacity(&mut self, capacity: f32) {
+        self.capacity = capacity;
+        self.tokens = self.tokens.min(capacity);
+    }
+
+    /// Takes permits that an entry has used without asking; a negative number puts some back. The
+    /// bucket comes to owe at most `debt_limit`.
+    pub(crate) fn charge(&mut self, used: f32, debt_limit: f32) {
+        self.tokens = (self.tokens - used).clamp(-debt_limit, self.capacity);
     }
 
     /// Discards all permits that have been saved up.
@@ -81,9 +104,10 @@
         PermitGrant { permits, retry_after: Duration::ZERO }
     }
 
-    fn refill(&mut self, now: Moment, rate: f32) {
+    /// Adds what has accrued since the last refill at a rate in permits a second.
+    pub(crate) fn refill(&mut self, now: Moment, rate: f32) {
         let gained = now.since(self.refilled_at).as_secs_f32() * rate;
-        self.tokens = (self.tokens + gained).min(capacity(rate));
+        self.tokens = (self.tokens + gained).min(self.capacity);
         self.refilled_at = now;
     }
 
@@ -95,7 +119,3 @@
         }
     }
 }
-
-fn capacity(rate: f32) -> f32 {
-    (rate * CAPACITY_SECONDS).max(MIN_CAPACITY)
-}
--- a/crates/pulley_core/src/process/limits/permit_issuer.rs
+++ b/crates/pulley_core/src/process/limits/permit_issuer.rs
@@ -15,6 +15,11 @@
 /// How long a host that has just started issues nothing. It may not know the other hosts yet.
 const START_DELAY: Duration = Duration::from_secs(2);
 
+/// Capacity of a bucket: this many seconds of its rate, and at least a few permits. Together with
+/// the life of a permit it bounds what the upstream gets in any span of seconds.
+const CAPACITY_SECONDS: f32 = 0.25;
+const MIN_CAPACITY: f32 = 2.0;
+
 /// Fraction of the rate that a deputy issues, beside an issuer that may still be at work.
 const DEPUTY_FRACTION: f32 = 0.25;
 
@@ -109,12 +114,13 @@
         let role_fraction = if is_issuer { 1.0 } else { DEPUTY_FRACTION };
         let rate = limited.rate.per_second() * role_fraction * self.entries.usable_part() / slices;
         let rate = rate.max(MIN_RATE / slices);
+        let capacity = (rate * CAPACITY_SECONDS).max(MIN_CAPACITY);
         let opens_at = if is_issuer { self.opens_at(now, limited, slice) } else { now };
-        let issued = self
-            .slices
-            .entry((limited.upstream.clone(), slice))
-            .or_insert_with(|| IssuedSlice { bucket: PermitBucket::new(now, rate), used_at: now });
+        let issued = self.slices.entry((limited.upstream.clone(), slice)).or_insert_with(|| {
+            IssuedSlice { bucket: PermitBucket::new(now, capacity), used_at: now }
+        });
         issued.used_at = now;
+        issued.bucket.set_capacity(capacity);
         if opens_at > now {
             issued.bucket.drain(now);
             return PermitGrant { permits: 0, retry_after: opens_at.since(now) };
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod names;
 mod probe_budget;
 mod quantities;
+mod quotas;
 mod registry;
 mod upstream;
 
@@ -29,11 +30,12 @@
 };
 pub use moment::Moment;
 pub use names::{
-    ActorName, ChangeId, ClusterId, HostId, KindName, NameFault, PoolName, ServiceName, UpstreamId,
-    ZoneName,
+    ActorName, ChangeId, ClusterId, HostId, KindName, NameFault, OrganisationName, PoolName,
+    ServiceName, UpstreamId, ZoneName,
 };
 pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount, StartRate};
+pub use quotas::{QUOTA_BODY_LIMIT, QuotaExchange, QuotaOutput, QuotaReport, QuotaVerdict};
 pub use registry::{
     AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RecallProof, RegistryFault,
     RegistryResult, RegistrySend, SharedTime, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory,
--- a/crates/pulley_core/src/process/names.rs
+++ b/crates/pulley_core/src/process/names.rs
@@ -100,6 +100,8 @@
     ChangeId;
     /// The name of the actor who requested a change.
     ActorName;
+    /// The name of an organisation whose callers send requests.
+    OrganisationName;
     /// The name of an installation, which keeps different installations apart.
     ClusterId;
 }
--- a/crates/pulley_core/src/process/registry/shared_clock.rs
+++ b/crates/pulley_core/src/process/registry/shared_clock.rs
@@ -91,6 +91,11 @@
         self.epoch_of(self.read(now))
     }
 
+    /// Returns how long ago a reading was.
+    pub(crate) fn age(&self, now: Moment, time: SharedTime) -> Duration {
+        Duration::from_millis(self.read(now).0.saturating_sub(time.0))
+    }
+
     /// Whether a reading of another host was ever merged.
     pub(crate) fn has_merged_reading(&self) -> bool {
         self.has_merged
--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -86,6 +86,14 @@
     ConfigurationBehind,
     /// Every upstream of the pool has named a request limit, and none has any of it left.
     UpstreamsLimited,
+    /// The request has no key, more than one, or one that no organisation holds.
+    UnknownKey,
+    /// This host cannot tell whether the request's key has been taken away.
+    KeysUnconfirmed,
+    /// The request's organisation is over its quota.
+    OverQuota,
+    /// The replica that keeps the organisation's account does not answer.
+    QuotaUnconfirmed,
 }
 
 impl RefusalCause {
@@ -106,6 +114,10 @@
             Self::BadRequest => "bad-request",
             Self::ConfigurationBehind => "configuration-behind",
             Self::UpstreamsLimited => "upstreams-limited",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
+            Self::OverQuota => "over-quota",
+            Self::QuotaUnconfirmed => "quota-unconfirmed",
         }
     }
 }
--- a/crates/pulley_core/src/version/configuration_size.rs
+++ b/crates/pulley_core/src/version/configuration_size.rs
@@ -43,6 +43,9 @@
     /// The plan has too many pools.
     #[error("the configuration has {0} services; at most {PLAN_ROW_LIMIT}")]
     Pools(usize),
+    /// The plan has too many organisations.
+    #[error("the configuration has {0} organisations; at most {PLAN_ROW_LIMIT}")]
+    Organisations(usize),
     /// The encoded plan has too many bytes.
     #[error("the configuration's plan takes {0} bytes; at most {PLAN_BYTES_LIMIT}")]
     Plan(usize),
@@ -65,6 +68,10 @@
         if pools > PLAN_ROW_LIMIT {
             return Err(Self::Pools(pools));
         }
+        let organisations = request.plan.organisations.len();
+        if organisations > PLAN_ROW_LIMIT {
+            return Err(Self::Organisations(organisations));
+        }
         match encoded_bytes(&request.plan) {
             bytes if bytes > PLAN_BYTES_LIMIT => Err(Self::Plan(bytes)),
             _ => Ok(()),
--- a/crates/pulley_core/src/version/follower/mod.rs
+++ b/crates/pulley_core/src/version/follower/mod.rs
@@ -18,6 +18,6 @@
 
 use super::sequence_edit::{SequenceEdit, apply_edits, edits_between};
 use super::{
-    CallerLimits, ConfigVersion, EvacuatedZones, KindPlan, LogIndex, PLAN_BYTES_LIMIT,
-    PLAN_ROW_LIMIT, PolicyPlan, PoolTerms, StoredPlan,
+    CallerLimits, ConfigVersion, EvacuatedZones, KindPlan, LogIndex, OrganisationTerms,
+    PLAN_BYTES_LIMIT, PLAN_ROW_LIMIT, PolicyPlan, PoolTerms, StoredPlan,
 };
--- a/crates/pulley_core/src/version/follower/plan_difference.rs
+++ b/crates/pulley_core/src/version/follower/plan_difference.rs
@@ -5,8 +5,8 @@
 
 use super::plan_rows::{RowColumns, deflate, inflate};
 use super::{
-    CallerLimits, KindPlan, PLAN_ROW_LIMIT, PolicyPlan, PoolTerms, SequenceEdit, apply_edits,
-    edits_between,
+    CallerLimits, KindPlan, OrganisationTerms, PLAN_ROW_LIMIT, PolicyPlan, PoolTerms, SequenceEdit,
+    apply_edits, edits_between,
 };
 
 /// The difference between two plans.
@@ -15,6 +15,7 @@
     limits: Option<CallerLimits>,
     pools: Option<Vec<PoolTerms>>,
     rows: Vec<SequenceEdit<KindPlan>>,
+    organisations: Vec<SequenceEdit<OrganisationTerms>>,
 }
 
 /// Where rows of the later plan come from.
@@ -33,6 +34,7 @@
     pools: Option<Vec<PoolTerms>>,
     origins: Vec<RowOrigin>,
     rows: RowColumns,
+    organisations: Vec<SequenceEdit<OrganisationTerms>>,
 }
 
 impl PlanDifference {
@@ -43,6 +45,11 @@
             limits: (before.limits != after.limits).then_some(after.limits),
             pools: (before.pools != after.pools).then(|| after.pools.clone()),
             rows: edits_between(&before.kinds, &after.kinds, &after.kinds),
+            organisations: edits_between(
+                &before.organisations,
+                &after.organisations,
+                &after.organisations,
+            ),
         }
     }
 
@@ -70,6 +77,7 @@
             pools: self.pools.clone(),
             origins: self.rows.iter().map(origin).collect(),
             rows: RowColumns::from_rows(&inserted.flatten().collect::<Vec<_>>(), &mut name_bytes),
+            organisations: self.organisations.clone(),
         };
         let columns = postcard::to_stdvec(&columns).expect("plain data types always encode");
         let columns = deflate(&columns);
@@ -82,7 +90,7 @@
     #[must_use]
     pub fn unpack(packed: &[u8]) -> Option<Self> {
         let (columns, name_bytes): (&[u8], &[u8]) = postcard::from_bytes(packed).ok()?;
-        let DifferenceColumns { limits, pools, origins, rows } =
+        let DifferenceColumns { limits, pools, origins, rows, organisations } =
             postcard::from_bytes(&inflate(columns)?).ok()?;
         // Each origin stands for at least one row.
         if origins.len() > PLAN_ROW_LIMIT {
@@ -97,7 +105,7 @@
             }
         };
         let rows = origins.into_iter().map(edit).collect::<Option<Vec<_>>>()?;
-        inserted.next().is_none().then_some(Self { limits, pools, rows })
+        inserted.next().is_none().then_some(Self { limits, pools, rows, organisations })
     }
 
     /// Builds the later plan from the earlier one; `None` if the difference was not computed for
@@ -108,6 +116,7 @@
             kinds: apply_edits(&before.kinds, &self.rows, PLAN_ROW_LIMIT)?,
             limits: self.limits.unwrap_or(before.limits),
             pools: self.pools.unwrap_or_else(|| before.pools.clone()),
+            organisations: apply_edits(&before.organisations, &self.organisations, PLAN_ROW_LIMIT)?,
         })
     }
 }
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -192,12 +192,29 @@
         if self.is_confirmed(now, version) {
             return PlanStanding::InForce(version);
         }
-        match self.serves_without_quorum || self.is_static(now, version) {
+        match self.serves_without_quorum || self.static_since(now, version).is_some() {
             true => PlanStanding::Static(version),
             false => PlanStanding::Expired(version),
         }
     }
 
+    /// Returns until when this host may go by the keys of the configuration in force, if `lease` is
+    /// the time after which a key that was taken away must no longer work; `None` if it cannot tell
+    /// whether one was.
+    ///
+    /// The time counts from when the leader asked a majority, or when this host asked the replicas,
+    /// so that a key that was taken away later is still valid for at least `lease`.
+    #[must_use]
+    pub fn keys_valid_until(&self, now: Moment, lease: Duration) -> Option<Moment> {
+        let held = self.held.as_ref().filter(|_| self.knows_time)?;
+        let proofs = self.confirmations.iter().filter(|(version, _)| *version <= held.version);
+        let confirmed = proofs.map(|(_, at)| self.clock.age(now, *at)).min();
+        let reported = self.static_since(now, held.version);
+        let reported = reported.map(|since| now.since(since) + self.ask_interval());
+        let age = confirmed.into_iter().chain(reported).min()?;
+        lease.checked_sub(age).map(|left| now + left)
+    }
+
     /// Returns the leader named by the freshest lease, if that lease is still valid.
     #[must_use]
     pub fn leader(&self, now: Moment) -> Option<&HostId> {
@@ -270,32 +287,28 @@
         }
     }
 
-    /// Whether a majority of replicas reports that their logs hold nothing after a version and no
-    /// zone order after those known here.
+    /// Returns since when a majority of replicas has reported that their logs hold nothing after a
+    /// version and no zone order after those known here; `None` if they have not.
     ///
     /// An accepted entry is in the logs of a majority, and any two majorities share a replica: if
     /// no log of a majority holds an entry after the version, none was accepted. An entry found
     /// there may or may not have been accepted, so it rules out serving on and is never put in
     /// force. The same holds for changes of the replica set, so the latest set seen decides.
-    fn is_static(&self, now: Moment, version: ConfigVersion) -> bool {
+    fn static_since(&self, now: Moment, version: ConfigVersion) -> Option<Moment> {
         let fresh = |at: &Moment| now.since(*at) < ANSWER_VALIDITY;
         let known = self.lease.as_ref().map(|lease| &lease.replicas);
         let answered = self.log_reports.values().filter(|(at, _)| fresh(at));
         let seen = answered.map(|(_, report)| &report.replicas);
-        let Some(latest) = known.into_iter().chain(seen).max_by_key(|set| set.index) else {
-            return false;
+        let latest = known.into_iter().chain(seen).max_by_key(|set| set.index)?;
+        let reports = latest.hosts.iter().filter_map(|host| self.log_reports.get(host));
+        let reports: Vec<&(Moment, LogReport)> = reports.filter(|(at, _)| fresh(at)).collect();
+        let holds_nothing = |report: &LogReport| {
+            report.last_entry <= version && report.last_order <= self.evacuated.revision
         };
-        let reports: Vec<&LogReport> = latest
-            .hosts
-            .iter()
-            .filter_map(|host| self.log_reports.get(host))
-            .filter(|(at, _)| fresh(at))
-            .map(|(_, report)| report)
-            .collect();
-        reports.len() >= latest.majority()
-            && reports.iter().all(|report| {
-                report.last_entry <= version && report.last_order <= self.evacuated.revision
-            })
+        let is_static = reports.len() >= latest.majority()
+            && reports.iter().all(|(_, report)| holds_nothing(report));
+        let oldest = reports.iter().map(|(at, _)| *at).min();
+        oldest.filter(|_| is_static)
     }
 
     // ---------------------------------------------------------------------------------------------
--- a/crates/pulley_core/src/version/follower/plan_rows.rs
+++ b/crates/pulley_core/src/version/follower/plan_rows.rs
@@ -34,8 +34,9 @@
     /// Pool, service and host name.
     owners: ValueColumn<(PoolName, ServiceName, HostMatch)>,
     methods: ValueColumn<MethodMatch>,
-    /// Priority, attempts, and whether running a request twice does no harm.
-    handling: ValueColumn<(RequestPriority, u8, bool)>,
+    /// Priority, attempts, whether running a request twice does no harm, and whether it needs no
+    /// key.
+    handling: ValueColumn<(RequestPriority, u8, bool, bool)>,
     /// Default deadline and target latency.
     times: ValueColumn<(Duration, Option<Duration>)>,
     sizes: ValueColumn<(WorkLength, AnswerSize)>,
@@ -50,7 +51,8 @@
     pub(crate) fn from_rows(rows: &[&KindPlan], name_bytes: &mut Vec<u8>) -> Self {
         let owner =
             |row: &KindPlan| (row.pool.clone(), row.service.clone(), row.route.host.clone());
-        let handling = |row: &KindPlan| (row.priority, row.route.attempts, row.idempotent);
+        let handling =
+            |row: &KindPlan| (row.priority, row.route.attempts, row.idempotent, row.route.public);
         let capacity = |row: &KindPlan| (row.share, row.reserved_slots, row.probe_budget);
         Self {
             kinds: NameColumn::new(rows, |row| row.kind.as_str(), name_bytes),
@@ -85,7 +87,7 @@
         let mut connections = self.connections.row_values(count)?;
         let mut row = || {
             let (pool, service, host) = owners.next()?.clone();
-            let (priority, attempts, idempotent) = *handling.next()?;
+            let (priority, attempts, idempotent, public) = *handling.next()?;
             let (deadline, target) = *times.next()?;
             let (length, answers) = *sizes.next()?;
             let (share, reserved_slots, probe_budget) = *capacities.next()?;
@@ -104,7 +106,7 @@
                 idempotent,
                 length,
                 probe_budget,
-                route: RouteTerms { host, weight, attempts, answers, target, connections },
+                route: RouteTerms { host, weight, attempts, answers, target, connections, public },
             })
         };
         let rows = (0..count).map(|_| row()).collect::<Option<Vec<_>>>()?;
--- a/crates/pulley_core/src/version/mod.rs
+++ b/crates/pulley_core/src/version/mod.rs
@@ -48,9 +48,11 @@
 };
 pub use sequence_edit::SequenceEdit;
 pub use sheet::{
-    AnswerSize, CallerLimits, HostMatch, IndexedPlan, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
-    RequestPriority, RouteTerms, SheetColumn, SheetFault, SheetFaults, SheetPrinter, SheetReader,
-    SheetUpload, SheetView, WarmUpTerms, WorkLength,
+    AnswerSize, ApiKeyDigest, ApiKeyDigestFault, CallerLimits, HostMatch, IndexedPlan,
+    KeyFingerprint, KindPlan, MethodMatch, OrganisationFault, OrganisationTerms, PolicyPlan,
+    PoolTerms, RequestPriority, RequestQuota, RouteTerms, SheetColumn, SheetFault, SheetFaults,
+    SheetPrinter, SheetReader, SheetUpload, SheetView, WarmUpTerms, WorkLength,
+    check_organisations,
 };
 pub use stored_change::{ChangeContent, StoredChange};
 pub use zone_order::{EvacuatedZones, ZoneAnswer, ZoneOrder, ZoneUpload, ZoneUse, ZoneUseFault};
--- a/crates/pulley_core/src/version/plan_diff.rs
+++ b/crates/pulley_core/src/version/plan_diff.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use super::{KindPlan, PolicyPlan};
+use super::{ApiKeyDigest, KindPlan, OrganisationTerms, PolicyPlan};
+use crate::process::{FastMap, OrganisationName};
 
 /// Maximum size of the diff in an audit record, in bytes. It bounds the audit trail's memory.
 pub(crate) const DIFF_LIMIT: usize = 480;
@@ -23,9 +24,55 @@
     for name in old.keys().filter(|name| !new.contains_key(*name)) {
         push_part(&mut diff, &format!("-{}/{}", name.0, name.1));
     }
+    push_organisations(&mut diff, before, after);
     diff
 }
 
+fn push_organisations(diff: &mut String, before: &PolicyPlan, after: &PolicyPlan) {
+    let old = organisations_by_name(before);
+    let new = organisations_by_name(after);
+    for terms in &after.organisations {
+        match old.get(&terms.name) {
+            None => push_part(diff, &format!("+organisation {}", terms.name)),
+            Some(old_terms) if *old_terms != terms => {
+                push_part(diff, &organisation_diff(old_terms, terms));
+            }
+            Some(_) => {}
+        }
+    }
+    for terms in before.organisations.iter().filter(|terms| !new.contains_key(&terms.name)) {
+        push_part(diff, &format!("-organisation {}", terms.name));
+    }
+}
+
+fn organisations_by_name(plan: &PolicyPlan) -> FastMap<&OrganisationName, &OrganisationTerms> {
+    plan.organisations.iter().map(|terms| (&terms.name, terms)).collect()
+}
+
+/// Describes the changes of one organisation. Keys are shown by their fingerprints.
+fn organisation_diff(before: &OrganisationTerms, after: &OrganisationTerms) -> String {
+    let mut text = format!("~organisation {}", after.name);
+    let push_keys = |text: &mut String, sign, keys: &[ApiKeyDigest], others: &[ApiKeyDigest]| {
+        for key in keys.iter().filter(|key| !others.contains(key)) {
+            let _ = write!(text, " {sign}key {}", key.fingerprint());
+        }
+    };
+    push_keys(&mut text, '+', &after.keys, &before.keys);
+    push_keys(&mut text, '-', &before.keys, &after.keys);
+    if before.priority != after.priority {
+        text.push_str(" priority");
+    }
+    if before.quota != after.quota {
+        let _ = write!(text, " quota {}>{}", quota_text(before), quota_text(after));
+    }
+    text
+}
+
+fn quota_text(terms: &OrganisationTerms) -> String {
+    let Some(quota) = terms.quota else { return "none".to_owned() };
+    format!("{}+{}", quota.rate, quota.burst)
+}
+
 fn rows_by_name(plan: &PolicyPlan) -> BTreeMap<(&str, &str), &KindPlan> {
     plan.kinds.iter().map(|row| ((row.service.as_str(), row.kind.as_str()), row)).collect()
 }
--- a/crates/pulley_core/src/version/sheet/indexed_plan.rs
+++ b/crates/pulley_core/src/version/sheet/indexed_plan.rs
@@ -7,7 +7,7 @@
 
 use super::pool_summary::PoolSummary;
 use super::route_index::RouteIndex;
-use super::{KindPlan, PolicyPlan, WarmUpTerms};
+use super::{ApiKeyDigest, KindPlan, OrganisationTerms, PolicyPlan, WarmUpTerms};
 use crate::process::{FastMap, PoolName, ProbeRate};
 
 /// A plan in force with its indices, built once per version, so that look-ups for requests and
@@ -19,6 +19,8 @@
     /// The pools, in order of first mention.
     pool_names: Vec<PoolName>,
     summaries: FastMap<PoolName, PoolSummary>,
+    /// The index of the organisation that holds each key.
+    key_owners: FastMap<ApiKeyDigest, usize>,
 }
 
 impl IndexedPlan {
@@ -35,7 +37,11 @@
         }
         let pool_names: Vec<PoolName> = pools.names.into_iter().cloned().collect();
         let summaries = pool_names.iter().cloned().zip(pools.summaries).collect();
-        Self { plan, routes, pool_names, summaries }
+        let organisations = plan.organisations.iter().enumerate();
+        let owners = organisations
+            .flat_map(|(index, terms)| terms.keys.iter().map(move |key| (*key, index)));
+        let key_owners = owners.collect();
+        Self { plan, routes, pool_names, summaries, key_owners }
     }
 
     /// Returns the plan without its indices.
@@ -64,6 +70,19 @@
         Some((row, &self.kinds[row]))
     }
 
+    /// Whether requests for a row need the key of an organisation.
+    #[must_use]
+    pub fn needs_key(&self, row: &KindPlan) -> bool {
+        !self.organisations.is_empty() && !row.route.public
+    }
+
+    /// Finds the organisation that holds a key.
+    #[must_use]
+    pub fn find_key_owner(&self, key: &ApiKeyDigest) -> Option<&OrganisationTerms> {
+        let owner = self.key_owners.get(key)?;
+        self.organisations.get(*owner)
+    }
+
     /// Returns the pools, each once, in order of first mention.
     #[must_use]
     pub fn pools(&self) -> &[PoolName] {
--- a/crates/pulley_core/src/version/sheet/mod.rs
+++ b/crates/pulley_core/src/version/sheet/mod.rs
@@ -1,6 +1,8 @@
 //! Sheets as operators write them, and the plans read from them.
 
 mod indexed_plan;
+mod organisation;
+mod organisation_line;
 mod plan;
 mod pool_summary;
 mod route_index;
@@ -11,6 +13,10 @@
 mod sheet_upload;
 
 pub use indexed_plan::IndexedPlan;
+pub use organisation::{
+    ApiKeyDigest, ApiKeyDigestFault, KeyFingerprint, OrganisationTerms, RequestQuota,
+};
+pub use organisation_line::{OrganisationFault, check_organisations};
 pub use plan::{
     AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, PoolTerms,
     RequestPriority, RouteTerms, WarmUpTerms, WorkLength,
--- a/crates/pulley_core/src/version/sheet/plan.rs
+++ b/crates/pulley_core/src/version/sheet/plan.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::OrganisationTerms;
 use crate::process::{
     KindName, PoolName, ProbeRate, ServiceName, ShareFraction, SlotCount, StartRate,
 };
@@ -64,6 +65,8 @@
     /// Maximum number of connections to one upstream of the pool from all hosts together, if it is
     /// lower than the number that the upstream announces.
     pub connections: Option<u32>,
+    /// Whether requests need no key although the sheet has organisations.
+    pub public: bool,
 }
 
 /// Default weight of a row.
@@ -82,6 +85,7 @@
             answers: AnswerSize::Small,
             target: None,
             connections: None,
+            public: false,
         }
     }
 }
@@ -159,6 +163,9 @@
     pub limits: CallerLimits,
     /// Settings of whole pools. A pool listed here is kept ready even if no row names it.
     pub pools: Vec<PoolTerms>,
+    /// The organisations whose callers may use rows that are not public. Without any, no row needs
+    /// a key.
+    pub organisations: Vec<OrganisationTerms>,
 }
 
 /// Settings of a whole pool.
--- a/crates/pulley_core/src/version/sheet/sheet_column.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_column.rs
@@ -42,17 +42,20 @@
     TargetMs,
     /// Maximum number of connections to one upstream of the pool.
     Connections,
+    /// Whether requests need no key.
+    Public,
 }
 
 impl SheetColumn {
     /// The columns that a sheet may omit.
-    pub const OPTIONAL: [Self; 6] = [
+    pub const OPTIONAL: [Self; 7] = [
         Self::Host,
         Self::Weight,
         Self::Attempts,
         Self::Answers,
         Self::TargetMs,
         Self::Connections,
+        Self::Public,
     ];
 
     /// The columns that every sheet must have, in the order in which they are printed.
@@ -98,6 +101,7 @@
             Self::Answers => "answers",
             Self::TargetMs => "target_ms",
             Self::Connections => "connections",
+            Self::Public => "public",
         }
     }
 
@@ -125,6 +129,7 @@
             Self::Answers => "small or large, or nothing for small",
             Self::TargetMs => "a whole number of milliseconds from 1 to 600000, or nothing",
             Self::Connections => "a whole number from 1 to 1000000, or nothing",
+            Self::Public => "yes or no, or nothing for no",
         }
     }
 
--- a/crates/pulley_core/src/version/sheet/sheet_printer.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_printer.rs
@@ -2,6 +2,7 @@
 
 use csv::WriterBuilder;
 
+use super::organisation_line::organisation_line;
 use super::{
     AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RouteTerms,
     SheetColumn, WorkLength,
@@ -26,7 +27,8 @@
             writer.write_record(columns.iter().map(|column| cell(row, *column))).expect(REASON);
         }
         let bytes = writer.into_inner().expect(REASON);
-        limit_lines(plan.limits) + &String::from_utf8(bytes).expect(REASON)
+        let organisations: String = plan.organisations.iter().map(organisation_line).collect();
+        limit_lines(plan.limits) + &organisations + &String::from_utf8(bytes).expect(REASON)
     }
 }
 
@@ -91,5 +93,6 @@
         SheetColumn::Connections => {
             row.route.connections.map(|count| count.to_string()).unwrap_or_default()
         }
+        SheetColumn::Public => if row.route.public { "yes" } else { "no" }.to_owned(),
     }
 }
--- a/crates/pulley_core/src/version/sheet/sheet_reader.rs
+++ b/crates/pulley_core/src/version/sheet/sheet_reader.rs
@@ -5,9 +5,12 @@
 use csv::{ReaderBuilder, StringRecord};
 use smol_str::SmolStr;
 
+use super::organisation_line::{
+    ORGANISATION_ALLOWED, ORGANISATION_PREFIX, check_organisations, read_organisation,
+};
 use super::{
-    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PolicyPlan, RequestPriority,
-    RouteTerms, SheetColumn, SheetFault, SheetFaults, WorkLength,
+    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, OrganisationTerms, PolicyPlan,
+    RequestPriority, RouteTerms, SheetColumn, SheetFault, SheetFaults, WorkLength,
 };
 use crate::process::{FastMap, KindName, PoolName, ServiceName, ShareFraction, SlotCount};
 use crate::version::{PLAN_ROW_LIMIT, SHEET_LIMIT};
@@ -50,6 +53,9 @@
 /// `#limit header_bytes 16384`.
 const LIMIT_PREFIX: &str = "#limit ";
 
+/// Describes such a line, for the planner.
+const LIMIT_ALLOWED: &str = "#limit and header_bytes, body_bytes or header_timeout_ms, a number";
+
 /// The methods that a row may match.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
@@ -68,6 +74,9 @@
     kinds: Vec<KindPlan>,
     summaries: Vec<RowSummary>,
     limits: CallerLimits,
+    organisations: Vec<OrganisationTerms>,
+    /// The line of each organisation.
+    organisation_lines: Vec<u64>,
 }
 
 /// The cells of a row that are compared with other rows. Rows with other faults are compared too.
@@ -91,13 +100,21 @@
             kinds: Vec::new(),
             summaries: Vec::new(),
             limits: CallerLimits::default(),
+            organisations: Vec::new(),
+            organisation_lines: Vec::new(),
         };
         reader.read_text(bytes);
         reader.check_duplicates();
         reader.check_shares();
+        reader.check_organisations();
         if reader.faults.is_empty() {
-            let limits = reader.limits;
-            return Ok(PolicyPlan { kinds: reader.kinds, limits, ..PolicyPlan::default() });
+            let (limits, organisations) = (reader.limits, reader.organisations);
+            return Ok(PolicyPlan {
+                kinds: reader.kinds,
+                limits,
+                pools: Vec::new(),
+                organisations,
+            });
         }
         reader.faults.sort_by_row();
         Err(reader.faults)
@@ -120,7 +137,7 @@
                 return self.sheet_fault(row, &byte, "text in UTF-8");
             }
         };
-        let text = &self.read_limits(text);
+        let text = &self.read_settings(text);
         let mut records = ReaderBuilder::new()
             .delimiter(delimiter_of(text))
             .has_headers(false)
@@ -142,24 +159,37 @@
         }
     }
 
-    /// Reads the lines that set limits on callers, and blanks them so that rows keep their line
-    /// numbers.
-    fn read_limits(&mut self, text: &str) -> String {
+    /// Reads the lines that set limits on callers or describe organisations, and blanks them so
+    /// that rows keep their line numbers.
+    fn read_settings(&mut self, text: &str) -> String {
         let mut rest = String::with_capacity(text.len());
-        for (index, line) in text.split_inclusive('\n').enumerate() {
-            let Some(limit) = line.strip_prefix(LIMIT_PREFIX) else {
+        for (number, line) in (1..).zip(text.split_inclusive('\n')) {
+            if let Some(limit) = line.strip_prefix(LIMIT_PREFIX) {
+                if self.read_limit(limit.trim()).is_none() {
+                    self.sheet_fault(number, line.trim(), LIMIT_ALLOWED);
+                }
+            } else if let Some(organisation) = line.strip_prefix(ORGANISATION_PREFIX) {
+                self.read_organisation(number, organisation);
+            } else {
                 rest.push_str(line);
                 continue;
-            };
-            rest.push('\n');
-            if self.read_limit(limit.trim()).is_none() {
-                let allowed = "#limit and header_bytes, body_bytes or header_timeout_ms, a number";
-                self.sheet_fault(index as u64 + 1, line.trim(), allowed);
             }
+            rest.push('\n');
         }
         rest
     }
 
+    fn read_organisation(&mut self, line: u64, text: &str) {
+        if let Some(terms) = read_organisation(text) {
+            self.organisations.push(terms);
+            self.organisation_lines.push(line);
+            return;
+        }
+        // The line may hold keys, so only the name is shown.
+        let name = text.split_whitespace().next().unwrap_or_default();
+        self.sheet_fault(line, name, ORGANISATION_ALLOWED);
+    }
+
     fn read_limit(&mut self, text: &str) -> Option<()> {
         let (name, value) = text.split_once(' ')?;
         let value: u64 = value.trim().parse().ok().filter(|value| *value > 0)?;
@@ -265,6 +295,15 @@
         self.summaries = summaries;
     }
 
+    fn check_organisations(&mut self) {
+        let organisations = std::mem::take(&mut self.organisations);
+        for (index, fault) in check_organisations(&organisations) {
+            let (line, name) = (self.organisation_lines[index], &organisations[index].name);
+            self.sheet_fault(line, name.as_str(), format!("each name and key once; {fault}"));
+        }
+        self.organisations = organisations;
+    }
+
     // -------------------------------------------------------------------------------------
     // Faults
 
@@ -340,6 +379,10 @@
         let answers = self.parse_cell(SheetColumn::Answers, answer_size);
         let target = self.parse_optional(SheetColumn::TargetMs, 1, DEADLINE_MS_LIMIT);
         let connections = self.parse_optional(SheetColumn::Connections, 1, CONNECTIONS_LIMIT);
+        let public = self.parse_cell(SheetColumn::Public, |text| match text {
+            "" => Some(false),
+            text => yes_or_no(text),
+        });
         Some(RouteTerms {
             host: host?,
             weight: weight?.unwrap_or(default.weight),
@@ -347,6 +390,7 @@
             answers: answers?,
             target: target?.map(Duration::from_millis),
             connections: connections?,
+            public: public?,
         })
     }
 
--- a/crates/pulley_core/src/version/stored_change.rs
+++ b/crates/pulley_core/src/version/stored_change.rs
@@ -5,8 +5,8 @@
 
 use super::sequence_edit::{SequenceEdit, apply_edits, edits_between};
 use super::{
-    CHANGE_BYTES_LIMIT, CallerLimits, ChangeRequest, ConfigVersion, KindPlan, PLAN_ROW_LIMIT,
-    PackedValue, PolicyPlan, PoolTerms, SHEET_LIMIT, StoredPlan,
+    CHANGE_BYTES_LIMIT, CallerLimits, ChangeRequest, ConfigVersion, KindPlan, OrganisationTerms,
+    PLAN_ROW_LIMIT, PackedValue, PolicyPlan, PoolTerms, SHEET_LIMIT, StoredPlan,
 };
 use crate::process::{ActorName, ChangeId};
 
@@ -32,6 +32,7 @@
     pieces: Vec<SequenceEdit<String>>,
     rows: Vec<SequenceEdit<KindPlan>>,
     pools: Vec<SequenceEdit<PoolTerms>>,
+    organisations: Vec<SequenceEdit<OrganisationTerms>>,
     limits: CallerLimits,
 }
 
@@ -121,7 +122,9 @@
                 let sheet = edited_sheet(&split_pieces(&base.sheet), &edit.pieces)?;
                 let kinds = apply_edits(&base.plan.kinds, &edit.rows, PLAN_ROW_LIMIT)?;
                 let pools = apply_edits(&base.plan.pools, &edit.pools, PLAN_ROW_LIMIT)?;
-                Some((sheet, PolicyPlan { kinds, limits: edit.limits, pools }))
+                let organisations =
+                    apply_edits(&base.plan.organisations, &edit.organisations, PLAN_ROW_LIMIT)?;
+                Some((sheet, PolicyPlan { kinds, limits: edit.limits, pools, organisations }))
             }
             ChangeContent::Edit(_) | ChangeContent::Outdated => None,
         }
@@ -147,15 +150,17 @@
     let (old, new) = (&current.plan, &request.plan);
     let (old_pieces, new_pieces) = (split_pieces(&current.sheet), split_pieces(&request.sheet));
     let pieces = edits_between(&old_pieces, &new_pieces, &new_pieces);
-    let (Some(rows), Some(pools), true) = (
+    let (Some(rows), Some(pools), Some(organisations), true) = (
         encoded_edits(&old.kinds, &new.kinds),
         encoded_edits(&old.pools, &new.pools),
+        encoded_edits(&old.organisations, &new.organisations),
         pieces.iter().map(edit_size).sum::<usize>() < request.sheet.len(),
     ) else {
         return whole_content(request);
     };
     let pieces = pieces.into_iter().map(owned_edit).collect();
-    ChangeContent::Edit(PackedValue::pack(&PlanEdit { pieces, rows, pools, limits: new.limits }))
+    let edit = PlanEdit { pieces, rows, pools, organisations, limits: new.limits };
+    ChangeContent::Edit(PackedValue::pack(&edit))
 }
 
 fn encoded_edits<T: Clone + Serialize>(old: &[T], new: &[T]) -> Option<Vec<SequenceEdit<T>>> {
--- a/crates/pulley_core/tests/limits/limit_fleet.rs
+++ b/crates/pulley_core/tests/limits/limit_fleet.rs
@@ -67,6 +67,7 @@
             answers: AnswerSize::Small,
             target: Some(TARGET),
             connections: None,
+            public: false,
         },
     };
     let pool = "cover".parse().unwrap();
--- a/crates/pulley_core/tests/many_entries/entry_fleet.rs
+++ b/crates/pulley_core/tests/many_entries/entry_fleet.rs
@@ -62,6 +62,7 @@
             answers: AnswerSize::Small,
             target: Some(TARGET),
             connections: None,
+            public: false,
         },
     };
     let pools =
--- a/crates/pulley_core/tests/members/plan_difference_tests.rs
+++ b/crates/pulley_core/tests/members/plan_difference_tests.rs
@@ -4,10 +4,11 @@
 
 use miniz_oxide::deflate::compress_to_vec;
 use miniz_oxide::inflate::decompress_to_vec;
-use pulley_core::process::{ProbeRate, ShareFraction, SlotCount};
+use pulley_core::process::{ProbeRate, ShareFraction, SlotCount, StartRate};
 use pulley_core::version::{
-    AnswerSize, CallerLimits, HostMatch, KindPlan, MethodMatch, PLAN_ROW_LIMIT, PlanDifference,
-    PolicyPlan, PoolTerms, RequestPriority, RouteTerms, WorkLength,
+    AnswerSize, ApiKeyDigest, CallerLimits, HostMatch, KindPlan, MethodMatch, OrganisationTerms,
+    PLAN_ROW_LIMIT, PlanDifference, PolicyPlan, PoolTerms, RequestPriority, RequestQuota,
+    RouteTerms, WorkLength,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::rngs::SmallRng;
@@ -58,6 +59,7 @@
             answers: *g.choose(&[AnswerSize::Small, AnswerSize::Large]).unwrap(),
             target: Option::arbitrary(g),
             connections: Option::arbitrary(g),
+            public: bool::arbitrary(g),
         },
     }
 }
@@ -65,6 +67,9 @@
 fn change(g: &mut Gen, plan: &mut PolicyPlan) {
     let rows = plan.kinds.len().max(1);
     let (one, other) = (usize::arbitrary(g) % rows, usize::arbitrary(g) % rows);
+    if u8::arbitrary(g) % 4 == 0 {
+        return change_organisations(g, plan);
+    }
     match u8::arbitrary(g) % 8 {
         0..=2 => plan.kinds.insert(one.min(plan.kinds.len()), row(g)),
         _ if plan.kinds.is_empty() => plan.kinds.push(row(g)),
@@ -84,6 +89,24 @@
     }
 }
 
+fn change_organisations(g: &mut Gen, plan: &mut PolicyPlan) {
+    let organisations = &mut plan.organisations;
+    let place = usize::arbitrary(g) % organisations.len().max(1);
+    match organisations.get_mut(place) {
+        Some(_) if bool::arbitrary(g) => drop(organisations.remove(place)),
+        Some(known) if bool::arbitrary(g) => {
+            known.keys.push(ApiKeyDigest::of(&String::arbitrary(g)));
+        }
+        _ => organisations.push(OrganisationTerms {
+            name: name(g),
+            keys: vec![ApiKeyDigest::of(&String::arbitrary(g))],
+            priority: Option::arbitrary(g).map(RequestPriority),
+            quota: Option::arbitrary(g)
+                .map(|burst| RequestQuota { rate: StartRate(u32::arbitrary(g)), burst }),
+        }),
+    }
+}
+
 impl Arbitrary for PlanPair {
     fn arbitrary(g: &mut Gen) -> Self {
         let mut before = PolicyPlan::default();
@@ -197,3 +220,21 @@
     assert!(PlanDifference::unpack(&packed(2_000)).is_some());
     assert!(PlanDifference::unpack(&packed(8_000)).is_none());
 }
+
+// Guards against sending all organisations to every host when one key changes.
+#[test]
+fn a_changed_key_costs_a_few_bytes() {
+    let organisation = |index: usize| OrganisationTerms {
+        name: format!("organisation-{index}").parse().unwrap(),
+        keys: vec![ApiKeyDigest::of(&index.to_string())],
+        priority: None,
+        quota: Some(RequestQuota { rate: StartRate(1_000), burst: 5 }),
+    };
+    let organisations = (0..1_000).map(organisation).collect();
+    let before = PolicyPlan { organisations, ..PolicyPlan::default() };
+    let mut after = before.clone();
+    after.organisations[500].keys.push(ApiKeyDigest::of("new"));
+    let packed = PlanDifference::between(&before, &after).pack();
+    assert!(packed.len() < 200, "{} bytes", packed.len());
+    assert_eq!(PlanDifference::unpack(&packed).unwrap().apply(&before), Some(after));
+}
--- a/crates/pulley_core/tests/members/plan_follower_tests.rs
+++ b/crates/pulley_core/tests/members/plan_follower_tests.rs
@@ -262,3 +262,78 @@
     assert_eq!(entry.awaited_version(), Some(ConfigVersion(6)));
     assert_eq!(holder.awaited_version(), None);
 }
+
+const KEY_LEASE: Duration = Duration::from_millis(4_500);
+
+fn keys_valid(network: &Network, host: usize) -> bool {
+    let until = network.hosts[host].plans.keys_valid_until(network.now, KEY_LEASE);
+    until.is_some_and(|until| until > network.now)
+}
+
+// Guards against a key that works on, after it was taken away, at hosts that have not heard of it.
+#[test]
+fn keys_stop_working_at_hosts_that_are_cut_off_and_work_again_once_they_are_back() {
+    let mut network = with_leader(30, 71);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    let (near, far): (Vec<usize>, Vec<usize>) = ((0..15).collect(), (15..30).collect());
+    network.set_partition(&near, &far, true);
+    let cut_at = network.now;
+    network.run_for(3 * SECOND);
+    assert!(far.iter().all(|host| keys_valid(&network, *host)), "they serve for three seconds");
+    for host in &far {
+        let until = network.hosts[*host].plans.keys_valid_until(network.now, KEY_LEASE).unwrap();
+        assert!(until.since(cut_at) <= KEY_LEASE + Duration::from_millis(10), "host {host}");
+    }
+    network.run_until(cut_at + KEY_LEASE + Duration::from_millis(20));
+    assert!(far.iter().all(|host| !keys_valid(&network, *host)));
+    assert!(near.iter().all(|host| keys_valid(&network, *host)));
+    network.set_partition(&near, &far, false);
+    network.run_for(2 * SECOND);
+    assert!((0..30).all(|host| keys_valid(&network, host)));
+}
+
+// Guards against a frozen process that wakes up with keys that look valid.
+#[test]
+fn keys_of_a_host_that_was_stopped_have_expired_when_it_wakes_up() {
+    let mut network = with_leader(12, 72);
+    network.hosts[7].paused_until = network.now + 6 * SECOND;
+    network.run_for(6 * SECOND - Duration::from_millis(1));
+    assert!(!keys_valid(&network, 7));
+    network.run_for(2 * SECOND);
+    assert!(keys_valid(&network, 7));
+}
+
+// Guards against a restarted process that goes by keys before it knows the configuration.
+#[test]
+fn a_host_that_starts_knows_no_valid_keys() {
+    let mut network = with_leader(12, 73);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    network.restart(9);
+    assert!(!keys_valid(&network, 9));
+    network.run_for(2 * SECOND);
+    assert!(keys_valid(&network, 9));
+}
+
+// Guards against refusing all keys while the replicas elect a leader.
+#[test]
+fn keys_stay_valid_without_a_leader_while_a_majority_has_nothing_newer() {
+    let mut network = with_leader(12, 74);
+    network.publish(1, 10);
+    network.run_for(SECOND);
+    for replica in 0..5 {
+        let (replicas, version) = (network.replicas.clone(), ConfigVersion(1));
+        network.hosts[replica].plans.set_log_report(replicas, version, LogIndex::default());
+    }
+    network.leader = None;
+    for _ in 0..10 {
+        network.run_for(SECOND);
+        assert!((0..12).all(|host| keys_valid(&network, host)));
+    }
+    // A replica holds an entry that may have taken a key away and been acknowledged.
+    let replicas = network.replicas.clone();
+    network.hosts[2].plans.set_log_report(replicas, ConfigVersion(2), LogIndex::default());
+    network.run_for(5 * SECOND);
+    assert!((0..12).all(|host| !keys_valid(&network, host)));
+}
--- a/crates/pulley_core/tests/members/route_rows.rs
+++ b/crates/pulley_core/tests/members/route_rows.rs
@@ -75,6 +75,7 @@
                 answers: AnswerSize::Small,
                 target: Some(target),
                 connections: Some(300),
+                public: false,
             },
         }
     }
--- /dev/null
+++ b/crates/pulley_core/tests/quotas/quota_rules.rs
@@ -0,0 +1,76 @@
+//! Single decisions of an entry.
+
+use std::time::Duration;
+
+use pulley_core::Moment;
+use pulley_core::process::{HostId, OrganisationName, QuotaExchange, QuotaVerdict};
+use pulley_core::request::{QuotaDecision, QuotaTable};
+
+use crate::quota_fleet::quota;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_micros(millis * 1_000)
+}
+
+fn acme() -> OrganisationName {
+    "acme".parse().unwrap()
+}
+
+fn verdict(number: u32, permits: u16, retry_ms: u16) -> QuotaVerdict {
+    QuotaVerdict { organisation: acme(), number, permits, retry_ms, limited_ms: 2_000 }
+}
+
+// Guards against permits that count twice because a message was delivered twice.
+#[test]
+fn a_verdict_that_arrives_twice_counts_once() {
+    let mut table = QuotaTable::default();
+    table.limit(at(0), &[acme()], Duration::from_secs(2));
+    let quota = quota(10.0, 10);
+    assert!(matches!(table.admit(at(1), &acme(), quota, 4), QuotaDecision::Wait(_)));
+    table.begin_wait(at(1), &acme());
+    let report = table.take_reports().pop().unwrap();
+    assert_eq!((report.used, report.wanted), (0, 1));
+    table.receive(at(3), &verdict(report.number, 1, 0));
+    table.receive(at(4), &verdict(report.number, 1, 0));
+    table.end_wait(&acme());
+    assert_eq!(table.admit(at(5), &acme(), quota, 4), QuotaDecision::Admit);
+    assert!(matches!(table.admit(at(5), &acme(), quota, 4), QuotaDecision::Wait(_)));
+}
+
+// Guards against holding requests until their deadline although there is no room for them.
+#[test]
+fn requests_over_the_quota_are_refused_at_once_with_the_time_until_there_is_room() {
+    let mut table = QuotaTable::default();
+    table.limit(at(0), &[acme()], Duration::from_secs(2));
+    let quota = quota(10.0, 10);
+    table.begin_wait(at(1), &acme());
+    let report = table.take_reports().pop().unwrap();
+    table.receive(at(3), &verdict(report.number, 0, 400));
+    table.end_wait(&acme());
+    let left = Duration::from_millis(300);
+    assert_eq!(table.admit(at(103), &acme(), quota, 4), QuotaDecision::OverQuota(left));
+    assert!(matches!(table.admit(at(403), &acme(), quota, 4), QuotaDecision::Wait(_)));
+}
+
+// Guards against a quota that is used up by requests which no upstream ran.
+#[test]
+fn a_request_that_has_not_run_is_given_back() {
+    let mut table = QuotaTable::default();
+    let quota = quota(10.0, 10);
+    assert_eq!(table.admit(at(0), &acme(), quota, 4), QuotaDecision::Admit);
+    assert_eq!(table.take_reports()[0].used, 1);
+    table.give_back(at(10), &acme());
+    assert_eq!(table.take_reports()[0].used, -1);
+}
+
+// Guards against messages that end the control thread.
+#[test]
+fn malformed_messages_are_dropped() {
+    let sender: HostId = "e1".parse().unwrap();
+    for length in 0..64 {
+        for byte in [0, 1, 2, 3, 127, 255] {
+            let mut exchange = QuotaExchange::new("r0".parse().unwrap(), 10.0);
+            exchange.receive(at(0), &sender, &vec![byte; length]);
+        }
+    }
+}
--- a/crates/pulley_core/tests/sheet.rs
+++ b/crates/pulley_core/tests/sheet.rs
@@ -248,3 +248,46 @@
     let faults = read("#limit header_bytes many\n").unwrap_err();
     assert_eq!(faults.faults[0].row, 1);
 }
+
+const ORGANISATIONS: &str = "#organisation acme rate=2.5 burst=10 priority=0 key=one key=two\n\
+#organisation other key=three\n";
+
+fn public(rows: &[&str]) -> String {
+    format!("{HEADER},public\n{}\n", rows.join("\n"))
+}
+
+#[test]
+fn organisations_are_read_and_printed_without_their_keys() {
+    let text = format!("{ORGANISATIONS}{}", public(&[&format!("{ROW},yes")]));
+    let plan = read(&text).unwrap();
+    let acme = &plan.organisations[0];
+    assert_eq!((acme.keys.len(), acme.priority.unwrap().0), (2, 0));
+    assert_eq!(acme.quota.unwrap().rate.to_string(), "2.500");
+    assert_eq!(plan.organisations[1].quota, None);
+    assert!(plan.kinds[0].route.public);
+    let printed = SheetPrinter::print(&plan);
+    assert!(!printed.contains("=one") && !printed.contains("=three"), "{printed}");
+    assert_eq!(read(&printed).unwrap(), plan);
+}
+
+// Guards against a caller that could be either of two organisations.
+#[test]
+fn faulty_organisations_are_refused_at_their_lines_without_their_keys() {
+    for (line, allowed) in [
+        ("#organisation acme key=s3cret", "occurs twice"),
+        ("#organisation third key=two", "have a key in common"),
+        ("#organisation third burst=3 key=s3cret", "a burst needs a rate"),
+        ("#organisation third priority=10 key=s3cret", "priority=0 to 9"),
+        ("#organisation third rate=x key=s3cret", "rate=R"),
+        ("#organisation third key=", "key=TEXT"),
+        ("#organisation third key_sha256=12", "key_sha256=HEX"),
+        ("#organisation third s3cret", "key=TEXT"),
+        ("#organisation th/ird key=s3cret", "a name"),
+    ] {
+        let text = format!("{ORGANISATIONS}{line}\n{}", sheet(&[ROW]));
+        let faults = read(&text).unwrap_err();
+        assert_eq!(columns_of(&faults), [(3, "sheet")], "{line}");
+        assert!(faults.to_string().contains(allowed), "{line}: {faults}");
+        assert!(!faults.to_string().contains("s3cret"), "{faults}");
+    }
+}
--- a/crates/pulley_wire/schema/peer.capnp
+++ b/crates/pulley_wire/schema/peer.capnp
@@ -47,4 +47,5 @@
   operator @5;
   upstreams @6;
   limits @7;
+  quotas @8;
 }
--- a/crates/pulley_wire/src/peer_capnp.rs
+++ b/crates/pulley_wire/src/peer_capnp.rs
@@ -2697,6 +2697,7 @@
     Operator = 5,
     Upstreams = 6,
     Limits = 7,
+    Quotas = 8,
 }
 
 impl ::capnp::introspect::Introspect for FrameClass {
@@ -2717,6 +2718,7 @@
             5 => ::core::result::Result::Ok(Self::Operator),
             6 => ::core::result::Result::Ok(Self::Upstreams),
             7 => ::core::result::Result::Ok(Self::Limits),
+            8 => ::core::result::Result::Ok(Self::Quotas),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -2729,7 +2731,7 @@
     const TYPE_ID: u64 = 0x9dde_05e0_bffb_f498u64;
 }
 mod frame_class {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 54] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 58] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(152, 244, 251, 191, 224, 5, 222, 157),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -2739,37 +2741,40 @@
     ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 199, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 223, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 70, 114, 97, 109, 101),
     ::capnp::word(67, 108, 97, 115, 115, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(32, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(36, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(89, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(85, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(73, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(85, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(61, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(57, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(57, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
     ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
@@ -2784,6 +2789,7 @@
     ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
     ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+    ::capnp::word(113, 117, 111, 116, 97, 115, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -120,6 +120,10 @@
                 asks.iter().for_each(|ask| self.limits.ask(now, ask));
                 self.flush_limits(now);
             }
+            ControlRequest::ReportQuotas(reports) => {
+                self.quotas.report(now, reports);
+                self.flush_quotas(now);
+            }
             ControlRequest::Drain(id, reply) => {
                 let outcome = self.registry.operator_drain(now, &id);
                 let _ =
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use pulley_core::process::{
     CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitOutput, LimitRecord,
-    MemberRecord, MemberSend, MemberSettings, MemberTable, UpstreamDirectory, UpstreamRegistry,
-    UpstreamStart,
+    MemberRecord, MemberSend, MemberSettings, MemberTable, QuotaExchange, QuotaOutput,
+    UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
 use pulley_core::version::{
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
@@ -25,7 +25,7 @@
 use super::upstream_recovery::UpstreamRecovery;
 use super::{RunningView, ViewCell};
 use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
-use crate::request::SchedulerSet;
+use crate::request::{QuotaGate, SchedulerSet};
 
 /// An action for the control thread to carry out.
 #[derive(Debug)]
@@ -71,6 +71,11 @@
     pub(crate) founders: Vec<HostId>,
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
+    pub(crate) quota_gate: Arc<QuotaGate>,
+    /// Requests beyond an organisation's burst that pass.
+    pub(crate) quota_tolerance: f32,
+    /// How long keys work without news of the configuration; `None` without a limit.
+    pub(crate) key_lease: Option<Duration>,
     pub(crate) share_counts: bool,
     pub(crate) upstream_lease: Duration,
     pub(crate) serves_without_quorum: bool,
@@ -89,6 +94,9 @@
     pub(super) router: QuestionRouter,
     pub(super) counts: CountExchange,
     pub(super) limits: LimitExchange,
+    pub(super) quotas: QuotaExchange,
+    quota_gate: Arc<QuotaGate>,
+    key_lease: Option<Duration>,
     /// Limits of upstreams that are new to this host and not logged yet.
     new_limits: Vec<LimitRecord>,
     pub(super) pending_answers: FastMap<QuestionNumber, PendingAnswer>,
@@ -166,7 +174,10 @@
             replica: parts.replica,
             router: QuestionRouter::new(host.clone(), parts.seed >> 2),
             counts: CountExchange::new(host.clone(), parts.share_counts),
-            limits: LimitExchange::new(Moment::ZERO, host),
+            limits: LimitExchange::new(Moment::ZERO, host.clone()),
+            quotas: QuotaExchange::new(host, parts.quota_tolerance),
+            quota_gate: parts.quota_gate,
+            key_lease: parts.key_lease,
             new_limits: Vec::new(),
             pending_answers: FastMap::default(),
             founders: parts.founders,
@@ -213,6 +224,8 @@
         self.tick_counts(now);
         self.limits.tick(now, &ring);
         self.flush_limits(now);
+        self.quotas.tick(now);
+        self.flush_quotas(now);
         self.refresh(now);
         std::mem::take(&mut self.outputs)
     }
@@ -241,7 +254,8 @@
             FrameClass::Membership
             | FrameClass::Counts
             | FrameClass::Upstreams
-            | FrameClass::Limits => {}
+            | FrameClass::Limits
+            | FrameClass::Quotas => {}
         }
         self.refresh(now);
         std::mem::take(&mut self.outputs)
@@ -276,6 +290,10 @@
                 self.limits.receive(now, sender, body);
                 self.flush_limits(now);
             }
+            FrameClass::Quotas => {
+                self.quotas.receive(now, sender, body);
+                self.flush_quotas(now);
+            }
             FrameClass::Replication | FrameClass::Ledger | FrameClass::Operator => {}
         }
         self.refresh(now);
@@ -330,6 +348,7 @@
             self.view_due,
             self.counts.next_wakeup(&self.schedulers),
             self.limits.next_wakeup(),
+            self.quotas.next_wakeup(),
         ];
         for due in optional.into_iter().flatten() {
             next = next.min(due);
@@ -402,6 +421,40 @@
         }
     }
 
+    /// Carries out what the exchange of quotas asks for.
+    pub(super) fn flush_quotas(&mut self, now: Moment) {
+        for output in self.quotas.take_outputs() {
+            match output {
+                QuotaOutput::ToHost { to, body } => {
+                    let Some(record) = self.members.find(&to) else { continue };
+                    let address = record.peer_address;
+                    self.datagram(address, FrameClass::Quotas, body);
+                }
+                QuotaOutput::ToEntries { body } => {
+                    let entries = self.members.live().filter(|record| record.roles.entry);
+                    let addresses: Vec<SocketAddr> =
+                        entries.map(|record| record.peer_address).collect();
+                    for address in addresses {
+                        self.datagram(address, FrameClass::Quotas, body.clone());
+                    }
+                }
+                QuotaOutput::Verdict(verdict) => self.quota_gate.receive(now, &verdict),
+                QuotaOutput::Limited(organisations, span) => {
+                    self.quota_gate.limit(now, &organisations, span);
+                }
+            }
+        }
+    }
+
+    /// Sets until when requests may go by the keys of the published view.
+    fn confirm_keys(&self, now: Moment) {
+        let until = match self.key_lease {
+            Some(lease) => self.follower.keys_valid_until(now, lease),
+            None => Some(Moment::from_micros(u64::MAX)),
+        };
+        self.view.confirm_keys(until);
+    }
+
     /// Takes the limits that this host has learned of since the last call.
     pub(crate) fn take_new_limits(&mut self) -> Vec<LimitRecord> {
         std::mem::take(&mut self.new_limits)
@@ -423,6 +476,9 @@
         self.view.confirm(now);
         self.view_due = None;
         if let Some((published, at)) = &self.published {
+            if published.version == inputs.version {
+                self.confirm_keys(now);
+            }
             if *published == inputs {
                 return;
             }
@@ -440,6 +496,7 @@
         }
         let view = self.build_view(now, standing);
         self.publish(now, view);
+        self.confirm_keys(now);
     }
 
     /// Applies the latest zone orders to the registry of upstreams.
@@ -470,6 +527,7 @@
         if let Some(driver) = &mut self.replica {
             driver.set_replicas(&replicas);
         }
+        self.quotas.set_replicas(now, &replicas);
         self.follower.set_announced_replicas(&replicas);
         let zone = &self.members.own().zone;
         let is_same_zone =
@@ -485,6 +543,7 @@
             let live: Vec<HostId> = entries.map(|record| record.host.clone()).collect();
             self.counts.apply_view(now, &view, &live);
         }
+        self.quotas.set_plan(now, view.plan.plan());
         self.schedulers.apply_view(&view);
         self.view.store(view);
     }
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pulley_core::process::{Announcement, Incarnation, ObservedLimit, PermitAsk};
+use pulley_core::process::{Announcement, Incarnation, ObservedLimit, PermitAsk, QuotaReport};
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, SheetView, ZoneAnswer,
     ZoneOrder,
@@ -56,6 +56,9 @@
     /// Asks for permits to send requests to upstreams that have named a limit. The answers go to the
     /// schedulers.
     AskPermits(Vec<PermitAsk>),
+    /// Reports what organisations have used of their quotas, and asks for permits. The answers go to
+    /// the gate of quotas.
+    ReportQuotas(Vec<QuotaReport>),
     /// An operator's change of the configuration.
     Apply(Box<ChangeRequest>, oneshot::Sender<ChangeAnswer>),
     /// Asks for the sheet that a quorum confirms to be current.
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -29,7 +29,7 @@
     DatagramSeal, FrameClass, InboundDatagram, InboundFrame, KeyRing, LinkSettings, PeerDatagrams,
     PeerLinks, UpstreamProber,
 };
-use crate::request::SchedulerSet;
+use crate::request::{QuotaGate, SchedulerSet};
 use crate::version::StorageFault;
 
 /// The maximum number of messages of each kind that wait for the control thread. Further datagrams
@@ -86,6 +86,8 @@
     pub view: ViewCell,
     /// The schedulers whose counts it exchanges with other hosts.
     pub schedulers: Arc<SchedulerSet>,
+    /// The gate to which it passes verdicts on quotas.
+    pub quota_gate: Arc<QuotaGate>,
     /// The requests of the traffic side and the operators.
     pub requests: mpsc::Receiver<ControlRequest>,
     /// Probes upstreams for their load, on the traffic threads.
@@ -238,6 +240,9 @@
         founders: settings.replicas.iter().map(|founder| founder.host.clone()).collect(),
         view: parts.view,
         schedulers: parts.schedulers,
+        quota_gate: parts.quota_gate,
+        quota_tolerance: f32::from(settings.traffic.quota_tolerance),
+        key_lease: settings.traffic.key_lease,
         share_counts: settings.share_counts,
         upstream_lease: settings.traffic.upstream_lease,
         serves_without_quorum: settings.traffic.serves_without_quorum,
@@ -306,15 +311,21 @@
     }
 }
 
+/// Whether messages of a class are sent in datagrams of their own. Hosts of earlier builds don't know
+/// these classes, and reject datagrams that contain them.
+const fn is_alone(class: FrameClass) -> bool {
+    matches!(class, FrameClass::Limits | FrameClass::Quotas)
+}
+
 /// Removes and returns the next output if it is a datagram to the same host, so that one datagram
-/// carries both. Limits are left out: hosts of earlier builds reject datagrams that contain them.
+/// carries both.
 fn take_same(
     outputs: &mut VecDeque<ControlOutput>,
     host: SocketAddr,
 ) -> Option<(FrameClass, Bytes)> {
     let is_same = |output: &mut ControlOutput| {
         matches!(output, ControlOutput::Datagram { to, class, .. }
-            if *to == host && *class != FrameClass::Limits)
+            if *to == host && !is_alone(*class))
     };
     match outputs.pop_front_if(is_same) {
         Some(ControlOutput::Datagram { class, body, .. }) => Some((class, body)),
@@ -374,7 +385,7 @@
                 }
                 ControlOutput::Datagram { to, class, body } => {
                     let mut parts = vec![(class, body)];
-                    if class != FrameClass::Limits {
+                    if !is_alone(class) {
                         while let Some(part) = take_same(&mut outputs, to) {
                             parts.push(part);
                         }
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -26,7 +26,9 @@
 use crate::connection::{
     CallerListener, DrainReport, KeyFault, KeyRing, TrafficThreads, UpstreamProber,
 };
-use crate::request::{HeaderDialect, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers};
+use crate::request::{
+    HeaderDialect, QuotaGate, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers,
+};
 
 /// The maximum number of requests that may wait for the control thread.
 const CONTROL_QUEUE_DEPTH: usize = 8_192;
@@ -128,6 +130,7 @@
             key_ring: parts.key_ring.clone(),
             view: parts.view.clone(),
             schedulers: Arc::clone(&parts.schedulers),
+            quota_gate: Arc::clone(&parts.quota_gate),
             requests,
             prober: UpstreamProber::new(runtime.clone()),
             clock: parts.clock,
@@ -207,6 +210,7 @@
     handle: ControlHandle,
     view: ViewCell,
     schedulers: Arc<SchedulerSet>,
+    quota_gate: Arc<QuotaGate>,
     metrics: ProcessMetrics,
     dialect: HeaderDialect,
     logger: Logger,
@@ -230,6 +234,7 @@
             .with_arrival_probes(rate_from_setting(settings.traffic.arrival_probe_rate))
             .with_control(handle.clone());
         let schedulers = Arc::new(schedulers);
+        let quota_gate = Arc::new(QuotaGate::new(handle.clone(), clock));
         let metrics = ProcessMetrics::new()?;
         let parts = Self {
             settings,
@@ -240,6 +245,7 @@
             handle,
             view,
             schedulers,
+            quota_gate,
             metrics,
             dialect,
             logger,
@@ -291,6 +297,7 @@
             self.logger.clone(),
         )
         .with_limits(limits)
+        .with_quotas(Arc::clone(&self.quota_gate))
         .with_dialect(self.dialect.clone())
         .with_link_rate(self.settings.traffic.link_kbps)
         .with_metrics(self.metrics.clone())
--- a/crates/pulleyd/src/process/daemon_settings.rs
+++ b/crates/pulleyd/src/process/daemon_settings.rs
@@ -32,6 +32,9 @@
 /// more.
 const MIN_UPSTREAM_LEASE: Duration = Duration::from_secs(3);
 
+/// The largest number of requests beyond its burst that an organisation's account may let pass.
+const QUOTA_TOLERANCE_LIMIT: usize = 1_000;
+
 /// The maximum number of upstreams probed for one request. Probing more than a few costs more than
 /// it gains.
 const ARRIVAL_PROBES_LIMIT: usize = 8;
@@ -334,6 +337,8 @@
         let expected = "a whole number of at least 1, or nothing";
         let link_kbps =
             self.optional("link-kbps", expected, |text| text.parse().ok().filter(|rate| *rate > 0));
+        let key_lease = self.optional("key-lease", "a time such as 4s, or nothing", time_span);
+        let quota_tolerance = self.count_from("quota-tolerance", 0, QUOTA_TOLERANCE_LIMIT);
         Some(TrafficSettings {
             upstream_lease: upstream_lease?,
             serves_without_quorum: serves_without_quorum?,
@@ -342,6 +347,8 @@
             arrival_probes: arrival_probes?,
             arrival_probe_rate: arrival_probe_rate?,
             link_kbps: link_kbps?,
+            key_lease: key_lease?,
+            quota_tolerance: u16::try_from(quota_tolerance?).unwrap_or(u16::MAX),
         })
     }
 
--- a/crates/pulleyd/src/process/running_view.rs
+++ b/crates/pulleyd/src/process/running_view.rs
@@ -97,11 +97,19 @@
     /// In microseconds. `u64::MAX` until the first confirmation, as in tests of the traffic side,
     /// where nobody confirms views.
     valid_until: AtomicU64,
+    /// Until when requests may go by the keys of the view, in microseconds. `u64::MAX` until it is
+    /// first set, as in tests of the traffic side.
+    keys_valid_until: AtomicU64,
 }
 
 impl ViewState {
     fn new(clock: ProcessClock) -> Self {
-        Self { clock, view: ArcSwap::default(), valid_until: AtomicU64::new(u64::MAX) }
+        Self {
+            clock,
+            view: ArcSwap::default(),
+            valid_until: AtomicU64::new(u64::MAX),
+            keys_valid_until: AtomicU64::new(u64::MAX),
+        }
     }
 }
 
@@ -134,6 +142,18 @@
         self.0.view.load().readiness.clone()
     }
 
+    /// Returns whether requests may go by the keys of the current view.
+    #[must_use]
+    pub fn keys_valid(&self) -> bool {
+        self.0.clock.now().micros() < self.0.keys_valid_until.load(Ordering::Acquire)
+    }
+
+    /// Sets until when requests may go by the keys of the current view; `None` if they may not.
+    pub fn confirm_keys(&self, until: Option<Moment>) {
+        let until = until.map_or(0, Moment::micros);
+        self.0.keys_valid_until.store(until, Ordering::Release);
+    }
+
     /// Replaces the view.
     pub fn store(&self, view: RunningView) {
         self.0.view.store(Arc::new(view));
--- a/crates/pulleyd/src/process/setting_groups.rs
+++ b/crates/pulleyd/src/process/setting_groups.rs
@@ -22,6 +22,12 @@
     /// The bandwidth of the host's link in kilobits per second. If `None`, it is unknown and
     /// answers are not paced.
     pub link_kbps: Option<u32>,
+    /// How long the keys of organisations work on a host that learns nothing of newer
+    /// configurations; `None` without a limit.
+    pub key_lease: Option<Duration>,
+    /// Requests beyond an organisation's burst that pass, so that small quotas refuse nobody for two
+    /// requests that coincide.
+    pub quota_tolerance: u16,
 }
 
 /// Settings for the replication of the log.
@@ -48,7 +54,10 @@
         writeln!(f, "arrival-probes={}", self.arrival_probes)?;
         writeln!(f, "arrival-probe-rate={}", self.arrival_probe_rate)?;
         let link = self.link_kbps.map(|rate| rate.to_string());
-        writeln!(f, "link-kbps={}", link.unwrap_or_default())
+        writeln!(f, "link-kbps={}", link.unwrap_or_default())?;
+        let lease = self.key_lease.map(|lease| format!("{}ms", lease.as_millis()));
+        writeln!(f, "key-lease={}", lease.unwrap_or_default())?;
+        writeln!(f, "quota-tolerance={}", self.quota_tolerance)
     }
 }
 
--- a/crates/pulleyd/src/process/setting_list.rs
+++ b/crates/pulleyd/src/process/setting_list.rs
@@ -141,6 +141,19 @@
         "kilobits a second of this host's link, of which large answers leave a quarter free; if \
          empty, they are not paced",
     ),
+    optional(
+        "key-lease",
+        "TIME",
+        "4s",
+        "how long keys of organisations work on a host without news of the configuration; if empty, \
+         without limit",
+    ),
+    optional(
+        "quota-tolerance",
+        "COUNT",
+        "10",
+        "requests beyond an organisation's burst that pass; 0 to 1000",
+    ),
     optional(
         "ready-grace",
         "TIME",
--- a/crates/pulleyd/src/request/call_terms.rs
+++ b/crates/pulleyd/src/request/call_terms.rs
@@ -44,15 +44,16 @@
         now: Moment,
         headers: &HeaderMap,
         row: &KindPlan,
+        row_priority: RequestPriority,
         (dialect, is_trusted): (&HeaderDialect, bool),
     ) -> Result<Self> {
         let deadline = now + read_deadline(headers.get(&dialect.deadline), row.deadline)?;
-        let mut terms = Self { deadline, earlier_attempts: 0, priority: row.priority };
+        let mut terms = Self { deadline, earlier_attempts: 0, priority: row_priority };
         if is_trusted {
             terms.earlier_attempts =
                 read_optional_number(headers.get(ATTEMPT_HEADER))?.unwrap_or(0);
             let requested = read_optional_number(headers.get(PRIORITY_HEADER))?;
-            terms.priority = row.priority.max(RequestPriority(requested.unwrap_or(0).min(9)));
+            terms.priority = row_priority.max(RequestPriority(requested.unwrap_or(0).min(9)));
         }
         Ok(terms)
     }
--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -7,7 +7,9 @@
 use pulley_core::request::{LimitReading, LoadReport};
 use smol_str::SmolStr;
 
-use super::protocol_headers::{DEADLINE_HEADER, LIMIT_HEADER, LOAD_HEADER, REQUEST_ID_HEADER};
+use super::protocol_headers::{
+    DEADLINE_HEADER, LIMIT_HEADER, LOAD_HEADER, ORGANISATION_HEADER, REQUEST_ID_HEADER,
+};
 use super::read_load_report;
 
 /// Reads an upstream's load report from a header's value.
@@ -37,6 +39,8 @@
     /// On an upstream's probe answers: milliseconds for which it is still cold. If the header is
     /// missing, the upstream has warmed up.
     pub cold_left: Option<HeaderName>,
+    /// On requests to upstreams: the organisation on whose behalf the caller sends.
+    pub organisation: HeaderName,
     /// On an upstream's responses: the requests a second that it takes from all hosts together.
     pub limit: HeaderName,
     /// On an upstream's responses: its load.
@@ -92,6 +96,7 @@
             not_run: None,
             answer_signature: None,
             cold_left: None,
+            organisation: ORGANISATION_HEADER,
             limit: LIMIT_HEADER,
             load: LOAD_HEADER,
             read_load: read_load_report,
--- a/crates/pulleyd/src/request/ledger_claim.rs
+++ b/crates/pulleyd/src/request/ledger_claim.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use pulley_core::process::OrganisationName;
 use pulley_core::version::KindPlan;
 use pulley_core::{RefusalCause, RequestVerdict};
 use sha2::{Digest, Sha256};
@@ -155,7 +156,7 @@
 /// the same key.
 pub(super) fn claim_request(
     row: &KindPlan,
-    key: &str,
+    key: (Option<&OrganisationName>, &str),
     parts: &Parts,
     body: &[Bytes],
 ) -> ClaimRequest {
@@ -165,8 +166,11 @@
     hasher.update(parts.uri.path_and_query().map_or("/", |path| path.as_str()));
     hasher.update([0]);
     body.iter().for_each(|bytes| hasher.update(bytes));
+    let (organisation, key) = key;
+    // Two organisations that happen to use one key must not get each other's answers.
+    let owner = organisation.map(|name| format!("{name}/")).unwrap_or_default();
     ClaimRequest {
-        key: format!("{}/{}/{key}", row.service, row.kind),
+        key: format!("{}/{}/{owner}{key}", row.service, row.kind),
         digest: hasher.finalize().into(),
     }
 }
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -6,11 +6,13 @@
 mod attempt_fault;
 mod attempt_guard;
 mod call_terms;
+mod caller_access;
 mod header_dialect;
 mod keyed_run;
 mod ledger_claim;
 mod load_report;
 mod protocol_headers;
+mod quota_gate;
 mod request_attempt;
 mod request_body;
 mod request_forwarder;
@@ -31,8 +33,9 @@
 pub use load_report::read_load_report;
 pub use protocol_headers::{
     ATTEMPT_HEADER, CAUSE_HEADER, DEADLINE_HEADER, DRAINING_HEADER, KEY_HEADER, LIMIT_HEADER,
-    LOAD_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER,
+    LOAD_HEADER, ORGANISATION_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER,
 };
+pub use quota_gate::QuotaGate;
 pub use request_body::{BodyCursor, BodySource, RequestBody, RequestFault};
 pub(crate) use request_forwarder::FirstRequestFlag;
 pub use request_forwarder::{ForwardFuture, RequestForwarder};
--- a/crates/pulleyd/src/request/protocol_headers.rs
+++ b/crates/pulleyd/src/request/protocol_headers.rs
@@ -35,6 +35,9 @@
 /// On requests, in both directions: the caller's request id, used in logs.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
+/// On requests to upstreams: the organisation on whose behalf the caller sends.
+pub const ORGANISATION_HEADER: HeaderName = HeaderName::from_static("jacinthpulley-organisation");
+
 /// The prefix of the system's own headers. Headers with this prefix from callers and upstreams are
 /// not forwarded.
 pub(super) const OWN_PREFIX: &str = "jacinthpulley-";
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::header::{CONNECTION, HOST, HeaderValue};
+use http::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -21,6 +21,7 @@
 use tower::Service;
 
 use super::call_terms::CallTerms;
+use super::caller_access::CallerOrganisation;
 use super::keyed_run::run_keyed;
 use super::ledger_claim::{claim_request, read_key};
 use super::request_headers::{body_bytes, header_bytes, is_ambiguous, read_millis};
@@ -82,6 +83,7 @@
     parts: Parts,
     body: Incoming,
     kind: PlannedKind,
+    organisation: Option<CallerOrganisation>,
     terms: CallTerms,
     /// When the request arrived; its deadline counts from then on.
     arrived: Moment,
@@ -193,9 +195,11 @@
         };
         let context = Arc::clone(&self.context);
         let Some(key) = key else {
-            let AdmittedRequest { parts, body, kind, terms, arrived } = admitted;
+            let AdmittedRequest { parts, body, kind, organisation, terms, arrived } = admitted;
             let body = BodySource::new(body, context.limits.replay_bytes);
-            let run = RequestRun::new(context, parts, body, kind, terms).arrived_at(arrived);
+            let run = RequestRun::new(context, parts, body, kind, terms)
+                .arrived_at(arrived)
+                .on_behalf_of(organisation);
             let run = Box::new(run);
             return Ok(Box::pin(forward_unkeyed(run, permit)));
         };
@@ -235,8 +239,10 @@
 
     fn admit(&self, request: Request<Incoming>, arrived: Moment) -> Result<AdmittedRequest> {
         self.check_readiness()?;
+        // Read before the view, which is then at least as new as the one that this was read for.
+        let keys_valid = self.context.view.keys_valid();
         let view = self.context.view.load();
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
         check_size(&parts, self.context.limits.header_bytes, &view)?;
         if is_ambiguous(&parts) {
             return Err(SystemAnswer::refused(RefusalCause::BadRequest, None));
@@ -249,10 +255,18 @@
         };
         let is_trusted = self.context.is_trusted(self.caller);
         let dialect = &self.context.dialect;
-        let terms = CallTerms::read(arrived, &parts.headers, row, (dialect, is_trusted))
+        let organisation = CallerOrganisation::find(&view.plan, row, &parts.headers, keys_valid)
+            .map_err(|denial| deny_key_by_plan(&view, denial))?;
+        let priority = organisation.as_ref().and_then(|caller| caller.priority);
+        let priority = priority.unwrap_or(row.priority);
+        let terms = CallTerms::read(arrived, &parts.headers, row, priority, (dialect, is_trusted))
             .map_err(|cause| SystemAnswer::refused(cause, None))?;
+        if !view.plan.organisations.is_empty() {
+            parts.headers.remove(AUTHORIZATION);
+            parts.headers.remove(&dialect.organisation);
+        }
         let kind = PlannedKind::new(Arc::clone(&view.plan), kind);
-        Ok(AdmittedRequest { parts, body, kind, terms, arrived })
+        Ok(AdmittedRequest { parts, body, kind, organisation, terms, arrived })
     }
 }
 
@@ -291,6 +305,15 @@
     }
 }
 
+/// Returns the answer to a request whose key the configuration in force doesn't hold. A newer one
+/// may hold it.
+fn deny_key_by_plan(view: &RunningView, denial: SystemAnswer) -> SystemAnswer {
+    match denial.status {
+        StatusCode::UNAUTHORIZED => deny_by_plan(view, denial),
+        _ => denial,
+    }
+}
+
 /// Returns the host name that a request is for; empty if it names none.
 fn requested_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
     let authority = uri.authority().map(|authority| authority.as_str());
@@ -310,6 +333,7 @@
                 row: Some(run.row()),
                 attempts: run.attempts(),
                 upstream: run.last_tried(),
+                organisation: run.organisation(),
                 elapsed: run.elapsed(),
             };
             Ok(refuse(run.context(), &refused, answer, false))
@@ -327,7 +351,7 @@
     permit: RequestPermit,
     key: &str,
 ) -> Result<Response<AnswerBody>> {
-    let AdmittedRequest { parts, body, kind, terms, arrived } = admitted;
+    let AdmittedRequest { parts, body, kind, organisation, terms, arrived } = admitted;
     let gathering = BodySource::gather(body, context.limits.keyed_body_limit);
     let gathered = context.timer.run_until(terms.deadline, gathering).await;
     let (body, data) = match gathered {
@@ -335,8 +359,11 @@
         Some(Err(fault)) => return Err(gather_fault_answer(&fault)),
         None => return Err(SystemAnswer::refused(RefusalCause::DeadlineTooClose, None)),
     };
-    let request = claim_request(kind.row(), key, &parts, &data);
-    let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms).arrived_at(arrived);
+    let owner = organisation.as_ref().map(|caller| &caller.name);
+    let request = claim_request(kind.row(), (owner, key), &parts, &data);
+    let run = RequestRun::new(Arc::clone(context), parts, body, kind, terms)
+        .arrived_at(arrived)
+        .on_behalf_of(organisation);
     run_keyed(run, request, permit).await
 }
 
@@ -349,6 +376,7 @@
     attempts: u8,
     /// The upstream tried last.
     upstream: Option<UpstreamId>,
+    organisation: Option<&'a CallerOrganisation>,
     /// How long the request was held.
     elapsed: Duration,
 }
@@ -375,6 +403,8 @@
         "status" => response.status().as_u16(), "cause" => answer.cause,
         "verdict" => %answer.verdict, "attempts" => refused.attempts,
         "upstream" => refused.upstream.as_ref().map(ToString::to_string),
+        "organisation" => refused.organisation.map(|caller| caller.name.to_string()),
+        "key" => refused.organisation.map(|caller| caller.key.to_string()),
         "held_ms" => u64::try_from(refused.elapsed.as_millis()).unwrap_or(u64::MAX),
         "config" => view.version.0, "awaited" => view.awaited_version.map(|version| version.0),
         "retry_after_ms" => answer.retry_after.map(|delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)));
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -22,6 +22,7 @@
 use super::arrival_probing::ArrivalProbing;
 use super::attempt_fault::AttemptFault;
 use super::call_terms::CallTerms;
+use super::caller_access::CallerOrganisation;
 use super::ledger_claim::LedgerClaim;
 use super::request_attempt::Result;
 use super::request_headers::{accepts_trailers, strip_hop_by_hop, strip_own_headers};
@@ -94,6 +95,7 @@
     verdict: RequestVerdict,
     /// When the request arrived.
     arrived: Moment,
+    organisation: Option<CallerOrganisation>,
 }
 
 impl RequestRun {
@@ -117,9 +119,27 @@
             attempts: AtomicU8::new(0),
             verdict: RequestVerdict::NotRun,
             arrived,
+            organisation: None,
         }
     }
 
+    /// Sets the organisation on whose behalf the request is sent. The upstream is told its name in
+    /// place of its key.
+    pub(super) fn on_behalf_of(mut self, organisation: Option<CallerOrganisation>) -> Self {
+        let name = &self.context.dialect.organisation;
+        let value = organisation.as_ref().map(|caller| HeaderValue::from_str(caller.name.as_str()));
+        if let Some(Ok(value)) = value {
+            self.parts.headers.insert(name, value);
+        }
+        self.organisation = organisation;
+        self
+    }
+
+    /// Returns the organisation on whose behalf the request is sent.
+    pub(super) const fn organisation(&self) -> Option<&CallerOrganisation> {
+        self.organisation.as_ref()
+    }
+
     /// Sets when the request arrived; its target and the time for which it is held count from that
     /// moment.
     pub(super) const fn arrived_at(mut self, arrived: Moment) -> Self {
@@ -148,9 +168,29 @@
         self.progress.get_mut().claim.take()
     }
 
-    /// Makes attempts until one succeeds or no further one is allowed.
+    /// Runs the request if its organisation's quota allows it. A request that has not run counts
+    /// against no quota.
     pub(super) async fn run(
         &mut self,
+    ) -> std::result::Result<Response<UpstreamAnswer>, SystemAnswer> {
+        let limited = self
+            .organisation
+            .as_ref()
+            .and_then(|caller| caller.quota.map(|quota| (caller.name.clone(), quota)));
+        let Some((name, quota)) = limited else { return self.run_attempts().await };
+        let context = Arc::clone(&self.context);
+        let entries = context.view.load().sharing_entries;
+        context.quotas.admit(&context.timer, &name, quota, entries).await?;
+        let outcome = self.run_attempts().await;
+        if outcome.as_ref().is_err_and(|answer| answer.verdict == RequestVerdict::NotRun) {
+            context.quotas.give_back(&name);
+        }
+        outcome
+    }
+
+    /// Makes attempts until one succeeds or no further one is allowed.
+    async fn run_attempts(
+        &mut self,
     ) -> std::result::Result<Response<UpstreamAnswer>, SystemAnswer> {
         loop {
             let fault = match self.try_once().await {
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{Response, StatusCode};
 use pulley_core::{RefusalCause, RequestVerdict};
 
@@ -31,12 +31,15 @@
             RefusalCause::BadRequest => StatusCode::BAD_REQUEST,
             RefusalCause::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             RefusalCause::DeadlineTooClose => StatusCode::GATEWAY_TIMEOUT,
-            RefusalCause::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCause::UnknownKey => StatusCode::UNAUTHORIZED,
+            RefusalCause::QueueFull | RefusalCause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             RefusalCause::NotReady
             | RefusalCause::ConfigurationBehind
             | RefusalCause::PlanChanged
             | RefusalCause::PoolBusy
             | RefusalCause::UpstreamsLimited
+            | RefusalCause::KeysUnconfirmed
+            | RefusalCause::QuotaUnconfirmed
             | RefusalCause::NoUpstream
             | RefusalCause::HostFull
             | RefusalCause::LedgerUnavailable => StatusCode::SERVICE_UNAVAILABLE,
@@ -64,6 +67,9 @@
             if dialect.sends_system_headers { self.status } else { self.status_without_verdict() };
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if !dialect.sends_system_headers {
             self.insert_fractional_retry_after(headers);
             return response;
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -10,7 +10,7 @@
 use pulley_core::request::RequestNumber;
 use slog::Logger;
 
-use super::{HeaderDialect, SchedulerSet, TrafficCounters, TrustedCallers};
+use super::{HeaderDialect, QuotaGate, SchedulerSet, TrafficCounters, TrustedCallers};
 use crate::connection::UpstreamConnections;
 use crate::process::{ControlHandle, ProcessClock, ProcessMetrics, TimerService, ViewCell};
 
@@ -60,6 +60,8 @@
     pub view: ViewCell,
     /// The pool schedulers, which choose upstreams for requests.
     pub schedulers: Arc<SchedulerSet>,
+    /// Admits organisations' requests by their quotas.
+    pub quotas: Arc<QuotaGate>,
     /// The channel to the control thread.
     pub control: ControlHandle,
     /// The connections to upstreams.
@@ -100,6 +102,7 @@
         Self {
             view,
             schedulers,
+            quotas: Arc::new(QuotaGate::new(control.clone(), clock)),
             control,
             connections: Arc::new(connections),
             clock,
@@ -122,6 +125,13 @@
         self
     }
 
+    /// Shares a gate for quotas with the control thread.
+    #[must_use]
+    pub fn with_quotas(mut self, quotas: Arc<QuotaGate>) -> Self {
+        self.quotas = quotas;
+        self
+    }
+
     /// Sets the header names.
     #[must_use]
     pub fn with_dialect(mut self, dialect: HeaderDialect) -> Self {
