Let an account owe what a rush has used too much

Cause: the account's debt ended at its capacity. What busy entries had admitted beyond that before they were told was forgotten, and granted again.

Change: it may owe five seconds of its rate more, a whole window.

--- a/crates/pulley_core/src/process/quotas/quota_account.rs
+++ b/crates/pulley_core/src/process/quotas/quota_account.rs
@@ -20,7 +20,7 @@
 const TAKEOVER_SPAN: Duration = Duration::from_secs(1);
 
 /// Seconds of its rate that an account may owe beside its capacity.
-const DEBT_SECONDS: f32 = 0.0;
+const DEBT_SECONDS: f32 = 5.0;
 
 /// How long entries demand permits after they were last told to.
 pub(super) const LIMITED_SPAN: Duration = Duration::from_secs(2);
--- a/crates/pulley_core/tests/quotas/quota_rules.rs
+++ b/crates/pulley_core/tests/quotas/quota_rules.rs
@@ -1,10 +1,14 @@
 //! Single decisions of an entry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use pulley_core::Moment;
-use pulley_core::process::{HostId, OrganisationName, QuotaExchange, QuotaVerdict};
+use pulley_core::process::{
+    HostId, OrganisationName, QuotaExchange, QuotaOutput, QuotaReport, QuotaVerdict,
+};
 use pulley_core::request::{QuotaDecision, QuotaTable};
+use pulley_core::version::OrganisationTerms;
+use pulley_core::{Moment, PolicyPlan};
 
 use crate::quota_fleet::quota;
 
@@ -63,6 +67,27 @@
     assert_eq!(table.take_reports()[0].used, -1);
 }
 
+// Guards against forgetting what a rush used before entries were told, and granting it again.
+#[test]
+fn what_a_rush_has_used_too_much_is_not_granted_again() {
+    let (host, quota): (HostId, _) = ("r0".parse().unwrap(), quota(10.0, 10));
+    let mut exchange = QuotaExchange::new(host.clone(), 10.0);
+    let terms =
+        OrganisationTerms { name: acme(), keys: Vec::new(), priority: None, quota: Some(quota) };
+    let plan = PolicyPlan { organisations: vec![terms], ..PolicyPlan::default() };
+    exchange.set_replicas(at(0), &[host]);
+    exchange.set_plan(at(0), &Arc::new(plan));
+    let report = |used, wanted| QuotaReport { organisation: acme(), used, wanted, number: 1 };
+    exchange.report(at(10_000), vec![report(70, 0)]);
+    for (millis, permits) in [(10_001, 0), (14_000, 0), (14_900, 0), (15_200, 1)] {
+        exchange.take_outputs();
+        exchange.report(at(millis), vec![report(0, 1)]);
+        let verdicts = exchange.take_outputs();
+        let QuotaOutput::Verdict(verdict) = verdicts.last().unwrap() else { panic!() };
+        assert_eq!(verdict.permits, permits, "at {millis} ms");
+    }
+}
+
 // Guards against messages that end the control thread.
 #[test]
 fn malformed_messages_are_dropped() {
