--- a/crates/pulleyctl/src/command_line.rs
+++ b/crates/pulleyctl/src/command_line.rs
@@ -57,6 +57,7 @@
     SheetShow,
     Status,
     Upstreams,
+    Organisations,
     Drain(UpstreamId),
     Audit(AuditFilter),
     ReplicaAdd(HostId),
@@ -140,6 +141,8 @@
                            hosts' log files (--late, --csv)
     status                 print what a host knows of the system
     upstreams              print the upstreams a host knows
+    organisations          print organisations, their keys' fingerprints, quotas and what a host
+                           has made of their requests
     drain UPSTREAM         send an upstream no new work
     zone evacuate ZONE     send the upstreams of a zone no new work (--change-id, --actor)
     zone restore ZONE      take the zone back (--change-id, --actor)
@@ -192,6 +195,7 @@
             ["sheet", "show"] => Some(Command::SheetShow),
             ["status"] => Some(Command::Status),
             ["upstreams"] => Some(Command::Upstreams),
+            ["organisations"] => Some(Command::Organisations),
             ["audit"] => Some(Command::Audit(self.audit_filter())),
             ["drain", upstream] => self.parsed("drain", upstream).map(Command::Drain),
             ["explain", id, ref files @ ..] if !files.is_empty() => Some(Command::Explain {
--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -73,6 +73,10 @@
         Command::Upstreams => {
             show(client, "/v1/upstreams", json, |body| Some(text_format::upstreams(body))).await
         }
+        Command::Organisations => {
+            show(client, "/v1/organisations", json, |body| Some(text_format::organisations(body)))
+                .await
+        }
         Command::Audit(filter) => {
             show(client, &audit_path(filter), json, |body| {
                 let records: Vec<AuditRecord> = serde_json::from_value(body.clone()).ok()?;
--- a/crates/pulleyctl/src/text_format.rs
+++ b/crates/pulleyctl/src/text_format.rs
@@ -101,6 +101,28 @@
     table(&header, &rows)
 }
 
+/// Formats organisations as a table.
+pub(crate) fn organisations(body: &Value) -> String {
+    const FIELDS: [&str; 8] =
+        ["name", "rate", "burst", "priority", "answered", "refused", "over_quota", "keys"];
+    let listed = body.get("organisations").and_then(Value::as_array);
+    let cell = |value: Option<&Value>| match value {
+        Some(Value::Array(keys)) => {
+            keys.iter().filter_map(Value::as_str).collect::<Vec<_>>().join(" ")
+        }
+        value => cell_text(value),
+    };
+    let row = |organisation: &Value| {
+        FIELDS.iter().map(|field| cell(organisation.get(*field))).collect::<Vec<String>>()
+    };
+    let rows: Vec<Vec<String>> = listed.into_iter().flatten().map(row).collect();
+    if rows.is_empty() {
+        "the sheet has no organisations".to_owned()
+    } else {
+        table(&FIELDS, &rows)
+    }
+}
+
 /// Formats a host's status: the lists of hosts and members as tables, the rest as pairs.
 pub(crate) fn status(body: &Value) -> String {
     let mut rest = body.clone();
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -91,6 +91,7 @@
             .route("/v1/audit", get(show_audit))
             .route("/v1/status", get(show_status))
             .route("/v1/upstreams", get(show_upstreams))
+            .route("/v1/organisations", get(show_organisations))
             .route("/v1/drain", post(drain_upstream))
             .route("/v1/zones", get(show_zones).post(order_zone))
             .route("/v1/replicas", get(list_replicas).post(add_replica))
@@ -260,6 +261,32 @@
     Json(json!({ "upstreams": upstreams }))
 }
 
+/// Shows the organisations of the configuration in force and what this host has made of their
+/// requests. Keys are shown by their fingerprints.
+async fn show_organisations(State(api): State<OperatorApi>) -> Json<Value> {
+    let view = api.view.load();
+    let organisations: Vec<Value> = view
+        .plan
+        .organisations
+        .iter()
+        .map(|terms| {
+            let requests = api.metrics.organisation_requests(&terms.name);
+            json!({
+                "name": terms.name,
+                "keys": terms.keys.iter().map(|key| key.fingerprint().to_string()).collect::<Vec<_>>(),
+                "priority": terms.priority,
+                "rate": terms.quota.map(|quota| quota.rate.to_string()),
+                "burst": terms.quota.map(|quota| quota.burst),
+                "answered": requests.answered,
+                "refused": requests.refused,
+                "over_quota": requests.over_quota,
+            })
+        })
+        .collect();
+    let (version, keys_valid) = (view.version, api.view.keys_valid());
+    Json(json!({ "version": version, "keys_valid": keys_valid, "organisations": organisations }))
+}
+
 async fn show_metrics(State(api): State<OperatorApi>) -> Response {
     let content_type = [(header::CONTENT_TYPE, ProcessMetrics::CONTENT_TYPE)];
     (content_type, api.metrics.render()).into_response()
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -9,9 +9,11 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
+use pulley_core::process::OrganisationName;
 use pulley_core::version::KindPlan;
 use pulley_core::{ConfigVersion, RequestVerdict};
 
+use super::organisation_metrics::{OrganisationMetrics, OrganisationRequests};
 use crate::request::TrafficCounters;
 
 /// Result of creating metrics. Fails if a name is taken or malformed.
@@ -45,6 +47,7 @@
     zones_evacuated: IntGauge,
     upstreams_evacuated: IntGauge,
     ready: IntGauge,
+    organisations: OrganisationMetrics,
 }
 
 impl ProcessMetrics {
@@ -106,6 +109,7 @@
             zones_evacuated,
             upstreams_evacuated,
             ready,
+            organisations: OrganisationMetrics::new()?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -125,6 +129,7 @@
         self.registry.register(Box::new(self.config_version_awaited.clone()))?;
         self.registry.register(Box::new(self.zones_evacuated.clone()))?;
         self.registry.register(Box::new(self.upstreams_evacuated.clone()))?;
+        self.registry.register(Box::new(self.organisations.series()))?;
         self.registry.register(Box::new(self.ready.clone()))
     }
 
@@ -167,6 +172,17 @@
         self.refused.with_label_values(&labels).inc();
     }
 
+    /// Counts an answer to a request of an organisation, by the cause if this host made it itself.
+    pub fn record_organisation(&self, name: &OrganisationName, cause: Option<&'static str>) {
+        self.organisations.record(name, cause);
+    }
+
+    /// Returns what has become of an organisation's requests on this host.
+    #[must_use]
+    pub fn organisation_requests(&self, name: &OrganisationName) -> OrganisationRequests {
+        self.organisations.requests(name)
+    }
+
     /// Records the version in force and whether this host accepts requests.
     pub fn record_view(&self, version: u64, ready: bool) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -390,6 +390,9 @@
     let counters = &context.counters;
     if let Some(metrics) = &context.metrics {
         metrics.record_refusal(refused.row, answer.cause, answer.verdict);
+        if let Some(caller) = refused.organisation {
+            metrics.record_organisation(&caller.name, Some(answer.cause));
+        }
     }
     match answer.verdict {
         RequestVerdict::NotRun => TrafficCounters::add(&counters.refused),
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -342,6 +342,7 @@
             "kind" => %self.row().kind, "status" => status.as_u16(),
             "upstream" => progress.tried.last().map(ToString::to_string),
             "attempts" => self.attempts(),
+            "organisation" => self.organisation.as_ref().map(|caller| caller.name.to_string()),
             "running" => report.and_then(|report| report.in_flight),
             "waiting" => report.and_then(|report| report.waiting),
             "slowdown" => report.and_then(|report| report.slowdown),
@@ -349,6 +350,9 @@
             "added_us" => micros(added), "upstream_us" => micros(upstream));
         if let Some(metrics) = &self.context.metrics {
             metrics.record_answer(self.row(), status.as_u16(), added, upstream);
+            if let Some(caller) = &self.organisation {
+                metrics.record_organisation(&caller.name, None);
+            }
         }
     }
 
--- a/crates/pulleyd/tests/sessions/main.rs
+++ b/crates/pulleyd/tests/sessions/main.rs
@@ -211,6 +211,52 @@
     record.check("refusals");
 }
 
+/// Keys of organisations over real processes: a key that works, one that is rolled, one that is taken
+/// away, and what operators see. No key may be found in any output or log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn organisations() {
+    let cluster = cluster_with_sheet().await;
+    let cover = cluster.start_upstream("cover-1", "cover", 2).await;
+    cluster.wait_for_upstreams(1).await;
+    let mut record = SessionRecord::default();
+    let sheet = sheet_with_long_deadlines();
+    let line = |keys: &str| format!("#organisation poti rate=50 burst=50 {keys}\n");
+    let other = "#organisation batumi key=s3cret-batumi\n";
+    for (file, keys) in [
+        ("keys-1.csv", "key=s3cret-old"),
+        ("keys-2.csv", "key=s3cret-old key=s3cret-new"),
+        ("keys-3.csv", "key=s3cret-new"),
+    ] {
+        let text = format!("{}{other}{sheet}", line(keys));
+        fs::write(cluster.folder().join(file), text).expect("the sheet is written");
+    }
+    let (old, new) = ("Bearer s3cret-old", "Bearer s3cret-new");
+    let steps = [
+        ("keys-1.csv", old, new),
+        ("keys-2.csv", new, "Basic s3cret-new"),
+        ("keys-3.csv", new, old),
+    ];
+    for (step, (file, works, refused)) in (1..).zip(steps) {
+        let (change, expect) = (format!("--change-id=keys-{step}"), format!("--expect={step}"));
+        record.pulleyctl(&cluster, &["sheet", "apply", file, "--actor=ana", &change, &expect]);
+        cluster.wait_for_version(step + 1).await;
+        for key in [works, refused] {
+            let headers = [("authorization", key)];
+            record.call(&cluster.hosts[2], "GET", "/cover/check", &headers, "").await;
+        }
+    }
+    record.pulleyctl(&cluster, &["organisations"]);
+    record.pulleyctl(&cluster, &["audit", "--actor=ana"]);
+    assert_eq!(cover.runs(), 3);
+    record.check("organisations");
+    for index in 0..cluster.hosts.len() {
+        let log = fs::read_to_string(cluster.log_file(index)).expect("a log");
+        assert!(!log.contains("s3cret"), "{log}");
+    }
+    let status = cluster.pulleyctl(&["status"]).out;
+    assert!(!status.contains("s3cret"), "{status}");
+}
+
 /// An operator investigates a binding that failed with an error. Given only the request's id, the
 /// logs of all hosts must show that it was sent once, to which upstream, and that it may have run.
 /// For a refused request they must show that nothing was sent, and which configuration applied.
