Let soak runs use organisations and check keys and quotas from outside

Every caller of a run sends a key now. One organisation presses beyond its quota, and a third one's key changes with each version.

--- a/crates/pulley_soak/src/lib.rs
+++ b/crates/pulley_soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod request_history;
 mod soak_caller;
 mod soak_operator;
+mod soak_organisations;
 mod soak_run;
 mod soak_upstream;
 
--- a/crates/pulley_soak/src/request_history.rs
+++ b/crates/pulley_soak/src/request_history.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::limit_check::{LimitSpan, UpstreamRun};
+use crate::soak_organisations::{PRESSING, check_quota};
 
 /// How long an upstream may still get new work after its drain was acknowledged.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
@@ -44,6 +45,8 @@
 struct RequestRecord {
     is_idempotent: bool,
     entry: usize,
+    /// The organisation whose key it carried.
+    organisation: Option<SmolStr>,
     sent: Instant,
     outcome: Option<(Instant, CallerOutcome)>,
     runs: Vec<(SmolStr, Instant)>,
@@ -84,9 +87,19 @@
 impl RequestHistory {
     /// Records that a caller sends a request to an entry.
     pub fn record_sent(&self, id: &str, entry: usize, is_idempotent: bool) {
+        self.insert(id, entry, is_idempotent, None);
+    }
+
+    /// Records that a caller sends a request to an entry with the key of an organisation.
+    pub fn record_sent_by(&self, id: &str, entry: usize, is_idempotent: bool, organisation: &str) {
+        self.insert(id, entry, is_idempotent, Some(organisation.into()));
+    }
+
+    fn insert(&self, id: &str, entry: usize, is_idempotent: bool, organisation: Option<SmolStr>) {
         let record = RequestRecord {
             is_idempotent,
             entry,
+            organisation,
             sent: Instant::now(),
             outcome: None,
             runs: Vec::new(),
@@ -110,6 +123,16 @@
         }
     }
 
+    /// Records which organisation an upstream was told, and whether it was sent a key.
+    pub fn record_identity(&self, id: &str, organisation: Option<&str>, has_key: bool) {
+        let mut state = self.state.lock();
+        let Some(record) = state.requests.get(id) else { return };
+        if has_key || record.organisation.as_deref() != organisation {
+            let observed = format!("{id} came as {organisation:?}, with a key: {has_key}");
+            state.report("the organisation in place of the key", observed);
+        }
+    }
+
     /// Records that an upstream's drain was acknowledged.
     pub fn record_drained(&self, upstream: &str) {
         self.state.lock().drained.insert(upstream.into(), Instant::now());
@@ -175,6 +198,9 @@
             findings.extend(state.check(id, record));
         }
         findings.extend(state.check_limits());
+        let guarantee = "quotas are kept";
+        let exceeded = check_quota(state.pressing_runs());
+        findings.extend(exceeded.map(|observed| SoakFinding { guarantee, observed }));
         findings
     }
 }
@@ -204,6 +230,14 @@
         observed.map(|observed| SoakFinding { guarantee, observed }).collect()
     }
 
+    /// Returns when requests of the pressing organisation first ran.
+    fn pressing_runs(&self) -> Vec<Instant> {
+        let is_pressing =
+            |record: &&RequestRecord| record.organisation.as_deref() == Some(PRESSING);
+        let pressing = self.requests.values().filter(is_pressing);
+        pressing.filter_map(|record| Some(record.runs.first()?.1)).collect()
+    }
+
     fn was_disturbed(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let overlaps = |d: &&Disturbance| d.entry == entry && d.from <= until && d.until >= from;
         self.disturbances.iter().any(|disturbance| overlaps(&disturbance))
--- a/crates/pulley_soak/src/soak_caller.rs
+++ b/crates/pulley_soak/src/soak_caller.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 
 use crate::request_history::{CallerOutcome, RequestHistory};
+use crate::soak_organisations::key_of;
 
 /// Timeout for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(4);
@@ -56,6 +57,7 @@
         method: &str,
         path: &str,
         id: &str,
+        key: &str,
     ) -> Result<CallerAnswer> {
         self.sender.ready().await?;
         let body = Bytes::from(if method == "POST" { "order" } else { "" });
@@ -64,6 +66,7 @@
             .uri(path)
             .header("host", "soak")
             .header("x-request-id", id)
+            .header("authorization", format!("Bearer {key}"))
             .body(Full::new(body))?;
         let sending = async { read_answer(self.sender.send_request(request).await?).await };
         let answered = tokio::time::timeout(ANSWER_LIMIT, sending).await;
@@ -85,13 +88,15 @@
     format!("r{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
 }
 
-/// Sends requests to entries until `stopped` is set.
+/// Sends an organisation's requests to entries until `stopped` is set.
 pub(crate) async fn run_caller(
     entries: Arc<[SocketAddr]>,
     history: Arc<RequestHistory>,
     seed: u64,
+    organisation: &'static str,
     stopped: Arc<AtomicBool>,
 ) {
+    let key = key_of(organisation);
     let mut random = SmallRng::seed_from_u64(seed);
     let mut link: Option<(usize, CallerLink)> = None;
     while !stopped.load(Ordering::Relaxed) {
@@ -109,8 +114,8 @@
             _ => ("GET", "/read"),
         };
         let id = next_request_id();
-        history.record_sent(&id, *entry, method == "GET");
-        let outcome = outcome_of(open.send(method, path, &id).await);
+        history.record_sent_by(&id, *entry, method == "GET", organisation);
+        let outcome = outcome_of(open.send(method, path, &id, &key).await);
         let is_cut = matches!(outcome, CallerOutcome::Cut);
         history.record_outcome(&id, outcome);
         if is_cut {
--- a/crates/pulley_soak/src/soak_operator.rs
+++ b/crates/pulley_soak/src/soak_operator.rs
@@ -17,6 +17,9 @@
 
 use crate::request_history::RequestHistory;
 use crate::soak_caller::{CallerLink, next_request_id};
+use crate::soak_organisations::{
+    REVOKE_TIMEOUT, ROLLED, STEADY, key_of, organisation_lines, rolled_key,
+};
 
 /// The installation's key. Its hosts listen only on loopback, and only during the soak run.
 pub(crate) const KEY: &str = "the-key-of-a-soak-on-loopback-0123456789";
@@ -37,6 +40,8 @@
 pub(crate) struct VersionState {
     /// The newest version sent, and the newest accepted one with the time of its answer.
     state: Mutex<(u64, Option<(u64, Instant)>)>,
+    /// When each version was accepted.
+    acceptances: Mutex<Vec<(u64, Instant)>>,
     /// Number of extra changes requested, in addition to the periodic ones.
     pub(crate) extra_changes: AtomicU32,
 }
@@ -46,6 +51,19 @@
         self.state.lock().0
     }
 
+    fn record_acceptance(&self, version: u64) {
+        let now = Instant::now();
+        self.state.lock().1 = Some((version, now));
+        self.acceptances.lock().push((version, now));
+    }
+
+    /// Returns the newest version whose key must no longer work on any host.
+    fn newest_revoked(&self) -> Option<u64> {
+        let acceptances = self.acceptances.lock();
+        let mut overdue = acceptances.iter().rev().filter(|(_, at)| at.elapsed() > REVOKE_TIMEOUT);
+        overdue.next().map(|(version, _)| version - 1).filter(|version| *version > 0)
+    }
+
     /// Returns the newest accepted version and the time of its acceptance.
     pub(crate) fn accepted(&self) -> Option<(u64, Instant)> {
         self.state.lock().1
@@ -55,8 +73,9 @@
 /// Returns the sheet of a version. All versions have the same pool, and each has a path that no
 /// other has.
 fn sheet(version: u64) -> String {
+    let organisations = organisation_lines(version);
     format!(
-        "pool,service,kind,method,path_prefix,priority,share,reserved_slots,deadline_ms,idempotent,length,probes_per_s\n\
+        "{organisations}pool,service,kind,method,path_prefix,priority,share,reserved_slots,deadline_ms,idempotent,length,probes_per_s\n\
          shop,all,order,POST,/order,0,30%,0,2000,no,short,0.5\n\
          shop,all,read,GET,/read,1,30%,0,2000,yes,short,0.5\n\
          shop,all,file,GET,/file,2,20%,0,3000,yes,long,0.5\n\
@@ -84,7 +103,7 @@
                     history
                         .record_finding("one change, one version", format!("{version} is {got}"));
                 }
-                versions.state.lock().1 = Some((version, Instant::now()));
+                versions.record_acceptance(version);
                 break;
             }
             if answer.get("refused").is_some() {
@@ -168,6 +187,14 @@
             }
             _ => {}
         }
+        if let Some(revoked) = versions.newest_revoked() {
+            let key = rolled_key(revoked);
+            let answer = send_as(open, "/read", (entry, &history), (ROLLED, &key));
+            if answer.await.is_ok_and(|status| status == 200) {
+                let observed = format!("entry {entry} took the key of version {revoked}");
+                history.record_finding("a key that was taken away", observed);
+            }
+        }
         if version > 1 && observed >= version {
             let before = serves(open, version - 1, entry, &history).await;
             if matches!(before, Ok(Some(true))) {
@@ -185,12 +212,23 @@
     entry: usize,
     history: &RequestHistory,
 ) -> Result<Option<bool>> {
-    let id = next_request_id();
-    history.record_sent(&id, entry, true);
-    let answer = link.send("GET", &format!("/mark-{version}/"), &id).await?;
-    Ok(match answer.status {
+    let path = format!("/mark-{version}/");
+    let status = send_as(link, &path, (entry, history), (STEADY, &key_of(STEADY))).await?;
+    Ok(match status {
         404 => Some(false),
         200 => Some(true),
         _ => None,
     })
 }
+
+/// Sends a request with a key that belongs, or belonged, to an organisation. Returns the status.
+async fn send_as(
+    link: &mut CallerLink,
+    path: &str,
+    (entry, history): (usize, &RequestHistory),
+    (organisation, key): (&str, &str),
+) -> Result<u16> {
+    let id = next_request_id();
+    history.record_sent_by(&id, entry, true, organisation);
+    Ok(link.send("GET", path, &id, key).await?.status)
+}
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -14,7 +14,9 @@
 use tempfile::TempDir;
 use tokio::task::JoinSet;
 
+use crate::soak_caller::run_caller;
 use crate::soak_operator::{KEY, VersionState, apply_changes, monitor_entry};
+use crate::soak_organisations::{PRESSING, STEADY};
 use crate::soak_upstream::SoakUpstream;
 use crate::{
     DaemonProcess, FaultSchedule, ProxyMode, RequestHistory, ScheduledFault, SoakFault, SoakFinding,
@@ -32,6 +34,9 @@
 /// How long an upstream continues to serve after it has announced that it drains.
 const DRAIN_SPAN: Duration = Duration::from_secs(5);
 
+/// One caller in this many sends for the organisation that presses beyond its quota.
+const PRESSING_CALLERS: usize = 4;
+
 /// Minimum fraction of requests that must succeed. A run in which almost nothing succeeds would
 /// check almost nothing.
 const MIN_SUCCESS_RATIO: f64 = 0.2;
@@ -145,8 +150,9 @@
         }
         for number in 0..self.settings.callers {
             let seed = self.settings.seed ^ (number as u64) << 32;
-            let calls =
-                crate::soak_caller::run_caller(Arc::clone(callers), history(), seed, stopped());
+            let organisation = if number % PRESSING_CALLERS == 0 { PRESSING } else { STEADY };
+            let callers = Arc::clone(callers);
+            let calls = run_caller(callers, history(), seed, organisation, stopped());
             self.tasks.spawn(calls);
         }
     }
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -173,6 +173,10 @@
         return Response::new(Full::new(Bytes::new()));
     };
     if path != "/health" {
+        let organisation = request.headers().get("jacinthpulley-organisation");
+        let organisation = organisation.and_then(|name| name.to_str().ok());
+        let has_key = request.headers().contains_key("authorization");
+        history.record_identity(&id, organisation, has_key);
         history.record_run(&id, &upstream);
         let work = Duration::from_millis(rand::rng().random_range(WORK_MS));
         let _ = request.into_body().collect().await;
--- a/crates/pulley_soak/tests/checks.rs
+++ b/crates/pulley_soak/tests/checks.rs
@@ -163,3 +163,28 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(matches!(exchange(&mut second).await, Some(Err(_))));
 }
+
+// An upstream sees a caller's key, or the name of another organisation.
+#[test]
+fn a_key_that_is_passed_on_and_a_wrong_organisation_are_found() {
+    for (organisation, has_key) in [(Some("other"), false), (None, false), (Some("steady"), true)] {
+        let history = RequestHistory::default();
+        history.record_sent_by("r1", 0, true, "steady");
+        history.record_identity("r1", Some("steady"), false);
+        assert_eq!(violated_guarantees(&history), Vec::<&str>::new());
+        history.record_identity("r1", organisation, has_key);
+        assert_eq!(violated_guarantees(&history), ["the organisation in place of the key"]);
+    }
+}
+
+// Hosts together let an organisation run more than its quota.
+#[test]
+fn more_runs_than_the_quota_are_found() {
+    let history = RequestHistory::default();
+    for number in 0..300 {
+        let id = format!("r{number}");
+        history.record_sent_by(&id, number % 5, true, "pressing");
+        history.record_run(&id, "u1");
+    }
+    assert_eq!(violated_guarantees(&history), ["quotas are kept"]);
+}
