--- a/crates/pulley_bench/src/capacity/change_cost.rs
+++ b/crates/pulley_bench/src/capacity/change_cost.rs
@@ -122,7 +122,7 @@
         let live = self.members.live_entries();
         let view = RunningView {
             plan: Arc::clone(&self.plan),
-            upstreams: self.registry.pools(self.now).clone(),
+            upstreams: self.registry.pools().clone(),
             readiness: HostReadiness::Ready,
             sharing_entries: u32::try_from(live).unwrap_or(u32::MAX),
             ..RunningView::default()
--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -13,7 +13,7 @@
 use super::permit_issuer::{LimitedUpstream, PermitIssuer};
 use super::{
     EntryZones, HostId, LimitRecord, Moment, ObservedLimit, PeerRing, PermitAnswer, PermitAsk,
-    SharedTime, UpdateReach, UpstreamId, ZoneName, split_by_size,
+    RingPeer, SharedTime, UpdateReach, UpstreamId, ZoneName, split_by_size,
 };
 
 /// The interval at which this host's schedulers are told of all limits again. They may have learned
@@ -232,7 +232,7 @@
             return;
         }
         self.next_pull = now + PULL_INTERVAL;
-        if let Some((_, to)) = ring.target(self.pulls) {
+        if let Some(RingPeer { address: to, .. }) = ring.target(self.pulls) {
             self.pulls += 1;
             self.outputs.push(LimitOutput::ToAddress { to: *to, body: LimitMessage::Pull.pack() });
         }
--- a/crates/pulley_core/src/process/limits/limit_table.rs
+++ b/crates/pulley_core/src/process/limits/limit_table.rs
@@ -140,9 +140,9 @@
             let reach = UpdateReach(u8::try_from(step).unwrap_or(u8::MAX));
             let selected = updates.iter().filter(|(to, _)| *to > reach);
             let selected: Vec<LimitRecord> = selected.map(|(_, record)| record.clone()).collect();
-            let Some((_, to)) = ring.target(step) else { break };
+            let Some(to) = ring.target(step) else { break };
             for records in split_by_size(selected) {
-                sends.push((*to, LimitMessage::Records { reach, records }.pack()));
+                sends.push((to.address, LimitMessage::Records { reach, records }.pack()));
             }
         }
         sends
@@ -153,11 +153,11 @@
         let mut records: Vec<LimitRecord> = self.records().cloned().collect();
         records.sort_by(|a, b| a.upstream.cmp(&b.upstream));
         let mut parts = split_by_size(records);
-        let (_, to) = ring.target(self.round)?;
+        let to = ring.target(self.round)?;
         // The targets repeat after a cycle, so that each target gets the next part in its turn.
         let part = (self.round / ring.rounds().max(1)) as usize % parts.len().max(1);
         self.round = self.round.wrapping_add(1);
         let records = (part < parts.len()).then(|| parts.swap_remove(part))?;
-        Some((*to, LimitMessage::Records { reach: UpdateReach::NONE, records }.pack()))
+        Some((to.address, LimitMessage::Records { reach: UpdateReach::NONE, records }.pack()))
     }
 }
--- a/crates/pulley_core/src/process/limits/mod.rs
+++ b/crates/pulley_core/src/process/limits/mod.rs
@@ -18,6 +18,6 @@
 use super::members::encoded;
 use super::registry::{UpdateReach, split_by_size};
 use super::{
-    EntryZones, FastMap, HostId, Incarnation, Moment, PeerRing, SharedTime, StartRate, UpstreamId,
-    ZoneName, stable_hash,
+    EntryZones, FastMap, HostId, Incarnation, Moment, PeerRing, RingPeer, SharedTime, StartRate,
+    UpstreamId, ZoneName, stable_hash,
 };
--- a/crates/pulley_core/src/process/members/member_table.rs
+++ b/crates/pulley_core/src/process/members/member_table.rs
@@ -86,6 +86,7 @@
     /// Makes a table that contains only this host (`own`).
     #[must_use]
     pub fn new(own: MemberRecord, settings: MemberSettings, seed: u64) -> Self {
+        let ring = PeerRing::with_zones((Some(own.zone.clone()), &own.host), Vec::new());
         Self {
             roster: MemberRoster::new(settings.host_limit.saturating_sub(1)),
             own,
@@ -102,7 +103,7 @@
             next_sync: Moment::ZERO,
             next_sweep: Moment::ZERO,
             left: false,
-            ring: PeerRing::default(),
+            ring,
             changed_hosts: FastSet::default(),
         }
     }
@@ -190,7 +191,8 @@
         if !changed.is_empty() {
             let place = |host: &HostId| {
                 let entry = self.roster.find(host).filter(|entry| entry.update.state.is_live());
-                (host.clone(), entry.map(|entry| entry.update.record.peer_address))
+                let record = entry.map(|entry| &entry.update.record);
+                (host.clone(), record.map(|record| (record.zone.clone(), record.peer_address)))
             };
             self.ring.apply(&self.own.host, changed.iter().map(place));
             self.changed_hosts.extend(changed);
--- a/crates/pulley_core/src/process/members/mod.rs
+++ b/crates/pulley_core/src/process/members/mod.rs
@@ -11,7 +11,7 @@
 pub use entry_zones::EntryZones;
 pub use member_message::{MEMBER_BODY_LIMIT, MemberSend};
 pub use member_record::{HostRoles, MemberIncarnation, MemberRecord, MemberState};
-pub use member_ring::PeerRing;
+pub use member_ring::{PeerRing, RingPeer};
 pub use member_settings::MemberSettings;
 pub use member_table::MemberTable;
 
--- a/crates/pulley_core/src/process/registry/lease_bucket.rs
+++ b/crates/pulley_core/src/process/registry/lease_bucket.rs
@@ -1,13 +1,9 @@
-//! A part of the registry in which upstreams are numbered in the order of their ids.
-
-use std::collections::BTreeMap;
+//! A part of the registry in which upstreams are numbered in the order of their ids' hashes.
 
 use super::lease_record::{LeaseRecord, id_hash};
 use super::shared_clock::LeaseEpoch;
-use super::{UpstreamId, UpstreamSequence};
+use super::{Moment, UpstreamId, UpstreamSequence};
 
-/// The number of buckets in the registry.
-pub(crate) const BUCKETS: usize = 64;
 /// The age code of a lease that has expired or never existed.
 pub(crate) const CODE_EXPIRED: u8 = 7;
 
@@ -15,96 +11,140 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LeaseEntry {
     pub(crate) record: LeaseRecord,
-    /// The epoch in which any host last heard from it.
+    /// The epoch of the last known renewal.
     pub(crate) renewed: LeaseEpoch,
-    /// The latest sequence number that this host received directly from the upstream.
+    /// The highest sequence number seen in an announcement, so that a late one doesn't renew the
+    /// lease.
     pub(crate) last_sequence: UpstreamSequence,
-    /// Whether it took work at the last check. When this changes, the pool's list is updated.
+    /// Whether the upstream took work when this was last checked.
     pub(crate) took_work: bool,
+    id_hash: u64,
+    record_hash: u32,
 }
 
 impl LeaseEntry {
+    pub(crate) fn new(
+        record: LeaseRecord,
+        renewed: LeaseEpoch,
+        last_sequence: UpstreamSequence,
+        took_work: bool,
+    ) -> Self {
+        let (id_hash, hash) = (id_hash(&record.announcement.id), record.hash());
+        #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
+        let record_hash = (hash ^ (hash >> 32)) as u32;
+        Self { record, renewed, last_sequence, took_work, id_hash, record_hash }
+    }
+
+    /// The hash of the upstream's id, which determines its bucket.
+    pub(crate) const fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
+    /// The hash of the record, without its lease.
+    pub(crate) const fn record_hash(&self) -> u32 {
+        self.record_hash
+    }
+
+    /// Whether new work may go to this upstream, as far as its lease and its own reports show.
     pub(crate) fn takes_work(&self, at: LeaseEpoch) -> bool {
         self.record.takes_work() && self.renewed.is_valid_at(at)
     }
+
+    /// Returns the code of the lease's age.
+    pub(crate) fn code(&self, at: LeaseEpoch) -> u8 {
+        let age = self.renewed.age(at).min(u32::from(CODE_EXPIRED));
+        u8::try_from(age).unwrap_or(CODE_EXPIRED)
+    }
+
+    fn order(&self) -> (u64, &UpstreamId) {
+        (self.id_hash, &self.record.announcement.id)
+    }
 }
 
 /// The upstreams of one bucket.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LeaseBucket {
-    entries: BTreeMap<UpstreamId, LeaseEntry>,
+    /// In the order of their ids' hashes.
+    entries: Vec<LeaseEntry>,
     digest: u32,
+    /// When a change of one of its records last arrived as an update.
+    pub(crate) changed_at: Option<Moment>,
+    /// When its records were last compared with another host's.
+    pub(crate) compared_at: Option<Moment>,
+    /// When another host last had the same records.
+    pub(crate) agreed_at: Moment,
 }
 
 impl LeaseBucket {
-    /// Returns the index of the bucket that an upstream belongs to.
-    pub(crate) fn index_of(id: &UpstreamId) -> usize {
-        (id_hash(id) >> 32) as usize % BUCKETS
+    /// Creates an empty bucket with the times of another.
+    pub(crate) fn with_times_of(other: &Self) -> Self {
+        let Self { changed_at, compared_at, agreed_at, .. } = *other;
+        Self { entries: Vec::new(), digest: 0, changed_at, compared_at, agreed_at }
     }
 
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// A digest of the records. Hosts with equal digests number the upstreams in the same way.
+    /// The digest of all records, without leases. Hosts with the same digest number the bucket's
+    /// upstreams in the same way.
+    ///
+    /// It is a sum, so that the digest of several buckets is the sum of theirs.
     pub(crate) fn digest(&self) -> u32 {
         self.digest
     }
 
-    pub(crate) fn find(&self, id: &UpstreamId) -> Option<&LeaseEntry> {
-        self.entries.get(id)
+    pub(crate) fn entries(&self) -> &[LeaseEntry] {
+        &self.entries
     }
 
-    pub(crate) fn find_hash(&self, hash: u64) -> Option<&LeaseEntry> {
-        self.entries().find(|entry| id_hash(&entry.record.announcement.id) == hash)
+    pub(crate) fn entries_mut(&mut self) -> &mut [LeaseEntry] {
+        &mut self.entries
     }
 
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &LeaseEntry> {
-        self.entries.values()
+    pub(crate) fn find(&self, id: &UpstreamId) -> Option<&LeaseEntry> {
+        self.position((id_hash(id), id)).ok().map(|position| &self.entries[position])
     }
 
-    /// The entries, for changes to leases only. Changes to records must go through `insert`, which
-    /// updates the digest.
-    pub(crate) fn leases_mut(&mut self) -> impl Iterator<Item = &mut LeaseEntry> {
-        self.entries.values_mut()
+    pub(crate) fn find_hash(&self, hash: u64) -> Option<&LeaseEntry> {
+        let position = self.entries.partition_point(|entry| entry.id_hash < hash);
+        self.entries.get(position).filter(|entry| entry.id_hash == hash)
     }
 
     pub(crate) fn lease_mut(&mut self, id: &UpstreamId) -> Option<&mut LeaseEntry> {
-        self.entries.get_mut(id)
+        let position = self.position((id_hash(id), id)).ok()?;
+        self.entries.get_mut(position)
     }
 
+    /// Inserts an entry in place of the one with its id.
     pub(crate) fn insert(&mut self, entry: LeaseEntry) {
-        self.entries.insert(entry.record.announcement.id.clone(), entry);
-        self.update_digest();
+        self.digest = self.digest.wrapping_add(entry.record_hash);
+        match self.position(entry.order()) {
+            Ok(position) => {
+                self.digest = self.digest.wrapping_sub(self.entries[position].record_hash);
+                self.entries[position] = entry;
+            }
+            Err(position) => self.entries.insert(position, entry),
+        }
     }
 
     /// Removes and returns the entries that were not renewed since `before`.
     pub(crate) fn remove_before(&mut self, before: LeaseEpoch) -> Vec<LeaseEntry> {
-        if self.entries.values().all(|entry| entry.renewed >= before) {
-            return Vec::new();
+        let removed: Vec<LeaseEntry> =
+            self.entries.extract_if(.., |entry| entry.renewed < before).collect();
+        for entry in &removed {
+            self.digest = self.digest.wrapping_sub(entry.record_hash);
         }
-        let entries = std::mem::take(&mut self.entries);
-        let (kept, removed): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            entries.into_iter().partition(|(_, entry)| entry.renewed >= before);
-        self.entries = kept;
-        self.update_digest();
-        removed.into_values().collect()
-    }
-
-    /// The age of each lease in epochs, at most [`CODE_EXPIRED`], in the order of the ids.
-    pub(crate) fn codes(&self, at: LeaseEpoch) -> impl Iterator<Item = u8> {
-        self.entries.values().map(move |entry| {
-            let age = entry.renewed.age(at).min(u32::from(CODE_EXPIRED));
-            u8::try_from(age).unwrap_or(CODE_EXPIRED)
-        })
-    }
-
-    fn update_digest(&mut self) {
-        let hash = |entry: &LeaseEntry| entry.record.hash();
-        let combined =
-            self.entries.values().fold(0_u64, |all, entry| all.rotate_left(5) ^ hash(entry));
-        #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
-        let folded = (combined ^ (combined >> 32)) as u32;
-        self.digest = folded;
+        removed
+    }
+
+    /// Removes and returns all entries.
+    pub(crate) fn take_entries(&mut self) -> Vec<LeaseEntry> {
+        self.digest = 0;
+        std::mem::take(&mut self.entries)
+    }
+
+    fn position(&self, order: (u64, &UpstreamId)) -> Result<usize, usize> {
+        self.entries.binary_search_by(|entry| entry.order().cmp(&order))
     }
 }
--- a/crates/pulley_core/src/process/registry/lease_record.rs
+++ b/crates/pulley_core/src/process/registry/lease_record.rs
@@ -88,11 +88,15 @@
     }
 }
 
-/// The hash that identifies an upstream in messages.
+/// The hash that identifies an upstream in messages. Its leading bits determine the bucket.
 pub(crate) fn id_hash(id: &UpstreamId) -> u64 {
     hash_of(id)
 }
 
 fn hash_of<T: std::hash::Hash>(value: &T) -> u64 {
-    BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(value)
+    const MULTIPLIER: u64 = 0xbf58_476d_1ce4_e5b9;
+    let hash = BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(value);
+    // The fast hash varies little in some of its bits.
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(MULTIPLIER);
+    mixed ^ (mixed >> 29)
 }
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -1,5 +1,6 @@
 //! The registry of announced upstreams, kept as leases that hosts gossip to each other.
 
+mod bucket_range;
 mod lease_bucket;
 mod lease_record;
 mod lease_table;
@@ -25,6 +26,6 @@
 
 use super::members::encoded;
 use super::{
-    Announcement, FastMap, Incarnation, Moment, PeerRing, PoolName, UpstreamId, UpstreamPhase,
-    UpstreamRecord, UpstreamSequence, UpstreamStart, ZoneName,
+    Announcement, FastMap, FastSet, Incarnation, Moment, PeerRing, PoolName, RingPeer, UpstreamId,
+    UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart, ZoneName,
 };
--- a/crates/pulley_core/src/process/registry/registry_gossip.rs
+++ b/crates/pulley_core/src/process/registry/registry_gossip.rs
@@ -5,21 +5,28 @@
 
 use bytes::Bytes;
 
-use super::lease_bucket::{CODE_EXPIRED, LeaseBucket};
-use super::lease_record::{LeaseRecord, id_hash};
+use super::bucket_range::{BucketRange, MIN_BITS};
+use super::lease_bucket::{CODE_EXPIRED, LeaseBucket, LeaseEntry};
+use super::lease_record::LeaseRecord;
 use super::registry_message::{
-    AgedRecord, BucketCodes, BucketSummary, LEASES_PER_MESSAGE, PackedCodes, PendingUpdate,
-    RegistryContent, RegistryMessage, SummaryItem, UpdateReach, split_by_size,
+    AgedRecord, BucketCodes, LEASES_PER_MESSAGE, PackedCodes, PendingUpdate, RangeSummary,
+    RegistryContent, RegistryMessage, SUMMARY_LIMIT, SummaryItem, UpdateReach, split_by_size,
 };
 use super::shared_clock::LeaseEpoch;
-use super::{Moment, PeerRing, RegistrySend, UpstreamRegistry};
+use super::{FastSet, Moment, PeerRing, RegistrySend, RingPeer, UpstreamRegistry};
 
-/// How many changes a second are sent immediately. The others reach hosts when buckets are
-/// compared, so that a thousand upstreams starting together don't fill the links. Drains are never
-/// delayed.
+/// How many changes a second are sent immediately, at least, and in how many seconds as many may be
+/// sent as there are upstreams. The other changes reach hosts when buckets are compared, so that a
+/// thousand upstreams starting together don't fill the links. Drains are never delayed.
 const UPDATE_RATE: f64 = 200.0;
-/// How many changes may be sent in one burst.
-const UPDATE_BURST: f64 = 400.0;
+const UPDATE_ALL_SECONDS: f64 = 8.0;
+/// How many seconds' worth of changes may be sent in one burst.
+const UPDATE_BURST_SECONDS: f64 = 2.0;
+/// How many ranges a host compares in a second. With thousands of upstreams it could otherwise
+/// compare so many after a start of all that nothing else passed its link.
+const COMPARE_RATE: f64 = 256.0;
+/// How many ranges may be compared in one burst.
+const COMPARE_BURST: f64 = 64.0;
 /// For how long after a change messages carry each bucket's digest.
 const BUCKET_DIGEST_TIME: Duration = Duration::from_secs(3);
 /// The minimum interval between record-by-record comparisons of one bucket.
@@ -31,6 +38,9 @@
 /// time, hosts without this pause would compare whole buckets for each change. That costs many
 /// times the update itself and brings no new information.
 const PROPAGATION_TIME: Duration = Duration::from_millis(700);
+/// For how long a bucket may differ from all others' before it is compared although it changes.
+/// While it differs, its leases are not renewed.
+const DISAGREEMENT_LIMIT: Duration = Duration::from_millis(1_200);
 /// The minimum interval between answers to a digest that differs.
 const DIGEST_ANSWER_INTERVAL: Duration = Duration::from_millis(50);
 /// How many record messages may wait. Further ones are dropped; their comparison will be repeated.
@@ -59,15 +69,15 @@
             RegistryContent::Leases { digest, first, codes } => {
                 self.merge_leases(now, from, sent, (digest, first as usize, &codes))
             }
-            RegistryContent::BucketLeases { buckets } => {
-                self.merge_bucket_leases(now, from, sent, &buckets)
+            RegistryContent::BucketLeases { bits, buckets } => {
+                self.merge_bucket_leases(now, from, sent, (bits, &buckets))
             }
             RegistryContent::Updates { reach, records } => {
                 self.merge_records(now, sent, records, Some(reach));
                 Vec::new()
             }
-            RegistryContent::Summaries { buckets } => {
-                self.answer_summaries(now, from, &buckets);
+            RegistryContent::Summaries { summaries } => {
+                self.answer_summaries(now, from, &summaries);
                 Vec::new()
             }
             RegistryContent::Records { records, wanted } => {
@@ -82,8 +92,12 @@
     // Sending
 
     pub(crate) fn refill_budget(&mut self, now: Moment) {
-        let refill = now.since(self.last_tick).as_secs_f64() * UPDATE_RATE;
-        self.update_budget = (self.update_budget + refill).min(UPDATE_BURST);
+        #[expect(clippy::cast_precision_loss, reason = "upstreams are few")]
+        let update_rate = UPDATE_RATE.max(self.table.len() as f64 / UPDATE_ALL_SECONDS);
+        let passed = now.since(self.last_tick).as_secs_f64();
+        let refilled = self.update_budget + passed * update_rate;
+        self.update_budget = refilled.min(update_rate * UPDATE_BURST_SECONDS);
+        self.compare_budget = (self.compare_budget + passed * COMPARE_RATE).min(COMPARE_BURST);
     }
 
     /// Sends every host the upstreams that announced their departure to this host.
@@ -97,7 +111,7 @@
             let body =
                 self.pack(now, RegistryContent::Updates { reach: UpdateReach::NEXT, records });
             let all = ring.peers().iter();
-            sends.extend(all.map(|(_, to)| RegistrySend { to: *to, body: body.clone() }));
+            sends.extend(all.map(|peer| RegistrySend { to: peer.address, body: body.clone() }));
         }
     }
 
@@ -123,22 +137,25 @@
             let reach = UpdateReach(u8::try_from(step).unwrap_or(u8::MAX));
             let selected = updates.iter().filter(|update| update.reach > reach);
             let selected: Vec<AgedRecord> = selected.map(|update| update.aged.clone()).collect();
-            let Some((_, to)) = ring.target(step) else { return };
+            let Some(to) = ring.target(step) else { return };
             for records in split_by_size(selected) {
                 let body = self.pack(now, RegistryContent::Updates { reach, records });
-                sends.push(RegistrySend { to: *to, body });
+                sends.push(RegistrySend { to: to.address, body });
             }
         }
     }
 
     /// Sends the ages of all leases to the target of this round.
+    ///
+    /// They are by far the most that hosts say to each other, and grow with the upstreams. Each zone
+    /// gets them from a few hosts of the others, and its own hosts tell each other.
     pub(crate) fn send_leases(
         &mut self,
         now: Moment,
         ring: &PeerRing,
         sends: &mut Vec<RegistrySend>,
     ) {
-        let Some((_, to)) = ring.target(self.round) else {
+        let Some(RingPeer { address: to, .. }) = ring.shared_target(self.round) else {
             return;
         };
         if now < self.bucket_digests_until {
@@ -146,8 +163,7 @@
             return;
         }
         let epoch = self.clock.epoch(now);
-        let codes = self.table.buckets().iter().flat_map(|bucket| bucket.codes(epoch));
-        let codes: Vec<u8> = codes.collect();
+        let codes: Vec<u8> = self.table.entries().map(|entry| entry.code(epoch)).collect();
         let digest = self.table.digest();
         // An empty list is sent too: it shows that this host knows no upstreams.
         let parts = codes.chunks(LEASES_PER_MESSAGE).chain(codes.is_empty().then_some(&[][..]));
@@ -161,12 +177,14 @@
 
     fn bucket_leases(&self, now: Moment, to: SocketAddr) -> Vec<RegistrySend> {
         let epoch = self.clock.epoch(now);
-        let non_empty = self.table.buckets().iter().enumerate().filter(|(_, b)| b.len() > 0);
-        let buckets: Vec<BucketCodes> = non_empty
-            .map(|(index, bucket)| BucketCodes {
-                bucket: bucket_number(index),
+        let bits = self.table.bits();
+        let buckets = BucketRange::all(bits).zip(self.table.buckets());
+        let buckets: Vec<BucketCodes> = buckets
+            .filter(|(_, bucket)| bucket.len() > 0)
+            .map(|(range, bucket)| BucketCodes {
+                prefix: range.prefix,
                 digest: bucket.digest(),
-                codes: PackedCodes::pack(bucket.codes(epoch)),
+                codes: PackedCodes::pack(bucket.entries().iter().map(|entry| entry.code(epoch))),
             })
             .collect();
         // An empty list is sent too: it shows that this host knows no upstreams, and the receiver
@@ -174,7 +192,7 @@
         let parts = if buckets.is_empty() { vec![Vec::new()] } else { split_by_size(buckets) };
         parts
             .into_iter()
-            .map(|buckets| self.pack(now, RegistryContent::BucketLeases { buckets }))
+            .map(|buckets| self.pack(now, RegistryContent::BucketLeases { bits, buckets }))
             .map(|body| RegistrySend { to, body })
             .collect()
     }
@@ -202,11 +220,13 @@
         }
         let epoch = self.clock.epoch(now);
         let mut index = 0;
-        for bucket in 0..self.table.buckets().len() {
-            let count = self.table.buckets()[bucket].len();
+        for range in BucketRange::all(MIN_BITS) {
+            let buckets = self.table.buckets_in(range);
+            buckets.iter_mut().for_each(|bucket| bucket.agreed_at = now);
+            let count = buckets.iter().map(LeaseBucket::len).sum::<usize>();
             let codes =
                 (index..index + count).map(|index| renewal(codes, index.checked_sub(first)?, sent));
-            self.table.merge_ages(bucket, epoch, codes);
+            self.table.merge_ages(range, epoch, codes);
             index += count;
         }
         Vec::new()
@@ -217,72 +237,81 @@
         now: Moment,
         from: SocketAddr,
         sent: LeaseEpoch,
-        buckets: &[BucketCodes],
+        (bits, buckets): (u8, &[BucketCodes]),
     ) -> Vec<RegistrySend> {
         let epoch = self.clock.epoch(now);
-        let mut differing = Vec::new();
+        let mut summaries = Vec::new();
         for theirs in buckets {
-            let index = usize::from(theirs.bucket);
-            let Some(ours) = self.table.bucket(index) else {
+            let range = BucketRange { bits, prefix: theirs.prefix };
+            if !range.is_valid() {
                 continue;
-            };
-            if ours.digest() == theirs.digest {
-                let codes = (0..ours.len()).map(|index| renewal(&theirs.codes, index, sent));
-                self.table.merge_ages(index, epoch, codes);
-            } else if self.bucket_changed_at[index]
-                .is_none_or(|at| now.since(at) >= PROPAGATION_TIME)
-            {
-                differing.push(index);
+            }
+            if self.table.digest_of(range) == theirs.digest {
+                self.table.buckets_in(range).iter_mut().for_each(|bucket| bucket.agreed_at = now);
+                let codes = (0..).map(|index| renewal(&theirs.codes, index, sent));
+                self.table.merge_ages(range, epoch, codes);
+            } else if self.begin_comparison(now, range) {
+                self.summarize(range, &mut summaries);
             }
         }
         if buckets.is_empty() && self.table.len() > 0 {
-            // The sender knows no upstreams. This is equivalent to a summary of empty buckets.
-            let all: Vec<BucketSummary> = (0..self.table.buckets().len())
-                .map(|index| BucketSummary { bucket: bucket_number(index), items: Vec::new() })
-                .collect();
-            self.answer_summaries(now, from, &all);
-        }
-        self.summarize(now, from, &differing)
-    }
-
-    /// Sends summaries of the records in some buckets, each bucket at most once per
-    /// [`COMPARE_INTERVAL`].
-    fn summarize(&mut self, now: Moment, to: SocketAddr, indices: &[usize]) -> Vec<RegistrySend> {
-        let mut summaries = Vec::new();
-        for index in indices {
-            let last = self.bucket_compared_at[*index];
-            if last.is_some_and(|at| now.since(at) < COMPARE_INTERVAL) {
-                continue;
-            }
-            self.bucket_compared_at[*index] = Some(now);
-            let items = self.table.buckets()[*index].entries().map(summary_item).collect();
-            summaries.push(BucketSummary { bucket: bucket_number(*index), items });
+            // The sender knows no upstreams. This is equivalent to empty summaries of all ranges.
+            let all = BucketRange::all(self.table.bits());
+            let empty = all.map(|range| RangeSummary { range, items: Vec::new() });
+            self.answer_summaries(now, from, &empty.collect::<Vec<_>>());
         }
         split_by_size(summaries)
             .into_iter()
-            .map(|buckets| self.pack(now, RegistryContent::Summaries { buckets }))
-            .map(|body| RegistrySend { to, body })
+            .map(|summaries| self.pack(now, RegistryContent::Summaries { summaries }))
+            .map(|body| RegistrySend { to: from, body })
             .collect()
     }
 
+    /// Whether the records of a range may be compared now. Each bucket is compared at most once per
+    /// [`COMPARE_INTERVAL`], and not while changes of it spread, unless that has lasted too long.
+    fn begin_comparison(&mut self, now: Moment, range: BucketRange) -> bool {
+        let is_within = |at: Option<Moment>, span| at.is_some_and(|at| now.since(at) < span);
+        let buckets = self.table.buckets_in(range);
+        let is_due = buckets.iter().all(|bucket| {
+            let is_spreading = is_within(bucket.changed_at, PROPAGATION_TIME)
+                && now.since(bucket.agreed_at) < DISAGREEMENT_LIMIT;
+            !is_spreading && !is_within(bucket.compared_at, COMPARE_INTERVAL)
+        });
+        let is_due = is_due && self.compare_budget >= 1.0;
+        if is_due {
+            buckets.iter_mut().for_each(|bucket| bucket.compared_at = Some(now));
+            self.compare_budget -= 1.0;
+        }
+        is_due
+    }
+
+    /// Appends summaries of a range's records, in parts that fit into a message.
+    fn summarize(&self, range: BucketRange, summaries: &mut Vec<RangeSummary>) {
+        let items: Vec<SummaryItem> = self.table.entries_in(range).map(summary_item).collect();
+        match range.halves().filter(|_| items.len() > SUMMARY_LIMIT) {
+            Some(halves) => halves.into_iter().for_each(|half| self.summarize(half, summaries)),
+            None => summaries.push(RangeSummary { range, items }),
+        }
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Exchanging records
 
     /// Sends records that another host lacks or has in a different version, and requests those that
     /// this host lacks.
-    fn answer_summaries(&mut self, now: Moment, to: SocketAddr, summaries: &[BucketSummary]) {
+    fn answer_summaries(&mut self, now: Moment, to: SocketAddr, summaries: &[RangeSummary]) {
         let epoch = self.clock.epoch(now);
         let mut records = Vec::new();
         let mut wanted = Vec::new();
-        for summary in summaries {
-            let Some(bucket) = self.table.bucket(usize::from(summary.bucket)) else {
-                continue;
-            };
-            let ours: Vec<SummaryItem> = bucket.entries().map(summary_item).collect();
+        for summary in summaries.iter().filter(|summary| summary.range.is_valid()) {
+            let entries: Vec<&LeaseEntry> = self.table.entries_in(summary.range).collect();
+            let ours: FastSet<SummaryItem> =
+                entries.iter().map(|entry| summary_item(entry)).collect();
+            let theirs: FastSet<SummaryItem> = summary.items.iter().copied().collect();
             let missing = summary.items.iter().filter(|item| !ours.contains(item));
-            wanted.extend(missing.map(|item| (summary.bucket, item.id_hash)));
+            wanted.extend(missing.map(|item| item.id_hash));
             let differing =
-                bucket.entries().filter(|entry| !summary.items.contains(&summary_item(entry)));
+                entries.into_iter().filter(|entry| !theirs.contains(&summary_item(entry)));
             records.extend(differing.map(|entry| self.table.aged_record(entry, epoch)));
         }
         for wanted in split_by_size(wanted) {
@@ -293,13 +322,11 @@
         }
     }
 
-    fn send_requested(&mut self, now: Moment, to: SocketAddr, wanted: &[(u8, u64)]) {
+    fn send_requested(&mut self, now: Moment, to: SocketAddr, wanted: &[u64]) {
         let epoch = self.clock.epoch(now);
-        let find = |(bucket, hash): &(u8, u64)| {
-            let bucket: &LeaseBucket = self.table.bucket(usize::from(*bucket))?;
-            bucket.find_hash(*hash).map(|entry| self.table.aged_record(entry, epoch))
-        };
-        let records: Vec<AgedRecord> = wanted.iter().filter_map(find).collect();
+        let known = wanted.iter().filter_map(|hash| self.table.find_hash(*hash));
+        let records: Vec<AgedRecord> =
+            known.map(|entry| self.table.aged_record(entry, epoch)).collect();
         for records in split_by_size(records) {
             self.queue_records(now, to, RegistryContent::Records { records, wanted: Vec::new() });
         }
@@ -340,7 +367,7 @@
         }
         self.bucket_digests_until = now + BUCKET_DIGEST_TIME;
         let Some(reach) = reach else { return true };
-        self.bucket_changed_at[LeaseBucket::index_of(&id)] = Some(now);
+        self.table.bucket_of_mut(&id).changed_at = Some(now);
         if reach > UpdateReach::NONE
             && let Some(entry) = self.table.find(&id)
         {
@@ -357,13 +384,6 @@
     (code < CODE_EXPIRED).then(|| sent.minus(u32::from(code)))
 }
 
-fn summary_item(entry: &super::lease_bucket::LeaseEntry) -> SummaryItem {
-    let hash = entry.record.hash();
-    #[expect(clippy::cast_possible_truncation, reason = "the upper half is folded in")]
-    let record_hash = (hash ^ (hash >> 32)) as u32;
-    SummaryItem { id_hash: id_hash(&entry.record.announcement.id), record_hash }
-}
-
-fn bucket_number(index: usize) -> u8 {
-    u8::try_from(index).unwrap_or(u8::MAX)
+fn summary_item(entry: &LeaseEntry) -> SummaryItem {
+    SummaryItem { id_hash: entry.id_hash(), record_hash: entry.record_hash() }
 }
--- a/crates/pulley_core/src/process/registry/registry_message.rs
+++ b/crates/pulley_core/src/process/registry/registry_message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::bucket_range::BucketRange;
 use super::encoded;
 use super::lease_record::LeaseRecord;
 use super::shared_clock::SharedTime;
@@ -17,6 +18,11 @@
 /// How many leases fit into one message, at three bits each.
 pub(crate) const LEASES_PER_MESSAGE: usize = LIST_LIMIT / 3 * 8;
 
+/// How many records one summary names. More do not fit into a message, at 15 bytes each.
+pub(crate) const SUMMARY_LIMIT: usize = 72;
+
+const _: () = assert!(SUMMARY_LIMIT * 15 + 16 <= LIST_LIMIT);
+
 /// An encoded registry message and its destination.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistrySend {
@@ -29,7 +35,7 @@
 /// The digest of one bucket and the age codes of its leases.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct BucketCodes {
-    pub(crate) bucket: u8,
+    pub(crate) prefix: u16,
     pub(crate) digest: u32,
     pub(crate) codes: PackedCodes,
 }
@@ -39,16 +45,16 @@
 pub(crate) struct PackedCodes(pub(crate) Bytes);
 
 /// Hashes that identify one upstream and the record that a host has of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct SummaryItem {
     pub(crate) id_hash: u64,
     pub(crate) record_hash: u32,
 }
 
-/// Hashes of all records that a host has in one bucket.
+/// Hashes of all records that a host has in one range.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct BucketSummary {
-    pub(crate) bucket: u8,
+pub(crate) struct RangeSummary {
+    pub(crate) range: BucketRange,
     pub(crate) items: Vec<SummaryItem>,
 }
 
@@ -87,18 +93,18 @@
 /// The content of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum RegistryContent {
-    /// Leases starting at index `first`, numbered by bucket and then by id, for a host with the
-    /// same records.
+    /// Leases starting at index `first`, numbered by their ids' hashes, for a host with the same
+    /// records.
     Leases { digest: u32, first: u32, codes: PackedCodes },
     /// Leases by bucket, for a host that may lack a change. Sent while changes spread.
-    BucketLeases { buckets: Vec<BucketCodes> },
+    BucketLeases { bits: u8, buckets: Vec<BucketCodes> },
     /// Records that have just changed. A host that did not know such a change forwards it to the
     /// hosts within `reach`.
     Updates { reach: UpdateReach, records: Vec<AgedRecord> },
-    /// Summaries of the buckets in which the sender's records differ from the receiver's.
-    Summaries { buckets: Vec<BucketSummary> },
-    /// Records that the receiver lacks, and the bucket and id hash of those that the sender lacks.
-    Records { records: Vec<AgedRecord>, wanted: Vec<(u8, u64)> },
+    /// Summaries of the ranges in which the sender's records differ from the receiver's.
+    Summaries { summaries: Vec<RangeSummary> },
+    /// Records that the receiver lacks, and the id hashes of those that the sender lacks.
+    Records { records: Vec<AgedRecord>, wanted: Vec<u64> },
 }
 
 /// One message, with the sender's shared time.
--- a/crates/pulley_core/src/process/registry/upstream_directory.rs
+++ b/crates/pulley_core/src/process/registry/upstream_directory.rs
@@ -4,7 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::lease_bucket::LeaseBucket;
 use super::lease_record::LeaseRecord;
 use super::registry_message::{RegistryContent, RegistryMessage, split_by_size};
 use super::shared_clock::LEASE_EPOCHS;
@@ -63,7 +62,7 @@
         has_left: impl Fn(&UpstreamStart) -> bool,
     ) -> UpstreamDirectory {
         let epoch = self.clock.epoch(now);
-        let entries = self.table.buckets().iter().flat_map(LeaseBucket::entries);
+        let entries = self.table.entries();
         let usable = entries.filter(|entry| entry.takes_work(epoch));
         let kept = usable.filter(|entry| !has_left(&entry.record.start()));
         let records = kept.map(|entry| entry.record.clone()).collect();
@@ -98,7 +97,7 @@
     /// because each one lists every upstream, and traffic within the zone costs least.
     pub fn transfer_state(&mut self, now: Moment, to: SocketAddr) {
         let epoch = self.clock.epoch(now);
-        let entries = self.table.buckets().iter().flat_map(LeaseBucket::entries);
+        let entries = self.table.entries();
         let usable = entries.filter(|entry| entry.takes_work(epoch));
         let records = usable.map(|entry| self.table.aged_record(entry, epoch)).collect();
         for records in split_by_size(records) {
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use thiserror::Error;
 
-use super::lease_bucket::BUCKETS;
 use super::lease_record::{LeaseRecord, phase_rank};
 use super::lease_table::LeaseTable;
 use super::registry_message::{AgedRecord, PendingUpdate, UpdateReach};
@@ -41,6 +40,11 @@
 /// How many state transfer messages are sent in one tick: enough to reach a zone's entries within a
 /// second, few enough not to fill a replica's link.
 const STATE_TRANSFERS_PER_TICK: usize = 32;
+/// The least interval between two listings of upstreams, for each upstream and in all. One covers a
+/// burst of changes: the loss of a zone, a release, or the return of all hosts after a loss of power.
+/// A request may be placed by a list that is stale by this much.
+const LISTING_INTERVAL_PER_UPSTREAM: Duration = Duration::from_micros(20);
+const MIN_LISTING_INTERVAL: Duration = Duration::from_millis(20);
 /// The largest number of slots that an upstream may announce. More is a mistake in its settings.
 const SLOT_LIMIT: u32 = 10_000;
 /// The largest number of connections that an upstream may announce.
@@ -116,15 +120,13 @@
     /// Upstreams that announced their departure to this host. Every host is informed directly.
     pub(crate) departures: Vec<AgedRecord>,
     pub(crate) update_budget: f64,
+    /// How many ranges may be compared now.
+    pub(crate) compare_budget: f64,
     /// The earliest time for the next send of updates.
     next_update: Moment,
     pub(crate) record_queue: VecDeque<RegistrySend>,
     /// Messages to hosts that have just started. They don't wait behind the record messages.
     pub(crate) state_transfers: VecDeque<RegistrySend>,
-    /// When an update last changed each bucket.
-    pub(crate) bucket_changed_at: Vec<Option<Moment>>,
-    /// When each bucket was last compared record by record.
-    pub(crate) bucket_compared_at: Vec<Option<Moment>>,
     /// When a differing digest was last answered.
     pub(crate) digest_answered_at: Option<Moment>,
     /// Until when messages carry each bucket's digest because a change may not have reached every
@@ -154,11 +156,10 @@
             updates: Vec::new(),
             departures: Vec::new(),
             update_budget: 0.0,
+            compare_budget: 0.0,
             next_update: Moment::ZERO,
             record_queue: VecDeque::new(),
             state_transfers: VecDeque::new(),
-            bucket_changed_at: vec![None; BUCKETS],
-            bucket_compared_at: vec![None; BUCKETS],
             digest_answered_at: None,
             bucket_digests_until: Moment::ZERO,
             last_tick: Moment::ZERO,
@@ -206,12 +207,20 @@
         self.table.rebuild_pools(self.clock.epoch(now))
     }
 
+    /// Returns the least interval between two calls of [`Self::pools`] that follow changes of single
+    /// upstreams. Such a call copies the lists that have changed, so that without an interval that
+    /// grows with them a host's processor time would grow with the square of the upstreams.
+    #[must_use]
+    pub fn listing_interval(&self) -> Duration {
+        let upstreams = u32::try_from(self.table.len()).unwrap_or(u32::MAX);
+        LISTING_INTERVAL_PER_UPSTREAM.saturating_mul(upstreams).max(MIN_LISTING_INTERVAL)
+    }
+
     /// Returns the same lists as [`Self::rebuild_pools`], except that an upstream whose lease has
     /// expired may still be listed as taking work until the next [`Self::tick`]. The cost depends
     /// only on the changes since the last call.
-    pub fn pools(&mut self, now: Moment) -> &FastMap<PoolName, UpstreamList> {
-        let epoch = self.clock.epoch(now);
-        self.table.pools(epoch)
+    pub fn pools(&mut self) -> &FastMap<PoolName, UpstreamList> {
+        self.table.pools()
     }
 
     /// Whether new work may go to an upstream.
--- a/crates/pulley_core/src/version/follower/plan_follower.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower.rs
@@ -378,7 +378,7 @@
     pub fn join_round(&mut self, now: Moment, ring: &PeerRing, round: u32) -> Option<PlanSend> {
         self.round = round.wrapping_add(1);
         self.next_round = now + round_interval(ring) * 2;
-        let to = ring.target(round).map(|(host, _)| host.clone())?;
+        let to = ring.target(round).map(|peer| peer.host.clone())?;
         self.lease_message(now, to)
     }
 
@@ -391,7 +391,7 @@
             sends.extend(targets.into_iter().filter_map(|to| self.lease_message(now, to)));
         }
         if now >= self.next_round {
-            let target = ring.target(self.round).map(|(host, _)| host.clone());
+            let target = ring.target(self.round).map(|peer| peer.host.clone());
             sends.extend(target.and_then(|to| self.lease_message(now, to)));
             self.round = self.round.wrapping_add(1);
             self.next_round = now + round_interval(ring);
@@ -406,7 +406,7 @@
     fn flood_targets(&self, ring: &PeerRing) -> Vec<HostId> {
         let count = FLOOD_TARGETS.min(ring.rounds());
         let steps = (0..count).map(|step| self.round + step * ring.rounds() / count);
-        steps.filter_map(|round| ring.target(round)).map(|(host, _)| host.clone()).collect()
+        steps.filter_map(|round| ring.target(round)).map(|peer| peer.host.clone()).collect()
     }
 
     pub(super) fn lease_message(&self, now: Moment, to: HostId) -> Option<PlanSend> {
--- a/crates/pulley_core/src/version/follower/plan_follower_asking.rs
+++ b/crates/pulley_core/src/version/follower/plan_follower_asking.rs
@@ -68,7 +68,7 @@
         }
         let peers = ring.peers();
         for _ in 0..ASKED_PEERS.min(peers.len()) {
-            asked.push(peers[self.rng.random_range(0..peers.len())].0.clone());
+            asked.push(peers[self.rng.random_range(0..peers.len())].host.clone());
         }
         asked.sort();
         asked.dedup();
--- a/crates/pulley_core/tests/members/differences_tests.rs
+++ b/crates/pulley_core/tests/members/differences_tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pulley_core::process::{
-    Announcement, FastMap, PeerRing, UpstreamList, UpstreamPhase, UpstreamRegistry,
+    Announcement, FastMap, PeerRing, RingPeer, UpstreamList, UpstreamPhase, UpstreamRegistry,
 };
 use pulley_core::{HostId, Moment, PoolName};
 use rand::rngs::SmallRng;
@@ -67,7 +67,7 @@
             network.run_for(random_pause(&mut rng));
             let now = network.now;
             for (host, followed) in network.hosts.iter_mut().zip(&mut followed) {
-                let incremental = host.registry.pools(now).clone();
+                let incremental = host.registry.pools().clone();
                 assert_eq!(
                     incremental,
                     host.registry.rebuild_pools(now),
@@ -97,9 +97,13 @@
             for (index, host) in network.hosts.iter_mut().enumerate() {
                 let own: HostId = host_name(index);
                 let others = host.members.live().filter(|record| record.host != own);
-                let others: Vec<_> =
-                    others.map(|record| (record.host.clone(), record.peer_address)).collect();
-                let rebuilt = PeerRing::new(&own, others);
+                let others = others.map(|record| RingPeer {
+                    zone: Some(record.zone.clone()),
+                    host: record.host.clone(),
+                    address: record.peer_address,
+                });
+                let zone = Some(host.members.own().zone.clone());
+                let rebuilt = PeerRing::with_zones((zone, &own), others.collect());
                 assert_eq!(*host.members.ring(), rebuilt, "seed {seed}, step {step}");
                 let entries = host.members.live().filter(|record| record.roles.entry).count();
                 assert_eq!(host.members.live_entries(), entries, "seed {seed}, step {step}");
@@ -127,9 +131,9 @@
     host.tick(now, &ring(1));
     host.receive(now, address(1), &message(Duration::from_millis(100)));
     host.announce(now, announcement(0, 1, 1)).unwrap();
-    assert_eq!(host.pools(now).clone(), host.rebuild_pools(now));
+    assert_eq!(host.pools().clone(), host.rebuild_pools(now));
     assert!(host.takes_work(now, &announcement(0, 1, 1).id));
     host.receive(now, address(2), &message(Duration::from_secs(20)));
     assert!(!host.takes_work(now, &announcement(0, 1, 1).id));
-    assert_eq!(host.pools(now).clone(), host.rebuild_pools(now));
+    assert_eq!(host.pools().clone(), host.rebuild_pools(now));
 }
--- a/crates/pulley_core/tests/members/evacuation_tests.rs
+++ b/crates/pulley_core/tests/members/evacuation_tests.rs
@@ -137,7 +137,7 @@
 }
 
 fn open_zones(registry: &mut UpstreamRegistry, now: Moment) -> Vec<ZoneName> {
-    let pools = registry.pools(now).clone();
+    let pools = registry.pools().clone();
     assert_eq!(pools, registry.rebuild_pools(now), "incremental and rebuilt lists differ");
     let records = pools.values().flat_map(|list| list.iter()).filter(|record| record.takes_work);
     let mut zones: Vec<ZoneName> = records.map(|record| record.announcement.zone.clone()).collect();
--- a/crates/pulley_core/tests/members/main.rs
+++ b/crates/pulley_core/tests/members/main.rs
@@ -7,6 +7,7 @@
 mod differences_tests;
 mod evacuation_tests;
 mod link_model;
+mod many_changes_tests;
 mod member_table_tests;
 mod network;
 mod plan_difference_tests;
--- a/crates/pulley_core/tests/members/network.rs
+++ b/crates/pulley_core/tests/members/network.rs
@@ -90,7 +90,7 @@
     pub(crate) links: Option<LinkModel>,
     events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
     event_count: u64,
-    rng: SmallRng,
+    pub(crate) rng: SmallRng,
     next_confirmation: Moment,
 }
 
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -126,11 +126,6 @@
     pub(super) recovery: UpstreamRecovery,
 }
 
-/// The shortest interval between views that differ only in hosts and upstreams, so that one view
-/// covers a burst of changes: the loss of a zone, a release, or the return of all hosts after a
-/// loss of power. A request may be placed by a view that is stale by this much.
-const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The inputs of a view. A new view is built when any of them changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ViewInputs {
@@ -482,8 +477,9 @@
             if *published == inputs {
                 return;
             }
-            if published.can_defer(&inputs) && now < *at + MIN_VIEW_INTERVAL {
-                self.view_due = Some(*at + MIN_VIEW_INTERVAL);
+            let next = *at + self.registry.listing_interval();
+            if published.can_defer(&inputs) && now < next {
+                self.view_due = Some(next);
                 return;
             }
         }
@@ -494,7 +490,7 @@
             self.apply_members(now);
             self.transfer_state_to_entries(now);
         }
-        let view = self.build_view(now, standing);
+        let view = self.build_view(standing);
         self.publish(now, view);
         self.confirm_keys(now);
     }
--- a/crates/pulleyd/src/process/control_status.rs
+++ b/crates/pulleyd/src/process/control_status.rs
@@ -12,13 +12,13 @@
 
 impl ControlCore {
     /// Returns the current view.
-    pub(super) fn build_view(&mut self, now: Moment, standing: PlanStanding) -> RunningView {
+    pub(super) fn build_view(&mut self, standing: PlanStanding) -> RunningView {
         let sharing = self.members.sharing_entries();
         RunningView {
             version: self.follower.version(),
             awaited_version: self.follower.awaited_version(),
             plan: self.plan_in_force(),
-            upstreams: self.registry.pools(now).clone(),
+            upstreams: self.registry.pools().clone(),
             readiness: self.readiness(standing),
             evacuated: Arc::clone(self.follower.evacuated()),
             entries: Arc::clone(&self.entries),
