Log at each refusal how many upstream paths are lost, proven and known

Each connection set now keeps when its upstream last answered, left a request unanswered, and let or didn't let a connection be opened; a refusal logs paths_known, paths_lost and paths_proven.

--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use pulley_core::connection::RepeatSafety;
+use pulley_core::connection::{PathSurvey, RepeatSafety, UpstreamPath};
 use pulley_core::process::{FastMap, UpstreamRecord};
 use pulley_core::{Moment, UpstreamId};
 
@@ -64,6 +64,20 @@
         self.upstreams.load().values().map(|links| links.open_connections()).sum()
     }
 
+    /// Records that these upstreams have left probes unanswered.
+    pub fn record_silence(&self, upstreams: &[UpstreamId]) {
+        let known = self.upstreams.load();
+        upstreams.iter().filter_map(|id| known.get(id)).for_each(|links| links.record_silence());
+    }
+
+    /// Counts the paths from this host to the upstreams that it has used.
+    #[must_use]
+    pub fn path_survey(&self) -> PathSurvey {
+        let known = self.upstreams.load();
+        let paths: Vec<UpstreamPath> = known.values().map(|links| links.path()).collect();
+        PathSurvey::of(self.clock.now(), &paths)
+    }
+
     /// In every maintenance period, closes expired idle connections, applies the view's limits and
     /// opens spare connections. The caller listener runs this task.
     pub async fn run(self: Arc<Self>) {
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -126,7 +126,7 @@
         async move {
             match answer_until_ended(sending, &registration.ended).await {
                 Some(Ok(response)) => {
-                    registration.mark_proven();
+                    registration.record_answer();
                     Ok((response, UpstreamLink { sender, registration, _state: Answering }))
                 }
                 Some(Err(fault)) => {
@@ -209,8 +209,8 @@
         Self { links, number, meter: LinkMeter::default(), driver: None, ended: Arc::default() }
     }
 
-    fn mark_proven(&self) {
-        self.links.mark_proven(self.number);
+    fn record_answer(&self) {
+        self.links.record_answer(self.number);
     }
 }
 
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -11,6 +11,7 @@
 use pulley_core::Moment;
 use pulley_core::connection::{
     CheckoutChoice, ConnectionNumber, ConnectionRules, ConnectionTable, RepeatSafety, ReturnChoice,
+    UpstreamPath,
 };
 use pulley_core::process::FastMap;
 use socket2::{SockRef, TcpKeepalive};
@@ -72,6 +73,8 @@
     /// Maximum number of connections that are useful at the same time.
     useful: usize,
     last_used: Moment,
+    /// What was seen of this host's own path to the upstream.
+    path: UpstreamPath,
     /// Whether the upstream is gone or has moved. Returned connections are then closed.
     closed: bool,
 }
@@ -91,6 +94,7 @@
             idle: FastMap::default(),
             useful: 1,
             last_used: Moment::ZERO,
+            path: UpstreamPath::default(),
             closed: false,
         };
         Self { address, clock, timer, state: Mutex::new(state) }
@@ -200,8 +204,29 @@
         });
     }
 
-    pub(super) fn mark_proven(&self, number: ConnectionNumber) {
-        self.state.lock().table.mark_proven(self.clock.now(), number);
+    /// Records that the upstream has answered over a connection.
+    pub(super) fn record_answer(&self, number: ConnectionNumber) {
+        let (mut state, now) = (self.state.lock(), self.clock.now());
+        state.table.mark_proven(now, number);
+        state.path.record_answer(now);
+    }
+
+    /// Records that the upstream has left a request unanswered.
+    pub(super) fn record_silence(&self) {
+        self.state.lock().path.record_silence(self.clock.now());
+    }
+
+    /// Records whether a connection could be opened.
+    fn record_opening(&self, number: ConnectionNumber, succeeded: bool) {
+        let (mut state, now) = (self.state.lock(), self.clock.now());
+        if succeeded {
+            state.table.mark_proven(now, number);
+        }
+        state.path.record_opening(now, succeeded);
+    }
+
+    pub(super) fn path(&self) -> UpstreamPath {
+        self.state.lock().path
     }
 
     pub(super) fn remove(&self, number: ConnectionNumber) {
@@ -209,6 +234,7 @@
     }
 
     pub(super) fn retire_unproven(&self, sent: Moment) {
+        self.record_silence();
         self.close_idle(|table| table.retire_unproven(sent));
     }
 
@@ -275,9 +301,9 @@
         mut registration: LinkRegistration,
         deadline: Moment,
     ) -> Result<UpstreamLink<Unused>> {
-        let limit = deadline.min(self.clock.now() + CONNECT_TIMEOUT);
-        let connected = self.timer.run_until(limit, TcpStream::connect(self.address)).await;
-        let stream = connected.ok_or(LinkFault::ConnectTimeout)?.map_err(LinkFault::Unreachable)?;
+        let opened = self.open_stream(deadline).await;
+        self.record_opening(registration.number, opened.is_ok());
+        let stream = opened?;
         set_options(&stream).map_err(LinkFault::Unreachable)?;
         let stream = TokioIo::new(MeteredStream::new(stream, registration.meter.clone()));
         let mut builder = http1::Builder::new();
@@ -296,9 +322,14 @@
             }
         });
         registration.driver = Some(driver.abort_handle());
-        self.mark_proven(number);
         Ok(UpstreamLink::new(sender, registration))
     }
+
+    async fn open_stream(&self, deadline: Moment) -> Result<TcpStream> {
+        let limit = deadline.min(self.clock.now() + CONNECT_TIMEOUT);
+        let connected = self.timer.run_until(limit, TcpStream::connect(self.address)).await;
+        connected.ok_or(LinkFault::ConnectTimeout)?.map_err(LinkFault::Unreachable)
+    }
 }
 
 /// Makes the operating system detect a silent connection, by unacknowledged data and by unanswered
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -190,6 +190,7 @@
         let has_waited_fully = context.clock.now() >= now + PROBE_WAIT;
         if has_waited_fully || pending.is_empty() {
             context.schedulers.record_probe_timeout(&row.pool, &silent);
+            context.connections.record_silence(&silent);
         }
         if pending.is_empty() {
             return;
--- a/crates/pulleyd/src/request/request_forwarder.rs
+++ b/crates/pulleyd/src/request/request_forwarder.rs
@@ -400,6 +400,7 @@
         RequestVerdict::Ran => {}
     }
     let view = context.view.load();
+    let paths = context.connections.path_survey();
     let mut response = answer.into_response(&context.dialect);
     info!(context.logger, "request-refused"; "id" => refused.id.as_deref(),
         "kind" => refused.row.map(|row| row.kind.to_string()),
@@ -409,6 +410,7 @@
         "organisation" => refused.organisation.map(|caller| caller.name.to_string()),
         "key" => refused.organisation.map(|caller| caller.key.to_string()),
         "held_ms" => u64::try_from(refused.elapsed.as_millis()).unwrap_or(u64::MAX),
+        "paths_known" => paths.known, "paths_lost" => paths.lost, "paths_proven" => paths.proven,
         "config" => view.version.0, "awaited" => view.awaited_version.map(|version| version.0),
         "retry_after_ms" => answer.retry_after.map(|delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)));
     if closes_connection {
