--- a/crates/pulleyd/tests/path_support/mod.rs
+++ b/crates/pulleyd/tests/path_support/mod.rs
@@ -8,4 +8,4 @@
 
 pub(crate) use fake_ledger::FakeLedger;
 pub(crate) use fake_upstream::{FakeUpstream, read_request};
-pub(crate) use test_entry::{CallerAnswer, EntryBuilder, TestEntry, eventually};
+pub(crate) use test_entry::{CallerAnswer, EntryBuilder, TestEntry, eventually, start_fleet};
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -290,6 +290,17 @@
     }
 }
 
+/// Starts entries of one installation, each with the addresses at which it sees the upstreams.
+pub(crate) async fn start_fleet(
+    entries: Vec<(EntryBuilder, Vec<&FakeUpstream>)>,
+) -> Vec<TestEntry> {
+    let mut fleet = Vec::new();
+    for (builder, upstreams) in entries {
+        fleet.push(builder.start(&upstreams).await);
+    }
+    fleet
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn eventually(what: &str, condition: impl Fn() -> bool) {
     let polls = TEST_TIMEOUT.as_millis() / 5;
