--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -148,6 +148,24 @@
         wanted.then(|| self.open(now))
     }
 
+    /// Counts a connection for the caller to open, with which it checks whether the upstream can be
+    /// reached. An idle connection is closed for it if the share is in use. Returns the number of the
+    /// new connection and that of the one to close.
+    pub fn open_check(
+        &mut self,
+        now: Moment,
+    ) -> Option<(ConnectionNumber, Option<ConnectionNumber>)> {
+        if self.links.len() < self.share {
+            return Some((self.open(now), None));
+        }
+        if self.idle.is_empty() {
+            return None;
+        }
+        let close = self.idle.remove(0);
+        self.links.remove(&close);
+        Some((self.open(now), Some(close)))
+    }
+
     /// Records that an answer began or that the connection was set up, so both directions work.
     pub fn mark_proven(&mut self, now: Moment, number: ConnectionNumber) {
         if let Some(link) = self.links.get_mut(&number) {
--- a/crates/pulley_core/src/connection/mod.rs
+++ b/crates/pulley_core/src/connection/mod.rs
@@ -6,4 +6,4 @@
 pub use connection_table::{
     CheckoutChoice, ConnectionNumber, ConnectionRules, ConnectionTable, RepeatSafety, ReturnChoice,
 };
-pub use upstream_path::{PathSurvey, UpstreamPath};
+pub use upstream_path::{PathCheck, PathSurvey, UpstreamPath, UpstreamRoute};
--- a/crates/pulley_core/src/connection/upstream_path.rs
+++ b/crates/pulley_core/src/connection/upstream_path.rs
@@ -10,12 +10,28 @@
 /// How long an answer proves that the path works.
 const PROOF_SPAN: Duration = Duration::from_millis(300);
 
-/// What this host has seen of its own network path to one upstream.
+/// The number of upstreams whose paths must be lost at the same time before this host doubts its
+/// own path. One or two upstreams that crash together are common.
+const MIN_LOST: usize = 3;
+
+/// How requests get from this host to an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UpstreamRoute {
+    /// Over a connection of this host's own.
+    #[default]
+    Direct,
+    /// Over a connection that another host opens on behalf of this one.
+    Relayed,
+}
+
+/// What this host has seen of its own network path to one upstream, and the route in use.
 ///
 /// Whether answers arrive and whether connections can be opened are recorded apart, because open
 /// connections may go on working while new ones are refused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamPath {
+    /// The route for new connections.
+    pub route: UpstreamRoute,
     answered: Option<Moment>,
     unanswered: Option<Moment>,
     opened: Option<Moment>,
@@ -23,6 +39,12 @@
 }
 
 impl UpstreamPath {
+    /// Creates the path to an upstream of which nothing has been seen yet.
+    #[must_use]
+    pub fn new(route: UpstreamRoute) -> Self {
+        Self { route, ..Self::default() }
+    }
+
     /// Records that the upstream has answered over a direct connection.
     pub fn record_answer(&mut self, now: Moment) {
         self.answered = Some(now);
@@ -56,6 +78,12 @@
     pub fn is_proven(&self, now: Moment) -> bool {
         !self.is_lost(now) && self.answered.is_some_and(|at| now.since(at) <= PROOF_SPAN)
     }
+
+    /// Whether the upstream has answered over a direct connection at `start` or later.
+    #[must_use]
+    pub fn has_answered_since(&self, start: Moment) -> bool {
+        self.answered.is_some_and(|at| at >= start)
+    }
 }
 
 /// The state of a host's paths to all upstreams that it has connections to.
@@ -80,4 +108,37 @@
         }
         survey
     }
+
+    /// Whether so many paths are lost that the cause may be this host's own path.
+    ///
+    /// A host that knows few upstreams has to doubt it sooner, because it can't see more of them
+    /// fail.
+    #[must_use]
+    pub fn suggests_cut(&self) -> bool {
+        self.lost >= MIN_LOST.min(self.known).max(1) && self.lost >= self.proven
+    }
+}
+
+/// The result of reaching an upstream both ways at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PathCheck {
+    /// Whether the upstream answered this host directly.
+    pub direct: bool,
+    /// Whether it answered over another host.
+    pub relayed: bool,
+}
+
+impl PathCheck {
+    /// Whether checks show that this host's own path is cut, and not that upstreams are down or
+    /// slow: at least half of the upstreams that another host reaches don't answer this one.
+    #[must_use]
+    pub fn prove_cut(checks: &[Self]) -> bool {
+        let reachable = checks.iter().filter(|check| check.relayed);
+        let (mut reached, mut cut) = (0, 0);
+        for check in reachable {
+            reached += 1;
+            cut += usize::from(!check.direct);
+        }
+        cut > 0 && 2 * cut >= reached
+    }
 }
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -26,7 +26,7 @@
 pub use link_pacer::LinkPacer;
 pub use members::{
     EntryZones, HostRoles, MEMBER_BODY_LIMIT, MemberIncarnation, MemberRecord, MemberSend,
-    MemberSettings, MemberState, MemberTable, PeerRing, RingPeer,
+    MemberSettings, MemberState, MemberTable, PeerRing, RelayHost, RingPeer,
 };
 pub use moment::Moment;
 pub use names::{
--- a/crates/pulleyd/src/connection/metered_stream.rs
+++ b/crates/pulleyd/src/connection/metered_stream.rs
@@ -1,23 +1,22 @@
-//! A TCP stream whose written bytes are counted.
+//! A stream to an upstream whose written bytes are counted.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use super::LinkMeter;
 
-/// A TCP stream that counts its written bytes in a [`LinkMeter`], which can also forbid writes.
+/// A stream that counts its written bytes in a [`LinkMeter`], which can also forbid writes.
 #[derive(Debug)]
-pub(crate) struct MeteredStream {
-    stream: TcpStream,
+pub(crate) struct MeteredStream<S> {
+    stream: S,
     meter: LinkMeter,
 }
 
-impl MeteredStream {
-    pub(crate) const fn new(stream: TcpStream, meter: LinkMeter) -> Self {
+impl<S> MeteredStream<S> {
+    pub(crate) const fn new(stream: S, meter: LinkMeter) -> Self {
         Self { stream, meter }
     }
 }
@@ -33,7 +32,7 @@
     Poll::Ready(Err(fault))
 }
 
-impl AsyncRead for MeteredStream {
+impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -43,7 +42,7 @@
     }
 }
 
-impl AsyncWrite for MeteredStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/pulleyd/src/connection/peer_link_settings.rs
+++ b/crates/pulleyd/src/connection/peer_link_settings.rs
@@ -6,6 +6,8 @@
 use pulley_core::HostId;
 use pulley_core::process::ClusterId;
 
+use tokio::sync::mpsc;
+
 use super::peer_frame::FRAME_LIMIT;
 use super::peer_key_ring::KeyRing;
 
@@ -22,6 +24,7 @@
     pub(crate) idle_limit: Duration,
     pub(crate) queue_frames: usize,
     pub(crate) queue_bytes: usize,
+    pub(crate) relayed: Option<mpsc::Sender<std::net::TcpStream>>,
 }
 
 impl LinkSettings {
@@ -39,6 +42,7 @@
             idle_limit: Duration::from_secs(60),
             queue_frames: 1_024,
             queue_bytes: 2 * FRAME_LIMIT,
+            relayed: None,
         }
     }
 
@@ -49,6 +53,14 @@
         self
     }
 
+    /// Passes on accepted connections that other hosts want to have relayed. By default they are
+    /// closed.
+    #[must_use]
+    pub fn with_relayed(mut self, relayed: mpsc::Sender<std::net::TcpStream>) -> Self {
+        self.relayed = Some(relayed);
+        self
+    }
+
     /// Sets the number that distinguishes this run of the host's process from earlier and later
     /// ones.
     #[must_use]
--- a/crates/pulleyd/src/connection/peer_links.rs
+++ b/crates/pulleyd/src/connection/peer_links.rs
@@ -20,6 +20,7 @@
 use super::peer_link_queue::{LinkQueue, QueuedFrame};
 use super::peer_link_settings::LinkSettings;
 use super::peer_outbound_link::{LinkCounters, OutboundLink, add, rpc_system};
+use super::relay_handshake::RELAY_PREAMBLE;
 
 /// Maximum number of open accepted connections: one for each other host, and as many that are being
 /// replaced.
@@ -100,12 +101,13 @@
         };
         let counters = Rc::<LinkCounters>::default();
         let silence_limit = settings.heartbeat * SILENCE_INTERVALS;
-        let acceptor = tokio::task::spawn_local(accept_all(
-            listener,
-            Rc::new(context),
+        let service = PeerService {
+            gate: Rc::new(context),
             silence_limit,
-            Rc::clone(&counters),
-        ));
+            counters: Rc::clone(&counters),
+            relayed: settings.relayed.clone(),
+        };
+        let acceptor = tokio::task::spawn_local(accept_all(listener, Rc::new(service)));
         Ok(Self {
             settings: Rc::new(settings),
             address,
@@ -205,12 +207,7 @@
 }
 
 /// Accepts connections. All of them are closed when this task ends.
-async fn accept_all(
-    listener: TcpListener,
-    context: Rc<GateContext>,
-    silence_limit: Duration,
-    counters: Rc<LinkCounters>,
-) {
+async fn accept_all(listener: TcpListener, service: Rc<PeerService>) {
     const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
     let mut connections = JoinSet::new();
     loop {
@@ -221,30 +218,46 @@
             continue;
         };
         if connections.len() < MAX_ACCEPTED_CONNECTIONS && stream.set_nodelay(true).is_ok() {
-            connections.spawn_local(serve_peer(
-                stream,
-                Rc::clone(&context),
-                silence_limit,
-                Rc::clone(&counters),
-            ));
+            connections.spawn_local(Rc::clone(&service).serve(stream));
         }
     }
 }
 
-/// Serves one accepted connection until its peer closes it, fails to authenticate in time, or goes
-/// silent.
-async fn serve_peer(
-    stream: TcpStream,
-    context: Rc<GateContext>,
+/// What accepted connections are served with.
+struct PeerService {
+    gate: Rc<GateContext>,
     silence_limit: Duration,
     counters: Rc<LinkCounters>,
-) {
-    let activity = Rc::new(PeerActivity::new());
-    let gate: gate::Client = capnp_rpc::new_client(LinkGate::new(context, Rc::clone(&activity)));
-    let system = rpc_system(stream, Side::Server, Some(gate.client), counters);
-    tokio::select! {
-        _ = system => {}
-        () = wait_until_silent(&activity, silence_limit) => {}
+    relayed: Option<mpsc::Sender<std::net::TcpStream>>,
+}
+
+impl PeerService {
+    /// Serves one accepted connection, as a link or by having it relayed.
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let mut first = [0];
+        let peeked = tokio::time::timeout(AUTHENTICATION_TIMEOUT, stream.peek(&mut first)).await;
+        if !matches!(peeked, Ok(Ok(1))) {
+            return;
+        }
+        if first[0] != RELAY_PREAMBLE[0] {
+            self.serve_link(stream).await;
+        } else if let (Some(relayed), Ok(stream)) = (&self.relayed, stream.into_std()) {
+            // If too many of them wait, this one is closed, and its host asks another.
+            let _ = relayed.try_send(stream);
+        }
+    }
+
+    /// Serves a link until its peer closes it, fails to authenticate in time, or goes silent.
+    async fn serve_link(&self, stream: TcpStream) {
+        let activity = Rc::new(PeerActivity::new());
+        let gate = LinkGate::new(Rc::clone(&self.gate), Rc::clone(&activity));
+        let gate: gate::Client = capnp_rpc::new_client(gate);
+        let counters = Rc::clone(&self.counters);
+        let system = rpc_system(stream, Side::Server, Some(gate.client), counters);
+        tokio::select! {
+            _ = system => {}
+            () = wait_until_silent(&activity, self.silence_limit) => {}
+        }
     }
 }
 
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -1,6 +1,6 @@
 //! The connections of this process to all upstreams.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,10 +8,13 @@
 use pulley_core::connection::{PathSurvey, RepeatSafety, UpstreamPath};
 use pulley_core::process::{FastMap, UpstreamRecord};
 use pulley_core::{Moment, UpstreamId};
+use slog::Logger;
 
+use super::path_watch::PathWatch;
+use super::relay_client::{RelayClient, RelayIdentity};
 use super::upstream_links::UpstreamLinks;
-use super::{LinkFault, Unused, UpstreamLink};
-use crate::process::{ProcessClock, RunningView, TimerService, ViewCell};
+use super::{LinkFault, Unused, UpstreamDialer, UpstreamLink};
+use crate::process::{ControlHandle, ProcessClock, RunningView, TimerService, ViewCell};
 
 /// The result of checking out a connection.
 type Result<T> = std::result::Result<T, LinkFault>;
@@ -35,27 +38,73 @@
 /// The connections of this process to all upstreams.
 #[derive(Debug)]
 pub struct UpstreamConnections {
-    clock: ProcessClock,
-    timer: TimerService,
-    view: ViewCell,
+    pub(super) clock: ProcessClock,
+    pub(super) timer: TimerService,
+    pub(super) view: ViewCell,
+    pub(super) logger: Logger,
+    pub(super) dialer: Arc<UpstreamDialer>,
+    pub(super) watch: PathWatch,
     /// Read by every request, but changed only when an upstream appears, moves or goes.
-    upstreams: ArcSwap<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
+    pub(super) upstreams: ArcSwap<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
 }
 
 impl UpstreamConnections {
     /// Creates a set without connections. The view provides each upstream's limit.
     #[must_use]
-    pub fn new(clock: ProcessClock, timer: TimerService, view: ViewCell) -> Self {
-        Self { clock, timer, view, upstreams: ArcSwap::default() }
+    pub fn new(clock: ProcessClock, timer: TimerService, view: ViewCell, logger: Logger) -> Self {
+        let dialer = Arc::new(UpstreamDialer::new(clock, timer.clone()));
+        let (watch, upstreams) = (PathWatch::default(), ArcSwap::default());
+        Self { clock, timer, view, logger, dialer, watch, upstreams }
+    }
+
+    /// Opens connections from a local address, and over other hosts while this one has lost its own
+    /// path to upstreams. The control thread lists those hosts.
+    #[must_use]
+    pub fn with_relays(
+        mut self,
+        identity: RelayIdentity,
+        local_ip: IpAddr,
+        control: ControlHandle,
+    ) -> Self {
+        let relays = RelayClient::new(identity, control, self.clock, self.timer.clone());
+        let dialer = UpstreamDialer::new(self.clock, self.timer.clone()).with_relays(relays);
+        self.dialer = Arc::new(dialer.with_local_ip(local_ip));
+        self
+    }
+
+    /// Whether this host has lost its own path to upstreams.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.dialer.is_cut_off()
+    }
+
+    /// Whether this host has lost its own path to upstreams, or is about to find out.
+    pub(super) fn doubts_own_path(&self) -> bool {
+        self.is_cut_off() || self.path_survey().suggests_cut()
+    }
+
+    pub(super) fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    pub(super) fn dialer(&self) -> &UpstreamDialer {
+        &self.dialer
     }
 
     /// Takes an idle connection or opens a new one, within this entry's share.
     ///
     /// # Errors
     /// `Unreachable`, `ConnectTimeout`, `ShareInUse` or `ClosedUnsent`. Nothing was sent.
-    pub async fn checkout(&self, request: LinkRequest<'_>) -> Result<UpstreamLink<Unused>> {
+    pub async fn checkout(
+        self: &Arc<Self>,
+        request: LinkRequest<'_>,
+    ) -> Result<UpstreamLink<Unused>> {
         let links = self.links(request.upstream, request.address);
-        links.checkout(request.safety, request.deadline).await
+        let link = links.checkout(request.safety, request.deadline).await;
+        if let Err(LinkFault::Unreachable(_) | LinkFault::ConnectTimeout) = &link {
+            self.consider_paths();
+        }
+        link
     }
 
     /// Returns the number of connections to all upstreams that are open or being opened.
@@ -65,9 +114,13 @@
     }
 
     /// Records that these upstreams have left probes unanswered.
-    pub fn record_silence(&self, upstreams: &[UpstreamId]) {
+    pub fn record_silence(self: &Arc<Self>, upstreams: &[UpstreamId]) {
+        if upstreams.is_empty() {
+            return;
+        }
         let known = self.upstreams.load();
         upstreams.iter().filter_map(|id| known.get(id)).for_each(|links| links.record_silence());
+        self.consider_paths();
     }
 
     /// Counts the paths from this host to the upstreams that it has used.
@@ -84,6 +137,7 @@
         loop {
             let _ = self.timer.after(MAINTENANCE_PERIOD).await;
             self.maintain();
+            self.watch_paths();
         }
     }
 
@@ -120,9 +174,14 @@
         if let Some(links) = known.filter(|links| links.address() == address) {
             return links;
         }
-        let links = Arc::new(UpstreamLinks::new(address, self.clock, self.timer.clone()));
         let view = self.view.load();
-        if let Some(record) = find(&view, upstream) {
+        let record = find(&view, upstream);
+        let pool = record.map(|record| record.announcement.pool.clone());
+        let (dialer, timer) = (Arc::clone(&self.dialer), self.timer.clone());
+        let links =
+            UpstreamLinks::new((upstream.clone(), pool), address, dialer, self.clock, timer);
+        let links = Arc::new(links);
+        if let Some(record) = record {
             set_share(&links, record, &view);
         }
         self.insert(upstream, links)
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -12,12 +12,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use pulley_core::connection::ConnectionNumber;
-use pulley_core::{Moment, RequestVerdict};
+use pulley_core::{HostId, Moment, RequestVerdict};
 use thiserror::Error;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use super::LinkMeter;
+use super::relay_client::RelayState;
 use super::upstream_links::UpstreamLinks;
 use crate::request::RequestBody;
 
@@ -199,6 +200,8 @@
     pub(super) links: Arc<UpstreamLinks>,
     pub(super) number: ConnectionNumber,
     pub(super) meter: LinkMeter,
+    /// The host that relays the connection, if it is not direct.
+    pub(super) relay: Option<Arc<RelayState>>,
     pub(super) driver: Option<AbortHandle>,
     /// Notified once the connection's task has ended.
     pub(super) ended: Arc<Notify>,
@@ -206,11 +209,20 @@
 
 impl LinkRegistration {
     pub(super) fn new(links: Arc<UpstreamLinks>, number: ConnectionNumber) -> Self {
-        Self { links, number, meter: LinkMeter::default(), driver: None, ended: Arc::default() }
+        let (meter, ended) = (LinkMeter::default(), Arc::default());
+        Self { links, number, meter, relay: None, driver: None, ended }
     }
 
     fn record_answer(&self) {
-        self.links.record_answer(self.number);
+        if let Some(relay) = &self.relay {
+            relay.record_answer();
+        }
+        self.links.record_answer(self.number, self.relay.is_some());
+    }
+
+    /// Whether no request is to be sent over the connection, because of the host that relays it.
+    pub(super) fn is_avoided(&self) -> bool {
+        self.relay.as_ref().is_some_and(|relay| relay.is_avoided())
     }
 }
 
@@ -228,6 +240,7 @@
 #[derive(Clone, Debug)]
 pub struct SendRecord {
     links: Arc<UpstreamLinks>,
+    relay: Option<Arc<RelayState>>,
     sent: Moment,
 }
 
@@ -237,6 +250,7 @@
     pub fn send_record(&self) -> SendRecord {
         SendRecord {
             links: Arc::clone(&self.registration.links),
+            relay: self.registration.relay.clone(),
             sent: self.registration.links.now(),
         }
     }
@@ -246,6 +260,22 @@
     /// Reports that the request is still unanswered after its time limit. Its connection may have
     /// gone silent, so idle connections that have not answered since it was sent are closed.
     pub fn retire_unproven(&self) {
+        self.record_silence();
         self.links.retire_unproven(self.sent);
     }
+
+    /// Records that the request is still unanswered: against the host that relays its connection, or
+    /// against this host's own path.
+    pub fn record_silence(&self) {
+        match &self.relay {
+            Some(relay) => relay.record_silence(),
+            None => self.links.record_silence(),
+        }
+    }
+
+    /// Returns the host that relays the request, if its connection is not direct.
+    #[must_use]
+    pub fn relay(&self) -> Option<&HostId> {
+        self.relay.as_ref().map(|relay| relay.host())
+    }
 }
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -1,22 +1,25 @@
 //! The connections to one upstream.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use http::header::{HOST, HeaderValue};
+use http::{Method, Request, Uri};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use pulley_core::Moment;
 use pulley_core::connection::{
     CheckoutChoice, ConnectionNumber, ConnectionRules, ConnectionTable, RepeatSafety, ReturnChoice,
-    UpstreamPath,
+    UpstreamPath, UpstreamRoute,
 };
 use pulley_core::process::FastMap;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use pulley_core::{PoolName, UpstreamId};
 
+use tokio_util::either::Either;
+
+use super::upstream_dialer::{CONNECT_TIMEOUT, UpstreamDialer};
 use super::upstream_link::LinkRegistration;
 use super::{LinkFault, MeteredStream, Unused, UpstreamLink};
 use crate::process::{ProcessClock, TimerService};
@@ -27,15 +30,6 @@
 
 type RequestSender = http1::SendRequest<RequestBody>;
 
-/// How long sent bytes may stay unacknowledged before the operating system closes the connection.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
-
-/// How long a connection is idle before the operating system sends keepalive probes.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-
-/// Interval between keepalive probes. Three unanswered ones close the connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How long after an upstream's last request a spare connection to it is kept ready.
 ///
 /// While load grows, a spare saves a request one millisecond. With a longer span, entries with few
@@ -47,10 +41,8 @@
 /// unless the machine is busy, or the upstream answered before it had read the whole request.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Timeout for opening a connection. Opening takes 1 to 2 ms between zones and 50 ms between
-/// regions. If the first packet is lost, TCP retransmits it after a second at the earliest. Nothing
-/// of the request has been sent by then, so another upstream answers it sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The least time that a connection must have had for a timeout to say something of its path.
+const MIN_CONNECT_TIME: Duration = Duration::from_millis(40);
 
 /// Bytes read at once, which is also the maximum size of an answer's head. Common servers send
 /// heads of up to 8 KiB. After each read, as many bytes can arrive at the link's full rate before
@@ -60,7 +52,11 @@
 /// The connections of this process to one upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamLinks {
+    upstream: UpstreamId,
+    /// Its pool; `None` if it was not known any more when the first connection was opened.
+    pool: Option<PoolName>,
     address: SocketAddr,
+    dialer: Arc<UpstreamDialer>,
     clock: ProcessClock,
     timer: TimerService,
     state: Mutex<LinksState>,
@@ -88,16 +84,24 @@
 }
 
 impl UpstreamLinks {
-    pub(super) fn new(address: SocketAddr, clock: ProcessClock, timer: TimerService) -> Self {
+    pub(super) fn new(
+        (upstream, pool): (UpstreamId, Option<PoolName>),
+        address: SocketAddr,
+        dialer: Arc<UpstreamDialer>,
+        clock: ProcessClock,
+        timer: TimerService,
+    ) -> Self {
+        let is_cut_off = dialer.is_cut_off();
+        let route = if is_cut_off { UpstreamRoute::Relayed } else { UpstreamRoute::Direct };
         let state = LinksState {
             table: ConnectionTable::new(ConnectionRules::default()),
             idle: FastMap::default(),
             useful: 1,
             last_used: Moment::ZERO,
-            path: UpstreamPath::default(),
+            path: UpstreamPath::new(route),
             closed: false,
         };
-        Self { address, clock, timer, state: Mutex::new(state) }
+        Self { upstream, pool, address, dialer, clock, timer, state: Mutex::new(state) }
     }
 
     /// Sets this entry's share of the upstream's connections, and how many are useful at the same
@@ -120,8 +124,9 @@
                 CheckoutChoice::Full => return Err(LinkFault::ShareInUse),
                 CheckoutChoice::Open(number) | CheckoutChoice::Replace { open: number, .. } => {
                     let registration = LinkRegistration::new(Arc::clone(self), number);
+                    let route = self.path().route;
                     // Boxed, because its future is large and connections are opened rarely.
-                    return Box::pin(self.connect(registration, deadline)).await;
+                    return Box::pin(self.connect(registration, route, deadline)).await;
                 }
                 CheckoutChoice::Reuse(number) => number,
             };
@@ -133,7 +138,7 @@
                 continue;
             };
             // A connection that closed while idle accepts no request, so the next one is tried.
-            if idle.sender.is_ready() {
+            if idle.sender.is_ready() && !idle.registration.is_avoided() {
                 let IdleLink { sender, registration } = idle;
                 return Ok(UpstreamLink::new(sender, registration));
             }
@@ -158,7 +163,8 @@
         let links = Arc::clone(self);
         tokio::spawn(async move {
             let deadline = links.clock.now() + CONNECT_TIMEOUT;
-            if let Ok(link) = links.connect(registration, deadline).await {
+            let route = links.path().route;
+            if let Ok(link) = links.connect(registration, route, deadline).await {
                 let UpstreamLink { sender, registration, .. } = link;
                 links.check_in(sender, registration);
             }
@@ -167,14 +173,16 @@
 
     /// Whether the last request to the upstream was so recent that a spare connection is useful.
     pub(super) fn was_used_recently(&self) -> bool {
-        self.clock.now().since(self.state.lock().last_used) <= SPARE_SPAN
+        self.was_used_within(SPARE_SPAN)
     }
 
     pub(super) fn check_in(&self, sender: RequestSender, registration: LinkRegistration) {
         let surplus = {
             let mut state = self.state.lock();
             let number = registration.number;
-            let closed = state.closed || sender.is_closed();
+            let is_detour = registration.relay.is_some()
+                && (state.path.route == UpstreamRoute::Direct || registration.is_avoided());
+            let closed = state.closed || sender.is_closed() || is_detour;
             let idle = IdleLink { sender, registration };
             if closed || state.table.check_in(self.clock.now(), number) == ReturnChoice::Close {
                 Some(idle)
@@ -204,25 +212,33 @@
         });
     }
 
-    /// Records that the upstream has answered over a connection.
-    pub(super) fn record_answer(&self, number: ConnectionNumber) {
+    /// Records that the upstream has answered over a connection, which may be a relayed one.
+    pub(super) fn record_answer(&self, number: ConnectionNumber, is_relayed: bool) {
         let (mut state, now) = (self.state.lock(), self.clock.now());
         state.table.mark_proven(now, number);
-        state.path.record_answer(now);
+        if !is_relayed {
+            state.path.record_answer(now);
+        }
     }
 
-    /// Records that the upstream has left a request unanswered.
+    /// Records that the upstream has left a request unanswered, unless requests go to it over
+    /// another host.
     pub(super) fn record_silence(&self) {
-        self.state.lock().path.record_silence(self.clock.now());
+        let mut state = self.state.lock();
+        if state.path.route == UpstreamRoute::Direct {
+            state.path.record_silence(self.clock.now());
+        }
     }
 
     /// Records whether a connection could be opened.
-    fn record_opening(&self, number: ConnectionNumber, succeeded: bool) {
+    fn record_opening(&self, number: ConnectionNumber, route: UpstreamRoute, succeeded: bool) {
         let (mut state, now) = (self.state.lock(), self.clock.now());
         if succeeded {
             state.table.mark_proven(now, number);
         }
-        state.path.record_opening(now, succeeded);
+        if route == UpstreamRoute::Direct {
+            state.path.record_opening(now, succeeded);
+        }
     }
 
     pub(super) fn path(&self) -> UpstreamPath {
@@ -234,13 +250,71 @@
     }
 
     pub(super) fn retire_unproven(&self, sent: Moment) {
-        self.record_silence();
         self.close_idle(|table| table.retire_unproven(sent));
     }
 
+    /// Closes connections that have been idle for too long, and those over hosts that are avoided.
     pub(super) fn expire(&self) {
         let now = self.clock.now();
         self.close_idle(|table| table.expire(now));
+        self.close_matching(LinkRegistration::is_avoided);
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Routes
+
+    /// Opens new connections over other hosts from now on, unless the upstream has answered directly
+    /// since `start`. Idle connections that have not answered since then are closed.
+    pub(super) fn use_relays(&self, start: Moment) {
+        {
+            let mut state = self.state.lock();
+            if state.path.has_answered_since(start) && !state.path.is_lost(self.clock.now()) {
+                return;
+            }
+            state.path.route = UpstreamRoute::Relayed;
+        }
+        self.retire_unproven(start);
+    }
+
+    /// Opens new connections directly from now on, and closes idle ones over other hosts.
+    pub(super) fn use_own_path(&self) {
+        self.state.lock().path.route = UpstreamRoute::Direct;
+        self.close_matching(|registration| registration.relay.is_some());
+    }
+
+    /// Reaches the upstream on a route: opens a connection, and gets an answer over it if the
+    /// upstream answers probes. The connection is kept for requests.
+    pub(super) async fn reach(
+        self: &Arc<Self>,
+        route: UpstreamRoute,
+        probe_path: Option<&Uri>,
+        deadline: Moment,
+    ) -> bool {
+        let Some(registration) = self.register_check() else { return false };
+        let Ok(link) = self.connect(registration, route, deadline).await else { return false };
+        let Some(request) = probe_path.and_then(|path| check_request(path, self.address)) else {
+            link.give_back();
+            return true;
+        };
+        let answered = self.timer.run_until(deadline, link.probe(request)).await;
+        let Some(Some((_, link))) = answered else { return false };
+        link.give_back();
+        true
+    }
+
+    fn register_check(self: &Arc<Self>) -> Option<LinkRegistration> {
+        let (number, closed) = {
+            let mut state = self.state.lock();
+            let (number, close) = state.table.open_check(self.clock.now())?;
+            (number, close.and_then(|close| state.idle.remove(&close)))
+        };
+        drop(closed);
+        Some(LinkRegistration::new(Arc::clone(self), number))
+    }
+
+    /// Whether a request has used the connections within a span.
+    pub(super) fn was_used_within(&self, span: Duration) -> bool {
+        self.clock.now().since(self.state.lock().last_used) <= span
     }
 
     /// Closes all idle connections, because the upstream is gone or has moved.
@@ -257,6 +331,10 @@
         self.clock.now()
     }
 
+    pub(super) const fn pool(&self) -> Option<&PoolName> {
+        self.pool.as_ref()
+    }
+
     pub(super) const fn address(&self) -> SocketAddr {
         self.address
     }
@@ -296,15 +374,37 @@
         drop(closed);
     }
 
+    /// Closes the idle connections whose registration matches.
+    fn close_matching(&self, is_closed: impl Fn(&LinkRegistration) -> bool) {
+        let closed: Vec<IdleLink> = {
+            let mut state = self.state.lock();
+            let links = std::mem::take(&mut state.idle);
+            let (closed, kept): (FastMap<_, _>, FastMap<_, _>) =
+                links.into_iter().partition(|(_, link)| is_closed(&link.registration));
+            state.idle = kept;
+            closed.keys().for_each(|number| state.table.remove(*number));
+            closed.into_values().collect()
+        };
+        drop(closed);
+    }
+
     async fn connect(
         self: &Arc<Self>,
         mut registration: LinkRegistration,
+        route: UpstreamRoute,
         deadline: Moment,
     ) -> Result<UpstreamLink<Unused>> {
-        let opened = self.open_stream(deadline).await;
-        self.record_opening(registration.number, opened.is_ok());
+        let target = (&self.upstream, self.pool.as_ref());
+        let started = self.clock.now();
+        let opened = self.dialer.open(target, self.address, route, deadline).await;
+        let was_short = self.clock.now().since(started) < MIN_CONNECT_TIME;
+        if !(was_short && matches!(opened, Err(LinkFault::ConnectTimeout))) {
+            self.record_opening(registration.number, route, opened.is_ok());
+        }
         let stream = opened?;
-        set_options(&stream).map_err(LinkFault::Unreachable)?;
+        if let Either::Right(relayed) = &stream {
+            registration.relay = Some(Arc::clone(relayed.state()));
+        }
         let stream = TokioIo::new(MeteredStream::new(stream, registration.meter.clone()));
         let mut builder = http1::Builder::new();
         let handshake = builder.max_buf_size(READ_BUFFER).handshake(stream).await;
@@ -324,25 +424,14 @@
         registration.driver = Some(driver.abort_handle());
         Ok(UpstreamLink::new(sender, registration))
     }
-
-    async fn open_stream(&self, deadline: Moment) -> Result<TcpStream> {
-        let limit = deadline.min(self.clock.now() + CONNECT_TIMEOUT);
-        let connected = self.timer.run_until(limit, TcpStream::connect(self.address)).await;
-        connected.ok_or(LinkFault::ConnectTimeout)?.map_err(LinkFault::Unreachable)
-    }
 }
 
-/// Makes the operating system detect a silent connection, by unacknowledged data and by unanswered
-/// keepalive probes.
-fn set_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(3);
-    socket.set_tcp_keepalive(&keepalive)?;
-    #[cfg(target_os = "linux")]
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    Ok(())
+/// Returns a probe that checks whether the upstream answers.
+fn check_request(path: &Uri, address: SocketAddr) -> Option<Request<RequestBody>> {
+    let mut request = Request::new(RequestBody::Empty);
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = path.clone();
+    let host = HeaderValue::from_str(&address.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    Some(request)
 }
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of this host's traffic side and operators, and returns their answers.
 
-use pulley_core::process::{Announcement, Incarnation, UpstreamStart};
+use pulley_core::process::{Announcement, Incarnation, RelayHost, UpstreamStart};
 use pulley_core::version::{
     AuditRecord, ChangeAnswer, ChangeRefusal, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones,
     ReplicaAnswer, ReplicaQuestion, ReplicaRefusal, SheetView, SizeFault, ZoneAnswer,
@@ -124,6 +124,10 @@
                 self.quotas.report(now, reports);
                 self.flush_quotas(now);
             }
+            ControlRequest::RelayHosts(round, reply) => {
+                let hosts = RelayHost::list(self.members.own(), self.members.live(), round);
+                let _ = reply.send(hosts);
+            }
             ControlRequest::Drain(id, reply) => {
                 let outcome = self.registry.operator_drain(now, &id);
                 let _ =
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use pulley_core::process::{Announcement, Incarnation, ObservedLimit, PermitAsk, QuotaReport};
+use pulley_core::process::{
+    Announcement, Incarnation, ObservedLimit, PermitAsk, QuotaReport, RelayHost,
+};
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, SheetView, ZoneAnswer,
     ZoneOrder,
@@ -59,6 +61,9 @@
     /// Reports what organisations have used of their quotas, and asks for permits. The answers go to
     /// the gate of quotas.
     ReportQuotas(Vec<QuotaReport>),
+    /// Asks for hosts that may open connections to upstreams for this one. Each number gives another
+    /// choice.
+    RelayHosts(u64, oneshot::Sender<Vec<RelayHost>>),
     /// An operator's change of the configuration.
     Apply(Box<ChangeRequest>, oneshot::Sender<ChangeAnswer>),
     /// Asks for the sheet that a quorum confirms to be current.
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -90,6 +90,8 @@
     pub quota_gate: Arc<QuotaGate>,
     /// The requests of the traffic side and the operators.
     pub requests: mpsc::Receiver<ControlRequest>,
+    /// Passes on connections that other hosts want to have relayed.
+    pub relayed: mpsc::Sender<std::net::TcpStream>,
     /// Probes upstreams for their load, on the traffic threads.
     pub prober: UpstreamProber,
     /// The clock of the process.
@@ -220,8 +222,7 @@
     let (frame_sender, frames) = mpsc::channel(QUEUE_DEPTH);
     let (datagram_sender, datagrams_in) = mpsc::channel(QUEUE_DEPTH);
     let (probe_sender, probes) = mpsc::channel(QUEUE_DEPTH);
-    let (links, datagrams) =
-        open_sockets(settings, &parts.key_ring, frame_sender, datagram_sender).await?;
+    let (links, datagrams) = open_sockets(&parts, frame_sender, datagram_sender).await?;
     let seed = rand::random();
     let now = parts.clock.now();
     let opener = ReplicaOpener::new(settings, parts.clock, parts.logger.clone());
@@ -277,17 +278,18 @@
 }
 
 async fn open_sockets(
-    settings: &DaemonSettings,
-    key_ring: &KeyRing,
+    parts: &ControlParts,
     frames: mpsc::Sender<InboundFrame>,
     datagrams: mpsc::Sender<InboundDatagram>,
 ) -> StartResult<(PeerLinks, PeerDatagrams)> {
+    let ControlParts { settings, key_ring, .. } = parts;
     let host = settings.host_id.clone();
     let cluster = settings.cluster.clone();
     let listen = settings.peers_listen;
     let mut link_settings =
         LinkSettings::new(host.clone(), cluster.clone(), listen, key_ring.clone())
-            .with_process_id(rand::random());
+            .with_process_id(rand::random())
+            .with_relayed(parts.relayed.clone());
     let own: IpAddr = settings.own_address();
     if !own.is_unspecified() {
         link_settings = link_settings.with_bind_ip(own);
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -24,7 +24,8 @@
     HostReadiness, OperatorApi, ProcessClock, ProcessMetrics, TimerService, ViewCell,
 };
 use crate::connection::{
-    CallerListener, DrainReport, KeyFault, KeyRing, TrafficThreads, UpstreamProber,
+    CallerListener, DrainReport, KeyFault, KeyRing, RelayIdentity, RelayServer, TrafficThreads,
+    UpstreamProber,
 };
 use crate::request::{
     HeaderDialect, QuotaGate, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers,
@@ -33,6 +34,13 @@
 /// The maximum number of requests that may wait for the control thread.
 const CONTROL_QUEUE_DEPTH: usize = 8_192;
 
+/// The maximum number of connections that wait to be relayed.
+const RELAY_QUEUE_DEPTH: usize = 64;
+
+/// One connection may be relayed for every so many that callers may open. A relayed connection costs
+/// as much, and other hosts' callers must not crowd out this host's own.
+const CALLERS_PER_RELAYED_CONNECTION: usize = 8;
+
 /// The interval at which the metrics of the view are updated.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -123,6 +131,9 @@
         let (parts, requests) = SharedParts::new(settings, dialect, key_ring, logger)?;
         let runtime = parts.threads.handle().clone();
         let listeners = runtime.block_on(Listeners::bind(&parts))?;
+        let (relayed, accepted) = mpsc::channel(RELAY_QUEUE_DEPTH);
+        let relays = Arc::new(parts.relay_server(&listeners.context));
+        runtime.spawn(Arc::clone(&relays).run(accepted));
         let control = ControlThread::start(ControlParts {
             settings: parts.settings.clone(),
             caller_address: listeners.addresses.0,
@@ -132,6 +143,7 @@
             schedulers: Arc::clone(&parts.schedulers),
             quota_gate: Arc::clone(&parts.quota_gate),
             requests,
+            relayed,
             prober: UpstreamProber::new(runtime.clone()),
             clock: parts.clock,
             logger: parts.logger.clone(),
@@ -140,7 +152,7 @@
         let peers = control.peer_address;
         let addresses = DaemonAddresses { callers, upstreams, operators, peers };
         let routers = parts.routers(upstreams_router, operators_router);
-        let servers = DaemonServers::start(&parts, listeners, routers);
+        let servers = DaemonServers::start(&parts, listeners, routers, relays);
         runtime.spawn(Arc::clone(&parts.schedulers).run(parts.timer.clone()));
         info!(parts.logger, "listening"; "callers" => %addresses.callers,
             "upstreams" => %addresses.upstreams, "operators" => %addresses.operators,
@@ -174,6 +186,7 @@
         let Self { parts, control, servers, .. } = self;
         let runtime = parts.threads.handle().clone();
         info!(parts.logger, "shutdown-began"; "running" => parts.schedulers.running());
+        servers.relays.begin_drain();
         let cut = runtime.block_on(async {
             hand_over_leadership(&parts.handle).await;
             let mut stop_now = std::pin::pin!(stop_now);
@@ -282,6 +295,25 @@
         )
     }
 
+    fn relay_identity(&self) -> RelayIdentity {
+        RelayIdentity {
+            host: self.settings.host_id.clone(),
+            cluster: self.settings.cluster.clone(),
+            key_ring: self.key_ring.clone(),
+        }
+    }
+
+    fn relay_server(&self, context: &TrafficContext) -> RelayServer {
+        RelayServer::new(
+            self.relay_identity(),
+            Arc::clone(&context.connections),
+            self.view.clone(),
+            self.timer.clone(),
+            self.logger.clone(),
+            (self.settings.callers_limit / CALLERS_PER_RELAYED_CONNECTION).max(1),
+        )
+    }
+
     fn traffic_context(&self) -> TrafficContext {
         let limits = TrafficLimits {
             caller_connections: self.settings.callers_limit,
@@ -301,6 +333,7 @@
         .with_dialect(self.dialect.clone())
         .with_link_rate(self.settings.traffic.link_kbps)
         .with_metrics(self.metrics.clone())
+        .with_relays(self.relay_identity(), self.settings.own_address())
         .with_trusted_callers(TrustedCallers {
             addresses: self.settings.trusted_callers.iter().copied().collect(),
         })
@@ -314,10 +347,19 @@
     stop_apis: watch::Sender<bool>,
     callers: JoinHandle<DrainReport>,
     apis: Vec<JoinHandle<()>>,
+    relays: Arc<RelayServer>,
+    /// How long requests in flight may take at shutdown.
+    grace: Duration,
+    clock: ProcessClock,
 }
 
 impl DaemonServers {
-    fn start(parts: &SharedParts, listeners: Listeners, routers: DaemonRouters) -> Self {
+    fn start(
+        parts: &SharedParts,
+        listeners: Listeners,
+        routers: DaemonRouters,
+        relays: Arc<RelayServer>,
+    ) -> Self {
         let runtime = parts.threads.handle();
         let metrics = parts.metrics.clone();
         runtime.spawn(record_view_metrics(metrics.clone(), parts.view.clone()));
@@ -339,7 +381,7 @@
                 runtime.spawn(server.run(wait_for_stop(apis_stopped.clone())))
             })
             .collect();
-        Self { stop_callers, stop_apis, callers, apis }
+        Self { stop_callers, stop_apis, callers, apis, relays, grace, clock: parts.clock }
     }
 
     /// Waits for callers' requests to finish, then stops the other listeners. Health checks and
@@ -347,12 +389,14 @@
     /// were cut off.
     async fn stop(self, schedulers: &SchedulerSet, stop_now: impl Future<Output = ()>) -> usize {
         let _ = self.stop_callers.send(true);
+        let relays_drained = self.relays.wait_drained(self.clock.now() + self.grace);
         let cut = tokio::select! {
-            report = self.callers => {
+            (report, ()) = futures::future::join(self.callers, relays_drained) => {
                 report.map_or(0, |report| report.connections.max(report.requests))
             }
             () = stop_now => schedulers.running(),
         };
+        self.relays.abort_all();
         let _ = self.stop_apis.send(true);
         for api in self.apis {
             let _ = api.await;
@@ -368,6 +412,7 @@
 }
 
 struct Listeners {
+    context: Arc<TrafficContext>,
     callers: CallerListener,
     upstreams: TcpListener,
     operators: TcpListener,
@@ -380,7 +425,7 @@
         let settings = &parts.settings;
         let context = Arc::new(parts.traffic_context());
         let fault = |which, address| move |fault| DaemonFault::Listen { which, address, fault };
-        let callers = CallerListener::bind(settings.callers_listen, context)
+        let callers = CallerListener::bind(settings.callers_listen, Arc::clone(&context))
             .await
             .map_err(fault("callers'", settings.callers_listen))?;
         let upstreams = TcpListener::bind(settings.upstreams_listen)
@@ -397,7 +442,7 @@
             None => None,
         };
         let addresses = (callers.local_addr()?, upstreams.local_addr()?, operators.local_addr()?);
-        Ok(Self { callers, upstreams, operators, metrics, addresses })
+        Ok(Self { context, callers, upstreams, operators, metrics, addresses })
     }
 }
 
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -222,7 +222,15 @@
     };
     let link = context.connections.checkout(request).await.ok()?;
     let sent_at = context.clock.now();
-    let (parts, link) = link.probe(probe_request(context, path, target)?).await?;
+    let record = link.send_record();
+    let reply = link.probe(probe_request(context, path, target)?);
+    let Some(reply) = context.timer.run_until(deadline, reply).await else {
+        if record.relay().is_some() {
+            record.record_silence();
+        }
+        return None;
+    };
+    let (parts, link) = reply?;
     let dialect = &context.dialect;
     if let Some(name) = &dialect.upstream_id {
         let is_expected = parts.headers.get(name).is_some_and(|id| id == target.upstream.as_str());
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -347,6 +347,7 @@
             "waiting" => report.and_then(|report| report.waiting),
             "slowdown" => report.and_then(|report| report.slowdown),
             "limit" => logged_limit(progress.limit),
+            "relay" => progress.sent.as_ref().and_then(|sent| sent.record.relay().map(ToString::to_string)),
             "added_us" => micros(added), "upstream_us" => micros(upstream));
         if let Some(metrics) = &self.context.metrics {
             metrics.record_answer(self.row(), status.as_u16(), added, upstream);
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -11,7 +11,7 @@
 use slog::Logger;
 
 use super::{HeaderDialect, QuotaGate, SchedulerSet, TrafficCounters, TrustedCallers};
-use crate::connection::UpstreamConnections;
+use crate::connection::{RelayIdentity, UpstreamConnections};
 use crate::process::{ControlHandle, ProcessClock, ProcessMetrics, TimerService, ViewCell};
 
 /// Limits of the traffic side, each against one kind of overload.
@@ -98,7 +98,8 @@
         timer: TimerService,
         logger: Logger,
     ) -> Self {
-        let connections = UpstreamConnections::new(clock, timer.clone(), view.clone());
+        let connections =
+            UpstreamConnections::new(clock, timer.clone(), view.clone(), logger.clone());
         Self {
             view,
             schedulers,
@@ -155,6 +156,17 @@
         self
     }
 
+    /// Opens connections to upstreams from a local address, and over other hosts while this one has
+    /// lost its own path to them.
+    #[must_use]
+    pub fn with_relays(mut self, identity: RelayIdentity, local_ip: IpAddr) -> Self {
+        let (view, logger) = (self.view.clone(), self.logger.clone());
+        let connections = UpstreamConnections::new(self.clock, self.timer.clone(), view, logger)
+            .with_relays(identity, local_ip, self.control.clone());
+        self.connections = Arc::new(connections);
+        self
+    }
+
     /// Trusts the attempt and priority headers of these callers.
     #[must_use]
     pub fn with_trusted_callers(mut self, trusted: TrustedCallers) -> Self {
--- a/crates/pulleyd/tests/path_support/fake_ledger.rs
+++ b/crates/pulleyd/tests/path_support/fake_ledger.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use pulley_core::UpstreamId;
-use pulley_core::process::QuotaReport;
+use pulley_core::process::{QuotaReport, RelayHost};
 use pulleyd::process::{
     ClaimAnswer, ClaimRequest, ControlHandle, ControlRequest, FencingToken, RecordedAnswer,
 };
@@ -26,6 +26,8 @@
     pub(crate) is_unavailable: std::sync::atomic::AtomicBool,
     pub(crate) drained: Mutex<Vec<UpstreamId>>,
     pub(crate) quota_reports: Mutex<Vec<QuotaReport>>,
+    /// The hosts that may relay connections for the entries of this ledger.
+    pub(crate) relay_hosts: Mutex<Vec<RelayHost>>,
 }
 
 impl FakeLedger {
@@ -67,6 +69,9 @@
             }
             ControlRequest::ObservedDrain(upstream) => self.drained.lock().push(upstream),
             ControlRequest::ReportQuotas(reports) => self.quota_reports.lock().extend(reports),
+            ControlRequest::RelayHosts(_, reply) => {
+                let _ = reply.send(self.relay_hosts.lock().clone());
+            }
             other => panic!("unexpected control request: {other:?}"),
         }
     }
--- a/crates/pulleyd/tests/path_support/mod.rs
+++ b/crates/pulleyd/tests/path_support/mod.rs
@@ -8,4 +8,6 @@
 
 pub(crate) use fake_ledger::FakeLedger;
 pub(crate) use fake_upstream::{FakeUpstream, read_request};
-pub(crate) use test_entry::{CallerAnswer, EntryBuilder, TestEntry, eventually, start_fleet};
+pub(crate) use test_entry::{
+    CallerAnswer, EntryBuilder, TestEntry, eventually, serve_relays, start_fleet,
+};
--- a/crates/pulleyd/tests/path_support/test_entry.rs
+++ b/crates/pulleyd/tests/path_support/test_entry.rs
@@ -1,6 +1,6 @@
 //! A forwarder behind a listener, and callers that send requests to it.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,20 +10,20 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use pulley_core::process::{
-    Announcement, Incarnation, ProbeRate, SlotCount, UpstreamPhase, UpstreamRecord,
+    Announcement, Incarnation, ProbeRate, RelayHost, SlotCount, UpstreamPhase, UpstreamRecord,
     UpstreamSequence,
 };
 use pulley_core::version::{
     KindPlan, MethodMatch, PoolTerms, RequestPriority, RouteTerms, WorkLength,
 };
 use pulley_core::{ConfigVersion, FastMap, PolicyPlan, PoolName};
-use pulleyd::connection::{CallerListener, DrainReport};
+use pulleyd::connection::{CallerListener, DrainReport, KeyRing, RelayIdentity, RelayServer};
 use pulleyd::process::{HostReadiness, ProcessClock, RunningView, TimerService, ViewCell};
 use pulleyd::request::{
     HeaderDialect, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
@@ -56,6 +56,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) context: Arc<TrafficContext>,
     pub(crate) ledger: Arc<FakeLedger>,
+    pub(crate) relays: Arc<RelayServer>,
     shutdown: Option<oneshot::Sender<()>>,
     cut: Option<oneshot::Sender<()>>,
     serving: JoinHandle<DrainReport>,
@@ -70,15 +71,31 @@
     trusted: TrustedCallers,
     dialect: HeaderDialect,
     target: Option<Duration>,
+    host: &'static str,
 }
 
+const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// Connections that an entry relays at the same time.
+const RELAY_LIMIT: usize = 64;
+
+/// The secret key of the entries of a fleet.
+const FLEET_KEY: &str = "a-key-for-tests-only-0123456789abcdef";
+
 impl EntryBuilder {
     pub(crate) fn new() -> Self {
         let (limits, ledger) = (TrafficLimits::default(), FakeLedger::new());
         let trusted = TrustedCallers::default();
         let deadline = Duration::from_secs(10);
         let (dialect, target) = (HeaderDialect::default(), None);
-        Self { deadline, slots: 64, limits, ledger, connections: 300, trusted, dialect, target }
+        let (slots, connections, host) = (64, 300, "entry-1");
+        Self { deadline, slots, limits, ledger, connections, trusted, dialect, target, host }
+    }
+
+    /// Sets the host's name.
+    pub(crate) fn host(mut self, host: &'static str) -> Self {
+        self.host = host;
+        self
     }
 
     /// Sets the header names. In some dialects the status alone says whether a request has run.
@@ -128,7 +145,7 @@
         let clock = ProcessClock::start();
         let view = ViewCell::default();
         view.store(self.running_view(upstreams));
-        let (host, zone) = ("entry-1".parse(), "a".parse());
+        let (host, zone) = (self.host.parse(), "a".parse());
         let (host, zone) = (host.expect("a name"), zone.expect("a name"));
         let schedulers = SchedulerSet::new(host, zone, clock, 7).with_arrival_probes(1_000.0);
         let schedulers = Arc::new(schedulers);
@@ -142,7 +159,8 @@
             context
                 .with_limits(self.limits)
                 .with_trusted_callers(self.trusted)
-                .with_dialect(self.dialect),
+                .with_dialect(self.dialect)
+                .with_relays(identity(self.host), LOCALHOST),
         );
         let any = "127.0.0.1:0".parse().expect("an address");
         let listener = CallerListener::bind(any, Arc::clone(&context)).await.expect("a free port");
@@ -155,7 +173,15 @@
             async { cut_asked.await.unwrap_or(()) },
         ));
         let (shutdown, cut) = (Some(shutdown), Some(cut));
-        TestEntry { address, context, ledger: self.ledger, shutdown, cut, serving }
+        let relays = Arc::new(RelayServer::new(
+            identity(self.host),
+            Arc::clone(&context.connections),
+            context.view.clone(),
+            context.timer.clone(),
+            context.logger.clone(),
+            RELAY_LIMIT,
+        ));
+        TestEntry { address, context, ledger: self.ledger, relays, shutdown, cut, serving }
     }
 
     fn running_view(&self, upstreams: &[&FakeUpstream]) -> RunningView {
@@ -294,13 +320,45 @@
 pub(crate) async fn start_fleet(
     entries: Vec<(EntryBuilder, Vec<&FakeUpstream>)>,
 ) -> Vec<TestEntry> {
+    const HOSTS: [&str; 4] = ["entry-1", "entry-2", "entry-3", "entry-4"];
     let mut fleet = Vec::new();
-    for (builder, upstreams) in entries {
-        fleet.push(builder.start(&upstreams).await);
+    let mut hosts = Vec::new();
+    for ((builder, upstreams), host) in entries.into_iter().zip(HOSTS) {
+        let entry = builder.host(host).start(&upstreams).await;
+        hosts.push(serve_relays(host, &entry).await);
+        fleet.push(entry);
+    }
+    for (index, entry) in fleet.iter().enumerate() {
+        let mut others = hosts.clone();
+        others.remove(index);
+        *entry.ledger.relay_hosts.lock() = others;
     }
     fleet
 }
 
+/// Relays connections at an entry. Returns it as other entries know it.
+pub(crate) async fn serve_relays(host: &str, entry: &TestEntry) -> RelayHost {
+    let listener = TcpListener::bind((LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let server = Arc::clone(&entry.relays);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(Arc::clone(&server).serve(stream));
+        }
+    });
+    let (host, zone) = (host.parse().expect("a name"), "a".parse().expect("a name"));
+    RelayHost { host, zone, address }
+}
+
+/// Returns what identifies a host of the fleet.
+pub(crate) fn identity(host: &str) -> RelayIdentity {
+    RelayIdentity {
+        host: host.parse().expect("a name"),
+        cluster: "test".parse().expect("a name"),
+        key_ring: KeyRing::from_text(FLEET_KEY).expect("a key"),
+    }
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn eventually(what: &str, condition: impl Fn() -> bool) {
     let polls = TEST_TIMEOUT.as_millis() / 5;
--- a/crates/pulleyd/tests/request_relay.rs
+++ b/crates/pulleyd/tests/request_relay.rs
@@ -2,10 +2,14 @@
 
 mod path_support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use path_support::{EntryBuilder, FakeUpstream, TestEntry, start_fleet};
-use tokio::net::TcpListener;
+use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request, start_fleet};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 /// Upstreams in the pool.
 const UPSTREAMS: usize = 4;
@@ -17,10 +21,12 @@
 const COUNTED_REQUESTS: usize = 40;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
+/// An answer that reports a load.
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT \
+    application_utilization=0.2, named_metrics.in_flight=1\r\nContent-Length: 2\r\n\r\nok";
+
 /// An upstream that reports its load and answers every request.
 async fn reporting() -> FakeUpstream {
-    const ANSWER: &str = "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT \
-        application_utilization=0.2, named_metrics.in_flight=1\r\nContent-Length: 2\r\n\r\nok";
     FakeUpstream::answering(|_| ANSWER.as_bytes().to_vec()).await
 }
 
@@ -43,7 +49,7 @@
 /// Sends requests for a while. Returns how many of the last [`COUNTED_REQUESTS`] were served at the
 /// first attempt.
 async fn count_served(entry: &TestEntry) -> usize {
-    let began = tokio::time::Instant::now();
+    let began = Instant::now();
     while began.elapsed() < SETTLE_TIME {
         entry.post("/refund", "x").await;
         tokio::time::sleep(REQUEST_INTERVAL).await;
@@ -91,3 +97,285 @@
     let served = count_served_while_cut(&all_of(resetting).await).await;
     assert_eq!(served, COUNTED_REQUESTS);
 }
+
+/// A host that is cut off, and one that relays for it.
+struct CutFleet {
+    /// The host that is cut off, then the one that relays for it.
+    fleet: Vec<TestEntry>,
+    /// The upstreams as the cut host sees them, and as the other one does.
+    unreachable: Vec<FakeUpstream>,
+    upstreams: Vec<FakeUpstream>,
+}
+
+impl CutFleet {
+    /// Starts both hosts, and waits until the cut one serves over the other.
+    async fn start(unreachable: Vec<FakeUpstream>, upstreams: Vec<FakeUpstream>) -> Self {
+        let builder = || EntryBuilder::new().probing(3, 1_000).deadline_ms(2_000);
+        let fleet = start_fleet(vec![
+            (builder(), unreachable.iter().collect()),
+            (builder(), upstreams.iter().collect()),
+        ]);
+        let started = Self { fleet: fleet.await, unreachable, upstreams };
+        let began = Instant::now();
+        while started.cut().post("/balance", "warm").await.status != 200 {
+            assert!(began.elapsed() < Duration::from_secs(10), "it never serves");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        started
+    }
+
+    fn cut(&self) -> &TestEntry {
+        &self.fleet[0]
+    }
+
+    fn relays(&self) -> usize {
+        self.fleet[1].relays.open_connections()
+    }
+
+    /// Returns how often the upstreams got a request whose body holds a text.
+    fn arrivals(&self, text: &str) -> usize {
+        let logs = self.upstreams.iter().map(|upstream| upstream.log.requests.lock());
+        logs.map(|log| log.iter().filter(|request| request.contains(text)).count()).sum()
+    }
+}
+
+/// An upstream that answers probes, and passes the connection of any other request to a script.
+async fn scripted<W>(
+    script: impl Fn(TcpStream) -> W + Clone + Send + Sync + 'static,
+) -> FakeUpstream
+where
+    W: Future<Output = Option<()>> + Send + 'static,
+{
+    FakeUpstream::scripted(move |mut stream, _, log| {
+        let script = script.clone();
+        async move {
+            loop {
+                let request = read_request(&mut stream, &log).await?;
+                if !request.starts_with("GET") && !request.contains("warm") {
+                    return script(stream).await;
+                }
+                stream.write_all(ANSWER.as_bytes()).await.ok()?;
+            }
+        }
+    })
+    .await
+}
+
+// The host that relays dies while an upstream is at work on a refund. Were its caller told that
+// nothing ran, it would be paid twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_request_whose_relaying_host_dies_may_have_run_and_is_not_repeated() {
+    let upstreams = all_of(|| {
+        scripted(|_stream| async {
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            None
+        })
+    })
+    .await;
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let refund = async { cut.cut().post("/refund", "once").await };
+    let death = async {
+        eventually("the refund arrives", || cut.arrivals("once") == 1).await;
+        cut.fleet[1].relays.abort_all();
+    };
+    let (answer, ()) = futures::future::join(refund, death).await;
+    assert_eq!(answer.summary(), "502 may-have-run");
+    assert_eq!(cut.arrivals("once"), 1);
+}
+
+// Same, while the upstream sends an answer that ends with its connection. The part that has arrived
+// would look like a whole answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_cut_short_by_the_relaying_host_does_not_look_complete() {
+    let upstreams = all_of(|| {
+        scripted(|mut stream| async move {
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf of a loss file").await.ok()?;
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            None
+        })
+    })
+    .await;
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let file = async { cut.cut().post("/refund", "file").await };
+    let death = async {
+        eventually("the request arrives", || cut.arrivals("file") == 1).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cut.fleet[1].relays.abort_all();
+    };
+    let (answer, ()) = futures::future::join(file, death).await;
+    assert_eq!((answer.status, answer.body), (200, None));
+}
+
+// An answer that ends with its connection has no other end. Without a mark for it, every such answer
+// over another host would be thrown away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_ends_with_its_connection_is_whole_over_another_host() {
+    let upstreams = all_of(|| {
+        scripted(|mut stream| async move {
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nthe whole file").await.ok()
+        })
+    })
+    .await;
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let answer = cut.cut().post("/refund", "file").await;
+    assert_eq!((answer.status, answer.body.as_deref()), (200, Some("the whole file")));
+}
+
+// Long bodies both ways: bytes that arrive in other pieces than they were sent must not change.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_bodies_pass_another_host_unchanged() {
+    let upstreams = all_of(|| {
+        FakeUpstream::answering(|request| {
+            let body = request.split("\r\n\r\n").nth(1).unwrap_or_default();
+            let head = "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT \
+                application_utilization=0.2, named_metrics.in_flight=1\r\nContent-Length: ";
+            format!("{head}{}\r\n\r\n{body}", body.len()).into_bytes()
+        })
+    })
+    .await;
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let body: String = (0..60_000).map(|number| format!("{number} ")).collect();
+    let answer = cut.cut().post("/refund", &body).await;
+    assert_eq!((answer.status, answer.body.as_deref()), (200, Some(body.as_str())));
+}
+
+// A caller leaves while an upstream is at work over another host. An upstream that isn't told works
+// on for nobody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_is_felt_at_the_upstream_over_another_host() {
+    let closed = Arc::new(AtomicBool::new(false));
+    let upstreams = {
+        let closed = Arc::clone(&closed);
+        all_of(async move || {
+            let closed = Arc::clone(&closed);
+            scripted(move |mut stream| {
+                let closed = Arc::clone(&closed);
+                async move {
+                    let _ = stream.read(&mut [0; 16]).await;
+                    closed.store(true, Ordering::SeqCst);
+                    None
+                }
+            })
+            .await
+        })
+        .await
+    };
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let request = "POST /refund HTTP/1.1\r\nHost: shop\r\nContent-Length: 5\r\n\r\nleave";
+    let stream = cut.cut().raw(request).await;
+    eventually("the request arrives", || cut.arrivals("leave") == 1).await;
+    let left = Instant::now();
+    drop(stream);
+    eventually("the upstream notices", || closed.load(Ordering::SeqCst)).await;
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+}
+
+// The paths are back. A host that went on over others would pay for each request twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_takes_its_own_path_again_once_it_works() {
+    let is_cut = Arc::new(AtomicBool::new(true));
+    let unreachable = {
+        let is_cut = Arc::clone(&is_cut);
+        all_of(async move || {
+            let is_cut = Arc::clone(&is_cut);
+            FakeUpstream::scripted(move |mut stream, _, log| {
+                let is_cut = Arc::clone(&is_cut);
+                async move {
+                    loop {
+                        read_request(&mut stream, &log).await?;
+                        if is_cut.load(Ordering::SeqCst) {
+                            continue;
+                        }
+                        stream.write_all(ANSWER.as_bytes()).await.ok()?;
+                    }
+                }
+            })
+            .await
+        })
+        .await
+    };
+    let cut = CutFleet::start(unreachable, all_of(reporting).await).await;
+    assert!(cut.relays() > 0);
+    is_cut.store(false, Ordering::SeqCst);
+    let healed = Instant::now();
+    let context = &cut.cut().context;
+    eventually("the host is not cut off", || !context.connections.is_cut_off()).await;
+    assert!(healed.elapsed() < Duration::from_secs(2), "{:?}", healed.elapsed());
+    for _ in 0..10 {
+        assert_eq!(cut.cut().post("/refund", "direct").await.status, 200);
+    }
+    assert_eq!(cut.arrivals("direct"), 0, "no request goes over the other host");
+    let direct = cut.unreachable.iter().map(|upstream| upstream.log.requests.lock());
+    let direct = direct.map(|log| log.iter().filter(|r| r.contains("direct")).count());
+    assert_eq!(direct.sum::<usize>(), 10);
+    eventually("no connection is relayed", || cut.relays() == 0).await;
+}
+
+// The host that relays shuts down. The request in flight is answered, and the next ones go over
+// another host without an error.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relaying_host_that_shuts_down_cuts_off_no_request() {
+    let upstreams = all_of(|| {
+        scripted(|mut stream| async move {
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            stream.write_all(ANSWER.as_bytes()).await.ok()
+        })
+    })
+    .await;
+    let cut = CutFleet::start(all_of(FakeUpstream::silent).await, upstreams).await;
+    let refund = async { cut.cut().post("/refund", "last").await };
+    let drain = async {
+        eventually("the refund arrives", || cut.arrivals("last") == 1).await;
+        let relays = &cut.fleet[1].relays;
+        relays.begin_drain();
+        relays.wait_drained(cut.cut().context.clock.now() + Duration::from_secs(5)).await;
+    };
+    let (answer, ()) = futures::future::join(refund, drain).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(cut.relays(), 0, "idle connections are closed as well");
+}
+
+// Two hosts are cut off and would ask each other for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_is_cut_off_itself_refuses_to_relay_at_once() {
+    let unreachable = all_of(refusing).await;
+    let builder = || EntryBuilder::new().probing(3, 400).deadline_ms(1_000);
+    let lists = || unreachable.iter().collect();
+    let fleet = start_fleet(vec![(builder(), lists()), (builder(), lists())]).await;
+    for _ in 0..20 {
+        let (first, second) =
+            futures::future::join(fleet[0].post("/refund", "x"), fleet[1].post("/refund", "x"))
+                .await;
+        for answer in [first, second] {
+            assert_eq!(answer.header("jacinthpulley-verdict"), Some("not-run"));
+            assert!(answer.header("retry-after").is_some());
+        }
+    }
+    assert_eq!(fleet.iter().map(|entry| entry.relays.open_connections()).sum::<usize>(), 0);
+}
+
+// A process that doesn't hold the installation's key must reach no upstream over a host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stranger_gets_no_connection_over_a_host() {
+    let upstreams = all_of(reporting).await;
+    let fleet = start_fleet(vec![(EntryBuilder::new(), upstreams.iter().collect())]).await;
+    let relay = path_support::serve_relays("entry-1", &fleet[0]).await;
+    let mut stream = TcpStream::connect(relay.address).await.expect("it listens");
+    stream.write_all(b"rly1").await.expect("written");
+    stream.write_all(&[7; 32]).await.expect("written");
+    stream.read_exact(&mut [0; 32]).await.expect("a nonce");
+    let mut request = vec![7];
+    request.extend_from_slice(b"entry-2");
+    request.extend_from_slice(&[2]);
+    request.extend_from_slice(b"u0");
+    request.extend_from_slice(&[4]);
+    request.extend_from_slice(b"pool");
+    request.extend_from_slice(&[9; 32]);
+    let length = u16::try_from(request.len()).expect("short").to_be_bytes();
+    stream.write_all(&length).await.expect("written");
+    stream.write_all(&request).await.expect("written");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    assert!(answer.is_empty(), "the connection is closed without an answer");
+    assert_eq!(upstreams.iter().map(FakeUpstream::connections).sum::<usize>(), 0);
+}
