--- a/crates/pulley_core/src/process/registry/lease_bucket.rs
+++ b/crates/pulley_core/src/process/registry/lease_bucket.rs
@@ -1,7 +1,7 @@
 //! A part of the registry in which upstreams are numbered in the order of their ids' hashes.
 
 use super::lease_record::{LeaseRecord, id_hash};
-use super::shared_clock::LeaseEpoch;
+use super::shared_clock::{LEASE_EPOCHS, LeaseEpoch};
 use super::{Moment, UpstreamId, UpstreamSequence};
 
 /// The age code of a lease that has expired or never existed.
@@ -50,6 +50,11 @@
         self.record.takes_work() && self.renewed.is_valid_at(at)
     }
 
+    /// Whether the upstream takes work, and half of its lease or more has passed.
+    pub(crate) fn ends_soon(&self, at: LeaseEpoch) -> bool {
+        self.takes_work(at) && self.renewed.age(at) >= LEASE_EPOCHS / 2
+    }
+
     /// Returns the code of the lease's age.
     pub(crate) fn code(&self, at: LeaseEpoch) -> u8 {
         let age = self.renewed.age(at).min(u32::from(CODE_EXPIRED));
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -262,6 +262,35 @@
         self.table.set_evacuated_zones(zones);
     }
 
+    // ---------------------------------------------------------------------------------------------
+    // Answers
+
+    /// Returns the upstreams whose leases end soon because no host has heard from them, once an
+    /// epoch. Those that answer hosts' probes are to be passed to [`Self::renew_answering`].
+    ///
+    /// An upstream may have lost the path to all hosts that take its announcements, while entries
+    /// still reach it. If its silence there counted alone, every host would drop it.
+    #[must_use]
+    pub fn unheard(&self, now: Moment) -> Vec<UpstreamStart> {
+        if now < self.next_epoch {
+            return Vec::new();
+        }
+        let epoch = self.clock.epoch(now);
+        let entries = self.table.entries().filter(|entry| entry.ends_soon(epoch));
+        entries.map(|entry| entry.record.start()).collect()
+    }
+
+    /// Renews the lease of an upstream that has proved in an answer to this host that it is the one
+    /// with this id and that it works. An upstream that is known to drain or to be gone stays so.
+    pub fn renew_answering(&mut self, now: Moment, upstream: &UpstreamStart) {
+        let epoch = self.clock.epoch(now);
+        let entry = self.table.find(&upstream.id);
+        let entry = entry.filter(|entry| entry.record.start() == *upstream);
+        if let Some(sequence) = entry.map(|entry| entry.last_sequence) {
+            self.table.renew(&upstream.id, epoch, sequence);
+        }
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Announcements and drains
 
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -123,6 +123,21 @@
         self.consider_paths();
     }
 
+    /// Records that an upstream has proved in an answer to a probe that it is the one with this id and
+    /// takes work.
+    pub fn record_identified(&self, upstream: &UpstreamId) {
+        if let Some(links) = self.upstreams.load().get(upstream) {
+            links.record_identified();
+        }
+    }
+
+    /// Whether an upstream has proved since a moment that it is the one with its id and takes work.
+    #[must_use]
+    pub fn was_identified_since(&self, upstream: &UpstreamId, start: Moment) -> bool {
+        let known = self.upstreams.load();
+        known.get(upstream).is_some_and(|links| links.was_identified_since(start))
+    }
+
     /// Counts the paths from this host to the upstreams that it has used.
     #[must_use]
     pub fn path_survey(&self) -> PathSurvey {
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -71,6 +71,9 @@
     last_used: Moment,
     /// What was seen of this host's own path to the upstream.
     path: UpstreamPath,
+    /// When the upstream last proved in an answer to a probe that it is the one with its id and
+    /// takes work.
+    identified: Option<Moment>,
     /// Whether the upstream is gone or has moved. Returned connections are then closed.
     closed: bool,
 }
@@ -99,6 +102,7 @@
             useful: 1,
             last_used: Moment::ZERO,
             path: UpstreamPath::new(route),
+            identified: None,
             closed: false,
         };
         Self { upstream, pool, address, dialer, clock, timer, state: Mutex::new(state) }
@@ -241,6 +245,15 @@
         }
     }
 
+    pub(super) fn record_identified(&self) {
+        self.state.lock().identified = Some(self.clock.now());
+    }
+
+    /// Whether the upstream has proved since a moment that it is the one with its id.
+    pub(super) fn was_identified_since(&self, start: Moment) -> bool {
+        self.state.lock().identified.is_some_and(|at| at >= start)
+    }
+
     pub(super) fn path(&self) -> UpstreamPath {
         self.state.lock().path
     }
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -24,9 +24,12 @@
 use super::control_replica::FIRST_LEASE_TOKEN;
 use super::upstream_recovery::UpstreamRecovery;
 use super::{RunningView, ViewCell};
-use crate::connection::{DatagramCounts, FrameClass, LinkCounts};
+use crate::connection::{DatagramCounts, FrameClass, LinkCounts, UpstreamConnections};
 use crate::request::{QuotaGate, SchedulerSet};
 
+/// How long an upstream's answer to a probe stands in for an announcement.
+const ANSWER_SPAN: Duration = Duration::from_secs(1);
+
 /// An action for the control thread to carry out.
 #[derive(Debug)]
 pub(crate) enum ControlOutput {
@@ -72,6 +75,7 @@
     pub(crate) view: ViewCell,
     pub(crate) schedulers: Arc<SchedulerSet>,
     pub(crate) quota_gate: Arc<QuotaGate>,
+    pub(crate) connections: Arc<UpstreamConnections>,
     /// Requests beyond an organisation's burst that pass.
     pub(crate) quota_tolerance: f32,
     /// How long keys work without news of the configuration; `None` without a limit.
@@ -96,6 +100,8 @@
     pub(super) limits: LimitExchange,
     pub(super) quotas: QuotaExchange,
     quota_gate: Arc<QuotaGate>,
+    /// The connections to upstreams, which show which of them answer.
+    connections: Arc<UpstreamConnections>,
     key_lease: Option<Duration>,
     /// Limits of upstreams that are new to this host and not logged yet.
     new_limits: Vec<LimitRecord>,
@@ -172,6 +178,7 @@
             limits: LimitExchange::new(Moment::ZERO, host.clone()),
             quotas: QuotaExchange::new(host, parts.quota_tolerance),
             quota_gate: parts.quota_gate,
+            connections: parts.connections,
             key_lease: parts.key_lease,
             new_limits: Vec::new(),
             pending_answers: FastMap::default(),
@@ -203,6 +210,7 @@
         let gossip = self.members.tick(now);
         self.send_membership(gossip);
         let ring = self.members.ring().clone();
+        self.renew_answering(now);
         let leases = self.registry.tick(now, &ring);
         for send in leases {
             self.datagram(send.to, FrameClass::Upstreams, send.body);
@@ -379,6 +387,17 @@
         self.outputs.push(ControlOutput::Datagram { to, class, body });
     }
 
+    /// Renews the leases of upstreams that have answered this host, where no host has heard from
+    /// them.
+    fn renew_answering(&mut self, now: Moment) {
+        let since = Moment::ZERO + now.since(Moment::ZERO).saturating_sub(ANSWER_SPAN);
+        for upstream in self.registry.unheard(now) {
+            if self.connections.was_identified_since(&upstream.id, since) {
+                self.registry.renew_answering(now, &upstream);
+            }
+        }
+    }
+
     fn tick_counts(&mut self, now: Moment) {
         let outgoing = self.counts.tick(now, &self.schedulers);
         for (to, body) in outgoing.sends {
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -27,7 +27,7 @@
 use super::{DaemonSettings, ProcessClock, ViewCell};
 use crate::connection::{
     DatagramSeal, FrameClass, InboundDatagram, InboundFrame, KeyRing, LinkSettings, PeerDatagrams,
-    PeerLinks, UpstreamProber,
+    PeerLinks, UpstreamConnections, UpstreamProber,
 };
 use crate::request::{QuotaGate, SchedulerSet};
 use crate::version::StorageFault;
@@ -88,6 +88,8 @@
     pub schedulers: Arc<SchedulerSet>,
     /// The gate to which it passes verdicts on quotas.
     pub quota_gate: Arc<QuotaGate>,
+    /// The connections to upstreams, which show which of them answer.
+    pub connections: Arc<UpstreamConnections>,
     /// The requests of the traffic side and the operators.
     pub requests: mpsc::Receiver<ControlRequest>,
     /// Passes on connections that other hosts want to have relayed.
@@ -242,6 +244,7 @@
         view: parts.view,
         schedulers: parts.schedulers,
         quota_gate: parts.quota_gate,
+        connections: parts.connections,
         quota_tolerance: f32::from(settings.traffic.quota_tolerance),
         key_lease: settings.traffic.key_lease,
         share_counts: settings.share_counts,
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -237,6 +237,9 @@
         if !is_expected {
             return None;
         }
+        if parts.status.is_success() {
+            context.connections.record_identified(&target.upstream);
+        }
     }
     let reading = dialect.limit(&parts.headers);
     if reading != LimitReading::Absent || parts.status.is_success() {
