--- a/crates/pulleyd/src/connection/path_watch.rs
+++ b/crates/pulleyd/src/connection/path_watch.rs
@@ -57,8 +57,7 @@
             self.relay_lost_paths(now);
             return;
         }
-        let may_check = now.micros() >= self.watch.next_check.load(Ordering::Relaxed);
-        if !may_check || !self.path_survey().suggests_cut() {
+        if !self.may_check_paths() || !self.path_survey().suggests_cut() {
             return;
         }
         if !self.watch.is_checking.swap(true, Ordering::AcqRel) {
@@ -67,6 +66,11 @@
         }
     }
 
+    /// Whether no check has found a moment ago that the own path works.
+    pub(super) fn may_check_paths(&self) -> bool {
+        self.clock.now().micros() >= self.watch.next_check.load(Ordering::Relaxed)
+    }
+
     /// Tries the upstreams directly to which requests go over other hosts.
     pub(super) fn watch_paths(self: &Arc<Self>) {
         if self.is_cut_off() && !self.watch.is_checking.swap(true, Ordering::AcqRel) {
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -79,8 +79,9 @@
     }
 
     /// Whether this host has lost its own path to upstreams, or is about to find out.
-    pub(super) fn doubts_own_path(&self) -> bool {
-        self.is_cut_off() || self.path_survey().suggests_cut()
+    #[must_use]
+    pub fn doubts_own_path(&self) -> bool {
+        self.is_cut_off() || (self.may_check_paths() && self.path_survey().suggests_cut())
     }
 
     pub(super) fn clock(&self) -> ProcessClock {
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -1,6 +1,7 @@
 //! Probes the load of upstreams for the coordinators on this host.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 
+use super::UpstreamConnections;
 use crate::request::{LOAD_HEADER, read_load_report};
 
 /// The path on which upstreams answer probes. The answer is empty, and a header carries the load
@@ -27,20 +29,24 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamProber {
     threads: Handle,
+    connections: Arc<UpstreamConnections>,
 }
 
 impl UpstreamProber {
-    /// Creates a prober that runs on the threads of a runtime.
+    /// Creates a prober that runs on the threads of a runtime. The connections show whether this
+    /// host's own path to upstreams is in doubt.
     #[must_use]
-    pub fn new(threads: Handle) -> Self {
-        Self { threads }
+    pub fn new(threads: Handle, connections: Arc<UpstreamConnections>) -> Self {
+        Self { threads, connections }
     }
 
-    /// Probes an upstream and calls `report` with the outcome.
+    /// Probes an upstream and calls `report` with the outcome. A failure is not reported while this
+    /// host doubts its own path: a coordinator's word takes work away from the upstream on all hosts.
     ///
     /// Each probe uses its own connection, so that it does not wait behind a caller's request. A
     /// pooled connection that has gone silent would also make a live upstream look dead.
     pub fn probe(&self, address: SocketAddr, report: impl FnOnce(ProbeOutcome) + Send + 'static) {
+        let connections = Arc::clone(&self.connections);
         self.threads.spawn(async move {
             let began = Instant::now();
             let answered = tokio::time::timeout(PROBE_TIMEOUT, send_probe(address)).await;
@@ -48,7 +54,9 @@
                 Some(load) => ProbeOutcome::Answered { latency: began.elapsed(), report: load },
                 None => ProbeOutcome::Failed,
             };
-            report(outcome);
+            if outcome != ProbeOutcome::Failed || !connections.doubts_own_path() {
+                report(outcome);
+            }
         });
     }
 }
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -145,7 +145,10 @@
             connections: Arc::clone(&listeners.context.connections),
             requests,
             relayed,
-            prober: UpstreamProber::new(runtime.clone()),
+            prober: UpstreamProber::new(
+                runtime.clone(),
+                Arc::clone(&listeners.context.connections),
+            ),
             clock: parts.clock,
             logger: parts.logger.clone(),
         })?;
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -161,7 +161,7 @@
         let (mut response, link) = match self.send(placed).await {
             Ok(sent) => sent,
             Err(fault) => {
-                attempt.settle(fault.outcome);
+                attempt.settle(self.blamed_outcome(fault.outcome));
                 return Err(fault);
             }
         };
@@ -304,6 +304,17 @@
         response.map(|body| UpstreamAnswer { body, attempt, link, outcome, timer, pacing })
     }
 
+    /// Returns the outcome to record for the upstream. While this host doubts its own path, a lost
+    /// connection says nothing of the upstream. All hosts share what each records, so that a host
+    /// that is cut off would take work away from upstreams that answer the others.
+    fn blamed_outcome(&self, outcome: AttemptOutcome) -> AttemptOutcome {
+        let is_lost = matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Broken);
+        match is_lost && self.context.connections.doubts_own_path() {
+            true => AttemptOutcome::Cancelled,
+            false => outcome,
+        }
+    }
+
     fn safety(&self) -> RepeatSafety {
         if self.row().idempotent { RepeatSafety::Repeatable } else { RepeatSafety::Once }
     }
--- a/crates/pulleyd/tests/request_relay.rs
+++ b/crates/pulleyd/tests/request_relay.rs
@@ -7,8 +7,13 @@
 use std::time::Duration;
 
 use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request, start_fleet};
+use pulley_core::HostId;
+use pulley_core::process::{CoordinatorOutput, PoolCoordinator, ProbeOutcome, UpstreamRecord};
+use pulleyd::connection::UpstreamProber;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// Upstreams in the pool.
@@ -379,3 +384,79 @@
     assert!(answer.is_empty(), "the connection is closed without an answer");
     assert_eq!(upstreams.iter().map(FakeUpstream::connections).sum::<usize>(), 0);
 }
+
+/// Sends requests at a host, then returns the failures at upstreams that it reports to others.
+async fn reported_failures(entry: &TestEntry, requests: usize) -> u32 {
+    let context = &entry.context;
+    let (view, now) = (context.view.load(), || context.clock.now());
+    let host: HostId = "entry-1".parse().expect("a name");
+    let (pool, records) = view.upstreams.iter().next().expect("a pool");
+    let zone = "a".parse().expect("a name");
+    let mut coordinator = PoolCoordinator::new(pool.clone(), zone, host.clone(), now());
+    coordinator.apply_plan(now(), Arc::clone(&view.plan));
+    let records: Vec<_> = records.iter().map(|record| UpstreamRecord::clone(record)).collect();
+    coordinator.apply_upstreams(now(), &records);
+    for _ in 0..requests {
+        entry.post("/refund", "x").await;
+    }
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(10) {
+        for (_, _, report) in context.schedulers.take_reports(now()) {
+            if report.round.is_some() {
+                return report.rows.outcomes.iter().map(|sum| u32::from(sum.failures)).sum();
+            }
+            coordinator.receive(now(), &host, &report);
+        }
+        for output in coordinator.tick(now()) {
+            if let CoordinatorOutput::Publish { sum, .. } = output {
+                context.schedulers.receive_sum(now(), &sum);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("no round of counts");
+}
+
+// All hosts share what each sees of an upstream. A host that is cut off took work away from upstreams
+// that answered all others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_doubts_its_own_path_blames_no_upstream() {
+    let (unreachable, upstreams) = (all_of(refusing).await, all_of(reporting).await);
+    let fleet = start_fleet(vec![
+        (EntryBuilder::new(), unreachable.iter().collect()),
+        (EntryBuilder::new(), upstreams.iter().collect()),
+    ]);
+    let early = reported_failures(&fleet.await[0], 20).await;
+    assert!(early <= 2, "{early}: the first failures are its only sign");
+
+    let mut mixed = all_of(reporting).await;
+    mixed[0] = refusing().await;
+    let entry = EntryBuilder::new().start(&mixed.iter().collect::<Vec<_>>()).await;
+    assert!(reported_failures(&entry, 20).await > 0, "a single bad upstream is blamed");
+}
+
+// The coordinator's host is cut off, and its probes fail.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_probe_is_not_reported_while_the_own_path_is_in_doubt() {
+    let (unreachable, upstreams) = (all_of(refusing).await, all_of(reporting).await);
+    let fleet = start_fleet(vec![
+        (EntryBuilder::new(), unreachable.iter().collect()),
+        (EntryBuilder::new(), upstreams.iter().collect()),
+    ]);
+    let entry = &fleet.await[0];
+    let connections = Arc::clone(&entry.context.connections);
+    let prober = UpstreamProber::new(Handle::current(), connections);
+    let probe = async || {
+        let (sender, outcome) = oneshot::channel();
+        prober.probe(unreachable[0].address, move |outcome| {
+            let _ = sender.send(outcome);
+        });
+        outcome.await.ok()
+    };
+    assert_eq!(probe().await, Some(ProbeOutcome::Failed));
+    for _ in 0..20 {
+        entry.post("/refund", "x").await;
+    }
+    assert!(entry.context.connections.is_cut_off());
+    assert_eq!(probe().await, None);
+}
