--- a/crates/pulleyd/src/connection/caller_listener.rs
+++ b/crates/pulleyd/src/connection/caller_listener.rs
@@ -16,10 +16,10 @@
 use parking_lot::Mutex;
 use pulley_core::process::FastMap;
 use slog::{debug, info, warn};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+use super::KeepalivePolicy;
 use crate::process::TimerSubscription;
 use crate::request::{FirstRequestFlag, RequestForwarder, TrafficContext, TrafficCounters};
 
@@ -29,12 +29,6 @@
 /// Delay after a failed accept, so that a lack of file descriptors causes no busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How long a caller's connection is idle before the operating system sends keepalive probes.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(30);
-
-/// How long sent bytes may stay unacknowledged by a caller before the connection is closed.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(30);
-
 /// Interval of HTTP/2 keepalive pings to a caller, and the timeout for each answer.
 const PING_PERIOD: Duration = Duration::from_secs(20);
 
@@ -185,7 +179,7 @@
             TrafficCounters::add(&self.context.counters.callers_refused);
             return;
         }
-        if let Err(fault) = set_options(&stream) {
+        if let Err(fault) = KeepalivePolicy::CALLER.apply(&stream) {
             debug!(self.context.logger, "caller-gone"; "peer" => %peer, "error" => %fault);
             return;
         }
@@ -327,16 +321,6 @@
     builder
 }
 
-/// Makes the operating system detect callers that vanished without closing the connection.
-fn set_options(stream: &TcpStream) -> Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_IDLE))?;
-    #[cfg(target_os = "linux")]
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    Ok(())
-}
-
 async fn pause_accepting(context: &TrafficContext, fault: &io::Error) {
     warn!(context.logger, "accept-failed"; "error" => %fault);
     let _ = context.timer.after(ACCEPT_RETRY_DELAY).await;
--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -22,6 +22,7 @@
 pub use relay_client::RelayIdentity;
 pub use relay_server::RelayServer;
 mod caller_listener;
+mod keepalive_policy;
 mod link_meter;
 mod metered_stream;
 mod path_watch;
@@ -33,6 +34,7 @@
 mod upstream_prober;
 
 pub use caller_listener::{CallerListener, DrainReport};
+pub use keepalive_policy::KeepalivePolicy;
 pub use link_meter::LinkMeter;
 pub use traffic_threads::TrafficThreads;
 pub use upstream_connections::{LinkRequest, UpstreamConnections};
--- a/crates/pulleyd/src/connection/relay_server.rs
+++ b/crates/pulleyd/src/connection/relay_server.rs
@@ -22,7 +22,7 @@
     write_message,
 };
 use super::relay_stream::{FRAME_DRAINING, FRAME_END, FRAME_HEADER};
-use super::{UpstreamConnections, UpstreamDialer};
+use super::{KeepalivePolicy, UpstreamConnections};
 use crate::process::{ProcessClock, TimerService, ViewCell};
 
 /// Timeout for a request after its connection was accepted.
@@ -142,7 +142,7 @@
 
     /// Reads a request and authenticates its sender.
     async fn accept(&self, stream: &mut TcpStream) -> io::Result<(RelayRequest, LinkNonces)> {
-        UpstreamDialer::set_options(stream)?;
+        KeepalivePolicy::UPSTREAM.apply(stream)?;
         let mut preamble = [0; RELAY_PREAMBLE.len()];
         stream.read_exact(&mut preamble).await?;
         if preamble != RELAY_PREAMBLE {
--- a/crates/pulleyd/src/connection/upstream_dialer.rs
+++ b/crates/pulleyd/src/connection/upstream_dialer.rs
@@ -7,27 +7,17 @@
 
 use pulley_core::connection::UpstreamRoute;
 use pulley_core::{Moment, PoolName, UpstreamId};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::either::Either;
 
-use super::LinkFault;
 use super::relay_client::RelayClient;
 use super::relay_stream::RelayStream;
+use super::{KeepalivePolicy, LinkFault};
 use crate::process::{ProcessClock, TimerService};
 
 /// The result of opening a connection.
 type Result<T> = std::result::Result<T, LinkFault>;
 
-/// How long sent bytes may stay unacknowledged before the operating system closes the connection.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
-
-/// How long a connection is idle before the operating system sends keepalive probes.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-
-/// Interval between keepalive probes. Three unanswered ones close the connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Timeout for opening a connection. Opening takes 1 to 2 ms between zones and 50 ms between
 /// regions. If the first packet is lost, TCP retransmits it after a second at the earliest. Nothing
 /// of the request has been sent by then, so another upstream answers it sooner.
@@ -105,22 +95,7 @@
             socket.bind(SocketAddr::new(ip, 0))?;
         }
         let stream = socket.connect(address).await?;
-        Self::set_options(&stream)?;
+        KeepalivePolicy::UPSTREAM.apply(&stream)?;
         Ok(stream)
     }
-
-    /// Makes the operating system detect a silent connection, by unacknowledged data and by
-    /// unanswered keepalive probes.
-    pub(super) fn set_options(stream: &TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let socket = SockRef::from(stream);
-        let keepalive = TcpKeepalive::new()
-            .with_time(KEEPALIVE_IDLE)
-            .with_interval(KEEPALIVE_INTERVAL)
-            .with_retries(3);
-        socket.set_tcp_keepalive(&keepalive)?;
-        #[cfg(target_os = "linux")]
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-        Ok(())
-    }
 }
