--- a/crates/pulley_soak/src/fault_proxy.rs
+++ b/crates/pulley_soak/src/fault_proxy.rs
@@ -1,11 +1,12 @@
 //! A loopback proxy in front of an upstream that injects connection faults.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::Result;
 use parking_lot::Mutex;
+use pulley_core::process::FastMap;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -31,6 +32,62 @@
     DropAll,
 }
 
+/// The hosts that are cut off from all upstreams, and how. All proxies of a run share it.
+#[derive(Clone, Debug)]
+pub struct HostCuts {
+    cuts: watch::Sender<FastMap<IpAddr, ProxyMode>>,
+}
+
+impl Default for HostCuts {
+    fn default() -> Self {
+        Self { cuts: watch::channel(FastMap::default()).0 }
+    }
+}
+
+impl HostCuts {
+    /// Sets the fault that a host's connections to all upstreams have, in place of the proxies' own.
+    pub fn cut(&self, host: IpAddr, mode: ProxyMode) {
+        self.cuts.send_modify(|cuts| {
+            cuts.insert(host, mode);
+        });
+    }
+
+    /// Lets a host reach the upstreams again.
+    pub fn heal(&self, host: IpAddr) {
+        self.cuts.send_modify(|cuts| {
+            cuts.remove(&host);
+        });
+    }
+}
+
+/// The faults that apply to one connection.
+#[derive(Clone, Debug)]
+struct ConnectionFaults {
+    host: IpAddr,
+    modes: watch::Receiver<ProxyMode>,
+    cuts: watch::Receiver<FastMap<IpAddr, ProxyMode>>,
+}
+
+impl ConnectionFaults {
+    fn mode(&self) -> ProxyMode {
+        let cut = self.cuts.borrow().get(&self.host).copied();
+        cut.unwrap_or_else(|| *self.modes.borrow())
+    }
+
+    /// Waits until the connection is to be reset.
+    async fn wait_for_reset(mut self) {
+        while self.mode() != ProxyMode::Reset {
+            let changed = tokio::select! {
+                changed = self.modes.changed() => changed,
+                changed = self.cuts.changed() => changed,
+            };
+            if changed.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
 /// A proxy that runs until it is dropped.
 #[derive(Debug)]
 pub struct FaultProxy {
@@ -38,6 +95,8 @@
     pub address: SocketAddr,
     mode: watch::Sender<ProxyMode>,
     target: Arc<Mutex<SocketAddr>>,
+    /// Kept, because connections wait for its changes.
+    _cuts: HostCuts,
     task: JoinHandle<()>,
 }
 
@@ -46,13 +105,14 @@
     ///
     /// # Errors
     /// If no port can be bound.
-    pub async fn start(target: SocketAddr) -> Result<Self> {
+    pub async fn start(target: SocketAddr, cuts: &HostCuts) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(ProxyMode::Pass);
         let target = Arc::new(Mutex::new(target));
-        let task = tokio::spawn(accept_all(listener, Arc::clone(&target), modes));
-        Ok(Self { address, mode, target, task })
+        let (cuts, changes) = (cuts.clone(), cuts.cuts.subscribe());
+        let task = tokio::spawn(accept_all(listener, Arc::clone(&target), modes, changes));
+        Ok(Self { address, mode, target, _cuts: cuts, task })
     }
 
     /// Sets the fault that its connections have.
@@ -76,36 +136,35 @@
     listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
     modes: watch::Receiver<ProxyMode>,
+    cuts: watch::Receiver<FastMap<IpAddr, ProxyMode>>,
 ) {
-    while let Ok((stream, _)) = listener.accept().await {
-        if *modes.borrow() == ProxyMode::Reset {
+    while let Ok((stream, peer)) = listener.accept().await {
+        let (modes, cuts) = (modes.clone(), cuts.clone());
+        let faults = ConnectionFaults { host: peer.ip(), modes, cuts };
+        if faults.mode() == ProxyMode::Reset {
             reset(&stream);
             continue;
         }
         let target = *target.lock();
-        tokio::spawn(proxy_connection(stream, target, modes.clone()));
+        tokio::spawn(proxy_connection(stream, target, faults));
     }
 }
 
-async fn proxy_connection(entry: TcpStream, target: SocketAddr, modes: watch::Receiver<ProxyMode>) {
+async fn proxy_connection(entry: TcpStream, target: SocketAddr, faults: ConnectionFaults) {
     let Ok(upstream) = TcpStream::connect(target).await else {
         reset(&entry);
         return;
     };
     let _ = (entry.set_nodelay(true), upstream.set_nodelay(true));
-    let mut resets = modes.clone();
-    let reset_requested = async move {
-        let _ = resets.wait_for(|mode| *mode == ProxyMode::Reset).await;
-    };
     let sockets = [&entry, &upstream].map(|stream| SockRef::from(stream).try_clone());
     let (entry_in, entry_out) = entry.into_split();
     let (upstream_in, upstream_out) = upstream.into_split();
     let requests = [ProxyMode::DropRequests, ProxyMode::DropAll];
     let answers = [ProxyMode::DropAnswers, ProxyMode::DropAll];
     tokio::select! {
-        () = forward(entry_in, upstream_out, modes.clone(), requests) => {}
-        () = forward(upstream_in, entry_out, modes.clone(), answers) => {}
-        () = reset_requested => {
+        () = forward(entry_in, upstream_out, faults.clone(), requests) => {}
+        () = forward(upstream_in, entry_out, faults.clone(), answers) => {}
+        () = faults.wait_for_reset() => {
             for socket in sockets.into_iter().flatten() {
                 let _ = socket.set_linger(Some(Duration::ZERO));
             }
@@ -118,13 +177,13 @@
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    modes: watch::Receiver<ProxyMode>,
+    faults: ConnectionFaults,
     dropping: [ProxyMode; 2],
 ) {
     let mut buffer = vec![0; 16 * 1_024];
     let mut is_silent = false;
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
-        let mode = *modes.borrow();
+        let mode = faults.mode();
         is_silent |= dropping.contains(&mode);
         if is_silent {
             continue;
--- a/crates/pulley_soak/src/fault_schedule.rs
+++ b/crates/pulley_soak/src/fault_schedule.rs
@@ -13,6 +13,9 @@
 /// Time without new faults at the end, so that the system can recover.
 const FAULT_FREE_END: Duration = Duration::from_secs(5);
 
+/// Distinguishes the random numbers for cuts from those for other faults.
+const CUT_SEED: u64 = 0x6375_7473;
+
 /// Distinguishes the random numbers for limits from those for other faults.
 const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
 
@@ -87,6 +90,15 @@
         /// How long it names the limit.
         span: Duration,
     },
+    /// Cuts a daemon off from all upstreams for a while.
+    CutOff {
+        /// Index of the daemon.
+        host: usize,
+        /// The fault of its connections to them.
+        mode: ProxyMode,
+        /// How long it is cut off.
+        span: Duration,
+    },
     /// Applies changes of the sheet in quick succession.
     ChangeBurst {
         /// Number of changes.
@@ -103,6 +115,16 @@
     pub fault: SoakFault,
 }
 
+/// Which faults a run has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FaultMix {
+    /// All kinds, overlapping.
+    #[default]
+    All,
+    /// Hosts that are cut off from all upstreams, and nothing else.
+    Cuts,
+}
+
 /// The faults of one run, ordered by time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FaultSchedule(pub Vec<ScheduledFault>);
@@ -111,27 +133,54 @@
     /// Draws the faults of a run of length `span`. `sizes` holds the numbers of hosts, of replicas
     /// and of upstreams. The first hosts are the replicas.
     #[must_use]
-    pub fn draw(seed: u64, span: Duration, sizes: (usize, usize, usize)) -> Self {
-        let mut random = SmallRng::seed_from_u64(seed);
-        let mut faults = Vec::new();
-        let mut at = FAULT_FREE_START;
+    pub fn draw(seed: u64, span: Duration, sizes: (usize, usize, usize), mix: FaultMix) -> Self {
         let end = span.saturating_sub(FAULT_FREE_END);
-        while at < end {
-            faults.push(ScheduledFault { at, fault: draw_fault(&mut random, sizes) });
-            at += Duration::from_millis(PAUSES_MS[random.random_range(0..PAUSES_MS.len())]);
-        }
-        // Drawn apart from the other faults, so that a seed gives the same ones as before.
-        let mut limits = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
-        let mut at = FAULT_FREE_START;
-        while at < end {
-            faults.push(ScheduledFault { at, fault: draw_limit(&mut limits, sizes.2) });
-            at += Duration::from_millis(limits.random_range(1_000..5_000));
+        let mut faults = draw_cuts(seed, end, sizes.0);
+        if mix == FaultMix::All {
+            faults.extend(draw_others(seed, end, sizes));
         }
         faults.sort_by_key(|fault| fault.at);
         Self(faults)
     }
 }
 
+fn draw_others(seed: u64, end: Duration, sizes: (usize, usize, usize)) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        faults.push(ScheduledFault { at, fault: draw_fault(&mut random, sizes) });
+        at += Duration::from_millis(PAUSES_MS[random.random_range(0..PAUSES_MS.len())]);
+    }
+    // Drawn apart from the other faults, so that a seed gives the same ones as before.
+    let mut limits = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        faults.push(ScheduledFault { at, fault: draw_limit(&mut limits, sizes.2) });
+        at += Duration::from_millis(limits.random_range(1_000..5_000));
+    }
+    faults
+}
+
+/// Draws cuts of hosts. They are drawn apart too.
+fn draw_cuts(seed: u64, end: Duration, hosts: usize) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ CUT_SEED);
+    let mut faults = Vec::new();
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        let first = random.random_range(0..hosts);
+        let count = random.random_range(1..hosts.max(2));
+        let modes = [ProxyMode::DropAll, ProxyMode::DropAnswers, ProxyMode::Reset];
+        let mode = modes[random.random_range(0..modes.len())];
+        let span = Duration::from_millis(random.random_range(2_000..9_000));
+        for host in (first..first + count).map(|host| host % hosts) {
+            faults.push(ScheduledFault { at, fault: SoakFault::CutOff { host, mode, span } });
+        }
+        at += span + Duration::from_millis(random.random_range(500..3_000));
+    }
+    faults
+}
+
 fn draw_fault(
     random: &mut SmallRng,
     (hosts, replicas, upstreams): (usize, usize, usize),
--- a/crates/pulley_soak/src/lib.rs
+++ b/crates/pulley_soak/src/lib.rs
@@ -17,7 +17,7 @@
 mod soak_upstream;
 
 pub use daemon_process::DaemonProcess;
-pub use fault_proxy::{FaultProxy, ProxyMode};
-pub use fault_schedule::{FaultSchedule, ScheduledFault, SoakFault};
+pub use fault_proxy::{FaultProxy, HostCuts, ProxyMode};
+pub use fault_schedule::{FaultMix, FaultSchedule, ScheduledFault, SoakFault};
 pub use request_history::{CallerOutcome, RequestHistory, SoakFinding};
 pub use soak_run::{SoakReport, SoakRun, SoakSettings};
--- a/crates/pulley_soak/src/main.rs
+++ b/crates/pulley_soak/src/main.rs
@@ -6,7 +6,7 @@
 
 use eyre::{Result, WrapErr, bail, eyre};
 use getopts::Options;
-use pulley_soak::{SoakReport, SoakRun, SoakSettings};
+use pulley_soak::{FaultMix, SoakReport, SoakRun, SoakSettings};
 
 const USAGE: &str = "usage: pulley_soak [options]
 
@@ -40,6 +40,7 @@
     options.optopt("", "beside", "runs beside one another (1)", "N");
     options.optopt("", "daemon", "the daemon's program; without it the one beside this", "FILE");
     options.optopt("", "keep", "where the logs of runs that found something go", "FOLDER");
+    options.optflag("", "cuts", "only cuts hosts off from all upstreams, without other faults");
     options.optflag("h", "help", "prints this");
     options
 }
@@ -69,6 +70,7 @@
         entries: number("entries", 2)?,
         upstreams: number("upstreams", 4)?.max(1),
         callers: number("callers", 24)?,
+        mix: if matches.opt_present("cuts") { FaultMix::Cuts } else { FaultMix::All },
         program,
     };
     let seeds = read_seeds(matches.opt_str("seeds").as_deref())?;
--- a/crates/pulley_soak/src/request_history.rs
+++ b/crates/pulley_soak/src/request_history.rs
@@ -61,6 +61,53 @@
     until: Instant,
 }
 
+/// Time from the beginning of a cut until the entry must serve again.
+const CUT_SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// A span of time in which an entry was cut off from all upstreams.
+#[derive(Clone, Copy, Debug)]
+struct CutSpan {
+    entry: usize,
+    from: Instant,
+    until: Instant,
+}
+
+impl CutSpan {
+    fn overlaps(&self, other: &Self) -> bool {
+        self.from <= other.until && self.until >= other.from
+    }
+
+    /// Whether a request shows how callers are served during the cut. Those of the organisation that
+    /// presses beyond its quota don't.
+    fn counts(&self, record: &RequestRecord) -> bool {
+        record.sent >= self.from + CUT_SETTLE_TIME
+            && record.outcome.as_ref().is_some_and(|(at, _)| *at < self.until)
+            && record.organisation.as_deref() != Some(PRESSING)
+    }
+}
+
+/// How many requests were served.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServedCount {
+    served: usize,
+    sent: usize,
+}
+
+impl ServedCount {
+    fn add(&mut self, record: &RequestRecord) {
+        self.sent += 1;
+        self.served += usize::from(matches!(record.outcome, Some((_, CallerOutcome::Success(_)))));
+    }
+
+    /// Whether less than two thirds as much was served as elsewhere, and more failed than chance
+    /// explains.
+    fn is_far_below(&self, others: &Self) -> bool {
+        let failed = self.sent - self.served;
+        failed > 10 + self.sent / 50
+            && 3 * self.served * others.sent < 2 * others.served * self.sent
+    }
+}
+
 /// The requests of a run as callers and upstreams observed them.
 #[derive(Debug, Default)]
 pub struct RequestHistory {
@@ -81,6 +128,8 @@
     limits: Vec<LimitSpan>,
     /// Spans of time in which an entry itself was killed, stopped or paused.
     entry_faults: Vec<(usize, Instant, Instant)>,
+    /// Spans of time in which an entry was cut off from all upstreams.
+    cuts: Vec<CutSpan>,
     findings: Vec<SoakFinding>,
 }
 
@@ -163,6 +212,11 @@
         self.state.lock().entry_faults.push((entry, from, until));
     }
 
+    /// Records that an entry is cut off from all upstreams in a span of time.
+    pub fn record_cut(&self, entry: usize, from: Instant, until: Instant) {
+        self.state.lock().cuts.push(CutSpan { entry, from, until });
+    }
+
     /// Records that an entry gets its first shutdown signal.
     pub fn record_stop(&self, entry: usize) {
         self.state.lock().stops.push((entry, Instant::now()));
@@ -198,6 +252,7 @@
             findings.extend(state.check(id, record));
         }
         findings.extend(state.check_limits());
+        findings.extend(state.check_cuts());
         let guarantee = "quotas are kept";
         let exceeded = check_quota(state.pressing_runs());
         findings.extend(exceeded.map(|observed| SoakFinding { guarantee, observed }));
@@ -230,6 +285,37 @@
         observed.map(|observed| SoakFinding { guarantee, observed }).collect()
     }
 
+    /// Returns findings for entries that were cut off, and nothing else, and whose callers were
+    /// served far worse than those of entries that were not.
+    fn check_cuts(&self) -> Vec<SoakFinding> {
+        let is_calm = |cut: &&CutSpan| {
+            let overlaps = |from: Instant, until: Instant| from <= cut.until && until >= cut.from;
+            !self.was_disturbed(cut.entry, cut.from, cut.until)
+                && !self.upstream_faults.iter().any(|(from, until)| overlaps(*from, *until))
+                && !self
+                    .limits
+                    .iter()
+                    .any(|limit| overlaps(limit.from, limit.until.unwrap_or(cut.until)))
+        };
+        let observed = self.cuts.iter().filter(is_calm).filter_map(|cut| {
+            let is_cut =
+                |entry| self.cuts.iter().any(|other| other.entry == entry && other.overlaps(cut));
+            let (mut at_cut, mut at_others) = (ServedCount::default(), ServedCount::default());
+            for record in self.requests.values().filter(|record| cut.counts(record)) {
+                if record.entry == cut.entry {
+                    at_cut.add(record);
+                } else if !is_cut(record.entry) {
+                    at_others.add(record);
+                }
+            }
+            at_cut
+                .is_far_below(&at_others)
+                .then(|| format!("entry {} served {at_cut:?}, the others {at_others:?}", cut.entry))
+        });
+        let guarantee = "a host that is cut off serves over others";
+        observed.map(|observed| SoakFinding { guarantee, observed }).collect()
+    }
+
     /// Returns when requests of the pressing organisation first ran.
     fn pressing_runs(&self) -> Vec<Instant> {
         let is_pressing =
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -19,7 +19,8 @@
 use crate::soak_organisations::{PRESSING, STEADY};
 use crate::soak_upstream::SoakUpstream;
 use crate::{
-    DaemonProcess, FaultSchedule, ProxyMode, RequestHistory, ScheduledFault, SoakFault, SoakFinding,
+    DaemonProcess, FaultMix, FaultSchedule, HostCuts, ProxyMode, RequestHistory, ScheduledFault,
+    SoakFault, SoakFinding,
 };
 
 /// Timeout for a new installation to serve its first requests.
@@ -56,6 +57,8 @@
     pub upstreams: usize,
     /// Number of callers. Each sends one request at a time.
     pub callers: usize,
+    /// Which faults the run has.
+    pub mix: FaultMix,
     /// Path of the daemon's executable.
     pub program: PathBuf,
 }
@@ -86,6 +89,7 @@
     stopped: Arc<AtomicBool>,
     daemons: Vec<SharedDaemon>,
     upstreams: Vec<Arc<tokio::sync::Mutex<SoakUpstream>>>,
+    cuts: HostCuts,
     tasks: JoinSet<()>,
     faults: JoinSet<()>,
 }
@@ -98,7 +102,8 @@
     pub async fn execute(settings: SoakSettings) -> Result<SoakReport> {
         let mut run = Self::start(settings).await?;
         let sizes = (run.daemons.len(), run.settings.replicas, run.upstreams.len());
-        let schedule = FaultSchedule::draw(run.settings.seed, run.settings.span, sizes);
+        let SoakSettings { seed, span, mix, .. } = run.settings;
+        let schedule = FaultSchedule::draw(seed, span, sizes, mix);
         let began = Instant::now();
         for ScheduledFault { at, fault } in &schedule.0 {
             tokio::time::sleep((*at).saturating_sub(began.elapsed())).await;
@@ -117,10 +122,10 @@
         let (callers, announce, operators) = (addresses(0), addresses(1), addresses(2));
         let history = Arc::new(RequestHistory::default());
         let (versions, stopped) = (Arc::new(VersionState::default()), Arc::default());
-        let mut upstreams = Vec::new();
+        let (mut upstreams, cuts) = (Vec::new(), HostCuts::default());
         for index in 0..settings.upstreams {
-            let upstream =
-                SoakUpstream::start(index, Arc::clone(&announce), Arc::clone(&history)).await?;
+            let (announce, history) = (Arc::clone(&announce), Arc::clone(&history));
+            let upstream = SoakUpstream::start(index, announce, history, &cuts).await?;
             upstreams.push(Arc::new(tokio::sync::Mutex::new(upstream)));
         }
         let (tasks, faults) = (JoinSet::new(), JoinSet::new());
@@ -132,6 +137,7 @@
             stopped,
             daemons,
             upstreams,
+            cuts,
             tasks,
             faults,
         };
@@ -221,6 +227,7 @@
             SoakFault::Drain { upstream } => self.drain(upstream),
             SoakFault::Crash { upstream, down } => self.crash(upstream, down),
             SoakFault::Limit { upstream, tenths, span } => self.limit(upstream, tenths, span),
+            SoakFault::CutOff { host, mode, span } => self.cut_off(host, mode, span),
             SoakFault::ChangeBurst { changes } => {
                 self.versions.extra_changes.fetch_add(changes, Ordering::Relaxed);
             }
@@ -325,6 +332,18 @@
         });
     }
 
+    fn cut_off(&mut self, host: usize, mode: ProxyMode, span: Duration) {
+        let now = Instant::now();
+        self.history.record_cut(host, now, now + span);
+        let ip = self.daemons[host].lock().addresses[3].ip();
+        let cuts = self.cuts.clone();
+        self.faults.spawn(async move {
+            cuts.cut(ip, mode);
+            tokio::time::sleep(span).await;
+            cuts.heal(ip);
+        });
+    }
+
     fn drain(&mut self, upstream: usize) {
         let upstream = Arc::clone(&self.upstreams[upstream]);
         let history = Arc::clone(&self.history);
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -21,8 +21,8 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::FaultProxy;
 use crate::request_history::{RequestHistory, answer_body};
+use crate::{FaultProxy, HostCuts};
 
 /// How often an upstream announces itself.
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
@@ -65,9 +65,10 @@
         index: usize,
         announce_to: Arc<[SocketAddr]>,
         history: Arc<RequestHistory>,
+        cuts: &HostCuts,
     ) -> Result<Self> {
         let unset_target = SocketAddr::from(([127, 0, 0, 1], 9));
-        let proxy = FaultProxy::start(unset_target).await?;
+        let proxy = FaultProxy::start(unset_target, cuts).await?;
         let mut upstream = Self { proxy, index, starts: 0, announce_to, history, running: None };
         upstream.launch().await?;
         Ok(upstream)
--- a/crates/pulley_soak/tests/checks.rs
+++ b/crates/pulley_soak/tests/checks.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use pulley_soak::{CallerOutcome, FaultProxy, FaultSchedule, ProxyMode, RequestHistory};
+use pulley_soak::{
+    CallerOutcome, FaultMix, FaultProxy, FaultSchedule, HostCuts, ProxyMode, RequestHistory,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 fn violated_guarantees(history: &RequestHistory) -> Vec<&'static str> {
     history.findings().iter().map(|finding| finding.guarantee).collect()
@@ -115,7 +117,7 @@
 // A seed whose run had findings must give the same schedule of faults again.
 #[test]
 fn a_seed_always_draws_the_same_faults() {
-    let draw = |seed| FaultSchedule::draw(seed, Duration::from_secs(20), (5, 3, 4));
+    let draw = |seed| FaultSchedule::draw(seed, Duration::from_secs(20), (5, 3, 4), FaultMix::All);
     assert_eq!(draw(7), draw(7));
     assert_ne!(draw(7), draw(8));
     assert!(draw(7).0.len() > 5);
@@ -150,7 +152,7 @@
 // network device has lost track of. New connections work. A reset closes open and new connections.
 #[tokio::test]
 async fn the_proxy_silences_open_connections_and_resets_all() {
-    let proxy = FaultProxy::start(echo().await).await.expect("a port");
+    let proxy = FaultProxy::start(echo().await, &HostCuts::default()).await.expect("a port");
     let mut first = TcpStream::connect(proxy.address).await.expect("it listens");
     assert!(matches!(exchange(&mut first).await, Some(Ok(4))));
     proxy.set(ProxyMode::DropAnswers);
@@ -188,3 +190,58 @@
     }
     assert_eq!(violated_guarantees(&history), ["quotas are kept"]);
 }
+
+// A cut concerns one host's connections, also open ones; the other hosts go on as before.
+#[tokio::test]
+async fn a_cut_host_is_cut_off_alone() {
+    let cuts = HostCuts::default();
+    let proxy = FaultProxy::start(echo().await, &cuts).await.expect("a port");
+    let connect = async |ip: &str| {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(format!("{ip}:0").parse().expect("an address")).expect("a loopback address");
+        socket.connect(proxy.address).await.expect("it listens")
+    };
+    let (mut cut, mut other) = (connect("127.0.0.2").await, connect("127.0.0.3").await);
+    assert!(exchange(&mut cut).await.is_some());
+    cuts.cut("127.0.0.2".parse().expect("an address"), ProxyMode::DropAll);
+    assert!(exchange(&mut cut).await.is_none());
+    assert!(exchange(&mut other).await.is_some());
+    let mut fresh = connect("127.0.0.2").await;
+    assert!(exchange(&mut fresh).await.is_none());
+    cuts.heal("127.0.0.2".parse().expect("an address"));
+    let mut fresh = connect("127.0.0.2").await;
+    assert!(exchange(&mut fresh).await.is_some());
+}
+
+/// Records requests at a cut entry and at another one, of which the first serves `served` of 30.
+fn cut_history(served: usize) -> RequestHistory {
+    let history = RequestHistory::default();
+    let now = Instant::now();
+    let long_ago = now.checked_sub(Duration::from_secs(10)).expect("a moment ago");
+    history.record_cut(0, long_ago, now + Duration::from_secs(5));
+    for number in 0..30 {
+        for entry in [0, 1] {
+            let id = format!("r{entry}-{number}");
+            history.record_sent(&id, entry, true);
+            let is_served = entry == 1 || number < served;
+            let outcome = match is_served {
+                true => CallerOutcome::Success(String::new()),
+                false => CallerOutcome::NotRun,
+            };
+            history.record_outcome(&id, outcome);
+        }
+    }
+    history
+}
+
+// A check that finds nothing when a cut host serves nobody would hide what it is for.
+#[test]
+fn a_cut_host_that_serves_far_less_than_the_others_is_found() {
+    let guarantee = "a host that is cut off serves over others";
+    assert!(violated_guarantees(&cut_history(0)).contains(&guarantee));
+    assert!(violated_guarantees(&cut_history(12)).contains(&guarantee));
+    assert!(!violated_guarantees(&cut_history(25)).contains(&guarantee));
+    let disturbed = cut_history(0);
+    disturbed.record_disturbance(0, Instant::now(), Instant::now());
+    assert!(!violated_guarantees(&disturbed).contains(&guarantee));
+}
--- a/crates/pulley_soak/tests/seeded_runs.rs
+++ b/crates/pulley_soak/tests/seeded_runs.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use pulley_soak::{SoakRun, SoakSettings};
+use pulley_soak::{FaultMix, SoakRun, SoakSettings};
 
 const SEEDS: &str = include_str!("seeds.txt");
 
@@ -20,8 +20,8 @@
 }
 
 fn settings(seed: u64) -> SoakSettings {
-    let (span, program) = (SPAN, daemon());
-    SoakSettings { seed, span, replicas: 3, entries: 2, upstreams: 4, callers: 12, program }
+    let (span, program, mix) = (SPAN, daemon(), FaultMix::All);
+    SoakSettings { seed, span, replicas: 3, entries: 2, upstreams: 4, callers: 12, mix, program }
 }
 
 // Daemons are killed, stopped, paused and lose their data. Upstreams drain, crash and go silent,
@@ -41,3 +41,23 @@
         assert!(report.versions > 1, "seed {seed}: only {} versions", report.versions);
     }
 }
+
+/// Seeds of the runs in which hosts are only cut off from upstreams.
+const CUT_SEEDS: [u64; 2] = [1, 2];
+
+// Hosts lose the paths to all upstreams, and others reach them. Callers of the former were refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_are_cut_off_from_upstreams_serve_over_others() {
+    let runs: Vec<_> = CUT_SEEDS
+        .map(|seed| {
+            let settings = SoakSettings { mix: FaultMix::Cuts, ..settings(seed) };
+            (seed, tokio::spawn(SoakRun::execute(settings)))
+        })
+        .into();
+    for (seed, run) in runs {
+        let report = run.await.expect("no panic").expect("the installation starts");
+        let findings: Vec<String> = report.findings.iter().map(ToString::to_string).collect();
+        assert!(findings.is_empty(), "seed {seed}: {}", findings.join("\n"));
+        assert!(report.faults > 0, "seed {seed}: no host was cut off");
+    }
+}
--- a/crates/pulleyd/src/connection/path_watch.rs
+++ b/crates/pulleyd/src/connection/path_watch.rs
@@ -4,6 +4,7 @@
 //! finds out which it is by reaching some of them both ways at the same time, directly and over
 //! another host. While its own path is lost, connections are opened over other hosts.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,10 +15,10 @@
 use pulley_core::connection::{PathCheck, UpstreamRoute};
 use rand::seq::IndexedRandom;
 use slog::info;
-use std::pin::pin;
 
 use super::UpstreamConnections;
 use super::upstream_links::UpstreamLinks;
+use super::upstream_prober::PROBE_PATH;
 
 /// Number of upstreams that a check reaches both ways.
 const CHECKED_UPSTREAMS: usize = 3;
@@ -48,7 +49,7 @@
 
 impl UpstreamConnections {
     /// Reacts to a request that stayed unanswered or a connection that could not be opened.
-    pub(super) fn consider_paths(self: &Arc<Self>) {
+    pub fn consider_paths(self: &Arc<Self>) {
         if !self.dialer.can_relay() {
             return;
         }
@@ -117,8 +118,8 @@
     async fn check(&self, links: &Arc<UpstreamLinks>) -> PathCheck {
         let path = self.probe_path(links);
         let limit = self.clock.now() + CHECK_TIMEOUT;
-        let direct = pin!(links.reach(UpstreamRoute::Direct, path.as_ref(), limit));
-        let relayed = pin!(links.reach(UpstreamRoute::Relayed, path.as_ref(), limit));
+        let direct = pin!(links.reach(UpstreamRoute::Direct, &path, limit));
+        let relayed = pin!(links.reach(UpstreamRoute::Relayed, &path, limit));
         match select(direct, relayed).await {
             Either::Left((true, _)) => PathCheck { direct: true, relayed: true },
             Either::Left((false, relayed)) => PathCheck { direct: false, relayed: relayed.await },
@@ -144,7 +145,7 @@
         let limit = self.clock.now() + CHECK_TIMEOUT;
         let trials = relayed.iter().map(|links| async move {
             let path = self.probe_path(links);
-            let is_back = links.reach(UpstreamRoute::Direct, path.as_ref(), limit).await;
+            let is_back = links.reach(UpstreamRoute::Direct, &path, limit).await;
             if is_back {
                 links.use_own_path();
             }
@@ -161,9 +162,10 @@
         self.watch.is_checking.store(false, Ordering::Release);
     }
 
-    /// Returns the path at which an upstream answers probes, if its pool has one.
-    fn probe_path(&self, links: &UpstreamLinks) -> Option<Uri> {
+    /// Returns the path at which an upstream answers probes.
+    fn probe_path(&self, links: &UpstreamLinks) -> Uri {
         let view = self.view.load();
-        view.plan.probe_path(links.pool()?)?.parse().ok()
+        let planned = links.pool().and_then(|pool| view.plan.probe_path(pool)?.parse().ok());
+        planned.unwrap_or_else(|| Uri::from_static(PROBE_PATH))
     }
 }
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -131,14 +131,10 @@
                     Ok((response, UpstreamLink { sender, registration, _state: Answering }))
                 }
                 Some(Err(fault)) => {
-                    let was_written = registration.meter.seal();
                     let broken = LinkFault::Broken(fault.into_error());
-                    Err(if was_written { broken } else { LinkFault::ClosedUnsent })
-                }
-                None => {
-                    let was_written = registration.meter.seal();
-                    Err(if was_written { LinkFault::Lost } else { LinkFault::ClosedUnsent })
+                    Err(registration.record_loss(broken))
                 }
+                None => Err(registration.record_loss(LinkFault::Lost)),
             }
         }
     }
@@ -220,6 +216,25 @@
         self.links.record_answer(self.number, self.relay.is_some());
     }
 
+    /// Records the end of the connection during a request. Returns `fault` if any byte of the request
+    /// was written.
+    fn record_loss(&self, fault: LinkFault) -> LinkFault {
+        if !self.meter.seal() {
+            return LinkFault::ClosedUnsent;
+        }
+        self.record_silence();
+        fault
+    }
+
+    /// Records that a request stayed unanswered: against the host that relays its connection, or
+    /// against this host's own path.
+    fn record_silence(&self) {
+        match &self.relay {
+            Some(relay) => relay.record_silence(),
+            None => self.links.record_silence(),
+        }
+    }
+
     /// Whether no request is to be sent over the connection, because of the host that relays it.
     pub(super) fn is_avoided(&self) -> bool {
         self.relay.as_ref().is_some_and(|relay| relay.is_avoided())
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -295,20 +295,19 @@
         self.close_matching(|registration| registration.relay.is_some());
     }
 
-    /// Reaches the upstream on a route: opens a connection, and gets an answer over it if the
-    /// upstream answers probes. The connection is kept for requests.
+    /// Reaches the upstream on a route: opens a connection, and gets an answer to a probe over it.
+    /// The connection is kept for requests.
+    ///
+    /// That a connection opens proves little: it may be reset or fall silent right after.
     pub(super) async fn reach(
         self: &Arc<Self>,
         route: UpstreamRoute,
-        probe_path: Option<&Uri>,
+        probe_path: &Uri,
         deadline: Moment,
     ) -> bool {
         let Some(registration) = self.register_check() else { return false };
         let Ok(link) = self.connect(registration, route, deadline).await else { return false };
-        let Some(request) = probe_path.and_then(|path| check_request(path, self.address)) else {
-            link.give_back();
-            return true;
-        };
+        let Some(request) = check_request(probe_path, self.address) else { return false };
         let answered = self.timer.run_until(deadline, link.probe(request)).await;
         let Some(Some((_, link))) = answered else { return false };
         link.give_back();
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -17,9 +17,9 @@
 use super::UpstreamConnections;
 use crate::request::{LOAD_HEADER, read_load_report};
 
-/// The path on which upstreams answer probes. The answer is empty, and a header carries the load
-/// report.
-const PROBE_PATH: &str = "/load";
+/// The path on which upstreams answer probes, unless their pool names another. The answer is empty,
+/// and a header carries the load report.
+pub(super) const PROBE_PATH: &str = "/load";
 
 /// Timeout of a probe. A usual probe takes about 6 ms. Waiting longer than fifty times that would
 /// only show that the upstream does not answer.
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -161,6 +161,7 @@
         let (mut response, link) = match self.send(placed).await {
             Ok(sent) => sent,
             Err(fault) => {
+                self.context.connections.consider_paths();
                 attempt.settle(self.blamed_outcome(fault.outcome));
                 return Err(fault);
             }
