--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::arrival_probes::{ArrivalBudget, LastSlotCost, SlotRoom};
+use super::moved_rows::moved_rows;
 use super::pool_scheduler_counts::SentCounts;
 use super::{
     AttemptOutcome, BusyPeriod, FIRST_PRIORITY, KindShares, LeaseTerms, LoadReport, RefusalCause,
@@ -15,7 +16,7 @@
     WaitQueue, WaitingRequest,
 };
 use crate::process::{
-    CountLink, EntryZones, FastMap, FastSet, HostId, Moment, PermitAsk, PoolName, UpstreamChange,
+    CountLink, EntryZones, FastMap, HostId, Moment, PermitAsk, PoolName, UpstreamChange,
     UpstreamRecord, ZoneName,
 };
 use crate::version::{IndexedPlan, WorkLength};
@@ -573,28 +574,6 @@
     }
 }
 
-/// Returns the new row of each row of the old plan that is in use, if it still exists.
-///
-/// Each pool looks up its own rows by name, and only those of waiting or running requests.
-/// Otherwise a sheet of thousands of rows would hold up the control thread for so long that a
-/// leader loses its lease.
-fn moved_rows(
-    pool: &PoolName,
-    old: &IndexedPlan,
-    new: &IndexedPlan,
-    in_use: &FastSet<usize>,
-) -> FastMap<usize, usize> {
-    if in_use.is_empty() {
-        return FastMap::default();
-    }
-    let old_kinds = in_use.iter().filter_map(|row| Some((*row, old.kinds.get(*row)?)));
-    let named: FastMap<_, usize> =
-        old_kinds.map(|(row, kind)| ((&kind.service, &kind.kind), row)).collect();
-    new.rows_of(pool)
-        .filter_map(|(row, kind)| Some((*named.get(&(&kind.service, &kind.kind))?, row)))
-        .collect()
-}
-
 pub(super) fn refusal(
     number: RequestNumber,
     cause: RefusalCause,
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -9,12 +9,8 @@
 
 use bytes::Bytes;
 use pulley_core::Moment;
-use pulley_core::process::{
-    HostRoles, MemberId, MemberIncarnation, MemberRecord, ProbeOutcome, ZoneName,
-};
-use pulley_core::version::{
-    AuditRead, DriverInput, LogIndex, PersistBatch, PlanStanding, ReplicaMember, SpreadCounts,
-};
+use pulley_core::process::{HostRoles, MemberIncarnation, MemberRecord, ProbeOutcome};
+use pulley_core::version::{AuditRead, DriverInput, PersistBatch};
 use slog::{Logger, error, info, warn};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -23,6 +19,8 @@
 use super::control_core::{ControlCore, ControlOutput, CoreParts, TransportCounts};
 use super::control_counts::ProbeReport;
 use super::control_handle::ControlRequest;
+use super::control_inbox::{ControlEvent, ControlInbox};
+use super::control_log::ControlLog;
 use super::replica_opener::{ReplicaDisk, ReplicaOpener};
 use super::{DaemonSettings, ProcessClock, ViewCell};
 use crate::connection::{
@@ -39,14 +37,8 @@
 /// The longest sleep of the control thread.
 const LONGEST_SLEEP: Duration = Duration::from_millis(250);
 
-/// The shortest interval between two log lines on the members. When hundreds of hosts start
-/// together, each host learns of them one by one, and would otherwise log a line for each.
-const MEMBERS_LOG_INTERVAL: Duration = Duration::from_millis(500);
 /// Bytes in a kilobit.
 const BYTES_PER_KBIT: f64 = 125.0;
-/// The shortest interval between two log lines on the cost of spreading configurations.
-const SPREAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The interval at which the secret file is checked for changed keys.
 const KEY_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -155,38 +147,10 @@
     probed: mpsc::Sender<ProbeReport>,
     /// The members' change count when the links were last given the members' addresses.
     linked_members: u64,
-    /// The change count of the members at the last log line on them, and when the next line is
-    /// allowed.
-    logged_members: u64,
-    next_members_log: Moment,
-    logged_spread: SpreadCounts,
-    next_spread_log: Moment,
-    logged_cluster: Option<ClusterState>,
-    /// The status of the configuration that was last logged.
-    logged_standing: Option<PlanStanding>,
-    /// The revision of the evacuated zones that was last logged.
-    logged_zones: LogIndex,
+    log: ControlLog,
     next_key_check: Moment,
 }
 
-/// The state of the cluster as this replica knows it. A change of it is logged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ClusterState {
-    role: &'static str,
-    leader: Option<MemberId>,
-    term: u64,
-    members_index: u64,
-    has_failed: bool,
-}
-
-struct ControlInbox {
-    requests: mpsc::Receiver<ControlRequest>,
-    frames: mpsc::Receiver<InboundFrame>,
-    datagrams: mpsc::Receiver<InboundDatagram>,
-    stored: mpsc::UnboundedReceiver<DriverInput>,
-    probes: mpsc::Receiver<ProbeReport>,
-}
-
 async fn run(
     parts: ControlParts,
     mut stopped: watch::Receiver<bool>,
@@ -253,6 +217,7 @@
         link_rate: settings.traffic.link_kbps.map(|rate| f64::from(rate) * BYTES_PER_KBIT),
         seed,
     });
+    let log = ControlLog::new(parts.logger.clone(), now);
     let control = ControlLoop {
         core,
         links,
@@ -266,13 +231,7 @@
         prober: parts.prober,
         probed: probe_sender,
         linked_members: u64::MAX,
-        logged_members: u64::MAX,
-        next_members_log: now,
-        logged_spread: SpreadCounts::default(),
-        next_spread_log: now,
-        logged_cluster: None,
-        logged_standing: None,
-        logged_zones: LogIndex::default(),
+        log,
         next_key_check: now + KEY_CHECK_INTERVAL,
     };
     let requests = parts.requests;
@@ -341,10 +300,10 @@
 impl ControlLoop {
     /// Waits for an event, then handles it and those already queued, up to [`EVENT_BURST`] in all.
     async fn next_event(&mut self, inbox: &mut ControlInbox) {
-        let first = wait_event(inbox).await;
+        let first = inbox.wait().await;
         self.handle(first);
         for _ in 1..EVENT_BURST {
-            let Some(event) = poll_event(inbox) else { break };
+            let Some(event) = inbox.poll() else { break };
             self.handle(event);
         }
     }
@@ -437,10 +396,7 @@
             self.linked_members = mark;
             self.apply_addresses();
         }
-        self.log_members(mark);
-        self.log_limits();
-        self.log_cluster_state();
-        self.log_spread();
+        self.log.record(self.clock.now(), &mut self.core);
         if let Some(outcome) = self.core.take_recall_outcome() {
             info!(self.logger, "upstreams-recalled"; "outcome" => ?outcome);
         }
@@ -502,82 +458,6 @@
         }
     }
 
-    /// Logs the number of live hosts if the members have changed.
-    fn log_members(&mut self, mark: u64) {
-        let now = self.clock.now();
-        if mark == self.logged_members || now < self.next_members_log {
-            return;
-        }
-        self.logged_members = mark;
-        self.next_members_log = now + MEMBERS_LOG_INTERVAL;
-        info!(self.logger, "membership"; "live" => self.core.members.live().count());
-    }
-
-    /// Logs the limits of upstreams that this host has just learned of.
-    fn log_limits(&mut self) {
-        for record in self.core.take_new_limits() {
-            let rate = record.rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
-            info!(self.logger, "upstream-limit"; "upstream" => %record.upstream, "rate" => rate);
-        }
-    }
-
-    /// Logs the configuration in force, the evacuated zones, the leader and the members of the log
-    /// if they have changed.
-    fn log_cluster_state(&mut self) {
-        let standing = self.core.follower.standing(self.clock.now());
-        if self.logged_standing != Some(standing) {
-            self.logged_standing = Some(standing);
-            info!(self.logger, "configuration"; "standing" => ?standing);
-        }
-        let evacuated = self.core.follower.evacuated();
-        if self.logged_zones != evacuated.revision {
-            self.logged_zones = evacuated.revision;
-            let zones: Vec<&str> = evacuated.zones.iter().map(ZoneName::as_str).collect();
-            info!(self.logger, "zones-in-force"; "evacuated" => zones.join(","),
-                "revision" => evacuated.revision.0);
-        }
-        let Some(replica) = &self.core.replica else { return };
-        let node = replica.node();
-        let cluster = ClusterState {
-            role: replica.role_name(),
-            leader: node.leader(),
-            term: node.term().0,
-            members_index: node.members_index().0,
-            has_failed: node.failure().is_some(),
-        };
-        if self.logged_cluster == Some(cluster) {
-            return;
-        }
-        self.logged_cluster = Some(cluster);
-        let status = replica.status();
-        let voter = |member: &ReplicaMember| if member.voter { "" } else { "(learner)" };
-        let members = status.members.iter().map(|m| format!("{}={}{}", m.host, m.member, voter(m)));
-        info!(self.logger, "replica"; "role" => cluster.role, "term" => cluster.term,
-            "leader" => status.leader.as_ref().map(ToString::to_string),
-            "members" => members.collect::<Vec<_>>().join(","), "last" => status.last_index.0,
-            "committed" => status.commit_index.0, "version" => %status.version,
-            "failure" => status.failure.as_ref().map(ToString::to_string));
-    }
-
-    /// Logs the cost of spreading configurations if it has grown.
-    fn log_spread(&mut self) {
-        let now = self.clock.now();
-        let counts = self.core.follower.spread_counts();
-        if counts == self.logged_spread || now < self.next_spread_log {
-            return;
-        }
-        self.logged_spread = counts;
-        self.next_spread_log = now + SPREAD_LOG_INTERVAL;
-        let follower = &self.core.follower;
-        let awaited = follower.awaited_version().map(|version| version.to_string());
-        info!(self.logger, "configuration-spread"; "version" => %follower.version(),
-            "awaited" => awaited, "fetches" => counts.fetches,
-            "dropped_paths" => counts.dropped_paths, "windows_asked" => counts.windows_asked,
-            "windows_overdue" => counts.windows_overdue, "chunks_taken" => counts.chunks_taken,
-            "chunks_unwanted" => counts.chunks_unwanted, "windows_served" => counts.windows_served,
-            "windows_unserved" => counts.windows_unserved, "chunks_served" => counts.chunks_served);
-    }
-
     fn apply_addresses(&mut self) {
         for host in self.core.members.take_changed_hosts() {
             match self.core.members.find(&host) {
@@ -592,42 +472,6 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-enum ControlEvent {
-    Request(ControlRequest),
-    Frame(InboundFrame),
-    Datagram(InboundDatagram),
-    Stored(DriverInput),
-    Probed(ProbeReport),
-    Closed,
-}
-
-async fn wait_event(inbox: &mut ControlInbox) -> ControlEvent {
-    tokio::select! {
-        Some(input) = inbox.stored.recv() => ControlEvent::Stored(input),
-        Some(frame) = inbox.frames.recv() => ControlEvent::Frame(frame),
-        Some(datagram) = inbox.datagrams.recv() => ControlEvent::Datagram(datagram),
-        Some(request) = inbox.requests.recv() => ControlEvent::Request(request),
-        Some(report) = inbox.probes.recv() => ControlEvent::Probed(report),
-        else => ControlEvent::Closed,
-    }
-}
-
-fn poll_event(inbox: &mut ControlInbox) -> Option<ControlEvent> {
-    if let Ok(input) = inbox.stored.try_recv() {
-        return Some(ControlEvent::Stored(input));
-    }
-    if let Ok(frame) = inbox.frames.try_recv() {
-        return Some(ControlEvent::Frame(frame));
-    }
-    if let Ok(datagram) = inbox.datagrams.try_recv() {
-        return Some(ControlEvent::Datagram(datagram));
-    }
-    if let Ok(request) = inbox.requests.try_recv() {
-        return Some(ControlEvent::Request(request));
-    }
-    inbox.probes.try_recv().ok().map(ControlEvent::Probed)
-}
-
 /// Tells the control thread to hand over its leadership, and waits for its answer.
 pub(super) async fn hand_over_leadership(handle: &super::ControlHandle) {
     let _ = handle.ask(|reply: oneshot::Sender<()>| ControlRequest::ShutDown(reply)).await;
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -10,6 +10,8 @@
 mod control_core;
 mod control_counts;
 mod control_handle;
+mod control_inbox;
+mod control_log;
 mod control_replica;
 mod control_status;
 mod control_thread;
--- a/crates/pulleyd/tests/replica/fake_cluster.rs
+++ b/crates/pulleyd/tests/replica/fake_cluster.rs
@@ -17,6 +17,7 @@
 
 use super::fake_disk::FakeDisk;
 use super::invariants::Invariants;
+pub(crate) use super::network_faults::NetworkFaults;
 
 /// A scheduled event at a host.
 #[derive(Debug)]
@@ -25,23 +26,6 @@
     Write { host: usize, epoch: u64, batch: PersistBatch },
 }
 
-const MILLISECOND: Duration = Duration::from_millis(1);
-
-/// Faults of the network and delays of the disks.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct NetworkFaults {
-    pub(crate) loss: f64,
-    pub(crate) duplicated: f64,
-    pub(crate) longest_delay: Duration,
-    /// Longest duration of a write.
-    pub(crate) longest_write: Duration,
-}
-
-impl NetworkFaults {
-    pub(crate) const NONE: Self =
-        Self { loss: 0.0, duplicated: 0.0, longest_delay: MILLISECOND, longest_write: MILLISECOND };
-}
-
 #[derive(Debug)]
 pub(crate) struct FakeHost {
     pub(crate) identity: ReplicaIdentity,
--- a/crates/pulleyd/tests/replica/main.rs
+++ b/crates/pulleyd/tests/replica/main.rs
@@ -12,5 +12,6 @@
 mod growth_tests;
 mod invariants;
 mod large_configuration_tests;
+mod network_faults;
 mod schedule_tests;
 mod storage_tests;
