--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -25,7 +25,7 @@
 };
 use crate::connection::{
     CallerListener, DrainReport, KeyFault, KeyRing, RelayIdentity, RelayServer, TrafficThreads,
-    UpstreamProber,
+    UpstreamConnections, UpstreamProber,
 };
 use crate::request::{
     HeaderDialect, QuotaGate, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers,
@@ -367,6 +367,8 @@
         let runtime = parts.threads.handle();
         let metrics = parts.metrics.clone();
         runtime.spawn(record_view_metrics(metrics.clone(), parts.view.clone()));
+        let connections = Arc::clone(&listeners.context.connections);
+        runtime.spawn(record_path_metrics(metrics.clone(), connections, Arc::clone(&relays)));
         let (stop_callers, callers_stopped) = watch::channel(false);
         let (stop_apis, apis_stopped) = watch::channel(false);
         let grace = parts.settings.drain_grace;
@@ -490,3 +492,15 @@
         tokio::time::sleep(METRICS_INTERVAL).await;
     }
 }
+
+async fn record_path_metrics(
+    metrics: ProcessMetrics,
+    connections: Arc<UpstreamConnections>,
+    relays: Arc<RelayServer>,
+) {
+    loop {
+        let (survey, is_cut_off) = (connections.path_survey(), connections.is_cut_off());
+        metrics.record_paths(survey, is_cut_off, relays.open_connections());
+        tokio::time::sleep(METRICS_INTERVAL).await;
+    }
+}
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -22,6 +22,7 @@
 mod host_roles;
 mod operator_api;
 mod organisation_metrics;
+mod path_metrics;
 mod process_clock;
 mod process_metrics;
 mod replica_opener;
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -9,11 +9,13 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
+use pulley_core::connection::PathSurvey;
 use pulley_core::process::OrganisationName;
 use pulley_core::version::KindPlan;
 use pulley_core::{ConfigVersion, RequestVerdict};
 
 use super::organisation_metrics::{OrganisationMetrics, OrganisationRequests};
+use super::path_metrics::PathMetrics;
 use crate::request::TrafficCounters;
 
 /// Result of creating metrics. Fails if a name is taken or malformed.
@@ -48,6 +50,7 @@
     upstreams_evacuated: IntGauge,
     ready: IntGauge,
     organisations: OrganisationMetrics,
+    paths: PathMetrics,
 }
 
 impl ProcessMetrics {
@@ -110,12 +113,14 @@
             upstreams_evacuated,
             ready,
             organisations: OrganisationMetrics::new()?,
+            paths: PathMetrics::new()?,
         };
         metrics.register()?;
         Ok(metrics)
     }
 
     fn register(&self) -> Result<()> {
+        self.paths.register(&self.registry)?;
         self.registry.register(Box::new(self.answered.clone()))?;
         self.registry.register(Box::new(self.refused.clone()))?;
         self.registry.register(Box::new(self.added_seconds.clone()))?;
@@ -202,6 +207,11 @@
         self.upstreams_evacuated.set(i64::try_from(upstreams).unwrap_or(i64::MAX));
     }
 
+    /// Records this host's paths to upstreams, and how many connections it relays for other hosts.
+    pub fn record_paths(&self, survey: PathSurvey, is_cut_off: bool, relayed: usize) {
+        self.paths.record(survey, is_cut_off, relayed);
+    }
+
     // -------------------------------------------------------------------------------------
     // Reading
 
