--- a/crates/pulley_bench/src/path/caller_load.rs
+++ b/crates/pulley_bench/src/path/caller_load.rs
@@ -21,6 +21,9 @@
 /// The number of calls that warm up each connection before a run. They are not counted.
 const WARM_UP_CALLS: usize = 50;
 
+/// The key that callers send. Paths without organisations ignore it.
+pub(super) const CALLERS_KEY: &str = "a-key-of-the-bench-0123456789abcdef";
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// The result of one run.
@@ -144,6 +147,8 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static("/cover/lookup?vessel=7");
     request.headers_mut().insert("host", http::HeaderValue::from_static("bench"));
+    let credentials = http::HeaderValue::from_str(&format!("Bearer {CALLERS_KEY}"))?;
+    request.headers_mut().insert("authorization", credentials);
     let response = sender.send_request(request).await?;
     let status = response.status();
     let _ = response.into_body().collect().await?;
--- a/crates/pulley_bench/src/path/full_forwarder.rs
+++ b/crates/pulley_bench/src/path/full_forwarder.rs
@@ -10,7 +10,8 @@
     UpstreamSequence,
 };
 use pulley_core::version::{
-    KindPlan, MethodMatch, PolicyPlan, RequestPriority, RouteTerms, WorkLength,
+    ApiKeyDigest, KindPlan, MethodMatch, OrganisationTerms, PolicyPlan, RequestPriority,
+    RequestQuota, RouteTerms, WorkLength,
 };
 use pulley_core::{ConfigVersion, PoolName};
 use pulleyd::connection::{CallerListener, TrafficThreads};
@@ -19,6 +20,8 @@
 };
 use pulleyd::request::{SchedulerSet, TrafficContext, TrafficLimits};
 
+use super::caller_load::CALLERS_KEY;
+
 /// The slots of each stand-in upstream. There are more slots than callers, because queueing is not
 /// measured here.
 const SLOTS: u32 = 256;
@@ -30,11 +33,18 @@
 }
 
 impl FullForwarder {
-    pub(super) fn start(threads: usize, upstreams: &[SocketAddr], idle: usize) -> Result<Self> {
+    /// Starts a forwarder. With `organisations`, requests need the key of one that has a quota far
+    /// above the load.
+    pub(super) fn start(
+        threads: usize,
+        upstreams: &[SocketAddr],
+        idle: usize,
+        organisations: Vec<OrganisationTerms>,
+    ) -> Result<Self> {
         let threads = TrafficThreads::start(threads)?;
         let clock = ProcessClock::start();
         let view = ViewCell::default();
-        view.store(running_view(upstreams)?);
+        view.store(running_view(upstreams, organisations)?);
         let schedulers = SchedulerSet::new("entry-1".parse()?, "a".parse()?, clock, 7);
         let schedulers = Arc::new(schedulers);
         schedulers.apply_view(&view.load());
@@ -59,7 +69,20 @@
     }
 }
 
-fn running_view(upstreams: &[SocketAddr]) -> Result<RunningView> {
+/// Returns the organisation whose key the bench's callers send.
+pub(super) fn keyed_organisation() -> Result<OrganisationTerms> {
+    Ok(OrganisationTerms {
+        name: "desk".parse()?,
+        keys: vec![ApiKeyDigest::of(CALLERS_KEY)],
+        priority: None,
+        quota: Some(RequestQuota { rate: "10000000".parse()?, burst: 1_000_000 }),
+    })
+}
+
+fn running_view(
+    upstreams: &[SocketAddr],
+    organisations: Vec<OrganisationTerms>,
+) -> Result<RunningView> {
     let pool: PoolName = "cover".parse()?;
     let kind = KindPlan {
         pool: pool.clone(),
@@ -86,7 +109,9 @@
     Ok(RunningView {
         version: ConfigVersion::default(),
         awaited_version: None,
-        plan: Arc::new(PolicyPlan { kinds: vec![kind], ..PolicyPlan::default() }.into()),
+        plan: Arc::new(
+            PolicyPlan { kinds: vec![kind], organisations, ..PolicyPlan::default() }.into(),
+        ),
         upstreams: pools,
         readiness: HostReadiness::Ready,
         evacuated: Arc::default(),
--- a/crates/pulley_bench/src/path/mod.rs
+++ b/crates/pulley_bench/src/path/mod.rs
@@ -1,7 +1,7 @@
-//! Measures what the request path adds: calls go directly, through the forwarder, and through a
-//! minimal one.
+//! Measures what the request path adds: calls go directly, through the forwarder, through one that
+//! checks an organisation's key and quota, and through a minimal one.
 //!
-//! All three paths share one process, the same stand-in upstreams and the same callers. Their runs
+//! All paths share one process, the same stand-in upstreams and the same callers. Their runs
 //! alternate, so that other load on the machine affects all of them alike. Processor time is read
 //! per thread, so that callers and upstreams are not counted.
 
@@ -63,11 +63,15 @@
     let callers = runtime("caller", LOAD_THREADS)?;
     let bare = runtime("bare", options.threads)?;
     let upstreams = stand_ins.block_on(StandInUpstream::start_several(UPSTREAMS))?;
-    let forwarder = FullForwarder::start(options.threads, &upstreams, options.idle)?;
+    let (threads, idle) = (options.threads, options.idle);
+    let forwarder = FullForwarder::start(threads, &upstreams, idle, Vec::new())?;
+    let organisations = vec![full_forwarder::keyed_organisation()?];
+    let keyed = FullForwarder::start(threads, &upstreams, idle, organisations)?;
     let bare_address = bare.block_on(bare_forwarder::start(upstreams.clone()))?;
     let mut paths = [
         MeasuredPath::new("direct", upstreams[0], None)?,
         MeasuredPath::new("forwarder", forwarder.address(), Some("traffic"))?,
+        MeasuredPath::new("keyed", keyed.address(), Some("traffic"))?,
         MeasuredPath::new("bare", bare_address, Some("bare"))?,
     ];
     let load = CallerLoad::new(options.connections, options.seconds)?;
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -226,13 +226,8 @@
         fault
     }
 
-    /// Records that a request stayed unanswered: against the host that relays its connection, or
-    /// against this host's own path.
     fn record_silence(&self) {
-        match &self.relay {
-            Some(relay) => relay.record_silence(),
-            None => self.links.record_silence(),
-        }
+        record_silence(self.relay.as_deref(), &self.links);
     }
 
     /// Whether no request is to be sent over the connection, because of the host that relays it.
@@ -279,13 +274,9 @@
         self.links.retire_unproven(self.sent);
     }
 
-    /// Records that the request is still unanswered: against the host that relays its connection, or
-    /// against this host's own path.
+    /// Records that the request is still unanswered.
     pub fn record_silence(&self) {
-        match &self.relay {
-            Some(relay) => relay.record_silence(),
-            None => self.links.record_silence(),
-        }
+        record_silence(self.relay.as_deref(), &self.links);
     }
 
     /// Returns the host that relays the request, if its connection is not direct.
@@ -294,3 +285,12 @@
         self.relay.as_ref().map(|relay| relay.host())
     }
 }
+
+/// Records that a request stayed unanswered: against the host that relays its connection, or against
+/// this host's own path.
+fn record_silence(relay: Option<&RelayState>, links: &UpstreamLinks) {
+    match relay {
+        Some(relay) => relay.record_silence(),
+        None => links.record_silence(),
+    }
+}
--- a/crates/pulleyd/tests/request_relay.rs
+++ b/crates/pulleyd/tests/request_relay.rs
@@ -385,6 +385,36 @@
     assert_eq!(upstreams.iter().map(FakeUpstream::connections).sum::<usize>(), 0);
 }
 
+// Whoever reaches the peers' port may send anything. It must get no answer and hold nothing for long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_requests_for_relaying_are_closed() {
+    let upstreams = all_of(reporting).await;
+    let fleet = start_fleet(vec![(EntryBuilder::new(), upstreams.iter().collect())]).await;
+    let relay = path_support::serve_relays("entry-1", &fleet[0]).await;
+    let nonce = [7; 32];
+    let opening: Vec<u8> = b"rly1".iter().chain(&nonce).copied().collect();
+    let with = |bytes: &[u8]| -> Vec<u8> { opening.iter().chain(bytes).copied().collect() };
+    let malformed: [Vec<u8>; 6] = [
+        b"rly2".iter().chain(&nonce).copied().collect(),
+        b"GET / HTTP/1.1\r\nHost: a host of the installation\r\n\r\n".to_vec(),
+        with(&[0, 0]),
+        with(&[255, 255, 1, 2, 3]),
+        with(&[0, 4, 255, 255, 255, 255]),
+        with(&[0, 60]),
+    ];
+    for bytes in malformed {
+        let mut stream = TcpStream::connect(relay.address).await.expect("it listens");
+        let began = Instant::now();
+        let _ = stream.write_all(&bytes).await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        assert!(answer.len() <= 32, "no more than a nonce: {answer:?}");
+        assert!(began.elapsed() < Duration::from_secs(4), "{bytes:?} holds a connection");
+    }
+    assert_eq!(fleet[0].relays.open_connections(), 0);
+    assert_eq!(upstreams.iter().map(FakeUpstream::connections).sum::<usize>(), 0);
+}
+
 /// Sends requests at a host, then returns the failures at upstreams that it reports to others.
 async fn reported_failures(entry: &TestEntry, requests: usize) -> u32 {
     let context = &entry.context;
