--- a/crates/pulley_fuzz/tests/fuzz_targets.rs
+++ b/crates/pulley_fuzz/tests/fuzz_targets.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddr;
 
 use bolero::check;
-use pulley_core::Moment;
 use pulley_core::process::{
     HostRoles, LimitExchange, MemberIncarnation, MemberRecord, MemberSettings, MemberTable,
-    PeerRing, UpstreamRegistry,
+    PeerRing, QuotaExchange, QuotaOutput, UpstreamRegistry,
 };
 use pulley_core::version::{PlanFollower, SheetReader};
+use pulley_core::{HostId, Moment};
 
 /// Number of inputs in an ordinary run.
 const INPUTS: usize = 3_000;
@@ -89,3 +89,19 @@
         assert!(follower.in_force().is_none());
     });
 }
+
+// The same for quotas. A short datagram must not make a host say or believe more than it holds.
+#[test]
+fn quota_datagrams() {
+    check!().with_iterations(INPUTS).with_max_len(LONGEST).for_each(|input: &[u8]| {
+        let own: HostId = "h1".parse().unwrap();
+        let mut exchange = QuotaExchange::new(own.clone(), 10.0);
+        exchange.set_replicas(Moment::ZERO, &[own]);
+        exchange.receive(Moment::ZERO, &"h2".parse().unwrap(), input);
+        exchange.tick(Moment::ZERO);
+        let outputs = exchange.take_outputs();
+        let is_told = |output: &QuotaOutput| matches!(output, QuotaOutput::ToEntries { .. });
+        assert!(!outputs.iter().any(is_told), "no plan names an organisation");
+        assert!(outputs.len() <= input.len(), "{outputs:?}");
+    });
+}
