--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -38,6 +38,7 @@
 pub use link_meter::LinkMeter;
 pub use traffic_threads::TrafficThreads;
 pub use upstream_connections::{LinkRequest, UpstreamConnections};
+pub use upstream_dialer::can_reach;
 pub use upstream_link::{Answering, LinkFault, SendRecord, Unused, UpstreamLink};
 pub use upstream_prober::UpstreamProber;
 
--- a/crates/pulleyd/src/connection/relay_server.rs
+++ b/crates/pulleyd/src/connection/relay_server.rs
@@ -34,6 +34,10 @@
 /// How long the asking host may take to close a connection whose upstream has closed it.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Multiple of the limit on relayed connections from which further ones are closed unread, because
+/// their senders need not be members.
+const UNAUTHENTICATED_FACTOR: usize = 2;
+
 /// Bytes read at once from either side.
 const BUFFER: usize = 8 * 1_024;
 
@@ -114,7 +118,7 @@
         }
     }
 
-    /// Returns the number of connections relayed now.
+    /// Returns the number of connections relayed now, and of those that ask for it.
     #[must_use]
     pub fn open_connections(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -122,10 +126,13 @@
 
     /// Serves one connection until either side closes it.
     pub async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let _permit = RelayPermit::acquire(&self.open);
+        if self.open_connections() > UNAUTHENTICATED_FACTOR * self.limit {
+            return;
+        }
         let limit = self.clock.now() + REQUEST_TIMEOUT;
         let accepted = self.timer.run_until(limit, self.accept(&mut stream)).await;
         let Some(Ok((request, nonces))) = accepted else { return };
-        let _permit = RelayPermit::acquire(&self.open);
         let upstream = self.connect(&request.upstream, &request.pool).await;
         let outcome = upstream.as_ref().err().copied().unwrap_or(RelayOutcome::Connected);
         info!(self.logger, "relay"; "upstream" => %request.upstream, "for" => %request.host,
--- a/crates/pulleyd/src/connection/upstream_dialer.rs
+++ b/crates/pulleyd/src/connection/upstream_dialer.rs
@@ -91,7 +91,7 @@
     /// Connects to an address.
     pub(super) async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if let Some(ip) = self.local_ip.filter(|ip| ip.is_ipv4() == address.is_ipv4()) {
+        if let Some(ip) = self.local_ip.filter(|ip| can_reach(*ip, address.ip())) {
             socket.bind(SocketAddr::new(ip, 0))?;
         }
         let stream = socket.connect(address).await?;
@@ -99,3 +99,10 @@
         Ok(stream)
     }
 }
+
+/// Whether a connection can lead from a local address to another. A loopback address, the default of
+/// a host that has no peers, reaches loopback addresses only.
+#[must_use]
+pub fn can_reach(local: IpAddr, to: IpAddr) -> bool {
+    local.is_ipv4() == to.is_ipv4() && (!local.is_loopback() || to.is_loopback())
+}
