--- a/crates/pulleyd/src/connection/path_watch.rs
+++ b/crates/pulleyd/src/connection/path_watch.rs
@@ -93,7 +93,17 @@
         }
     }
 
+    /// Checks whether the own path is lost, if there is another host to compare with.
     async fn check_paths(&self) {
+        if self.dialer.finds_relay().await {
+            self.compare_paths().await;
+        }
+        let next = self.clock.now() + CHECK_INTERVAL;
+        self.watch.next_check.store(next.micros(), Ordering::Relaxed);
+        self.watch.is_checking.store(false, Ordering::Release);
+    }
+
+    async fn compare_paths(&self) {
         let started = self.clock.now();
         let lost = self.all_links().into_iter().filter(|links| links.path().is_lost(started));
         let lost: Vec<_> = lost.collect();
@@ -109,9 +119,6 @@
             self.dialer.set_cut_off(true);
             self.all_links().iter().for_each(|links| links.use_relays(started));
         }
-        let next = self.clock.now() + CHECK_INTERVAL;
-        self.watch.next_check.store(next.micros(), Ordering::Relaxed);
-        self.watch.is_checking.store(false, Ordering::Release);
     }
 
     /// Reaches an upstream directly and over another host at the same time.
--- a/crates/pulleyd/src/connection/relay_client.rs
+++ b/crates/pulleyd/src/connection/relay_client.rs
@@ -200,6 +200,11 @@
         None
     }
 
+    /// Whether there is a host to ask.
+    pub(crate) async fn finds_host(&self) -> bool {
+        self.next_host(&[]).await.is_some()
+    }
+
     /// Returns a host to ask. Connections are spread over the first usable ones of the list.
     async fn next_host(&self, asked: &[HostId]) -> Option<Arc<RelayState>> {
         if self.needs_list(asked) {
--- a/crates/pulleyd/src/connection/upstream_dialer.rs
+++ b/crates/pulleyd/src/connection/upstream_dialer.rs
@@ -61,6 +61,14 @@
         self.relays.is_some()
     }
 
+    /// Whether there is a host to ask for a connection.
+    pub(super) async fn finds_relay(&self) -> bool {
+        match &self.relays {
+            Some(relays) => relays.finds_host().await,
+            None => false,
+        }
+    }
+
     /// Whether this host has lost its own path to upstreams.
     pub(super) fn is_cut_off(&self) -> bool {
         self.is_cut_off.load(Ordering::Relaxed)
