--- a/crates/pulley_bench/src/path/full_forwarder.rs
+++ b/crates/pulley_bench/src/path/full_forwarder.rs
@@ -75,7 +75,7 @@
         name: "desk".parse()?,
         keys: vec![ApiKeyDigest::of(CALLERS_KEY)],
         priority: None,
-        quota: Some(RequestQuota { rate: "10000000".parse()?, burst: 1_000_000 }),
+        quota: Some(RequestQuota { rate: "1000000".parse()?, burst: 1_000_000 }),
     })
 }
 
