--- a/crates/pulleyd/src/request/answer_metadata.rs
+++ b/crates/pulleyd/src/request/answer_metadata.rs
@@ -1,6 +1,6 @@
 //! The metadata of an upstream's response.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use http::header::{HeaderMap, RETRY_AFTER};
 use http::{Response, StatusCode};
@@ -10,7 +10,7 @@
 
 use super::protocol_headers::{CAUSE_HEADER, DRAINING_HEADER, VERDICT_HEADER};
 use super::request_headers::{strip_hop_by_hop, strip_own_headers};
-use super::{HeaderDialect, TrafficCounters};
+use super::{HeaderDialect, RestReading, TrafficCounters};
 
 /// The longest `Retry-After` accepted from an upstream.
 const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(60);
@@ -39,6 +39,8 @@
     pub(super) limit: Option<LimitReading>,
     /// How long to send it no requests, if it shed this one.
     pub(super) retry_after: Duration,
+    /// For how long the answer asks this host to send nothing.
+    pub(super) rest: RestReading,
     /// Whether the status says that the request was not run and no header confirms it.
     pub(super) is_unconfirmed_not_run: bool,
 }
@@ -71,6 +73,7 @@
             limit: Some(read_limit(headers, dialect, counters))
                 .filter(|limit| !is_misdirected && is_telling(*limit, status)),
             retry_after: retry_after(headers, dialect),
+            rest: RestReading::read(status, headers, SystemTime::now()),
             is_unconfirmed_not_run: !is_shed
                 && !dialect.sends_system_headers
                 && implies_not_run(status),
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -1,11 +1,12 @@
 //! Probes a few upstreams for their load before a request is placed.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::header::{HOST, HeaderValue};
+use http::response::Parts;
 use http::{Method, Request, Uri};
 use pulley_core::connection::RepeatSafety;
 use pulley_core::request::{
@@ -14,8 +15,9 @@
 };
 use pulley_core::version::{AnswerSize, KindPlan};
 use pulley_core::{Moment, PoolName, UpstreamId};
+use slog::info;
 
-use super::{RequestBody, TrafficContext};
+use super::{RequestBody, RestReading, TrafficContext};
 use crate::connection::{LinkRequest, Unused, UpstreamLink};
 
 /// How long an arriving request waits for probe answers. A probe usually takes about 6 ms. If an
@@ -242,6 +244,7 @@
         }
     }
     let reading = dialect.limit(&parts.headers);
+    log_refused_probe(context, &target.upstream, &parts);
     if reading != LimitReading::Absent || parts.status.is_success() {
         let sighting = LimitSighting { reading, sent_at, is_probe: true };
         context.schedulers.observe_limit(pool, &target.upstream, sighting);
@@ -254,6 +257,15 @@
     Some((report, link))
 }
 
+fn log_refused_probe(context: &TrafficContext, upstream: &UpstreamId, parts: &Parts) {
+    let rest = RestReading::read(parts.status, &parts.headers, SystemTime::now());
+    if let Some(rest) = rest.span() {
+        let millis = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        info!(context.logger, "probe-refused"; "upstream" => %upstream,
+            "status" => parts.status.as_u16(), "rest_ms" => millis);
+    }
+}
+
 fn probe_request(
     context: &TrafficContext,
     path: &Uri,
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -174,6 +174,7 @@
             AnswerMetadata::take(&mut response, &self.context.dialect, &self.context.counters);
         attempt.set_report(metadata.report);
         self.record_limit(metadata.limit.unwrap_or_default());
+        self.record_rest(metadata.rest);
         if let Some(reading) = metadata.limit {
             let sighting = LimitSighting { reading, sent_at, is_probe: false };
             self.context.schedulers.observe_limit(&self.row().pool, &upstream, sighting);
@@ -201,6 +202,7 @@
         placed: PlacedRequest,
     ) -> Result<(Response<Incoming>, UpstreamLink<Answering>)> {
         let PlacedRequest { upstream, address, link: mut probed } = placed;
+        let placed_at = self.context.clock.now();
         let request = LinkRequest {
             upstream: &upstream,
             address,
@@ -215,7 +217,7 @@
                     link.map_err(|fault| self.link_fault(&fault))?
                 }
             };
-            match self.send_over(&upstream, link).await {
+            match self.send_over(&upstream, link, placed_at).await {
                 Ok(Err(LinkFault::ClosedUnsent)) if self.body.can_restart() => {}
                 Ok(sent) => return sent.map_err(|fault| self.link_fault(&fault)),
                 Err(timed_out) => return Err(timed_out),
@@ -229,10 +231,13 @@
         &self,
         upstream: &UpstreamId,
         link: UpstreamLink<Unused>,
+        placed_at: Moment,
     ) -> Result<std::result::Result<(Response<Incoming>, UpstreamLink<Answering>), LinkFault>> {
         let request = self.upstream_request(upstream);
         let (meter, record) = (link.meter(), link.send_record());
-        self.record_sending(SentAttempt { at: self.context.clock.now(), record: record.clone() });
+        let sent = SentAttempt { at: self.context.clock.now(), record: record.clone() };
+        let unsent = sent.at.since(placed_at);
+        self.record_sending(sent, unsent);
         let sending = pin!(link.send(request));
         let timer = self.context.timer.clone();
         if let Some(sent) = timer.run_until(self.terms.deadline, sending).await {
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -26,7 +26,7 @@
 use super::ledger_claim::LedgerClaim;
 use super::request_attempt::Result;
 use super::request_headers::{accepts_trailers, strip_hop_by_hop, strip_own_headers};
-use super::{BodySource, SystemAnswer, TrafficContext, TrafficCounters};
+use super::{BodySource, RestReading, SystemAnswer, TrafficContext, TrafficCounters};
 use crate::connection::SendRecord;
 
 /// The least time another attempt needs: a round trip between two zones, a connection and a short
@@ -77,6 +77,10 @@
     reading: Option<ProbeReading>,
     /// The request limit that the upstream which answered last named.
     limit: LimitReading,
+    /// The rest that the upstream which answered last asked for.
+    rest: RestReading,
+    /// The time from the last placement until the request was sent.
+    unsent: Duration,
     claim: Option<LedgerClaim>,
 }
 
@@ -228,8 +232,13 @@
         self.progress.lock().limit = limit;
     }
 
-    pub(super) fn record_sending(&self, sent: SentAttempt) {
+    pub(super) fn record_rest(&self, rest: RestReading) {
+        self.progress.lock().rest = rest;
+    }
+
+    pub(super) fn record_sending(&self, sent: SentAttempt, unsent: Duration) {
         let mut progress = self.progress.lock();
+        progress.unsent = unsent;
         if let Some(claim) = &mut progress.claim {
             claim.mark_sending();
         }
@@ -389,7 +398,8 @@
         info!(self.context.logger, "attempt-failed"; "id" => self.id(),
             "attempts" => self.attempts(), "cause" => fault.answer.cause,
             "verdict" => %fault.answer.verdict, "kind" => %self.row().kind,
-            "upstream" => upstream, "limit" => logged_limit(progress.limit));
+            "upstream" => upstream, "limit" => logged_limit(progress.limit),
+            "rest_ms" => progress.rest.span().map(millis), "unsent_us" => micros(progress.unsent));
     }
 
     fn should_retry(&self, fault: &AttemptFault) -> bool {
@@ -445,6 +455,10 @@
     (limit != LimitReading::Absent).then(|| limit.to_string())
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
