--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod quotas;
 mod registry;
 mod upstream;
+mod upstream_stops;
 
 pub use counts::{
     COUNT_BYTES_PER_SECOND, COUNT_MESSAGE_LIMIT, COUNT_TTL, CoordinatorOutput, CountEpoch,
@@ -44,6 +45,7 @@
 pub use upstream::{
     Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart,
 };
+pub use upstream_stops::{SendBlock, UpstreamStop, UpstreamStops};
 
 pub(crate) use counts::{
     CountLayout, CountLink, CountTotals, LAYOUT_KEYS_PERIOD, UpstreamHealth, digest_of, median_ms,
--- a/crates/pulley_core/src/process/registry/lease_record.rs
+++ b/crates/pulley_core/src/process/registry/lease_record.rs
@@ -21,8 +21,7 @@
     }
 
     pub(crate) fn start(&self) -> UpstreamStart {
-        let announcement = &self.announcement;
-        UpstreamStart { id: announcement.id.clone(), incarnation: announcement.incarnation }
+        self.announcement.start()
     }
 
     pub(crate) fn takes_work(&self) -> bool {
--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -391,11 +391,13 @@
         self.departures.push(aged);
     }
 
-    /// Records that an upstream announced in a reply that it drains. This takes effect at once, for
-    /// this incarnation.
-    pub fn observe_drain(&mut self, now: Moment, id: &UpstreamId) {
-        // A drain is not needed for an upstream that is no longer known.
-        let _ = self.drain(now, id);
+    /// Records that an upstream said in an answer that it leaves. This takes effect at once. Returns whether that is news of a known upstream: its incarnation
+    /// may have ended since, or announced it too.
+    pub fn observe_drain(&mut self, now: Moment, start: &UpstreamStart) -> bool {
+        let entry = self.table.find(&start.id);
+        let is_news =
+            entry.is_some_and(|entry| entry.record.start() == *start && entry.record.takes_work());
+        is_news && self.drain(now, &start.id).is_ok()
     }
 
     /// Drains an upstream on an operator's request, until its next incarnation.
--- a/crates/pulley_core/src/process/upstream.rs
+++ b/crates/pulley_core/src/process/upstream.rs
@@ -72,6 +72,14 @@
     pub phase: UpstreamPhase,
 }
 
+impl Announcement {
+    /// Returns the start that it comes from.
+    #[must_use]
+    pub fn start(&self) -> UpstreamStart {
+        UpstreamStart { id: self.id.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// An upstream as seen by request routing: its last announcement, without lease details.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamRecord {
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod pool_scheduler_counts;
 mod pool_scheduler_limits;
 mod pool_scheduler_probes;
+mod pool_scheduler_stops;
 mod quota_table;
 mod retry_budget;
 mod share_leases;
--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -77,7 +77,7 @@
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Retry delay where no upstream takes work.
-const NO_UPSTREAM_DELAY: Duration = Duration::from_secs(1);
+pub(super) const NO_UPSTREAM_DELAY: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RunningRequest {
@@ -214,12 +214,7 @@
             self.link_counts(now);
         }
         let mut effects = Vec::new();
-        if self.upstreams.none_available() {
-            for request in self.queue.drain() {
-                let number = request.ticket.number;
-                effects.push(refusal(number, RefusalCause::NoUpstream, NO_UPSTREAM_DELAY));
-            }
-        }
+        self.refuse_unplaceable(now, &mut effects);
         self.dispatch(now, &mut effects);
         effects
     }
@@ -230,8 +225,9 @@
         let Some(kind_index) = self.shares.index_of(ticket.kind) else {
             return vec![refusal(number, RefusalCause::PlanChanged, MIN_RETRY_DELAY)];
         };
-        if self.upstreams.none_available() {
-            return vec![refusal(number, RefusalCause::NoUpstream, NO_UPSTREAM_DELAY)];
+        self.upstreams.end_rests(now);
+        if let Some(refused) = self.refuse_unavailable(now, ticket) {
+            return vec![refused];
         }
         if let Some(cause) = self.refusal_cause(now, kind_index, ticket) {
             return vec![refusal(number, cause, self.retry_after(kind_index))];
@@ -255,6 +251,7 @@
         report: Option<LoadReport>,
     ) -> SchedulerEffects {
         let Some(running) = self.running.remove(&number) else { return Vec::new() };
+        self.upstreams.end_rests(now);
         let median_latency_ms = self.upstreams.median_latency_ms();
         let state = self.upstreams.at_mut(running.upstream);
         state.last_report = report.map(|report| (now, report)).or(state.last_report);
@@ -288,8 +285,10 @@
         Vec::new()
     }
 
-    /// Runs the work that is due: early refusals, expiry of old counts and starts on freed slots.
+    /// Runs the work that is due: ends of rests, early refusals, expiry of old counts and starts on
+    /// freed slots.
     pub fn tick(&mut self, now: Moment) -> SchedulerEffects {
+        self.upstreams.end_rests(now);
         let mut effects = Vec::new();
         self.expire_counts(now);
         self.refuse_late(now, &mut effects);
@@ -302,7 +301,8 @@
     pub fn next_wakeup(&self) -> Option<Moment> {
         let refuse_at = self.queue.earliest()? - self.usual();
         let expires_at = self.link.as_ref().and_then(CountLink::expires_at);
-        [expires_at, self.next_look_at, Some(refuse_at)].into_iter().flatten().min()
+        let rest_ends_at = self.upstreams.rest_ends_at();
+        [expires_at, self.next_look_at, rest_ends_at, Some(refuse_at)].into_iter().flatten().min()
     }
 
     /// Returns the pool that it schedules.
@@ -524,6 +524,7 @@
             number: ticket.number,
             upstream: announcement.id.clone(),
             address: announcement.address,
+            incarnation: announcement.incarnation,
         }
     }
 
--- a/crates/pulley_core/src/request/pool_scheduler_probes.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_probes.rs
@@ -14,7 +14,7 @@
 };
 use super::upstream_table::ProbeCandidate;
 use super::{LoadReport, PoolScheduler, RefusalCause, RequestTicket, SchedulerEffects};
-use crate::process::{Moment, UpstreamId};
+use crate::process::{Incarnation, Moment, UpstreamId};
 
 /// Ranking penalty of another zone, in usual answer times. The round trip takes a few hundredths of
 /// one, and bytes between zones cost the operators more than the rest of the request.
@@ -96,6 +96,8 @@
     pub upstream: UpstreamId,
     /// The address to send the probe to.
     pub address: SocketAddr,
+    /// The upstream's incarnation.
+    pub incarnation: Incarnation,
 }
 
 impl PoolScheduler {
@@ -117,6 +119,7 @@
         ticket: &RequestTicket,
         query: &ProbeQuery<'_>,
     ) -> Vec<ProbeTarget> {
+        self.upstreams.end_rests(now);
         if self.queue.len() > 0 || self.shares.index_of(ticket.kind).is_none() {
             return Vec::new();
         }
@@ -136,7 +139,8 @@
         let count = self.probes.take(now, candidates.len());
         let targets = candidates.into_iter().take(count).map(|upstream| {
             let announcement = &self.upstreams.at(upstream.index).record.announcement;
-            ProbeTarget { upstream: announcement.id.clone(), address: announcement.address }
+            let (upstream, address) = (announcement.id.clone(), announcement.address);
+            ProbeTarget { upstream, address, incarnation: announcement.incarnation }
         });
         targets.collect()
     }
@@ -229,7 +233,7 @@
             return false;
         }
         self.upstreams.available().any(|state| {
-            state.record.announcement.zone == self.zone && !state.limit.is_blocked(now)
+            state.record.announcement.zone == self.zone && state.send_block_if(now, false).is_none()
         })
     }
 
@@ -250,6 +254,7 @@
         ticket: &RequestTicket,
         readings: &[ProbeReading],
     ) -> SchedulerEffects {
+        self.upstreams.end_rests(now);
         let Some(kind_index) = self.shares.index_of(ticket.kind) else {
             return self.arrive(now, ticket);
         };
@@ -504,10 +509,7 @@
     fn reading_cost(&self, now: Moment, reading: &ProbeReading) -> Option<PlacementCost> {
         let index = self.upstreams.index_of(&reading.upstream)?;
         let state = self.upstreams.at(index);
-        if !state.takes_work()
-            || state.limit.is_blocked(now)
-            || self.is_cold_blocked(now, index, reading)
-        {
+        if state.send_block_if(now, self.is_cold_blocked(now, index, reading)).is_some() {
             return None;
         }
         let away = if state.record.announcement.zone == self.zone { 0.0 } else { ZONE_PENALTY };
--- a/crates/pulley_core/src/request/ticket.rs
+++ b/crates/pulley_core/src/request/ticket.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RefusalCause;
-use crate::process::{Moment, UpstreamId};
+use crate::process::{Incarnation, Moment, UpstreamId};
 
 /// Number of a request within its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,6 +47,8 @@
         upstream: UpstreamId,
         /// The upstream's address.
         address: SocketAddr,
+        /// The upstream's incarnation.
+        incarnation: Incarnation,
     },
     /// Refuse the request at once, as not run.
     Refuse {
@@ -71,6 +73,8 @@
     Failed,
     /// The upstream reports that it shed the request without running it.
     Shed,
+    /// The upstream turned the request away and asked for rest, which says nothing of its health.
+    Rested,
     /// No connection could be made; nothing was sent.
     Unreachable,
     /// The connection broke, or the attempt timed out, after bytes were sent.
@@ -83,7 +87,7 @@
     /// Whether the outcome points to a fault of the upstream or of the network path to it.
     #[must_use]
     pub const fn is_failure(self) -> bool {
-        !matches!(self, Self::Answered | Self::Cancelled)
+        !matches!(self, Self::Answered | Self::Rested | Self::Cancelled)
     }
 }
 
--- a/crates/pulley_core/src/request/upstream_choice.rs
+++ b/crates/pulley_core/src/request/upstream_choice.rs
@@ -121,8 +121,7 @@
         if state.own as f32 >= (usable * choice.own_overcommit).max(1.0)
             || load >= (usable * choice.overcommit).max(1.0)
             || state.is_paused(choice.now, part)
-            || state.cold.is_blocked(choice.now, self.warm_up)
-            || state.limit.is_blocked(choice.now)
+            || state.send_block(choice.now, self.warm_up).is_some()
             || choice.avoid.contains(&state.record.announcement.id)
         {
             return None;
--- a/crates/pulley_core/src/request/upstream_state.rs
+++ b/crates/pulley_core/src/request/upstream_state.rs
@@ -4,8 +4,10 @@
 
 use super::{AttemptOutcome, ColdRateLimit, LoadReport, UpstreamLimit};
 use crate::process::{
-    CountKey, Moment, UpstreamHealth, UpstreamOutcomes, UpstreamPhase, UpstreamRecord,
+    CountKey, Moment, SendBlock, UpstreamHealth, UpstreamOutcomes, UpstreamPhase, UpstreamRecord,
+    UpstreamStop,
 };
+use crate::version::WarmUpTerms;
 
 /// Fraction of its slots that a warming upstream starts with, and the time until all of them are
 /// used.
@@ -63,6 +65,13 @@
     /// The request limit that the upstream names.
     pub(crate) limit: UpstreamLimit,
     next_trickle_at: Moment,
+    /// What the upstream has asked of this host.
+    stop: UpstreamStop,
+    /// Whether this entry counts it as resting. It does so for somewhat longer than asked.
+    is_resting: bool,
+    /// The requests that this entry may have outstanding there, from the end of a rest until so many
+    /// have been answered that this no longer matters.
+    returning: Option<u32>,
 }
 
 impl UpstreamState {
@@ -86,6 +95,9 @@
             cold: ColdRateLimit::default(),
             limit: UpstreamLimit::default(),
             next_trickle_at: now,
+            stop: UpstreamStop::default(),
+            is_resting: false,
+            returning: None,
         }
     }
 
@@ -102,6 +114,9 @@
             self.latency_ratio = 1.0;
             self.cold = ColdRateLimit::default();
             self.limit = UpstreamLimit::default();
+            self.stop = UpstreamStop::default();
+            self.is_resting = false;
+            self.returning = None;
         }
         self.record = record.clone();
         self.listed = true;
@@ -114,9 +129,58 @@
         self.warming_since = None;
     }
 
-    /// Whether new requests may go to the upstream.
+    /// Whether the upstream takes part in the choice: it takes work and is not at rest.
     pub(crate) fn takes_work(&self) -> bool {
-        self.listed && self.record.takes_work
+        !self.has_departed() && !self.is_resting
+    }
+
+    /// Returns why no request may be sent now, if that is so.
+    pub(crate) fn send_block(
+        &self,
+        now: Moment,
+        warm_up: Option<WarmUpTerms>,
+    ) -> Option<SendBlock> {
+        self.send_block_if(now, self.cold.is_blocked(now, warm_up))
+    }
+
+    /// Returns why no request may be sent now, where a report says whether the rate for cold upstreams
+    /// forbids it.
+    pub(crate) fn send_block_if(&self, now: Moment, is_cold_blocked: bool) -> Option<SendBlock> {
+        if self.has_departed() {
+            Some(SendBlock::Departed)
+        } else if self.is_resting {
+            Some(SendBlock::Resting(self.stop.rest_until))
+        } else if self.returning.is_some_and(|allowed| self.own >= allowed) {
+            Some(SendBlock::Returning)
+        } else if is_cold_blocked {
+            Some(SendBlock::Cold)
+        } else {
+            self.limit.is_blocked(now).then_some(SendBlock::Limited)
+        }
+    }
+
+    fn has_departed(&self) -> bool {
+        !self.listed || !self.record.takes_work || self.stop.departs
+    }
+
+    /// Returns when the upstream's rest ends, if it rests and takes work after it.
+    pub(crate) fn rest_ends_at(&self) -> Option<Moment> {
+        (self.is_resting && !self.has_departed()).then_some(self.stop.rest_until)
+    }
+
+    /// Learns what the upstream has asked of this host.
+    pub(crate) fn apply_stop(&mut self, now: Moment, stop: UpstreamStop) {
+        self.is_resting = now < stop.rest_until;
+        self.stop = stop;
+    }
+
+    /// Ends a rest that is over. Until they are answered, only few requests follow: other hosts come
+    /// back at about the same time.
+    pub(crate) fn end_rest(&mut self, now: Moment) {
+        if self.is_resting && self.stop.rest_until <= now {
+            self.is_resting = false;
+            self.returning = Some(1);
+        }
     }
 
     /// Returns the fraction of its slots that is considered usable.
@@ -188,6 +252,17 @@
         self.health.latency_ms()
     }
 
+    /// Lets more requests follow after a rest once one is answered, and few again after a failure.
+    fn record_return(&mut self, outcome: AttemptOutcome) {
+        let Some(allowed) = self.returning else { return };
+        let slots = self.record.announcement.slots.0;
+        self.returning = match outcome {
+            AttemptOutcome::Answered => Some(2 * allowed).filter(|allowed| *allowed < slots),
+            AttemptOutcome::Cancelled => Some(allowed),
+            _ => Some(1),
+        };
+    }
+
     /// Records the end of an attempt. `pool_ms` is the usual answer time in the pool.
     pub(crate) fn finish(
         &mut self,
@@ -197,6 +272,7 @@
         pool_ms: f32,
     ) {
         self.own = self.own.saturating_sub(1);
+        self.record_return(outcome);
         let mut outcomes = UpstreamOutcomes::default();
         match outcome {
             AttemptOutcome::Answered => {
@@ -204,7 +280,7 @@
                 // At least 1, so that many answers of half a millisecond do not add up to zero.
                 outcomes.total_ms = u16::try_from(took.as_millis()).unwrap_or(u16::MAX).max(1);
             }
-            AttemptOutcome::Cancelled => return,
+            AttemptOutcome::Rested | AttemptOutcome::Cancelled => return,
             AttemptOutcome::Failed
             | AttemptOutcome::Shed
             | AttemptOutcome::Unreachable
--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -6,8 +6,8 @@
 use super::subset_ranking::{SubsetRanking, SubsetShift};
 use super::{COLD_ENTRIES, UpstreamState};
 use crate::process::{
-    CountKey, CountLayout, EntryZones, FastMap, FastSet, HostId, Moment, UpstreamChange,
-    UpstreamId, UpstreamPhase, UpstreamRecord, ZoneName, median_ms, stable_hash,
+    CountKey, CountLayout, EntryZones, FastMap, FastSet, HostId, Moment, SendBlock, UpstreamChange,
+    UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamStop, ZoneName, median_ms, stable_hash,
 };
 use crate::version::WarmUpTerms;
 
@@ -60,6 +60,8 @@
     pub(super) outstanding: f32,
     pub(super) part_floor: f32,
     pub(super) median_latency_ms: f32,
+    /// When the first of the rests ends.
+    next_rest_end: Option<Moment>,
 }
 
 /// An upstream that may be probed.
@@ -99,6 +101,7 @@
             outstanding: 0.0,
             part_floor: 0.0,
             median_latency_ms: 0.0,
+            next_rest_end: None,
         }
     }
 
@@ -232,6 +235,41 @@
         self.warm_up = self.plan_warm_up.map(usable);
     }
 
+    /// Applies what an upstream has asked of this host.
+    pub(crate) fn apply_stop(&mut self, now: Moment, index: usize, stop: UpstreamStop) {
+        self.mark_unavailable(index);
+        self.states[index].apply_stop(now, stop);
+        self.mark_available(index);
+        self.next_rest_end = self.rest_ends_at();
+        self.refresh(now);
+    }
+
+    /// Lets the upstreams take work again whose rest has ended.
+    pub(crate) fn end_rests(&mut self, now: Moment) {
+        if self.next_rest_end.is_none_or(|end| now < end) {
+            return;
+        }
+        for index in 0..self.states.len() {
+            if self.states[index].rest_ends_at().is_some_and(|end| end <= now) {
+                self.states[index].end_rest(now);
+                self.mark_available(index);
+            }
+        }
+        self.next_rest_end = self.rest_ends_at();
+        self.refresh(now);
+    }
+
+    /// Returns when the first of the rests ends; `None` if no upstream rests that takes work after it.
+    pub(crate) fn rest_ends_at(&self) -> Option<Moment> {
+        self.states.iter().filter_map(UpstreamState::rest_ends_at).min()
+    }
+
+    /// Returns the slots of the upstreams that rest.
+    pub(crate) fn resting_slots(&self) -> f32 {
+        let resting = self.states.iter().filter(|state| state.rest_ends_at().is_some());
+        resting.map(UpstreamState::slots).sum()
+    }
+
     /// Marks an upstream as no longer announced. Returns true if it was announced.
     fn remove(&mut self, id: &UpstreamId) -> bool {
         let Some(index) = self.by_id.get(id).copied().filter(|index| self.states[*index].listed)
@@ -350,8 +388,9 @@
         let available = self.available.iter().copied().filter(|index| {
             let state = &self.states[*index];
             let part = state.usable_part(now).max(self.part_floor);
+            let block = state.send_block_if(now, state.cold.skips_probes(now, self.warm_up));
             !state.is_paused(now, part)
-                && !state.cold.skips_probes(now, self.warm_up)
+                && block.is_none_or(|block| block == SendBlock::Limited)
                 && !passed(&state.record.announcement.id)
         });
         let silent_zones = self.silent_zones(now);
@@ -362,7 +401,7 @@
             let in_other_zone = state.record.announcement.zone != *zone;
             // A cold upstream that is assigned to this entry is probed as if it were in its subset.
             let is_outside = !state.in_subset && !state.cold.is_cold(now);
-            let needs_permit = state.limit.is_blocked(now);
+            let needs_permit = state.send_block_if(now, false) == Some(SendBlock::Limited);
             ProbeCandidate { is_silent, in_other_zone, is_outside, needs_permit, index }
         });
         probe_candidates.collect()
@@ -381,7 +420,7 @@
 
     /// Whether requests can be sent to none of the upstreams without a permit.
     pub(crate) fn all_blocked(&self, now: Moment) -> bool {
-        self.available().all(|state| state.limit.is_blocked(now))
+        self.available().all(|state| state.send_block_if(now, false) == Some(SendBlock::Limited))
     }
 
     /// Returns up to `count` upstreams for which permits may be asked now.
--- a/crates/pulley_core/src/request/verdict.rs
+++ b/crates/pulley_core/src/request/verdict.rs
@@ -86,6 +86,8 @@
     ConfigurationBehind,
     /// Every upstream of the pool has named a request limit, and none has any of it left.
     UpstreamsLimited,
+    /// Every upstream of the pool that takes work has asked this host for rest.
+    UpstreamsResting,
     /// The request has no key, more than one, or one that no organisation holds.
     UnknownKey,
     /// This host cannot tell whether the request's key has been taken away.
@@ -114,6 +116,7 @@
             Self::BadRequest => "bad-request",
             Self::ConfigurationBehind => "configuration-behind",
             Self::UpstreamsLimited => "upstreams-limited",
+            Self::UpstreamsResting => "upstreams-resting",
             Self::UnknownKey => "unknown-key",
             Self::KeysUnconfirmed => "keys-unconfirmed",
             Self::OverQuota => "over-quota",
--- a/crates/pulley_core/tests/members/upstream_registry_tests.rs
+++ b/crates/pulley_core/tests/members/upstream_registry_tests.rs
@@ -87,9 +87,10 @@
     let mut network = Network::new(30, 14);
     network.run_for(3 * SECOND);
     announce_for(&mut network, 5, 1, 4);
-    let (now, id) = (network.now, announcement(1, 1, 1).id);
-    network.hosts[4].registry.observe_drain(now, &id);
-    assert!(!network.hosts[4].registry.takes_work(now, &id));
+    let (now, start) = (network.now, announcement(1, 1, 1).start());
+    assert!(network.hosts[4].registry.observe_drain(now, &start));
+    assert!(!network.hosts[4].registry.observe_drain(now, &start), "it is told once");
+    assert!(!network.hosts[4].registry.takes_work(now, &start.id));
     network.run_for(Duration::from_millis(500));
     assert_eq!(hosts_using(&network, 1), 0);
     // Its next incarnation gets work again.
@@ -98,6 +99,42 @@
     assert_eq!(hosts_using(&network, 1), 30);
 }
 
+// An upstream that leaves went on announcing itself as ready, and answered probes that renewed its
+// lease.
+#[test]
+fn a_drain_seen_in_a_reply_outlasts_ready_announcements_and_renewals_by_answers() {
+    let mut network = Network::new(30, 14);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 5, 1, 4);
+    let (now, start) = (network.now, announcement(1, 1, 1).start());
+    network.hosts[4].registry.observe_drain(now, &start);
+    announce_for(&mut network, 5, 5, 4);
+    assert_eq!(hosts_using(&network, 1), 0);
+    for _ in 0..10 {
+        let now = network.now;
+        for host in &mut network.hosts {
+            host.registry.renew_answering(now, &start);
+        }
+        network.run_for(SECOND);
+        assert_eq!(hosts_using(&network, 1), 0);
+    }
+}
+
+// An answer of an upstream's former start was read after the upstream had restarted, and its next
+// start got no work.
+#[test]
+fn a_late_reply_of_an_earlier_start_drains_no_later_one() {
+    let mut network = Network::new(10, 14);
+    network.run_for(3 * SECOND);
+    announce_for(&mut network, 5, 1, 4);
+    network.announce(0, announcement(1, 2, 1));
+    network.run_for(SECOND);
+    let (now, earlier) = (network.now, announcement(1, 1, 1).start());
+    assert!(!network.hosts[4].registry.observe_drain(now, &earlier));
+    network.run_for(SECOND);
+    assert_eq!(hosts_using(&network, 1), 10);
+}
+
 /// Two processes are started with the same id by mistake. If both were accepted in turn, replies of
 /// one would be attributed to the other.
 #[test]
--- a/crates/pulleyd/src/connection/path_watch.rs
+++ b/crates/pulleyd/src/connection/path_watch.rs
@@ -11,14 +11,14 @@
 
 use futures::future::{Either, join_all, select};
 use http::Uri;
-use pulley_core::Moment;
 use pulley_core::connection::{PathCheck, UpstreamRoute};
+use pulley_core::{Moment, PoolName};
 use rand::seq::IndexedRandom;
 use slog::info;
 
-use super::UpstreamConnections;
 use super::upstream_links::UpstreamLinks;
 use super::upstream_prober::PROBE_PATH;
+use super::{UpstreamConnections, UpstreamTarget};
 
 /// Number of upstreams that a check reaches both ways.
 const CHECKED_UPSTREAMS: usize = 3;
@@ -106,7 +106,7 @@
     async fn compare_paths(&self) {
         let started = self.clock.now();
         let lost = self.all_links().into_iter().filter(|links| links.path().is_lost(started));
-        let lost: Vec<_> = lost.collect();
+        let lost: Vec<_> = lost.filter(|links| self.may_check(links)).collect();
         let checked = lost.choose_multiple(&mut rand::rng(), CHECKED_UPSTREAMS);
         let checks = join_all(checked.map(|links| self.check(links))).await;
         let is_cut_off = PathCheck::prove_cut(&checks);
@@ -123,10 +123,9 @@
 
     /// Reaches an upstream directly and over another host at the same time.
     async fn check(&self, links: &Arc<UpstreamLinks>) -> PathCheck {
-        let path = self.probe_path(links);
         let limit = self.clock.now() + CHECK_TIMEOUT;
-        let direct = pin!(links.reach(UpstreamRoute::Direct, &path, limit));
-        let relayed = pin!(links.reach(UpstreamRoute::Relayed, &path, limit));
+        let direct = pin!(self.reach(links, UpstreamRoute::Direct, limit));
+        let relayed = pin!(self.reach(links, UpstreamRoute::Relayed, limit));
         match select(direct, relayed).await {
             Either::Left((true, _)) => PathCheck { direct: true, relayed: true },
             Either::Left((false, relayed)) => PathCheck { direct: false, relayed: relayed.await },
@@ -147,12 +146,17 @@
             .into_iter()
             .filter(|links| links.path().route == UpstreamRoute::Relayed)
             .collect();
+        let count = relayed.len();
+        relayed.retain(|links| self.may_check(links));
+        if relayed.is_empty() && count > 0 {
+            self.watch.is_checking.store(false, Ordering::Release);
+            return;
+        }
         relayed.sort_by_key(|links| !links.was_used_within(TRIAL_SPAN));
         relayed.truncate(MAX_TRIALS);
         let limit = self.clock.now() + CHECK_TIMEOUT;
         let trials = relayed.iter().map(|links| async move {
-            let path = self.probe_path(links);
-            let is_back = links.reach(UpstreamRoute::Direct, &path, limit).await;
+            let is_back = self.reach(links, UpstreamRoute::Direct, limit).await;
             if is_back {
                 links.use_own_path();
             }
@@ -169,6 +173,31 @@
         self.watch.is_checking.store(false, Ordering::Release);
     }
 
+    /// Whether a check may be sent to an upstream now. One that rests is owed its rest by checks too.
+    fn may_check(&self, links: &UpstreamLinks) -> bool {
+        let target = self.target_of(links);
+        target.is_some_and(|(pool, target)| self.send_block(&pool, &target).is_none())
+    }
+
+    fn target_of(&self, links: &UpstreamLinks) -> Option<(PoolName, UpstreamTarget)> {
+        let pool = links.pool()?;
+        let target = self.target(pool, links.upstream(), links.address())?;
+        Some((pool.clone(), target))
+    }
+
+    /// Reaches an upstream on a route. What it asks for in its answer holds as in any other.
+    async fn reach(&self, links: &Arc<UpstreamLinks>, route: UpstreamRoute, limit: Moment) -> bool {
+        let Some((pool, target)) = self.target_of(links) else { return false };
+        let path = self.probe_path(links);
+        let may_send = || self.send_block(&pool, &target).is_none();
+        let reached = links.reach(route, &path, limit, may_send).await;
+        let Some((parts, link)) = reached else { return false };
+        let relay = link.relay().cloned();
+        self.observe_stops((&pool, &target.start), parts.status, &parts.headers, relay.as_ref());
+        link.give_back();
+        true
+    }
+
     /// Returns the path at which an upstream answers probes.
     fn probe_path(&self, links: &UpstreamLinks) -> Uri {
         let view = self.view.load();
--- a/crates/pulleyd/src/connection/relay_client.rs
+++ b/crates/pulleyd/src/connection/relay_client.rs
@@ -8,7 +8,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use parking_lot::Mutex;
-use pulley_core::process::{ClusterId, RelayHost};
+use pulley_core::process::{ClusterId, RelayHost, UpstreamStart};
 use pulley_core::{HostId, Moment, PoolName, UpstreamId};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -16,8 +16,8 @@
 use super::peer_gate::{LinkNonces, NONCE_LENGTH};
 use super::peer_key_ring::KeyRing;
 use super::relay_handshake::{
-    RELAY_PREAMBLE, RelayOutcome, RelayReply, RelayRequest, RelaySigner, read_message, read_nonce,
-    write_message,
+    RELAY_PREAMBLE, RelayOutcome, RelayReply, RelayRequest, RelayRest, RelaySigner, read_message,
+    read_nonce, write_message,
 };
 use super::relay_stream::RelayStream;
 use super::{LinkFault, UpstreamDialer};
@@ -58,6 +58,17 @@
 /// own path to upstreams.
 const MAX_SILENCES: u32 = 3;
 
+/// How often a host is told of a rest until it has answered.
+const NOTICE_ATTEMPTS: usize = 3;
+
+/// A rest that an upstream has asked of the host that relayed its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct RestNotice {
+    pub(crate) pool: PoolName,
+    pub(crate) start: UpstreamStart,
+    pub(crate) span: Duration,
+}
+
 /// Who this host is towards others that it asks.
 #[derive(Clone, Debug)]
 pub struct RelayIdentity {
@@ -147,7 +158,8 @@
     /// Opens a connection to an upstream through another host.
     ///
     /// # Errors
-    /// `Unreachable` if no host connects to the upstream, `ConnectTimeout` if the deadline passes.
+    /// `Unreachable` if no host connects to the upstream, `RelaysResting` if one would and owes the
+    /// upstream rest, `ConnectTimeout` if the deadline passes.
     /// Nothing was sent to the upstream.
     pub(crate) async fn open(
         &self,
@@ -157,6 +169,7 @@
     ) -> Result<RelayStream> {
         let mut asked: Vec<HostId> = Vec::new();
         let mut pending = FuturesUnordered::new();
+        let mut owes_rest = false;
         loop {
             if asked.len() < MAX_HOSTS_ASKED
                 && let Some(state) = self.next_host(&asked).await
@@ -168,36 +181,66 @@
             let now = self.clock.now();
             let limit = if may_ask { deadline.min(now + ASK_INTERVAL) } else { deadline };
             match self.timer.run_until(limit, pending.next()).await {
-                Some(Some(Some(stream))) => return Ok(stream),
+                Some(Some(Ok(stream))) => return Ok(stream),
                 Some(None) => break,
                 None if limit == deadline => return Err(LinkFault::ConnectTimeout),
-                Some(Some(None)) | None => {}
+                Some(Some(Err(refusal))) => owes_rest |= refusal == Some(RelayOutcome::Resting),
+                None => {}
             }
         }
+        if owes_rest {
+            return Err(LinkFault::RelaysResting);
+        }
         let fault = format!("{} other hosts do not connect to it", asked.len());
         Err(LinkFault::Unreachable(io::Error::other(fault)))
     }
 
     /// Asks one host for a connection, and records what that shows of the host.
+    ///
+    /// # Errors
+    /// What the host answered instead; `None` if it gave no answer in time.
     async fn ask_in_time(
         &self,
         dialer: &UpstreamDialer,
         state: Arc<RelayState>,
         target: (&UpstreamId, &PoolName),
-    ) -> Option<RelayStream> {
-        let asking = self.ask(dialer, &state, target);
+    ) -> std::result::Result<RelayStream, Option<RelayOutcome>> {
+        let asking = self.ask(dialer, &state, target, None);
         let limit = self.clock.now() + ASK_TIMEOUT;
-        match self.timer.run_until(limit, asking).await {
-            Some(Ok((stream, RelayOutcome::Connected))) => {
-                return Some(RelayStream::new(stream, state));
-            }
-            Some(Ok((_, RelayOutcome::UnknownUpstream | RelayOutcome::Unreachable))) => {}
-            Some(Ok((_, RelayOutcome::Draining))) => state.record_draining(),
-            Some(Ok((_, RelayOutcome::Full | RelayOutcome::CutOff)) | Err(_)) | None => {
-                state.avoid_for(AVOID_SPAN);
+        let answer = self.timer.run_until(limit, asking).await.and_then(io::Result::ok);
+        let outcome = match answer {
+            Some((stream, RelayOutcome::Connected)) => return Ok(RelayStream::new(stream, state)),
+            Some((_, outcome)) => Some(outcome),
+            None => None,
+        };
+        match outcome {
+            Some(RelayOutcome::Draining) => state.record_draining(),
+            None | Some(RelayOutcome::Full | RelayOutcome::CutOff) => state.avoid_for(AVOID_SPAN),
+            Some(_) => {}
+        }
+        Err(outcome)
+    }
+
+    /// Tells a host that an upstream has asked it for rest, in an answer that the host has passed on
+    /// without reading it.
+    pub(crate) async fn tell_rest(
+        &self,
+        dialer: &UpstreamDialer,
+        state: &RelayState,
+        notice: RestNotice,
+    ) {
+        let until = self.clock.now() + notice.span;
+        for _ in 0..NOTICE_ATTEMPTS {
+            let left = until.since(self.clock.now());
+            let rest = RelayRest { incarnation: notice.start.incarnation, span: left };
+            let target = (&notice.start.id, &notice.pool);
+            let telling = self.ask(dialer, state, target, Some(rest));
+            let limit = self.clock.now() + ASK_TIMEOUT;
+            if let Some(Ok((_, RelayOutcome::Resting))) = self.timer.run_until(limit, telling).await
+            {
+                return;
             }
         }
-        None
     }
 
     /// Whether there is a host to ask.
@@ -244,12 +287,13 @@
         list.hosts = hosts.into_iter().map(state).collect();
     }
 
-    /// Asks one host for a connection.
+    /// Asks one host for a connection, or tells it of a rest.
     async fn ask(
         &self,
         dialer: &UpstreamDialer,
         state: &RelayState,
         (upstream, pool): (&UpstreamId, &PoolName),
+        rest: Option<RelayRest>,
     ) -> io::Result<(BufReader<TcpStream>, RelayOutcome)> {
         let mut stream = BufReader::new(dialer.connect(state.host.address).await?);
         let initiator: [u8; NONCE_LENGTH] = rand::random();
@@ -263,6 +307,7 @@
             host: host.clone(),
             upstream: upstream.clone(),
             pool: pool.clone(),
+            rest,
             proof: [0; 32],
         };
         signer.sign_request(&mut request);
--- a/crates/pulleyd/src/connection/relay_handshake.rs
+++ b/crates/pulleyd/src/connection/relay_handshake.rs
@@ -8,8 +8,9 @@
 //! [`super::relay_stream`]).
 
 use std::io;
+use std::time::Duration;
 
-use pulley_core::process::ClusterId;
+use pulley_core::process::{ClusterId, Incarnation};
 use pulley_core::{HostId, PoolName, UpstreamId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -23,7 +24,7 @@
 
 /// The first bytes of a connection that is to be relayed. Links between hosts begin with a zero
 /// byte, so the first byte tells the two apart.
-pub(crate) const RELAY_PREAMBLE: [u8; 4] = *b"rly1";
+pub(crate) const RELAY_PREAMBLE: [u8; 4] = *b"rly2";
 
 /// Maximum size of a message, in bytes. It is read before its sender is authenticated.
 const MESSAGE_LIMIT: usize = 512;
@@ -37,9 +38,21 @@
     pub(crate) upstream: UpstreamId,
     /// The pool in which the upstream must be.
     pub(crate) pool: PoolName,
+    /// The rest that the upstream has asked of the other host in an answer that it relayed. No
+    /// connection is wanted then.
+    pub(crate) rest: Option<RelayRest>,
     pub(crate) proof: [u8; 32],
 }
 
+/// A rest that an upstream has asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RelayRest {
+    /// The incarnation that has asked for it.
+    pub(crate) incarnation: Incarnation,
+    /// The time left of it.
+    pub(crate) span: Duration,
+}
+
 /// Answers a [`RelayRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RelayReply {
@@ -62,6 +75,8 @@
     UnknownUpstream,
     /// The other host can't connect to the upstream.
     Unreachable,
+    /// The other host keeps a rest that the upstream has asked for.
+    Resting,
 }
 
 impl RelayOutcome {
@@ -74,6 +89,7 @@
             Self::CutOff => "cut-off",
             Self::UnknownUpstream => "unknown-upstream",
             Self::Unreachable => "unreachable",
+            Self::Resting => "resting",
         }
     }
 }
@@ -107,6 +123,13 @@
 
     fn with_request<T>(&self, request: &RelayRequest, use_parts: impl FnOnce(&[&[u8]]) -> T) -> T {
         let LinkNonces { initiator, responder } = &self.nonces;
+        let rest = request.rest.map(|rest| {
+            let (seconds, nanos) = (rest.span.as_secs(), rest.span.subsec_nanos());
+            (rest.incarnation.0.to_be_bytes(), seconds.to_be_bytes(), nanos.to_be_bytes())
+        });
+        let (incarnation, seconds, nanos) = rest.as_ref().map_or_else(Default::default, |rest| {
+            (rest.0.as_slice(), rest.1.as_slice(), rest.2.as_slice())
+        });
         use_parts(&[
             b"relay request",
             self.cluster.as_str().as_bytes(),
@@ -115,6 +138,9 @@
             request.host.as_str().as_bytes(),
             request.upstream.as_str().as_bytes(),
             request.pool.as_str().as_bytes(),
+            incarnation,
+            seconds,
+            nanos,
         ])
     }
 
--- a/crates/pulleyd/src/connection/relay_server.rs
+++ b/crates/pulleyd/src/connection/relay_server.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use futures::future::{Either, select};
-use pulley_core::process::ClusterId;
+use futures::FutureExt;
+use futures::future::{Either, FusedFuture, select};
+use pulley_core::process::{ClusterId, UpstreamStart};
 use pulley_core::{Moment, PoolName, UpstreamId};
 use slog::{Logger, info};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -18,11 +19,11 @@
 use super::peer_key_ring::KeyRing;
 use super::relay_client::RelayIdentity;
 use super::relay_handshake::{
-    RELAY_PREAMBLE, RelayOutcome, RelayRequest, RelaySigner, read_message, read_nonce,
+    RELAY_PREAMBLE, RelayOutcome, RelayRequest, RelayRest, RelaySigner, read_message, read_nonce,
     write_message,
 };
-use super::relay_stream::{FRAME_DRAINING, FRAME_END, FRAME_HEADER};
-use super::{KeepalivePolicy, UpstreamConnections};
+use super::relay_stream::{FRAME_DRAINING, FRAME_END, FRAME_HEADER, FRAME_RESTING};
+use super::{KeepalivePolicy, UpstreamConnections, UpstreamTarget};
 use crate::process::{ProcessClock, TimerService, ViewCell};
 
 /// Timeout for a request after its connection was accepted.
@@ -133,7 +134,10 @@
         let limit = self.clock.now() + REQUEST_TIMEOUT;
         let accepted = self.timer.run_until(limit, self.accept(&mut stream)).await;
         let Some(Ok((request, nonces))) = accepted else { return };
-        let upstream = self.connect(&request.upstream, &request.pool).await;
+        let upstream = match request.rest {
+            None => self.connect(&request.upstream, &request.pool).await,
+            Some(rest) => Err(self.take_rest(&request.upstream, rest)),
+        };
         let outcome = upstream.as_ref().err().copied().unwrap_or(RelayOutcome::Connected);
         info!(self.logger, "relay"; "upstream" => %request.upstream, "for" => %request.host,
             "outcome" => outcome.as_str(), "open" => self.open_connections());
@@ -143,7 +147,8 @@
         if let (Ok(upstream), Ok(())) = (upstream, replied) {
             let mut abort = self.abort.subscribe();
             let aborted = pin!(abort.wait_for(|is_aborted| *is_aborted));
-            select(pin!(self.pass_bytes(stream, upstream)), aborted).await;
+            let target = RelayedUpstream { pool: &request.pool, target: &upstream.target };
+            select(pin!(self.pass_bytes(stream, upstream.stream, target)), aborted).await;
         }
     }
 
@@ -172,7 +177,7 @@
         &self,
         upstream: &UpstreamId,
         pool: &PoolName,
-    ) -> Result<TcpStream, RelayOutcome> {
+    ) -> Result<OpenUpstream, RelayOutcome> {
         if *self.draining.borrow() {
             return Err(RelayOutcome::Draining);
         }
@@ -188,23 +193,53 @@
         let Some(record) = record.filter(|record| record.takes_work) else {
             return Err(RelayOutcome::UnknownUpstream);
         };
-        let connecting = self.connections.dialer().connect(record.announcement.address);
+        let address = record.announcement.address;
+        let target = UpstreamTarget { start: record.announcement.start(), address };
+        if self.connections.send_block(pool, &target).is_some() {
+            return Err(RelayOutcome::Resting);
+        }
+        let connecting = self.connections.dialer().connect(address);
         let limit = self.clock.now() + CONNECT_TIMEOUT;
         match self.timer.run_until(limit, connecting).await {
-            Some(Ok(stream)) => Ok(stream),
+            Some(Ok(stream)) => Ok(OpenUpstream { stream, target }),
             _ => Err(RelayOutcome::Unreachable),
         }
     }
 
+    /// Keeps a rest that an upstream has asked of this host in an answer that it passed on.
+    fn take_rest(&self, upstream: &UpstreamId, rest: RelayRest) -> RelayOutcome {
+        let start = UpstreamStart { id: upstream.clone(), incarnation: rest.incarnation };
+        self.connections.gate().record_rest(&start, self.clock.now() + rest.span);
+        RelayOutcome::Resting
+    }
+
+    /// Waits until the upstream has asked this host for rest, or leaves.
+    async fn wait_for_block(&self, upstream: RelayedUpstream<'_>) {
+        let mut changes = self.connections.gate().subscribe();
+        while self.connections.send_block(upstream.pool, upstream.target).is_none() {
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Passes bytes on in both directions. Returns when the asking host has closed its side, or when
     /// the upstream has.
     ///
     /// Dropping both connections then shows the upstream at once that the caller has left.
-    async fn pass_bytes(&self, asking: TcpStream, upstream: TcpStream) {
+    async fn pass_bytes(
+        &self,
+        asking: TcpStream,
+        upstream: TcpStream,
+        target: RelayedUpstream<'_>,
+    ) {
         let (asking_in, asking_out) = asking.into_split();
         let (upstream_in, upstream_out) = upstream.into_split();
         let requests = pin!(pass_requests(asking_in, upstream_out));
-        let answers = pin!(pass_answers(upstream_in, asking_out, self.draining.subscribe()));
+        let draining = pin!(wait_for_drain(self.draining.subscribe()).fuse());
+        let resting = pin!(self.wait_for_block(target).fuse());
+        let notices = RelayNotices { draining, resting };
+        let answers = pin!(pass_answers(upstream_in, asking_out, notices));
         match select(requests, answers).await {
             Either::Left(_) | Either::Right((Err(_), _)) => {}
             // The end of the answers was passed on, and the asking host closes next.
@@ -233,18 +268,23 @@
 async fn pass_answers(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    mut draining: watch::Receiver<bool>,
+    mut notices: RelayNotices<
+        impl FusedFuture<Output = ()> + Unpin,
+        impl FusedFuture<Output = ()> + Unpin,
+    >,
 ) -> io::Result<()> {
     let mut buffer = vec![0; FRAME_HEADER + BUFFER];
-    let mut is_told = false;
     loop {
         let count = tokio::select! {
             count = from.read(&mut buffer[FRAME_HEADER..]) => count?,
-            () = wait_for_drain(&mut draining), if !is_told => {
-                is_told = true;
+            () = &mut notices.draining, if !notices.draining.is_terminated() => {
                 to.write_all(&FRAME_DRAINING.to_be_bytes()).await?;
                 continue;
             }
+            () = &mut notices.resting, if !notices.resting.is_terminated() => {
+                to.write_all(&FRAME_RESTING.to_be_bytes()).await?;
+                continue;
+            }
         };
         let header = u16::try_from(count).map_err(io::Error::other)?;
         buffer[..FRAME_HEADER].copy_from_slice(&header.to_be_bytes());
@@ -255,10 +295,31 @@
     }
 }
 
-async fn wait_for_drain(draining: &mut watch::Receiver<bool>) {
+async fn wait_for_drain(mut draining: watch::Receiver<bool>) {
     let _ = draining.wait_for(|is_draining| *is_draining).await;
 }
 
+/// What the asking host is told once, between the upstream's bytes.
+struct RelayNotices<D, R> {
+    /// Ends when this host shuts down.
+    draining: D,
+    /// Ends when the upstream has asked this host for rest.
+    resting: R,
+}
+
+/// A connection to an upstream for another host.
+struct OpenUpstream {
+    stream: TcpStream,
+    target: UpstreamTarget,
+}
+
+/// The upstream of a relayed connection.
+#[derive(Clone, Copy)]
+struct RelayedUpstream<'a> {
+    pool: &'a PoolName,
+    target: &'a UpstreamTarget,
+}
+
 /// Counts one relayed connection for as long as it is held.
 struct RelayPermit<'a>(&'a AtomicUsize);
 
--- a/crates/pulleyd/src/connection/relay_stream.rs
+++ b/crates/pulleyd/src/connection/relay_stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncBufRead, AsyncRead, AsyncWrite, BufReader, ReadBuf};
@@ -19,6 +20,10 @@
 /// follow.
 pub(crate) const FRAME_DRAINING: u16 = u16::MAX;
 
+/// The header that says that the other host sends nothing to the upstream for now, because the
+/// upstream has asked it for rest.
+pub(crate) const FRAME_RESTING: u16 = u16::MAX - 1;
+
 /// A connection to an upstream that another host has opened for this one.
 ///
 /// Written bytes are passed on as they are. What the upstream sends arrives in frames, because only
@@ -27,6 +32,7 @@
 pub(crate) struct RelayStream {
     stream: BufReader<TcpStream>,
     state: Arc<RelayState>,
+    is_held: Arc<AtomicBool>,
     frame: FramePart,
 }
 
@@ -48,7 +54,7 @@
 
 impl RelayStream {
     pub(crate) fn new(stream: BufReader<TcpStream>, state: Arc<RelayState>) -> Self {
-        Self { stream, state, frame: FramePart::START }
+        Self { stream, state, is_held: Arc::default(), frame: FramePart::START }
     }
 
     /// Returns the state of the host that relays.
@@ -56,6 +62,11 @@
         &self.state
     }
 
+    /// Returns a flag that is set once no request is to be sent over the connection any more.
+    pub(crate) fn hold_flag(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.is_held)
+    }
+
     /// Reads the header of the next frame.
     fn poll_header(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while let FramePart::Header { mut bytes, count } = self.frame {
@@ -81,6 +92,10 @@
                 self.state.record_draining();
                 FramePart::START
             }
+            FRAME_RESTING => {
+                self.is_held.store(true, Ordering::Relaxed);
+                FramePart::START
+            }
             length => FramePart::Data(usize::from(length)),
         }
     }
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use http::{HeaderMap, StatusCode};
 use pulley_core::connection::{PathSurvey, RepeatSafety, UpstreamPath};
-use pulley_core::process::{FastMap, UpstreamRecord};
-use pulley_core::{Moment, UpstreamId};
+use pulley_core::process::{FastMap, SendBlock, UpstreamRecord, UpstreamStart};
+use pulley_core::{Moment, PoolName, UpstreamId};
 use slog::Logger;
 
 use super::path_watch::PathWatch;
-use super::relay_client::{RelayClient, RelayIdentity};
+use super::relay_client::{RelayClient, RelayIdentity, RelayState, RestNotice};
 use super::upstream_links::UpstreamLinks;
-use super::{LinkFault, Unused, UpstreamDialer, UpstreamLink};
+use super::{AnswerStops, LinkFault, SendGate, Unused, UpstreamDialer, UpstreamLink};
 use crate::process::{ControlHandle, ProcessClock, RunningView, TimerService, ViewCell};
 
 /// The result of checking out a connection.
@@ -35,6 +36,15 @@
     pub deadline: Moment,
 }
 
+/// An upstream as a request was placed at it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamTarget {
+    /// The upstream, and which of its starts.
+    pub start: UpstreamStart,
+    /// The address it listens on.
+    pub address: SocketAddr,
+}
+
 /// The connections of this process to all upstreams.
 #[derive(Debug)]
 pub struct UpstreamConnections {
@@ -44,6 +54,7 @@
     pub(super) logger: Logger,
     pub(super) dialer: Arc<UpstreamDialer>,
     pub(super) watch: PathWatch,
+    pub(super) gate: Arc<SendGate>,
     /// Read by every request, but changed only when an upstream appears, moves or goes.
     pub(super) upstreams: ArcSwap<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
 }
@@ -51,10 +62,16 @@
 impl UpstreamConnections {
     /// Creates a set without connections. The view provides each upstream's limit.
     #[must_use]
-    pub fn new(clock: ProcessClock, timer: TimerService, view: ViewCell, logger: Logger) -> Self {
+    pub fn new(
+        clock: ProcessClock,
+        timer: TimerService,
+        view: ViewCell,
+        logger: Logger,
+        gate: Arc<SendGate>,
+    ) -> Self {
         let dialer = Arc::new(UpstreamDialer::new(clock, timer.clone()));
         let (watch, upstreams) = (PathWatch::default(), ArcSwap::default());
-        Self { clock, timer, view, logger, dialer, watch, upstreams }
+        Self { clock, timer, view, logger, dialer, watch, gate, upstreams }
     }
 
     /// Opens connections from a local address, and over other hosts while this one has lost its own
@@ -92,6 +109,57 @@
         &self.dialer
     }
 
+    /// Returns why nothing may be sent to an upstream now, if that is so. Everything that sends asks
+    /// this right before it does.
+    #[must_use]
+    pub fn send_block(&self, pool: &PoolName, target: &UpstreamTarget) -> Option<SendBlock> {
+        let view = self.view.load();
+        let record = view.upstreams.get(pool).and_then(|records| records.find(&target.start.id));
+        let is_current = record.is_some_and(|record| {
+            record.takes_work && record.announcement.address == target.address
+        });
+        if !is_current {
+            return Some(SendBlock::Departed);
+        }
+        self.gate.find(&target.start).block(self.clock.now())
+    }
+
+    /// Returns an upstream that listens on an address as a target of a request.
+    pub(super) fn target(
+        &self,
+        pool: &PoolName,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+    ) -> Option<UpstreamTarget> {
+        let view = self.view.load();
+        let record = view.upstreams.get(pool)?.find(upstream)?;
+        Some(UpstreamTarget { start: record.announcement.start(), address })
+    }
+
+    /// Keeps what an answer of an upstream asks of this host. If another host relayed it, the upstream
+    /// has spoken to that host as well, which is told.
+    pub(crate) fn observe_stops(
+        &self,
+        (pool, start): (&PoolName, &UpstreamStart),
+        status: StatusCode,
+        headers: &HeaderMap,
+        relay: Option<&Arc<RelayState>>,
+    ) -> AnswerStops {
+        let stops = self.gate.observe(start, status, headers);
+        if let (Some(span), Some(relay)) = (stops.rest.span(), relay) {
+            let notice = RestNotice { pool: pool.clone(), start: start.clone(), span };
+            let (dialer, relay) = (Arc::clone(&self.dialer), Arc::clone(relay));
+            tokio::spawn(async move { dialer.tell_rest(&relay, notice).await });
+        }
+        stops
+    }
+
+    /// Returns what upstreams have asked of this host.
+    #[must_use]
+    pub fn gate(&self) -> &Arc<SendGate> {
+        &self.gate
+    }
+
     /// Takes an idle connection or opens a new one, within this entry's share.
     ///
     /// # Errors
@@ -160,6 +228,7 @@
     fn maintain(&self) {
         let view = self.view.load();
         self.remove_unknown(&view);
+        self.gate.forget_ended(|id| find(&view, id).is_some());
         for (id, links) in self.upstreams.load().iter() {
             links.expire();
             let Some(record) = find(&view, id).filter(|record| record.takes_work) else { continue };
--- a/crates/pulleyd/src/connection/upstream_dialer.rs
+++ b/crates/pulleyd/src/connection/upstream_dialer.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::either::Either;
 
-use super::relay_client::RelayClient;
+use super::relay_client::{RelayClient, RelayState, RestNotice};
 use super::relay_stream::RelayStream;
 use super::{KeepalivePolicy, LinkFault};
 use crate::process::{ProcessClock, TimerService};
@@ -96,6 +96,13 @@
         stream.map(Either::Left).map_err(LinkFault::Unreachable)
     }
 
+    /// Tells a host that has relayed an answer that the answer asked for rest.
+    pub(super) async fn tell_rest(&self, relay: &RelayState, notice: RestNotice) {
+        if let Some(relays) = &self.relays {
+            relays.tell_rest(self, relay, notice).await;
+        }
+    }
+
     /// Connects to an address.
     pub(super) async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures::FutureExt;
 use futures::future::{Either, select};
@@ -40,6 +41,9 @@
     /// All connections of this entry's share of the upstream's limit are in use.
     #[error("the share of the upstream's connections is in use")]
     ShareInUse,
+    /// The upstream has asked the other hosts for rest that would connect to it for this one.
+    #[error("the upstream has asked the hosts that relay for rest")]
+    RelaysResting,
     /// The connection closed before any byte of the request was sent.
     #[error("the connection ended before the request was sent")]
     ClosedUnsent,
@@ -57,9 +61,11 @@
     pub const fn verdict(&self) -> RequestVerdict {
         match self {
             Self::Broken(_) | Self::Lost => RequestVerdict::MayHaveRun,
-            Self::Unreachable(_) | Self::ConnectTimeout | Self::ShareInUse | Self::ClosedUnsent => {
-                RequestVerdict::NotRun
-            }
+            Self::Unreachable(_)
+            | Self::ConnectTimeout
+            | Self::ShareInUse
+            | Self::RelaysResting
+            | Self::ClosedUnsent => RequestVerdict::NotRun,
         }
     }
 
@@ -70,6 +76,7 @@
             Self::Unreachable(_) => "unreachable",
             Self::ConnectTimeout => "connect-timeout",
             Self::ShareInUse => "connections-used-up",
+            Self::RelaysResting => "relays-resting",
             Self::ClosedUnsent => "closed-unsent",
             Self::Broken(_) | Self::Lost => "connection-broken",
         }
@@ -97,6 +104,18 @@
     _state: S,
 }
 
+impl<S> UpstreamLink<S> {
+    /// Returns the host that relays the connection, if it is not direct.
+    pub(crate) const fn relay(&self) -> Option<&Arc<RelayState>> {
+        self.registration.relay.as_ref()
+    }
+
+    /// Whether no request is to be sent over the connection, because of the host that relays it.
+    pub(crate) fn is_avoided(&self) -> bool {
+        self.registration.is_avoided()
+    }
+}
+
 impl UpstreamLink<Unused> {
     pub(super) const fn new(
         sender: http1::SendRequest<RequestBody>,
@@ -198,6 +217,8 @@
     pub(super) meter: LinkMeter,
     /// The host that relays the connection, if it is not direct.
     pub(super) relay: Option<Arc<RelayState>>,
+    /// Whether that host may send nothing more to the upstream for now.
+    pub(super) is_held: Arc<AtomicBool>,
     pub(super) driver: Option<AbortHandle>,
     /// Notified once the connection's task has ended.
     pub(super) ended: Arc<Notify>,
@@ -205,8 +226,8 @@
 
 impl LinkRegistration {
     pub(super) fn new(links: Arc<UpstreamLinks>, number: ConnectionNumber) -> Self {
-        let (meter, ended) = (LinkMeter::default(), Arc::default());
-        Self { links, number, meter, relay: None, driver: None, ended }
+        let (meter, is_held, ended) = (LinkMeter::default(), Arc::default(), Arc::default());
+        Self { links, number, meter, relay: None, is_held, driver: None, ended }
     }
 
     fn record_answer(&self) {
@@ -232,7 +253,8 @@
 
     /// Whether no request is to be sent over the connection, because of the host that relays it.
     pub(super) fn is_avoided(&self) -> bool {
-        self.relay.as_ref().is_some_and(|relay| relay.is_avoided())
+        self.is_held.load(Ordering::Relaxed)
+            || self.relay.as_ref().is_some_and(|relay| relay.is_avoided())
     }
 }
 
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::header::{HOST, HeaderValue};
+use http::response::Parts;
 use http::{Method, Request, Uri};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -295,8 +296,9 @@
         self.close_matching(|registration| registration.relay.is_some());
     }
 
-    /// Reaches the upstream on a route: opens a connection, and gets an answer to a probe over it.
-    /// The connection is kept for requests.
+    /// Reaches the upstream on a route: opens a connection, and gets an answer to a probe over it,
+    /// unless `may_send` forbids that once it is open. The connection is to be given back for
+    /// requests.
     ///
     /// That a connection opens proves little: it may be reset or fall silent right after.
     pub(super) async fn reach(
@@ -304,14 +306,12 @@
         route: UpstreamRoute,
         probe_path: &Uri,
         deadline: Moment,
-    ) -> bool {
-        let Some(registration) = self.register_check() else { return false };
-        let Ok(link) = self.connect(registration, route, deadline).await else { return false };
-        let Some(request) = check_request(probe_path, self.address) else { return false };
-        let answered = self.timer.run_until(deadline, link.probe(request)).await;
-        let Some(Some((_, link))) = answered else { return false };
-        link.give_back();
-        true
+        may_send: impl Fn() -> bool,
+    ) -> Option<(Parts, UpstreamLink<Unused>)> {
+        let registration = self.register_check()?;
+        let link = self.connect(registration, route, deadline).await.ok()?;
+        let request = check_request(probe_path, self.address).filter(|_| may_send())?;
+        self.timer.run_until(deadline, link.probe(request)).await.flatten()
     }
 
     fn register_check(self: &Arc<Self>) -> Option<LinkRegistration> {
@@ -343,6 +343,10 @@
         self.clock.now()
     }
 
+    pub(super) const fn upstream(&self) -> &UpstreamId {
+        &self.upstream
+    }
+
     pub(super) const fn pool(&self) -> Option<&PoolName> {
         self.pool.as_ref()
     }
@@ -416,6 +420,7 @@
         let stream = opened?;
         if let Either::Right(relayed) = &stream {
             registration.relay = Some(Arc::clone(relayed.state()));
+            registration.is_held = relayed.hold_flag();
         }
         let stream = TokioIo::new(MeteredStream::new(stream, registration.meter.clone()));
         let mut builder = http1::Builder::new();
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -8,9 +8,11 @@
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::client::conn::http1;
+use hyper::http::response::Parts;
 use hyper_util::rt::TokioIo;
 use pulley_core::process::ProbeOutcome;
 use pulley_core::request::LoadReport;
+use pulley_core::{PoolName, UpstreamId};
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 
@@ -43,14 +45,30 @@
     /// Probes an upstream and calls `report` with the outcome. A failure is not reported while this
     /// host doubts its own path: a coordinator's word takes work away from the upstream on all hosts.
     ///
+    /// An upstream that rests or leaves gets no probe, and none is reported.
+    ///
     /// Each probe uses its own connection, so that it does not wait behind a caller's request. A
     /// pooled connection that has gone silent would also make a live upstream look dead.
-    pub fn probe(&self, address: SocketAddr, report: impl FnOnce(ProbeOutcome) + Send + 'static) {
+    pub fn probe(
+        &self,
+        (pool, upstream): (PoolName, UpstreamId),
+        address: SocketAddr,
+        report: impl FnOnce(ProbeOutcome) + Send + 'static,
+    ) {
         let connections = Arc::clone(&self.connections);
         self.threads.spawn(async move {
+            let Some(target) = connections.target(&pool, &upstream, address) else { return };
+            if connections.send_block(&pool, &target).is_some() {
+                return;
+            }
             let began = Instant::now();
             let answered = tokio::time::timeout(PROBE_TIMEOUT, send_probe(address)).await;
-            let outcome = match answered.ok().flatten() {
+            let answered = answered.ok().flatten();
+            if let Some(parts) = &answered {
+                let source = (&pool, &target.start);
+                connections.observe_stops(source, parts.status, &parts.headers, None);
+            }
+            let outcome = match answered.as_ref().and_then(read_load) {
                 Some(load) => ProbeOutcome::Answered { latency: began.elapsed(), report: load },
                 None => ProbeOutcome::Failed,
             };
@@ -61,9 +79,8 @@
     }
 }
 
-/// Sends one probe. Returns `None` if it failed, and otherwise the load report of the answer, if it
-/// had one.
-async fn send_probe(address: SocketAddr) -> Option<Option<LoadReport>> {
+/// Sends one probe. Returns the head of the answer, or `None` if it failed.
+async fn send_probe(address: SocketAddr) -> Option<Parts> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::spawn(connection);
@@ -74,6 +91,13 @@
         .ok()?;
     let answer = sender.send_request(request).await.ok();
     driver.abort();
-    let answer = answer.filter(|answer| answer.status().is_success())?;
-    Some(answer.headers().get(LOAD_HEADER).and_then(read_load_report))
+    Some(answer?.into_parts().0)
+}
+
+/// Reads the load report of an answer, if it has one. Returns `None` if the upstream has refused the
+/// probe.
+#[expect(clippy::option_option, reason = "a refused probe is no answer without a report")]
+fn read_load(parts: &Parts) -> Option<Option<LoadReport>> {
+    let is_answer = parts.status.is_success();
+    is_answer.then(|| parts.headers.get(LOAD_HEADER).and_then(read_load_report))
 }
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -111,7 +111,7 @@
             ControlRequest::Seeds(seeds) => {
                 seeds.into_iter().for_each(|seed| self.members.add_seed(seed));
             }
-            ControlRequest::ObservedDrain(id) => self.registry.observe_drain(now, &id),
+            ControlRequest::ObservedDrain(start) => drop(self.registry.observe_drain(now, &start)),
             ControlRequest::ObservedLimit(observed) => {
                 self.limits.observe(now, self.registry.shared_time(now), observed);
                 self.flush_limits(now);
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -52,7 +52,7 @@
     /// Adds addresses of other hosts to the seeds.
     Seeds(Vec<SocketAddr>),
     /// An upstream said in an answer that it drains.
-    ObservedDrain(pulley_core::UpstreamId),
+    ObservedDrain(pulley_core::process::UpstreamStart),
     /// An upstream named a request limit in an answer, or no longer names one.
     ObservedLimit(ObservedLimit),
     /// Asks for permits to send requests to upstreams that have named a limit. The answers go to the
--- a/crates/pulleyd/src/process/control_thread.rs
+++ b/crates/pulleyd/src/process/control_thread.rs
@@ -360,10 +360,11 @@
                 ControlOutput::ReadAudit(read) => outputs.extend(self.read_audit(read)),
                 ControlOutput::Probe { pool, zone, upstream, address } => {
                     let reports = self.probed.clone();
+                    let target = (pool.clone(), upstream.clone());
                     let report = move |outcome: ProbeOutcome| {
                         let _ = reports.try_send(ProbeReport { pool, zone, upstream, outcome });
                     };
-                    self.prober.probe(address, report);
+                    self.prober.probe(target, address, report);
                 }
             }
         }
--- a/crates/pulleyd/src/request/answer_metadata.rs
+++ b/crates/pulleyd/src/request/answer_metadata.rs
@@ -1,19 +1,17 @@
 //! The metadata of an upstream's response.
 
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
-use http::header::{HeaderMap, RETRY_AFTER};
+use http::header::HeaderMap;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use pulley_core::RequestVerdict;
 use pulley_core::request::{LimitReading, LoadReport};
 
-use super::protocol_headers::{CAUSE_HEADER, DRAINING_HEADER, VERDICT_HEADER};
+use super::protocol_headers::{CAUSE_HEADER, VERDICT_HEADER};
 use super::request_headers::{strip_hop_by_hop, strip_own_headers};
-use super::{HeaderDialect, RestReading, TrafficCounters};
-
-/// The longest `Retry-After` accepted from an upstream.
-const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(60);
+use super::{HeaderDialect, TrafficCounters};
+use crate::connection::RestReading;
 
 /// The `Retry-After` of a shedding upstream that sent none. Upstreams that shed give their delay in
 /// whole seconds at best.
@@ -30,29 +28,29 @@
     /// Whether the upstream only passes on a response that this system made for one of the
     /// upstream's own calls. Another layer has then already given up.
     pub(super) retried_downstream: bool,
-    /// Whether the upstream takes no new work from now on.
-    pub(super) is_draining: bool,
     /// The upstream's load, if reported.
     pub(super) report: Option<LoadReport>,
     /// What the answer says of the upstream's request limit; `None` if it may not come from the
     /// upstream, or says nothing because the request did not run.
     pub(super) limit: Option<LimitReading>,
-    /// How long to send it no requests, if it shed this one.
+    /// How long the caller is to wait if the upstream shed the request and no other one is free, and
+    /// if another one may be.
     pub(super) retry_after: Duration,
-    /// For how long the answer asks this host to send nothing.
-    pub(super) rest: RestReading,
+    pub(super) retry_elsewhere_after: Duration,
     /// Whether the status says that the request was not run and no header confirms it.
     pub(super) is_unconfirmed_not_run: bool,
 }
 
 impl AnswerMetadata {
-    /// Reads the metadata and removes the headers that belong to the upstream's connection.
+    /// Reads the metadata and removes the headers that belong to the upstream's connection. `rest` is
+    /// what the response asks for.
     ///
     /// If the dialect has no header of its own for this, only status 429 or 503 together with the
     /// verdict `not-run` counts as shed: a bare 503 may come from an upstream that failed half-way.
     /// A 421 response comes from an upstream that has taken over another's address.
     pub(super) fn take(
         response: &mut Response<Incoming>,
+        rest: RestReading,
         dialect: &HeaderDialect,
         counters: &TrafficCounters,
     ) -> Self {
@@ -65,15 +63,18 @@
         if dialect.load_includes_answered && !is_shed {
             report = report.map(LoadReport::without_answered_request);
         }
+        // Callers that read fractions of a second need not wait a whole second if one upstream shed
+        // the request: others may be free.
+        let default_retry =
+            if dialect.sends_system_headers { RETRY_AFTER_DEFAULT } else { SHED_RETRY };
         let metadata = Self {
             is_shed,
             retried_downstream: dialect.sends_system_headers && headers.contains_key(CAUSE_HEADER),
-            is_draining: headers.get(DRAINING_HEADER).is_some_and(|value| value == "true"),
             report,
             limit: Some(read_limit(headers, dialect, counters))
                 .filter(|limit| !is_misdirected && is_telling(*limit, status)),
-            retry_after: retry_after(headers, dialect),
-            rest: RestReading::read(status, headers, SystemTime::now()),
+            retry_after: rest.span().unwrap_or(default_retry),
+            retry_elsewhere_after: rest.span().unwrap_or(default_retry).min(default_retry),
             is_unconfirmed_not_run: !is_shed
                 && !dialect.sends_system_headers
                 && implies_not_run(status),
@@ -137,13 +138,3 @@
 fn is_telling(limit: LimitReading, status: StatusCode) -> bool {
     limit != LimitReading::Absent || status.is_success()
 }
-
-fn retry_after(headers: &HeaderMap, dialect: &HeaderDialect) -> Duration {
-    let value = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
-    let seconds = value.and_then(|value| value.trim().parse::<f64>().ok());
-    let reported = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    // Callers that read fractions of a second need not wait a whole second if one upstream shed the
-    // request: others may be free.
-    let default = if dialect.sends_system_headers { RETRY_AFTER_DEFAULT } else { SHED_RETRY };
-    reported.unwrap_or(default).min(RETRY_AFTER_LIMIT)
-}
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -1,7 +1,7 @@
 //! Probes a few upstreams for their load before a request is placed.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -9,6 +9,7 @@
 use http::response::Parts;
 use http::{Method, Request, Uri};
 use pulley_core::connection::RepeatSafety;
+use pulley_core::process::UpstreamStart;
 use pulley_core::request::{
     LimitReading, LimitSighting, LoadReport, ProbeQuery, ProbeReach, ProbeReading, ProbeTarget,
     RequestTicket,
@@ -17,8 +18,8 @@
 use pulley_core::{Moment, PoolName, UpstreamId};
 use slog::info;
 
-use super::{RequestBody, RestReading, TrafficContext};
-use crate::connection::{LinkRequest, Unused, UpstreamLink};
+use super::{RequestBody, TrafficContext};
+use crate::connection::{LinkRequest, Unused, UpstreamLink, UpstreamTarget};
 
 /// How long an arriving request waits for probe answers. A probe usually takes about 6 ms. If an
 /// upstream takes several times as long, it is not the best choice or its connection has gone
@@ -223,6 +224,11 @@
         deadline,
     };
     let link = context.connections.checkout(request).await.ok()?;
+    let start = UpstreamStart { id: target.upstream.clone(), incarnation: target.incarnation };
+    let aim = UpstreamTarget { start, address: target.address };
+    if link.is_avoided() || context.connections.send_block(pool, &aim).is_some() {
+        return None;
+    }
     let sent_at = context.clock.now();
     let record = link.send_record();
     let reply = link.probe(probe_request(context, path, target)?);
@@ -244,7 +250,7 @@
         }
     }
     let reading = dialect.limit(&parts.headers);
-    log_refused_probe(context, &target.upstream, &parts);
+    observe_stops(context, pool, &aim.start, &parts, &link);
     if reading != LimitReading::Absent || parts.status.is_success() {
         let sighting = LimitSighting { reading, sent_at, is_probe: true };
         context.schedulers.observe_limit(pool, &target.upstream, sighting);
@@ -257,12 +263,21 @@
     Some((report, link))
 }
 
-fn log_refused_probe(context: &TrafficContext, upstream: &UpstreamId, parts: &Parts) {
-    let rest = RestReading::read(parts.status, &parts.headers, SystemTime::now());
-    if let Some(rest) = rest.span() {
+/// Keeps what an answer to a probe asks of this host.
+fn observe_stops(
+    context: &TrafficContext,
+    pool: &PoolName,
+    start: &UpstreamStart,
+    parts: &Parts,
+    link: &UpstreamLink<Unused>,
+) {
+    let (status, headers) = (parts.status, &parts.headers);
+    let stops = context.connections.observe_stops((pool, start), status, headers, link.relay());
+    context.schedulers.apply_stops(&context.control);
+    if let Some(rest) = stops.rest.span() {
         let millis = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-        info!(context.logger, "probe-refused"; "upstream" => %upstream,
-            "status" => parts.status.as_u16(), "rest_ms" => millis);
+        info!(context.logger, "probe-refused"; "upstream" => %start.id,
+            "status" => status.as_u16(), "rest_ms" => millis);
     }
 }
 
--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -1,6 +1,7 @@
 //! Why an attempt failed, and whether a retry can change the result.
 
 use http::StatusCode;
+use pulley_core::process::SendBlock;
 use pulley_core::request::AttemptOutcome;
 use pulley_core::{RefusalCause, RequestVerdict};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 /// `Retry-After` for a request whose attempts have failed.
 const ATTEMPT_FAILED_RETRY: Duration = Duration::from_secs(1);
 
-/// `Retry-After` for a request whose pool has changed; the new plan is already known.
+/// `Retry-After` for a request whose pool or upstream has changed; the change is already known.
 const PLAN_CHANGED_RETRY: Duration = Duration::from_millis(10);
 
 /// Why an attempt failed.
@@ -24,6 +25,8 @@
     pub(super) is_retryable: bool,
     /// Whether another layer of this system has already given up on the request.
     pub(super) retried_downstream: bool,
+    /// Whether the request was held back when it was to be sent, and may be placed again.
+    pub(super) is_unsent: bool,
 }
 
 impl AttemptFault {
@@ -34,6 +37,7 @@
             outcome: AttemptOutcome::Cancelled,
             is_retryable: false,
             retried_downstream: false,
+            is_unsent: false,
         }
     }
 
@@ -50,6 +54,7 @@
             outcome: AttemptOutcome::Cancelled,
             is_retryable: false,
             retried_downstream: false,
+            is_unsent: false,
         }
     }
 
@@ -57,12 +62,18 @@
     pub(super) fn from_link(fault: &LinkFault) -> Self {
         let outcome = match fault {
             LinkFault::Unreachable(_) | LinkFault::ConnectTimeout => AttemptOutcome::Unreachable,
-            LinkFault::ShareInUse | LinkFault::ClosedUnsent => AttemptOutcome::Cancelled,
+            LinkFault::ShareInUse | LinkFault::ClosedUnsent | LinkFault::RelaysResting => {
+                AttemptOutcome::Cancelled
+            }
             LinkFault::Broken(_) | LinkFault::Lost => AttemptOutcome::Broken,
         };
-        let (status, retry_after) = (StatusCode::BAD_GATEWAY, Some(ATTEMPT_FAILED_RETRY));
+        let status = match fault {
+            LinkFault::RelaysResting => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        let retry_after = Some(ATTEMPT_FAILED_RETRY);
         let answer = SystemAnswer::failed(status, fault.verdict(), fault.cause(), retry_after);
-        Self { answer, outcome, is_retryable: true, retried_downstream: false }
+        Self { answer, outcome, is_retryable: true, retried_downstream: false, is_unsent: false }
     }
 
     /// The deadline passed.
@@ -74,6 +85,7 @@
             outcome: AttemptOutcome::Broken,
             is_retryable: true,
             retried_downstream: false,
+            is_unsent: false,
         }
     }
 
@@ -81,15 +93,34 @@
     pub(super) fn untrusted(cause: &'static str, outcome: AttemptOutcome) -> Self {
         let verdict = RequestVerdict::MayHaveRun;
         let answer = SystemAnswer::failed(StatusCode::BAD_GATEWAY, verdict, cause, None);
-        Self { answer, outcome, is_retryable: true, retried_downstream: false }
+        Self { answer, outcome, is_retryable: true, retried_downstream: false, is_unsent: false }
     }
 
     /// The upstream declared that it did not run the request.
-    pub(super) fn shed(metadata: &AnswerMetadata) -> Self {
+    pub(super) fn shed(
+        metadata: &AnswerMetadata,
+        outcome: AttemptOutcome,
+        has_available: bool,
+    ) -> Self {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        let (verdict, retry_after) = (RequestVerdict::NotRun, Some(metadata.retry_after));
-        let answer = SystemAnswer::failed(status, verdict, "upstream-shed", retry_after);
-        let (outcome, retried_downstream) = (AttemptOutcome::Shed, metadata.retried_downstream);
-        Self { answer, outcome, is_retryable: true, retried_downstream }
+        let (verdict, retried_downstream) = (RequestVerdict::NotRun, metadata.retried_downstream);
+        let retry_after =
+            if has_available { metadata.retry_elsewhere_after } else { metadata.retry_after };
+        let answer = SystemAnswer::failed(status, verdict, "upstream-shed", Some(retry_after));
+        Self { answer, outcome, is_retryable: true, retried_downstream, is_unsent: false }
+    }
+
+    /// The upstream may be sent nothing any more, although the request was placed at it.
+    pub(super) fn held_back(block: SendBlock) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let (verdict, retry_after) = (RequestVerdict::NotRun, Some(PLAN_CHANGED_RETRY));
+        let answer = SystemAnswer::failed(status, verdict, block.as_str(), retry_after);
+        Self {
+            answer,
+            outcome: AttemptOutcome::Cancelled,
+            is_retryable: true,
+            retried_downstream: false,
+            is_unsent: true,
+        }
     }
 }
--- a/crates/pulleyd/src/request/header_dialect.rs
+++ b/crates/pulleyd/src/request/header_dialect.rs
@@ -8,7 +8,8 @@
 use smol_str::SmolStr;
 
 use super::protocol_headers::{
-    DEADLINE_HEADER, LIMIT_HEADER, LOAD_HEADER, ORGANISATION_HEADER, REQUEST_ID_HEADER,
+    DEADLINE_HEADER, DRAINING_HEADER, LIMIT_HEADER, LOAD_HEADER, ORGANISATION_HEADER,
+    REQUEST_ID_HEADER,
 };
 use super::read_load_report;
 
@@ -43,6 +44,8 @@
     pub organisation: HeaderName,
     /// On an upstream's responses: the requests a second that it takes from all hosts together.
     pub limit: HeaderName,
+    /// On an upstream's responses: that it leaves.
+    pub departure: HeaderName,
     /// On an upstream's responses: its load.
     pub load: HeaderName,
     /// Parses the load header.
@@ -98,6 +101,7 @@
             cold_left: None,
             organisation: ORGANISATION_HEADER,
             limit: LIMIT_HEADER,
+            departure: DRAINING_HEADER,
             load: LOAD_HEADER,
             read_load: read_load_report,
             load_includes_answered: false,
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: placement, a connection, and a check that the response belongs to the request.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use pulley_core::connection::RepeatSafety;
+use pulley_core::process::UpstreamStart;
 use pulley_core::request::{AttemptOutcome, LimitSighting, ProbeReach, RequestTicket};
 use pulley_core::version::AnswerSize;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
@@ -21,8 +21,9 @@
 use super::attempt_fault::AttemptFault;
 use super::request_run::{RequestRun, SentAttempt};
 use super::{AttemptGuard, Placement, RequestBody};
-use crate::connection::{Answering, LinkFault, LinkRequest, Unused, UpstreamLink};
-use crate::process::ControlRequest;
+use crate::connection::{
+    Answering, LinkFault, LinkRequest, RestReading, Unused, UpstreamLink, UpstreamTarget,
+};
 
 /// The result of an attempt.
 pub(super) type Result<T> = std::result::Result<T, AttemptFault>;
@@ -30,6 +31,10 @@
 /// The number of connections one attempt tries if each was closed before anything was sent.
 const MAX_CONNECTIONS_PER_ATTEMPT: u32 = 4;
 
+/// The number of times that one attempt is placed if its upstreams ask for rest, or leave, after it
+/// was placed and before it was sent.
+const MAX_PLACEMENTS: u32 = 4;
+
 /// How long a request waits before it probes again if all probed upstreams were slowed down or
 /// full.
 ///
@@ -49,8 +54,7 @@
 
 /// The upstream chosen for a request.
 struct PlacedRequest {
-    upstream: UpstreamId,
-    address: SocketAddr,
+    target: UpstreamTarget,
     /// The connection over which the upstream has just answered a probe.
     link: Option<UpstreamLink<Unused>>,
 }
@@ -64,23 +68,28 @@
         let started = self.context.clock.now();
         let placement_deadline =
             self.context.schedulers.placement_deadline(&self.row().pool, &ticket);
-        let placed = loop {
+        let mut placements = 0;
+        loop {
             let reach = self.reach(started, placement_deadline);
             let probed = ArrivalProbing::probe(&self.context, self.row(), &ticket, reach).await;
             match self.place(&ticket, probed).await {
-                Ok(placed) => break placed,
+                Ok(placed) => {
+                    placements += 1;
+                    match self.send_placed(&ticket, placed).await {
+                        Err(fault) if fault.is_unsent && placements < MAX_PLACEMENTS => {}
+                        sent => return sent,
+                    }
+                }
                 Err(fault) if !self.may_wait(&fault, started, placement_deadline) => {
                     return Err(fault);
                 }
-                Err(_) => {}
+                Err(_) => self.wait_to_probe_again().await,
             }
-            self.wait_to_probe_again().await;
             // The request's number was released with the refusal. It is still the same request, so
             // it adds nothing more to the retry budget.
             ticket.number = self.context.next_number();
             ticket.attempt = ticket.attempt.max(1);
-        };
-        self.send_placed(&ticket, placed).await
+        }
     }
 
     /// Makes one attempt at one of the probed upstreams.
@@ -136,10 +145,10 @@
     async fn place(&self, ticket: &RequestTicket, probed: ArrivalProbing) -> Result<PlacedRequest> {
         let pool = &self.row().pool;
         match self.context.schedulers.place(pool, ticket, probed.placement_readings()).await {
-            Placement::Start { upstream, address } => {
-                self.record_reading(&upstream, &probed.readings);
-                let link = probed.into_link(&upstream);
-                Ok(PlacedRequest { upstream, address, link })
+            Placement::Start(target) => {
+                self.record_reading(&target.start.id, &probed.readings);
+                let link = probed.into_link(&target.start.id);
+                Ok(PlacedRequest { target, link })
             }
             Placement::Refuse { cause, retry_after } => {
                 probed.give_back();
@@ -155,11 +164,15 @@
     ) -> Result<Response<UpstreamAnswer>> {
         let schedulers = Arc::clone(&self.context.schedulers);
         let mut attempt = AttemptGuard::new(schedulers, self.row().pool.clone(), ticket.number);
-        let upstream = placed.upstream.clone();
-        self.record_tried(&upstream);
+        let start = placed.target.start.clone();
+        self.record_tried(&start.id);
         let sent_at = self.context.clock.now();
         let (mut response, link) = match self.send(placed).await {
             Ok(sent) => sent,
+            Err(fault) if fault.is_unsent => {
+                attempt.settle(AttemptOutcome::Cancelled);
+                return Err(fault);
+            }
             Err(fault) => {
                 self.context.connections.consider_paths();
                 attempt.settle(self.blamed_outcome(fault.outcome));
@@ -170,27 +183,32 @@
             attempt.settle(AttemptOutcome::Broken);
             return Err(AttemptFault::untrusted("foreign-answer", AttemptOutcome::Broken));
         }
-        let metadata =
-            AnswerMetadata::take(&mut response, &self.context.dialect, &self.context.counters);
+        let rest = self.observe_stops(&start, &response, &link);
+        let (dialect, counters) = (&self.context.dialect, &self.context.counters);
+        let metadata = AnswerMetadata::take(&mut response, rest, dialect, counters);
         attempt.set_report(metadata.report);
         self.record_limit(metadata.limit.unwrap_or_default());
-        self.record_rest(metadata.rest);
         if let Some(reading) = metadata.limit {
             let sighting = LimitSighting { reading, sent_at, is_probe: false };
-            self.context.schedulers.observe_limit(&self.row().pool, &upstream, sighting);
-        }
-        if metadata.is_draining {
-            self.observe_drain(&upstream);
+            self.context.schedulers.observe_limit(&self.row().pool, &start.id, sighting);
         }
+        let refused =
+            |outcome| if rest.span().is_some() { AttemptOutcome::Rested } else { outcome };
         if metadata.is_unconfirmed_not_run {
-            attempt.settle(AttemptOutcome::Failed);
-            return Err(AttemptFault::untrusted("upstream-failed", AttemptOutcome::Failed));
+            let outcome = refused(AttemptOutcome::Failed);
+            attempt.settle(outcome);
+            return Err(AttemptFault::untrusted("upstream-failed", outcome));
         }
         if metadata.is_shed {
-            attempt.settle(AttemptOutcome::Shed);
-            return Err(AttemptFault::shed(&metadata));
+            let outcome = refused(AttemptOutcome::Shed);
+            attempt.settle(outcome);
+            let has_available = self.context.schedulers.has_available(&self.row().pool);
+            return Err(AttemptFault::shed(&metadata, outcome, has_available));
         }
-        Ok(self.answer(response, link, attempt))
+        let is_fault = response.status().is_server_error();
+        let outcome =
+            if is_fault { refused(AttemptOutcome::Failed) } else { AttemptOutcome::Answered };
+        Ok(self.answer(response, link, attempt, outcome))
     }
 
     /// Sends the request over one connection; uses another only if no byte was sent.
@@ -201,11 +219,11 @@
         &self,
         placed: PlacedRequest,
     ) -> Result<(Response<Incoming>, UpstreamLink<Answering>)> {
-        let PlacedRequest { upstream, address, link: mut probed } = placed;
+        let PlacedRequest { target, link: mut probed } = placed;
         let placed_at = self.context.clock.now();
         let request = LinkRequest {
-            upstream: &upstream,
-            address,
+            upstream: &target.start.id,
+            address: target.address,
             safety: self.safety(),
             deadline: self.terms.deadline,
         };
@@ -217,7 +235,7 @@
                     link.map_err(|fault| self.link_fault(&fault))?
                 }
             };
-            match self.send_over(&upstream, link, placed_at).await {
+            match self.send_over(&target, link, placed_at).await {
                 Ok(Err(LinkFault::ClosedUnsent)) if self.body.can_restart() => {}
                 Ok(sent) => return sent.map_err(|fault| self.link_fault(&fault)),
                 Err(timed_out) => return Err(timed_out),
@@ -226,14 +244,22 @@
         Err(self.link_fault(&LinkFault::ClosedUnsent))
     }
 
-    /// Waits for the response until the deadline, then fails.
+    /// Sends the request if the upstream still takes it, and waits for the response until the
+    /// deadline.
     async fn send_over(
         &self,
-        upstream: &UpstreamId,
+        target: &UpstreamTarget,
         link: UpstreamLink<Unused>,
         placed_at: Moment,
     ) -> Result<std::result::Result<(Response<Incoming>, UpstreamLink<Answering>), LinkFault>> {
-        let request = self.upstream_request(upstream);
+        if let Some(block) = self.context.connections.send_block(&self.row().pool, target) {
+            link.give_back();
+            return Err(AttemptFault::held_back(block));
+        }
+        if link.is_avoided() {
+            return Ok(Err(LinkFault::ClosedUnsent));
+        }
+        let request = self.upstream_request(&target.start.id);
         let (meter, record) = (link.meter(), link.send_record());
         let sent = SentAttempt { at: self.context.clock.now(), record: record.clone() };
         let unsent = sent.at.since(placed_at);
@@ -301,9 +327,8 @@
         response: Response<Incoming>,
         link: UpstreamLink<Answering>,
         attempt: AttemptGuard,
+        outcome: AttemptOutcome,
     ) -> Response<UpstreamAnswer> {
-        let is_fault = response.status().is_server_error();
-        let outcome = if is_fault { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         let timer = self.context.timer.clone();
         let pacer = self.context.link_pacer.clone();
         let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, self.context.clock));
@@ -332,9 +357,19 @@
         }
     }
 
-    fn observe_drain(&self, upstream: &UpstreamId) {
-        if self.context.schedulers.observe_drain(&self.row().pool, upstream) {
-            self.context.control.tell(ControlRequest::ObservedDrain(upstream.clone()));
-        }
+    /// Keeps what an answer asks of this host, before the end of the attempt frees its slot: the next
+    /// request would start there. Returns the rest that it asks for.
+    fn observe_stops(
+        &self,
+        start: &UpstreamStart,
+        response: &Response<Incoming>,
+        link: &UpstreamLink<Answering>,
+    ) -> RestReading {
+        let (pool, context) = (&self.row().pool, &self.context);
+        let (status, headers) = (response.status(), response.headers());
+        let stops = context.connections.observe_stops((pool, start), status, headers, link.relay());
+        context.schedulers.apply_stops(&context.control);
+        self.record_rest(stops.rest);
+        stops.rest
     }
 }
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -26,8 +26,8 @@
 use super::ledger_claim::LedgerClaim;
 use super::request_attempt::Result;
 use super::request_headers::{accepts_trailers, strip_hop_by_hop, strip_own_headers};
-use super::{BodySource, RestReading, SystemAnswer, TrafficContext, TrafficCounters};
-use crate::connection::SendRecord;
+use super::{BodySource, SystemAnswer, TrafficContext, TrafficCounters};
+use crate::connection::{RestReading, SendRecord};
 
 /// The least time another attempt needs: a round trip between two zones, a connection and a short
 /// response.
@@ -407,6 +407,11 @@
         if !fault.is_retryable || is_retried_by_caller || !self.body.can_restart() {
             return false;
         }
+        // Where all upstreams rest, another attempt would only use up the retry budget.
+        let is_rested = fault.outcome == AttemptOutcome::Rested;
+        if is_rested && !self.context.schedulers.has_available(&self.row().pool) {
+            return false;
+        }
         // A cancelled attempt does not count against the upstream, but the retry decision treats it
         // as a failure.
         let outcome = match fault.outcome {
--- a/crates/pulleyd/src/request/scheduler_set.rs
+++ b/crates/pulleyd/src/request/scheduler_set.rs
@@ -1,21 +1,21 @@
 //! The pool schedulers of one process, driven by its traffic threads.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use pulley_core::process::{FastMap, Incarnation, UpstreamChange, UpstreamList, UpstreamRecord};
+use pulley_core::process::{FastMap, UpstreamList, UpstreamStart};
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, ProbeReading, RequestNumber, RequestTicket,
     RetryAllowance, RetryBudget, RetryDecision, RetryInputs, SchedulerEffect, SchedulerEffects,
 };
 use pulley_core::version::KindPlan;
-use pulley_core::{HostId, IndexedPlan, Moment, PoolName, RefusalCause, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, RefusalCause, ZoneName};
 use tokio::sync::{Notify, oneshot};
 
+use crate::connection::{SendGate, UpstreamTarget};
 use crate::process::{ControlHandle, ProcessClock, RunningView, TimerService};
 
 /// How long the timer task sleeps if no scheduler asks to be woken.
@@ -28,12 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Placement {
     /// Send the request to this upstream; its slot is counted until [`SchedulerSet::finish`].
-    Start {
-        /// The chosen upstream.
-        upstream: UpstreamId,
-        /// Its address.
-        address: SocketAddr,
-    },
+    Start(UpstreamTarget),
     /// Answer at once that the request was not run.
     Refuse {
         /// The cause of the refusal.
@@ -61,6 +56,8 @@
     pub(super) pools: ArcSwap<FastMap<PoolName, Arc<PoolCell>>>,
     /// The channel to the control thread, which asks other hosts for permits.
     pub(super) control: Option<ControlHandle>,
+    /// What upstreams have asked of this host.
+    pub(super) gate: Arc<SendGate>,
     armed: AtomicU64,
     rearmed: Notify,
 }
@@ -78,8 +75,6 @@
     waiting: FastMap<RequestNumber, oneshot::Sender<Placement>>,
     plan: Arc<IndexedPlan>,
     upstreams: UpstreamList,
-    /// Upstreams that announced a drain in a response, with the incarnation that did so.
-    drained: FastMap<UpstreamId, Incarnation>,
     retries: RetryBudget,
 }
 
@@ -96,6 +91,7 @@
             probe_rate: 0.0,
             pools: ArcSwap::default(),
             control: None,
+            gate: Arc::new(SendGate::new(clock)),
             armed: AtomicU64::new(u64::MAX),
             rearmed: Notify::new(),
         }
@@ -138,7 +134,7 @@
                 state.scheduler.set_probe_rate(rate);
                 state.scheduler.set_entries(now, &view.entries);
             }
-            if let Some(effects) = cell.apply(now, &view.plan, upstreams) {
+            if let Some(effects) = cell.apply(now, &view.plan, upstreams, &self.gate) {
                 self.deliver(&cell, effects);
             }
         }
@@ -217,18 +213,6 @@
         self.finish_in(&cell, number, outcome, report);
     }
 
-    /// Stops giving new work to an upstream that announced a drain in a response.
-    ///
-    /// The announcement that says the same may take a heartbeat to arrive; until then each request
-    /// sent there could be cut off. A later incarnation of the upstream takes work again. Returns
-    /// whether the drain was not known before.
-    pub fn observe_drain(&self, pool: &PoolName, upstream: &UpstreamId) -> bool {
-        let Some(cell) = self.cell(pool) else { return false };
-        let Some(effects) = cell.observe_drain(self.clock.now(), upstream) else { return false };
-        self.deliver(&cell, effects);
-        true
-    }
-
     /// Decides whether a failed attempt is retried, and charges the retry to the pool's budget.
     #[must_use]
     pub fn decide_retry(&self, pool: &PoolName, inputs: &RetryInputs) -> RetryDecision {
@@ -252,6 +236,7 @@
 
     /// Ticks the schedulers whenever one asks to be woken; spawn it once per process.
     pub async fn run(self: Arc<Self>, timer: TimerService) {
+        let mut stops = self.gate.subscribe();
         loop {
             let rearmed = self.rearmed.notified();
             let due = self.next_wakeup().unwrap_or(self.clock.now() + IDLE_TICK);
@@ -259,6 +244,7 @@
             tokio::select! {
                 _ = timer.at(due) => self.tick(),
                 () = rearmed => {}
+                Ok(()) = stops.changed() => self.apply_late_stops(),
             }
         }
     }
@@ -299,7 +285,6 @@
             waiting: FastMap::default(),
             plan: Arc::default(),
             upstreams: UpstreamList::default(),
-            drained: FastMap::default(),
             retries: self
                 .retry_allowance
                 .map_or_else(RetryBudget::new, |allowance| RetryBudget::within(allowance, entries)),
@@ -349,7 +334,7 @@
             let mut next = SchedulerEffects::new();
             for effect in effects {
                 let (number, placement) = split_effect(effect);
-                let started = matches!(placement, Placement::Start { .. });
+                let started = matches!(placement, Placement::Start(_));
                 let mut state = cell.state.lock();
                 let waiter = state.waiting.remove(&number);
                 let taken = waiter.is_some_and(|waiter| waiter.send(placement).is_ok());
@@ -385,6 +370,7 @@
         now: Moment,
         plan: &Arc<IndexedPlan>,
         upstreams: UpstreamList,
+        gate: &SendGate,
     ) -> Option<SchedulerEffects> {
         let mut state = self.state.lock();
         let is_same_plan = Arc::ptr_eq(&state.plan, plan);
@@ -398,44 +384,24 @@
             effects.extend(state.scheduler.apply_plan(now, Arc::clone(plan)));
         }
         if !is_same_list {
-            effects.extend(state.apply_upstreams(now, upstreams));
+            effects.extend(state.apply_upstreams(now, upstreams, gate));
         }
         Some(effects)
     }
-
-    fn observe_drain(&self, now: Moment, upstream: &UpstreamId) -> Option<SchedulerEffects> {
-        let mut state = self.state.lock();
-        let record = Arc::clone(state.upstreams.find(upstream)?);
-        let incarnation = record.announcement.incarnation;
-        let before = state.drained.insert(upstream.clone(), incarnation);
-        if before == Some(incarnation) {
-            return None;
-        }
-        let change = state.as_drained(UpstreamChange::Put(record));
-        Some(state.scheduler.apply_changes(now, &[change]))
-    }
 }
 
 impl PoolState {
-    fn apply_upstreams(&mut self, now: Moment, upstreams: UpstreamList) -> SchedulerEffects {
+    fn apply_upstreams(
+        &mut self,
+        now: Moment,
+        upstreams: UpstreamList,
+        gate: &SendGate,
+    ) -> SchedulerEffects {
         let changes = upstreams.changes_since(&self.upstreams);
         self.upstreams = upstreams;
-        let known = &self.upstreams;
-        self.drained.retain(|id, _| known.find(id).is_some());
-        let changes: Vec<UpstreamChange> =
-            changes.into_iter().map(|change| self.as_drained(change)).collect();
-        self.scheduler.apply_changes(now, &changes)
-    }
-
-    /// Marks an upstream as taking no work if it announced a drain in a response.
-    fn as_drained(&self, change: UpstreamChange) -> UpstreamChange {
-        let UpstreamChange::Put(record) = &change else { return change };
-        let drained = self.drained.get(&record.announcement.id);
-        if drained.is_none_or(|start| record.announcement.incarnation > *start) {
-            return change;
-        }
-        let record = UpstreamRecord { takes_work: false, ..UpstreamRecord::clone(record) };
-        UpstreamChange::Put(Arc::new(record))
+        let mut effects = self.scheduler.apply_changes(now, &changes);
+        effects.extend(self.recall_stops(now, gate, &changes));
+        effects
     }
 }
 
@@ -454,8 +420,9 @@
 
 fn split_effect(effect: SchedulerEffect) -> (RequestNumber, Placement) {
     match effect {
-        SchedulerEffect::Start { number, upstream, address } => {
-            (number, Placement::Start { upstream, address })
+        SchedulerEffect::Start { number, upstream: id, address, incarnation } => {
+            let start = UpstreamStart { id, incarnation };
+            (number, Placement::Start(UpstreamTarget { start, address }))
         }
         SchedulerEffect::Refuse { number, cause, retry_after } => {
             (number, Placement::Refuse { cause, retry_after })
@@ -494,7 +461,7 @@
         self.receiver.close();
         match self.receiver.try_recv() {
             // The slot was granted, but the caller left before it learned of it: release the slot.
-            Ok(Placement::Start { .. }) => {
+            Ok(Placement::Start(_)) => {
                 self.set.finish_in(self.cell, self.number, AttemptOutcome::Cancelled, None);
             }
             Ok(Placement::Refuse { .. }) => {}
--- a/crates/pulleyd/src/request/system_answer.rs
+++ b/crates/pulleyd/src/request/system_answer.rs
@@ -38,6 +38,7 @@
             | RefusalCause::PlanChanged
             | RefusalCause::PoolBusy
             | RefusalCause::UpstreamsLimited
+            | RefusalCause::UpstreamsResting
             | RefusalCause::KeysUnconfirmed
             | RefusalCause::QuotaUnconfirmed
             | RefusalCause::NoUpstream
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -98,8 +98,9 @@
         timer: TimerService,
         logger: Logger,
     ) -> Self {
+        let gate = Arc::clone(schedulers.gate());
         let connections =
-            UpstreamConnections::new(clock, timer.clone(), view.clone(), logger.clone());
+            UpstreamConnections::new(clock, timer.clone(), view.clone(), logger.clone(), gate);
         Self {
             view,
             schedulers,
@@ -136,6 +137,7 @@
     /// Sets the header names.
     #[must_use]
     pub fn with_dialect(mut self, dialect: HeaderDialect) -> Self {
+        self.schedulers.gate().set_departure_header(dialect.departure.clone());
         self.dialect = dialect;
         self
     }
@@ -161,7 +163,8 @@
     #[must_use]
     pub fn with_relays(mut self, identity: RelayIdentity, local_ip: IpAddr) -> Self {
         let (view, logger) = (self.view.clone(), self.logger.clone());
-        let connections = UpstreamConnections::new(self.clock, self.timer.clone(), view, logger)
+        let (timer, gate) = (self.timer.clone(), Arc::clone(self.schedulers.gate()));
+        let connections = UpstreamConnections::new(self.clock, timer, view, logger, gate)
             .with_relays(identity, local_ip, self.control.clone());
         self.connections = Arc::new(connections);
         self
--- a/crates/pulleyd/tests/path_support/fake_ledger.rs
+++ b/crates/pulleyd/tests/path_support/fake_ledger.rs
@@ -67,7 +67,7 @@
                 }
                 let _ = reply.send(Ok(()));
             }
-            ControlRequest::ObservedDrain(upstream) => self.drained.lock().push(upstream),
+            ControlRequest::ObservedDrain(upstream) => self.drained.lock().push(upstream.id),
             ControlRequest::ReportQuotas(reports) => self.quota_reports.lock().extend(reports),
             ControlRequest::RelayHosts(_, reply) => {
                 let _ = reply.send(self.relay_hosts.lock().clone());
--- a/crates/pulleyd/tests/request_relay.rs
+++ b/crates/pulleyd/tests/request_relay.rs
@@ -8,7 +8,10 @@
 
 use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request, start_fleet};
 use pulley_core::HostId;
-use pulley_core::process::{CoordinatorOutput, PoolCoordinator, ProbeOutcome, UpstreamRecord};
+use pulley_core::process::{
+    CoordinatorOutput, Incarnation, PoolCoordinator, ProbeOutcome, UpstreamRecord, UpstreamStart,
+    UpstreamStop,
+};
 use pulleyd::connection::UpstreamProber;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -359,30 +362,39 @@
     assert_eq!(fleet.iter().map(|entry| entry.relays.open_connections()).sum::<usize>(), 0);
 }
 
-// A process that doesn't hold the installation's key must reach no upstream over a host.
+// A process that doesn't hold the installation's key must reach no upstream over a host, nor keep the
+// host from sending to one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stranger_gets_no_connection_over_a_host() {
     let upstreams = all_of(reporting).await;
     let fleet = start_fleet(vec![(EntryBuilder::new(), upstreams.iter().collect())]).await;
     let relay = path_support::serve_relays("entry-1", &fleet[0]).await;
-    let mut stream = TcpStream::connect(relay.address).await.expect("it listens");
-    stream.write_all(b"rly1").await.expect("written");
-    stream.write_all(&[7; 32]).await.expect("written");
-    stream.read_exact(&mut [0; 32]).await.expect("a nonce");
-    let mut request = vec![7];
-    request.extend_from_slice(b"entry-2");
-    request.extend_from_slice(&[2]);
-    request.extend_from_slice(b"u0");
-    request.extend_from_slice(&[4]);
-    request.extend_from_slice(b"pool");
-    request.extend_from_slice(&[9; 32]);
-    let length = u16::try_from(request.len()).expect("short").to_be_bytes();
-    stream.write_all(&length).await.expect("written");
-    stream.write_all(&request).await.expect("written");
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer).await;
-    assert!(answer.is_empty(), "the connection is closed without an answer");
+    // A request for a connection, and the notice of a rest of 60 s of incarnation 1.
+    let parts: [&[u8]; 2] = [&[0], &[1, 1, 60, 0]];
+    for rest in parts {
+        let mut stream = TcpStream::connect(relay.address).await.expect("it listens");
+        stream.write_all(b"rly2").await.expect("written");
+        stream.write_all(&[7; 32]).await.expect("written");
+        stream.read_exact(&mut [0; 32]).await.expect("a nonce");
+        let mut request = vec![7];
+        request.extend_from_slice(b"entry-2");
+        request.extend_from_slice(&[2]);
+        request.extend_from_slice(b"u0");
+        request.extend_from_slice(&[4]);
+        request.extend_from_slice(b"pool");
+        request.extend_from_slice(rest);
+        request.extend_from_slice(&[9; 32]);
+        let length = u16::try_from(request.len()).expect("short").to_be_bytes();
+        stream.write_all(&length).await.expect("written");
+        stream.write_all(&request).await.expect("written");
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        assert!(answer.is_empty(), "the connection is closed without an answer");
+    }
     assert_eq!(upstreams.iter().map(FakeUpstream::connections).sum::<usize>(), 0);
+    let context = &fleet[0].context;
+    let start = UpstreamStart { id: "u0".parse().expect("a name"), incarnation: Incarnation(1) };
+    assert_eq!(context.connections.gate().find(&start), UpstreamStop::default());
 }
 
 // Whoever reaches the peers' port may send anything. It must get no answer and hold nothing for long.
@@ -392,10 +404,10 @@
     let fleet = start_fleet(vec![(EntryBuilder::new(), upstreams.iter().collect())]).await;
     let relay = path_support::serve_relays("entry-1", &fleet[0]).await;
     let nonce = [7; 32];
-    let opening: Vec<u8> = b"rly1".iter().chain(&nonce).copied().collect();
+    let opening: Vec<u8> = b"rly2".iter().chain(&nonce).copied().collect();
     let with = |bytes: &[u8]| -> Vec<u8> { opening.iter().chain(bytes).copied().collect() };
     let malformed: [Vec<u8>; 6] = [
-        b"rly2".iter().chain(&nonce).copied().collect(),
+        b"rly1".iter().chain(&nonce).copied().collect(),
         b"GET / HTTP/1.1\r\nHost: a host of the installation\r\n\r\n".to_vec(),
         with(&[0, 0]),
         with(&[255, 255, 1, 2, 3]),
@@ -478,7 +490,8 @@
     let prober = UpstreamProber::new(Handle::current(), connections);
     let probe = async || {
         let (sender, outcome) = oneshot::channel();
-        prober.probe(unreachable[0].address, move |outcome| {
+        let target = ("pool".parse().expect("a name"), "u0".parse().expect("a name"));
+        prober.probe(target, unreachable[0].address, move |outcome| {
             let _ = sender.send(outcome);
         });
         outcome.await.ok()
--- a/crates/pulleyd/tests/rest_reading.rs
+++ b/crates/pulleyd/tests/rest_reading.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use http::header::{DATE, HeaderMap, HeaderValue, RETRY_AFTER};
-use pulleyd::request::RestReading;
+use pulleyd::connection::RestReading;
 
 const NOW: &str = "Fri, 04 Dec 2026 10:00:00 GMT";
 
