--- a/crates/pulley_core/src/process/registry/upstream_registry.rs
+++ b/crates/pulley_core/src/process/registry/upstream_registry.rs
@@ -391,13 +391,17 @@
         self.departures.push(aged);
     }
 
-    /// Records that an upstream said in an answer that it leaves. This takes effect at once. Returns whether that is news of a known upstream: its incarnation
+    /// Records that an upstream said in an answer that it leaves. This takes effect at once, and every
+    /// host is informed directly. Returns whether that is news of a known upstream: its incarnation
     /// may have ended since, or announced it too.
     pub fn observe_drain(&mut self, now: Moment, start: &UpstreamStart) -> bool {
         let entry = self.table.find(&start.id);
         let is_news =
             entry.is_some_and(|entry| entry.record.start() == *start && entry.record.takes_work());
-        is_news && self.drain(now, &start.id).is_ok()
+        if is_news && self.drain(now, &start.id).is_ok() {
+            self.queue_departure(now, &start.id);
+        }
+        is_news
     }
 
     /// Drains an upstream on an operator's request, until its next incarnation.
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -31,6 +31,8 @@
     Departure(UpstreamStart, oneshot::Sender<Result<()>>),
     /// The control core itself. See [`ControlCore::handle_applied_answer`].
     Applied,
+    /// Nobody.
+    Unawaited,
 }
 
 impl PendingAnswer {
@@ -68,7 +70,7 @@
                 ReplicaAnswer::Claim(claim) => claim,
                 _ => ClaimAnswer::Unavailable,
             })),
-            Self::Applied => {}
+            Self::Applied | Self::Unawaited => {}
             Self::Done(reply) | Self::Departure(_, reply) => drop(reply.send(match answer {
                 ReplicaAnswer::Done => Ok(()),
                 other => Err(fault_from_answer(other)),
@@ -111,7 +113,7 @@
             ControlRequest::Seeds(seeds) => {
                 seeds.into_iter().for_each(|seed| self.members.add_seed(seed));
             }
-            ControlRequest::ObservedDrain(start) => drop(self.registry.observe_drain(now, &start)),
+            ControlRequest::ObservedDrain(start) => self.handle_observed_drain(now, &start),
             ControlRequest::ObservedLimit(observed) => {
                 self.limits.observe(now, self.registry.shared_time(now), observed);
                 self.flush_limits(now);
@@ -165,6 +167,18 @@
         }
     }
 
+    /// Handles the departure that an upstream has told in an answer as one that it announces, except
+    /// that nobody waits for the acknowledgement.
+    fn handle_observed_drain(&mut self, now: Moment, start: &UpstreamStart) {
+        if !self.registry.observe_drain(now, start) {
+            return;
+        }
+        if let Some((start, record)) = self.registry.departure(&start.id) {
+            let question = ReplicaQuestion::Departure { start, record };
+            self.ask(now, question, PendingAnswer::Unawaited);
+        }
+    }
+
     /// Acknowledges a departure only once a quorum knows of it.
     ///
     /// An upstream stops soon after its departure is acknowledged. If a host that is cut off from
