--- a/crates/pulleyd/tests/path_support/fake_upstream.rs
+++ b/crates/pulleyd/tests/path_support/fake_upstream.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// The numbers of connections opened and ended at a fake upstream, and the requests received.
 #[derive(Default)]
@@ -106,6 +106,18 @@
     }
 }
 
+/// Returns an address that refuses connections. Its socket is bound and never listens, and it stays
+/// open as long as the test process: a port released earlier could be reused by another test's
+/// upstream.
+pub(crate) async fn refusing_upstream() -> FakeUpstream {
+    let mut upstream = FakeUpstream::healthy("never").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    upstream.address = socket.local_addr().expect("bound");
+    Box::leak(Box::new(socket));
+    upstream
+}
+
 pub(crate) fn ok_answer(text: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).into_bytes()
 }
--- a/crates/pulleyd/tests/path_support/mod.rs
+++ b/crates/pulleyd/tests/path_support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod cut_fleet;
 mod fake_ledger;
 mod fake_upstream;
 mod test_entry;
 
+pub(crate) use cut_fleet::{ANSWER, CutFleet, all_of, reporting};
 pub(crate) use fake_ledger::FakeLedger;
-pub(crate) use fake_upstream::{FakeUpstream, read_request};
+pub(crate) use fake_upstream::{FakeUpstream, read_request, refusing_upstream};
 pub(crate) use test_entry::{
     CallerAnswer, EntryBuilder, TestEntry, eventually, serve_relays, start_fleet,
 };
--- a/crates/pulleyd/tests/request_failures.rs
+++ b/crates/pulleyd/tests/request_failures.rs
@@ -6,22 +6,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request};
+use path_support::{
+    EntryBuilder, FakeUpstream, TestEntry, eventually, read_request, refusing_upstream,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Returns an address that refuses connections. Its socket is bound and never listens, and it stays
-/// open as long as the test process: a port released earlier could be reused by another test's
-/// upstream.
-async fn refusing_upstream() -> FakeUpstream {
-    let mut upstream = FakeUpstream::healthy("never").await;
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
-    upstream.address = socket.local_addr().expect("bound");
-    Box::leak(Box::new(socket));
-    upstream
-}
-
 // An upstream's process has ended and its lease has not yet expired. Connections to it are refused,
 // so nothing was sent. The caller may be told so, and any request may be retried elsewhere.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/pulleyd/tests/request_relay.rs
+++ b/crates/pulleyd/tests/request_relay.rs
@@ -6,7 +6,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request, start_fleet};
+use path_support::{
+    ANSWER, CutFleet, EntryBuilder, FakeUpstream, TestEntry, all_of, eventually, read_request,
+    refusing_upstream, reporting, start_fleet,
+};
 use pulley_core::HostId;
 use pulley_core::process::{
     CoordinatorOutput, Incarnation, PoolCoordinator, ProbeOutcome, UpstreamRecord, UpstreamStart,
@@ -14,14 +17,11 @@
 };
 use pulleyd::connection::UpstreamProber;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Upstreams in the pool.
-const UPSTREAMS: usize = 4;
-
 /// Time from the beginning of the cut until requests are counted.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
@@ -29,31 +29,6 @@
 const COUNTED_REQUESTS: usize = 40;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
-/// An answer that reports a load.
-const ANSWER: &str = "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT \
-    application_utilization=0.2, named_metrics.in_flight=1\r\nContent-Length: 2\r\n\r\nok";
-
-/// An upstream that reports its load and answers every request.
-async fn reporting() -> FakeUpstream {
-    FakeUpstream::answering(|_| ANSWER.as_bytes().to_vec()).await
-}
-
-/// An address at which connections are refused.
-async fn refusing() -> FakeUpstream {
-    let upstream = FakeUpstream::silent().await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    FakeUpstream { address, ..upstream }
-}
-
-async fn all_of(upstreams: impl AsyncFn() -> FakeUpstream) -> Vec<FakeUpstream> {
-    let mut list = Vec::new();
-    for _ in 0..UPSTREAMS {
-        list.push(upstreams().await);
-    }
-    list
-}
-
 /// Sends requests for a while. Returns how many of the last [`COUNTED_REQUESTS`] were served at the
 /// first attempt.
 async fn count_served(entry: &TestEntry) -> usize {
@@ -94,7 +69,7 @@
 // The same, where new connections are refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_whose_connections_are_refused_serves_its_callers_over_another_host() {
-    let served = count_served_while_cut(&all_of(refusing).await).await;
+    let served = count_served_while_cut(&all_of(refusing_upstream).await).await;
     assert_eq!(served, COUNTED_REQUESTS);
 }
 
@@ -106,47 +81,6 @@
     assert_eq!(served, COUNTED_REQUESTS);
 }
 
-/// A host that is cut off, and one that relays for it.
-struct CutFleet {
-    /// The host that is cut off, then the one that relays for it.
-    fleet: Vec<TestEntry>,
-    /// The upstreams as the cut host sees them, and as the other one does.
-    unreachable: Vec<FakeUpstream>,
-    upstreams: Vec<FakeUpstream>,
-}
-
-impl CutFleet {
-    /// Starts both hosts, and waits until the cut one serves over the other.
-    async fn start(unreachable: Vec<FakeUpstream>, upstreams: Vec<FakeUpstream>) -> Self {
-        let builder = || EntryBuilder::new().probing(3, 1_000).deadline_ms(2_000);
-        let fleet = start_fleet(vec![
-            (builder(), unreachable.iter().collect()),
-            (builder(), upstreams.iter().collect()),
-        ]);
-        let started = Self { fleet: fleet.await, unreachable, upstreams };
-        let began = Instant::now();
-        while started.cut().post("/balance", "warm").await.status != 200 {
-            assert!(began.elapsed() < Duration::from_secs(10), "it never serves");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        started
-    }
-
-    fn cut(&self) -> &TestEntry {
-        &self.fleet[0]
-    }
-
-    fn relays(&self) -> usize {
-        self.fleet[1].relays.open_connections()
-    }
-
-    /// Returns how often the upstreams got a request whose body holds a text.
-    fn arrivals(&self, text: &str) -> usize {
-        let logs = self.upstreams.iter().map(|upstream| upstream.log.requests.lock());
-        logs.map(|log| log.iter().filter(|request| request.contains(text)).count()).sum()
-    }
-}
-
 /// An upstream that answers probes, and passes the connection of any other request to a script.
 async fn scripted<W>(
     script: impl Fn(TcpStream) -> W + Clone + Send + Sync + 'static,
@@ -346,7 +280,7 @@
 // Two hosts are cut off and would ask each other for ever.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_is_cut_off_itself_refuses_to_relay_at_once() {
-    let unreachable = all_of(refusing).await;
+    let unreachable = all_of(refusing_upstream).await;
     let builder = || EntryBuilder::new().probing(3, 400).deadline_ms(1_000);
     let lists = || unreachable.iter().collect();
     let fleet = start_fleet(vec![(builder(), lists()), (builder(), lists())]).await;
@@ -463,7 +397,7 @@
 // that answered all others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_doubts_its_own_path_blames_no_upstream() {
-    let (unreachable, upstreams) = (all_of(refusing).await, all_of(reporting).await);
+    let (unreachable, upstreams) = (all_of(refusing_upstream).await, all_of(reporting).await);
     let fleet = start_fleet(vec![
         (EntryBuilder::new(), unreachable.iter().collect()),
         (EntryBuilder::new(), upstreams.iter().collect()),
@@ -472,7 +406,7 @@
     assert!(early <= 2, "{early}: the first failures are its only sign");
 
     let mut mixed = all_of(reporting).await;
-    mixed[0] = refusing().await;
+    mixed[0] = refusing_upstream().await;
     let entry = EntryBuilder::new().start(&mixed.iter().collect::<Vec<_>>()).await;
     assert!(reported_failures(&entry, 20).await > 0, "a single bad upstream is blamed");
 }
@@ -480,7 +414,7 @@
 // The coordinator's host is cut off, and its probes fail.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_failed_probe_is_not_reported_while_the_own_path_is_in_doubt() {
-    let (unreachable, upstreams) = (all_of(refusing).await, all_of(reporting).await);
+    let (unreachable, upstreams) = (all_of(refusing_upstream).await, all_of(reporting).await);
     let fleet = start_fleet(vec![
         (EntryBuilder::new(), unreachable.iter().collect()),
         (EntryBuilder::new(), upstreams.iter().collect()),
--- a/crates/pulleyd/tests/upstream_rest.rs
+++ b/crates/pulleyd/tests/upstream_rest.rs
@@ -6,8 +6,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use http::{HeaderMap, HeaderValue, StatusCode};
 use parking_lot::Mutex;
-use path_support::{EntryBuilder, FakeUpstream, TestEntry};
+use path_support::{EntryBuilder, FakeUpstream, TestEntry, eventually, read_request};
+use pulley_core::process::SendBlock;
+use pulleyd::connection::UpstreamTarget;
+use tokio::io::AsyncWriteExt;
 
 /// The rest that resting upstreams ask for.
 const REST: Duration = Duration::from_millis(1_500);
@@ -129,3 +133,150 @@
         assert_eq!(entry.post("/refund", "x").await.body.as_deref(), Some("sound"));
     }
 }
+
+/// Sends requests to a single upstream whose first answer is given. Returns the arrivals within the
+/// first 300 ms, and the first answer's status.
+async fn arrivals_after(first: String) -> (usize, u16) {
+    let upstream = TimedUpstream::answering(
+        move |number, _| if number == 0 { first.clone() } else { SOUND.into() },
+    );
+    let upstream = upstream.await;
+    let entry = EntryBuilder::new().deadline_ms(1_000).start(&[&upstream.upstream]).await;
+    let status = entry.post("/refund", "x").await.status;
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(300) {
+        entry.post("/refund", "x").await;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let arrivals = upstream.arrivals.lock().len();
+    (arrivals, status)
+}
+
+// Whether a rest is kept must not depend on the word that the request was not run. One that the
+// upstream passes on from a call of its own is not its own wish.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rest_is_kept_from_any_answer_that_turns_a_request_away() {
+    let answer = |status: &str, headers: &str| {
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n")
+    };
+    let not_run = "jacinthpulley-verdict: not-run\r\n";
+    for (first, status) in [
+        (answer("503 Busy", &format!("{not_run}Retry-After: 2\r\n")), 503),
+        (answer("503 Busy", "Retry-After: 2\r\n"), 503),
+        (answer("503 Busy", "Retry-After: 1\r\nRetry-After: 2\r\n"), 503),
+        (answer("429 Busy", &format!("{not_run}Retry-After: 99999999\r\n")), 503),
+    ] {
+        assert_eq!(arrivals_after(first.clone()).await, (1, status), "{first}");
+    }
+    let passed_on = format!("{not_run}jacinthpulley-cause: pool-busy\r\nRetry-After: 2\r\n");
+    for first in [
+        answer("503 Busy", &passed_on),
+        answer("503 Busy", "Retry-After: 0\r\n"),
+        answer("503 Busy", "Retry-After: -2\r\n"),
+        answer("503 Busy", "Retry-After: soon\r\n"),
+        answer("500 Broken", "Retry-After: 2\r\n"),
+    ] {
+        assert!(arrivals_after(first.clone()).await.0 > 5, "{first}");
+    }
+}
+
+// A rest asked for in an answer to a probe was not read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rest_asked_for_in_an_answer_to_a_probe_is_kept() {
+    let resting = TimedUpstream::resting().await;
+    let sound = FakeUpstream::answering(|_| IDLE.as_bytes().to_vec()).await;
+    let entry = EntryBuilder::new().probing(2, 400).start(&[&resting.upstream, &sound]).await;
+    let (served, sent) = press(&entry, "/refund").await;
+    assert_eq!(served, sent);
+    assert_eq!(resting.arrivals_in_rest(), 0);
+}
+
+// Where the whole pool rests, callers held their connections until their deadline, or came back too
+// early. After the rest the upstream serves again at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_resting_pool_are_refused_at_once_and_served_after_it() {
+    let asked = |number, _: &str| if number == 0 { RESTING.to_owned() } else { SOUND.to_owned() };
+    let upstream = TimedUpstream::answering(asked).await;
+    let entry = EntryBuilder::new().deadline_ms(1_000).start(&[&upstream.upstream]).await;
+    let began = Instant::now();
+    entry.post("/balance", "x").await;
+    let refused = entry.post("/balance", "x").await;
+    assert!(began.elapsed() < Duration::from_millis(700));
+    assert_eq!(refused.summary(), "503 not-run");
+    assert_eq!(refused.header("jacinthpulley-cause"), Some("upstreams-resting"));
+    let seconds: u64 = refused.header("retry-after").expect("a time").parse().expect("seconds");
+    let back = REST - began.elapsed().min(REST);
+    assert!(Duration::from_secs(seconds) >= back, "{seconds}");
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    for _ in 0..10 {
+        assert_eq!(entry.post("/balance", "x").await.body.as_deref(), Some("sound"));
+    }
+}
+
+// Something may be asked between the placing of a request and its sending.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_was_placed_before_a_rest_is_not_sent_in_it() {
+    let upstream = FakeUpstream::healthy("sound").await;
+    let entry = TestEntry::start(&[&upstream]).await;
+    let connections = &entry.context.connections;
+    let pool = "pool".parse().expect("a name");
+    let record = entry.context.view.load().upstreams[&pool][0].announcement.clone();
+    let target = UpstreamTarget { start: record.start(), address: record.address };
+    assert_eq!(connections.send_block(&pool, &target), None);
+    let moved = UpstreamTarget { address: ([127, 0, 0, 1], 9).into(), ..target.clone() };
+    assert_eq!(connections.send_block(&pool, &moved), Some(SendBlock::Departed));
+    let mut headers = HeaderMap::new();
+    headers.insert("retry-after", HeaderValue::from_static("60"));
+    connections.gate().observe(&target.start, StatusCode::SERVICE_UNAVAILABLE, &headers);
+    let block = connections.send_block(&pool, &target);
+    assert!(matches!(block, Some(SendBlock::Resting(_))), "{block:?}");
+    assert_eq!(entry.post("/refund", "x").await.summary(), "503 not-run");
+    assert_eq!(upstream.runs(), 0);
+}
+
+// A departure counts on any answer: a failure, a refusal, the head of a stream that goes on. One
+// that is denied does not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_departure_counts_on_every_answer_for_the_last_upstream_too() {
+    let with = |status: &str, value: &str| {
+        format!("HTTP/1.1 {status}\r\njacinthpulley-draining: {value}\r\nContent-Length: 0\r\n\r\n")
+    };
+    let stream = "HTTP/1.1 200 OK\r\njacinthpulley-draining: true\r\nTransfer-Encoding: chunked\r\n\r\n\
+        3\r\none\r\n0\r\n\r\n";
+    for first in [
+        with("200 OK", "true"),
+        with("200 OK", "1"),
+        with("200 OK", "soon"),
+        with("500 Broken", "true"),
+        with("503 Busy", "true"),
+        stream.to_owned(),
+    ] {
+        assert_eq!(arrivals_after(first.clone()).await.0, 1, "{first}");
+    }
+    for value in ["false", "0", ""] {
+        assert!(arrivals_after(with("200 OK", value)).await.0 > 5, "{value:?}");
+    }
+}
+
+// The head of a long stream says that its upstream leaves. Requests went there until its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_departure_in_the_head_of_a_stream_counts_before_its_end() {
+    let streaming = FakeUpstream::scripted(|mut stream, _, log| async move {
+        read_request(&mut stream, &log).await?;
+        let head = b"HTTP/1.1 200 OK\r\njacinthpulley-draining: true\r\n\
+            Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n";
+        stream.write_all(head).await.ok()?;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        stream.write_all(b"0\r\n\r\n").await.ok()
+    });
+    let streaming = streaming.await;
+    let entry = TestEntry::start(&[&streaming]).await;
+    let other = async {
+        eventually("the head is read", || !entry.ledger.drained.lock().is_empty()).await;
+        entry.post("/refund", "second").await
+    };
+    let (first, second) = futures::future::join(entry.post("/refund", "first"), other).await;
+    assert_eq!(first.body.as_deref(), Some("one"), "the stream is whole");
+    assert_eq!(second.summary(), "503 not-run");
+    assert_eq!(streaming.runs(), 1);
+}
