--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -63,7 +63,7 @@
     is_on: bool,
     /// The load reports received, including recent ones of earlier probes.
     pub(super) readings: Vec<ProbeReading>,
-    /// The number of probes without an answer.
+    /// The number of probes without an answer that reports a load.
     unanswered: usize,
     /// Whether probes went unanswered and no upstream of the pool has answered recently.
     is_pool_silent: bool,
@@ -177,6 +177,11 @@
                 continue;
             };
             silent.retain(|other| *other != upstream);
+            let Some(report) = report else {
+                self.unanswered += 1;
+                link.give_back();
+                continue;
+            };
             self.readings.retain(|reading| reading.upstream != upstream);
             self.readings.push(ProbeReading { upstream: upstream.clone(), report });
             self.links.push((upstream, link));
@@ -209,14 +214,15 @@
     }
 }
 
-/// Sends one probe. Returns `None` if there is no answer or another upstream answered.
+/// Sends one probe. Returns `None` if there is no answer or another upstream answered. An answer may
+/// be without a load report, such as one that turns the probe away.
 async fn probe_one(
     context: &TrafficContext,
     pool: &PoolName,
     path: &Uri,
     target: &ProbeTarget,
     deadline: Moment,
-) -> Option<(LoadReport, UpstreamLink<Unused>)> {
+) -> Option<(Option<LoadReport>, UpstreamLink<Unused>)> {
     let request = LinkRequest {
         upstream: &target.upstream,
         address: target.address,
@@ -255,11 +261,15 @@
         let sighting = LimitSighting { reading, sent_at, is_probe: true };
         context.schedulers.observe_limit(pool, &target.upstream, sighting);
     }
-    let mut report = parts.headers.get(&dialect.load).and_then(dialect.read_load)?;
-    report.cold_left = dialect.cold_left(&parts.headers);
-    if !parts.status.is_success() {
-        report.slowdown = Some(report.slowdown.unwrap_or(1.0) * UNHEALTHY_FACTOR);
-    }
+    let report = parts.headers.get(&dialect.load).and_then(dialect.read_load);
+    let report = report.map(|report| LoadReport {
+        cold_left: dialect.cold_left(&parts.headers),
+        slowdown: match parts.status.is_success() {
+            true => report.slowdown,
+            false => Some(report.slowdown.unwrap_or(1.0) * UNHEALTHY_FACTOR),
+        },
+        ..report
+    });
     Some((report, link))
 }
 
