--- a/crates/pulley_soak/src/fault_schedule.rs
+++ b/crates/pulley_soak/src/fault_schedule.rs
@@ -19,6 +19,9 @@
 /// Distinguishes the random numbers for limits from those for other faults.
 const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
 
+/// Distinguishes the random numbers for rests and departures from those for other faults.
+const STOP_SEED: u64 = 0x7374_6f70;
+
 /// Pauses between faults, in milliseconds. After the short ones, faults overlap.
 const PAUSES_MS: [u64; 4] = [50, 300, 900, 1_800];
 
@@ -90,6 +93,21 @@
         /// How long it names the limit.
         span: Duration,
     },
+    /// Makes an upstream turn requests away and ask for rest for a while.
+    Rest {
+        /// Index of the upstream.
+        upstream: usize,
+        /// The rest that each of its answers asks for.
+        rest: Duration,
+        /// How long it turns requests away.
+        span: Duration,
+    },
+    /// Makes an upstream say in its answers, and nowhere else, that it leaves. Another upstream
+    /// replaces it later.
+    Leave {
+        /// Index of the upstream.
+        upstream: usize,
+    },
     /// Cuts a daemon off from all upstreams for a while.
     CutOff {
         /// Index of the daemon.
@@ -159,6 +177,28 @@
         faults.push(ScheduledFault { at, fault: draw_limit(&mut limits, sizes.2) });
         at += Duration::from_millis(limits.random_range(1_000..5_000));
     }
+    faults.extend(draw_stops(seed, end, sizes.2));
+    faults
+}
+
+/// Draws rests and departures, drawn apart too. Several upstreams rest at a time, and at times all.
+fn draw_stops(seed: u64, end: Duration, upstreams: usize) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ STOP_SEED);
+    let mut faults = Vec::new();
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        let first = random.random_range(0..upstreams);
+        let count = random.random_range(1..=upstreams);
+        let rest = Duration::from_millis(random.random_range(300..4_000));
+        let span = Duration::from_millis(random.random_range(500..4_000));
+        for upstream in (first..first + count).map(|upstream| upstream % upstreams) {
+            faults.push(ScheduledFault { at, fault: SoakFault::Rest { upstream, rest, span } });
+        }
+        at += Duration::from_millis(random.random_range(1_000..6_000));
+        if random.random_range(0..3) == 0 && at < end {
+            faults.push(ScheduledFault { at, fault: SoakFault::Leave { upstream: first } });
+        }
+    }
     faults
 }
 
--- a/crates/pulley_soak/src/lib.rs
+++ b/crates/pulley_soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod soak_organisations;
 mod soak_run;
 mod soak_upstream;
+mod stop_check;
 
 pub use daemon_process::DaemonProcess;
 pub use fault_proxy::{FaultProxy, HostCuts, ProxyMode};
--- a/crates/pulley_soak/src/request_history.rs
+++ b/crates/pulley_soak/src/request_history.rs
@@ -9,6 +9,7 @@
 
 use crate::limit_check::{LimitSpan, UpstreamRun};
 use crate::soak_organisations::{PRESSING, check_quota};
+use crate::stop_check::{LeaveAnswer, RestAnswer, StopExcuses, UpstreamArrival};
 
 /// How long an upstream may still get new work after its drain was acknowledged.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
@@ -50,6 +51,8 @@
     sent: Instant,
     outcome: Option<(Instant, CallerOutcome)>,
     runs: Vec<(SmolStr, Instant)>,
+    /// Arrivals that the upstream has turned away.
+    refusals: Vec<(SmolStr, Instant)>,
 }
 
 /// A span of time in which an entry was disturbed. Guarantees with time limits do not apply to the
@@ -126,6 +129,12 @@
     upstream_faults: Vec<(Instant, Instant)>,
     /// Limits that upstreams have named.
     limits: Vec<LimitSpan>,
+    /// Answers by which upstreams have asked for rest.
+    rests: Vec<RestAnswer>,
+    /// When the answers of an upstream began to say that it leaves.
+    leaving: FastMap<SmolStr, Instant>,
+    /// Spans of time in which answers of an upstream, by its place, may be lost.
+    path_faults: Vec<(usize, Instant, Instant)>,
     /// Spans of time in which an entry itself was killed, stopped or paused.
     entry_faults: Vec<(usize, Instant, Instant)>,
     /// Spans of time in which an entry was cut off from all upstreams.
@@ -152,6 +161,7 @@
             sent: Instant::now(),
             outcome: None,
             runs: Vec::new(),
+            refusals: Vec::new(),
         };
         self.state.lock().requests.insert(id.into(), record);
     }
@@ -172,6 +182,25 @@
         }
     }
 
+    /// Records that an upstream turns a request away and asks for rest.
+    pub fn record_rest(&self, id: &str, upstream: &str, span: Duration) {
+        let (mut state, at) = (self.state.lock(), Instant::now());
+        let Some(record) = state.requests.get_mut(id) else { return };
+        record.refusals.push((upstream.into(), at));
+        let entry = record.entry;
+        state.rests.push(RestAnswer { upstream: upstream.into(), entry, at, span });
+    }
+
+    /// Records that an upstream's answers say from now on that it leaves.
+    pub fn record_leaving(&self, upstream: &str) {
+        self.state.lock().leaving.insert(upstream.into(), Instant::now());
+    }
+
+    /// Records that answers of the upstream at a place may be lost in a span of time.
+    pub fn record_path_fault(&self, upstream: usize, from: Instant, until: Instant) {
+        self.state.lock().path_faults.push((upstream, from, until));
+    }
+
     /// Records which organisation an upstream was told, and whether it was sent a key.
     pub fn record_identity(&self, id: &str, organisation: Option<&str>, has_key: bool) {
         let mut state = self.state.lock();
@@ -252,6 +281,7 @@
             findings.extend(state.check(id, record));
         }
         findings.extend(state.check_limits());
+        findings.extend(state.check_stops());
         findings.extend(state.check_cuts());
         let guarantee = "quotas are kept";
         let exceeded = check_quota(state.pressing_runs());
@@ -285,6 +315,49 @@
         observed.map(|observed| SoakFinding { guarantee, observed }).collect()
     }
 
+    /// Returns findings for upstreams that got requests although they had asked for rest, or had told
+    /// in an answer that they leave.
+    fn check_stops(&self) -> Vec<SoakFinding> {
+        let arrivals = self.arrivals();
+        let cuts = self.cuts.iter().map(|cut| (cut.entry, cut.from, cut.until)).collect();
+        let excuses = StopExcuses {
+            entries: &self.entry_faults,
+            entry_paths: cuts,
+            upstream_paths: &self.path_faults,
+        };
+        let rests = self.rests.iter().filter_map(|rest| rest.check(&arrivals, &excuses));
+        let rests = rests.map(|observed| SoakFinding { guarantee: "rests are kept", observed });
+        let leaves = self.leave_answers();
+        let leaves = leaves.iter().filter_map(|leave| leave.check(&arrivals, &excuses));
+        let guarantee = "no work after an answer that tells of leaving";
+        rests.chain(leaves.map(|observed| SoakFinding { guarantee, observed })).collect()
+    }
+
+    fn arrivals(&self) -> Vec<UpstreamArrival> {
+        let requests = self.requests.values();
+        let arrivals = requests.flat_map(|record| {
+            record.runs.iter().chain(&record.refusals).map(|(upstream, at)| UpstreamArrival {
+                upstream: upstream.clone(),
+                entry: record.entry,
+                sent: record.sent,
+                at: *at,
+            })
+        });
+        arrivals.collect()
+    }
+
+    /// Returns the answers of leaving upstreams that entries have passed on.
+    fn leave_answers(&self) -> Vec<LeaveAnswer> {
+        let answers = self.requests.values().filter_map(|record| {
+            let (upstream, ran) = record.runs.last()?;
+            let Some((at, CallerOutcome::Success(_))) = &record.outcome else { return None };
+            let began = self.leaving.get(upstream)?;
+            let (upstream, entry, at) = (upstream.clone(), record.entry, *at);
+            (ran > began).then_some(LeaveAnswer { upstream, entry, at })
+        });
+        answers.collect()
+    }
+
     /// Returns findings for entries that were cut off, and nothing else, and whose callers were
     /// served far worse than those of entries that were not.
     fn check_cuts(&self) -> Vec<SoakFinding> {
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -227,6 +227,8 @@
             SoakFault::Drain { upstream } => self.drain(upstream),
             SoakFault::Crash { upstream, down } => self.crash(upstream, down),
             SoakFault::Limit { upstream, tenths, span } => self.limit(upstream, tenths, span),
+            SoakFault::Rest { upstream, rest, span } => self.rest(upstream, rest, span),
+            SoakFault::Leave { upstream } => self.leave(upstream),
             SoakFault::CutOff { host, mode, span } => self.cut_off(host, mode, span),
             SoakFault::ChangeBurst { changes } => {
                 self.versions.extra_changes.fetch_add(changes, Ordering::Relaxed);
@@ -324,6 +326,7 @@
         // A connection that has dropped bytes stays silent until one of its ends closes it.
         let lasts = span + Duration::from_secs(4);
         self.history.record_upstream_fault(Instant::now(), Instant::now() + lasts);
+        self.history.record_path_fault(upstream, Instant::now(), Instant::now() + lasts);
         let upstream = Arc::clone(&self.upstreams[upstream]);
         self.faults.spawn(async move {
             upstream.lock().await.proxy.set(mode);
@@ -366,6 +369,26 @@
         });
     }
 
+    fn rest(&mut self, upstream: usize, rest: Duration, span: Duration) {
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        self.faults.spawn(async move {
+            upstream.lock().await.ask_rest(Some(rest));
+            tokio::time::sleep(span).await;
+            upstream.lock().await.ask_rest(None);
+        });
+    }
+
+    fn leave(&mut self, upstream: usize) {
+        let upstream = Arc::clone(&self.upstreams[upstream]);
+        let history = Arc::clone(&self.history);
+        self.faults.spawn(async move {
+            upstream.lock().await.leave();
+            tokio::time::sleep(DRAIN_SPAN).await;
+            history.record_upstream_fault(Instant::now(), Instant::now() + Duration::from_secs(1));
+            let _ = upstream.lock().await.launch().await;
+        });
+    }
+
     fn crash(&mut self, upstream: usize, down: Duration) {
         let until = Instant::now() + down + Duration::from_secs(1);
         self.history.record_upstream_fault(Instant::now(), until);
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -9,6 +9,7 @@
 use eyre::Result;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -52,13 +53,23 @@
 struct RunningUpstream {
     id: String,
     phase: Arc<Mutex<&'static str>>,
-    /// The value of the request limit that its answers name.
-    limit: Arc<Mutex<Option<String>>>,
+    manner: Arc<Mutex<AnswerManner>>,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
     announcing: JoinHandle<()>,
 }
 
+/// What an upstream's answers ask of the entries.
+#[derive(Clone, Debug, Default)]
+struct AnswerManner {
+    /// The value of the request limit that they name.
+    limit: Option<String>,
+    /// The rest that they ask for; requests are then turned away.
+    rest: Option<Duration>,
+    /// Whether they say that the upstream leaves.
+    leaves: bool,
+}
+
 impl SoakUpstream {
     /// Starts an upstream behind its own proxy.
     pub(crate) async fn start(
@@ -83,9 +94,9 @@
         let id = format!("u{}-{}", self.index, self.starts);
         let (stop, stopped) = watch::channel(false);
         let phase = Arc::new(Mutex::new("ready"));
-        let limit = Arc::new(Mutex::new(None));
-        let named = Arc::clone(&limit);
-        let serving = serve(listener, id.clone(), Arc::clone(&self.history), named, stopped);
+        let manner = Arc::new(Mutex::new(AnswerManner::default()));
+        let shown = Arc::clone(&manner);
+        let serving = serve(listener, id.clone(), Arc::clone(&self.history), shown, stopped);
         let announcing = Announcer {
             id: id.clone(),
             address: self.proxy.address,
@@ -96,7 +107,7 @@
         self.running = Some(RunningUpstream {
             id,
             phase,
-            limit,
+            manner,
             stop,
             serving: tokio::spawn(serving),
             announcing: tokio::spawn(announcing.run(self.index)),
@@ -125,11 +136,28 @@
     pub(crate) fn name_limit(&self, tenths: Option<u32>) {
         let Some(running) = &self.running else { return };
         let rate = tenths.map(|tenths| f64::from(tenths) / 10.0);
-        *running.limit.lock() = rate.map(|rate| rate.to_string());
+        running.manner.lock().limit = rate.map(|rate| rate.to_string());
         self.history.record_limit(&running.id, rate);
     }
 }
 
+impl SoakUpstream {
+    /// Sets the rest that its answers ask for while they turn requests away.
+    pub(crate) fn ask_rest(&self, rest: Option<Duration>) {
+        if let Some(running) = &self.running {
+            running.manner.lock().rest = rest;
+        }
+    }
+
+    /// Makes its answers say that it leaves. Its announcements go on as before.
+    pub(crate) fn leave(&self) {
+        if let Some(running) = &self.running {
+            running.manner.lock().leaves = true;
+            self.history.record_leaving(&running.id);
+        }
+    }
+}
+
 impl Drop for SoakUpstream {
     fn drop(&mut self) {
         self.crash();
@@ -140,18 +168,24 @@
     listener: TcpListener,
     id: String,
     history: Arc<RequestHistory>,
-    limit: Arc<Mutex<Option<String>>>,
+    manner: Arc<Mutex<AnswerManner>>,
     stopped: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let (id, history, mut stopped) = (id.clone(), Arc::clone(&history), stopped.clone());
-        let limit = Arc::clone(&limit);
-        let service = service_fn(move |request| {
-            let answering = answer(request, id.clone(), Arc::clone(&history));
-            let limit = Arc::clone(&limit);
-            async move { Ok::<_, Infallible>(with_limit(answering.await, limit.lock().as_deref())) }
+        let manner = Arc::clone(&manner);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (id, history, manner) = (id.clone(), Arc::clone(&history), Arc::clone(&manner));
+            async move {
+                let rest = manner.lock().rest.filter(|_| request.uri().path() != "/health");
+                let answer = match rest {
+                    Some(rest) => turn_away(request, &id, rest, &history),
+                    None => answer(request, id, history).await,
+                };
+                Ok::<_, Infallible>(with_manner(answer, &manner.lock()))
+            }
         });
         connections.spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -187,9 +221,32 @@
     Response::new(Full::new(Bytes::from(answer_body(&id, length))))
 }
 
-fn with_limit(mut answer: Response<Full<Bytes>>, limit: Option<&str>) -> Response<Full<Bytes>> {
-    if let Some(value) = limit.and_then(|limit| limit.parse().ok()) {
-        answer.headers_mut().insert("jacinthpulley-request-limit", value);
+/// Answers that a request is not run, and that nothing is wanted for some time.
+fn turn_away(
+    request: Request<Incoming>,
+    upstream: &str,
+    rest: Duration,
+    history: &RequestHistory,
+) -> Response<Full<Bytes>> {
+    let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+    history.record_rest(id.unwrap_or_default(), upstream, rest);
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = answer.headers_mut();
+    headers.insert("jacinthpulley-verdict", HeaderValue::from_static("not-run"));
+    if let Ok(value) = rest.as_secs_f64().to_string().parse() {
+        headers.insert("retry-after", value);
+    }
+    answer
+}
+
+fn with_manner(mut answer: Response<Full<Bytes>>, manner: &AnswerManner) -> Response<Full<Bytes>> {
+    let headers = answer.headers_mut();
+    if let Some(value) = manner.limit.as_ref().and_then(|limit| limit.parse().ok()) {
+        headers.insert("jacinthpulley-request-limit", value);
+    }
+    if manner.leaves {
+        headers.insert("jacinthpulley-draining", HeaderValue::from_static("true"));
     }
     answer
 }
--- a/crates/pulley_soak/tests/checks.rs
+++ b/crates/pulley_soak/tests/checks.rs
@@ -245,3 +245,42 @@
     disturbed.record_disturbance(0, Instant::now(), Instant::now());
     assert!(!violated_guarantees(&disturbed).contains(&guarantee));
 }
+
+// The check itself must find arrivals within a rest, but for two and those of the first half second.
+#[test]
+fn arrivals_in_a_rest_are_found() {
+    for (late, is_found) in [(2, false), (3, true)] {
+        let history = RequestHistory::default();
+        history.record_sent("asked", 0, true);
+        history.record_rest("asked", "u0-1", Duration::from_secs(2));
+        history.record_sent("soon", 0, true);
+        history.record_rest("soon", "u0-1", Duration::from_millis(1));
+        std::thread::sleep(Duration::from_millis(600));
+        for number in 0..late {
+            history.record_sent(&format!("late{number}"), 0, true);
+            history.record_run(&format!("late{number}"), "u0-1");
+        }
+        history.record_sent("elsewhere", 1, true);
+        history.record_run("elsewhere", "u0-1");
+        let found = violated_guarantees(&history).contains(&"rests are kept");
+        assert_eq!(found, is_found, "{late}");
+    }
+}
+
+// The check itself must find work at an upstream that an entry knows to leave.
+#[test]
+fn work_after_an_answer_that_tells_of_leaving_is_found() {
+    for (entry, pause_ms, is_found) in [(0, 1_100, true), (1, 1_100, false), (0, 500, false)] {
+        let history = RequestHistory::default();
+        history.record_leaving("u0-1");
+        history.record_sent("told", 0, true);
+        history.record_run("told", "u0-1");
+        history.record_outcome("told", complete_answer("told"));
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        history.record_sent("late", entry, true);
+        history.record_run("late", "u0-1");
+        let guarantee = "no work after an answer that tells of leaving";
+        let found = violated_guarantees(&history).contains(&guarantee);
+        assert_eq!(found, is_found, "{entry} {pause_ms}");
+    }
+}
