--- a/crates/pulley_core/src/request/pool_scheduler_limits.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_limits.rs
@@ -60,13 +60,14 @@
         std::mem::take(&mut self.permit_asks)
     }
 
-    /// Returns when a permit may be had at the earliest, if a request can be sent to no upstream of
-    /// the pool without one; that is `now` if one may arrive at any moment. `None` if some upstream
-    /// needs no permit, or no upstream takes work.
+    /// Returns when a permit may be had, or the rest of an upstream ends, at the earliest, if a request
+    /// can be sent to no upstream of the pool without a permit; that is `now` if one may arrive at any
+    /// moment. `None` if some upstream needs no permit, or no upstream takes work.
     #[must_use]
     pub fn permit_due(&self, now: Moment) -> Option<Moment> {
         let is_limited = !self.upstreams.none_available() && self.upstreams.all_blocked(now);
-        is_limited.then(|| self.upstreams.limited_until(now).unwrap_or(now))
+        let permit_due = is_limited.then(|| self.upstreams.limited_until(now).unwrap_or(now))?;
+        Some(self.upstreams.rest_ends_at().map_or(permit_due, |end| end.min(permit_due)))
     }
 
     /// Refuses a request if every upstream of the pool has a request limit of which nothing is left
--- a/crates/pulleyctl/src/operator_client.rs
+++ b/crates/pulleyctl/src/operator_client.rs
@@ -48,6 +48,8 @@
     pub(crate) status: StatusCode,
     /// The body.
     pub(crate) body: Value,
+    /// The value of `Retry-After`, if there is one.
+    pub(crate) retry_after: Option<String>,
 }
 
 impl HostAnswer {
@@ -56,6 +58,12 @@
         let message = self.body.get("message").and_then(Value::as_str);
         message.map_or_else(|| format!("status {}", self.status), str::to_owned)
     }
+
+    /// Returns when the host wants to be asked again, as the end of a message.
+    fn retry_hint(&self) -> String {
+        let hint = self.retry_after.as_ref().map(|after| format!(" (again after {after} s)"));
+        hint.unwrap_or_default()
+    }
 }
 
 /// How far a failed attempt at one host got.
@@ -104,7 +112,7 @@
         for server in self.servers {
             match self.try_server(*server, method, path, body).await {
                 Ok(answer) if should_try_next(method, answer.status) => {
-                    faults.push(format!("{server}: {}", answer.message()));
+                    faults.push(format!("{server}: {}{}", answer.message(), answer.retry_hint()));
                 }
                 Ok(answer) => return Ok(answer),
                 Err(SendFault::NotSent(why)) => faults.push(format!("{server}: {why}")),
@@ -167,11 +175,13 @@
     let response =
         sender.send_request(request).await.map_err(|error| SendFault::Lost(error.to_string()))?;
     let status = response.status();
+    let retry_after = response.headers().get(header::RETRY_AFTER);
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()).map(str::to_owned);
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(|error| SendFault::Lost(error.to_string()))?;
     let body = serde_json::from_slice(&body.to_bytes())
         .map_err(|error| SendFault::Lost(format!("status {status} without JSON: {error}")))?;
-    Ok(HostAnswer { status, body })
+    Ok(HostAnswer { status, body, retry_after })
 }
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -17,6 +17,8 @@
 /// How a stand-in host replies to a request.
 enum HostReply {
     Answer(u16, &'static str),
+    /// Status 503, to be asked again after some seconds.
+    Later(u32, &'static str),
     CloseAfterReading,
     Silence,
 }
@@ -36,6 +38,13 @@
                     let head = format!("HTTP/1.1 {status} x\r\ncontent-length: {length}\r\n\r\n");
                     let _ = stream.write_all((head + body).as_bytes());
                 }
+                HostReply::Later(seconds, body) => {
+                    let length = body.len();
+                    let head = format!(
+                        "HTTP/1.1 503 x\r\nretry-after: {seconds}\r\ncontent-length: {length}\r\n\r\n"
+                    );
+                    let _ = stream.write_all((head + body).as_bytes());
+                }
                 HostReply::CloseAfterReading => {}
                 HostReply::Silence => kept_open.push(stream),
             }
@@ -152,6 +161,16 @@
     assert!(outcome.err.contains("no quorum: 1 of 3"), "{}", outcome.err);
 }
 
+// A host said when it wants to be asked again, and the operator was not told.
+#[test]
+fn an_operator_is_told_when_a_host_wants_to_be_asked_again() {
+    let busy = r#"{"error":"no-quorum","message":"no quorum: 1 of 3"}"#;
+    let later = stand_in_host(vec![HostReply::Later(7, busy)]);
+    let outcome = pulleyctl(&[later], &APPLY);
+    assert_eq!(outcome.code, 1);
+    assert!(outcome.err.contains("1 of 3 (again after 7 s)"), "{}", outcome.err);
+}
+
 /// A read changes nothing, so the next host is tried after a lost answer.
 #[test]
 fn a_read_with_a_lost_answer_tries_the_next_host() {
