--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -181,7 +181,7 @@
             async move {
                 let rest = manner.lock().rest.filter(|_| request.uri().path() != "/health");
                 let answer = match rest {
-                    Some(rest) => turn_away(request, &id, rest, &history),
+                    Some(rest) => turn_away(&request, &id, rest, &history),
                     None => answer(request, id, history).await,
                 };
                 Ok::<_, Infallible>(with_manner(answer, &manner.lock()))
@@ -223,7 +223,7 @@
 
 /// Answers that a request is not run, and that nothing is wanted for some time.
 fn turn_away(
-    request: Request<Incoming>,
+    request: &Request<Incoming>,
     upstream: &str,
     rest: Duration,
     history: &RequestHistory,
