--- a/crates/pulley_core/src/request/pool_scheduler.rs
+++ b/crates/pulley_core/src/request/pool_scheduler.rs
@@ -59,17 +59,10 @@
 /// time is almost over. A third of the answers then come too late, and the slots' work is wasted.
 pub(super) const MAX_WAIT_PART: f32 = 0.25;
 
-/// Time that must be left when a request starts, in usual answer times. One answer in 30 takes
-/// longer.
-const MIN_TIMES_LEFT: f32 = 3.0;
-
 /// Number of finished requests after which the pool's sums (usable slots, outstanding requests,
 /// usual answer time) are recalculated.
 const REFRESH_FINISHES: u32 = 32;
 
-/// Weight of one start in the smoothed time between starts.
-const GAP_WEIGHT: f32 = 0.1;
-
 /// Shortest retry delay of a refused caller.
 pub(super) const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -358,26 +351,6 @@
         (wait > longest).then_some(RefusalCause::DeadlineTooClose)
     }
 
-    /// Returns how long a request would wait, from the number of its kind ahead of it and the
-    /// recent start rate of the kind. That rate already reflects what priorities and shares leave
-    /// to the kind.
-    fn expected_wait(&self, kind_index: usize, deadline: Moment) -> Duration {
-        self.wait_behind(kind_index, self.queue.ahead_of(kind_index, deadline))
-    }
-
-    /// Returns the time until a refused caller may come back: the expected time until the requests
-    /// that wait now have started.
-    fn retry_after(&self, kind_index: usize) -> Duration {
-        self.wait_behind(kind_index, self.queue.len_of(kind_index))
-            .clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
-    }
-
-    #[expect(clippy::cast_precision_loss, reason = "the queue is bounded")]
-    fn wait_behind(&self, kind_index: usize, ahead: usize) -> Duration {
-        let wait_ms = self.shares.kind(kind_index).start_gap_ms * ahead as f32;
-        Duration::from_secs_f32(wait_ms / 1_000.0)
-    }
-
     /// Starts all requests that may start, in order of precedence.
     pub(crate) fn dispatch(&mut self, now: Moment, effects: &mut SchedulerEffects) {
         while let Some((kind_index, upstream)) = self.next_start(now) {
@@ -527,52 +500,6 @@
             incarnation: announcement.incarnation,
         }
     }
-
-    // -----------------------------------------------------------------------------------------
-    // Late requests and smoothed times
-
-    /// Refuses waiting requests that can no longer be answered in time. Their callers are refused
-    /// while there is still time to act, and no slot is spent on an answer that no caller waits
-    /// for.
-    fn refuse_late(&mut self, now: Moment, effects: &mut SchedulerEffects) {
-        let usual = self.usual();
-        for kind_index in self.queue.waiting().to_vec() {
-            while let Some(first) = self.queue.first(kind_index) {
-                if first.ticket.deadline - usual > now {
-                    break;
-                }
-                let number = first.ticket.number;
-                self.queue.remove(number);
-                effects.push(refusal(
-                    number,
-                    RefusalCause::DeadlineTooClose,
-                    self.retry_after(kind_index),
-                ));
-            }
-        }
-    }
-
-    fn record_start_gap(&mut self, now: Moment, kind_index: usize, arrived: Moment) {
-        let kind = self.shares.kind_mut(kind_index);
-        let since = kind.last_start.map_or(arrived, |last| last.max(arrived));
-        kind.last_start = Some(now);
-        // A request that starts on arrival says nothing about how fast a queue moves.
-        if now == arrived {
-            return;
-        }
-        let gap_ms = now.since(since).as_secs_f32() * 1_000.0;
-        kind.start_gap_ms += GAP_WEIGHT * (gap_ms - kind.start_gap_ms);
-    }
-
-    /// Returns the usual answer time: the median over the pool's upstreams, or zero if unknown.
-    pub(super) fn usual(&self) -> Duration {
-        Duration::from_secs_f32(self.upstreams.median_latency_ms() / 1_000.0)
-    }
-
-    /// Returns the time that must be left when a request starts.
-    fn min_time_left(&self) -> Duration {
-        self.usual().mul_f32(MIN_TIMES_LEFT)
-    }
 }
 
 pub(super) fn refusal(
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -16,13 +16,14 @@
     AuditRead, DriverInput, LogIndex, PersistBatch, PersistTicket, PlanFollower, PlanSend,
     QuestionNumber, QuestionRouter, ReplicaDriver,
 };
-use pulley_core::{ConfigVersion, HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
+use pulley_core::{HostId, IndexedPlan, Moment, PoolName, UpstreamId, ZoneName};
 
 use super::control_answer::PendingAnswer;
 use super::control_counts::{CountExchange, ProbeReport};
 use super::control_handle::ControlRequest;
 use super::control_replica::FIRST_LEASE_TOKEN;
 use super::upstream_recovery::UpstreamRecovery;
+use super::view_inputs::ViewInputs;
 use super::{RunningView, ViewCell};
 use crate::connection::{DatagramCounts, FrameClass, LinkCounts, UpstreamConnections};
 use crate::request::{QuotaGate, SchedulerSet};
@@ -132,32 +133,6 @@
     pub(super) recovery: UpstreamRecovery,
 }
 
-/// The inputs of a view. A new view is built when any of them changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ViewInputs {
-    members: u64,
-    upstreams: u64,
-    version: u64,
-    awaited_version: Option<ConfigVersion>,
-    zones: LogIndex,
-    ready: bool,
-    leaving: bool,
-}
-
-impl ViewInputs {
-    /// Whether a change between these inputs and `other` may be published later, with further
-    /// changes. It may if they differ only in hosts, upstreams or the number of the awaited
-    /// version. That a version is now awaited must be published without delay: from then on, a
-    /// request that this version may allow gets no final refusal.
-    fn can_defer(&self, other: &Self) -> bool {
-        let without = |inputs: &Self| {
-            let awaited_version = inputs.awaited_version.map(|_| ConfigVersion::default());
-            Self { members: 0, upstreams: 0, awaited_version, ..*inputs }
-        };
-        without(self) == without(other)
-    }
-}
-
 impl ControlCore {
     pub(crate) fn new(parts: CoreParts) -> Self {
         let host = parts.own.host.clone();
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -31,6 +31,7 @@
 mod setting_list;
 mod timer_service;
 mod upstream_recovery;
+mod view_inputs;
 
 pub use announce_api::AnnounceApi;
 pub use api_server::{ApiLimits, ApiServer};
