--- a/crates/pulley_core/src/request/pool_scheduler_limits.rs
+++ b/crates/pulley_core/src/request/pool_scheduler_limits.rs
@@ -5,25 +5,28 @@
 use super::{
     LimitSighting, PoolScheduler, RefusalCause, RequestNumber, SchedulerEffect, SchedulerEffects,
 };
-use crate::process::{LimitRecord, Moment, ObservedLimit, PermitAnswer, PermitAsk, UpstreamId};
+use crate::process::{LimitRecord, Moment, ObservedLimit, PermitAnswer, PermitAsk, UpstreamStart};
 
 /// Maximum number of questions for permits that one look at the queue asks.
 const ASKS_PER_LOOK: usize = 4;
 
 impl PoolScheduler {
     /// Learns from an answer of an upstream which request limit it names. Returns what to tell other
-    /// hosts, if there is news.
+    /// hosts, if there is news. Answers of earlier starts are ignored.
     pub fn observe_limit(
         &mut self,
         now: Moment,
-        upstream: &UpstreamId,
+        start: &UpstreamStart,
         sighting: LimitSighting,
     ) -> Option<ObservedLimit> {
-        let index = self.upstreams.index_of(upstream)?;
+        let index = self.upstreams.index_of(&start.id)?;
         let state = self.upstreams.at_mut(index);
+        if state.record.announcement.incarnation != start.incarnation {
+            return None;
+        }
         let rate = state.limit.observe(now, sighting)?;
-        let incarnation = state.record.announcement.incarnation;
-        Some(ObservedLimit { upstream: upstream.clone(), incarnation, rate })
+        let (upstream, incarnation) = (start.id.clone(), start.incarnation);
+        Some(ObservedLimit { upstream, incarnation, rate })
     }
 
     /// Applies a limit that this host has learned of. Records of other starts of the upstream and of
--- a/crates/pulley_core/tests/limits/exchange_rules.rs
+++ b/crates/pulley_core/tests/limits/exchange_rules.rs
@@ -141,13 +141,31 @@
     let mut scheduler = PoolScheduler::new(host("h0"), zone, pool, 1);
     scheduler.apply_plan(Moment::ZERO, plan());
     scheduler.apply_upstreams(Moment::ZERO, &[record(0)]);
-    let upstream = "u0".parse().unwrap();
+    let start = record(0).announcement.start();
     let mut see = |at_ms: u64, sent_ms: u64, reading| {
         let [now, sent_at] = [at_ms, sent_ms].map(|millis| Moment::from_micros(millis * 1_000));
         let sighting = LimitSighting { reading, sent_at, is_probe: false };
-        scheduler.observe_limit(now, &upstream, sighting).map(|observed| observed.rate)
+        scheduler.observe_limit(now, &start, sighting).map(|observed| observed.rate)
     };
     assert_eq!(see(2_000, 1_900, LimitReading::Named(RATE)), Some(Some(RATE)));
     assert_eq!(see(4_000, 1_950, LimitReading::Absent), None, "sent before it was named");
     assert_eq!(see(4_100, 4_000, LimitReading::Absent), Some(None), "sent after it was named");
 }
+
+// An answer of an upstream's former start came after its restart, and its next start was held to the
+// limit of the former one.
+#[test]
+fn an_answer_of_an_earlier_start_names_no_limit_for_the_next() {
+    let (zone, pool) = ("a".parse().unwrap(), "cover".parse().unwrap());
+    let mut scheduler = PoolScheduler::new(host("h0"), zone, pool, 1);
+    scheduler.apply_plan(Moment::ZERO, plan());
+    let earlier = record(0).announcement.start();
+    let mut restarted = record(0);
+    restarted.announcement.incarnation = Incarnation(2);
+    scheduler.apply_upstreams(Moment::ZERO, &[restarted]);
+    let now = Moment::ZERO + SECOND;
+    let reading = LimitReading::Named(RATE);
+    let sighting = LimitSighting { reading, sent_at: Moment::ZERO, is_probe: false };
+    assert_eq!(scheduler.observe_limit(now, &earlier, sighting), None);
+    assert_eq!(scheduler.limited_upstreams(), 0);
+}
--- a/crates/pulley_core/tests/limits/fleet_requests.rs
+++ b/crates/pulley_core/tests/limits/fleet_requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pulley_core::process::{Incarnation, UpstreamStart};
 use pulley_core::request::{
     AttemptOutcome, LimitReading, LimitSighting, LoadReport, ProbeQuery, ProbeReach, ProbeReading,
     RequestNumber, RequestTicket, SchedulerEffect,
@@ -213,7 +214,8 @@
         let now = self.moment();
         let time = self.clock.shared_time(now);
         let host_state = &mut self.hosts[host];
-        if let Some(observed) = host_state.scheduler.observe_limit(now, upstream, sighting) {
+        let start = UpstreamStart { id: upstream.clone(), incarnation: Incarnation(1) };
+        if let Some(observed) = host_state.scheduler.observe_limit(now, &start, sighting) {
             host_state.exchange.observe(now, time, observed);
             self.flush(host);
         }
--- a/crates/pulleyd/src/request/arrival_probing.rs
+++ b/crates/pulleyd/src/request/arrival_probing.rs
@@ -259,7 +259,7 @@
     observe_stops(context, pool, &aim.start, &parts, &link);
     if reading != LimitReading::Absent || parts.status.is_success() {
         let sighting = LimitSighting { reading, sent_at, is_probe: true };
-        context.schedulers.observe_limit(pool, &target.upstream, sighting);
+        context.schedulers.observe_limit(pool, &aim.start, sighting);
     }
     let report = parts.headers.get(&dialect.load).and_then(dialect.read_load);
     let report = report.map(|report| LoadReport {
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -190,7 +190,7 @@
         self.record_limit(metadata.limit.unwrap_or_default());
         if let Some(reading) = metadata.limit {
             let sighting = LimitSighting { reading, sent_at, is_probe: false };
-            self.context.schedulers.observe_limit(&self.row().pool, &start.id, sighting);
+            self.context.schedulers.observe_limit(&self.row().pool, &start, sighting);
         }
         let refused =
             |outcome| if rest.span().is_some() { AttemptOutcome::Rested } else { outcome };
--- a/crates/pulleyd/src/request/scheduler_set_limits.rs
+++ b/crates/pulleyd/src/request/scheduler_set_limits.rs
@@ -1,8 +1,8 @@
 //! Request limits of upstreams, and the permits that requests to them need.
 
-use pulley_core::process::{LimitRecord, PermitAnswer};
+use pulley_core::process::{LimitRecord, PermitAnswer, UpstreamStart};
 use pulley_core::request::LimitSighting;
-use pulley_core::{Moment, PoolName, UpstreamId};
+use pulley_core::{Moment, PoolName};
 
 use super::SchedulerSet;
 use super::scheduler_set::PoolState;
@@ -11,9 +11,9 @@
 impl SchedulerSet {
     /// Learns from an answer of an upstream which request limit it names, and tells other hosts if
     /// that is news.
-    pub fn observe_limit(&self, pool: &PoolName, upstream: &UpstreamId, sighting: LimitSighting) {
+    pub fn observe_limit(&self, pool: &PoolName, start: &UpstreamStart, sighting: LimitSighting) {
         let observe = |scheduler: &mut pulley_core::request::PoolScheduler, now| {
-            scheduler.observe_limit(now, upstream, sighting)
+            scheduler.observe_limit(now, start, sighting)
         };
         let Some(observed) = self.with_scheduler(pool, observe).flatten() else { return };
         if let Some(control) = &self.control {
