--- a/crates/pulley_core/tests/decisions_laws.rs
+++ b/crates/pulley_core/tests/decisions_laws.rs
@@ -1,23 +1,24 @@
 //! Properties of the scheduling decisions, checked over many random schedules with fixed seeds.
 
+mod scheduler_support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use pulley_core::process::{
-    Announcement, CoordinatorOutput, CountReport, CountSum, Incarnation, PoolCoordinator,
-    ProbeBudget, ProbeRate, ShareFraction, SlotCount, UpstreamPhase, UpstreamRecord,
-    UpstreamSequence, coordinator_for,
+    CoordinatorOutput, CountReport, CountSum, PoolCoordinator, ProbeBudget, ProbeRate, SlotCount,
+    UpstreamRecord, coordinator_for,
 };
 use pulley_core::request::{
-    AttemptOutcome, KindDemand, PoolScheduler, RequestNumber, RequestTicket, RetryAllowance,
-    RetryBudget, RetryDecision, RetryInputs, SchedulerEffect, divide_slots,
+    AttemptOutcome, KindDemand, PoolScheduler, RequestNumber, SchedulerEffect, divide_slots,
 };
-use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
-use pulley_core::{HostId, IndexedPlan, Moment, PolicyPlan, RequestVerdict};
+use pulley_core::version::{KindPlan, WorkLength};
+use pulley_core::{HostId, IndexedPlan, Moment, PolicyPlan};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use scheduler_support::ticket;
 
 const MS: Duration = Duration::from_millis(1);
 const SEED: u64 = 0x6a63_7075;
@@ -29,19 +30,11 @@
 
 fn plan() -> Arc<IndexedPlan> {
     let row = |kind: &str, priority: u8, parts: u16, length| KindPlan {
-        pool: "cover".parse().expect("name"),
-        service: kind.parse().expect("name"),
-        kind: kind.parse().expect("name"),
-        method: MethodMatch::Any,
-        path_prefix: "/".into(),
-        priority: RequestPriority(priority),
-        share: ShareFraction::from_basis_points(parts).expect("share"),
         reserved_slots: SlotCount(1),
         deadline: Duration::from_millis(300),
-        idempotent: true,
         length,
         probe_budget: ProbeRate(2_000),
-        route: RouteTerms::default(),
+        ..scheduler_support::row(kind, priority, parts)
     };
     let kinds = vec![
         row("first", 0, 3_000, WorkLength::Short),
@@ -52,38 +45,13 @@
 }
 
 fn records(count: u16) -> Vec<UpstreamRecord> {
-    let record = |index: u16| UpstreamRecord {
-        announcement: Announcement {
-            id: format!("u{index}").parse().expect("name"),
-            address: ([127, 0, 0, 1], 9_000 + index).into(),
-            zone: "a".parse().expect("name"),
-            pool: "cover".parse().expect("name"),
-            slots: SlotCount(2),
-            connections: 10,
-            incarnation: Incarnation(1),
-            sequence: UpstreamSequence(1),
-            phase: UpstreamPhase::Ready,
-        },
-        takes_work: true,
-    };
-    (0..count).map(record).collect()
+    (0..count).map(|index| scheduler_support::upstream(index, 2)).collect()
 }
 
 fn host(index: usize) -> HostId {
     format!("h{index}").parse().expect("name")
 }
 
-fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
-    RequestTicket {
-        number: RequestNumber(number),
-        kind,
-        deadline,
-        target: None,
-        attempt: 0,
-        avoid: Vec::new(),
-    }
-}
-
 /// Entries, their coordinator and a network that loses, duplicates and delays messages.
 struct CountNetwork {
     entries: Vec<PoolScheduler>,
@@ -494,81 +462,6 @@
     assert!(slow[1] <= 20, "the slow upstream still got {} of the last 2,000 requests", slow[1]);
 }
 
-fn failed_once() -> RetryInputs {
-    RetryInputs {
-        most_attempts: 2,
-        outcome: AttemptOutcome::Failed,
-        verdict: RequestVerdict::MayHaveRun,
-        idempotent: true,
-        attempt: 0,
-        retried_downstream: false,
-        time_left: 500 * MS,
-        min_time: 20 * MS,
-    }
-}
-
-// An upstream at the bottom of calls seven layers deep fails. If each layer tried three times, it
-// would be called 2,187 times for one request at the top.
-#[test]
-fn one_layer_retries_within_its_budget() {
-    let mut budget = RetryBudget::new();
-    let inputs = RetryInputs { most_attempts: 3, ..failed_once() };
-    let mut retries = 0;
-    for _ in 0..1_000 {
-        budget.record_request();
-        retries += u32::from(budget.decide(&inputs) == RetryDecision::Retry);
-    }
-    assert!((100..=103).contains(&retries), "{retries} retries of 1,000 requests");
-    for above in [
-        RetryInputs { retried_downstream: true, ..inputs },
-        RetryInputs { idempotent: false, ..inputs },
-        RetryInputs { attempt: 2, ..inputs },
-        RetryInputs { time_left: 10 * MS, ..inputs },
-    ] {
-        assert_ne!(RetryBudget::new().decide(&above), RetryDecision::Retry, "{above:?}");
-    }
-}
-
-// Upstreams fail for half a minute, and all entries restart in the middle of it. However the
-// requests are spread over entries that exchange nothing, the retries of any ten seconds must stay
-// within the operator's allowance for all of them together.
-#[test]
-fn entries_keep_to_a_retry_allowance_without_agreeing() {
-    let allowance = RetryAllowance { percent: 17, extra: 75 };
-    for entries in [3_usize, 20, 29] {
-        let fresh = || RetryBudget::within(allowance, u32::try_from(entries).expect("few"));
-        let mut budgets: Vec<RetryBudget> = (0..entries).map(|_| fresh()).collect();
-        let inputs = failed_once();
-        let mut rng = StdRng::seed_from_u64(3);
-        let mut seconds = vec![(0_u32, 0_u32); 40];
-        for (second, counted) in seconds.iter_mut().enumerate() {
-            if second == 20 {
-                budgets = (0..entries).map(|_| fresh()).collect();
-            }
-            for _ in 0..200 {
-                // Some entries get several times the requests of others.
-                let entry = rng.random_range(0..entries).min(rng.random_range(0..entries));
-                budgets[entry].record_request();
-                let retries = budgets[entry].decide(&inputs) == RetryDecision::Retry;
-                counted.0 += 1;
-                counted.1 += u32::from(retries);
-            }
-        }
-        for window in seconds.windows(10) {
-            let (requests, retries) =
-                window.iter().fold((0, 0), |sum, next| (sum.0 + next.0, sum.1 + next.1));
-            assert!(
-                retries <= requests / 5 + 75,
-                "{retries} retries, {requests} requests, {entries} entries"
-            );
-            assert!(
-                retries >= requests / 10,
-                "{retries} retries, {requests} requests, {entries} entries"
-            );
-        }
-    }
-}
-
 // A host dies. The pools that other hosts coordinate must stay where they are, or every pool would
 // lose its counts at the same moment.
 #[test]
--- a/crates/pulley_core/tests/pool_scheduler.rs
+++ b/crates/pulley_core/tests/pool_scheduler.rs
@@ -1,53 +1,20 @@
 //! Behaviour of one pool's scheduler as callers see it.
 
+mod scheduler_support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use pulley_core::process::{
-    Announcement, CountEpoch, CountKey, CountReport, CountRound, CountRows, CountSum, Incarnation,
-    KindUse, ProbeRate, ShareFraction, SlotCount, UpstreamPhase, UpstreamRecord, UpstreamSequence,
-};
-use pulley_core::request::{
-    AttemptOutcome, PoolScheduler, RequestNumber, RequestTicket, SchedulerEffect,
+    CountEpoch, CountKey, CountReport, CountRound, CountRows, CountSum, KindUse,
 };
-use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
+use pulley_core::request::{AttemptOutcome, PoolScheduler, RequestNumber, SchedulerEffect};
+use pulley_core::version::KindPlan;
 use pulley_core::{Moment, PolicyPlan, RefusalCause};
+use scheduler_support::{row, ticket, upstream};
 
 const MS: Duration = Duration::from_millis(1);
 
-fn row(kind: &str, priority: u8, parts: u16) -> KindPlan {
-    KindPlan {
-        pool: "cover".parse().expect("name"),
-        service: kind.parse().expect("name"),
-        kind: kind.parse().expect("name"),
-        method: MethodMatch::Any,
-        path_prefix: "/".into(),
-        priority: RequestPriority(priority),
-        share: ShareFraction::from_basis_points(parts).expect("share"),
-        reserved_slots: SlotCount(0),
-        deadline: Duration::from_secs(1),
-        idempotent: true,
-        length: WorkLength::Short,
-        probe_budget: ProbeRate(1_000),
-        route: RouteTerms::default(),
-    }
-}
-
-fn upstream(index: u16, slots: u32) -> UpstreamRecord {
-    let announcement = Announcement {
-        id: format!("u{index}").parse().expect("name"),
-        address: ([127, 0, 0, 1], 9_000 + index).into(),
-        zone: "a".parse().expect("name"),
-        pool: "cover".parse().expect("name"),
-        slots: SlotCount(slots),
-        connections: 10,
-        incarnation: Incarnation(1),
-        sequence: UpstreamSequence(1),
-        phase: UpstreamPhase::Ready,
-    };
-    UpstreamRecord { announcement, takes_work: true }
-}
-
 fn scheduler(kinds: Vec<KindPlan>, upstreams: u16, slots: u32) -> PoolScheduler {
     let host = "h1".parse().expect("name");
     let zone = "a".parse().expect("name");
@@ -59,17 +26,6 @@
     scheduler
 }
 
-fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
-    RequestTicket {
-        number: RequestNumber(number),
-        kind,
-        deadline,
-        target: None,
-        attempt: 0,
-        avoid: Vec::new(),
-    }
-}
-
 fn started(effects: &[SchedulerEffect]) -> Vec<u64> {
     let starts = effects.iter().filter_map(|effect| match effect {
         SchedulerEffect::Start { number, .. } => Some(number.0),
--- a/crates/pulley_core/tests/upstream_rests.rs
+++ b/crates/pulley_core/tests/upstream_rests.rs
@@ -1,18 +1,19 @@
 //! Upstreams that rest or leave because they have asked for it, as one or many schedulers see them.
 
+mod scheduler_support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use pulley_core::process::{
-    Announcement, Incarnation, ProbeRate, ShareFraction, SlotCount, UpstreamId, UpstreamPhase,
-    UpstreamRecord, UpstreamSequence, UpstreamStart, UpstreamStop, UpstreamStops,
+    Incarnation, UpstreamId, UpstreamRecord, UpstreamStart, UpstreamStop, UpstreamStops,
 };
 use pulley_core::request::{
     AttemptOutcome, LoadReport, PoolScheduler, ProbeQuery, ProbeReach, ProbeReading, RequestNumber,
-    RequestTicket, SchedulerEffect, SchedulerEffects,
+    SchedulerEffect, SchedulerEffects,
 };
-use pulley_core::version::{KindPlan, MethodMatch, RequestPriority, RouteTerms, WorkLength};
 use pulley_core::{Moment, PolicyPlan, RefusalCause};
+use scheduler_support::{row, ticket};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -23,37 +24,11 @@
 /// The time of an answer.
 const WORK: Duration = Duration::from_millis(20);
 
-fn row(kind: &str, priority: u8, parts: u16) -> KindPlan {
-    KindPlan {
-        pool: "cover".parse().expect("name"),
-        service: kind.parse().expect("name"),
-        kind: kind.parse().expect("name"),
-        method: MethodMatch::Any,
-        path_prefix: "/".into(),
-        priority: RequestPriority(priority),
-        share: ShareFraction::from_basis_points(parts).expect("share"),
-        reserved_slots: SlotCount(0),
-        deadline: Duration::from_secs(1),
-        idempotent: true,
-        length: WorkLength::Short,
-        probe_budget: ProbeRate(1_000),
-        route: RouteTerms::default(),
-    }
-}
-
+/// An upstream of four slots.
 fn upstream(index: u16, incarnation: u64) -> UpstreamRecord {
-    let announcement = Announcement {
-        id: format!("u{index}").parse().expect("name"),
-        address: ([127, 0, 0, 1], 9_000 + index).into(),
-        zone: "a".parse().expect("name"),
-        pool: "cover".parse().expect("name"),
-        slots: SlotCount(4),
-        connections: 10,
-        incarnation: Incarnation(incarnation),
-        sequence: UpstreamSequence(1),
-        phase: UpstreamPhase::Ready,
-    };
-    UpstreamRecord { announcement, takes_work: true }
+    let mut record = scheduler_support::upstream(index, 4);
+    record.announcement.incarnation = Incarnation(incarnation);
+    record
 }
 
 fn scheduler(seed: u64, upstreams: u16) -> PoolScheduler {
@@ -68,11 +43,6 @@
     scheduler
 }
 
-fn ticket(number: u64, kind: usize, deadline: Moment) -> RequestTicket {
-    let number = RequestNumber(number);
-    RequestTicket { number, kind, deadline, target: None, attempt: 0, avoid: Vec::new() }
-}
-
 /// Lets an upstream ask for rest from `now` on.
 fn rest(scheduler: &mut PoolScheduler, now: Moment, index: u16) -> SchedulerEffects {
     let stop = UpstreamStop { rest_until: now + REST, departs: false };
