--- a/crates/pulley_core/src/request/upstream_table.rs
+++ b/crates/pulley_core/src/request/upstream_table.rs
@@ -156,6 +156,7 @@
             self.unlisted.retain(|other| *other != index);
             let before = self.states[index].takes_work();
             let restarted = self.states[index].update(now, record);
+            self.resume_rest(now, index);
             self.record_phase(now, index, before || restarted);
             index
         } else {
@@ -244,6 +245,14 @@
         self.refresh(now);
     }
 
+    /// Ends the rest of an upstream that may have been away at its end, or has it noticed later.
+    fn resume_rest(&mut self, now: Moment, index: usize) {
+        self.states[index].end_rest(now);
+        if let Some(end) = self.states[index].rest_ends_at() {
+            self.next_rest_end = Some(self.next_rest_end.map_or(end, |next| next.min(end)));
+        }
+    }
+
     /// Lets the upstreams take work again whose rest has ended.
     pub(crate) fn end_rests(&mut self, now: Moment) {
         if self.next_rest_end.is_none_or(|end| now < end) {
--- a/crates/pulley_core/tests/upstream_rests.rs
+++ b/crates/pulley_core/tests/upstream_rests.rs
@@ -279,3 +279,34 @@
         assert!(*most <= 2 * mean + 8, "{upstreams}: {most} of {mean}");
     }
 }
+
+// An upstream whose lease had ended, or whose zone was emptied, when its rest ended never got work again.
+#[test]
+fn an_upstream_that_was_away_when_its_rest_ended_takes_work_again() {
+    let emptied = UpstreamRecord { takes_work: false, ..upstream(0, 1) };
+    for away in [vec![], vec![emptied]] {
+        let mut scheduler = scheduler(1, 1);
+        rest(&mut scheduler, ASKED_AT, 0);
+        scheduler.apply_upstreams(ASKED_AT + 100 * MS, &away);
+        let now = ASKED_AT + 2 * REST;
+        scheduler.tick(now);
+        scheduler.apply_upstreams(now, &[upstream(0, 1)]);
+        let effects = scheduler.arrive(now, &ticket(1, 1, now + Duration::from_secs(1)));
+        assert_eq!(starts(&effects).len(), 1, "{effects:?}");
+    }
+}
+
+// The same, where it is back before the end of its rest, which then has to be noticed.
+#[test]
+fn an_upstream_that_is_back_within_its_rest_takes_work_after_it() {
+    let mut scheduler = scheduler(1, 1);
+    rest(&mut scheduler, ASKED_AT, 0);
+    scheduler.apply_upstreams(ASKED_AT + 100 * MS, &[]);
+    scheduler.tick(ASKED_AT + 150 * MS);
+    scheduler.apply_upstreams(ASKED_AT + 200 * MS, &[upstream(0, 1)]);
+    let deadline = ASKED_AT + 3 * REST;
+    let early = scheduler.arrive(ASKED_AT + 300 * MS, &ticket(1, 1, ASKED_AT + REST));
+    assert_eq!(refusals(&early).len(), 1, "{early:?}");
+    let later = scheduler.arrive(ASKED_AT + 2 * REST, &ticket(2, 1, deadline));
+    assert_eq!(starts(&later).len(), 1, "{later:?}");
+}
