Share the spreading of records along the ring

The table of request limits held the queue of changes to pass on and the turns for sending its parts. Records of another kind are about to spread in the same way, so both are parts of their own now.

--- a/crates/pulley_core/src/process/limits/limit_table.rs
+++ b/crates/pulley_core/src/process/limits/limit_table.rs
@@ -7,16 +7,15 @@
 
 use super::limit_message::LimitMessage;
 use super::{
-    FastMap, LimitRecord, Moment, ObservedLimit, PeerRing, SharedTime, UpdateReach, UpstreamId,
-    split_by_size,
+    FastMap, LimitRecord, Moment, ObservedLimit, PeerRing, RecordSpread, SharedTime, SyncTurn,
+    UpdateReach, UpstreamId,
 };
 
 /// The interval at which a part of the table is sent to another host, for those that missed a
 /// change or have just started.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The minimum interval between sends of changes. Answers that name another limit each time would
-/// otherwise cost every host a message each.
+/// The minimum interval between sends of changes.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long a limit that has ended is remembered, so that an older record does not bring it back.
@@ -40,14 +39,24 @@
 /// Every host has to know a limit, and not only those whose requests the upstream has answered: in
 /// a large installation each host sends one upstream a request in a minute, and all of them
 /// together send it many times its limit before each has had an answer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct LimitTable {
     known: FastMap<UpstreamId, KnownLimit>,
-    /// Changes to be passed on at the next tick.
-    updates: Vec<(UpdateReach, LimitRecord)>,
-    next_update: Moment,
+    /// Changes to be passed on.
+    spread: RecordSpread<LimitRecord>,
     next_sync: Moment,
-    round: u32,
+    sync: SyncTurn,
+}
+
+impl Default for LimitTable {
+    fn default() -> Self {
+        Self {
+            known: FastMap::default(),
+            spread: RecordSpread::new(UPDATE_INTERVAL),
+            next_sync: Moment::ZERO,
+            sync: SyncTurn::default(),
+        }
+    }
 }
 
 impl LimitTable {
@@ -83,22 +92,15 @@
         if is_known || is_full {
             return false;
         }
-        let replaced = self.updates.extract_if(.., |(_, old)| old.upstream == record.upstream);
-        let reach = replaced.map(|(reach, _)| reach).fold(reach, UpdateReach::max);
-        if reach > UpdateReach::NONE {
-            self.updates.push((reach, record.clone()));
-        }
+        self.spread.push(reach, record.clone(), |old| old.upstream == record.upstream);
         self.known.insert(record.upstream.clone(), KnownLimit { record, since: now });
         true
     }
 
     /// Returns the messages that are due.
     pub(crate) fn tick(&mut self, now: Moment, ring: &PeerRing) -> Vec<(SocketAddr, Bytes)> {
-        let mut sends = Vec::new();
-        if !self.updates.is_empty() && now >= self.next_update {
-            self.next_update = now + UPDATE_INTERVAL;
-            sends = self.send_updates(ring);
-        }
+        let pack = |reach, records| LimitMessage::Records { reach, records }.pack();
+        let mut sends = self.spread.take_due(now, ring, pack);
         if now >= self.next_sync {
             self.next_sync = now + SYNC_INTERVAL;
             sends.extend(self.send_part(ring));
@@ -127,37 +129,15 @@
 
     /// Returns when [`Self::tick`] next has something to do; `None` if no limit is known.
     pub(crate) fn next_wakeup(&self) -> Option<Moment> {
-        let update_at = (!self.updates.is_empty()).then_some(self.next_update);
         let sync_at = (!self.known.is_empty()).then_some(self.next_sync);
-        update_at.into_iter().chain(sync_at).min()
-    }
-
-    /// Passes changes on along the ring, each as far as its reach allows.
-    fn send_updates(&mut self, ring: &PeerRing) -> Vec<(SocketAddr, Bytes)> {
-        let updates = std::mem::take(&mut self.updates);
-        let mut sends = Vec::new();
-        for step in 0..ring.rounds() {
-            let reach = UpdateReach(u8::try_from(step).unwrap_or(u8::MAX));
-            let selected = updates.iter().filter(|(to, _)| *to > reach);
-            let selected: Vec<LimitRecord> = selected.map(|(_, record)| record.clone()).collect();
-            let Some(to) = ring.target(step) else { break };
-            for records in split_by_size(selected) {
-                sends.push((to.address, LimitMessage::Records { reach, records }.pack()));
-            }
-        }
-        sends
+        self.spread.next_wakeup().into_iter().chain(sync_at).min()
     }
 
     /// Sends one message of known limits, a different part each time.
     fn send_part(&mut self, ring: &PeerRing) -> Option<(SocketAddr, Bytes)> {
         let mut records: Vec<LimitRecord> = self.records().cloned().collect();
         records.sort_by(|a, b| a.upstream.cmp(&b.upstream));
-        let mut parts = split_by_size(records);
-        let to = ring.target(self.round)?;
-        // The targets repeat after a cycle, so that each target gets the next part in its turn.
-        let part = (self.round / ring.rounds().max(1)) as usize % parts.len().max(1);
-        self.round = self.round.wrapping_add(1);
-        let records = (part < parts.len()).then(|| parts.swap_remove(part))?;
-        Some((to.address, LimitMessage::Records { reach: UpdateReach::NONE, records }.pack()))
+        let (to, records) = self.sync.next(ring, records)?;
+        Some((to, LimitMessage::Records { reach: UpdateReach::NONE, records }.pack()))
     }
 }
--- a/crates/pulley_core/src/process/limits/mod.rs
+++ b/crates/pulley_core/src/process/limits/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use permit_bucket::PermitBucket;
 
 use super::members::encoded;
+use super::record_spread::{RecordSpread, SyncTurn};
 use super::registry::{UpdateReach, split_by_size};
 use super::{
     EntryZones, FastMap, HostId, Incarnation, Moment, PeerRing, RingPeer, SharedTime, StartRate,
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod probe_budget;
 mod quantities;
 mod quotas;
+mod record_spread;
 mod registry;
 mod upstream;
 mod upstream_stops;
