--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod names;
 mod probe_budget;
 mod quantities;
+mod quarantine;
 mod quotas;
 mod record_spread;
 mod registry;
@@ -37,6 +38,7 @@
 };
 pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount, StartRate};
+pub use quarantine::ContentDigest;
 pub use quotas::{
     AccountStatus, AccountTenure, HeardBeat, KeeperBeat, KeeperStanding, KeeperWatch,
     QUOTA_BODY_LIMIT, QuotaAnswer, QuotaAsk, QuotaCounts, QuotaExchange, QuotaLedger, QuotaOutput,
--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, upstreams and other hosts, and the state that belongs to each
 //! connection.
 
+mod end_check;
 mod peer_datagrams;
 mod peer_frame;
 mod peer_gate;
@@ -16,6 +17,7 @@
 mod rest_reading;
 mod send_gate;
 
+pub use end_check::EndFinding;
 pub use peer_datagrams::{DatagramCounts, DatagramSeal, PeerDatagrams};
 pub use peer_frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameClass, InboundDatagram, InboundFrame};
 pub use peer_key_ring::{KeyFault, KeyResult, KeyRing};
--- a/crates/pulleyd/src/connection/peer_key_ring.rs
+++ b/crates/pulleyd/src/connection/peer_key_ring.rs
@@ -81,6 +81,18 @@
         })
     }
 
+    /// Creates a key ring with one random key, for a process that shares none with others.
+    ///
+    /// # Panics
+    /// Never, as HMAC takes keys of any length.
+    #[must_use]
+    pub fn random() -> Self {
+        let key: [u8; MIN_KEY_LENGTH] = rand::random();
+        let key = Hmac::new_from_slice(&key).expect("HMAC takes keys of any length");
+        let (keys, text) = (Arc::new(ArcSwap::from_pointee(vec![key])), Arc::default());
+        Self { path: None, keys, text }
+    }
+
     /// Reads the file again. All clones of the key ring then use the new keys. Returns whether the
     /// file has changed. On an error the keys stay as they were.
     ///
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -6,11 +6,13 @@
 
 use arc_swap::ArcSwap;
 use http::{HeaderMap, StatusCode};
+use parking_lot::Mutex;
 use pulley_core::connection::{PathSurvey, RepeatSafety, UpstreamPath};
 use pulley_core::process::{FastMap, SendBlock, UpstreamRecord, UpstreamStart};
 use pulley_core::{Moment, PoolName, UpstreamId};
 use slog::Logger;
 
+use super::end_check::EndChecks;
 use super::path_watch::PathWatch;
 use super::relay_client::{RelayClient, RelayIdentity, RelayState, RestNotice};
 use super::upstream_links::UpstreamLinks;
@@ -54,6 +56,7 @@
     pub(super) logger: Logger,
     pub(super) dialer: Arc<UpstreamDialer>,
     pub(super) watch: PathWatch,
+    pub(super) end_checks: Mutex<EndChecks>,
     pub(super) gate: Arc<SendGate>,
     /// Read by every request, but changed only when an upstream appears, moves or goes.
     pub(super) upstreams: ArcSwap<FastMap<UpstreamId, Arc<UpstreamLinks>>>,
@@ -71,7 +74,8 @@
     ) -> Self {
         let dialer = Arc::new(UpstreamDialer::new(clock, timer.clone()));
         let (watch, upstreams) = (PathWatch::default(), ArcSwap::default());
-        Self { clock, timer, view, logger, dialer, watch, gate, upstreams }
+        let end_checks = Mutex::default();
+        Self { clock, timer, view, logger, dialer, watch, end_checks, gate, upstreams }
     }
 
     /// Opens connections from a local address, and over other hosts while this one has lost its own
@@ -257,7 +261,7 @@
         removed.for_each(|(_, links)| links.close());
     }
 
-    fn links(&self, upstream: &UpstreamId, address: SocketAddr) -> Arc<UpstreamLinks> {
+    pub(super) fn links(&self, upstream: &UpstreamId, address: SocketAddr) -> Arc<UpstreamLinks> {
         let known = self.upstreams.load().get(upstream).cloned();
         if let Some(links) = known.filter(|links| links.address() == address) {
             return links;
--- a/crates/pulleyd/src/request/answer_body.rs
+++ b/crates/pulleyd/src/request/answer_body.rs
@@ -14,6 +14,7 @@
 use pulley_core::request::AttemptOutcome;
 use thiserror::Error;
 
+use super::content_run::ContentRun;
 use super::traffic_counters::RequestPermit;
 use super::{AttemptGuard, TrafficCounters};
 use crate::connection::{Answering, UpstreamLink};
@@ -45,6 +46,8 @@
     pub(super) attempt: AttemptGuard,
     pub(super) link: UpstreamLink<Answering>,
     pub(super) outcome: AttemptOutcome,
+    /// The run of the request's content.
+    pub(super) content: ContentRun,
     pub(super) timer: TimerService,
     /// Paces large responses to the host's link rate, if that is known.
     pub(super) pacing: Option<AnswerPacing>,
@@ -102,6 +105,14 @@
     }
 }
 
+/// How an upstream's answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerEnding {
+    Complete,
+    CutShort,
+    Stalled,
+}
+
 #[derive(Debug)]
 enum AnswerSource {
     Ended,
@@ -170,11 +181,11 @@
         Poll::Ready(BodyFault::Stalled)
     }
 
-    fn end(&mut self, is_complete: bool) {
+    fn end(&mut self, ending: AnswerEnding) {
         self.stall = None;
         let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
         let AnswerSource::Upstream(answer) = source else { return };
-        if is_complete {
+        if ending == AnswerEnding::Complete {
             answer.complete();
             return;
         }
@@ -182,6 +193,9 @@
             TrafficCounters::add(&permit.counters().cut_short);
         }
         answer.attempt.settle(AttemptOutcome::Broken);
+        if ending == AnswerEnding::CutShort {
+            answer.content.cut_short();
+        }
     }
 }
 
@@ -211,23 +225,23 @@
         match Pin::new(&mut answer.body).poll_frame(context) {
             Poll::Pending => {
                 let fault = ready!(this.poll_stall(context));
-                this.end(false);
+                this.end(AnswerEnding::Stalled);
                 Poll::Ready(Some(Err(fault)))
             }
             Poll::Ready(Some(Ok(frame))) => {
                 this.stall = None;
                 let ended = answer.body.is_end_stream();
                 if ended {
-                    this.end(true);
+                    this.end(AnswerEnding::Complete);
                 }
                 Poll::Ready(Some(Ok(this.pass_on(frame))))
             }
             Poll::Ready(None) => {
-                this.end(true);
+                this.end(AnswerEnding::Complete);
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(fault))) => {
-                this.end(false);
+                this.end(AnswerEnding::CutShort);
                 Poll::Ready(Some(Err(fault.into())))
             }
         }
--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -51,6 +51,12 @@
         self.answer.cause == RefusalCause::PlanChanged.as_str()
     }
 
+    /// Whether the connection broke after bytes of the request were sent. The upstream may have ended.
+    pub(super) fn is_broken(&self) -> bool {
+        let may_have_run = self.answer.verdict == RequestVerdict::MayHaveRun;
+        may_have_run && self.answer.cause == LinkFault::Lost.cause()
+    }
+
     /// The caller aborted its own request.
     pub(super) fn caller_aborted(verdict: RequestVerdict) -> Self {
         let status = StatusCode::BAD_REQUEST;
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -20,6 +20,7 @@
 use super::answer_metadata::AnswerMetadata;
 use super::arrival_probing::ArrivalProbing;
 use super::attempt_fault::AttemptFault;
+use super::content_run::ContentRun;
 use super::request_run::{RequestRun, SentAttempt};
 use super::{AttemptGuard, Placement, RequestBody};
 use crate::connection::{
@@ -185,6 +186,8 @@
         let start = placed.target.start.clone();
         self.record_tried(&start.id);
         let sent_at = self.context.clock.now();
+        let (context, content) = (Arc::clone(&self.context), Arc::clone(&self.content));
+        let content = ContentRun::new(context, content, placed.target.clone());
         let (mut response, link) = match self.send(placed).await {
             Ok(sent) => sent,
             Err(fault) if fault.is_unsent => {
@@ -194,6 +197,9 @@
             Err(fault) => {
                 self.context.connections.consider_paths();
                 attempt.settle(self.blamed_outcome(fault.outcome));
+                if fault.is_broken() {
+                    self.record_broken(content.broke().await);
+                }
                 return Err(fault);
             }
         };
@@ -226,7 +232,7 @@
         let is_fault = response.status().is_server_error();
         let outcome =
             if is_fault { refused(AttemptOutcome::Failed) } else { AttemptOutcome::Answered };
-        Ok(self.answer(response, link, attempt, outcome))
+        Ok(self.answer(response, link, (attempt, outcome), content))
     }
 
     /// Sends the request over one connection; uses another only if no byte was sent.
@@ -344,14 +350,22 @@
         &self,
         response: Response<Incoming>,
         link: UpstreamLink<Answering>,
-        attempt: AttemptGuard,
-        outcome: AttemptOutcome,
+        (attempt, outcome): (AttemptGuard, AttemptOutcome),
+        content: ContentRun,
     ) -> Response<UpstreamAnswer> {
         let timer = self.context.timer.clone();
         let pacer = self.context.link_pacer.clone();
         let (clock, length) = (self.context.clock, response.body().size_hint().exact());
         let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, clock, timer.clone(), length));
-        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, timer, pacing })
+        response.map(|body| UpstreamAnswer {
+            body,
+            attempt,
+            link,
+            outcome,
+            content,
+            timer: timer.clone(),
+            pacing,
+        })
     }
 
     /// Returns the outcome to record for the upstream. While this host doubts its own path, a lost
--- a/crates/pulleyd/src/request/request_body.rs
+++ b/crates/pulleyd/src/request/request_body.rs
@@ -1,5 +1,6 @@
 //! The body sent to the upstream, and what is buffered of it for another attempt.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -127,6 +128,33 @@
         })
     }
 
+    /// Returns the whole body; `None` if it has not been read to its end or is too long to be kept.
+    #[must_use]
+    pub fn whole(&self) -> Option<Vec<Bytes>> {
+        let Some(state) = &self.state else { return Some(Vec::new()) };
+        let state = state.lock();
+        let has_ended = state.incoming.as_ref().is_none_or(Body::is_end_stream);
+        let is_whole = state.is_complete && has_ended && !state.caller_aborted;
+        is_whole.then(|| state.kept.iter().filter_map(KeptFrame::data).collect())
+    }
+
+    /// Reads the rest of the body, up to the limit to which it is kept. No attempt may be reading it
+    /// meanwhile.
+    pub async fn read_rest(&self) {
+        let Some(state) = &self.state else { return };
+        poll_fn(|context| {
+            let mut state = state.lock();
+            while state.is_complete {
+                match futures::ready!(state.poll_incoming(context)) {
+                    Some(Ok(_)) => {}
+                    None | Some(Err(_)) => break,
+                }
+            }
+            Poll::Ready(())
+        })
+        .await;
+    }
+
     /// Whether the caller aborted its body.
     #[must_use]
     pub fn caller_aborted(&self) -> bool {
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -23,8 +23,10 @@
 use super::attempt_fault::AttemptFault;
 use super::call_terms::CallTerms;
 use super::caller_access::CallerOrganisation;
+use super::content_run::BrokenRun;
 use super::ledger_claim::LedgerClaim;
 use super::request_attempt::Result;
+use super::request_content::RequestContent;
 use super::request_headers::{accepts_trailers, strip_hop_by_hop, strip_own_headers};
 use super::{BodySource, SchedulerSet, SystemAnswer, TrafficContext, TrafficCounters};
 use crate::connection::{RestReading, SendRecord};
@@ -87,6 +89,8 @@
     rest: RestReading,
     /// The time from the last placement until the request was sent.
     unsent: Duration,
+    /// What is known of the attempt whose connection broke last.
+    broken: Option<BrokenRun>,
     claim: Option<LedgerClaim>,
 }
 
@@ -98,6 +102,7 @@
     pub(super) body: BodySource,
     pub(super) terms: CallTerms,
     pub(super) kind: PlannedKind,
+    pub(super) content: Arc<RequestContent>,
     progress: Mutex<RunProgress>,
     /// The number of attempts, including the one under way.
     attempts: AtomicU8,
@@ -121,12 +126,14 @@
     ) -> Self {
         prepare_headers(&mut parts);
         let arrived = context.clock.now();
+        let content = Arc::new(RequestContent::new(&parts, &body));
         Self {
             context,
             parts,
             body,
             terms,
             kind,
+            content,
             progress: Mutex::default(),
             attempts: AtomicU8::new(0),
             verdict: RequestVerdict::NotRun,
@@ -284,6 +291,10 @@
         self.progress.lock().rest = rest;
     }
 
+    pub(super) fn record_broken(&self, broken: BrokenRun) {
+        self.progress.lock().broken = Some(broken);
+    }
+
     pub(super) fn record_sending(&self, sent: SentAttempt, unsent: Duration) {
         let mut progress = self.progress.lock();
         progress.unsent = unsent;
@@ -453,11 +464,14 @@
             claim.mark_unsent();
         }
         let upstream = progress.tried.last().map(ToString::to_string);
+        let broken = progress.broken.take();
+        let content = broken.and_then(|broken| broken.digest).map(|digest| digest.to_string());
         info!(self.context.logger, "attempt-failed"; "id" => self.id(),
             "attempts" => self.attempts(), "cause" => fault.answer.cause,
             "verdict" => %fault.answer.verdict, "kind" => %self.row().kind,
             "upstream" => upstream, "limit" => logged_limit(progress.limit),
-            "rest_ms" => progress.rest.span().map(millis), "unsent_us" => micros(progress.unsent));
+            "rest_ms" => progress.rest.span().map(millis), "unsent_us" => micros(progress.unsent),
+            "content" => content, "finding" => broken.map(|broken| broken.finding.as_str()));
     }
 
     fn should_retry(&self, fault: &AttemptFault) -> bool {
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -14,7 +14,7 @@
 use super::call_terms::CallTerms;
 use super::request_run::PlannedKind;
 use super::{HeaderDialect, QuotaGate, SchedulerSet, TrafficCounters, TrustedCallers};
-use crate::connection::{RelayIdentity, UpstreamConnections};
+use crate::connection::{KeyRing, RelayIdentity, UpstreamConnections};
 use crate::process::{ControlHandle, ProcessClock, ProcessMetrics, TimerService, ViewCell};
 
 /// Limits of the traffic side, each against one kind of overload.
@@ -67,6 +67,8 @@
     pub quotas: Arc<QuotaGate>,
     /// The deadlines of callers' first attempts, for requests of organisations with quotas.
     pub row_deadlines: Mutex<RowDeadlines>,
+    /// The keys under which contents of requests are digested.
+    pub content_keys: KeyRing,
     /// The channel to the control thread.
     pub control: ControlHandle,
     /// The connections to upstreams.
@@ -111,6 +113,7 @@
             schedulers,
             quotas: Arc::new(QuotaGate::new(control.clone(), clock, QuotaTerms::default())),
             row_deadlines: Mutex::default(),
+            content_keys: KeyRing::random(),
             control,
             connections: Arc::new(connections),
             clock,
@@ -168,6 +171,7 @@
     /// lost its own path to them.
     #[must_use]
     pub fn with_relays(mut self, identity: RelayIdentity, local_ip: IpAddr) -> Self {
+        self.content_keys = identity.key_ring.clone();
         let (view, logger) = (self.view.clone(), self.logger.clone());
         let (timer, gate) = (self.timer.clone(), Arc::clone(self.schedulers.gate()));
         let piece = self.link_pacer.as_ref().map(|pacer| pacer.lock().piece_bytes());
