--- a/crates/pulleyd/tests/process_failures/main.rs
+++ b/crates/pulleyd/tests/process_failures/main.rs
@@ -1,6 +1,7 @@
 //! Guarantees that must hold while real processes are killed, paused and run concurrently.
 
 mod behind_tests;
+mod end_tests;
 mod limit_tests;
 mod process_support;
 mod quota_tests;
