--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -24,7 +24,8 @@
     pub(super) is_retryable: bool,
     /// Whether another layer of this system has already given up on the request.
     pub(super) retried_downstream: bool,
-    /// Whether the request was held back when it was to be sent, and may be placed again.
+    /// Whether the request was held back when it was to be sent, or its upstream's machine refused the
+    /// connection at once, so that it may be placed again.
     pub(super) is_unsent: bool,
 }
 
@@ -88,7 +89,8 @@
         };
         let retry_after = Some(ATTEMPT_FAILED_RETRY);
         let answer = SystemAnswer::failed(status, fault.verdict(), fault.cause(), retry_after);
-        Self { answer, outcome, is_retryable: true, retried_downstream: false, is_unsent: false }
+        let is_unsent = fault.is_refusal();
+        Self { answer, outcome, is_retryable: true, retried_downstream: false, is_unsent }
     }
 
     /// The deadline passed.
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -15,6 +15,7 @@
 use pulley_core::request::{AttemptOutcome, LimitSighting, ProbeReach, RequestTicket};
 use pulley_core::version::AnswerSize;
 use pulley_core::{Moment, RefusalCause, RequestVerdict, UpstreamId};
+use slog::info;
 
 use super::answer_body::{AnswerPacing, UpstreamAnswer};
 use super::answer_metadata::AnswerMetadata;
@@ -33,8 +34,9 @@
 /// The number of connections one attempt tries if each was closed before anything was sent.
 const MAX_CONNECTIONS_PER_ATTEMPT: u32 = 4;
 
-/// The number of times that one attempt is placed if its upstreams ask for rest, or leave, after it
-/// was placed and before it was sent.
+/// The number of times that one attempt is placed if its upstreams ask for rest, leave or end after
+/// it was placed and before it was sent. Nothing of it has reached an upstream, so that placing it
+/// again uses up nothing of the retry budget.
 const MAX_PLACEMENTS: u32 = 4;
 
 /// How long a request waits before it probes again if all probed upstreams were slowed down or
@@ -79,7 +81,9 @@
                 Ok(placed) => {
                     placements += 1;
                     match self.send_placed(&ticket, placed).await {
-                        Err(fault) if fault.is_unsent && placements < MAX_PLACEMENTS => {}
+                        Err(fault) if fault.is_unsent && placements < MAX_PLACEMENTS => {
+                            self.log_unsent(&fault);
+                        }
                         sent => return sent,
                     }
                 }
@@ -92,9 +96,16 @@
             // it adds nothing more to the retry budget.
             ticket.number = self.context.next_number();
             ticket.attempt = ticket.attempt.max(1);
+            ticket.avoid = self.tried();
         }
     }
 
+    fn log_unsent(&self, fault: &AttemptFault) {
+        info!(self.context.logger, "attempt-unsent"; "id" => self.id(),
+            "upstream" => self.last_tried().map(|upstream| upstream.to_string()),
+            "cause" => fault.answer.cause);
+    }
+
     /// Makes one attempt at one of the probed upstreams.
     pub(super) async fn attempt_probed(
         &self,
@@ -191,7 +202,7 @@
         let (mut response, link) = match self.send(placed, &content).await {
             Ok(sent) => sent,
             Err(fault) if fault.is_unsent => {
-                attempt.settle(AttemptOutcome::Cancelled);
+                attempt.settle(self.blamed_outcome(fault.outcome));
                 self.return_trial(content);
                 return Err(fault);
             }
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -365,7 +365,7 @@
             deadline: self.terms.deadline,
             target: self.row().route.target.map(|target| self.arrived + target),
             attempt: before,
-            avoid: self.progress.lock().tried.clone(),
+            avoid: self.tried(),
         })
     }
 
@@ -459,6 +459,11 @@
         self.progress.lock().tried.last().cloned()
     }
 
+    /// Returns the upstreams tried so far.
+    pub(super) fn tried(&self) -> Vec<UpstreamId> {
+        self.progress.lock().tried.clone()
+    }
+
     /// Returns how long the request has been held.
     pub(super) fn elapsed(&self) -> Duration {
         self.context.clock.now().since(self.arrived)
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -101,6 +101,25 @@
     }
 }
 
+// Requests that share a path, a prefix of the body or its length must not pay for each other.
+#[tokio::test]
+async fn contents_that_differ_are_kept_apart() {
+    let pool = EndingPool::start(8, 1).await;
+    pool.call(0, "/balance", "part-1 deadly").await;
+    assert_eq!((pool.ends(), pool.counts()), (3, (1, 1)));
+    for (path, body) in [
+        ("/balance", "part-1 friend"),
+        ("/balance", "part-1"),
+        ("/balance", ""),
+        ("/balance?b=2", "part-1 friend"),
+        ("/refund", "part-1 friend"),
+    ] {
+        assert_eq!(pool.call(0, path, body).await.status, 200, "{path} {body}");
+    }
+    let other_host = pool.entries[0].post_with("/balance", "x", &[("host", "other")]).await;
+    assert_eq!(other_host.status, 200);
+}
+
 // An upstream may end before it has read the whole body, which arrives in pieces.
 #[tokio::test]
 async fn a_body_that_its_upstream_never_read_whole_counts_as_a_whole() {
@@ -130,6 +149,33 @@
     assert_eq!((pool.ends(), pool.counts()), (3, (1, 1)));
 }
 
+// Three other requests ran in the upstream that ended, and are suspected with the one that ended it.
+#[tokio::test]
+async fn requests_beside_one_that_ends_their_upstream_are_served() {
+    let pool = EndingPool::start(6, 2).await;
+    let beside = |number: usize| {
+        let pool = &pool;
+        async move {
+            let mut unserved = 0;
+            for turn in 0..8 {
+                let path = format!("/balance/beside-{number}");
+                unserved +=
+                    usize::from(pool.call((number + turn) % 2, &path, "").await.status != 200);
+            }
+            unserved
+        }
+    };
+    let others = futures::future::join_all((0..8).map(beside));
+    let deadly = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        pool.call(0, "/balance/deadly", "").await
+    };
+    let (unserved, deadly) = futures::future::join(others, deadly).await;
+    assert_eq!(unserved.iter().sum::<usize>(), 0);
+    assert_ne!(deadly.status, 200);
+    eventually("only the one is left", || pool.counts() == (1, 1)).await;
+}
+
 // A reset, a spoilt answer, a failure and a refusal each come from an upstream that goes on.
 #[tokio::test]
 async fn what_is_not_an_end_suspects_nothing() {
--- a/crates/pulleyd/tests/request_failures.rs
+++ b/crates/pulleyd/tests/request_failures.rs
@@ -30,6 +30,23 @@
     assert_eq!(other.runs(), 6);
 }
 
+// Attempts that no upstream got used up the retry budget while several upstreams were gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_connections_use_up_no_retry_budget() {
+    let mut upstreams = vec![FakeUpstream::healthy("other").await];
+    for _ in 0..3 {
+        upstreams.push(refusing_upstream().await);
+    }
+    let upstreams: Vec<&FakeUpstream> = upstreams.iter().collect();
+    let entry = TestEntry::start(&upstreams).await;
+    for call in 0..60 {
+        let answer = entry.post("/balance", "x").await;
+        assert_eq!(answer.status, 200, "request {call}: {:?}", answer.body);
+    }
+    let retries = entry.context.counters.retries.load(Ordering::SeqCst);
+    assert_eq!(retries, 0);
+}
+
 /// Returns an address at which connections are neither accepted nor refused, as at a machine
 /// without power. Its listen queue is full, and the operating system drops new connections.
 async fn unresponsive_upstream() -> FakeUpstream {
