--- a/crates/pulleyctl/src/command_line.rs
+++ b/crates/pulleyctl/src/command_line.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use getopts::{Matches, Options};
-use pulley_core::HostId;
-use pulley_core::process::{ActorName, ChangeId, MemberId, UpstreamId};
+use pulley_core::process::{ActorName, ChangeId, ContentDigest, MemberId, UpstreamId};
 use pulley_core::version::{AuditFilter, ConfigVersion, ZoneUpload, ZoneUse};
+use pulley_core::{HostId, PoolName};
 use smol_str::SmolStr;
 
 /// Default time for a complete answer. It is longer than the 5 s after which a host itself gives
@@ -49,6 +49,13 @@
     pub(crate) actor: ActorName,
 }
 
+/// Which contents an operator clears.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ClearedContents {
+    One(ContentDigest),
+    Pool(PoolName),
+}
+
 /// One command.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Command {
@@ -59,6 +66,13 @@
     Upstreams,
     Organisations,
     Drain(UpstreamId),
+    /// Prints the contents that end upstreams.
+    ContentList,
+    /// Ends the suspicion of contents.
+    ContentClear {
+        what: ClearedContents,
+        actor: ActorName,
+    },
     Audit(AuditFilter),
     ReplicaAdd(HostId),
     ReplicaRemove(MemberId),
@@ -136,7 +150,8 @@
     sheet check FILE       name every fault of a sheet; speaks to no host
     sheet apply FILE       put a sheet in force (--expect, --change-id, --actor)
     sheet show             print the sheet in force
-    explain ID FILE...     print what became of a request, from hosts' log files
+    explain ID FILE...     print what became of a request, or of all with a content's digest,
+                           from hosts' log files
     summary FILE...        print late and refused requests by second, kind and cause, from
                            hosts' log files (--late, --csv)
     status                 print what a host knows of the system
@@ -144,6 +159,9 @@
     organisations          print organisations, their keys' fingerprints, quotas and what a host
                            has made of their requests
     drain UPSTREAM         send an upstream no new work
+    content list           print the contents under which upstreams have ended
+    content clear DIGEST   allow a content again (--actor)
+    content clear-pool POOL  allow all contents of a pool again (--actor)
     zone evacuate ZONE     send the upstreams of a zone no new work (--change-id, --actor)
     zone restore ZONE      take the zone back (--change-id, --actor)
     zone list              print the zones that are evacuated
@@ -198,6 +216,15 @@
             ["organisations"] => Some(Command::Organisations),
             ["audit"] => Some(Command::Audit(self.audit_filter())),
             ["drain", upstream] => self.parsed("drain", upstream).map(Command::Drain),
+            ["content", "list"] => Some(Command::ContentList),
+            ["content", "clear", digest] => {
+                let what = self.parsed("content clear", digest).map(ClearedContents::One);
+                self.content_clear(what)
+            }
+            ["content", "clear-pool", pool] => {
+                let what = self.parsed("content clear-pool", pool).map(ClearedContents::Pool);
+                self.content_clear(what)
+            }
             ["explain", id, ref files @ ..] if !files.is_empty() => Some(Command::Explain {
                 id: id.to_owned(),
                 files: files.iter().map(PathBuf::from).collect(),
@@ -234,6 +261,11 @@
         Some(ApplyOptions { file: PathBuf::from(file), expect, given, change_id, actor })
     }
 
+    fn content_clear(&mut self, what: Option<ClearedContents>) -> Option<Command> {
+        let actor = self.actor()?;
+        Some(Command::ContentClear { what: what?, actor })
+    }
+
     fn zone_order(&mut self, zone: &str, zone_use: ZoneUse) -> Option<Command> {
         let zone = self.parsed("zone", zone)?;
         let actor = self.actor()?;
--- a/crates/pulleyctl/src/commands.rs
+++ b/crates/pulleyctl/src/commands.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use pulley_core::process::ChangeId;
+use pulley_core::process::{ActorName, ChangeId};
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ConfigVersion, SheetReader, SheetUpload, SheetView,
     ZoneAnswer, ZoneUpload, ZoneUse,
 };
 use serde_json::{Value, json};
 
-use crate::command_line::{ApplyOptions, Command, CommandLine};
+use crate::command_line::{ApplyOptions, ClearedContents, Command, CommandLine};
 use crate::exit_outcome::ExitOutcome;
 use crate::log_summary::LogSummary;
 use crate::operator_client::{ClientFault, HostAnswer, OperatorClient};
@@ -67,15 +67,12 @@
             })
             .await
         }
-        Command::Status => {
-            show(client, "/v1/status", json, |body| Some(text_format::status(body))).await
-        }
+        Command::Status => show(client, "/v1/status", json, show_as(text_format::status)).await,
         Command::Upstreams => {
-            show(client, "/v1/upstreams", json, |body| Some(text_format::upstreams(body))).await
+            show(client, "/v1/upstreams", json, show_as(text_format::upstreams)).await
         }
         Command::Organisations => {
-            show(client, "/v1/organisations", json, |body| Some(text_format::organisations(body)))
-                .await
+            show(client, "/v1/organisations", json, show_as(text_format::organisations)).await
         }
         Command::Audit(filter) => {
             show(client, &audit_path(filter), json, |body| {
@@ -91,12 +88,17 @@
             .await
         }
         Command::ZoneOrder(upload) => order_zone(client, upload, json).await,
-        Command::ZoneList => {
-            show(client, "/v1/zones", json, |body| Some(text_format::zones(body))).await
-        }
+        Command::ZoneList => show(client, "/v1/zones", json, show_as(text_format::zones)).await,
         Command::Drain(upstream) => {
             change(client, &Method::POST, "/v1/drain", json!({ "upstream": upstream }), json).await
         }
+        Command::ContentList => {
+            show(client, "/v1/contents", json, show_as(text_format::contents)).await
+        }
+        Command::ContentClear { what, actor } => {
+            change(client, &Method::POST, "/v1/contents/clear", clear_order(what, actor), json)
+                .await
+        }
         Command::ReplicaAdd(host) => {
             change(client, &Method::POST, "/v1/replicas", json!({ "host": host }), json).await
         }
@@ -107,6 +109,14 @@
     }
 }
 
+/// Returns the body of an order to clear contents.
+fn clear_order(what: &ClearedContents, actor: &ActorName) -> Value {
+    match what {
+        ClearedContents::One(digest) => json!({ "actor": actor, "digest": digest.to_string() }),
+        ClearedContents::Pool(pool) => json!({ "actor": actor, "pool": pool }),
+    }
+}
+
 fn explain(id: &str, files: &[PathBuf]) -> ExitOutcome {
     match RequestTrace::read(id, files) {
         Err((file, error)) => cannot_read(&file, &error),
@@ -274,6 +284,11 @@
 // -----------------------------------------------------------------------------------------
 // Other commands
 
+/// Wraps a format that can interpret any answer.
+fn show_as(format: impl FnOnce(&Value) -> String) -> impl FnOnce(&Value) -> Option<String> {
+    move |body| Some(format(body))
+}
+
 async fn show(
     client: &OperatorClient<'_>,
     path: &str,
--- a/crates/pulleyctl/src/request_trace.rs
+++ b/crates/pulleyctl/src/request_trace.rs
@@ -29,7 +29,7 @@
 }
 
 impl RequestTrace {
-    /// Searches log files for the lines with a request's id.
+    /// Searches log files for the lines with a request's id, or with a content's digest.
     ///
     /// # Errors
     /// Returns the path and the error of the first file that cannot be read.
@@ -41,7 +41,7 @@
             let text = String::from_utf8_lossy(&text);
             let lines: Vec<LogLine> =
                 text.lines().filter_map(|line| parse_line(file, line)).collect();
-            let found = lines.iter().filter(|line| field_value(&line.text, "id") == Some(id));
+            let found = lines.iter().filter(|line| names(&line.text, id));
             let found: Vec<LogLine> = found.cloned().collect();
             if !found.is_empty() {
                 others.extend(lines.into_iter().filter(|line| is_host_event(&line.text)));
@@ -85,6 +85,11 @@
     Some(&line[line.find("ts=")?..])
 }
 
+/// Whether a line is about the request with an id, or about the content with a digest.
+fn names(line: &str, id: &str) -> bool {
+    ["id", "content", "digest"].iter().any(|key| field_value(line, key) == Some(id))
+}
+
 fn is_host_event(line: &str) -> bool {
     let event = field_value(line, "event").unwrap_or_default();
     !REQUEST_EVENTS.iter().any(|prefix| event.starts_with(prefix))
--- a/crates/pulleyctl/src/text_format.rs
+++ b/crates/pulleyctl/src/text_format.rs
@@ -58,6 +58,31 @@
     if names.is_empty() { "no zone is evacuated".to_owned() } else { names.join("\n") }
 }
 
+/// Formats the contents that end upstreams as a table, one line for each end.
+pub(crate) fn contents(body: &Value) -> String {
+    const HEADER: [&str; 7] =
+        ["digest", "pool", "retry after s", "upstream", "incarnation", "age s", "trial"];
+    let field = |value: &Value, name: &str| match value.get(name) {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Null) | None => "-".to_owned(),
+        Some(other) => other.to_string(),
+    };
+    let contents = body.get("contents").and_then(Value::as_array).into_iter().flatten();
+    let rows: Vec<Vec<String>> = contents
+        .flat_map(|content| {
+            let ends = content.get("ends").and_then(Value::as_array).into_iter().flatten();
+            ends.map(move |end| {
+                let of_content =
+                    ["digest", "pool", "retry_after_s"].map(|name| field(content, name));
+                let of_end =
+                    ["upstream", "incarnation", "age_s", "trial"].map(|name| field(end, name));
+                of_content.into_iter().chain(of_end).collect()
+            })
+        })
+        .collect();
+    if rows.is_empty() { "no content is suspected".to_owned() } else { table(&HEADER, &rows) }
+}
+
 /// Formats the answer to a zone order.
 pub(crate) fn zone_answer(order: &ZoneUpload, answer: &ZoneAnswer) -> String {
     let ZoneUpload { zone, zone_use, .. } = order;
--- a/crates/pulleyctl/tests/exit_codes.rs
+++ b/crates/pulleyctl/tests/exit_codes.rs
@@ -245,6 +245,25 @@
     assert_eq!(pulleyctl(&[host], &["zone", "list"]).out, "no zone is evacuated\n");
 }
 
+#[test]
+fn contents_are_listed_with_their_evidence_and_cleared() {
+    let contents = r#"{"contents":[{"digest":"c0ffee","pool":"cover","retry_after_s":42,"ends":[
+        {"upstream":"u1","incarnation":7,"age_s":18,"trial":false},
+        {"upstream":"u2","incarnation":9,"age_s":18,"trial":true}]}]}"#;
+    let host = stand_in_host(vec![HostReply::Answer(200, contents)]);
+    let expected = "digest  pool   retry after s  upstream  incarnation  age s  trial\n\
+        c0ffee  cover  42             u1        7            18     false\n\
+        c0ffee  cover  42             u2        9            18     true\n";
+    assert_eq!(pulleyctl(&[host], &["content", "list"]).out, expected);
+    let host = stand_in_host(vec![HostReply::Answer(200, r#"{"contents":[]}"#)]);
+    assert_eq!(pulleyctl(&[host], &["content", "list"]).out, "no content is suspected\n");
+    for args in [["content", "clear", "c0ffee"], ["content", "clear-pool", "cover"]] {
+        let host = stand_in_host(vec![HostReply::Answer(200, r#"{"cleared":1}"#)]);
+        let outcome = pulleyctl(&[host], &[&args[..], &["--actor=ana"]].concat());
+        assert_eq!((outcome.code, outcome.out.as_str()), (0, "cleared=1\n"), "{}", outcome.err);
+    }
+}
+
 #[test]
 fn a_faulty_command_line_exits_with_2() {
     for args in [
@@ -253,6 +272,8 @@
         &["sheet", "apply", SHEET, "--actor=a", "--change-id=c1"],
         &["sheet", "apply", "/nowhere", "--actor=a", "--expect=1"],
         &["drain", "two words"],
+        &["content", "clear", "not-hex", "--actor=a"],
+        &["content", "clear"],
         &["zone", "evacuate"],
         &["zone", "evacuate", "two words", "--actor=a"],
         &["zone", "restore", "z1"],
@@ -285,7 +306,7 @@
     );
     let two = write(
         "entry-2.log",
-        "12.5 ts=2026-07-05T07:10:42.050Z level=info event=attempt-failed id=9c41 cause=\"x y\"\n",
+        "12.5 ts=2026-07-05T07:10:42.050Z level=info event=attempt-failed id=9c41 content=c0ffee cause=\"x y\"\n",
     );
     let three = write("entry-3.log", "ts=2026-07-05T07:10:42.000Z level=info event=listening\n");
     let outcome = pulleyctl(&[], &["explain", "9c41", &one, &two, &three]);
@@ -295,6 +316,8 @@
     assert_eq!(hosts, ["entry-1:", "entry-2:", "entry-1:"], "{}", outcome.out);
     assert!(outcome.out.contains("event=membership live=33"), "{}", outcome.out);
     assert!(!outcome.out.contains("id=other") && !outcome.out.contains("live=34"));
+    let by_content = pulleyctl(&[], &["explain", "c0ffee", &one, &two]).out;
+    assert!(by_content.contains("entry-2: ts="), "{by_content}");
     assert_eq!(pulleyctl(&[], &["explain", "unknown", &one]).code, 1);
     assert_eq!(pulleyctl(&[], &["explain", "9c41"]).code, 2);
 }
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -11,6 +11,7 @@
 
 use super::control_core::ControlCore;
 use super::control_handle::{ControlFault, ControlRequest, Result};
+use super::{ContentFilter, ContentStatus};
 
 /// The maximum number of confirmed departures remembered. A day has a few thousand at the planned
 /// size.
@@ -135,6 +136,12 @@
                 self.quarantine.ask(now, self.registry.shared_time(now), ask);
                 self.flush_quarantine(now);
             }
+            ControlRequest::Contents(reply) => {
+                let _ = reply.send(self.contents(now));
+            }
+            ControlRequest::ClearContents(filter, reply) => {
+                let _ = reply.send(self.clear_contents(now, &filter));
+            }
             ControlRequest::RelayHosts(round, reply) => {
                 let hosts = RelayHost::list(self.members.own(), self.members.live(), round);
                 let _ = reply.send(hosts);
@@ -154,6 +161,22 @@
         }
     }
 
+    fn contents(&self, now: Moment) -> Vec<ContentStatus> {
+        let time = self.registry.shared_time(now);
+        let suspects = self.quarantine.suspects();
+        suspects.filter_map(|record| ContentStatus::describe(time, record)).collect()
+    }
+
+    /// Ends the suspicion of contents on all hosts. Returns their number.
+    fn clear_contents(&mut self, now: Moment, filter: &ContentFilter) -> usize {
+        let time = self.registry.shared_time(now);
+        let keys = self.quarantine.suspects().map(|record| record.key.clone());
+        let cleared: Vec<_> = keys.filter(|key| filter.matches(key)).collect();
+        cleared.iter().for_each(|key| self.quarantine.clear(time, key));
+        self.flush_quarantine(now);
+        cleared.len()
+    }
+
     fn handle_announcement(
         &mut self,
         now: Moment,
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -14,6 +14,8 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
+use super::{ContentFilter, ContentStatus};
+
 /// Result of a request to the control thread.
 pub type Result<T> = std::result::Result<T, ControlFault>;
 
@@ -66,6 +68,10 @@
     ReportContent(ContentReport, Option<oneshot::Sender<()>>),
     /// Asks whether a request with a suspected content may run. The answer goes to the gate.
     AskTrial(TrialAsk),
+    /// Asks for the contents that are suspected or quarantined.
+    Contents(oneshot::Sender<Vec<ContentStatus>>),
+    /// An operator ends the suspicion of contents. Answered with their number.
+    ClearContents(ContentFilter, oneshot::Sender<usize>),
     /// Asks for hosts that may open connections to upstreams for this one. Each number gives another
     /// choice.
     RelayHosts(u64, oneshot::Sender<Vec<RelayHost>>),
--- a/crates/pulleyd/src/process/daemon.rs
+++ b/crates/pulleyd/src/process/daemon.rs
@@ -28,7 +28,8 @@
     UpstreamConnections, UpstreamProber,
 };
 use crate::request::{
-    HeaderDialect, QuotaGate, SchedulerSet, TrafficContext, TrafficLimits, TrustedCallers,
+    HeaderDialect, QuarantineGate, QuotaGate, SchedulerSet, TrafficContext, TrafficLimits,
+    TrustedCallers,
 };
 
 /// The maximum number of requests that may wait for the control thread.
@@ -368,8 +369,8 @@
     ) -> Self {
         let runtime = parts.threads.handle();
         let metrics = parts.metrics.clone();
-        let gate = Arc::clone(&parts.quota_gate);
-        runtime.spawn(record_view_metrics(metrics.clone(), parts.view.clone(), gate));
+        let gates = (Arc::clone(&parts.quota_gate), Arc::clone(&listeners.context.quarantine));
+        runtime.spawn(record_view_metrics(metrics.clone(), parts.view.clone(), gates));
         let connections = Arc::clone(&listeners.context.connections);
         runtime.spawn(record_path_metrics(metrics.clone(), connections, Arc::clone(&relays)));
         let (stop_callers, callers_stopped) = watch::channel(false);
@@ -486,7 +487,11 @@
     let _ = stopped.wait_for(|stop| *stop).await;
 }
 
-async fn record_view_metrics(metrics: ProcessMetrics, view: ViewCell, quota_gate: Arc<QuotaGate>) {
+async fn record_view_metrics(
+    metrics: ProcessMetrics,
+    view: ViewCell,
+    (quota_gate, quarantine_gate): (Arc<QuotaGate>, Arc<QuarantineGate>),
+) {
     loop {
         let current = view.load();
         metrics.record_view(current.version.0, view.readiness() == HostReadiness::Ready);
@@ -494,6 +499,7 @@
         metrics.record_zones(current.evacuated.zones.len(), current.evacuated_upstreams());
         let (counts, isolated_admissions) = quota_gate.counts();
         metrics.record_quotas(counts, isolated_admissions);
+        metrics.record_contents(quarantine_gate.counts());
         tokio::time::sleep(METRICS_INTERVAL).await;
     }
 }
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -5,6 +5,9 @@
 mod api_fault;
 mod api_server;
 mod bootstrap_replica;
+mod content_api;
+mod content_metrics;
+mod content_status;
 mod control_answer;
 mod control_api;
 mod control_core;
@@ -37,6 +40,7 @@
 pub use announce_api::AnnounceApi;
 pub use api_server::{ApiLimits, ApiServer};
 pub use bootstrap_replica::BootstrapReplica;
+pub use content_status::{ContentFilter, ContentStatus};
 pub use control_api::ControlApi;
 pub use control_handle::{
     ClaimAnswer, ClaimRequest, ControlFault, ControlHandle, ControlRequest, FencingToken,
--- a/crates/pulleyd/src/process/operator_api.rs
+++ b/crates/pulleyd/src/process/operator_api.rs
@@ -1,4 +1,5 @@
-//! The HTTP API for operators: sheets, audit trail, status, zones, drains, replicas and metrics.
+//! The HTTP API for operators: sheets, audit trail, status, zones, drains, contents, replicas and
+//! metrics.
 //! Every request needs a key.
 
 use std::fmt;
@@ -28,6 +29,7 @@
 
 use super::api_fault::{ApiFault, Result};
 use super::api_server::{ApiLimits, with_body_limits};
+use super::content_api::{clear_contents, show_contents};
 use super::{ControlHandle, ControlRequest, ProcessClock, ProcessMetrics, ReplicaChange, ViewCell};
 use crate::connection::KeyRing;
 
@@ -61,11 +63,11 @@
 /// The HTTP API for operators.
 #[derive(Clone)]
 pub struct OperatorApi {
-    control: ControlHandle,
+    pub(super) control: ControlHandle,
     view: ViewCell,
     metrics: ProcessMetrics,
     keys: Arc<dyn OperatorKeys>,
-    logger: Logger,
+    pub(super) logger: Logger,
 }
 
 impl OperatorApi {
@@ -92,6 +94,8 @@
             .route("/v1/status", get(show_status))
             .route("/v1/upstreams", get(show_upstreams))
             .route("/v1/organisations", get(show_organisations))
+            .route("/v1/contents", get(show_contents))
+            .route("/v1/contents/clear", post(clear_contents))
             .route("/v1/drain", post(drain_upstream))
             .route("/v1/zones", get(show_zones).post(order_zone))
             .route("/v1/replicas", get(list_replicas).post(add_replica))
@@ -103,7 +107,10 @@
             .layer(middleware::from_fn_with_state(self, check_key))
     }
 
-    async fn with_timeout<T>(&self, question: impl Future<Output = super::Result<T>>) -> Result<T> {
+    pub(super) async fn with_timeout<T>(
+        &self,
+        question: impl Future<Output = super::Result<T>>,
+    ) -> Result<T> {
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, question).await;
         Ok(answer.map_err(|_| ApiFault::no_answer())??)
     }
@@ -380,6 +387,6 @@
     Ok(Json(api.with_timeout(question).await??))
 }
 
-fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+pub(super) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     serde_json::from_slice(body).map_err(|error| ApiFault::bad_request(error.to_string()))
 }
--- a/crates/pulleyd/src/process/process_metrics.rs
+++ b/crates/pulleyd/src/process/process_metrics.rs
@@ -14,6 +14,7 @@
 use pulley_core::version::KindPlan;
 use pulley_core::{ConfigVersion, RequestVerdict};
 
+use super::content_metrics::ContentMetrics;
 use super::organisation_metrics::{OrganisationMetrics, OrganisationRequests};
 use super::path_metrics::PathMetrics;
 use super::quota_metrics::QuotaMetrics;
@@ -53,6 +54,7 @@
     organisations: OrganisationMetrics,
     paths: PathMetrics,
     quotas: QuotaMetrics,
+    contents: ContentMetrics,
 }
 
 impl ProcessMetrics {
@@ -117,6 +119,7 @@
             organisations: OrganisationMetrics::new()?,
             paths: PathMetrics::new()?,
             quotas: QuotaMetrics::new()?,
+            contents: ContentMetrics::new()?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -125,6 +128,7 @@
     fn register(&self) -> Result<()> {
         self.paths.register(&self.registry)?;
         self.quotas.register(&self.registry)?;
+        self.contents.register(&self.registry)?;
         self.registry.register(Box::new(self.answered.clone()))?;
         self.registry.register(Box::new(self.refused.clone()))?;
         self.registry.register(Box::new(self.added_seconds.clone()))?;
@@ -216,6 +220,11 @@
         self.paths.record(survey, is_cut_off, relayed);
     }
 
+    /// Records the numbers of contents that are suspected and of those that are quarantined.
+    pub fn record_contents(&self, (suspected, quarantined): (usize, usize)) {
+        self.contents.record(suspected, quarantined);
+    }
+
     /// Records the requests for permits of quotas, and the requests admitted without.
     pub fn record_quotas(&self, counts: QuotaCounts, isolated_admissions: u64) {
         self.quotas.record(counts, isolated_admissions);
--- a/crates/pulleyd/tests/process_failures/end_tests.rs
+++ b/crates/pulleyd/tests/process_failures/end_tests.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use crate::KOLKHI;
 use crate::process_support::{EndingUpstream, HttpClient, TestCluster, wait_until};
 
@@ -80,6 +82,32 @@
     drop(pool.cluster);
 }
 
+// A mended version of the upstreams is out, and the content would be refused for another minute.
+#[test]
+fn an_operator_allows_a_quarantined_content_again() {
+    let pool = EndingPool::start(8);
+    assert_eq!(pool.call("ends-one", 0), None);
+    let contents = |host: usize| {
+        let answer = pool.cluster.operator(host).get("/v1/contents").expect("an answer").json();
+        answer["contents"].as_array().expect("a list").clone()
+    };
+    let knows_all_ends = |host: usize| {
+        let listed = contents(host);
+        listed.len() == 1 && listed[0]["ends"].as_array().is_some_and(|ends| ends.len() == 3)
+    };
+    let is_known = wait_until(Duration::from_secs(10), || HOSTS.into_iter().all(knows_all_ends));
+    assert!(is_known, "{:?}", contents(2));
+    let digest = contents(1)[0]["digest"].as_str().expect("a digest").to_owned();
+    let order = json!({ "actor": "tester", "digest": digest }).to_string();
+    let cleared = pool.cluster.operator(1).send("POST", "/v1/contents/clear", order.as_bytes());
+    assert_eq!(cleared.expect("an answer").json(), json!({ "cleared": 1 }));
+    let are_cleared = || HOSTS.into_iter().all(|host| contents(host).is_empty());
+    assert!(wait_until(Duration::from_secs(10), are_cleared), "at all hosts");
+    let before = pool.arrivals("ends-one");
+    assert_eq!(pool.call("ends-one", 0), None);
+    assert!(pool.arrivals("ends-one") > before, "the content is sent again");
+}
+
 // A crash of an upstream meets all that runs there, and popular content runs everywhere.
 #[test]
 fn popular_content_is_served_while_upstreams_crash() {
