--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -7,7 +7,7 @@
 use pulley_core::process::{
     ContentDigest, ContentKey, ContentReport, RunResult, TrialNumber, UpstreamStart,
 };
-use slog::info;
+use slog::{info, warn};
 
 use super::TrafficContext;
 use super::request_content::RequestContent;
@@ -128,7 +128,10 @@
         if finding == EndFinding::Ended {
             let trial = self.trial.and_then(ContentTrial::into_number);
             let result = RunResult::Ended(start);
-            self.context.quarantine.report(ContentReport { key, result, trial }).await;
+            let report = ContentReport { key, result, trial };
+            if !self.context.quarantine.report(&self.context.timer, report).await {
+                warn!(self.context.logger, "content-report-late"; "content" => %digest);
+            }
         } else if !was_trial {
             tokio::spawn(report_restart(self.context, key, start));
         }
--- a/crates/pulleyd/src/request/quarantine_gate.rs
+++ b/crates/pulleyd/src/request/quarantine_gate.rs
@@ -23,6 +23,10 @@
 /// `Retry-After` for a request that has waited in vain for its turn among those with its content.
 const SUSPECT_RETRY: Duration = Duration::from_millis(200);
 
+/// How long the next attempt at a request waits until the control thread has counted an end. The
+/// thread may be busy for longer, and the caller's time runs.
+const REPORT_WAIT: Duration = Duration::from_millis(50);
+
 /// Admits requests whose contents are suspected to end upstreams.
 #[derive(Debug)]
 pub struct QuarantineGate {
@@ -136,10 +140,13 @@
         }
     }
 
-    /// Reports the end of a request, and waits until this host counts it.
-    pub(super) async fn report(&self, report: ContentReport) {
+    /// Reports the end of a request, and waits for a moment until this host counts it. Returns whether
+    /// it does.
+    pub(super) async fn report(&self, timer: &TimerService, report: ContentReport) -> bool {
         self.end_trial(&report);
-        let _ = self.control.ask(|reply| ControlRequest::ReportContent(report, Some(reply))).await;
+        let counted = self.control.ask(|reply| ControlRequest::ReportContent(report, Some(reply)));
+        let counted = timer.run_until(self.clock.now() + REPORT_WAIT, pin!(counted)).await;
+        matches!(counted, Some(Ok(())))
     }
 
     /// Reports the end of a request.
