--- a/crates/pulleyd/src/connection/end_check.rs
+++ b/crates/pulleyd/src/connection/end_check.rs
@@ -8,12 +8,18 @@
 use slog::info;
 use tokio::sync::OnceCell;
 
-use super::{UpstreamConnections, UpstreamTarget};
+use super::upstream_links::UpstreamLinks;
+use super::{LinkFault, UpstreamConnections, UpstreamTarget};
 
 /// Time limit of a check. A connection to an upstream of the same region opens, or is refused, within
 /// a few milliseconds. The next attempt at the request waits for the result.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// How long a new connection must last to show that the upstream is alive, and the pause before
+/// another one is opened where that is not known.
+const CONFIRM_TIME: Duration = Duration::from_millis(10);
+const RETRY_PAUSE: Duration = Duration::from_millis(2);
+
 /// How long the result of a check holds for other connections to the same upstream that break.
 const CHECK_VALIDITY: Duration = Duration::from_millis(100);
 
@@ -22,7 +28,7 @@
 pub enum EndFinding {
     /// Nothing listens at its address any more.
     Ended,
-    /// It accepts connections. Only the one connection has ended.
+    /// It accepts connections and keeps them. Only the one connection has ended.
     Alive,
     /// Neither is certain.
     Unknown,
@@ -59,7 +65,7 @@
     /// Finds out whether an upstream has ended, after a connection to it broke during a request.
     ///
     /// A process that ends takes its listening socket along, so that its machine refuses new
-    /// connections at once. After a reset of one connection it still accepts others.
+    /// connections. After a reset of one connection it still accepts others, and keeps them.
     pub async fn check_end(&self, target: &UpstreamTarget) -> EndFinding {
         let check = self.end_checks.lock().current(self.clock.now(), &target.start);
         *check.get_or_init(|| self.reconnect(target)).await
@@ -67,18 +73,42 @@
 
     async fn reconnect(&self, target: &UpstreamTarget) -> EndFinding {
         let began = self.clock.now();
+        let limit = began + CHECK_TIMEOUT;
         let links = self.links(&target.start.id, target.address);
-        let opened = links.open_for_check(began + CHECK_TIMEOUT).await;
-        let finding = match &opened {
-            Ok(()) => EndFinding::Alive,
-            Err(fault) if fault.is_refusal() => EndFinding::Ended,
-            Err(_) => EndFinding::Unknown,
+        let mut tries = 0;
+        let (finding, fault) = loop {
+            tries += 1;
+            let (finding, fault) = self.try_once(&links, limit).await;
+            if finding != EndFinding::Unknown || self.clock.now() + CONFIRM_TIME >= limit {
+                break (finding, fault);
+            }
+            let _ = self.timer.after(RETRY_PAUSE).await;
         };
         let took = self.clock.now().since(began);
         info!(self.logger, "upstream-check"; "upstream" => %target.start.id,
             "incarnation" => target.start.incarnation.0, "finding" => finding.as_str(),
-            "fault" => opened.err().map(|fault| fault.to_string()),
+            "fault" => fault.map(|fault| fault.to_string()), "tries" => tries,
             "took_us" => u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
         finding
     }
+
+    /// Opens a connection and watches for a moment whether it lasts. A process that ends closes its
+    /// sockets one after the other, and its listening socket may be the last.
+    async fn try_once(
+        &self,
+        links: &Arc<UpstreamLinks>,
+        limit: Moment,
+    ) -> (EndFinding, Option<LinkFault>) {
+        let link = match links.open_for_check(limit).await {
+            Ok(link) => link,
+            Err(fault) if fault.is_refusal() => return (EndFinding::Ended, Some(fault)),
+            Err(fault) => return (EndFinding::Unknown, Some(fault)),
+        };
+        let _ = self.timer.after(CONFIRM_TIME).await;
+        if link.is_closed() {
+            return (EndFinding::Unknown, Some(LinkFault::ClosedUnsent));
+        }
+        link.give_back();
+        (EndFinding::Alive, None)
+    }
 }
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -120,6 +120,11 @@
     pub(crate) fn is_avoided(&self) -> bool {
         self.registration.is_avoided()
     }
+
+    /// Whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
 }
 
 impl UpstreamLink<Unused> {
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -314,14 +314,14 @@
         self.timer.run_until(deadline, link.probe(request)).await.flatten()
     }
 
-    /// Opens another connection to find out whether the upstream accepts any, and keeps it for
-    /// requests.
-    pub(super) async fn open_for_check(self: &Arc<Self>, deadline: Moment) -> Result<()> {
+    /// Opens another connection to find out whether the upstream accepts any.
+    pub(super) async fn open_for_check(
+        self: &Arc<Self>,
+        deadline: Moment,
+    ) -> Result<UpstreamLink<Unused>> {
         let registration = self.register_check().ok_or(LinkFault::ShareInUse)?;
         let route = self.path().route;
-        let link = self.connect(registration, route, deadline).await?;
-        link.give_back();
-        Ok(())
+        self.connect(registration, route, deadline).await
     }
 
     fn register_check(self: &Arc<Self>) -> Option<LinkRegistration> {
--- a/crates/pulleyd/tests/path_support/fake_upstream.rs
+++ b/crates/pulleyd/tests/path_support/fake_upstream.rs
@@ -79,6 +79,15 @@
     /// Ends when it gets a request that contains a mark: it closes all connections and its listener.
     /// It writes `bytes` of an answer first. Other requests take a moment.
     pub(crate) async fn ending_on(mark: &'static str, bytes: &'static str) -> Self {
+        Self::ending_after(mark, bytes, Duration::ZERO).await
+    }
+
+    /// The same, but its listener closes later than its connections.
+    pub(crate) async fn ending_after(
+        mark: &'static str,
+        bytes: &'static str,
+        listener_delay: Duration,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let log = Arc::new(UpstreamLog::default());
@@ -88,7 +97,9 @@
             loop {
                 let (mut stream, _) = tokio::select! {
                     biased;
-                    _ = stopped.wait_for(|running| !running) => return,
+                    () = wait_for_end(&mut stopped) => {
+                        return tokio::time::sleep(listener_delay).await;
+                    }
                     accepted = listener.accept() => accepted.expect("it listens"),
                 };
                 let (log, running) = (Arc::clone(&seen), running.clone());
@@ -97,7 +108,7 @@
                     let mut stopped = running.subscribe();
                     tokio::select! {
                         biased;
-                        _ = stopped.wait_for(|running| !running) => {
+                        () = wait_for_end(&mut stopped) => {
                             let _ = stream.set_zero_linger();
                         }
                         _ = answer_until_marked(&mut stream, &log, (mark, bytes)) => {
@@ -154,6 +165,10 @@
     upstream
 }
 
+async fn wait_for_end(running: &mut watch::Receiver<bool>) {
+    let _ = running.wait_for(|running| !running).await;
+}
+
 /// Answers requests until one contains the mark, of which the head or a part of the body is enough.
 /// Pends once the connection has ended without it.
 async fn answer_until_marked(
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -149,6 +149,21 @@
     assert_eq!((pool.ends(), pool.counts()), (3, (1, 1)));
 }
 
+// The sockets of a process that ends close one after the other, and a check may come in between.
+#[tokio::test]
+async fn an_upstream_whose_listener_closes_last_has_ended_all_the_same() {
+    let mut upstreams = Vec::new();
+    for _ in 0..6 {
+        upstreams.push(FakeUpstream::ending_after(MARK, "", Duration::from_millis(4)).await);
+    }
+    let entry = TestEntry::start(&upstreams.iter().collect::<Vec<_>>()).await;
+    for _ in 0..4 {
+        entry.post_with("/balance/deadly", "", &[HOST]).await;
+    }
+    let pool = EndingPool { upstreams, entries: vec![entry] };
+    assert_eq!((pool.ends(), pool.counts()), (3, (1, 1)));
+}
+
 // Three other requests ran in the upstream that ended, and are suspected with the one that ended it.
 #[tokio::test]
 async fn requests_beside_one_that_ends_their_upstream_are_served() {
