--- a/crates/pulley_soak/src/fault_proxy.rs
+++ b/crates/pulley_soak/src/fault_proxy.rs
@@ -10,10 +10,13 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Connections that may wait until they are accepted.
+const LISTEN_QUEUE: u32 = 1_024;
+
 /// The fault that a proxy injects into its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -24,6 +27,8 @@
     Delay(Duration),
     /// Resets open and new connections.
     Reset,
+    /// Resets open connections and refuses new ones, as the machine of an ended process does.
+    Refuse,
     /// Drops what entries send. Affected connections stay open and drop it permanently.
     DropRequests,
     /// Drops what upstreams send. Affected connections stay open and drop it permanently.
@@ -76,7 +81,7 @@
 
     /// Waits until the connection is to be reset.
     async fn wait_for_reset(mut self) {
-        while self.mode() != ProxyMode::Reset {
+        while !matches!(self.mode(), ProxyMode::Reset | ProxyMode::Refuse) {
             let changed = tokio::select! {
                 changed = self.modes.changed() => changed,
                 changed = self.cuts.changed() => changed,
@@ -133,12 +138,26 @@
 }
 
 async fn accept_all(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
     modes: watch::Receiver<ProxyMode>,
     cuts: watch::Receiver<FastMap<IpAddr, ProxyMode>>,
 ) {
-    while let Ok((stream, peer)) = listener.accept().await {
+    let mut refusals = modes.clone();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            _ = refusals.wait_for(|mode| *mode == ProxyMode::Refuse) => None,
+            accepted = listener.accept() => accepted.ok(),
+        };
+        let Some((stream, peer)) = accepted else {
+            let Ok(address) = listener.local_addr() else { return };
+            drop(listener);
+            let _ = refusals.wait_for(|mode| *mode != ProxyMode::Refuse).await;
+            let Ok(again) = listen_again(address) else { return };
+            listener = again;
+            continue;
+        };
         let (modes, cuts) = (modes.clone(), cuts.clone());
         let faults = ConnectionFaults { host: peer.ip(), modes, cuts };
         if faults.mode() == ProxyMode::Reset {
@@ -150,6 +169,14 @@
     }
 }
 
+/// Listens on a port that the proxy has used before.
+fn listen_again(address: SocketAddr) -> Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket.listen(LISTEN_QUEUE)?)
+}
+
 async fn proxy_connection(entry: TcpStream, target: SocketAddr, faults: ConnectionFaults) {
     let Ok(upstream) = TcpStream::connect(target).await else {
         reset(&entry);
--- a/crates/pulley_soak/src/fault_schedule.rs
+++ b/crates/pulley_soak/src/fault_schedule.rs
@@ -25,6 +25,9 @@
 /// Distinguishes the random numbers for faults of two replicas at a time from those for other faults.
 const PAIR_SEED: u64 = 0x0070_6169_7273;
 
+/// Distinguishes the random numbers for requests that end upstreams from those for other faults.
+const END_SEED: u64 = 0x656e_6473;
+
 /// Replicas from which on a majority remains when two fail. Runs of all faults with fewer have none
 /// of two at a time, so that their seeds give the same faults as before.
 const MIN_PAIR_REPLICAS: usize = 5;
@@ -96,6 +99,11 @@
         /// How long it is down.
         down: Duration,
     },
+    /// Ends an upstream so that connections to it are refused, and starts another in its place later.
+    End {
+        /// Index of the upstream.
+        upstream: usize,
+    },
     /// Makes an upstream name a request limit for a while.
     Limit {
         /// Index of the upstream.
@@ -129,6 +137,13 @@
         /// How long it is cut off.
         span: Duration,
     },
+    /// Sends requests whose content ends each upstream that runs it.
+    EndingCalls {
+        /// Number of callers, each of whom repeats its request through other hosts.
+        callers: u32,
+        /// Pause between two callers.
+        pause: Duration,
+    },
     /// Applies changes of the sheet in quick succession.
     ChangeBurst {
         /// Number of changes.
@@ -155,6 +170,8 @@
     Cuts,
     /// Replicas that fail two at a time, and nothing else.
     Pairs,
+    /// Requests that end their upstreams, while single hosts fail and upstreams crash.
+    Ends,
 }
 
 /// The faults of one run, ordered by time.
@@ -168,7 +185,9 @@
     pub fn draw(seed: u64, span: Duration, sizes: (usize, usize, usize), mix: FaultMix) -> Self {
         let end = span.saturating_sub(FAULT_FREE_END);
         let mut faults = Vec::new();
-        if mix != FaultMix::Pairs {
+        if mix == FaultMix::Ends {
+            faults.extend(draw_ends(seed, end, sizes));
+        } else if mix != FaultMix::Pairs {
             faults.extend(draw_cuts(seed, end, sizes.0));
         }
         let keeps_majority = sizes.1 >= MIN_PAIR_REPLICAS;
@@ -255,6 +274,35 @@
     }
 }
 
+/// Draws requests that end their upstreams, and at times a fault of one host or a crash meanwhile.
+fn draw_ends(
+    seed: u64,
+    end: Duration,
+    (hosts, _, upstreams): (usize, usize, usize),
+) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ END_SEED);
+    let mut faults = Vec::new();
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        let callers = random.random_range(1..8);
+        let pause = Duration::from_millis(random.random_range(0..300));
+        faults.push(ScheduledFault { at, fault: SoakFault::EndingCalls { callers, pause } });
+        let host = random.random_range(0..hosts);
+        let span = Duration::from_millis(random.random_range(200..1_500));
+        let meanwhile = match random.random_range(0..6) {
+            0 => Some(SoakFault::Kill { host, down: span }),
+            1 => Some(SoakFault::Pause { host, span }),
+            2 => Some(SoakFault::Stop { host }),
+            3 => Some(SoakFault::End { upstream: random.random_range(0..upstreams) }),
+            _ => None,
+        };
+        let soon = at + Duration::from_millis(random.random_range(0..400));
+        faults.extend(meanwhile.map(|fault| ScheduledFault { at: soon, fault }));
+        at += Duration::from_millis(random.random_range(2_000..5_000));
+    }
+    faults
+}
+
 /// Draws cuts of hosts. They are drawn apart too.
 fn draw_cuts(seed: u64, end: Duration, hosts: usize) -> Vec<ScheduledFault> {
     let mut random = SmallRng::seed_from_u64(seed ^ CUT_SEED);
--- a/crates/pulley_soak/src/lib.rs
+++ b/crates/pulley_soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! callers and upstreams observe of each request and reports violations.
 
 mod daemon_process;
+mod end_check;
 mod fault_proxy;
 mod fault_schedule;
 mod limit_check;
--- a/crates/pulley_soak/src/main.rs
+++ b/crates/pulley_soak/src/main.rs
@@ -42,6 +42,7 @@
     options.optopt("", "keep", "where the logs of runs that found something go", "FOLDER");
     options.optflag("", "cuts", "only cuts hosts off from all upstreams, without other faults");
     options.optflag("", "pairs", "only replicas fail, two at a time");
+    options.optflag("", "ends", "requests end their upstreams while single hosts fail");
     options.optflag("h", "help", "prints this");
     options
 }
@@ -64,12 +65,12 @@
     if !program.exists() {
         bail!("{} is missing: build the package pulleyd in the same profile", program.display());
     }
-    let mix = match (matches.opt_present("cuts"), matches.opt_present("pairs")) {
-        (false, false) => FaultMix::All,
-        (true, false) => FaultMix::Cuts,
-        (false, true) => FaultMix::Pairs,
-        (true, true) => bail!("--cuts and --pairs: only one of them may be given"),
-    };
+    let mixes = [("cuts", FaultMix::Cuts), ("pairs", FaultMix::Pairs), ("ends", FaultMix::Ends)];
+    let mut given = mixes.into_iter().filter(|(name, _)| matches.opt_present(name));
+    let mix = given.next().map_or(FaultMix::All, |(_, mix)| mix);
+    if given.next().is_some() {
+        bail!("--cuts, --pairs and --ends: only one of them may be given");
+    }
     let settings = SoakSettings {
         seed: 0,
         span: Duration::from_secs(number("seconds", 20)? as u64),
--- a/crates/pulley_soak/src/request_history.rs
+++ b/crates/pulley_soak/src/request_history.rs
@@ -7,6 +7,7 @@
 use pulley_core::process::FastMap;
 use smol_str::SmolStr;
 
+use crate::end_check::EndLog;
 use crate::limit_check::{LimitSpan, UpstreamRun};
 use crate::quota_check::{
     HostOutages, QuotaAnswer, QuotaRequest, check_starvation, check_unconfirmed, check_windows,
@@ -157,6 +158,8 @@
     path_faults: Vec<(usize, Instant, Instant)>,
     /// Spans of time in which an entry itself was killed, stopped or paused.
     entry_faults: Vec<(usize, Instant, Instant)>,
+    /// Upstreams that ended under requests.
+    ends: EndLog,
     /// Spans of time in which an entry was cut off from all upstreams.
     cuts: Vec<CutSpan>,
     /// Spans of time in which hosts did not run.
@@ -271,6 +274,11 @@
         self.state.lock().entry_faults.push((entry, from, until));
     }
 
+    /// Records that an upstream ends under a request with a content.
+    pub(crate) fn record_end(&self, content: &str) {
+        self.state.lock().ends.record(content, Instant::now());
+    }
+
     /// Sets the number of replicas, which are the first hosts.
     pub fn set_replicas(&self, replicas: usize) {
         self.state.lock().outages.replicas = replicas;
@@ -329,6 +337,7 @@
         findings.extend(state.check_stops());
         findings.extend(state.check_cuts());
         findings.extend(state.check_quotas());
+        findings.extend(state.ends.check(&state.entry_faults));
         findings
     }
 }
--- a/crates/pulley_soak/src/soak_caller.rs
+++ b/crates/pulley_soak/src/soak_caller.rs
@@ -16,11 +16,16 @@
 use tokio::net::TcpStream;
 
 use crate::request_history::{CallerOutcome, RequestHistory};
-use crate::soak_organisations::{CallerPhases, key_of};
+use crate::soak_organisations::{CallerPhases, STEADY, key_of};
+use crate::soak_upstream::ENDING_QUERY;
 
 /// Timeout for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(4);
 
+/// The attempts of a caller whose request ends upstreams, and the pause between them.
+const ENDING_ATTEMPTS: usize = 3;
+const REPEAT_PAUSE: Duration = Duration::from_millis(30);
+
 /// The cause of refusals for which the account of the organisation was not reached.
 const UNCONFIRMED: &str = "quota-unconfirmed";
 
@@ -135,6 +140,28 @@
     }
 }
 
+/// Sends a request that ends its upstreams, and repeats it through other entries as callers do.
+pub(crate) async fn send_ending_request(
+    entries: &[SocketAddr],
+    history: &RequestHistory,
+    content: &str,
+    first_entry: usize,
+) {
+    for attempt in 0..ENDING_ATTEMPTS {
+        let entry = (first_entry + attempt) % entries.len();
+        let id = next_request_id();
+        let opening = CallerLink::open(entries[entry]);
+        let opened = tokio::time::timeout(Duration::from_secs(1), opening).await;
+        if let Ok(Ok(mut link)) = opened {
+            history.record_sent_by(&id, entry, true, STEADY);
+            let path = format!("/read?{ENDING_QUERY}{content}");
+            let answer = link.send("GET", &path, &id, &key_of(STEADY)).await;
+            history.record_outcome(&id, outcome_of(answer));
+        }
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+}
+
 fn outcome_of(answer: Result<CallerAnswer>) -> CallerOutcome {
     match answer {
         Err(_) | Ok(CallerAnswer { body: None, .. }) => CallerOutcome::Cut,
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -12,9 +12,10 @@
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
 use tempfile::TempDir;
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::soak_caller::run_caller;
+use crate::soak_caller::{run_caller, send_ending_request};
 use crate::soak_operator::{KEY, VersionState, apply_changes, monitor_entry};
 use crate::soak_organisations::CallerPhases;
 use crate::soak_upstream::SoakUpstream;
@@ -36,6 +37,9 @@
 /// How long an upstream continues to serve after it has announced that it drains.
 const DRAIN_SPAN: Duration = Duration::from_secs(5);
 
+/// How long an upstream that has ended is down.
+const END_SPAN: Duration = Duration::from_millis(800);
+
 /// Minimum fraction of requests that must succeed. A run in which almost nothing succeeds would
 /// check almost nothing.
 const MIN_SUCCESS_RATIO: f64 = 0.2;
@@ -90,8 +94,12 @@
     daemons: Vec<SharedDaemon>,
     upstreams: Vec<Arc<tokio::sync::Mutex<SoakUpstream>>>,
     cuts: HostCuts,
+    /// Number of contents sent so far that end upstreams.
+    ending_contents: u32,
     tasks: JoinSet<()>,
     faults: JoinSet<()>,
+    /// Restarts upstreams until the run ends.
+    restarts: JoinSet<()>,
 }
 
 impl SoakRun {
@@ -130,12 +138,14 @@
         history.set_replicas(settings.replicas);
         let (versions, stopped) = (Arc::new(VersionState::default()), Arc::default());
         let (mut upstreams, cuts) = (Vec::new(), HostCuts::default());
+        let (ended, endings) = mpsc::unbounded_channel();
         for index in 0..settings.upstreams {
-            let (announce, history) = (Arc::clone(&announce), Arc::clone(&history));
-            let upstream = SoakUpstream::start(index, announce, history, &cuts).await?;
+            let announce = Arc::clone(&announce);
+            let told = (Arc::clone(&history), ended.clone());
+            let upstream = SoakUpstream::start(index, announce, told, &cuts).await?;
             upstreams.push(Arc::new(tokio::sync::Mutex::new(upstream)));
         }
-        let (tasks, faults) = (JoinSet::new(), JoinSet::new());
+        let (tasks, faults, restarts) = (JoinSet::new(), JoinSet::new(), JoinSet::new());
         let mut run = Self {
             settings,
             folder,
@@ -145,10 +155,13 @@
             daemons,
             upstreams,
             cuts,
+            ending_contents: 0,
             tasks,
             faults,
+            restarts,
         };
         let began = Instant::now();
+        run.spawn_restarts(endings);
         run.spawn_tasks(&callers, &operators);
         run.await_service().await?;
         for host in 0..run.daemons.len() {
@@ -157,6 +170,17 @@
         Ok(run)
     }
 
+    /// Ends the upstreams that requests end, and starts others in their place.
+    fn spawn_restarts(&mut self, mut endings: mpsc::UnboundedReceiver<usize>) {
+        let (upstreams, history) = (self.upstreams.clone(), Arc::clone(&self.history));
+        self.restarts.spawn(async move {
+            while let Some(index) = endings.recv().await {
+                let (upstream, history) = (Arc::clone(&upstreams[index]), Arc::clone(&history));
+                tokio::spawn(async move { end_upstream(&upstream, &history).await });
+            }
+        });
+    }
+
     fn spawn_tasks(&mut self, callers: &Arc<[SocketAddr]>, operators: &Arc<[SocketAddr]>) {
         let stopped = || Arc::clone(&self.stopped);
         let history = || Arc::clone(&self.history);
@@ -243,6 +267,12 @@
             SoakFault::Rest { upstream, rest, span } => self.rest(upstream, rest, span),
             SoakFault::Leave { upstream } => self.leave(upstream),
             SoakFault::CutOff { host, mode, span } => self.cut_off(host, mode, span),
+            SoakFault::End { upstream } => {
+                let (upstream, history) =
+                    (Arc::clone(&self.upstreams[upstream]), Arc::clone(&self.history));
+                self.faults.spawn(async move { end_upstream(&upstream, &history).await });
+            }
+            SoakFault::EndingCalls { callers, pause } => self.send_ending_calls(callers, pause),
             SoakFault::ChangeBurst { changes } => {
                 self.versions.extra_changes.fetch_add(changes, Ordering::Relaxed);
             }
@@ -382,6 +412,22 @@
         });
     }
 
+    /// Sends one content that ends upstreams from several callers.
+    fn send_ending_calls(&mut self, callers: u32, pause: Duration) {
+        let entries: Arc<[SocketAddr]> =
+            self.daemons.iter().map(|daemon| daemon.lock().addresses[0]).collect();
+        self.ending_contents += 1;
+        let content = format!("c{}", self.ending_contents);
+        for caller in 0..callers {
+            let (entries, history) = (Arc::clone(&entries), Arc::clone(&self.history));
+            let content = content.clone();
+            self.faults.spawn(async move {
+                tokio::time::sleep(pause * caller).await;
+                send_ending_request(&entries, &history, &content, caller as usize).await;
+            });
+        }
+    }
+
     fn limit(&mut self, upstream: usize, tenths: u32, span: Duration) {
         let upstream = Arc::clone(&self.upstreams[upstream]);
         self.faults.spawn(async move {
@@ -423,6 +469,15 @@
     }
 }
 
+/// Ends an upstream as the end of its process would, and starts another in its place later.
+async fn end_upstream(upstream: &tokio::sync::Mutex<SoakUpstream>, history: &RequestHistory) {
+    let until = Instant::now() + END_SPAN + Duration::from_secs(1);
+    history.record_upstream_fault(Instant::now(), until);
+    upstream.lock().await.end();
+    tokio::time::sleep(END_SPAN).await;
+    upstream.lock().await.launch_again().await;
+}
+
 fn record_failed_start(
     history: &RequestHistory,
     restarted: std::result::Result<Result<()>, tokio::task::JoinError>,
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -19,11 +19,12 @@
 use rand::Rng;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::request_history::{RequestHistory, answer_body};
-use crate::{FaultProxy, HostCuts};
+use crate::{FaultProxy, HostCuts, ProxyMode};
 
 /// How often an upstream announces itself.
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
@@ -38,6 +39,9 @@
 const SHORT_ANSWER: usize = 200;
 const LONG_ANSWER: usize = 200_000;
 
+/// A request whose query begins with this ends its upstream.
+pub(crate) const ENDING_QUERY: &str = "ends=";
+
 /// An upstream behind its own proxy. Each start runs it under a new id.
 #[derive(Debug)]
 pub(crate) struct SoakUpstream {
@@ -46,6 +50,8 @@
     starts: u64,
     announce_to: Arc<[SocketAddr]>,
     history: Arc<RequestHistory>,
+    /// Told the index of an upstream that a request ends.
+    ended: UnboundedSender<usize>,
     running: Option<RunningUpstream>,
 }
 
@@ -75,12 +81,13 @@
     pub(crate) async fn start(
         index: usize,
         announce_to: Arc<[SocketAddr]>,
-        history: Arc<RequestHistory>,
+        (history, ended): (Arc<RequestHistory>, UnboundedSender<usize>),
         cuts: &HostCuts,
     ) -> Result<Self> {
         let unset_target = SocketAddr::from(([127, 0, 0, 1], 9));
         let proxy = FaultProxy::start(unset_target, cuts).await?;
-        let mut upstream = Self { proxy, index, starts: 0, announce_to, history, running: None };
+        let mut upstream =
+            Self { proxy, index, starts: 0, announce_to, history, ended, running: None };
         upstream.launch().await?;
         Ok(upstream)
     }
@@ -96,7 +103,9 @@
         let phase = Arc::new(Mutex::new("ready"));
         let manner = Arc::new(Mutex::new(AnswerManner::default()));
         let shown = Arc::clone(&manner);
-        let serving = serve(listener, id.clone(), Arc::clone(&self.history), shown, stopped);
+        let ended = (self.index, self.ended.clone());
+        let served = (id.clone(), Arc::clone(&self.history), ended);
+        let serving = serve(listener, served, shown, stopped);
         let announcing = Announcer {
             id: id.clone(),
             address: self.proxy.address,
@@ -115,6 +124,19 @@
         Ok(())
     }
 
+    /// Ends the upstream as the end of its process would: its connections break, and new ones are
+    /// refused until [`Self::launch_again`].
+    pub(crate) fn end(&mut self) {
+        self.proxy.set(ProxyMode::Refuse);
+        self.crash();
+    }
+
+    /// Starts an upstream in place of one that has ended.
+    pub(crate) async fn launch_again(&mut self) {
+        let _ = self.launch().await;
+        self.proxy.set(ProxyMode::Pass);
+    }
+
     /// Stops the upstream without an announcement, and closes its connections.
     pub(crate) fn crash(&mut self) {
         let Some(running) = self.running.take() else { return };
@@ -166,8 +188,7 @@
 
 async fn serve(
     listener: TcpListener,
-    id: String,
-    history: Arc<RequestHistory>,
+    (id, history, ended): (String, Arc<RequestHistory>, (usize, UnboundedSender<usize>)),
     manner: Arc<Mutex<AnswerManner>>,
     stopped: watch::Receiver<bool>,
 ) {
@@ -175,10 +196,16 @@
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let (id, history, mut stopped) = (id.clone(), Arc::clone(&history), stopped.clone());
-        let manner = Arc::clone(&manner);
+        let (manner, ended) = (Arc::clone(&manner), ended.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let (id, history, manner) = (id.clone(), Arc::clone(&history), Arc::clone(&manner));
+            let ended = ended.clone();
             async move {
+                if let Some(content) = ending_content(&request) {
+                    history.record_end(content);
+                    let _ = ended.1.send(ended.0);
+                    return std::future::pending().await;
+                }
                 let rest = manner.lock().rest.filter(|_| request.uri().path() != "/health");
                 let answer = match rest {
                     Some(rest) => turn_away(&request, &id, rest, &history),
@@ -197,6 +224,11 @@
     }
 }
 
+/// Returns the content of a request that ends its upstream.
+fn ending_content(request: &Request<Incoming>) -> Option<&str> {
+    request.uri().query()?.strip_prefix(ENDING_QUERY)
+}
+
 async fn answer(
     request: Request<Incoming>,
     upstream: String,
--- a/crates/pulley_soak/tests/seeded_runs.rs
+++ b/crates/pulley_soak/tests/seeded_runs.rs
@@ -126,3 +126,22 @@
     let served = run_pairs().await.served;
     assert!(served.is_empty(), "{}", served.join("\n"));
 }
+
+/// Seeds of the runs in which requests end their upstreams.
+const END_SEEDS: [u64; 2] = [1, 2];
+
+// A request that ends its upstream passes with its callers from host to host, while hosts fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn contents_that_end_upstreams_end_few() {
+    let runs = END_SEEDS.map(|seed| {
+        let settings = SoakSettings { mix: FaultMix::Ends, upstreams: 8, ..settings(seed) };
+        (seed, tokio::spawn(SoakRun::execute(settings)))
+    });
+    let mut findings = Findings::default();
+    for (seed, run) in runs {
+        let report = run.await.expect("no panic").expect("the installation starts");
+        assert!(report.faults > 0, "seed {seed}: no upstream was ended");
+        findings.add(seed, report);
+    }
+    assert!(findings.others.is_empty(), "{}", findings.others.join("\n"));
+}
