--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -8,10 +8,9 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    ContentKey, CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitOutput,
-    LimitRecord, MemberRecord, MemberSend, MemberSettings, MemberTable, OrganisationName,
-    QuarantineExchange, QuarantineOutput, QuotaExchange, QuotaOutput, QuotaTerms, SuspectRecord,
-    UpstreamDirectory, UpstreamRegistry, UpstreamStart,
+    ContentKey, CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitRecord,
+    MemberRecord, MemberSend, MemberSettings, MemberTable, OrganisationName, QuarantineExchange,
+    QuotaExchange, QuotaTerms, SuspectRecord, UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
 use pulley_core::request::QuotaScope;
 use pulley_core::version::{
@@ -120,17 +119,17 @@
     pub(super) limits: LimitExchange,
     pub(super) quotas: QuotaExchange,
     pub(super) quarantine: QuarantineExchange,
-    quarantine_gate: Arc<QuarantineGate>,
+    pub(super) quarantine_gate: Arc<QuarantineGate>,
     /// Records of suspected contents that have changed and are not logged yet.
-    changed_contents: Vec<ChangedContent>,
-    quota_gate: Arc<QuotaGate>,
+    pub(super) changed_contents: Vec<ChangedContent>,
+    pub(super) quota_gate: Arc<QuotaGate>,
     /// Accounts that this host keeps since recently and that are not logged yet.
-    kept_accounts: Vec<KeptAccount>,
+    pub(super) kept_accounts: Vec<KeptAccount>,
     /// The connections to upstreams, which show which of them answer.
     connections: Arc<UpstreamConnections>,
     key_lease: Option<Duration>,
     /// Limits of upstreams that are new to this host and not logged yet.
-    new_limits: Vec<LimitRecord>,
+    pub(super) new_limits: Vec<LimitRecord>,
     pub(super) pending_answers: FastMap<QuestionNumber, PendingAnswer>,
     pub(super) founders: Vec<HostId>,
     pub(super) outputs: Vec<ControlOutput>,
@@ -400,7 +399,7 @@
         }
     }
 
-    fn datagram(&mut self, to: SocketAddr, class: FrameClass, body: Bytes) {
+    pub(super) fn datagram(&mut self, to: SocketAddr, class: FrameClass, body: Bytes) {
         self.outputs.push(ControlOutput::Datagram { to, class, body });
     }
 
@@ -429,72 +428,6 @@
         }
     }
 
-    /// Carries out what the exchange of limits asks for.
-    pub(super) fn flush_limits(&mut self, now: Moment) {
-        for output in self.limits.take_outputs() {
-            match output {
-                LimitOutput::ToHost { to, body } => {
-                    let Some(record) = self.members.find(&to) else { continue };
-                    let address = record.peer_address;
-                    self.datagram(address, FrameClass::Limits, body);
-                }
-                LimitOutput::ToAddress { to, body } => {
-                    self.datagram(to, FrameClass::Limits, body);
-                }
-                LimitOutput::Permits(answer) => self.schedulers.receive_permits(now, &answer),
-                LimitOutput::Limit { record, is_new } => {
-                    self.schedulers.apply_limit(now, &record);
-                    if is_new {
-                        self.new_limits.push(record);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Carries out what the exchange of quotas asks for.
-    pub(super) fn flush_quotas(&mut self, now: Moment) {
-        for output in self.quotas.take_outputs() {
-            match output {
-                QuotaOutput::ToHost { to, body } => {
-                    let Some(record) = self.members.find(&to) else { continue };
-                    let address = record.peer_address;
-                    self.datagram(address, FrameClass::Quotas, body);
-                }
-                QuotaOutput::Verdict(verdict) => self.quota_gate.receive(now, &verdict),
-                QuotaOutput::Isolated(organisation) => self.quota_gate.isolate(now, &organisation),
-                QuotaOutput::KeeperChanged { organisation, former, keeper } => {
-                    self.kept_accounts.push(KeptAccount { organisation, former, keeper });
-                }
-            }
-        }
-        self.quota_gate.record_counts(self.quotas.counts());
-    }
-
-    /// Carries out what the exchange of suspected contents asks for.
-    pub(super) fn flush_quarantine(&mut self, now: Moment) {
-        let time = self.registry.shared_time(now);
-        for output in self.quarantine.take_outputs() {
-            match output {
-                QuarantineOutput::ToHost { to, body } => {
-                    let Some(record) = self.members.find(&to) else { continue };
-                    let address = record.peer_address;
-                    self.datagram(address, FrameClass::Quarantine, body);
-                }
-                QuarantineOutput::ToAddress { to, body } => {
-                    self.datagram(to, FrameClass::Quarantine, body);
-                }
-                QuarantineOutput::Verdict { number, verdict } => {
-                    self.quarantine_gate.receive(number, verdict);
-                }
-                QuarantineOutput::Changed(key, record) => {
-                    self.quarantine_gate.apply(time, &key, record.as_ref());
-                    self.changed_contents.push(ChangedContent { key, record });
-                }
-            }
-        }
-    }
-
     /// Passes the voters of the log on to the exchange of quotas.
     fn update_voters(&mut self, now: Moment) {
         if let Some(replica) = &self.replica {
--- a/crates/pulleyd/src/process/mod.rs
+++ b/crates/pulleyd/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod control_api;
 mod control_core;
 mod control_counts;
+mod control_flush;
 mod control_handle;
 mod control_inbox;
 mod control_log;
