--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -100,6 +100,8 @@
     /// Idle connections, the most recently used last, so that surplus ones stay idle and are
     /// closed.
     idle: Vec<ConnectionNumber>,
+    /// The spare connection that is being opened.
+    opening_spare: Option<ConnectionNumber>,
 }
 
 impl ConnectionTable {
@@ -107,7 +109,7 @@
     #[must_use]
     pub fn new(rules: ConnectionRules) -> Self {
         let (links, idle) = (FastMap::default(), Vec::new());
-        Self { rules, share: 1, next_number: 0, links, idle }
+        Self { rules, share: 1, next_number: 0, links, idle, opening_spare: None }
     }
 
     /// Sets this entry's share: the upstream's connection limit divided by the entries
@@ -141,11 +143,16 @@
         CheckoutChoice::Replace { close, open: self.open(now) }
     }
 
-    /// Counts a spare connection for the caller to open in advance, if none is idle and there are
-    /// fewer than `useful` connections.
+    /// Counts a spare connection for the caller to open in advance, if none is idle or being opened as
+    /// a spare already, and there are fewer than `useful` connections.
     pub fn open_spare(&mut self, now: Moment, useful: usize) -> Option<ConnectionNumber> {
-        let wanted = self.idle.is_empty() && self.links.len() < self.share.min(useful);
-        wanted.then(|| self.open(now))
+        let has_spare = !self.idle.is_empty() || self.opening_spare.is_some();
+        if has_spare || self.links.len() >= self.share.min(useful) {
+            return None;
+        }
+        let number = self.open(now);
+        self.opening_spare = Some(number);
+        Some(number)
     }
 
     /// Counts a connection for the caller to open, with which it checks whether the upstream can be
@@ -175,6 +182,7 @@
 
     /// Returns a connection to the table after its answer was read completely.
     pub fn check_in(&mut self, now: Moment, number: ConnectionNumber) -> ReturnChoice {
+        self.opening_spare.take_if(|spare| *spare == number);
         let over_share = self.links.len() > self.share;
         let Some(link) = self.links.get_mut(&number) else { return ReturnChoice::Close };
         if over_share || now.since(link.opened) >= self.rules.age_limit {
@@ -188,6 +196,7 @@
 
     /// Removes a closed connection.
     pub fn remove(&mut self, number: ConnectionNumber) {
+        self.opening_spare.take_if(|spare| *spare == number);
         if self.links.remove(&number).is_some_and(|link| link.idle_since.is_some()) {
             self.idle.retain(|idle| *idle != number);
         }
--- a/crates/pulley_core/tests/connection_table.rs
+++ b/crates/pulley_core/tests/connection_table.rs
@@ -122,3 +122,22 @@
     let g = Gen::from_size_and_seed(200, 5);
     QuickCheck::new().rng(g).tests(300).quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
 }
+
+// Requests that follow each other while a spare is still being opened each opened another one.
+#[test]
+fn no_spare_is_opened_while_another_is_being_opened() {
+    let mut table = table(300, 1);
+    let first = open(&mut table, at(0));
+    table.check_in(at(1), first);
+    assert_eq!(table.checkout(at(2), RepeatSafety::Once), CheckoutChoice::Reuse(first));
+    let spare = table.open_spare(at(2), 8).expect("none is idle");
+    table.check_in(at(3), first);
+    assert_eq!(table.checkout(at(4), RepeatSafety::Once), CheckoutChoice::Reuse(first));
+    assert_eq!(table.open_spare(at(4), 8), None);
+    // Once it is open and in use, or could not be opened, the next one may be.
+    table.check_in(at(5), spare);
+    assert_eq!(table.checkout(at(6), RepeatSafety::Once), CheckoutChoice::Reuse(spare));
+    let other = table.open_spare(at(6), 8).expect("none is idle");
+    table.remove(other);
+    assert!(table.open_spare(at(7), 8).is_some());
+}
