--- a/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
@@ -134,12 +134,6 @@
         self.table.records().filter(|record| record.standing().is_some())
     }
 
-    /// Returns the host to which this one has granted a trial of a content that is running.
-    #[must_use]
-    pub fn runner(&self, now: Moment, key: &ContentKey) -> Option<&HostId> {
-        self.keeper.runner(now, key)
-    }
-
     /// Returns when [`Self::tick`] next has something to do; `None` if nothing is due before an
     /// input.
     #[must_use]
@@ -288,9 +282,8 @@
                 self.send(&to, &QuarantineMessage::Ask { record, number, lease_ms });
             }
             None => {
-                let own = self.host.clone();
-                let verdict = self.keeper.decide((now, time), &record, &own, number, ask.lease);
-                self.take_verdict(number, verdict, own);
+                let verdict = self.keeper.decide((now, time), &record, number, ask.lease);
+                self.take_verdict(number, verdict, self.host.clone());
             }
         }
     }
@@ -321,7 +314,7 @@
             let records = vec![record.clone()];
             self.send(from, &QuarantineMessage::Records { reach: UpdateReach::NONE, records });
         }
-        let verdict = self.keeper.decide(at, &record, from, number, lease);
+        let verdict = self.keeper.decide(at, &record, number, lease);
         self.send(from, &QuarantineMessage::Answer { number, verdict });
     }
 
--- a/crates/pulley_core/src/process/quarantine/trial_keeper.rs
+++ b/crates/pulley_core/src/process/quarantine/trial_keeper.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    ContentKey, ContentStanding, FastMap, HostId, Moment, SharedTime, SuspectRecord, TrialNumber,
+    ContentKey, ContentStanding, FastMap, Moment, SharedTime, SuspectRecord, TrialNumber,
     TrialVerdict,
 };
 
@@ -13,9 +13,8 @@
 /// Number of running trials beyond which those whose lease has ended are removed.
 const PRUNE_SIZE: usize = 256;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct RunningTrial {
-    host: HostId,
     number: TrialNumber,
     until: Moment,
 }
@@ -35,7 +34,6 @@
         &mut self,
         (now, time): (Moment, SharedTime),
         record: &SuspectRecord,
-        from: &HostId,
         number: TrialNumber,
         lease: Duration,
     ) -> TrialVerdict {
@@ -54,8 +52,7 @@
             self.running.retain(|_, trial| now < trial.until);
         }
         let until = now + lease.min(MAX_LEASE);
-        let trial = RunningTrial { host: from.clone(), number, until };
-        self.running.insert(record.key.clone(), trial);
+        self.running.insert(record.key.clone(), RunningTrial { number, until });
         TrialVerdict::Granted
     }
 
@@ -65,10 +62,4 @@
             self.running.remove(key);
         }
     }
-
-    /// Returns the host that runs a trial of a content.
-    pub(crate) fn runner(&self, now: Moment, key: &ContentKey) -> Option<&HostId> {
-        let running = self.running.get(key).filter(|trial| now < trial.until);
-        running.map(|trial| &trial.host)
-    }
 }
--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -13,10 +13,10 @@
 use super::request_content::RequestContent;
 use crate::connection::{EndFinding, UpstreamTarget};
 
-/// After which times it is looked whether an upstream has started again, where a check did not find
-/// that it had ended. A process that is started again at once accepts connections within
-/// milliseconds.
-const RESTART_LOOKS: [Duration; 4] = [
+/// Pauses before each look whether an upstream has started again, where the check of its connection
+/// did not show its end. A supervisor may start a process again within milliseconds, and no connection
+/// is refused then.
+const RESTART_CHECK_PAUSES: [Duration; 4] = [
     Duration::from_millis(500),
     Duration::from_millis(500),
     Duration::from_millis(1_000),
@@ -152,7 +152,7 @@
 
 /// Reports the end of an upstream that a later start of it has shown.
 async fn report_restart(context: Arc<TrafficContext>, key: ContentKey, start: UpstreamStart) {
-    for pause in RESTART_LOOKS {
+    for pause in RESTART_CHECK_PAUSES {
         let _ = context.timer.after(pause).await;
         let view = context.view.load();
         let Some(record) = view.upstreams.get(&key.pool).and_then(|list| list.find(&start.id))
--- a/crates/pulleyd/src/request/request_admission.rs
+++ b/crates/pulleyd/src/request/request_admission.rs
@@ -18,7 +18,8 @@
 const TURN_DIVISOR: u32 = 2;
 
 impl RequestRun {
-    /// Returns the content's digest if it has been needed and was known.
+    /// Returns the content's digest while any content of the pool is suspected, if the whole body has
+    /// been read.
     pub(super) fn content_digest(&self) -> Option<ContentDigest> {
         let is_needed = self.context.quarantine.has_suspects(&self.row().pool);
         is_needed.then(|| self.content.digest(&self.context.content_keys)).flatten()
@@ -30,8 +31,7 @@
     /// The content is quarantined, or others with it took all of the time.
     pub(super) async fn admit_content(&self) -> Result<()> {
         let pool = &self.row().pool;
-        let has_trial = self.progress.lock().trial.is_some();
-        if has_trial || !self.context.quarantine.has_suspects(pool) {
+        if self.has_trial() || !self.context.quarantine.has_suspects(pool) {
             return Ok(());
         }
         let reading = self.content.read_digest(&self.context.content_keys);
@@ -44,7 +44,7 @@
         let admitted = gate.admit(&self.context.timer, &key, turn_deadline, lease).await;
         if let Some(number) = admitted.map_err(AttemptFault::refused_with)? {
             let trial = ContentTrial::new(Arc::clone(&self.context), key, number);
-            self.progress.lock().trial = Some(trial);
+            self.keep_trial(Some(trial));
         }
         Ok(())
     }
@@ -74,13 +74,13 @@
     /// Begins the run of the content at an upstream, as a trial if the request holds one.
     pub(super) fn begin_content(&self, target: &UpstreamTarget) -> ContentRun {
         let (context, content) = (Arc::clone(&self.context), Arc::clone(&self.content));
-        let trial = self.progress.lock().trial.take();
-        ContentRun::new(context, content, self.row().pool.clone(), target.clone(), trial)
+        let pool = self.row().pool.clone();
+        ContentRun::new(context, content, pool, target.clone(), self.take_trial())
     }
 
     /// Keeps the trial of a run that was not sent for the next placement.
     pub(super) fn return_trial(&self, run: ContentRun) {
-        self.progress.lock().trial = run.into_trial();
+        self.keep_trial(run.into_trial());
     }
 
     /// Returns the content's key; `None` if no content of the pool is suspected.
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -77,7 +77,7 @@
 
 /// The progress of a request's attempts; two of them may be under way at once.
 #[derive(Debug, Default)]
-pub(super) struct RunProgress {
+struct RunProgress {
     tried: Vec<UpstreamId>,
     /// The attempt sent last.
     sent: Option<SentAttempt>,
@@ -92,7 +92,7 @@
     /// What is known of the attempt whose connection broke last.
     broken: Option<BrokenRun>,
     /// Its trial, if its content is suspected, until the request is sent.
-    pub(super) trial: Option<ContentTrial>,
+    trial: Option<ContentTrial>,
     claim: Option<LedgerClaim>,
 }
 
@@ -105,7 +105,7 @@
     pub(super) terms: CallTerms,
     pub(super) kind: PlannedKind,
     pub(super) content: Arc<RequestContent>,
-    pub(super) progress: Mutex<RunProgress>,
+    progress: Mutex<RunProgress>,
     /// The number of attempts, including the one under way.
     attempts: AtomicU8,
     /// The worst verdict of all attempts so far.
@@ -296,6 +296,21 @@
         self.progress.lock().rest = rest;
     }
 
+    /// Whether the request holds a trial that it has not used yet.
+    pub(super) fn has_trial(&self) -> bool {
+        self.progress.lock().trial.is_some()
+    }
+
+    /// Keeps a trial until the request is sent.
+    pub(super) fn keep_trial(&self, trial: Option<ContentTrial>) {
+        self.progress.lock().trial = trial;
+    }
+
+    /// Takes the trial for the run that is about to begin.
+    pub(super) fn take_trial(&self) -> Option<ContentTrial> {
+        self.progress.lock().trial.take()
+    }
+
     pub(super) fn record_broken(&self, broken: BrokenRun) {
         self.progress.lock().broken = Some(broken);
     }
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -164,6 +164,17 @@
     assert_eq!((pool.ends(), pool.counts()), (3, (1, 1)));
 }
 
+// A supervisor starts the process again within milliseconds, and no connection is refused.
+#[tokio::test]
+async fn an_upstream_that_is_started_again_at_once_has_ended() {
+    let upstream = FakeUpstream::breaking_after("").await;
+    let entry = TestEntry::start(&[&upstream]).await;
+    entry.post_with("/refund", "same", &[HOST]).await;
+    assert_eq!(entry.context.quarantine.counts(), (0, 0), "only the connection ended so far");
+    entry.restart_upstreams();
+    eventually("the end is counted", || entry.context.quarantine.counts() == (1, 0)).await;
+}
+
 // Three other requests ran in the upstream that ended, and are suspected with the one that ended it.
 #[tokio::test]
 async fn requests_beside_one_that_ends_their_upstream_are_served() {
