--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -374,15 +374,7 @@
         let pacer = self.context.link_pacer.clone();
         let (clock, length) = (self.context.clock, response.body().size_hint().exact());
         let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, clock, timer.clone(), length));
-        response.map(|body| UpstreamAnswer {
-            body,
-            attempt,
-            link,
-            outcome,
-            content,
-            timer: timer.clone(),
-            pacing,
-        })
+        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, content, timer, pacing })
     }
 
     /// Returns the outcome to record for the upstream. While this host doubts its own path, a lost
