--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -69,9 +69,39 @@
     }
 }
 
+/// Logs a run that ends without an answer and whose connection did not break: its time limit has
+/// passed, another attempt was answered first, or its caller has left.
+#[derive(Debug)]
+struct UnansweredLog {
+    context: Arc<TrafficContext>,
+    content: Arc<RequestContent>,
+    start: UpstreamStart,
+    is_trial: bool,
+    is_unanswered: bool,
+}
+
+impl UnansweredLog {
+    /// Logs nothing: what became of the run is known.
+    fn disarm(&mut self) {
+        self.is_unanswered = false;
+    }
+}
+
+impl Drop for UnansweredLog {
+    fn drop(&mut self) {
+        if self.is_unanswered {
+            let digest = self.content.digest(&self.context.content_keys);
+            info!(self.context.logger, "run-unanswered"; "upstream" => %self.start.id,
+                "incarnation" => self.start.incarnation.0, "trial" => self.is_trial,
+                "content" => digest.map(|digest| digest.to_string()));
+        }
+    }
+}
+
 /// The run of a request's content at an upstream, from its sending to the end of the answer.
 #[derive(Debug)]
 pub(super) struct ContentRun {
+    log: UnansweredLog,
     context: Arc<TrafficContext>,
     content: Arc<RequestContent>,
     pool: PoolName,
@@ -81,14 +111,21 @@
 
 impl ContentRun {
     /// Begins a run at an upstream of a pool.
-    pub(super) const fn new(
+    pub(super) fn new(
         context: Arc<TrafficContext>,
         content: Arc<RequestContent>,
         pool: PoolName,
         target: UpstreamTarget,
         trial: Option<ContentTrial>,
     ) -> Self {
-        Self { context, content, pool, target, trial }
+        let log = UnansweredLog {
+            context: Arc::clone(&context),
+            content: Arc::clone(&content),
+            start: target.start.clone(),
+            is_trial: trial.is_some(),
+            is_unanswered: true,
+        };
+        Self { log, context, content, pool, target, trial }
     }
 
     /// Whether the run is the only one with its content over all hosts.
@@ -97,12 +134,14 @@
     }
 
     /// Ends a run that was not sent. Returns its trial.
-    pub(super) fn into_trial(self) -> Option<ContentTrial> {
+    pub(super) fn into_trial(mut self) -> Option<ContentTrial> {
+        self.log.disarm();
         self.trial
     }
 
     /// Ends a run whose whole answer has arrived, which clears its content.
-    pub(super) fn survived(self) {
+    pub(super) fn survived(mut self) {
+        self.log.disarm();
         let gate = &self.context.quarantine;
         if !gate.has_suspects(&self.pool) {
             return;
@@ -116,7 +155,8 @@
     }
 
     /// Ends a run whose connection broke: finds out whether the upstream has ended, and reports that.
-    pub(super) async fn broke(self) -> BrokenRun {
+    pub(super) async fn broke(mut self) -> BrokenRun {
+        self.log.disarm();
         let finding = self.context.connections.check_end(&self.target).await;
         let limit = self.context.clock.now() + BODY_WAIT;
         let reading = self.content.read_digest(&self.context.content_keys);
@@ -157,6 +197,9 @@
         let view = context.view.load();
         let Some(record) = view.upstreams.get(&key.pool).and_then(|list| list.find(&start.id))
         else {
+            info!(context.logger, "upstream-restart-unseen"; "upstream" => %start.id,
+                "incarnation" => start.incarnation.0, "cause" => "unknown-id",
+                "content" => %key.digest);
             return;
         };
         if record.announcement.incarnation > start.incarnation {
@@ -167,4 +210,6 @@
             return;
         }
     }
+    info!(context.logger, "upstream-restart-unseen"; "upstream" => %start.id,
+        "incarnation" => start.incarnation.0, "cause" => "same-start", "content" => %key.digest);
 }
