--- a/crates/pulleyd/tests/process_failures/end_tests.rs
+++ b/crates/pulleyd/tests/process_failures/end_tests.rs
@@ -1,5 +1,7 @@
 //! Requests under which upstreams end, before real processes.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -7,7 +9,7 @@
 use serde_json::json;
 
 use crate::KOLKHI;
-use crate::process_support::{EndingUpstream, HttpClient, TestCluster, wait_until};
+use crate::process_support::{EndWay, EndingUpstream, HttpClient, TestCluster, wait_until};
 
 const HOSTS: [usize; 3] = [0, 1, 2];
 
@@ -23,12 +25,20 @@
 
 impl EndingPool {
     fn start(upstreams: usize) -> Self {
+        Self::start_with(EndWay::Refuses, upstreams, &["cover"], KOLKHI)
+    }
+
+    /// Starts that many upstreams in each pool, which end in a way.
+    fn start_with(way: EndWay, upstreams: usize, pools: &[&str], sheet: &str) -> Self {
         let cluster = TestCluster::start(3, 0);
         let addresses = cluster.announce_addresses();
-        let start =
-            |number| EndingUpstream::start(&format!("cover-{number}"), "cover", addresses.clone());
-        let upstreams: Vec<EndingUpstream> = (0..upstreams).map(start).collect();
-        cluster.apply_until_answered(&HOSTS, "first", 0, KOLKHI);
+        let start = |pool: &str, number| {
+            let id = format!("{pool}-{number}");
+            EndingUpstream::start(way, &id, pool, addresses.clone())
+        };
+        let starts = pools.iter().flat_map(|pool| (0..upstreams).map(move |n| start(pool, n)));
+        let upstreams: Vec<EndingUpstream> = starts.collect();
+        cluster.apply_until_answered(&HOSTS, "first", 0, sheet);
         cluster.wait_for_version(&HOSTS, 1);
         let clients = HOSTS.iter().map(|host| cluster.caller(*host)).collect();
         let pool = Self { upstreams, clients, cluster };
@@ -46,6 +56,33 @@
         call(&self.clients, content, first_host)
     }
 
+    /// Sends a request to each host in turn, as a caller with two repeats does, and leaves each time
+    /// after a while.
+    fn call_and_leave(&self, content: &str, first_host: usize) {
+        for attempt in 0..3 {
+            let host = (first_host + attempt) % HOSTS.len();
+            let mut stream = TcpStream::connect(self.clients[host].address()).expect("it listens");
+            let head = format!("GET /cover/check?content={content} HTTP/1.1\r\nhost: test\r\n\r\n");
+            stream.write_all(head.as_bytes()).expect("it reads");
+            thread::sleep(Duration::from_millis(60));
+            drop(stream);
+            thread::sleep(REPEAT_PAUSE);
+        }
+    }
+
+    /// Has one caller send a content, and others in the seconds after it. Returns how often it has
+    /// reached upstreams by the one caller, and in all.
+    fn arrivals_of(&self, send: impl Fn(usize)) -> (usize, usize) {
+        send(0);
+        let of_one = self.arrivals("ends-one");
+        thread::sleep(Duration::from_millis(2_000));
+        for caller in 1..6 {
+            send(caller);
+            thread::sleep(Duration::from_millis(300));
+        }
+        (of_one, self.arrivals("ends-one"))
+    }
+
     fn arrivals(&self, mark: &str) -> usize {
         self.upstreams.iter().map(|upstream| upstream.arrivals(mark)).sum()
     }
@@ -82,6 +119,65 @@
     drop(pool.cluster);
 }
 
+// No connection is refused where a supervisor keeps the listening socket.
+#[test]
+fn a_content_whose_upstreams_are_back_at_once_reaches_three_over_all_hosts() {
+    for way in [EndWay::KeepsListening, EndWay::KeepsListeningWithNewId] {
+        let pool = EndingPool::start_with(way, 10, &["cover"], KOLKHI);
+        let arrivals = pool.arrivals_of(|caller| assert_eq!(pool.call("ends-one", caller), None));
+        assert_eq!(arrivals, (3, 3), "{way:?}: arrivals of one caller, and of all");
+    }
+}
+
+// A machine without power breaks no connection, and its requests end at their deadline.
+#[test]
+fn a_content_whose_upstreams_fall_silent_reaches_three_over_all_hosts() {
+    let pool = EndingPool::start_with(EndWay::Silent, 10, &["cover"], KOLKHI);
+    let arrivals = pool.arrivals_of(|caller| assert_eq!(pool.call("ends-one", caller), None));
+    assert_eq!(arrivals, (3, 3), "arrivals of one caller, and of all");
+}
+
+// Nobody waits for the answer any more when the upstream ends.
+#[test]
+fn a_content_whose_callers_leave_reaches_three_over_all_hosts() {
+    let pool = EndingPool::start_with(EndWay::RefusesLate, 10, &["cover"], KOLKHI);
+    let (of_one, all) = pool.arrivals_of(|caller| pool.call_and_leave("ends-one", caller));
+    assert!(of_one <= 3, "{of_one} arrivals of one caller");
+    assert!(all <= 5, "{all} arrivals of all, two after the third at most");
+}
+
+// A body of 100 KiB is longer than what a host keeps, and its upstream ends before it has read it.
+#[test]
+fn a_content_with_a_long_body_reaches_three_over_all_hosts() {
+    let pool = EndingPool::start(10);
+    let body = vec![b'x'; 100 << 10];
+    let mut other = body.clone();
+    other[body.len() - 1] = b'y';
+    let post =
+        |path: &str, host: usize, body: &[u8]| pool.clients[host % 3].send("POST", path, body);
+    let arrivals = pool.arrivals_of(|caller| {
+        for attempt in 0..3 {
+            let _ = post("/cover/quote?content=ends-one", caller + attempt, &body);
+            thread::sleep(REPEAT_PAUSE);
+        }
+    });
+    assert_eq!(arrivals, (3, 3), "arrivals of one caller, and of all");
+    let _ = post("/cover/quote?content=ends-one", 0, &other);
+    assert!(pool.arrivals("ends-one") > 3, "a body that differs in its last byte is sent");
+}
+
+// Two pools of one row count the ends under the same content together.
+#[test]
+fn a_content_of_a_split_row_reaches_three_over_all_pools() {
+    let sheet = "pool,service,kind,method,path_prefix,priority,share,reserved_slots,deadline_ms,\
+                 idempotent,length,probes_per_s,weight\n\
+                 cover,desks,check,GET,/cover/check,1,50%,2,400,yes,short,1,1\n\
+                 canary,desks,check-canary,GET,/cover/check,1,50%,2,400,yes,short,1,1\n";
+    let pool = EndingPool::start_with(EndWay::Refuses, 6, &["cover", "canary"], sheet);
+    let arrivals = pool.arrivals_of(|caller| assert_eq!(pool.call("ends-one", caller), None));
+    assert_eq!(arrivals, (3, 3), "arrivals of one caller, and of all");
+}
+
 // A mended version of the upstreams is out, and the content would be refused for another minute.
 #[test]
 fn an_operator_allows_a_quarantined_content_again() {
--- a/crates/pulleyd/tests/process_failures/process_support/ending_upstream.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/ending_upstream.rs
@@ -20,6 +20,40 @@
 const TIME_TO_END: Duration = Duration::from_millis(5);
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
+/// The same where the caller leaves before the upstream ends, and where a supervisor keeps the
+/// listening socket and starts the upstream again at once.
+const LATE_TIME_TO_END: Duration = Duration::from_millis(120);
+const RESTART_TIME: Duration = Duration::from_millis(100);
+
+/// How an upstream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndWay {
+    /// Its connections are reset, and new ones are refused until it is back.
+    Refuses,
+    /// The same, a while after the request has arrived.
+    RefusesLate,
+    /// Its connections are reset, and its listening socket stays. It is soon back.
+    KeepsListening,
+    /// The same, and it is back under a new id.
+    KeepsListeningWithNewId,
+    /// It says nothing more until it is back, like a machine without power.
+    Silent,
+}
+
+impl EndWay {
+    fn time_to_end(self) -> Duration {
+        if self == Self::RefusesLate { LATE_TIME_TO_END } else { TIME_TO_END }
+    }
+
+    fn down_time(self) -> Duration {
+        if self.keeps_listening() { RESTART_TIME } else { DOWN_TIME }
+    }
+
+    fn keeps_listening(self) -> bool {
+        matches!(self, Self::KeepsListening | Self::KeepsListeningWithNewId)
+    }
+}
+
 /// The time that other requests take.
 const WORK_TIME: Duration = Duration::from_millis(40);
 
@@ -28,6 +62,7 @@
 
 #[derive(Debug)]
 struct EndingState {
+    way: EndWay,
     /// The path of each request that arrived.
     arrivals: Mutex<Vec<String>>,
     ends: AtomicU64,
@@ -44,8 +79,9 @@
 }
 
 impl EndingUpstream {
-    /// Starts an upstream of 4 slots in zone `z1` that announces itself to these hosts in turn.
-    pub(crate) fn start(id: &str, pool: &str, hosts: Vec<SocketAddr>) -> Self {
+    /// Starts an upstream of 4 slots in zone `z1` that announces itself to these hosts in turn and
+    /// ends in a way.
+    pub(crate) fn start(way: EndWay, id: &str, pool: &str, hosts: Vec<SocketAddr>) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -54,6 +90,7 @@
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let incarnation = since_epoch.expect("a time after 1970").as_secs();
         let state = Arc::new(EndingState {
+            way,
             arrivals: Mutex::default(),
             ends: AtomicU64::new(0),
             incarnation: AtomicU64::new(incarnation),
@@ -88,7 +125,10 @@
 async fn run(state: Arc<EndingState>, first: TcpListener, address: SocketAddr) {
     let mut listener = Some(first);
     loop {
-        let bound = listener.take().unwrap_or_else(|| listen(address));
+        let bound = match listener.take() {
+            Some(bound) => bound,
+            None => listen(address).await,
+        };
         let mut running = state.running.subscribe();
         loop {
             tokio::select! {
@@ -100,26 +140,35 @@
                 }
             }
         }
-        drop(bound);
         state.ends.fetch_add(1, Ordering::SeqCst);
-        tokio::time::sleep(DOWN_TIME).await;
+        // Connections wait in the backlog of a listening socket that stays.
+        listener =
+            (state.way != EndWay::Refuses && state.way != EndWay::RefusesLate).then_some(bound);
+        tokio::time::sleep(state.way.down_time()).await;
         state.incarnation.fetch_add(1, Ordering::SeqCst);
         state.running.send_replace(true);
     }
 }
 
-fn listen(address: SocketAddr) -> TcpListener {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.set_reuseaddr(true).expect("an option of sockets");
-    socket.bind(address).expect("its own port");
-    socket.listen(1_024).expect("bound")
+/// Listens on the upstream's address again. Another process may use the port for a moment.
+async fn listen(address: SocketAddr) -> TcpListener {
+    loop {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option of sockets");
+        if let Ok(listener) = socket.bind(address).and_then(|()| socket.listen(1_024)) {
+            return listener;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
 }
 
 async fn serve(state: Arc<EndingState>, mut stream: TcpStream) {
-    let mut running = state.running.subscribe();
     tokio::select! {
         biased;
-        _ = running.wait_for(|running| !running) => {
+        () = wait_for(&state, false) => {
+            if state.way == EndWay::Silent {
+                wait_for(&state, true).await;
+            }
             // The connection is reset, as when a process ends with unread bytes.
             let _ = stream.set_zero_linger();
         }
@@ -127,6 +176,16 @@
     }
 }
 
+/// Waits until the upstream runs, or until it does not.
+async fn wait_for(state: &EndingState, is_running: bool) {
+    let mut running = state.running.subscribe();
+    while *running.borrow_and_update() != is_running {
+        if running.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn answer_requests(state: &EndingState, stream: &mut TcpStream) -> Option<()> {
     let mut text = String::new();
     loop {
@@ -139,7 +198,7 @@
         text.clear();
         state.arrivals.lock().expect("the lock is not poisoned").push(path.clone());
         if path.contains(ENDING_MARK) {
-            tokio::time::sleep(TIME_TO_END).await;
+            tokio::time::sleep(state.way.time_to_end()).await;
             state.running.send_replace(false);
             return None;
         }
@@ -157,9 +216,14 @@
 ) {
     for sequence in 1_usize.. {
         if *state.running.borrow() {
+            let incarnation = state.incarnation.load(Ordering::SeqCst);
+            let id = match state.way {
+                EndWay::KeepsListeningWithNewId => format!("{id}-{incarnation}"),
+                _ => id.clone(),
+            };
             let announcement = json!({
                 "id": id, "address": address, "zone": "z1", "pool": pool, "slots": 4,
-                "connections": 300, "incarnation": state.incarnation.load(Ordering::SeqCst),
+                "connections": 300, "incarnation": incarnation,
                 "sequence": sequence, "phase": "ready",
             });
             let (target, body) = (hosts[sequence % hosts.len()], announcement.to_string());
--- a/crates/pulleyd/tests/process_failures/process_support/http_client.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/http_client.rs
@@ -50,6 +50,11 @@
         Self { address, headers: Vec::new() }
     }
 
+    /// Returns the address that requests are sent to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Adds a header to every request.
     pub(crate) fn with_header(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
--- a/crates/pulleyd/tests/process_failures/process_support/mod.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/mod.rs
@@ -8,7 +8,7 @@
 mod test_cluster;
 
 pub(crate) use daemon_process::DaemonProcess;
-pub(crate) use ending_upstream::EndingUpstream;
+pub(crate) use ending_upstream::{EndWay, EndingUpstream};
 pub(crate) use http_client::{HttpAnswer, HttpClient};
 pub(crate) use stand_in_upstream::StandInUpstream;
 pub(crate) use test_cluster::{KEY, TestCluster, wait_until};
