--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -143,6 +143,11 @@
         CheckoutChoice::Replace { close, open: self.open(now) }
     }
 
+    /// Takes the idle connection that was used last, if there is one.
+    pub fn reuse(&mut self, now: Moment) -> Option<ConnectionNumber> {
+        self.take_idle(now, RepeatSafety::Repeatable)
+    }
+
     /// Counts a spare connection for the caller to open in advance, if none is idle or being opened as
     /// a spare already, and there are fewer than `useful` connections.
     pub fn open_spare(&mut self, now: Moment, useful: usize) -> Option<ConnectionNumber> {
@@ -218,6 +223,12 @@
         })
     }
 
+    /// Returns the idle connections that were opened before a moment.
+    pub fn idle_since(&self, moment: Moment) -> impl Iterator<Item = ConnectionNumber> {
+        let opened = |number: &ConnectionNumber| self.links.get(number).map(|link| link.opened);
+        self.idle.iter().copied().filter(move |number| opened(number).is_some_and(|at| at < moment))
+    }
+
     /// Returns the number of connections that are open or being opened.
     #[must_use]
     pub fn open_connections(&self) -> usize {
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -39,9 +39,9 @@
 pub use probe_budget::ProbeBudget;
 pub use quantities::{MemberId, ProbeRate, QuantityFault, ShareFraction, SlotCount, StartRate};
 pub use quarantine::{
-    ContentDigest, ContentKey, ContentReport, ContentStanding, QUARANTINE_BODY_LIMIT,
-    QuarantineExchange, QuarantineOutput, RunResult, SuspectRecord, TrialAsk, TrialNumber,
-    TrialVerdict, UpstreamEnd,
+    ContentDigest, ContentHead, ContentKey, ContentReport, ContentStanding, PoolRecord,
+    QUARANTINE_BODY_LIMIT, QuarantineExchange, QuarantineOutput, RunFinding, RunResult,
+    SuspectRecord, SuspectRun, TrialAsk, TrialNumber, TrialVerdict, UnansweredRun,
 };
 pub use quotas::{
     AccountStatus, AccountTenure, HeardBeat, KeeperBeat, KeeperStanding, KeeperWatch,
@@ -50,8 +50,8 @@
 };
 pub use registry::{
     AnnounceOutcome, DIRECTORY_LIMIT, REGISTRY_BODY_LIMIT, RecallProof, RegistryFault,
-    RegistryResult, RegistrySend, SharedTime, UPSTREAM_LIMIT, UpstreamChange, UpstreamDirectory,
-    UpstreamList, UpstreamRegistry,
+    RegistryResult, RegistrySend, SharedTime, StartEvidence, UPSTREAM_LIMIT, UpstreamChange,
+    UpstreamDirectory, UpstreamList, UpstreamRegistry,
 };
 pub use upstream::{
     Announcement, Incarnation, UpstreamPhase, UpstreamRecord, UpstreamSequence, UpstreamStart,
--- a/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
@@ -6,13 +6,15 @@
 
 use bytes::Bytes;
 
+use super::open_run::{OpenRun, OpenRuns};
 use super::quarantine_message::QuarantineMessage;
 use super::suspect_table::SuspectTable;
 use super::trial_asks::{PendingAsk, TrialAsks, TrialDecider};
 use super::trial_keeper::TrialKeeper;
 use super::{
-    ContentKey, EntryZones, FastMap, HostId, Moment, PeerRing, RingPeer, SharedTime, SuspectRecord,
-    TrialNumber, TrialVerdict, UpdateReach, UpstreamStart,
+    ContentDigest, ContentKey, EntryZones, FastMap, HostId, Moment, PeerRing, PoolName, RingPeer,
+    RunFinding, SharedTime, StartEvidence, SuspectRecord, SuspectRun, TrialNumber, TrialVerdict,
+    UpdateReach, UpstreamStart,
 };
 use crate::process::registry::split_by_size;
 
@@ -24,15 +26,31 @@
 /// The interval at which records that have been kept for long enough are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A run that got no whole answer, at an upstream that may have ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnansweredRun {
+    /// The start of the upstream that the request was sent to.
+    pub start: UpstreamStart,
+    /// The upstream's address.
+    pub address: SocketAddr,
+    /// Whether the upstream's connection broke, or the upstream said nothing. The other hosts then
+    /// count the run until it is decided. Otherwise only this host follows it.
+    pub is_suspicious: bool,
+    /// Whether the upstream was known to be alive when the request was sent.
+    pub was_proven: bool,
+}
+
 /// What became of an upstream that a request was sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunResult {
     /// This start of it ended while the request ran.
     Ended(UpstreamStart),
+    /// It is not known whether it ended.
+    Unanswered(UnansweredRun),
+    /// A run that was reported as unanswered is no sign of an end: this start of it lives on.
+    Refuted(UpstreamStart),
     /// It answered the whole request.
     Survived,
-    /// Nothing is known.
-    Unknown,
 }
 
 /// The end of a request with a content, as the traffic side saw it.
@@ -40,6 +58,10 @@
 pub struct ContentReport {
     /// The content.
     pub key: ContentKey,
+    /// The other pools that the request's row is split over.
+    pub other_pools: Vec<PoolName>,
+    /// How long the run lasted.
+    pub lasted: Duration,
     /// What became of the upstream.
     pub result: RunResult,
     /// The request's trial, if it was one.
@@ -82,16 +104,17 @@
         verdict: TrialVerdict,
     },
     /// Tell this host's traffic side of a content's record; `None` if it has been removed.
-    Changed(ContentKey, Option<SuspectRecord>),
+    Changed(ContentDigest, Option<SuspectRecord>),
 }
 
 /// One host's part in sparing upstreams from contents that end them.
 ///
 /// A request that ends its upstream is repeated: by its host, by its caller through other hosts, and
 /// by other callers. Each of them alone keeps to its number of attempts, and together they end a
-/// pool. So all hosts count the ends under a content together. A content under which an upstream
-/// has ended is a suspect and runs once at a time over all hosts, by permission of one of them. After
-/// three ends it is refused for a while, and an answer clears it.
+/// pool. So all hosts count the ends under a content together, and a run that may have been one counts
+/// until its host has decided. A content with such a run is a suspect and runs once at a time over
+/// all hosts, by permission of one of them. With three it is held, and after three ends refused for a
+/// while. An answer clears it in the pool that gave it.
 #[derive(Clone, Debug)]
 pub struct QuarantineExchange {
     host: HostId,
@@ -99,6 +122,8 @@
     table: SuspectTable,
     keeper: TrialKeeper,
     asks: TrialAsks,
+    /// The runs of this host that are not decided.
+    open_runs: OpenRuns,
     /// Who permitted the trials that run at this host.
     permitted_by: FastMap<TrialNumber, HostId>,
     outputs: Vec<QuarantineOutput>,
@@ -118,6 +143,7 @@
             table: SuspectTable::default(),
             keeper: TrialKeeper::default(),
             asks: TrialAsks::default(),
+            open_runs: OpenRuns::default(),
             permitted_by: FastMap::default(),
             outputs: Vec::new(),
             next_expiry: now,
@@ -129,9 +155,9 @@
     // ---------------------------------------------------------------------------------------------
     // Queries
 
-    /// Returns the records of all contents that are suspected or quarantined.
+    /// Returns the records of all contents that are suspected, held or quarantined in any pool.
     pub fn suspects(&self) -> impl Iterator<Item = &SuspectRecord> {
-        self.table.records().filter(|record| record.standing().is_some())
+        self.table.records().filter(|record| record.is_suspected())
     }
 
     /// Returns when [`Self::tick`] next has something to do; `None` if nothing is due before an
@@ -140,7 +166,9 @@
     pub fn next_wakeup(&self) -> Option<Moment> {
         let pull_at = (self.pulls < START_PULLS).then_some(self.next_pull);
         let table_at = self.table.next_wakeup();
-        pull_at.into_iter().chain(table_at).chain(self.asks.next_wakeup()).min()
+        let asks_at = self.asks.next_wakeup();
+        let runs_at = self.open_runs.next_wakeup();
+        pull_at.into_iter().chain(table_at).chain(asks_at).chain(runs_at).min()
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -153,31 +181,86 @@
 
     /// Takes in the end of a request of this host at the shared time `time`.
     pub fn report(&mut self, time: SharedTime, report: ContentReport) {
-        let ContentReport { key, result, trial } = report;
+        let ContentReport { key, other_pools, lasted, result, trial } = report;
+        let began = time.before(lasted);
+        let digest = key.digest;
         match result {
             RunResult::Ended(start) => {
-                let record = SuspectRecord::ended(key.clone(), &start, time, trial.is_some());
-                self.merge(time, &record, UpdateReach::ALL);
+                let run = SuspectRun {
+                    at: time,
+                    began,
+                    upstream: start.id,
+                    incarnation: start.incarnation,
+                    was_trial: trial.is_some(),
+                    finding: RunFinding::Ended,
+                };
+                self.record(time, (&key, &other_pools), run);
+            }
+            RunResult::Unanswered(unanswered) => {
+                let UnansweredRun { start, address, is_suspicious, was_proven } = unanswered;
+                let run = OpenRun {
+                    key,
+                    other_pools,
+                    start,
+                    address,
+                    at: time,
+                    began,
+                    was_trial: trial.is_some() && was_proven,
+                    is_shared: is_suspicious,
+                };
+                self.follow(time, run);
             }
+            RunResult::Refuted(start) => self.refute(time, &key, &start),
             RunResult::Survived => self.clear(time, &key),
-            RunResult::Unknown => {}
         }
         if let Some(number) = trial {
-            self.finish(&key, number);
+            self.end_trial(digest, number);
         }
     }
 
-    /// Ends the suspicion of a content.
+    /// Takes in the end of a trial of this host. The hosts that may have permitted it are told: the
+    /// keeper may have done so too late, after its deputy or this host.
+    pub fn end_trial(&mut self, digest: ContentDigest, number: TrialNumber) {
+        let Some(permitted_by) = self.permitted_by.remove(&number) else { return };
+        self.keeper.finish(digest, number);
+        let keeper = self.host_to_ask(digest, TrialDecider::Keeper);
+        let keeper = keeper.filter(|keeper| *keeper != permitted_by);
+        let Some(record) = self.table.find(digest).cloned() else { return };
+        for host in keeper.into_iter().chain([permitted_by]).filter(|host| *host != self.host) {
+            let finished = QuarantineMessage::Finished { record: record.clone(), number };
+            self.outputs.push(QuarantineOutput::ToHost { to: host, body: finished.pack() });
+        }
+    }
+
+    /// Ends the suspicion of a content in a pool.
     pub fn clear(&mut self, time: SharedTime, key: &ContentKey) {
-        let Some(known) = self.table.find(key).filter(|known| !known.ends().is_empty()) else {
+        let Some(known) = self.table.find(key.digest).filter(|known| known.is_suspected()) else {
             return;
         };
-        // Not before the newest end, which another host may have seen by a faster clock.
+        // Not before the newest run, which another host may have seen by a faster clock.
         let cleared_at = time.max(known.changed_at());
-        let record = SuspectRecord::cleared(key.clone(), cleared_at);
+        let record = SuspectRecord::cleared(key.digest, key.pool.clone(), cleared_at);
         self.merge(time, &record, UpdateReach::ALL);
     }
 
+    /// Compares the runs that are not decided with what is known of their upstreams, given their
+    /// starts, their addresses and when the runs were given up.
+    pub fn decide_runs(
+        &mut self,
+        now: Moment,
+        time: SharedTime,
+        evidence: impl Fn(&UpstreamStart, SocketAddr, SharedTime) -> StartEvidence,
+    ) {
+        let evidence = |run: &OpenRun| evidence(&run.start, run.address, run.at);
+        for (run, has_ended) in self.open_runs.decide((now, time), evidence) {
+            if has_ended {
+                self.record(time, run.row(), run.with_finding(RunFinding::Ended));
+            } else if run.is_shared {
+                self.record(time, run.row(), run.with_finding(RunFinding::Refuted));
+            }
+        }
+    }
+
     /// Asks whether a request of this host may be tried.
     pub fn ask(&mut self, now: Moment, time: SharedTime, ask: TrialAsk) {
         let TrialAsk { key, number, lease } = ask;
@@ -192,16 +275,16 @@
                 records.iter().for_each(|record| self.merge(time, record, reach));
             }
             Some(QuarantineMessage::Pull) => self.send_all(from),
-            Some(QuarantineMessage::Ask { record, number, lease_ms }) => {
+            Some(QuarantineMessage::Ask { record, pool, number, lease_ms }) => {
                 let lease = Duration::from_millis(u64::from(lease_ms));
-                self.answer((now, time), from, &record, number, lease);
+                self.answer((now, time), from, (&record, &pool), (number, lease));
             }
             Some(QuarantineMessage::Answer { number, verdict }) => {
                 self.take_verdict(number, verdict, from.clone());
             }
             Some(QuarantineMessage::Finished { record, number }) => {
                 self.merge(time, &record, UpdateReach::ALL);
-                self.keeper.finish(&record.key, number);
+                self.keeper.finish(record.digest, number);
             }
             None => {}
         }
@@ -215,9 +298,9 @@
         }
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
-            let expired = self.table.expire(time);
-            self.outputs
-                .extend(expired.into_iter().map(|key| QuarantineOutput::Changed(key, None)));
+            for digest in self.table.expire(time) {
+                self.publish(digest);
+            }
         }
         let sends = self.table.tick(now, ring);
         let to_address = |(to, body)| QuarantineOutput::ToAddress { to, body };
@@ -233,9 +316,55 @@
     // Helpers
 
     fn merge(&mut self, time: SharedTime, record: &SuspectRecord, reach: UpdateReach) {
-        if self.table.merge(time, record, reach) {
-            let known = self.table.find(&record.key).cloned();
-            self.outputs.push(QuarantineOutput::Changed(record.key.clone(), known));
+        if !self.table.merge(time, record, reach) {
+            return;
+        }
+        self.publish(record.digest);
+        let ended = record.runs().filter(|run| run.finding == RunFinding::Ended);
+        for run in ended {
+            let start = UpstreamStart { id: run.upstream.clone(), incarnation: run.incarnation };
+            for open in self.open_runs.take_ended(&start) {
+                self.record(time, open.row(), open.with_finding(RunFinding::Ended));
+            }
+        }
+    }
+
+    /// Tells the traffic side what is known of a content.
+    fn publish(&mut self, digest: ContentDigest) {
+        let known = self.table.find(digest).cloned();
+        self.outputs.push(QuarantineOutput::Changed(digest, known));
+    }
+
+    /// Records what is found of a run, and tells the other hosts.
+    fn record(
+        &mut self,
+        time: SharedTime,
+        (key, other_pools): (&ContentKey, &[PoolName]),
+        run: SuspectRun,
+    ) {
+        let record = SuspectRecord::of_run(key, other_pools, run);
+        self.merge(time, &record, UpdateReach::ALL);
+    }
+
+    /// Follows a run until it is decided.
+    fn follow(&mut self, time: SharedTime, run: OpenRun) {
+        let has_ended = self.table.records().flat_map(SuspectRecord::runs);
+        let has_ended = has_ended.into_iter().any(|known| known.is_end_of(&run.start));
+        if has_ended {
+            return self.record(time, run.row(), run.with_finding(RunFinding::Ended));
+        }
+        if run.is_shared {
+            let until = run.decided_by();
+            self.record(time, run.row(), run.with_finding(RunFinding::Pending { until }));
+        }
+        self.open_runs.push(run);
+    }
+
+    /// Takes back that a run may have ended its upstream. It is followed on, as a later start may
+    /// still show that it has.
+    fn refute(&mut self, time: SharedTime, key: &ContentKey, start: &UpstreamStart) {
+        if let Some(run) = self.open_runs.withdraw(key, start) {
+            self.record(time, run.row(), run.with_finding(RunFinding::Refuted));
         }
     }
 
@@ -272,30 +401,32 @@
         number: TrialNumber,
         ask: &PendingAsk,
     ) {
-        let Some(record) = self.table.find(&ask.key).cloned() else {
+        let Some(record) = self.table.find(ask.key.digest).cloned() else {
             self.take_verdict(number, TrialVerdict::Refused, self.host.clone());
             return;
         };
-        match self.host_to_ask(&ask.key, ask.decider) {
+        match self.host_to_ask(ask.key.digest, ask.decider) {
             Some(to) => {
                 let lease_ms = u32::try_from(ask.lease.as_millis()).unwrap_or(u32::MAX);
-                self.send(&to, &QuarantineMessage::Ask { record, number, lease_ms });
+                let pool = ask.key.pool.clone();
+                self.send(&to, &QuarantineMessage::Ask { record, pool, number, lease_ms });
             }
             None => {
-                let verdict = self.keeper.decide((now, time), &record, number, ask.lease);
+                let about = (&record, &ask.key.pool);
+                let verdict = self.keeper.decide((now, time), about, number, ask.lease);
                 self.take_verdict(number, verdict, self.host.clone());
             }
         }
     }
 
     /// Returns the other host that decides on a content's trials; `None` if this host does.
-    fn host_to_ask(&self, key: &ContentKey, decider: TrialDecider) -> Option<HostId> {
+    fn host_to_ask(&self, digest: ContentDigest, decider: TrialDecider) -> Option<HostId> {
         let place = match decider {
             TrialDecider::Keeper => 0,
             TrialDecider::Deputy => 1,
             TrialDecider::Own => return None,
         };
-        let ranked = self.entries.highest(key.digest.to_string().as_bytes(), 2);
+        let ranked = self.entries.highest(digest.to_string().as_bytes(), 2);
         ranked.into_iter().nth(place).filter(|host| *host != self.host)
     }
 
@@ -304,17 +435,16 @@
         &mut self,
         at: (Moment, SharedTime),
         from: &HostId,
-        asked: &SuspectRecord,
-        number: TrialNumber,
-        lease: Duration,
+        (asked, pool): (&SuspectRecord, &PoolName),
+        (number, lease): (TrialNumber, Duration),
     ) {
         self.merge(at.1, asked, UpdateReach::ALL);
-        let Some(record) = self.table.find(&asked.key).cloned() else { return };
+        let Some(record) = self.table.find(asked.digest).cloned() else { return };
         if record != *asked {
             let records = vec![record.clone()];
             self.send(from, &QuarantineMessage::Records { reach: UpdateReach::NONE, records });
         }
-        let verdict = self.keeper.decide(at, &record, number, lease);
+        let verdict = self.keeper.decide(at, (&record, pool), number, lease);
         self.send(from, &QuarantineMessage::Answer { number, verdict });
     }
 
@@ -329,17 +459,4 @@
         }
         self.outputs.push(QuarantineOutput::Verdict { number, verdict });
     }
-
-    /// Tells the host that permitted a trial that it has ended.
-    fn finish(&mut self, key: &ContentKey, number: TrialNumber) {
-        match self.permitted_by.remove(&number) {
-            Some(host) if host == self.host => self.keeper.finish(key, number),
-            Some(host) => {
-                if let Some(record) = self.table.find(key).cloned() {
-                    self.send(&host, &QuarantineMessage::Finished { record, number });
-                }
-            }
-            None => {}
-        }
-    }
 }
--- a/crates/pulley_core/src/process/quarantine/quarantine_message.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{SuspectRecord, UpdateReach, encoded};
+use super::{PoolName, SuspectRecord, UpdateReach, encoded};
 
 /// The largest body of a quarantine message, in bytes.
 pub const QUARANTINE_BODY_LIMIT: usize = 1_200;
@@ -38,9 +38,9 @@
     Records { reach: UpdateReach, records: Vec<SuspectRecord> },
     /// A question of a host that has just started for all records that the receiver knows.
     Pull,
-    /// A question whether a request may be tried, with the content's record as the sender knows it
-    /// and the time in milliseconds after which the trial has ended in any case.
-    Ask { record: SuspectRecord, number: TrialNumber, lease_ms: u32 },
+    /// A question whether a request to a pool may be tried, with the content's record as the sender
+    /// knows it and the time in milliseconds after which the trial has ended in any case.
+    Ask { record: SuspectRecord, pool: PoolName, number: TrialNumber, lease_ms: u32 },
     /// The answer to a question.
     Answer { number: TrialNumber, verdict: TrialVerdict },
     /// The end of a trial, with the content's record after it.
--- a/crates/pulley_core/src/process/quarantine/suspect_table.rs
+++ b/crates/pulley_core/src/process/quarantine/suspect_table.rs
@@ -7,7 +7,7 @@
 
 use super::quarantine_message::QuarantineMessage;
 use super::{
-    ContentKey, ContentStanding, FastMap, Moment, PeerRing, RecordSpread, SharedTime,
+    ContentDigest, ContentStanding, FastMap, Moment, PeerRing, RecordSpread, SharedTime,
     SuspectRecord, SyncTurn, UpdateReach,
 };
 
@@ -62,7 +62,7 @@
 /// The contents that one host knows to be suspected, quarantined or cleared a while ago.
 #[derive(Clone, Debug)]
 pub(crate) struct SuspectTable {
-    known: FastMap<ContentKey, KnownRecord>,
+    known: FastMap<ContentDigest, KnownRecord>,
     spread: RecordSpread<SuspectRecord>,
     pacer: SpreadPacer,
     next_sync: Moment,
@@ -83,8 +83,8 @@
 
 impl SuspectTable {
     /// Returns what is known of a content.
-    pub(crate) fn find(&self, key: &ContentKey) -> Option<&SuspectRecord> {
-        self.known.get(key).map(|known| &known.record)
+    pub(crate) fn find(&self, digest: ContentDigest) -> Option<&SuspectRecord> {
+        self.known.get(&digest).map(|known| &known.record)
     }
 
     /// Returns all records, including those of contents that were cleared a while ago.
@@ -105,10 +105,10 @@
         if record.is_expired(time) {
             return false;
         }
-        if !self.known.contains_key(&record.key) {
-            self.insert(SuspectRecord::cleared(record.key.clone(), SharedTime::default()));
+        if !self.known.contains_key(&record.digest) {
+            self.insert(SuspectRecord::empty(record.digest));
         }
-        let Some(known) = self.known.get_mut(&record.key) else { return false };
+        let Some(known) = self.known.get_mut(&record.digest) else { return false };
         let is_new = known.record.merge(record);
         if is_new {
             known.passed_on = UpdateReach::NONE;
@@ -118,15 +118,22 @@
         if reach > known.passed_on && self.spread.len() < UPDATE_LIMIT {
             known.passed_on = reach;
             let changed = known.record.clone();
-            self.spread.push(reach, changed, |old| old.key == record.key);
+            self.spread.push(reach, changed, |old| old.digest == record.digest);
         }
         is_new
     }
 
-    /// Removes the records that have been kept for long enough. Returns their contents.
-    pub(crate) fn expire(&mut self, time: SharedTime) -> Vec<ContentKey> {
+    /// Removes the records that have been kept for long enough, and makes runs count no more that
+    /// nobody has decided in time. Returns the contents of the records that have changed.
+    pub(crate) fn expire(&mut self, time: SharedTime) -> Vec<ContentDigest> {
         let expired = self.known.extract_if(|_, known| known.record.is_expired(time));
-        expired.map(|(key, _)| key).collect()
+        let mut changed: Vec<ContentDigest> = expired.map(|(digest, _)| digest).collect();
+        let lapsed = self
+            .known
+            .iter_mut()
+            .filter_map(|(digest, known)| known.record.lapse(time).then_some(*digest));
+        changed.extend(lapsed);
+        changed
     }
 
     /// Returns the messages that are due.
@@ -156,28 +163,28 @@
         if self.known.len() >= TABLE_LIMIT {
             self.evict();
         }
-        let key = record.key.clone();
-        self.known.insert(key, KnownRecord { record, passed_on: UpdateReach::NONE });
+        self.known.insert(record.digest, KnownRecord { record, passed_on: UpdateReach::NONE });
     }
 
     /// Makes room for a record: a cleared one goes first, a quarantined one last, and among equals the
     /// one that changed first.
     fn evict(&mut self) {
-        let rank = |record: &SuspectRecord| match record.standing() {
+        let rank = |record: &SuspectRecord| match record.standing_elsewhere() {
             None => 0,
             Some(ContentStanding::Suspect) => 1,
-            Some(ContentStanding::Quarantined { .. }) => 2,
+            Some(ContentStanding::Held { .. }) => 2,
+            Some(ContentStanding::Quarantined { .. }) => 3,
         };
         let order = |record: &&SuspectRecord| (rank(record), record.changed_at());
-        let evicted = self.records().min_by_key(order).map(|record| record.key.clone());
-        if let Some(key) = evicted {
-            self.known.remove(&key);
+        let evicted = self.records().min_by_key(order).map(|record| record.digest);
+        if let Some(digest) = evicted {
+            self.known.remove(&digest);
         }
     }
 
     fn send_part(&mut self, ring: &PeerRing) -> Option<(SocketAddr, Bytes)> {
         let mut records: Vec<SuspectRecord> = self.records().cloned().collect();
-        records.sort_by(|a, b| a.key.cmp(&b.key));
+        records.sort_by_key(|record| record.digest);
         let (to, records) = self.sync.next(ring, records)?;
         let message = QuarantineMessage::Records { reach: UpdateReach::NONE, records };
         Some((to, message.pack()))
--- a/crates/pulley_core/src/process/quarantine/trial_asks.rs
+++ b/crates/pulley_core/src/process/quarantine/trial_asks.rs
@@ -4,9 +4,13 @@
 
 use super::{ContentKey, FastMap, Moment, TrialNumber};
 
-/// How long a host waits for an answer before it asks the next one.
+/// How long a host waits for an answer before it asks again.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// How often a host is asked before the next one is. Messages may be late by 60 ms and more, and a
+/// host that decided before its keeper's answer arrives would be one of two that permit trials.
+const ASKS_PER_DECIDER: u8 = 4;
+
 /// Who decides on a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TrialDecider {
@@ -20,10 +24,12 @@
 }
 
 impl TrialDecider {
-    const fn next(self) -> Self {
-        match self {
-            Self::Keeper => Self::Deputy,
-            Self::Deputy | Self::Own => Self::Own,
+    /// Returns who decides after that many unanswered questions.
+    const fn after(asks: u8) -> Self {
+        match asks / ASKS_PER_DECIDER {
+            0 => Self::Keeper,
+            1 => Self::Deputy,
+            _ => Self::Own,
         }
     }
 }
@@ -34,12 +40,14 @@
     pub(crate) key: ContentKey,
     pub(crate) lease: Duration,
     pub(crate) decider: TrialDecider,
+    /// The number of questions that stayed unanswered.
+    unanswered: u8,
     due: Moment,
 }
 
 impl PendingAsk {
     fn new(now: Moment, key: ContentKey, lease: Duration) -> Self {
-        Self { key, lease, decider: TrialDecider::Keeper, due: now + ANSWER_TIMEOUT }
+        Self { key, lease, decider: TrialDecider::Keeper, unanswered: 0, due: now + ANSWER_TIMEOUT }
     }
 }
 
@@ -68,13 +76,14 @@
         self.pending.remove(&number).is_some()
     }
 
-    /// Returns the questions without an answer, each now due to the next decider.
+    /// Returns the questions to put again, each to whoever decides on it by now.
     pub(crate) fn take_overdue(&mut self, now: Moment) -> Vec<(TrialNumber, PendingAsk)> {
         let mut overdue = Vec::new();
         for (number, ask) in &mut self.pending {
             if now >= ask.due {
                 ask.due = now + ANSWER_TIMEOUT;
-                ask.decider = ask.decider.next();
+                ask.unanswered = ask.unanswered.saturating_add(1);
+                ask.decider = TrialDecider::after(ask.unanswered);
                 overdue.push((*number, ask.clone()));
             }
         }
--- a/crates/pulley_core/src/process/registry/mod.rs
+++ b/crates/pulley_core/src/process/registry/mod.rs
@@ -8,6 +8,7 @@
 mod registry_gossip;
 mod registry_message;
 mod shared_clock;
+mod start_evidence;
 mod upstream_directory;
 mod upstream_list;
 mod upstream_registry;
@@ -20,6 +21,7 @@
 pub use upstream_registry::{AnnounceOutcome, RegistryFault, RegistryResult, UpstreamRegistry};
 
 pub use shared_clock::SharedTime;
+pub use start_evidence::StartEvidence;
 
 pub(crate) use registry_message::{UpdateReach, split_by_size};
 pub(crate) use shared_clock::SharedClock;
--- a/crates/pulley_core/src/process/registry/shared_clock.rs
+++ b/crates/pulley_core/src/process/registry/shared_clock.rs
@@ -51,6 +51,12 @@
         Self(self.0.saturating_add(span_ms))
     }
 
+    /// Returns the time that much earlier.
+    pub(crate) fn before(self, span: Duration) -> Self {
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(span_ms))
+    }
+
     /// Returns how long after an earlier time this is; zero if it is not.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Duration {
--- a/crates/pulley_core/src/request/mod.rs
+++ b/crates/pulley_core/src/request/mod.rs
@@ -36,7 +36,7 @@
 mod wait_queue;
 
 pub use arrival_probes::ProbeReading;
-pub use content_table::{ContentDecision, ContentTable, SuspectState};
+pub use content_table::{ContentDecision, ContentTable, SuspectState, SuspectStates};
 pub use deadline_range::DeadlineRange;
 pub use isolated_allowance::QuotaScope;
 pub use limit_reading::LimitReading;
--- a/crates/pulley_core/src/version/sheet/indexed_plan.rs
+++ b/crates/pulley_core/src/version/sheet/indexed_plan.rs
@@ -70,6 +70,21 @@
         Some((row, &self.kinds[row]))
     }
 
+    /// Returns the pools that a row's requests are split over by weight, each once.
+    #[must_use]
+    pub fn split_pools(&self, row: &KindPlan) -> Vec<PoolName> {
+        let is_beside = |other: &&KindPlan| {
+            other.path_prefix == row.path_prefix
+                && other.method == row.method
+                && other.route.host == row.route.host
+        };
+        let mut pools: Vec<PoolName> =
+            self.kinds.iter().filter(is_beside).map(|other| other.pool.clone()).collect();
+        pools.sort();
+        pools.dedup();
+        pools
+    }
+
     /// Whether requests for a row need the key of an organisation.
     #[must_use]
     pub fn needs_key(&self, row: &KindPlan) -> bool {
--- a/crates/pulley_core/tests/quarantine/main.rs
+++ b/crates/pulley_core/tests/quarantine/main.rs
@@ -7,3 +7,4 @@
 mod records;
 mod sums_over_hosts;
 mod turns;
+mod ways;
--- a/crates/pulleyd/src/connection/end_check.rs
+++ b/crates/pulleyd/src/connection/end_check.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pulley_core::Moment;
 use pulley_core::process::{FastMap, UpstreamStart};
+use pulley_core::{Moment, PoolName};
 use slog::info;
 use tokio::sync::OnceCell;
 
 use super::upstream_links::UpstreamLinks;
-use super::{LinkFault, UpstreamConnections, UpstreamTarget};
+use super::{LinkFault, Unused, UpstreamConnections, UpstreamLink, UpstreamTarget};
 
 /// Time limit of a check. A connection to an upstream of the same region opens, or is refused, within
 /// a few milliseconds. The next attempt at the request waits for the result.
@@ -28,9 +28,13 @@
 pub enum EndFinding {
     /// Nothing listens at its address any more.
     Ended,
-    /// It accepts connections and keeps them. Only the one connection has ended.
+    /// It has kept or answered over a connection that is older than the break. Only the one
+    /// connection has ended.
     Alive,
-    /// Neither is certain.
+    /// It accepts new connections and keeps them. So does a later start of it, or a supervisor that
+    /// keeps its listening socket.
+    Accepts,
+    /// Nothing is certain.
     Unknown,
 }
 
@@ -41,6 +45,7 @@
         match self {
             Self::Ended => "ended",
             Self::Alive => "alive",
+            Self::Accepts => "accepts",
             Self::Unknown => "unknown",
         }
     }
@@ -64,8 +69,8 @@
 impl UpstreamConnections {
     /// Finds out whether an upstream has ended, after a connection to it broke during a request.
     ///
-    /// A process that ends takes its listening socket along, so that its machine refuses new
-    /// connections. After a reset of one connection it still accepts others, and keeps them.
+    /// A process that ends takes its connections along, and mostly its listening socket, so that its
+    /// machine refuses new connections. After a reset of one connection it keeps the others.
     pub async fn check_end(&self, target: &UpstreamTarget) -> EndFinding {
         let check = self.end_checks.lock().current(self.clock.now(), &target.start);
         *check.get_or_init(|| self.reconnect(target)).await
@@ -78,7 +83,7 @@
         let mut tries = 0;
         let (finding, fault) = loop {
             tries += 1;
-            let (finding, fault) = self.try_once(&links, limit).await;
+            let (finding, fault) = self.try_once(&links, began, limit).await;
             if finding != EndFinding::Unknown || self.clock.now() + CONFIRM_TIME >= limit {
                 break (finding, fault);
             }
@@ -97,6 +102,7 @@
     async fn try_once(
         &self,
         links: &Arc<UpstreamLinks>,
+        broken_at: Moment,
         limit: Moment,
     ) -> (EndFinding, Option<LinkFault>) {
         let link = match links.open_for_check(limit).await {
@@ -108,7 +114,66 @@
         if link.is_closed() {
             return (EndFinding::Unknown, Some(LinkFault::ClosedUnsent));
         }
+        let is_alive = links.has_idle_since(broken_at);
         link.give_back();
-        (EndFinding::Alive, None)
+        (if is_alive { EndFinding::Alive } else { EndFinding::Accepts }, None)
+    }
+
+    /// Finds out whether an upstream that has left a request unanswered answers a probe.
+    pub async fn check_answer(&self, pool: &PoolName, target: &UpstreamTarget) -> EndFinding {
+        let limit = self.clock.now() + CHECK_TIMEOUT;
+        let links = self.links(&target.start.id, target.address);
+        let link = match links.open_for_check(limit).await {
+            Ok(link) => link,
+            Err(fault) if fault.is_refusal() => return EndFinding::Ended,
+            Err(_) => return EndFinding::Unknown,
+        };
+        match self.prove(pool, target, link, limit).await {
+            Some(link) => {
+                link.give_back();
+                EndFinding::Alive
+            }
+            None => EndFinding::Unknown,
+        }
+    }
+
+    /// Probes an upstream over a connection, which proves that the upstream is alive and reads what
+    /// is sent over it. Returns the connection if it has answered by the time limit.
+    pub async fn prove(
+        &self,
+        pool: &PoolName,
+        target: &UpstreamTarget,
+        link: UpstreamLink<Unused>,
+        limit: Moment,
+    ) -> Option<UpstreamLink<Unused>> {
+        let links = self.links(&target.start.id, target.address);
+        let request = links.probe_request(&self.probe_path(&links))?;
+        if self.send_block(pool, target).is_some() {
+            link.give_back();
+            return None;
+        }
+        let (parts, link) = self.timer.run_until(limit, link.probe(request)).await.flatten()?;
+        let source = (pool, &target.start);
+        let stops = self.observe_stops(source, parts.status, &parts.headers, link.relay());
+        if stops.rest.span().is_some() {
+            link.give_back();
+            return None;
+        }
+        Some(link)
+    }
+
+    /// Watches a connection to an upstream until `until`, to find out whether the upstream ends. Opens
+    /// one for that if none is idle. Returns whether the connection was lost or refused.
+    pub async fn watch_loss(&self, target: &UpstreamTarget, until: Moment) -> bool {
+        let links = self.links(&target.start.id, target.address);
+        if let Some(idle) = links.take_idle() {
+            let is_lost = self.timer.run_until(until, idle.ended()).await.is_some();
+            idle.give_back();
+            return is_lost;
+        }
+        match links.open_for_check(until).await {
+            Ok(link) => self.timer.run_until(until, link.ended()).await.is_some(),
+            Err(fault) => fault.is_refusal(),
+        }
     }
 }
--- a/crates/pulleyd/src/connection/path_watch.rs
+++ b/crates/pulleyd/src/connection/path_watch.rs
@@ -199,7 +199,7 @@
     }
 
     /// Returns the path at which an upstream answers probes.
-    fn probe_path(&self, links: &UpstreamLinks) -> Uri {
+    pub(super) fn probe_path(&self, links: &UpstreamLinks) -> Uri {
         let view = self.view.load();
         let planned = links.pool().and_then(|pool| view.plan.probe_path(pool)?.parse().ok());
         planned.unwrap_or_else(|| Uri::from_static(PROBE_PATH))
--- a/crates/pulleyd/src/connection/upstream_connections.rs
+++ b/crates/pulleyd/src/connection/upstream_connections.rs
@@ -183,6 +183,13 @@
         link
     }
 
+    /// Whether an upstream has answered this host directly since a moment.
+    #[must_use]
+    pub fn has_answered_since(&self, upstream: &UpstreamId, moment: Moment) -> bool {
+        let known = self.upstreams.load();
+        known.get(upstream).is_some_and(|links| links.has_answered_since(moment))
+    }
+
     /// Returns the number of connections to all upstreams that are open or being opened.
     #[must_use]
     pub fn open_connections(&self) -> usize {
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -198,6 +198,11 @@
         Some((parts, Self { sender, registration, _state: Unused }))
     }
 
+    /// Waits until the connection ends.
+    pub(super) async fn ended(&self) {
+        self.registration.ended.notified().await;
+    }
+
     /// Returns the link to the idle connections, unused.
     pub fn give_back(self) {
         check_in(self.sender, self.registration);
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -310,10 +310,21 @@
     ) -> Option<(Parts, UpstreamLink<Unused>)> {
         let registration = self.register_check()?;
         let link = self.connect(registration, route, deadline).await.ok()?;
-        let request = check_request(probe_path, self.address).filter(|_| may_send())?;
+        let request = self.probe_request(probe_path).filter(|_| may_send())?;
         self.timer.run_until(deadline, link.probe(request)).await.flatten()
     }
 
+    /// Takes an idle connection if one is open.
+    pub(super) fn take_idle(&self) -> Option<UpstreamLink<Unused>> {
+        let idle = {
+            let mut state = self.state.lock();
+            let number = state.table.reuse(self.clock.now())?;
+            state.idle.remove(&number)?
+        };
+        let IdleLink { sender, registration } = idle;
+        sender.is_ready().then(|| UpstreamLink::new(sender, registration))
+    }
+
     /// Opens another connection to find out whether the upstream accepts any.
     pub(super) async fn open_for_check(
         self: &Arc<Self>,
@@ -324,6 +335,25 @@
         self.connect(registration, route, deadline).await
     }
 
+    /// Returns a probe that checks whether the upstream answers.
+    pub(super) fn probe_request(&self, path: &Uri) -> Option<Request<RequestBody>> {
+        check_request(path, self.address)
+    }
+
+    /// Whether an idle connection is open that is older than a moment.
+    pub(super) fn has_idle_since(&self, moment: Moment) -> bool {
+        let state = self.state.lock();
+        let is_open = |number: &ConnectionNumber| {
+            state.idle.get(number).is_some_and(|link| !link.sender.is_closed())
+        };
+        state.table.idle_since(moment).any(|number| is_open(&number))
+    }
+
+    /// Whether the upstream has answered this host directly since a moment.
+    pub(super) fn has_answered_since(&self, moment: Moment) -> bool {
+        self.state.lock().path.has_answered_since(moment)
+    }
+
     fn register_check(self: &Arc<Self>) -> Option<LinkRegistration> {
         let (number, closed) = {
             let mut state = self.state.lock();
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of this host's traffic side and operators, and returns their answers.
 
-use pulley_core::process::{Announcement, Incarnation, RelayHost, UpstreamStart};
+use pulley_core::process::{Announcement, FastSet, Incarnation, RelayHost, UpstreamStart};
 use pulley_core::version::{
     AuditRecord, ChangeAnswer, ChangeRefusal, ClaimAnswer, ClaimantId, DriverInput, EvacuatedZones,
     ReplicaAnswer, ReplicaQuestion, ReplicaRefusal, SheetView, SizeFault, ZoneAnswer,
@@ -127,21 +127,11 @@
                 self.quotas.ask(now, asks);
                 self.flush_quotas(now);
             }
-            ControlRequest::ReportContent(report, reply) => {
-                self.quarantine.report(self.registry.shared_time(now), report);
-                self.flush_quarantine(now);
-                let _ = reply.map(|reply| reply.send(()));
-            }
-            ControlRequest::AskTrial(ask) => {
-                self.quarantine.ask(now, self.registry.shared_time(now), ask);
-                self.flush_quarantine(now);
-            }
-            ControlRequest::Contents(reply) => {
-                let _ = reply.send(self.contents(now));
-            }
-            ControlRequest::ClearContents(filter, reply) => {
-                let _ = reply.send(self.clear_contents(now, &filter));
-            }
+            request @ (ControlRequest::ReportContent(..)
+            | ControlRequest::EndTrial(..)
+            | ControlRequest::AskTrial(_)
+            | ControlRequest::Contents(_)
+            | ControlRequest::ClearContents(..)) => self.answer_content_request(now, request),
             ControlRequest::RelayHosts(round, reply) => {
                 let hosts = RelayHost::list(self.members.own(), self.members.live(), round);
                 let _ = reply.send(hosts);
@@ -161,20 +151,46 @@
         }
     }
 
+    /// Handles a request about contents that end upstreams.
+    fn answer_content_request(&mut self, now: Moment, request: ControlRequest) {
+        match request {
+            ControlRequest::ReportContent(report, reply) => {
+                self.quarantine.report(self.registry.shared_time(now), report);
+                self.flush_quarantine(now);
+                let _ = reply.map(|reply| reply.send(()));
+            }
+            ControlRequest::EndTrial(digest, number) => {
+                self.quarantine.end_trial(digest, number);
+                self.flush_quarantine(now);
+            }
+            ControlRequest::AskTrial(ask) => {
+                self.quarantine.ask(now, self.registry.shared_time(now), ask);
+                self.flush_quarantine(now);
+            }
+            ControlRequest::Contents(reply) => {
+                let _ = reply.send(self.contents(now));
+            }
+            ControlRequest::ClearContents(filter, reply) => {
+                let _ = reply.send(self.clear_contents(now, &filter));
+            }
+            _ => {}
+        }
+    }
+
     fn contents(&self, now: Moment) -> Vec<ContentStatus> {
         let time = self.registry.shared_time(now);
         let suspects = self.quarantine.suspects();
-        suspects.filter_map(|record| ContentStatus::describe(time, record)).collect()
+        suspects.flat_map(|record| ContentStatus::describe(time, record)).collect()
     }
 
     /// Ends the suspicion of contents on all hosts. Returns their number.
     fn clear_contents(&mut self, now: Moment, filter: &ContentFilter) -> usize {
         let time = self.registry.shared_time(now);
-        let keys = self.quarantine.suspects().map(|record| record.key.clone());
-        let cleared: Vec<_> = keys.filter(|key| filter.matches(key)).collect();
+        let keys = self.quarantine.suspects().flat_map(|record| filter.select(record));
+        let cleared: Vec<_> = keys.collect();
         cleared.iter().for_each(|key| self.quarantine.clear(time, key));
         self.flush_quarantine(now);
-        cleared.len()
+        cleared.iter().map(|key| key.digest).collect::<FastSet<_>>().len()
     }
 
     fn handle_announcement(
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use pulley_core::process::{
-    ContentKey, CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitRecord,
+    ContentDigest, CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitRecord,
     MemberRecord, MemberSend, MemberSettings, MemberTable, OrganisationName, QuarantineExchange,
     QuotaExchange, QuotaTerms, SuspectRecord, UpstreamDirectory, UpstreamRegistry, UpstreamStart,
 };
@@ -78,7 +78,7 @@
 /// A change of what this host knows of a content.
 #[derive(Debug)]
 pub(crate) struct ChangedContent {
-    pub(crate) key: ContentKey,
+    pub(crate) digest: ContentDigest,
     /// `None` if its record was removed.
     pub(crate) record: Option<SuspectRecord>,
 }
@@ -236,6 +236,7 @@
         self.update_voters(now);
         self.quotas.tick(now);
         self.flush_quotas(now);
+        self.decide_runs(now);
         self.quarantine.tick(now, self.registry.shared_time(now), &ring);
         self.flush_quarantine(now);
         self.refresh(now);
--- a/crates/pulleyd/src/process/control_flush.rs
+++ b/crates/pulleyd/src/process/control_flush.rs
@@ -46,6 +46,15 @@
         self.quota_gate.record_counts(self.quotas.counts());
     }
 
+    /// Compares what upstreams have announced with the runs of which it is not known whether their
+    /// upstreams ended.
+    pub(super) fn decide_runs(&mut self, now: Moment) {
+        let (time, registry) = (self.registry.shared_time(now), &self.registry);
+        self.quarantine.decide_runs(now, time, |start, address, at| {
+            registry.start_evidence(now, start, address, at)
+        });
+    }
+
     /// Carries out what the exchange of suspected contents asks for.
     pub(super) fn flush_quarantine(&mut self, now: Moment) {
         let time = self.registry.shared_time(now);
@@ -60,9 +69,9 @@
                 QuarantineOutput::Verdict { number, verdict } => {
                     self.quarantine_gate.receive(number, verdict);
                 }
-                QuarantineOutput::Changed(key, record) => {
-                    self.quarantine_gate.apply(time, &key, record.as_ref());
-                    self.changed_contents.push(ChangedContent { key, record });
+                QuarantineOutput::Changed(digest, record) => {
+                    self.quarantine_gate.apply(time, digest, record.as_ref());
+                    self.changed_contents.push(ChangedContent { digest, record });
                 }
             }
         }
--- a/crates/pulleyd/src/process/control_handle.rs
+++ b/crates/pulleyd/src/process/control_handle.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use pulley_core::process::{
-    Announcement, ContentReport, Incarnation, ObservedLimit, PermitAsk, QuotaAsk, RelayHost,
-    TrialAsk,
+    Announcement, ContentDigest, ContentReport, Incarnation, ObservedLimit, PermitAsk, QuotaAsk,
+    RelayHost, TrialAsk, TrialNumber,
 };
 use pulley_core::version::{
     AuditFilter, AuditRecord, ChangeAnswer, ChangeRequest, EvacuatedZones, SheetView, ZoneAnswer,
@@ -66,6 +66,8 @@
     /// The end of a request whose content is, or becomes, suspected. It is answered once this host's
     /// gate counts it.
     ReportContent(ContentReport, Option<oneshot::Sender<()>>),
+    /// A trial of a content has ended, and nothing is learned from it.
+    EndTrial(ContentDigest, TrialNumber),
     /// Asks whether a request with a suspected content may run. The answer goes to the gate.
     AskTrial(TrialAsk),
     /// Asks for the contents that are suspected or quarantined.
--- a/crates/pulleyd/src/process/control_log.rs
+++ b/crates/pulleyd/src/process/control_log.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use pulley_core::Moment;
-use pulley_core::process::{ContentStanding, HostId, MemberId, SuspectRecord, ZoneName};
+use pulley_core::process::{
+    ContentStanding, HostId, MemberId, RunFinding, SuspectRecord, ZoneName,
+};
 use pulley_core::version::{LogIndex, PlanStanding, ReplicaMember, SpreadCounts};
 use slog::{Logger, info};
 
@@ -97,22 +99,24 @@
 
     /// Logs the contents that this host has learned to be suspected, quarantined or cleared.
     fn log_contents(&self, core: &mut ControlCore) {
-        for ChangedContent { key, record } in core.take_changed_contents() {
-            let standing = record.as_ref().and_then(SuspectRecord::standing);
+        for ChangedContent { digest, record } in core.take_changed_contents() {
+            let standing = record.as_ref().and_then(SuspectRecord::standing_elsewhere);
             let standing = match (&record, standing) {
                 (_, Some(ContentStanding::Suspect)) => "suspect",
+                (_, Some(ContentStanding::Held { .. })) => "held",
                 (_, Some(ContentStanding::Quarantined { .. })) => "quarantined",
                 (Some(_), None) => "cleared",
                 (None, None) => "forgotten",
             };
-            let ends = record.as_ref().map_or(&[][..], SuspectRecord::ends);
-            let upstreams = ends.iter().map(|end| {
-                let how = if end.was_trial { "(trial)" } else { "" };
-                format!("{}@{}{how}", end.upstream, end.incarnation.0)
+            let pools = record.as_ref().map_or(&[][..], SuspectRecord::pools);
+            let runs = pools.iter().flat_map(|pool| pool.runs().iter().map(move |run| (pool, run)));
+            let runs = runs.map(|(pool, run)| {
+                let how = if run.was_trial { "(trial)" } else { "" };
+                let finding = finding_name(run.finding);
+                format!("{}/{}@{}{how}={finding}", pool.pool, run.upstream, run.incarnation.0)
             });
-            info!(self.logger, "content"; "digest" => %key.digest, "pool" => %key.pool,
-                "standing" => standing, "ends" => ends.len(),
-                "upstreams" => upstreams.collect::<Vec<_>>().join(","));
+            info!(self.logger, "content"; "digest" => %digest, "standing" => standing,
+                "runs" => runs.collect::<Vec<_>>().join(","));
         }
     }
 
@@ -172,3 +176,12 @@
             "windows_unserved" => counts.windows_unserved, "chunks_served" => counts.chunks_served);
     }
 }
+
+/// Returns a finding as written in logs.
+const fn finding_name(finding: RunFinding) -> &'static str {
+    match finding {
+        RunFinding::Pending { .. } => "pending",
+        RunFinding::Refuted => "refuted",
+        RunFinding::Ended => "ended",
+    }
+}
--- a/crates/pulleyd/src/request/answer_body.rs
+++ b/crates/pulleyd/src/request/answer_body.rs
@@ -193,8 +193,10 @@
             TrafficCounters::add(&permit.counters().cut_short);
         }
         answer.attempt.settle(AttemptOutcome::Broken);
-        if ending == AnswerEnding::CutShort {
-            answer.content.cut_short();
+        match ending {
+            AnswerEnding::CutShort => answer.content.cut_short(),
+            AnswerEnding::Stalled => answer.content.timed_out(true),
+            AnswerEnding::Complete => {}
         }
     }
 }
--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -15,6 +15,9 @@
 /// `Retry-After` for a request whose pool or upstream has changed; the change is already known.
 const PLAN_CHANGED_RETRY: Duration = Duration::from_millis(10);
 
+/// The cause of an attempt that was not answered by its deadline.
+const TIME_OUT_CAUSE: &str = "no-answer-in-time";
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptFault {
@@ -62,6 +65,11 @@
         may_have_run && self.answer.cause == LinkFault::Lost.cause()
     }
 
+    /// Whether the request was sent and its deadline has passed.
+    pub(super) fn is_time_out(&self) -> bool {
+        self.answer.verdict == RequestVerdict::MayHaveRun && self.answer.cause == TIME_OUT_CAUSE
+    }
+
     /// The caller aborted its own request.
     pub(super) fn caller_aborted(verdict: RequestVerdict) -> Self {
         let status = StatusCode::BAD_REQUEST;
@@ -96,7 +104,7 @@
     /// The deadline passed.
     pub(super) fn timed_out(verdict: RequestVerdict) -> Self {
         let (status, retry_after) = (StatusCode::GATEWAY_TIMEOUT, Some(ATTEMPT_FAILED_RETRY));
-        let answer = SystemAnswer::failed(status, verdict, "no-answer-in-time", retry_after);
+        let answer = SystemAnswer::failed(status, verdict, TIME_OUT_CAUSE, retry_after);
         Self {
             answer,
             outcome: AttemptOutcome::Broken,
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod caller_access;
 mod content_run;
 mod header_dialect;
+mod held_bodies;
 mod keyed_run;
 mod ledger_claim;
 mod load_report;
@@ -36,6 +37,7 @@
 pub use attempt_guard::AttemptGuard;
 pub use call_terms::TrustedCallers;
 pub use header_dialect::{HeaderDialect, LoadReader};
+pub use held_bodies::HeldBodies;
 pub use load_report::read_load_report;
 pub use protocol_headers::{
     ATTEMPT_HEADER, CAUSE_HEADER, DEADLINE_HEADER, DRAINING_HEADER, KEY_HEADER, LIMIT_HEADER,
--- a/crates/pulleyd/src/request/quarantine_gate.rs
+++ b/crates/pulleyd/src/request/quarantine_gate.rs
@@ -7,11 +7,11 @@
 use futures::future::select;
 use parking_lot::Mutex;
 use pulley_core::process::{
-    ContentKey, ContentReport, ContentStanding, RunResult, SharedTime, SuspectRecord, TrialAsk,
-    TrialNumber, TrialVerdict,
+    ContentDigest, ContentHead, ContentKey, ContentReport, ContentStanding, SharedTime,
+    SuspectRecord, TrialAsk, TrialNumber, TrialVerdict,
 };
-use pulley_core::request::{ContentDecision, ContentTable, SuspectState};
-use pulley_core::{Moment, PoolName, RefusalCause};
+use pulley_core::request::{ContentDecision, ContentTable, SuspectState, SuspectStates};
+use pulley_core::{Moment, RefusalCause};
 use tokio::sync::Notify;
 
 use super::SystemAnswer;
@@ -53,17 +53,20 @@
     }
 
     /// Takes what has become known of a content at the shared time `time`.
-    pub fn apply(&self, time: SharedTime, key: &ContentKey, record: Option<&SuspectRecord>) {
-        let now = self.clock.now();
-        let standing = record.and_then(SuspectRecord::standing);
-        let state = standing.map(|standing| match standing {
-            ContentStanding::Suspect => SuspectState::Suspect,
-            ContentStanding::Quarantined { until } => {
-                SuspectState::Quarantined { until: now + until.since(time) }
+    pub fn apply(&self, time: SharedTime, digest: ContentDigest, record: Option<&SuspectRecord>) {
+        let states = record.map_or_else(SuspectStates::default, |record| {
+            let state = |standing| suspect_state((self.clock.now(), time), standing);
+            let pools = record.pools().iter().map(|known| {
+                let standing = record.standing(&known.pool);
+                (known.pool.clone(), standing.map(state))
+            });
+            SuspectStates {
+                pools: pools.collect(),
+                elsewhere: record.standing_elsewhere().map(state),
             }
         });
         self.update(|table| {
-            table.apply(key, state);
+            table.apply(digest, states);
             self.has_suspects.store(table.counts().0 > 0, Ordering::Release);
         });
     }
@@ -79,9 +82,14 @@
         self.table.lock().counts()
     }
 
-    /// Whether any content of a pool is suspected.
-    pub(super) fn has_suspects(&self, pool: &PoolName) -> bool {
-        self.has_suspects.load(Ordering::Acquire) && self.table.lock().has_suspects(pool)
+    /// Whether any content is suspected.
+    pub(super) fn has_any_suspects(&self) -> bool {
+        self.has_suspects.load(Ordering::Acquire)
+    }
+
+    /// Whether any content with a head is suspected.
+    pub(super) fn has_suspects(&self, head: ContentHead) -> bool {
+        self.table.lock().has_suspects(head)
     }
 
     /// Whether a content is suspected.
@@ -89,10 +97,9 @@
         self.table.lock().is_suspect(key)
     }
 
-    /// Returns the answer that refuses a request if its content is quarantined.
+    /// Returns the answer that refuses a request if its content is held or quarantined.
     pub(super) fn refusal(&self, key: &ContentKey) -> Option<SystemAnswer> {
-        let left = self.table.lock().quarantined_for(self.clock.now(), key)?;
-        Some(SystemAnswer::refused(RefusalCause::ContentQuarantined, Some(left)))
+        refusal(&self.table.lock().refusal(self.clock.now(), key)?)
     }
 
     /// Admits a request. Returns its trial if its content is suspected, or the answer that refuses it.
@@ -116,19 +123,20 @@
             let decision = self.update_asking(|table| {
                 let decision = table.decide(now, &ask);
                 if waiting.is_none() && matches!(decision, ContentDecision::Wait(_)) {
-                    table.begin_wait(key);
-                    waiting = Some(WaitingTurn { gate: self, key });
+                    table.begin_wait(key.digest);
+                    waiting = Some(WaitingTurn { gate: self, digest: key.digest });
                 }
                 decision
             });
+            if let Some(refusal) = refusal(&decision) {
+                return Err(refusal);
+            }
             let again = match decision {
-                ContentDecision::Run => return Ok(None),
                 ContentDecision::Try(number) => return Ok(Some(number)),
-                ContentDecision::Refuse(left) => {
-                    let cause = RefusalCause::ContentQuarantined;
-                    return Err(SystemAnswer::refused(cause, Some(left)));
-                }
                 ContentDecision::Wait(again) => again,
+                ContentDecision::Run | ContentDecision::Refuse(_) | ContentDecision::Hold(_) => {
+                    return Ok(None);
+                }
             };
             if now >= deadline {
                 let cause = RefusalCause::ContentSuspected;
@@ -143,7 +151,7 @@
     /// Reports the end of a request, and waits for a moment until this host counts it. Returns whether
     /// it does.
     pub(super) async fn report(&self, timer: &TimerService, report: ContentReport) -> bool {
-        self.end_trial(&report);
+        self.end_reported_trial(&report);
         let counted = self.control.ask(|reply| ControlRequest::ReportContent(report, Some(reply)));
         let counted = timer.run_until(self.clock.now() + REPORT_WAIT, pin!(counted)).await;
         matches!(counted, Some(Ok(())))
@@ -151,16 +159,22 @@
 
     /// Reports the end of a request.
     pub(super) fn tell(&self, report: ContentReport) {
-        self.end_trial(&report);
+        self.end_reported_trial(&report);
         self.control.tell(ControlRequest::ReportContent(report, None));
     }
 
-    fn end_trial(&self, report: &ContentReport) {
+    fn end_reported_trial(&self, report: &ContentReport) {
         if let Some(number) = report.trial {
-            self.update(|table| table.end_trial(&report.key, number));
+            self.update(|table| table.end_trial(report.key.digest, number));
         }
     }
 
+    /// Gives a trial back that tells nothing.
+    pub(super) fn end_trial(&self, digest: ContentDigest, number: TrialNumber) {
+        self.update(|table| table.end_trial(digest, number));
+        self.control.tell(ControlRequest::EndTrial(digest, number));
+    }
+
     /// Changes the table, and wakes the requests that wait.
     fn update<T>(&self, change: impl FnOnce(&mut ContentTable) -> T) -> T {
         let changed = self.update_asking(change);
@@ -177,9 +191,8 @@
         for ask in asks {
             self.control.tell(ControlRequest::AskTrial(ask));
         }
-        for (key, number) in unused {
-            let report = ContentReport { key, result: RunResult::Unknown, trial: Some(number) };
-            self.control.tell(ControlRequest::ReportContent(report, None));
+        for (digest, number) in unused {
+            self.control.tell(ControlRequest::EndTrial(digest, number));
         }
         changed
     }
@@ -188,11 +201,32 @@
 /// A request that waits for its turn. It stops waiting when dropped, also if its caller leaves.
 struct WaitingTurn<'a> {
     gate: &'a QuarantineGate,
-    key: &'a ContentKey,
+    digest: ContentDigest,
 }
 
 impl Drop for WaitingTurn<'_> {
     fn drop(&mut self) {
-        self.gate.update_asking(|table| table.end_wait(self.key));
+        self.gate.update_asking(|table| table.end_wait(self.digest));
     }
 }
+
+/// Returns how a content is treated by this host's clock, which reads `now` at the shared time `time`.
+fn suspect_state((now, time): (Moment, SharedTime), standing: ContentStanding) -> SuspectState {
+    match standing {
+        ContentStanding::Suspect => SuspectState::Suspect,
+        ContentStanding::Held { until } => SuspectState::Held { until: now + until.since(time) },
+        ContentStanding::Quarantined { until } => {
+            SuspectState::Quarantined { until: now + until.since(time) }
+        }
+    }
+}
+
+/// Returns the answer of a decision that refuses a request.
+fn refusal(decision: &ContentDecision) -> Option<SystemAnswer> {
+    let (cause, retry_after) = match decision {
+        ContentDecision::Refuse(left) => (RefusalCause::ContentQuarantined, *left),
+        ContentDecision::Hold(left) => (RefusalCause::ContentSuspected, *left),
+        ContentDecision::Run | ContentDecision::Try(_) | ContentDecision::Wait(_) => return None,
+    };
+    Some(SystemAnswer::refused(cause, Some(retry_after)))
+}
--- a/crates/pulleyd/src/request/request_admission.rs
+++ b/crates/pulleyd/src/request/request_admission.rs
@@ -18,23 +18,22 @@
 const TURN_DIVISOR: u32 = 2;
 
 impl RequestRun {
-    /// Returns the content's digest while any content of the pool is suspected, if the whole body has
+    /// Returns the content's digest while contents with its head are suspected, if the whole body has
     /// been read.
     pub(super) fn content_digest(&self) -> Option<ContentDigest> {
-        let is_needed = self.context.quarantine.has_suspects(&self.row().pool);
-        is_needed.then(|| self.content.digest(&self.context.content_keys)).flatten()
+        self.content.suspect_digest(&self.context)
     }
 
     /// Waits until the request may run, if its content is suspected. It then holds a trial.
     ///
     /// # Errors
-    /// The content is quarantined, or others with it took all of the time.
+    /// The content is held or quarantined, or others with it took all of the time.
     pub(super) async fn admit_content(&self) -> Result<()> {
         let pool = &self.row().pool;
-        if self.has_trial() || !self.context.quarantine.has_suspects(pool) {
+        if self.has_trial() || !self.content.may_be_suspect(&self.context) {
             return Ok(());
         }
-        let reading = self.content.read_digest(&self.context.content_keys);
+        let reading = self.content.read_digest_to_send(&self.context);
         let digest = self.context.timer.run_until(self.terms.deadline, reading).await;
         let Some(digest) = digest.flatten() else { return Ok(()) };
         let key = ContentKey { pool: pool.clone(), digest };
@@ -43,7 +42,7 @@
         let (gate, lease) = (&self.context.quarantine, self.row().deadline);
         let admitted = gate.admit(&self.context.timer, &key, turn_deadline, lease).await;
         if let Some(number) = admitted.map_err(AttemptFault::refused_with)? {
-            let trial = ContentTrial::new(Arc::clone(&self.context), key, number);
+            let trial = ContentTrial::new(Arc::clone(&self.context), key.digest, number);
             self.keep_trial(Some(trial));
         }
         Ok(())
@@ -60,8 +59,8 @@
         !run.is_trial() && self.is_suspect()
     }
 
-    /// Returns the answer that ends the request after a failed attempt if its content is quarantined
-    /// by now. The attempt may have run, so that the status must not promise that it has not.
+    /// Returns the answer that ends the request after a failed attempt if its content is held or
+    /// quarantined by now. The attempt may have run, so that the status must not promise that it has not.
     pub(super) fn quarantine_refusal(&self) -> Option<SystemAnswer> {
         let refusal = self.context.quarantine.refusal(&self.suspect_key()?)?;
         let status = match self.verdict {
@@ -74,8 +73,8 @@
     /// Begins the run of the content at an upstream, as a trial if the request holds one.
     pub(super) fn begin_content(&self, target: &UpstreamTarget) -> ContentRun {
         let (context, content) = (Arc::clone(&self.context), Arc::clone(&self.content));
-        let pool = self.row().pool.clone();
-        ContentRun::new(context, content, pool, target.clone(), self.take_trial())
+        let at = (self.kind.clone(), target.clone());
+        ContentRun::new(context, content, at, self.terms.deadline, self.take_trial())
     }
 
     /// Keeps the trial of a run that was not sent for the next placement.
@@ -83,7 +82,7 @@
         self.keep_trial(run.into_trial());
     }
 
-    /// Returns the content's key; `None` if no content of the pool is suspected.
+    /// Returns the content's key; `None` if no content with its head is suspected.
     fn suspect_key(&self) -> Option<ContentKey> {
         let digest = self.content_digest()?;
         Some(ContentKey { pool: self.row().pool.clone(), digest })
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -52,6 +52,12 @@
 /// permits take a few milliseconds, and a permit that is not there by then goes to another request.
 const PERMIT_WAIT: Duration = Duration::from_millis(80);
 
+/// How long the upstream of a trial may take to answer the probe before the trial.
+const PROOF_LIMIT: Duration = Duration::from_millis(150);
+
+/// The cause for which a trial was not sent to an upstream that has left a probe unanswered.
+const UNPROVEN_CAUSE: &str = "upstream-unproven";
+
 /// Divides the time in which a request can still meet its target. During the resulting part, a
 /// request with a large response probes upstreams of its own zone only.
 const LARGE_OWN_ZONE_DIVISOR: u32 = 2;
@@ -211,11 +217,14 @@
                 attempt.settle(self.blamed_outcome(fault.outcome));
                 if fault.is_broken() {
                     self.record_broken(content.broke().await);
+                } else if fault.is_time_out() {
+                    content.timed_out(self.is_silent(&start.id));
                 }
                 return Err(fault);
             }
         };
         if !self.is_genuine_answer(&response) {
+            content.discard();
             attempt.settle(AttemptOutcome::Broken);
             return Err(AttemptFault::untrusted("foreign-answer", AttemptOutcome::Broken));
         }
@@ -231,11 +240,13 @@
         let refused =
             |outcome| if rest.span().is_some() { AttemptOutcome::Rested } else { outcome };
         if metadata.is_unconfirmed_not_run {
+            content.discard();
             let outcome = refused(AttemptOutcome::Failed);
             attempt.settle(outcome);
             return Err(AttemptFault::untrusted("upstream-failed", outcome));
         }
         if metadata.is_shed {
+            content.discard();
             let outcome = refused(AttemptOutcome::Shed);
             attempt.settle(outcome);
             let has_available = self.context.schedulers.has_available(&self.row().pool);
@@ -269,7 +280,8 @@
                 Some(link) => link,
                 None => {
                     let link = self.context.connections.checkout(request).await;
-                    link.map_err(|fault| self.link_fault(&fault))?
+                    let link = link.map_err(|fault| self.link_fault(&fault))?;
+                    if content.is_trial() { self.prove(&target, link).await? } else { link }
                 }
             };
             match self.send_over((&target, content), link, placed_at).await {
@@ -281,6 +293,19 @@
         Err(self.link_fault(&LinkFault::ClosedUnsent))
     }
 
+    /// Probes the upstream of a trial over the trial's connection. An upstream that was lost before the
+    /// trial began would otherwise count as ended by it.
+    async fn prove(
+        &self,
+        target: &UpstreamTarget,
+        link: UpstreamLink<Unused>,
+    ) -> Result<UpstreamLink<Unused>> {
+        let limit = self.terms.deadline.min(self.context.clock.now() + PROOF_LIMIT);
+        let connections = &self.context.connections;
+        let proven = connections.prove(&self.row().pool, target, link, limit).await;
+        proven.ok_or_else(|| AttemptFault::held_back(UNPROVEN_CAUSE))
+    }
+
     /// Sends the request if the upstream still takes it, and waits for the response until the
     /// deadline.
     async fn send_over(
@@ -305,6 +330,7 @@
         let sent = SentAttempt { at: self.context.clock.now(), record: record.clone() };
         let unsent = sent.at.since(placed_at);
         self.record_sending(sent, unsent);
+        content.mark_sent();
         let sending = pin!(link.send(request));
         let timer = self.context.timer.clone();
         if let Some(sent) = timer.run_until(self.terms.deadline, sending).await {
--- a/crates/pulleyd/src/request/request_body.rs
+++ b/crates/pulleyd/src/request/request_body.rs
@@ -11,7 +11,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use sha2::{Digest, Sha256};
 use thiserror::Error;
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::held_bodies::{HELD_BODY_LIMIT, HeldBodies};
 
 /// The result of reading a body.
 type Result<T> = std::result::Result<T, RequestFault>;
@@ -45,14 +49,27 @@
     kept: Vec<KeptFrame>,
     kept_bytes: usize,
     limit: usize,
+    /// The room for a body beyond the usual limit.
+    room: Option<OwnedSemaphorePermit>,
     /// Whether all frames read so far were kept.
     is_complete: bool,
+    /// The digest of the data read so far, once it is no longer kept.
+    hasher: Option<Sha256>,
     caller_aborted: bool,
     /// The attempt that may read; earlier ones get `Superseded`. Otherwise they would consume
     /// frames that this attempt needs.
     attempt: u32,
 }
 
+/// How far the rest of a body was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RestRead {
+    /// To its end, or until its caller broke off.
+    Done,
+    /// It is longer than what may be kept.
+    TooLong,
+}
+
 #[derive(Clone, Debug)]
 enum KeptFrame {
     Data(Bytes),
@@ -71,7 +88,9 @@
             kept: Vec::new(),
             kept_bytes: 0,
             limit,
+            room: None,
             is_complete: true,
+            hasher: None,
             caller_aborted: false,
             attempt: 0,
         };
@@ -99,7 +118,9 @@
             kept,
             kept_bytes,
             limit,
+            room: None,
             is_complete: true,
+            hasher: None,
             caller_aborted: false,
             attempt: 0,
         };
@@ -128,22 +149,40 @@
         })
     }
 
-    /// Returns the whole body; `None` if it has not been read to its end or is too long to be kept.
+    /// Returns the SHA-256 digest of the body's data; `None` if it has not been read to its end.
     #[must_use]
-    pub fn whole(&self) -> Option<Vec<Bytes>> {
-        let Some(state) = &self.state else { return Some(Vec::new()) };
+    pub fn digest(&self) -> Option<[u8; 32]> {
+        let Some(state) = &self.state else { return Some(Sha256::digest([]).into()) };
         let state = state.lock();
         let has_ended = state.incoming.as_ref().is_none_or(Body::is_end_stream);
-        let is_whole = state.is_complete && has_ended && !state.caller_aborted;
-        is_whole.then(|| state.kept.iter().filter_map(KeptFrame::data).collect())
+        (has_ended && !state.caller_aborted).then(|| state.current_hasher().finalize().into())
     }
 
-    /// Reads the rest of the body and keeps it, unless it is longer than what may be kept. Earlier
-    /// attempts cannot read any more of it.
-    pub async fn read_rest(&self) {
+    /// Reads and keeps the rest of the body before any attempt, unless it is longer than what may be
+    /// kept. Waits for room for a long one.
+    pub async fn keep_rest(&self, held_bodies: &HeldBodies) {
         let Some(state) = &self.state else { return };
         state.lock().attempt += 1;
-        poll_fn(|context| state.lock().poll_rest(context)).await;
+        let read = || poll_fn(|context| state.lock().poll_rest(context));
+        if read().await == RestRead::TooLong {
+            let room = held_bodies.acquire().await;
+            state.lock().enlarge(room);
+            read().await;
+        }
+    }
+
+    /// Reads the rest of the body, and keeps it if there is room. Earlier attempts cannot read any
+    /// more of it, and later ones only if it is kept.
+    pub async fn read_rest(&self, held_bodies: &HeldBodies) {
+        let Some(state) = &self.state else { return };
+        let room = state.lock().is_longer_than_limit().then(|| held_bodies.try_acquire());
+        {
+            let mut state = state.lock();
+            state.attempt += 1;
+            state.enlarge(room.flatten());
+        }
+        let read = |context: &mut Context<'_>| state.lock().poll_incoming(context);
+        while let Some(Ok(_)) = poll_fn(read).await {}
     }
 
     /// Whether the caller aborted its body.
@@ -240,13 +279,12 @@
 
     /// Reads and keeps frames until the body ends or is known to be longer than the limit. The frame
     /// that exceeds the limit is kept too, as no attempt has read it yet.
-    fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.is_complete && self.kept_bytes <= self.limit {
-            let Some(incoming) = &mut self.incoming else { break };
-            let left = usize::try_from(incoming.size_hint().lower()).unwrap_or(usize::MAX);
-            if self.kept_bytes.saturating_add(left) > self.limit {
-                break;
+    fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<RestRead> {
+        while self.is_complete {
+            if self.is_longer_than_limit() {
+                return Poll::Ready(RestRead::TooLong);
             }
+            let Some(incoming) = &mut self.incoming else { break };
             match futures::ready!(Pin::new(incoming).poll_frame(context)) {
                 None => self.incoming = None,
                 Some(Ok(frame)) => {
@@ -260,17 +298,44 @@
                 }
             }
         }
-        Poll::Ready(())
+        Poll::Ready(RestRead::Done)
+    }
+
+    /// Whether the body is known to be longer than what may be kept.
+    fn is_longer_than_limit(&self) -> bool {
+        let left = self.incoming.as_ref().map_or(0, |incoming| incoming.size_hint().lower());
+        let left = usize::try_from(left).unwrap_or(usize::MAX);
+        self.kept_bytes.saturating_add(left) > self.limit
+    }
+
+    /// Keeps more of the body if there is room.
+    fn enlarge(&mut self, room: Option<OwnedSemaphorePermit>) {
+        if room.is_some() && self.is_complete {
+            self.limit = self.limit.max(HELD_BODY_LIMIT);
+            self.room = room;
+        }
     }
 
     fn keep(&mut self, frame: &KeptFrame) {
         self.kept_bytes += frame.len();
-        if self.kept_bytes <= self.limit {
+        if self.is_complete && self.kept_bytes <= self.limit {
             self.kept.push(frame.clone());
-        } else {
-            self.is_complete = false;
-            self.kept = Vec::new();
+            return;
         }
+        let mut hasher = self.current_hasher();
+        hasher.update(frame.data().unwrap_or_default());
+        self.hasher = Some(hasher);
+        self.is_complete = false;
+        self.kept = Vec::new();
+        self.room = None;
+    }
+
+    /// Returns the hasher of all data read so far.
+    fn current_hasher(&self) -> Sha256 {
+        self.hasher.clone().unwrap_or_else(|| {
+            let data = self.kept.iter().filter_map(KeptFrame::data);
+            data.fold(Sha256::new(), |hasher, data| hasher.chain_update(data))
+        })
     }
 
     fn is_end(&self, position: usize) -> bool {
--- a/crates/pulleyd/src/request/request_content.rs
+++ b/crates/pulleyd/src/request/request_content.rs
@@ -5,9 +5,9 @@
 use http::header::{HOST, HeaderValue};
 use http::request::Parts;
 use http::{Method, Uri};
-use pulley_core::process::ContentDigest;
+use pulley_core::process::{ContentDigest, ContentHead};
 
-use super::BodySource;
+use super::{BodySource, TrafficContext};
 use crate::connection::KeyRing;
 
 /// Keeps digests of contents apart from other uses of the installation's keys.
@@ -21,6 +21,7 @@
     host: Option<HeaderValue>,
     uri: Uri,
     body: BodySource,
+    head: OnceLock<ContentHead>,
     digest: OnceLock<ContentDigest>,
 }
 
@@ -32,17 +33,63 @@
             host: parts.headers.get(HOST).cloned(),
             uri: parts.uri.clone(),
             body: body.clone(),
+            head: OnceLock::new(),
             digest: OnceLock::new(),
         }
     }
 
-    /// Returns the content's digest; `None` if the body has not been read whole or is too long to be
-    /// kept.
+    /// Whether any content with the same head is suspected.
+    pub(super) fn may_be_suspect(&self, context: &TrafficContext) -> bool {
+        let gate = &context.quarantine;
+        gate.has_any_suspects() && gate.has_suspects(self.head(&context.content_keys))
+    }
+
+    /// Returns the content's digest while any content with the same head is suspected, if the whole
+    /// body has been read.
+    pub(super) fn suspect_digest(&self, context: &TrafficContext) -> Option<ContentDigest> {
+        if !self.may_be_suspect(context) {
+            return None;
+        }
+        self.digest(&context.content_keys)
+    }
+
+    /// Returns the content's digest; `None` if the body has not been read whole.
     pub(super) fn digest(&self, keys: &KeyRing) -> Option<ContentDigest> {
         if let Some(digest) = self.digest.get() {
             return Some(*digest);
         }
-        let body = self.body.whole()?;
+        let body = self.body.digest()?;
+        let tag = self.sign(keys, &[body.as_slice()]);
+        Some(*self.digest.get_or_init(|| ContentDigest::new(self.head(keys), &tag)))
+    }
+
+    /// Reads the rest of the body and returns the content's digest. Earlier attempts cannot read any
+    /// more of the body, and later ones only if it is short enough to be kept.
+    pub(super) async fn read_digest(&self, context: &TrafficContext) -> Option<ContentDigest> {
+        if self.digest.get().is_none() && self.body.digest().is_none() {
+            self.body.read_rest(&context.held_bodies).await;
+        }
+        self.digest(&context.content_keys)
+    }
+
+    /// Reads and keeps the whole body before it is sent, and returns the content's digest; `None` if
+    /// the body is too long for that.
+    pub(super) async fn read_digest_to_send(
+        &self,
+        context: &TrafficContext,
+    ) -> Option<ContentDigest> {
+        if self.digest.get().is_none() && self.body.digest().is_none() {
+            self.body.keep_rest(&context.held_bodies).await;
+        }
+        self.digest(&context.content_keys)
+    }
+
+    fn head(&self, keys: &KeyRing) -> ContentHead {
+        *self.head.get_or_init(|| ContentHead::from_tag(&self.sign(keys, &[])))
+    }
+
+    /// Signs method, host, path and `rest`.
+    fn sign(&self, keys: &KeyRing, rest: &[&[u8]]) -> [u8; 32] {
         let host = self.host.as_ref().map(|host| host.as_bytes().to_ascii_lowercase());
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         let head: [&[u8]; 4] = [
@@ -51,18 +98,7 @@
             host.as_deref().unwrap_or_default(),
             path.as_bytes(),
         ];
-        let body = body.concat();
-        let parts: Vec<&[u8]> = head.into_iter().chain([body.as_slice()]).collect();
-        let digest = ContentDigest::from_tag(&keys.sign(&parts));
-        Some(*self.digest.get_or_init(|| digest))
-    }
-
-    /// Reads the rest of the body and returns the content's digest. Earlier attempts cannot read any
-    /// more of the body.
-    pub(super) async fn read_digest(&self, keys: &KeyRing) -> Option<ContentDigest> {
-        if self.digest.get().is_none() && self.body.whole().is_none() {
-            self.body.read_rest().await;
-        }
-        self.digest(keys)
+        let parts: Vec<&[u8]> = head.into_iter().chain(rest.iter().copied()).collect();
+        keys.sign(&parts)
     }
 }
--- a/crates/pulleyd/src/request/request_run.rs
+++ b/crates/pulleyd/src/request/request_run.rs
@@ -315,6 +315,12 @@
         self.progress.lock().broken = Some(broken);
     }
 
+    /// Whether an upstream has answered nothing since the last attempt was sent to it.
+    pub(super) fn is_silent(&self, upstream: &UpstreamId) -> bool {
+        let sent = self.progress.lock().sent.as_ref().map(|sent| sent.at);
+        sent.is_some_and(|sent| !self.context.connections.has_answered_since(upstream, sent))
+    }
+
     pub(super) fn record_sending(&self, sent: SentAttempt, unsent: Duration) {
         let mut progress = self.progress.lock();
         progress.unsent = unsent;
--- a/crates/pulleyd/src/request/traffic_context.rs
+++ b/crates/pulleyd/src/request/traffic_context.rs
@@ -14,7 +14,8 @@
 use super::call_terms::CallTerms;
 use super::request_run::PlannedKind;
 use super::{
-    HeaderDialect, QuarantineGate, QuotaGate, SchedulerSet, TrafficCounters, TrustedCallers,
+    HeaderDialect, HeldBodies, QuarantineGate, QuotaGate, SchedulerSet, TrafficCounters,
+    TrustedCallers,
 };
 use crate::connection::{KeyRing, RelayIdentity, UpstreamConnections};
 use crate::process::{ControlHandle, ProcessClock, ProcessMetrics, TimerService, ViewCell};
@@ -71,6 +72,8 @@
     pub row_deadlines: Mutex<RowDeadlines>,
     /// Admits requests whose contents are suspected to end upstreams.
     pub quarantine: Arc<QuarantineGate>,
+    /// The memory for long bodies that are read whole before they are sent.
+    pub held_bodies: HeldBodies,
     /// The keys under which contents of requests are digested.
     pub content_keys: KeyRing,
     /// The channel to the control thread.
@@ -118,6 +121,7 @@
             quotas: Arc::new(QuotaGate::new(control.clone(), clock, QuotaTerms::default())),
             row_deadlines: Mutex::default(),
             quarantine: Arc::new(QuarantineGate::new(control.clone(), clock)),
+            held_bodies: HeldBodies::default(),
             content_keys: KeyRing::random(),
             control,
             connections: Arc::new(connections),
--- a/crates/pulleyd/tests/path_support/fake_upstream.rs
+++ b/crates/pulleyd/tests/path_support/fake_upstream.rs
@@ -76,6 +76,19 @@
         .await
     }
 
+    /// Breaks the one connection over which a request arrives that contains a mark. Other requests take
+    /// a moment.
+    pub(crate) async fn breaking_on(mark: &'static str) -> Self {
+        Self::scripted(move |mut stream, _, log| async move {
+            while !read_request(&mut stream, &log).await?.contains(mark) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                stream.write_all(&ok_answer("sound")).await.ok()?;
+            }
+            stream.set_zero_linger().ok()
+        })
+        .await
+    }
+
     /// Ends when it gets a request that contains a mark: it closes all connections and its listener.
     /// It writes `bytes` of an answer first. Other requests take a moment.
     pub(crate) async fn ending_on(mark: &'static str, bytes: &'static str) -> Self {
