--- a/crates/pulleyd/src/request/answer_body.rs
+++ b/crates/pulleyd/src/request/answer_body.rs
@@ -10,8 +10,10 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use pulley_core::Moment;
 use pulley_core::process::LinkPacer;
 use pulley_core::request::AttemptOutcome;
+use pulley_core::version::{KindPlan, WorkLength};
 use thiserror::Error;
 
 use super::content_run::ContentRun;
@@ -28,12 +30,20 @@
 /// aborted.
 const STALL_LIMIT: Duration = Duration::from_secs(30);
 
+/// How long after its deadline the answer to a short request may still be read. An answer that is
+/// ready a little late is delivered, and one without an end would hold the host's link until its
+/// caller leaves.
+const LATE_END: Duration = Duration::from_millis(500);
+
 /// Why a response body ended early; the caller's connection is then aborted.
 #[derive(Debug, Error)]
 pub enum BodyFault {
     /// The connection to the upstream broke while the body was read.
     #[error("the upstream's answer was cut short: {0}")]
     CutShort(#[from] hyper::Error),
+    /// The upstream was still sending when the request's time was over.
+    #[error("the upstream's answer had no end in the request's time")]
+    Overdue,
     /// The upstream sent nothing for longer than the stall limit.
     #[error("the upstream stopped in the middle of its answer")]
     Stalled,
@@ -49,6 +59,10 @@
     /// The run of the request's content.
     pub(super) content: ContentRun,
     pub(super) timer: TimerService,
+    pub(super) clock: ProcessClock,
+    /// After this time nothing more is read of it; `None` for long work, whose answers may stream for
+    /// minutes.
+    pub(super) read_until: Option<Moment>,
     /// Paces large responses to the host's link rate, if that is known.
     pub(super) pacing: Option<AnswerPacing>,
 }
@@ -110,6 +124,7 @@
 enum AnswerEnding {
     Complete,
     CutShort,
+    Overdue,
     Stalled,
 }
 
@@ -172,13 +187,20 @@
         piece
     }
 
-    /// Resolves to an error once the upstream has sent nothing for `STALL_LIMIT`.
-    fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<BodyFault> {
+    /// Resolves once the upstream has sent nothing for `STALL_LIMIT`, or its time is over.
+    fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let AnswerSource::Upstream(answer) = &self.source else { return Poll::Pending };
-        let timer = &answer.timer;
-        let stall = self.stall.get_or_insert_with(|| timer.after(STALL_LIMIT));
-        ready!(Pin::new(stall).poll(context));
-        Poll::Ready(BodyFault::Stalled)
+        let stall = self.stall.get_or_insert_with(|| {
+            let limit = answer.clock.now() + STALL_LIMIT;
+            answer.timer.at(answer.read_until.map_or(limit, |until| until.min(limit)))
+        });
+        Pin::new(stall).poll(context).map(drop)
+    }
+
+    /// Ends the body early. Returns the error for the caller's connection.
+    fn abort(&mut self, ending: AnswerEnding, fault: BodyFault) -> BodyFault {
+        self.end(ending);
+        fault
     }
 
     fn end(&mut self, ending: AnswerEnding) {
@@ -196,12 +218,22 @@
         match ending {
             AnswerEnding::CutShort => answer.content.cut_short(),
             AnswerEnding::Stalled => answer.content.timed_out(true),
+            AnswerEnding::Overdue => answer.content.discard(),
             AnswerEnding::Complete => {}
         }
     }
 }
 
 impl UpstreamAnswer {
+    /// Returns until when the answer to a request may be read.
+    pub(super) fn read_limit(row: &KindPlan, deadline: Moment) -> Option<Moment> {
+        (row.length == WorkLength::Short).then(|| deadline + LATE_END)
+    }
+
+    fn is_overdue(&self) -> bool {
+        self.read_until.is_some_and(|until| self.clock.now() >= until)
+    }
+
     fn complete(self) {
         self.link.give_back();
         self.attempt.settle(self.outcome);
@@ -225,10 +257,18 @@
             return Poll::Ready(Some(Ok(this.pass_on(frame))));
         }
         let AnswerSource::Upstream(answer) = &mut this.source else { return Poll::Ready(None) };
+        if answer.is_overdue() {
+            return Poll::Ready(Some(Err(this.abort(AnswerEnding::Overdue, BodyFault::Overdue))));
+        }
         match Pin::new(&mut answer.body).poll_frame(context) {
             Poll::Pending => {
-                let fault = ready!(this.poll_stall(context));
-                this.end(AnswerEnding::Stalled);
+                ready!(this.poll_stall(context));
+                let fault = match &this.source {
+                    AnswerSource::Upstream(answer) if answer.is_overdue() => {
+                        this.abort(AnswerEnding::Overdue, BodyFault::Overdue)
+                    }
+                    _ => this.abort(AnswerEnding::Stalled, BodyFault::Stalled),
+                };
                 Poll::Ready(Some(Err(fault)))
             }
             Poll::Ready(Some(Ok(frame))) => {
@@ -244,8 +284,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(fault))) => {
-                this.end(AnswerEnding::CutShort);
-                Poll::Ready(Some(Err(fault.into())))
+                Poll::Ready(Some(Err(this.abort(AnswerEnding::CutShort, fault.into()))))
             }
         }
     }
--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -18,6 +18,9 @@
 /// The cause of an attempt that was not answered by its deadline.
 const TIME_OUT_CAUSE: &str = "no-answer-in-time";
 
+/// The cause of an attempt whose caller broke off its own request.
+const CALLER_ABORTED_CAUSE: &str = "caller-broke-off";
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptFault {
@@ -70,11 +73,16 @@
         self.answer.verdict == RequestVerdict::MayHaveRun && self.answer.cause == TIME_OUT_CAUSE
     }
 
+    /// Whether the caller has aborted its own request.
+    pub(super) fn is_caller_abort(&self) -> bool {
+        self.answer.cause == CALLER_ABORTED_CAUSE
+    }
+
     /// The caller aborted its own request.
     pub(super) fn caller_aborted(verdict: RequestVerdict) -> Self {
         let status = StatusCode::BAD_REQUEST;
         Self {
-            answer: SystemAnswer::failed(status, verdict, "caller-broke-off", None),
+            answer: SystemAnswer::failed(status, verdict, CALLER_ABORTED_CAUSE, None),
             outcome: AttemptOutcome::Cancelled,
             is_retryable: false,
             retried_downstream: false,
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod content_run;
 mod header_dialect;
 mod held_bodies;
+mod interim_limit;
 mod keyed_run;
 mod ledger_claim;
 mod load_report;
--- a/crates/pulleyd/src/request/request_admission.rs
+++ b/crates/pulleyd/src/request/request_admission.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use http::StatusCode;
-use pulley_core::RequestVerdict;
 use pulley_core::process::{ContentDigest, ContentKey};
+use pulley_core::{RequestVerdict, UpstreamId};
 
 use super::SystemAnswer;
 use super::attempt_fault::AttemptFault;
@@ -77,6 +77,23 @@
         ContentRun::new(context, content, at, self.terms.deadline, self.take_trial())
     }
 
+    /// Ends the run of a failed attempt at an upstream. One that the caller aborted is reported as given
+    /// up.
+    pub(super) async fn end_content(
+        &self,
+        run: ContentRun,
+        fault: &AttemptFault,
+        upstream: &UpstreamId,
+    ) {
+        if fault.is_broken() {
+            self.record_broken(run.broke().await);
+        } else if fault.is_time_out() {
+            run.timed_out(self.is_silent(upstream));
+        } else if !fault.is_caller_abort() {
+            run.discard();
+        }
+    }
+
     /// Keeps the trial of a run that was not sent for the next placement.
     pub(super) fn return_trial(&self, run: ContentRun) {
         self.keep_trial(run.into_trial());
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::select;
+use futures::future::{Either, select};
 use http::header::{HeaderMap, HeaderValue};
 use http::uri::{PathAndQuery, Uri};
 use http::{Request, Response, Version};
@@ -22,6 +22,7 @@
 use super::arrival_probing::ArrivalProbing;
 use super::attempt_fault::AttemptFault;
 use super::content_run::ContentRun;
+use super::interim_limit::InterimLimit;
 use super::request_run::{RequestRun, SentAttempt};
 use super::{AttemptGuard, Placement, RequestBody};
 use crate::connection::{
@@ -215,11 +216,7 @@
             Err(fault) => {
                 self.context.connections.consider_paths();
                 attempt.settle(self.blamed_outcome(fault.outcome));
-                if fault.is_broken() {
-                    self.record_broken(content.broke().await);
-                } else if fault.is_time_out() {
-                    content.timed_out(self.is_silent(&start.id));
-                }
+                self.end_content(content, &fault, &start.id).await;
                 return Err(fault);
             }
         };
@@ -325,16 +322,22 @@
         if link.is_avoided() {
             return Ok(Err(LinkFault::ClosedUnsent));
         }
-        let request = self.upstream_request(&target.start.id);
+        let mut request = self.upstream_request(&target.start.id);
+        let interim = InterimLimit::watch(&mut request);
         let (meter, record) = (link.meter(), link.send_record());
         let sent = SentAttempt { at: self.context.clock.now(), record: record.clone() };
         let unsent = sent.at.since(placed_at);
         self.record_sending(sent, unsent);
         content.mark_sent();
-        let sending = pin!(link.send(request));
+        let (sending, exceeded) = (pin!(link.send(request)), pin!(interim.exceeded()));
+        let sending = select(sending, exceeded);
         let timer = self.context.timer.clone();
-        if let Some(sent) = timer.run_until(self.terms.deadline, sending).await {
-            return Ok(sent);
+        match timer.run_until(self.terms.deadline, sending).await {
+            Some(Either::Left((sent, _))) => return Ok(sent),
+            Some(Either::Right(_)) => {
+                return Err(AttemptFault::untrusted("interim-responses", AttemptOutcome::Broken));
+            }
+            None => {}
         }
         record.retire_unproven();
         let has_sent = meter.seal();
@@ -400,7 +403,18 @@
         let pacer = self.context.link_pacer.clone();
         let (clock, length) = (self.context.clock, response.body().size_hint().exact());
         let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, clock, timer.clone(), length));
-        response.map(|body| UpstreamAnswer { body, attempt, link, outcome, content, timer, pacing })
+        let read_until = UpstreamAnswer::read_limit(self.row(), self.terms.deadline);
+        response.map(|body| UpstreamAnswer {
+            body,
+            attempt,
+            link,
+            outcome,
+            content,
+            timer,
+            clock,
+            read_until,
+            pacing,
+        })
     }
 
     /// Returns the outcome to record for the upstream. While this host doubts its own path, a lost
