--- a/crates/pulley_soak/src/end_check.rs
+++ b/crates/pulley_soak/src/end_check.rs
@@ -5,6 +5,7 @@
 use pulley_core::process::FastMap;
 
 use crate::request_history::SoakFinding;
+use crate::soak_upstream::EndingWay;
 
 /// Upstreams that one content may end, and how many more for each host that was killed, stopped or
 /// paused meanwhile: it may have permitted a trial that nobody else knows of, and it may know nothing
@@ -35,7 +36,8 @@
             let concerns = |(_, from, until): &&(usize, Instant, Instant)| {
                 *from <= *last && *until + FAULT_MARGIN >= *first
             };
-            let allowed = ALLOWED_ENDS + ALLOWED_FOR_FAULT * faults.iter().filter(concerns).count();
+            let faults = faults.iter().filter(concerns).count();
+            let allowed = ALLOWED_ENDS + allowed_late(content) + ALLOWED_FOR_FAULT * faults;
             (ends.len() > allowed).then(|| SoakFinding {
                 guarantee: "a content ends few upstreams",
                 observed: format!("{content} ended {}, {allowed} are allowed", ends.len()),
@@ -44,3 +46,12 @@
         self.ends.iter().filter_map(check).collect()
     }
 }
+
+/// Returns how many runs of a content may begin after the third upstream has ended.
+fn allowed_late(content: &str) -> usize {
+    match EndingWay::of_content(content) {
+        EndingWay::Refuse => 0,
+        EndingWay::Reset => 2,
+        EndingWay::Silent => 4,
+    }
+}
--- a/crates/pulley_soak/src/soak_run.rs
+++ b/crates/pulley_soak/src/soak_run.rs
@@ -18,7 +18,7 @@
 use crate::soak_caller::{run_caller, send_ending_request};
 use crate::soak_operator::{KEY, VersionState, apply_changes, monitor_entry};
 use crate::soak_organisations::CallerPhases;
-use crate::soak_upstream::SoakUpstream;
+use crate::soak_upstream::{EndingWay, SoakUpstream};
 use crate::stall_watch::{StallWatch, log_fault};
 use crate::{
     DaemonProcess, FaultMix, FaultSchedule, HostCuts, ProxyMode, RequestHistory, ScheduledFault,
@@ -37,9 +37,6 @@
 /// How long an upstream continues to serve after it has announced that it drains.
 const DRAIN_SPAN: Duration = Duration::from_secs(5);
 
-/// How long an upstream that has ended is down.
-const END_SPAN: Duration = Duration::from_millis(800);
-
 /// Minimum fraction of requests that must succeed. A run in which almost nothing succeeds would
 /// check almost nothing.
 const MIN_SUCCESS_RATIO: f64 = 0.2;
@@ -171,12 +168,12 @@
     }
 
     /// Ends the upstreams that requests end, and starts others in their place.
-    fn spawn_restarts(&mut self, mut endings: mpsc::UnboundedReceiver<usize>) {
+    fn spawn_restarts(&mut self, mut endings: mpsc::UnboundedReceiver<(usize, EndingWay)>) {
         let (upstreams, history) = (self.upstreams.clone(), Arc::clone(&self.history));
         self.restarts.spawn(async move {
-            while let Some(index) = endings.recv().await {
+            while let Some((index, way)) = endings.recv().await {
                 let (upstream, history) = (Arc::clone(&upstreams[index]), Arc::clone(&history));
-                tokio::spawn(async move { end_upstream(&upstream, &history).await });
+                tokio::spawn(async move { end_upstream(&upstream, way, &history).await });
             }
         });
     }
@@ -270,7 +267,9 @@
             SoakFault::End { upstream } => {
                 let (upstream, history) =
                     (Arc::clone(&self.upstreams[upstream]), Arc::clone(&self.history));
-                self.faults.spawn(async move { end_upstream(&upstream, &history).await });
+                self.faults.spawn(async move {
+                    end_upstream(&upstream, EndingWay::Refuse, &history).await;
+                });
             }
             SoakFault::EndingCalls { callers, pause } => self.send_ending_calls(callers, pause),
             SoakFault::ChangeBurst { changes } => {
@@ -417,7 +416,8 @@
         let entries: Arc<[SocketAddr]> =
             self.daemons.iter().map(|daemon| daemon.lock().addresses[0]).collect();
         self.ending_contents += 1;
-        let content = format!("c{}", self.ending_contents);
+        let way = EndingWay::of_number(self.ending_contents);
+        let content = format!("c{}-{}", self.ending_contents, way.name());
         for caller in 0..callers {
             let (entries, history) = (Arc::clone(&entries), Arc::clone(&self.history));
             let content = content.clone();
@@ -469,12 +469,16 @@
     }
 }
 
-/// Ends an upstream as the end of its process would, and starts another in its place later.
-async fn end_upstream(upstream: &tokio::sync::Mutex<SoakUpstream>, history: &RequestHistory) {
-    let until = Instant::now() + END_SPAN + Duration::from_secs(1);
+/// Ends an upstream in a way, and starts another in its place later.
+async fn end_upstream(
+    upstream: &tokio::sync::Mutex<SoakUpstream>,
+    way: EndingWay,
+    history: &RequestHistory,
+) {
+    let until = Instant::now() + way.span() + Duration::from_secs(1);
     history.record_upstream_fault(Instant::now(), until);
-    upstream.lock().await.end();
-    tokio::time::sleep(END_SPAN).await;
+    upstream.lock().await.end(way);
+    tokio::time::sleep(way.span()).await;
     upstream.lock().await.launch_again().await;
 }
 
--- a/crates/pulley_soak/src/soak_upstream.rs
+++ b/crates/pulley_soak/src/soak_upstream.rs
@@ -39,9 +39,63 @@
 const SHORT_ANSWER: usize = 200;
 const LONG_ANSWER: usize = 200_000;
 
+/// Tells of upstreams that requests end.
+pub(crate) type EndingSender = UnboundedSender<(usize, EndingWay)>;
+
 /// A request whose query begins with this ends its upstream.
 pub(crate) const ENDING_QUERY: &str = "ends=";
 
+/// How an upstream ends under a request. The request's content names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndingWay {
+    /// Its connections break, and new ones are refused until it is back.
+    Refuse,
+    /// Its connections break, and so do new ones. It is soon back.
+    Reset,
+    /// It says nothing more until it is back.
+    Silent,
+}
+
+impl EndingWay {
+    const ALL: [Self; 3] = [Self::Refuse, Self::Reset, Self::Silent];
+
+    /// Returns the way of one of a run's contents.
+    pub(crate) fn of_number(number: u32) -> Self {
+        Self::ALL[number as usize % Self::ALL.len()]
+    }
+
+    /// Returns the way that a content names.
+    pub(crate) fn of_content(content: &str) -> Self {
+        let named = Self::ALL.into_iter().find(|way| content.ends_with(way.name()));
+        named.unwrap_or(Self::Refuse)
+    }
+
+    /// Returns the way as contents name it.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Refuse => "refuse",
+            Self::Reset => "reset",
+            Self::Silent => "silent",
+        }
+    }
+
+    /// How long the upstream is gone.
+    pub(crate) const fn span(self) -> Duration {
+        match self {
+            Self::Refuse | Self::Silent => Duration::from_millis(800),
+            Self::Reset => Duration::from_millis(100),
+        }
+    }
+
+    const fn proxy_mode(self) -> ProxyMode {
+        match self {
+            Self::Refuse => ProxyMode::Refuse,
+            Self::Reset => ProxyMode::Reset,
+            Self::Silent => ProxyMode::DropAll,
+        }
+    }
+}
+
 /// An upstream behind its own proxy. Each start runs it under a new id.
 #[derive(Debug)]
 pub(crate) struct SoakUpstream {
@@ -50,8 +104,8 @@
     starts: u64,
     announce_to: Arc<[SocketAddr]>,
     history: Arc<RequestHistory>,
-    /// Told the index of an upstream that a request ends.
-    ended: UnboundedSender<usize>,
+    /// Told the index of an upstream that a request ends, and how.
+    ended: EndingSender,
     running: Option<RunningUpstream>,
 }
 
@@ -81,7 +135,7 @@
     pub(crate) async fn start(
         index: usize,
         announce_to: Arc<[SocketAddr]>,
-        (history, ended): (Arc<RequestHistory>, UnboundedSender<usize>),
+        (history, ended): (Arc<RequestHistory>, EndingSender),
         cuts: &HostCuts,
     ) -> Result<Self> {
         let unset_target = SocketAddr::from(([127, 0, 0, 1], 9));
@@ -124,10 +178,9 @@
         Ok(())
     }
 
-    /// Ends the upstream as the end of its process would: its connections break, and new ones are
-    /// refused until [`Self::launch_again`].
-    pub(crate) fn end(&mut self) {
-        self.proxy.set(ProxyMode::Refuse);
+    /// Ends the upstream in a way, until [`Self::launch_again`].
+    pub(crate) fn end(&mut self, way: EndingWay) {
+        self.proxy.set(way.proxy_mode());
         self.crash();
     }
 
@@ -188,7 +241,7 @@
 
 async fn serve(
     listener: TcpListener,
-    (id, history, ended): (String, Arc<RequestHistory>, (usize, UnboundedSender<usize>)),
+    (id, history, ended): (String, Arc<RequestHistory>, (usize, EndingSender)),
     manner: Arc<Mutex<AnswerManner>>,
     stopped: watch::Receiver<bool>,
 ) {
@@ -203,7 +256,7 @@
             async move {
                 if let Some(content) = ending_content(&request) {
                     history.record_end(content);
-                    let _ = ended.1.send(ended.0);
+                    let _ = ended.1.send((ended.0, EndingWay::of_content(content)));
                     return std::future::pending().await;
                 }
                 let rest = manner.lock().rest.filter(|_| request.uri().path() != "/health");
