--- a/crates/pulley_core/src/process/quarantine/open_run.rs
+++ b/crates/pulley_core/src/process/quarantine/open_run.rs
@@ -86,26 +86,24 @@
     }
 
     /// Compares the runs with the evidence on their upstreams, if that is due. Returns those that are
-    /// decided, and whether their upstreams ended.
+    /// decided, each with its evidence; none if nothing was found in time.
     pub(super) fn decide(
         &mut self,
         (now, time): (Moment, SharedTime),
         evidence: impl Fn(&OpenRun) -> StartEvidence,
-    ) -> Vec<(OpenRun, bool)> {
+    ) -> Vec<(OpenRun, StartEvidence)> {
         if self.runs.is_empty() || now < self.next_check {
             return Vec::new();
         }
         self.next_check = now + CHECK_INTERVAL;
         let mut decided = Vec::new();
         self.runs.retain(|run| {
-            let has_ended = match evidence(run) {
-                StartEvidence::Ended => true,
-                StartEvidence::Alive | StartEvidence::Leaving => false,
-                StartEvidence::None if time > run.decided_by() => false,
-                StartEvidence::None => return true,
-            };
-            decided.push((run.clone(), has_ended));
-            false
+            let found = evidence(run);
+            let is_open = found == StartEvidence::None && time <= run.decided_by();
+            if !is_open {
+                decided.push((run.clone(), found));
+            }
+            is_open
         });
         decided
     }
--- a/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
@@ -103,6 +103,15 @@
         /// The answer.
         verdict: TrialVerdict,
     },
+    /// Log what a run of this host was decided by.
+    Decided {
+        /// The content.
+        content: ContentDigest,
+        /// The start of the upstream at which it ran.
+        start: UpstreamStart,
+        /// What was found of that start; none if nothing was in time.
+        evidence: StartEvidence,
+    },
     /// Tell this host's traffic side of a content's record; `None` if it has been removed.
     Changed(ContentDigest, Option<SuspectRecord>),
 }
@@ -252,8 +261,10 @@
         evidence: impl Fn(&UpstreamStart, SocketAddr, SharedTime) -> StartEvidence,
     ) {
         let evidence = |run: &OpenRun| evidence(&run.start, run.address, run.at);
-        for (run, has_ended) in self.open_runs.decide((now, time), evidence) {
-            if has_ended {
+        for (run, evidence) in self.open_runs.decide((now, time), evidence) {
+            let (content, start) = (run.key.digest, run.start.clone());
+            self.outputs.push(QuarantineOutput::Decided { content, start, evidence });
+            if evidence.is_end() {
                 self.record(time, run.row(), run.with_finding(RunFinding::Ended));
             } else if run.is_shared {
                 self.record(time, run.row(), run.with_finding(RunFinding::Refuted));
--- a/crates/pulley_core/src/process/registry/start_evidence.rs
+++ b/crates/pulley_core/src/process/registry/start_evidence.rs
@@ -19,9 +19,10 @@
 /// What announcements tell of one start of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartEvidence {
-    /// It has ended: a later start has been announced under its id or at its address, or its lease has
-    /// lapsed.
-    Ended,
+    /// A later start has been announced under its id or at its address, so that it has ended.
+    LaterStart,
+    /// Its lease has lapsed while most others hold, so that it has ended.
+    LapsedLease,
     /// It leaves, or has left, in an orderly way.
     Leaving,
     /// It was heard from long enough after the moment in question.
@@ -30,6 +31,26 @@
     None,
 }
 
+impl StartEvidence {
+    /// Whether the start has ended without a notice.
+    #[must_use]
+    pub const fn is_end(self) -> bool {
+        matches!(self, Self::LaterStart | Self::LapsedLease)
+    }
+
+    /// Returns the evidence as written in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LaterStart => "later-start",
+            Self::LapsedLease => "lapsed-lease",
+            Self::Leaving => "leaving",
+            Self::Alive => "alive",
+            Self::None => "none",
+        }
+    }
+}
+
 impl UpstreamRegistry {
     /// Returns what announcements tell of a start of an upstream at an address, with which something
     /// happened at the shared time `at`.
@@ -44,13 +65,13 @@
         let Some(entry) = self.table.find(&start.id) else { return StartEvidence::None };
         let announcement = &entry.record.announcement;
         if announcement.incarnation > start.incarnation {
-            return StartEvidence::Ended;
+            return StartEvidence::LaterStart;
         }
         if !entry.record.takes_work() {
             return StartEvidence::Leaving;
         }
         if self.has_later_start_at(address, start) {
-            return StartEvidence::Ended;
+            return StartEvidence::LaterStart;
         }
         let outlived = self.clock.epoch_of(at.after(OUTLIVED_MARGIN));
         if entry.renewed > outlived {
@@ -58,7 +79,7 @@
         }
         let epoch = self.clock.epoch(now);
         let has_lapsed = !entry.renewed.is_valid_at(epoch) && self.hears_of_most(epoch);
-        if has_lapsed { StartEvidence::Ended } else { StartEvidence::None }
+        if has_lapsed { StartEvidence::LapsedLease } else { StartEvidence::None }
     }
 
     /// Whether another upstream listens at the address of a start and began later.
--- a/crates/pulley_core/tests/members/upstream_registry_tests.rs
+++ b/crates/pulley_core/tests/members/upstream_registry_tests.rs
@@ -291,7 +291,7 @@
         let later = Announcement { id, address, ..announcement(0, 2, 1) };
         registry.announce(Moment::ZERO + at + SECOND / 10, later).unwrap();
         let now = at + SECOND / 5;
-        assert_eq!(evidence(&registry, at, now), StartEvidence::Ended, "new id: {is_new_id}");
+        assert_eq!(evidence(&registry, at, now), StartEvidence::LaterStart, "new id: {is_new_id}");
     }
 }
 
@@ -313,7 +313,7 @@
     for second in 4..=8 {
         hear(&mut registry, second, 1..5);
     }
-    assert_eq!(evidence(&registry, 3 * SECOND, 8 * SECOND), StartEvidence::Ended);
+    assert_eq!(evidence(&registry, 3 * SECOND, 8 * SECOND), StartEvidence::LapsedLease);
 }
 
 // A host that is cut off from the others hears of no upstream.
--- a/crates/pulley_core/tests/quarantine/content_fleet.rs
+++ b/crates/pulley_core/tests/quarantine/content_fleet.rs
@@ -333,7 +333,7 @@
             return;
         }
         host.exchange.decide_runs(now, time, |start, _, at| match restarts.get(start) {
-            Some(announced) if *announced <= elapsed => StartEvidence::Ended,
+            Some(announced) if *announced <= elapsed => StartEvidence::LaterStart,
             None if outlived(time, at) => StartEvidence::Alive,
             Some(_) | None => StartEvidence::None,
         });
@@ -526,6 +526,7 @@
             QuarantineOutput::Verdict { number, verdict } => {
                 return self.hosts[index].table.receive(now, number, verdict);
             }
+            QuarantineOutput::Decided { .. } => return,
             QuarantineOutput::Changed(digest, record) => {
                 let states = record.map(|record| states((now, time), &record));
                 let table = &mut self.hosts[index].table;
--- a/crates/pulleyd/src/process/control_core.rs
+++ b/crates/pulleyd/src/process/control_core.rs
@@ -10,7 +10,8 @@
 use pulley_core::process::{
     ContentDigest, CoordinatorOutput, EntryZones, FastMap, FastSet, LimitExchange, LimitRecord,
     MemberRecord, MemberSend, MemberSettings, MemberTable, OrganisationName, QuarantineExchange,
-    QuotaExchange, QuotaTerms, SuspectRecord, UpstreamDirectory, UpstreamRegistry, UpstreamStart,
+    QuotaExchange, QuotaTerms, StartEvidence, SuspectRecord, UpstreamDirectory, UpstreamRegistry,
+    UpstreamStart,
 };
 use pulley_core::request::QuotaScope;
 use pulley_core::version::{
@@ -75,6 +76,14 @@
     pub(crate) keeper: HostId,
 }
 
+/// A run of this host of which it was not known whether its upstream ended, and what decided on it.
+#[derive(Clone, Debug)]
+pub(crate) struct DecidedRun {
+    pub(crate) content: ContentDigest,
+    pub(crate) start: UpstreamStart,
+    pub(crate) evidence: StartEvidence,
+}
+
 /// A change of what this host knows of a content.
 #[derive(Debug)]
 pub(crate) struct ChangedContent {
@@ -122,6 +131,8 @@
     pub(super) quarantine_gate: Arc<QuarantineGate>,
     /// Records of suspected contents that have changed and are not logged yet.
     pub(super) changed_contents: Vec<ChangedContent>,
+    /// Runs that were decided and are not logged yet.
+    pub(super) decided_runs: Vec<DecidedRun>,
     pub(super) quota_gate: Arc<QuotaGate>,
     /// Accounts that this host keeps since recently and that are not logged yet.
     pub(super) kept_accounts: Vec<KeptAccount>,
@@ -180,6 +191,7 @@
             quarantine: QuarantineExchange::new(Moment::ZERO, host.clone()),
             quarantine_gate: parts.quarantine_gate,
             changed_contents: Vec::new(),
+            decided_runs: Vec::new(),
             quotas: QuotaExchange::new(host, parts.seed, parts.quota_terms),
             kept_accounts: Vec::new(),
             quota_scope: Arc::default(),
@@ -450,6 +462,11 @@
         std::mem::take(&mut self.new_limits)
     }
 
+    /// Takes the runs that were decided since the last call.
+    pub(crate) fn take_decided_runs(&mut self) -> Vec<DecidedRun> {
+        std::mem::take(&mut self.decided_runs)
+    }
+
     /// Takes the records of suspected contents that have changed since the last call.
     pub(crate) fn take_changed_contents(&mut self) -> Vec<ChangedContent> {
         std::mem::take(&mut self.changed_contents)
--- a/crates/pulleyd/src/process/control_flush.rs
+++ b/crates/pulleyd/src/process/control_flush.rs
@@ -4,7 +4,7 @@
 use pulley_core::process::{LimitOutput, QuarantineOutput, QuotaOutput};
 use pulley_core::{HostId, Moment};
 
-use super::control_core::{ChangedContent, ControlCore, KeptAccount};
+use super::control_core::{ChangedContent, ControlCore, DecidedRun, KeptAccount};
 use crate::connection::FrameClass;
 
 impl ControlCore {
@@ -69,6 +69,9 @@
                 QuarantineOutput::Verdict { number, verdict } => {
                     self.quarantine_gate.receive(number, verdict);
                 }
+                QuarantineOutput::Decided { content, start, evidence } => {
+                    self.decided_runs.push(DecidedRun { content, start, evidence });
+                }
                 QuarantineOutput::Changed(digest, record) => {
                     self.quarantine_gate.apply(time, digest, record.as_ref());
                     self.changed_contents.push(ChangedContent { digest, record });
--- a/crates/pulleyd/src/process/control_log.rs
+++ b/crates/pulleyd/src/process/control_log.rs
@@ -9,7 +9,7 @@
 use pulley_core::version::{LogIndex, PlanStanding, ReplicaMember, SpreadCounts};
 use slog::{Logger, info};
 
-use super::control_core::{ChangedContent, ControlCore};
+use super::control_core::{ChangedContent, ControlCore, DecidedRun};
 
 /// The shortest interval between two log lines on the members. When hundreds of hosts start
 /// together, each host learns of them one by one, and would otherwise log a line for each.
@@ -62,6 +62,7 @@
         self.log_members(now, core);
         self.log_limits(core);
         self.log_kept_accounts(core);
+        self.log_decided_runs(core);
         self.log_contents(core);
         self.log_cluster_state(now, core);
         self.log_spread(now, core);
@@ -97,6 +98,14 @@
         }
     }
 
+    /// Logs what this host's runs were decided by that got no whole answer.
+    fn log_decided_runs(&self, core: &mut ControlCore) {
+        for DecidedRun { content, start, evidence } in core.take_decided_runs() {
+            info!(self.logger, "run-decided"; "content" => %content, "upstream" => %start.id,
+                "incarnation" => start.incarnation.0, "evidence" => evidence.as_str());
+        }
+    }
+
     /// Logs the contents that this host has learned to be suspected, quarantined or cleared.
     fn log_contents(&self, core: &mut ControlCore) {
         for ChangedContent { digest, record } in core.take_changed_contents() {
--- a/crates/pulleyd/tests/path_support/fake_ledger.rs
+++ b/crates/pulleyd/tests/path_support/fake_ledger.rs
@@ -122,7 +122,9 @@
                     QuarantineOutput::Verdict { number, verdict } => {
                         gate.receive(*number, *verdict);
                     }
-                    QuarantineOutput::ToHost { .. } | QuarantineOutput::ToAddress { .. } => {}
+                    QuarantineOutput::ToHost { .. }
+                    | QuarantineOutput::ToAddress { .. }
+                    | QuarantineOutput::Decided { .. } => {}
                 }
             }
         }
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -173,7 +173,7 @@
     let entry = EntryBuilder::new().ledger(&ledger).start(&[&upstream]).await;
     entry.post_with("/refund", "same", &[HOST]).await;
     assert_eq!(entry.context.quarantine.counts(), (1, 0), "suspected before it is decided");
-    ledger.decide_runs(StartEvidence::Ended);
+    ledger.decide_runs(StartEvidence::LaterStart);
     assert_eq!(entry.context.quarantine.counts(), (1, 0));
     ledger.decide_runs(StartEvidence::Alive);
     assert_eq!(entry.context.quarantine.counts(), (1, 0), "an end is final");
