--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -213,7 +213,9 @@
             return self.log("no-answer", None, EndFinding::Unknown);
         };
         let (context, target) = (Arc::clone(&self.context), self.target.clone());
-        let is_suspicious = is_silent && !context.connections.doubts_own_path();
+        // A host that only doubts its own path counts it all the same: the silence of a few upstreams
+        // makes it doubt, and may be what the content does.
+        let is_suspicious = is_silent && !context.connections.is_cut_off();
         let result = self.unanswered(is_suspicious, self.was_proven);
         if !is_suspicious {
             self.log("no-answer", Some(digest), EndFinding::Unknown);
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -232,6 +232,18 @@
     }
 }
 
+// A host that knows few upstreams doubts its own path as soon as one of them is silent.
+#[tokio::test]
+async fn a_content_under_which_the_only_upstream_falls_silent_is_suspected() {
+    let upstream = FakeUpstream::silent().await;
+    let ledger = FakeLedger::new();
+    let entry = EntryBuilder::new().ledger(&ledger).deadline_ms(200).start(&[&upstream]).await;
+    assert_eq!(entry.post_with("/balance/same", "", &[HOST]).await.status, 504);
+    eventually("it is suspected", || entry.context.quarantine.counts() == (1, 0)).await;
+    ledger.decide_runs(StartEvidence::Alive);
+    assert_eq!(entry.context.quarantine.counts(), (0, 0));
+}
+
 // An upstream resets one connection on purpose, or a middlebox does, and the others go on.
 #[tokio::test]
 async fn a_break_of_one_connection_of_several_suspects_nothing() {
