--- a/crates/pulley_core/tests/quarantine/records.rs
+++ b/crates/pulley_core/tests/quarantine/records.rs
@@ -1,11 +1,13 @@
 //! What hosts tell each other of contents: records that merge alike everywhere.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use pulley_core::Moment;
 use pulley_core::process::{
-    ContentDigest, ContentReport, Incarnation, QUARANTINE_BODY_LIMIT, QuarantineExchange,
-    QuarantineOutput, RunResult, UpstreamRegistry, UpstreamStart,
+    ContentDigest, ContentReport, ContentStanding, Incarnation, QUARANTINE_BODY_LIMIT,
+    QuarantineExchange, QuarantineOutput, RunResult, UnansweredRun, UpstreamRegistry,
+    UpstreamStart,
 };
 use quickcheck::quickcheck;
 
@@ -68,6 +70,42 @@
     assert_eq!(receiver.suspects().count(), 1);
 }
 
+/// Returns how a content is treated after runs without an answer, given as the times in ms at which
+/// they began and were given up.
+fn standing_after(runs: &[(u64, u64)]) -> Option<ContentStanding> {
+    let mut exchange = QuarantineExchange::new(Moment::ZERO, host_name(0));
+    for (upstream, (began, ended)) in runs.iter().enumerate() {
+        let now = Moment::ZERO + Duration::from_millis(*ended);
+        let id = format!("u{upstream}").parse().unwrap();
+        let start = UpstreamStart { id, incarnation: Incarnation(1) };
+        let address = SocketAddr::from(([10, 0, 1, 1], 80));
+        let run = UnansweredRun { start, address, is_suspicious: true, was_proven: false };
+        let report = ContentReport {
+            key: key(1),
+            other_pools: Vec::new(),
+            lasted: Duration::from_millis(ended - began),
+            result: RunResult::Unanswered(run),
+            trial: None,
+        };
+        exchange.report(UpstreamRegistry::new().shared_time(now), report);
+    }
+    exchange.suspects().next().and_then(|record| record.standing(&key(1).pool))
+}
+
+// A caller's repeat reaches a host that has not heard of its first attempts.
+#[test]
+fn runs_one_after_the_other_count_apart() {
+    let standing = standing_after(&[(1_000, 1_400), (1_200, 1_400), (1_430, 1_830)]);
+    assert!(matches!(standing, Some(ContentStanding::Held { .. })), "{standing:?}");
+}
+
+// A rack without power leaves all runs of popular content there without an answer.
+#[test]
+fn runs_beside_each_other_do_not_hold_a_content() {
+    let runs: Vec<(u64, u64)> = (0..8).map(|n| (1_000 + 40 * n, 1_400 + 40 * n)).collect();
+    assert_eq!(standing_after(&runs), Some(ContentStanding::Suspect));
+}
+
 quickcheck! {
     // Hosts that hear of ends in another order would treat the same content differently.
     fn the_order_of_reports_does_not_matter(upstreams: Vec<u8>) -> bool {
--- a/crates/pulley_core/tests/quarantine/ways.rs
+++ b/crates/pulley_core/tests/quarantine/ways.rs
@@ -61,7 +61,8 @@
 // A host that decides on its own before its keeper's answer arrives lets one more upstream end.
 #[test]
 fn late_messages_let_few_more_upstreams_end() {
-    for (size, way) in [3, 24, 150].into_iter().flat_map(|size| WAYS.map(|way| (size, way))) {
+    for (size, way) in [3, 24, 150, 1_000].into_iter().flat_map(|size| WAYS.map(|way| (size, way)))
+    {
         let mut fleet = fleet(size, way);
         fleet.delay = (60 * MILLISECOND, 90 * MILLISECOND);
         send_twenty(&mut fleet);
@@ -70,10 +71,29 @@
     }
 }
 
+// Hosts that ask their keeper at the same moment must all wait for its late answer.
+#[test]
+fn hosts_that_get_late_answers_do_not_decide_on_their_own() {
+    for size in [10, 150] {
+        let mut fleet = fleet(size, EndSign::Refusal);
+        fleet.delay = (70 * MILLISECOND, 95 * MILLISECOND);
+        fleet.crash_under(&key(1), 3, 900);
+        fleet.run(Duration::from_secs(3));
+        assert!(fleet.standings(&key(1)).iter().all(Option::is_some), "all hosts know of it");
+        for host in 0..10 {
+            fleet.call(&key(1), host);
+        }
+        fleet.run(Duration::from_secs(3));
+        // One upstream was lost before, by another cause.
+        assert!(fleet.ends.len() <= 2, "{size} hosts: {} ends", fleet.ends.len());
+    }
+}
+
 // Hosts that get no processor time for half of the time answer each other late.
 #[test]
 fn hosts_short_of_processor_time_let_few_more_upstreams_end() {
-    for (size, way) in [3, 24, 150].into_iter().flat_map(|size| WAYS.map(|way| (size, way))) {
+    for (size, way) in [3, 24, 150, 1_000].into_iter().flat_map(|size| WAYS.map(|way| (size, way)))
+    {
         let mut fleet = fleet(size, way);
         fleet.stopped = 100 * MILLISECOND;
         send_twenty(&mut fleet);
@@ -85,15 +105,17 @@
 // Hosts of each part of a cut know of the ends in their part only.
 #[test]
 fn each_part_of_a_cut_ends_three_upstreams_in_any_way() {
-    for way in WAYS {
-        let mut fleet = fleet(30, way);
-        let (part, others): (Vec<usize>, Vec<usize>) = (0..30).partition(|index| *index < 5);
+    for (size, way) in [30, 150, 1_000].into_iter().flat_map(|size| WAYS.map(|way| (size, way))) {
+        let mut fleet = fleet(size, way);
+        let (part, others): (Vec<usize>, Vec<usize>) =
+            (0..size).partition(|index| *index < size / 6);
         fleet.cut_off(&part);
         fleet.set_view(&part, &part);
         fleet.set_view(&others, &others);
         send_twenty(&mut fleet);
         let allowed = 6 + 2 * allowed_late(way);
-        assert!(fleet.ends.len() <= allowed, "{way:?}: {} ends", fleet.ends.len());
+        let ends = fleet.ends.len();
+        assert!(ends <= allowed, "{size} hosts, {way:?}: {ends} ends");
     }
 }
 
