Share the start-up questions of exchanges, and part the types of contents from their exchange

Limits and contents asked other hosts for what they know with the same twelve lines each; both use StartPulls now. The types that the traffic side and the exchange of contents pass to each other have a file of their own, and three names say what they hold. No behaviour changes.

--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -224,7 +224,7 @@
     }
 
     /// Returns the idle connections that were opened before a moment.
-    pub fn idle_since(&self, moment: Moment) -> impl Iterator<Item = ConnectionNumber> {
+    pub fn idle_opened_before(&self, moment: Moment) -> impl Iterator<Item = ConnectionNumber> {
         let opened = |number: &ConnectionNumber| self.links.get(number).map(|link| link.opened);
         self.idle.iter().copied().filter(move |number| opened(number).is_some_and(|at| at < moment))
     }
--- a/crates/pulley_core/src/process/limits/limit_exchange.rs
+++ b/crates/pulley_core/src/process/limits/limit_exchange.rs
@@ -13,18 +13,13 @@
 use super::permit_issuer::{LimitedUpstream, PermitIssuer};
 use super::{
     EntryZones, HostId, LimitRecord, Moment, ObservedLimit, PeerRing, PermitAnswer, PermitAsk,
-    RingPeer, SharedTime, UpdateReach, UpstreamId, ZoneName, split_by_size,
+    SharedTime, StartPulls, UpdateReach, UpstreamId, ZoneName, split_by_size,
 };
 
 /// The interval at which this host's schedulers are told of all limits again. They may have learned
 /// of an upstream after its limit.
 const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of other hosts that a host which has just started asks for the limits they know, and the
-/// interval between these questions.
-const START_PULLS: u32 = 5;
-const PULL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// An action for the caller of [`LimitExchange`] to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LimitOutput {
@@ -79,9 +74,9 @@
     outputs: Vec<LimitOutput>,
     counts: PermitCounts,
     next_reminder: Moment,
-    /// Hosts that have been asked for the limits they know since this host has started.
-    pulls: u32,
-    next_pull: Moment,
+    /// The questions for the limits that other hosts know. Until they are answered, this host sends
+    /// requests to upstreams in need as if there were no limit.
+    start_pulls: StartPulls,
 }
 
 impl LimitExchange {
@@ -95,8 +90,7 @@
             outputs: Vec::new(),
             counts: PermitCounts::default(),
             next_reminder: now,
-            pulls: 0,
-            next_pull: now,
+            start_pulls: StartPulls::new(now),
         }
     }
 
@@ -118,9 +112,8 @@
     /// input.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Moment> {
-        let pull_at = (self.pulls < START_PULLS).then_some(self.next_pull);
         let known_at = self.table.next_wakeup().map(|due| due.min(self.next_reminder));
-        pull_at.into_iter().chain(known_at).min()
+        self.start_pulls.next_wakeup().into_iter().chain(known_at).min()
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -185,7 +178,9 @@
 
     /// Does the work that is due. `ring` is that of the live hosts.
     pub fn tick(&mut self, now: Moment, ring: &PeerRing) {
-        self.pull(now, ring);
+        if let Some(to) = self.start_pulls.take_due(now, ring) {
+            self.outputs.push(LimitOutput::ToAddress { to, body: LimitMessage::Pull.pack() });
+        }
         if self.table.next_wakeup().is_none() {
             return;
         }
@@ -225,19 +220,6 @@
         }
     }
 
-    /// Asks another host for the limits that it knows, if this host has just started. Until it knows
-    /// them it sends requests to upstreams in need as if there were no limit.
-    fn pull(&mut self, now: Moment, ring: &PeerRing) {
-        if self.pulls >= START_PULLS || now < self.next_pull {
-            return;
-        }
-        self.next_pull = now + PULL_INTERVAL;
-        if let Some(RingPeer { address: to, .. }) = ring.target(self.pulls) {
-            self.pulls += 1;
-            self.outputs.push(LimitOutput::ToAddress { to: *to, body: LimitMessage::Pull.pack() });
-        }
-    }
-
     fn send_all(&mut self, to: &HostId) {
         let records = self.table.records().cloned().collect();
         for records in split_by_size(records) {
--- a/crates/pulley_core/src/process/limits/mod.rs
+++ b/crates/pulley_core/src/process/limits/mod.rs
@@ -18,7 +18,8 @@
 use super::members::encoded;
 use super::record_spread::{RecordSpread, SyncTurn};
 use super::registry::{UpdateReach, split_by_size};
+use super::start_pulls::StartPulls;
 use super::{
-    EntryZones, FastMap, HostId, Incarnation, Moment, PeerRing, RingPeer, SharedTime, StartRate,
-    UpstreamId, ZoneName, stable_hash,
+    EntryZones, FastMap, HostId, Incarnation, Moment, PeerRing, SharedTime, StartRate, UpstreamId,
+    ZoneName, stable_hash,
 };
--- a/crates/pulley_core/src/process/mod.rs
+++ b/crates/pulley_core/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod quotas;
 mod record_spread;
 mod registry;
+mod start_pulls;
 mod upstream;
 mod upstream_stops;
 
--- a/crates/pulley_core/src/process/quarantine/open_run.rs
+++ b/crates/pulley_core/src/process/quarantine/open_run.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct OpenRun {
     pub(super) key: ContentKey,
-    /// The other pools that the request's row is split over.
-    pub(super) other_pools: Vec<PoolName>,
+    /// All pools that the request's row is split over.
+    pub(super) row_pools: Vec<PoolName>,
     pub(super) start: UpstreamStart,
     pub(super) address: SocketAddr,
     /// When this host gave it up.
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Returns the content, and the other pools that the request's row is split over.
+    /// Returns the content, and all pools that the request's row is split over.
     pub(super) fn row(&self) -> (&ContentKey, &[PoolName]) {
-        (&self.key, &self.other_pools)
+        (&self.key, &self.row_pools)
     }
 
     /// Returns when the run is decided at the latest.
--- a/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
@@ -4,118 +4,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-
+use super::content_report::{ContentReport, QuarantineOutput, RunResult, TrialAsk, UnansweredRun};
 use super::open_run::{OpenRun, OpenRuns};
 use super::quarantine_message::QuarantineMessage;
 use super::suspect_table::SuspectTable;
 use super::trial_asks::{PendingAsk, TrialAsks, TrialDecider};
 use super::trial_keeper::TrialKeeper;
 use super::{
-    ContentDigest, ContentKey, EntryZones, FastMap, HostId, Moment, PeerRing, PoolName, RingPeer,
-    RunFinding, SharedTime, StartEvidence, SuspectRecord, SuspectRun, TrialNumber, TrialVerdict,
+    ContentDigest, ContentKey, EntryZones, FastMap, HostId, Moment, PeerRing, PoolName, RunFinding,
+    SharedTime, StartEvidence, StartPulls, SuspectRecord, SuspectRun, TrialNumber, TrialVerdict,
     UpdateReach, UpstreamStart,
 };
 use crate::process::registry::split_by_size;
 
-/// Number of other hosts that a host which has just started asks for the records they know, and the
-/// interval between these questions.
-const START_PULLS: u32 = 5;
-const PULL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The interval at which records that have been kept for long enough are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A run that got no whole answer, at an upstream that may have ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UnansweredRun {
-    /// The start of the upstream that the request was sent to.
-    pub start: UpstreamStart,
-    /// The upstream's address.
-    pub address: SocketAddr,
-    /// Whether the upstream's connection broke, or the upstream said nothing. The other hosts then
-    /// count the run until it is decided. Otherwise only this host follows it.
-    pub is_suspicious: bool,
-    /// Whether the upstream was known to be alive when the request was sent.
-    pub was_proven: bool,
-}
-
-/// What became of an upstream that a request was sent to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunResult {
-    /// This start of it ended while the request ran.
-    Ended(UpstreamStart),
-    /// It is not known whether it ended.
-    Unanswered(UnansweredRun),
-    /// A run that was reported as unanswered is no sign of an end: this start of it lives on.
-    Refuted(UpstreamStart),
-    /// It answered the whole request.
-    Survived,
-}
-
-/// The end of a request with a content, as the traffic side saw it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ContentReport {
-    /// The content.
-    pub key: ContentKey,
-    /// The other pools that the request's row is split over.
-    pub other_pools: Vec<PoolName>,
-    /// How long the run lasted.
-    pub lasted: Duration,
-    /// What became of the upstream.
-    pub result: RunResult,
-    /// The request's trial, if it was one.
-    pub trial: Option<TrialNumber>,
-}
-
-/// A question of this host's traffic side whether a request may be tried.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TrialAsk {
-    /// The content.
-    pub key: ContentKey,
-    /// The number of the trial.
-    pub number: TrialNumber,
-    /// The time after which the trial has ended in any case.
-    pub lease: Duration,
-}
-
-/// An action for the caller of [`QuarantineExchange`] to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum QuarantineOutput {
-    /// Send a message to a host.
-    ToHost {
-        /// The receiver.
-        to: HostId,
-        /// The encoded message.
-        body: Bytes,
-    },
-    /// Send a message to an address.
-    ToAddress {
-        /// The receiver's address.
-        to: SocketAddr,
-        /// The encoded message.
-        body: Bytes,
-    },
-    /// Give this host's traffic side the answer to a question.
-    Verdict {
-        /// The number of the trial.
-        number: TrialNumber,
-        /// The answer.
-        verdict: TrialVerdict,
-    },
-    /// Log what a run of this host was decided by.
-    Decided {
-        /// The content.
-        content: ContentDigest,
-        /// The start of the upstream at which it ran.
-        start: UpstreamStart,
-        /// What was found of that start; none if nothing was in time.
-        evidence: StartEvidence,
-    },
-    /// Tell this host's traffic side of a content's record; `None` if it has been removed.
-    Changed(ContentDigest, Option<SuspectRecord>),
-}
-
 /// One host's part in sparing upstreams from contents that end them.
 ///
 /// A request that ends its upstream is repeated: by its host, by its caller through other hosts, and
@@ -137,9 +41,9 @@
     permitted_by: FastMap<TrialNumber, HostId>,
     outputs: Vec<QuarantineOutput>,
     next_expiry: Moment,
-    /// Hosts that have been asked for the records they know since this host has started.
-    pulls: u32,
-    next_pull: Moment,
+    /// The questions for the records that other hosts know. Until they are answered, this host runs any
+    /// content.
+    start_pulls: StartPulls,
 }
 
 impl QuarantineExchange {
@@ -156,8 +60,7 @@
             permitted_by: FastMap::default(),
             outputs: Vec::new(),
             next_expiry: now,
-            pulls: 0,
-            next_pull: now,
+            start_pulls: StartPulls::new(now),
         }
     }
 
@@ -173,7 +76,7 @@
     /// input.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Moment> {
-        let pull_at = (self.pulls < START_PULLS).then_some(self.next_pull);
+        let pull_at = self.start_pulls.next_wakeup();
         let table_at = self.table.next_wakeup();
         let asks_at = self.asks.next_wakeup();
         let runs_at = self.open_runs.next_wakeup();
@@ -190,7 +93,7 @@
 
     /// Takes in the end of a request of this host at the shared time `time`.
     pub fn report(&mut self, time: SharedTime, report: ContentReport) {
-        let ContentReport { key, other_pools, lasted, result, trial } = report;
+        let ContentReport { key, row_pools, lasted, result, trial } = report;
         let began = time.before(lasted);
         let digest = key.digest;
         match result {
@@ -203,13 +106,13 @@
                     was_trial: trial.is_some(),
                     finding: RunFinding::Ended,
                 };
-                self.record(time, (&key, &other_pools), run);
+                self.record(time, (&key, &row_pools), run);
             }
             RunResult::Unanswered(unanswered) => {
                 let UnansweredRun { start, address, is_suspicious, was_proven } = unanswered;
                 let run = OpenRun {
                     key,
-                    other_pools,
+                    row_pools,
                     start,
                     address,
                     at: time,
@@ -303,7 +206,10 @@
 
     /// Does the work that is due. `ring` is that of the live hosts.
     pub fn tick(&mut self, now: Moment, time: SharedTime, ring: &PeerRing) {
-        self.pull(now, ring);
+        if let Some(to) = self.start_pulls.take_due(now, ring) {
+            let body = QuarantineMessage::Pull.pack();
+            self.outputs.push(QuarantineOutput::ToAddress { to, body });
+        }
         for (number, ask) in self.asks.take_overdue(now) {
             self.send_ask((now, time), number, &ask);
         }
@@ -350,10 +256,10 @@
     fn record(
         &mut self,
         time: SharedTime,
-        (key, other_pools): (&ContentKey, &[PoolName]),
+        (key, row_pools): (&ContentKey, &[PoolName]),
         run: SuspectRun,
     ) {
-        let record = SuspectRecord::of_run(key, other_pools, run);
+        let record = SuspectRecord::of_run(key, row_pools, run);
         self.merge(time, &record, UpdateReach::ALL);
     }
 
@@ -379,20 +285,6 @@
         }
     }
 
-    /// Asks another host for the records that it knows, if this host has just started. Until it knows
-    /// them, it runs any content.
-    fn pull(&mut self, now: Moment, ring: &PeerRing) {
-        if self.pulls >= START_PULLS || now < self.next_pull {
-            return;
-        }
-        self.next_pull = now + PULL_INTERVAL;
-        if let Some(RingPeer { address: to, .. }) = ring.target(self.pulls) {
-            self.pulls += 1;
-            let body = QuarantineMessage::Pull.pack();
-            self.outputs.push(QuarantineOutput::ToAddress { to: *to, body });
-        }
-    }
-
     fn send_all(&mut self, to: &HostId) {
         let records = self.table.records().cloned().collect();
         for records in split_by_size(records) {
--- a/crates/pulley_core/src/process/quarantine/suspect_record.rs
+++ b/crates/pulley_core/src/process/quarantine/suspect_record.rs
@@ -185,9 +185,9 @@
         Self { digest, pools: Vec::new() }
     }
 
-    /// Creates a record of one run, whose row is split over other pools, too.
-    pub(super) fn of_run(key: &ContentKey, other_pools: &[PoolName], run: SuspectRun) -> Self {
-        let others = other_pools.iter().filter(|other| **other != key.pool);
+    /// Creates a record of one run, whose row is split over these pools.
+    pub(super) fn of_run(key: &ContentKey, row_pools: &[PoolName], run: SuspectRun) -> Self {
+        let others = row_pools.iter().filter(|other| **other != key.pool);
         let mut pools: Vec<PoolRecord> = others.cloned().map(PoolRecord::new).collect();
         pools.push(PoolRecord { runs: vec![run], ..PoolRecord::new(key.pool.clone()) });
         pools.sort_by(|a, b| a.pool.cmp(&b.pool));
--- a/crates/pulley_core/tests/quarantine/content_fleet.rs
+++ b/crates/pulley_core/tests/quarantine/content_fleet.rs
@@ -130,7 +130,7 @@
     /// A pool whose upstreams answer every content.
     pub(crate) sound_pool: Option<PoolName>,
     /// The pools that rows are split over; none if they are not.
-    pub(crate) other_pools: Vec<PoolName>,
+    pub(crate) row_pools: Vec<PoolName>,
     /// The time that messages take, at least and at most.
     pub(crate) delay: (Duration, Duration),
     /// The time for which hosts don't run in every 200 ms.
@@ -160,7 +160,7 @@
             work: Duration::from_millis(5),
             sign: EndSign::Refusal,
             sound_pool: None,
-            other_pools: Vec::new(),
+            row_pools: Vec::new(),
             delay: (Duration::from_micros(300), Duration::from_micros(1_500)),
             stopped: Duration::ZERO,
             restarts: FastMap::default(),
@@ -237,7 +237,7 @@
         let result = RunResult::Ended(start(upstream));
         let report = ContentReport {
             key: key.clone(),
-            other_pools: Vec::new(),
+            row_pools: Vec::new(),
             lasted: self.work,
             result,
             trial: None,
@@ -252,7 +252,7 @@
             host,
             ContentReport {
                 key: key.clone(),
-                other_pools: Vec::new(),
+                row_pools: Vec::new(),
                 lasted: self.work,
                 result,
                 trial: None,
@@ -260,6 +260,17 @@
         );
     }
 
+    /// Sends a content from thirty callers, and checks that all are served and that it is cleared.
+    pub(crate) fn serve_thirty(&mut self, key: &ContentKey) {
+        self.run(2 * MILLISECOND);
+        for caller in 0..30 {
+            self.call(key, caller * 11);
+        }
+        self.run(Duration::from_millis(500));
+        assert_eq!((self.served, self.refused), (30, 0), "{} hosts", self.hosts.len());
+        assert!(self.is_cleared_everywhere(key), "{} hosts", self.hosts.len());
+    }
+
     /// Returns the number of runs that began after the third upstream had ended.
     pub(crate) fn late_runs(&self) -> usize {
         let mut ends = self.ends.clone();
@@ -361,10 +372,10 @@
                 if let Some(number) = trial {
                     self.hosts[request.host].table.end_trial(request.key.digest, number);
                 }
-                let other_pools = self.other_pools.clone();
+                let row_pools = self.row_pools.clone();
                 self.report(
                     request.host,
-                    ContentReport { key: request.key, other_pools, lasted, result, trial },
+                    ContentReport { key: request.key, row_pools, lasted, result, trial },
                 );
             }
             Event::Message { to, from, body } => {
@@ -382,8 +393,8 @@
                 let is_silent = matches!(self.sign, EndSign::Silence(_));
                 let lasted = if is_silent { DEADLINE } else { self.work };
                 let survived = result == RunResult::Survived;
-                let (key, other_pools) = (request.key.clone(), self.other_pools.clone());
-                let report = ContentReport { key, other_pools, lasted, result, trial };
+                let (key, row_pools) = (request.key.clone(), self.row_pools.clone());
+                let report = ContentReport { key, row_pools, lasted, result, trial };
                 self.report(host, report);
                 if survived {
                     self.served += 1;
--- a/crates/pulley_core/tests/quarantine/records.rs
+++ b/crates/pulley_core/tests/quarantine/records.rs
@@ -18,7 +18,7 @@
     let start = UpstreamStart { id, incarnation: Incarnation(1) };
     ContentReport {
         key: key(1),
-        other_pools: Vec::new(),
+        row_pools: Vec::new(),
         lasted: Duration::from_millis(5),
         result: RunResult::Ended(start),
         trial: None,
@@ -46,12 +46,12 @@
         let id = format!("{number:064}").parse().unwrap();
         let start = UpstreamStart { id, incarnation: Incarnation(u64::MAX) };
         let result = RunResult::Ended(start);
-        let other_pools = (0..4).map(|pool| format!("{pool:064}").parse().unwrap()).collect();
+        let row_pools = (0..4).map(|pool| format!("{pool:064}").parse().unwrap()).collect();
         exchange.report(
             time,
             ContentReport {
                 key: key(1),
-                other_pools,
+                row_pools,
                 lasted: Duration::from_millis(5),
                 result,
                 trial: None,
@@ -82,7 +82,7 @@
         let run = UnansweredRun { start, address, is_suspicious: true, was_proven: false };
         let report = ContentReport {
             key: key(1),
-            other_pools: Vec::new(),
+            row_pools: Vec::new(),
             lasted: Duration::from_millis(ended - began),
             result: RunResult::Unanswered(run),
             trial: None,
--- a/crates/pulley_core/tests/quarantine/sums_over_hosts.rs
+++ b/crates/pulley_core/tests/quarantine/sums_over_hosts.rs
@@ -69,13 +69,7 @@
         for upstream in 0..12 {
             fleet.crash_under(&key(1), upstream % size, upstream);
         }
-        fleet.run(Duration::from_millis(2));
-        for caller in 0..30 {
-            fleet.call(&key(1), caller * 11);
-        }
-        fleet.run(Duration::from_millis(500));
-        assert_eq!((fleet.served, fleet.refused), (30, 0), "{size} hosts");
-        assert!(fleet.is_cleared_everywhere(&key(1)), "{size} hosts");
+        fleet.serve_thirty(&key(1));
     }
 }
 
--- a/crates/pulley_core/tests/quarantine/ways.rs
+++ b/crates/pulley_core/tests/quarantine/ways.rs
@@ -124,7 +124,7 @@
 fn pools_that_have_not_answered_a_content_end_three_upstreams_together() {
     for (size, way) in [3, 30].into_iter().flat_map(|size| WAYS.map(|way| (size, way))) {
         let mut fleet = fleet(size, way);
-        fleet.other_pools = ["canary", "cover"].map(|pool| pool.parse().unwrap()).to_vec();
+        fleet.row_pools = ["canary", "cover"].map(|pool| pool.parse().unwrap()).to_vec();
         for caller in 0..20 {
             let pool = ["cover", "canary"][caller % 2];
             fleet.call(&key_in(pool, 1), caller * 7);
@@ -141,7 +141,7 @@
     for (size, way) in [3, 30, 150].into_iter().flat_map(|size| WAYS.map(|way| (size, way))) {
         let mut fleet = fleet(size, way);
         fleet.sound_pool = Some("cover".parse().unwrap());
-        fleet.other_pools = ["canary", "cover"].map(|pool| pool.parse().unwrap()).to_vec();
+        fleet.row_pools = ["canary", "cover"].map(|pool| pool.parse().unwrap()).to_vec();
         let mut calls = 0;
         for caller in 0..60 {
             let is_canary = caller % 10 == 0;
@@ -163,13 +163,7 @@
         for upstream in 0..12 {
             fleet.silence_under(&key(1), upstream % size, upstream);
         }
-        fleet.run(2 * MILLISECOND);
-        for caller in 0..30 {
-            fleet.call(&key(1), caller * 11);
-        }
-        fleet.run(Duration::from_millis(500));
-        assert_eq!((fleet.served, fleet.refused), (30, 0), "{size} hosts");
-        assert!(fleet.is_cleared_everywhere(&key(1)), "{size} hosts");
+        fleet.serve_thirty(&key(1));
     }
 }
 
--- a/crates/pulleyd/src/connection/end_check.rs
+++ b/crates/pulleyd/src/connection/end_check.rs
@@ -114,7 +114,7 @@
         if link.is_closed() {
             return (EndFinding::Unknown, Some(LinkFault::ClosedUnsent));
         }
-        let is_alive = links.has_idle_since(broken_at);
+        let is_alive = links.has_idle_opened_before(broken_at);
         link.give_back();
         (if is_alive { EndFinding::Alive } else { EndFinding::Accepts }, None)
     }
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -341,12 +341,12 @@
     }
 
     /// Whether an idle connection is open that is older than a moment.
-    pub(super) fn has_idle_since(&self, moment: Moment) -> bool {
+    pub(super) fn has_idle_opened_before(&self, moment: Moment) -> bool {
         let state = self.state.lock();
         let is_open = |number: &ConnectionNumber| {
             state.idle.get(number).is_some_and(|link| !link.sender.is_closed())
         };
-        state.table.idle_since(moment).any(|number| is_open(&number))
+        state.table.idle_opened_before(moment).any(|number| is_open(&number))
     }
 
     /// Whether the upstream has answered this host directly since a moment.
--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -260,10 +260,10 @@
 
     /// Returns a report of what is known of the run by now.
     fn report(&self, digest: ContentDigest, result: RunResult) -> ContentReport {
-        let other_pools = self.kind.plan.split_pools(self.kind.row());
+        let row_pools = self.kind.plan.split_pools(self.kind.row());
         let trial = self.trial.as_ref().and_then(|trial| trial.number);
         let lasted = self.context.clock.now().since(self.began);
-        ContentReport { key: self.key(digest), other_pools, lasted, result, trial }
+        ContentReport { key: self.key(digest), row_pools, lasted, result, trial }
     }
 
     /// Returns the last report of the run, which ends its trial.
