--- a/crates/pulley_core/src/connection/connection_table.rs
+++ b/crates/pulley_core/src/connection/connection_table.rs
@@ -223,10 +223,17 @@
         })
     }
 
-    /// Returns the idle connections that were opened before a moment.
-    pub fn idle_opened_before(&self, moment: Moment) -> impl Iterator<Item = ConnectionNumber> {
-        let opened = |number: &ConnectionNumber| self.links.get(number).map(|link| link.opened);
-        self.idle.iter().copied().filter(move |number| opened(number).is_some_and(|at| at < moment))
+    /// Takes an idle connection that was opened before a moment, if there is one.
+    pub fn reuse_opened_before(&mut self, moment: Moment) -> Option<ConnectionNumber> {
+        let links = &self.links;
+        let is_older =
+            |number: &ConnectionNumber| links.get(number).is_some_and(|link| link.opened < moment);
+        let position = self.idle.iter().position(is_older)?;
+        let number = self.idle.remove(position);
+        if let Some(link) = self.links.get_mut(&number) {
+            link.idle_since = None;
+        }
+        Some(number)
     }
 
     /// Returns the number of connections that are open or being opened.
--- a/crates/pulleyd/src/connection/end_check.rs
+++ b/crates/pulleyd/src/connection/end_check.rs
@@ -28,8 +28,8 @@
 pub enum EndFinding {
     /// Nothing listens at its address any more.
     Ended,
-    /// It has kept or answered over a connection that is older than the break. Only the one
-    /// connection has ended.
+    /// It has answered over a connection that is older than the break. Only the one connection has
+    /// ended.
     Alive,
     /// It accepts new connections and keeps them. So does a later start of it, or a supervisor that
     /// keeps its listening socket.
@@ -83,7 +83,7 @@
         let mut tries = 0;
         let (finding, fault) = loop {
             tries += 1;
-            let (finding, fault) = self.try_once(&links, began, limit).await;
+            let (finding, fault) = self.try_once(&links, target, began, limit).await;
             if finding != EndFinding::Unknown || self.clock.now() + CONFIRM_TIME >= limit {
                 break (finding, fault);
             }
@@ -102,6 +102,7 @@
     async fn try_once(
         &self,
         links: &Arc<UpstreamLinks>,
+        target: &UpstreamTarget,
         broken_at: Moment,
         limit: Moment,
     ) -> (EndFinding, Option<LinkFault>) {
@@ -114,11 +115,28 @@
         if link.is_closed() {
             return (EndFinding::Unknown, Some(LinkFault::ClosedUnsent));
         }
-        let is_alive = links.has_idle_opened_before(broken_at);
         link.give_back();
+        let is_alive = self.answers_over_older(links, target, broken_at, limit).await;
         (if is_alive { EndFinding::Alive } else { EndFinding::Accepts }, None)
     }
 
+    /// Whether an upstream answers a probe over an idle connection that is older than a break. A later
+    /// start of it has no such connection, and a machine that has stopped leaves it open.
+    async fn answers_over_older(
+        &self,
+        links: &Arc<UpstreamLinks>,
+        target: &UpstreamTarget,
+        broken_at: Moment,
+        limit: Moment,
+    ) -> bool {
+        let Some(pool) = links.pool() else { return false };
+        let Some(link) = links.take_idle_opened_before(broken_at) else { return false };
+        let proven = self.prove(pool, target, link, limit).await;
+        let is_alive = proven.is_some();
+        proven.into_iter().for_each(UpstreamLink::<Unused>::give_back);
+        is_alive
+    }
+
     /// Finds out whether an upstream that has left a request unanswered answers a probe.
     pub async fn check_answer(&self, pool: &PoolName, target: &UpstreamTarget) -> EndFinding {
         let limit = self.clock.now() + CHECK_TIMEOUT;
--- a/crates/pulleyd/src/connection/upstream_links.rs
+++ b/crates/pulleyd/src/connection/upstream_links.rs
@@ -340,13 +340,15 @@
         check_request(path, self.address)
     }
 
-    /// Whether an idle connection is open that is older than a moment.
-    pub(super) fn has_idle_opened_before(&self, moment: Moment) -> bool {
-        let state = self.state.lock();
-        let is_open = |number: &ConnectionNumber| {
-            state.idle.get(number).is_some_and(|link| !link.sender.is_closed())
+    /// Takes an idle connection that was opened before a moment, if one is open.
+    pub(super) fn take_idle_opened_before(&self, moment: Moment) -> Option<UpstreamLink<Unused>> {
+        let idle = {
+            let mut state = self.state.lock();
+            let number = state.table.reuse_opened_before(moment)?;
+            state.idle.remove(&number)?
         };
-        state.table.idle_opened_before(moment).any(|number| is_open(&number))
+        let IdleLink { sender, registration } = idle;
+        sender.is_ready().then(|| UpstreamLink::new(sender, registration))
     }
 
     /// Whether the upstream has answered this host directly since a moment.
--- a/crates/pulleyd/tests/path_support/fake_upstream.rs
+++ b/crates/pulleyd/tests/path_support/fake_upstream.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -89,6 +89,27 @@
         .await
     }
 
+    /// Breaks the one connection over which a request arrives that contains a mark, and says nothing more
+    /// over all others. Other requests take a moment.
+    pub(crate) async fn falling_silent_on(mark: &'static str) -> Self {
+        let is_silent = Arc::new(AtomicBool::new(false));
+        Self::scripted(move |mut stream, _, log| {
+            let is_silent = Arc::clone(&is_silent);
+            async move {
+                while !read_request(&mut stream, &log).await?.contains(mark) {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    if is_silent.load(Ordering::SeqCst) {
+                        return std::future::pending().await;
+                    }
+                    stream.write_all(&ok_answer("sound")).await.ok()?;
+                }
+                is_silent.store(true, Ordering::SeqCst);
+                stream.set_zero_linger().ok()
+            }
+        })
+        .await
+    }
+
     /// Ends when it gets a request that contains a mark: it closes all connections and its listener.
     /// It writes `bytes` of an answer first. Other requests take a moment.
     pub(crate) async fn ending_on(mark: &'static str, bytes: &'static str) -> Self {
--- a/crates/pulleyd/tests/process_failures/end_tests.rs
+++ b/crates/pulleyd/tests/process_failures/end_tests.rs
@@ -83,6 +83,23 @@
         (of_one, self.arrivals("ends-one"))
     }
 
+    /// Returns what the hosts have logged of runs and contents, in order.
+    fn content_log(&self) -> String {
+        let is_told = |line: &&str| {
+            let events =
+                ["event=run-", "event=content", "event=attempt-failed", "event=upstream-check"];
+            events.iter().any(|event| line.contains(event))
+        };
+        let logs = self.cluster.hosts.iter().enumerate().map(|(host, daemon)| {
+            let log = daemon.log();
+            let lines = log.lines().filter(is_told).map(|line| format!("{line} host={host}"));
+            lines.collect::<Vec<_>>()
+        });
+        let mut lines: Vec<String> = logs.flatten().collect();
+        lines.sort();
+        lines.join("\n")
+    }
+
     fn arrivals(&self, mark: &str) -> usize {
         self.upstreams.iter().map(|upstream| upstream.arrivals(mark)).sum()
     }
@@ -134,7 +151,8 @@
 fn a_content_whose_upstreams_fall_silent_reaches_three_over_all_hosts() {
     let pool = EndingPool::start_with(EndWay::Silent, 10, &["cover"], KOLKHI);
     let arrivals = pool.arrivals_of(|caller| assert_eq!(pool.call("ends-one", caller), None));
-    assert_eq!(arrivals, (3, 3), "arrivals of one caller, and of all");
+    let log = pool.content_log();
+    assert_eq!(arrivals, (3, 3), "arrivals of one caller, and of all\n{log}");
 }
 
 // Nobody waits for the answer any more when the upstream ends.
--- a/crates/pulleyd/tests/process_failures/process_support/ending_upstream.rs
+++ b/crates/pulleyd/tests/process_failures/process_support/ending_upstream.rs
@@ -200,7 +200,7 @@
         if path.contains(ENDING_MARK) {
             tokio::time::sleep(state.way.time_to_end()).await;
             state.running.send_replace(false);
-            return None;
+            return std::future::pending().await;
         }
         tokio::time::sleep(WORK_TIME).await;
         stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.ok()?;
--- a/crates/pulleyd/tests/request_contents.rs
+++ b/crates/pulleyd/tests/request_contents.rs
@@ -259,6 +259,21 @@
     assert_eq!(entry.context.quarantine.counts(), (0, 0));
 }
 
+// A machine that stops leaves its other connections open, and they prove nothing.
+#[tokio::test]
+async fn a_break_beside_connections_that_fall_silent_is_suspected() {
+    let upstream = FakeUpstream::falling_silent_on(MARK).await;
+    let entry = TestEntry::start(&[&upstream]).await;
+    let calls = (0..3).map(|number| {
+        let path = format!("/balance/sound-{number}");
+        let entry = &entry;
+        async move { entry.post_with(&path, "", &[HOST]).await.status }
+    });
+    assert_eq!(futures::future::join_all(calls).await, [200; 3]);
+    entry.post_with("/refund", MARK, &[HOST]).await;
+    assert_eq!(entry.context.quarantine.counts(), (1, 0));
+}
+
 // Some callers read the status only, and 503 tells them that the request has not run.
 #[tokio::test]
 async fn callers_that_read_the_status_only_are_told_the_truth() {
