--- a/crates/pulley_core/src/process/quarantine/content_report.rs
+++ b/crates/pulley_core/src/process/quarantine/content_report.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use super::{
-    ContentDigest, ContentKey, HostId, PoolName, StartEvidence, SuspectRecord, TrialNumber,
+    ContentDigest, ContentKey, HostId, Moment, PoolName, StartEvidence, SuspectRecord, TrialNumber,
     TrialVerdict, UpstreamStart,
 };
 
@@ -44,8 +44,10 @@
     pub key: ContentKey,
     /// All pools that the request's row is split over.
     pub row_pools: Vec<PoolName>,
-    /// How long the run lasted.
-    pub lasted: Duration,
+    /// When the run began, by this host's clock.
+    pub began: Moment,
+    /// When it was given up or answered, at its deadline at the latest.
+    pub ended: Moment,
     /// What became of the upstream.
     pub result: RunResult,
     /// The request's trial, if it was one.
--- a/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
+++ b/crates/pulley_core/src/process/quarantine/quarantine_exchange.rs
@@ -91,15 +91,15 @@
         self.entries = Arc::clone(entries);
     }
 
-    /// Takes in the end of a request of this host at the shared time `time`.
-    pub fn report(&mut self, time: SharedTime, report: ContentReport) {
-        let ContentReport { key, row_pools, lasted, result, trial } = report;
-        let began = time.before(lasted);
+    /// Takes in the end of a request of this host. The report may have been on its way for a while.
+    pub fn report(&mut self, now: Moment, time: SharedTime, report: ContentReport) {
+        let ContentReport { key, row_pools, began, ended, result, trial } = report;
+        let [began, at] = [began, ended].map(|moment| time.before(now.since(moment)));
         let digest = key.digest;
         match result {
             RunResult::Ended(start) => {
                 let run = SuspectRun {
-                    at: time,
+                    at,
                     began,
                     upstream: start.id,
                     incarnation: start.incarnation,
@@ -115,7 +115,7 @@
                     row_pools,
                     start,
                     address,
-                    at: time,
+                    at,
                     began,
                     was_trial: trial.is_some() && was_proven,
                     is_shared: is_suspicious,
--- a/crates/pulley_core/tests/quarantine/content_fleet.rs
+++ b/crates/pulley_core/tests/quarantine/content_fleet.rs
@@ -238,7 +238,8 @@
         let report = ContentReport {
             key: key.clone(),
             row_pools: Vec::new(),
-            lasted: self.work,
+            began: self.moment() - self.work,
+            ended: self.moment(),
             result,
             trial: None,
         };
@@ -253,7 +254,8 @@
             ContentReport {
                 key: key.clone(),
                 row_pools: Vec::new(),
-                lasted: self.work,
+                began: self.moment() - self.work,
+                ended: self.moment(),
                 result,
                 trial: None,
             },
@@ -367,7 +369,7 @@
         }
         match event {
             Event::LateEnd { request, trial, result } => {
-                let lasted = CALLER_PATIENCE + WORK_AFTER_LEAVING;
+                let began = now - (CALLER_PATIENCE + WORK_AFTER_LEAVING);
                 self.ends.push(self.now);
                 if let Some(number) = trial {
                     self.hosts[request.host].table.end_trial(request.key.digest, number);
@@ -375,7 +377,7 @@
                 let row_pools = self.row_pools.clone();
                 self.report(
                     request.host,
-                    ContentReport { key: request.key, row_pools, lasted, result, trial },
+                    ContentReport { key: request.key, row_pools, began, ended: now, result, trial },
                 );
             }
             Event::Message { to, from, body } => {
@@ -391,10 +393,10 @@
                     self.hosts[host].table.end_trial(request.key.digest, number);
                 }
                 let is_silent = matches!(self.sign, EndSign::Silence(_));
-                let lasted = if is_silent { DEADLINE } else { self.work };
+                let began = now - if is_silent { DEADLINE } else { self.work };
                 let survived = result == RunResult::Survived;
                 let (key, row_pools) = (request.key.clone(), self.row_pools.clone());
-                let report = ContentReport { key, row_pools, lasted, result, trial };
+                let report = ContentReport { key, row_pools, began, ended: now, result, trial };
                 self.report(host, report);
                 if survived {
                     self.served += 1;
@@ -504,7 +506,8 @@
 
     fn report(&mut self, host: usize, report: ContentReport) {
         let time = self.clock.shared_time(self.moment());
-        self.hosts[host].exchange.report(time, report);
+        let now = self.moment();
+        self.hosts[host].exchange.report(now, time, report);
         self.flush(host);
     }
 
--- a/crates/pulley_core/tests/quarantine/records.rs
+++ b/crates/pulley_core/tests/quarantine/records.rs
@@ -6,7 +6,7 @@
 use pulley_core::Moment;
 use pulley_core::process::{
     ContentDigest, ContentReport, ContentStanding, Incarnation, QUARANTINE_BODY_LIMIT,
-    QuarantineExchange, QuarantineOutput, RunResult, UnansweredRun, UpstreamRegistry,
+    QuarantineExchange, QuarantineOutput, RunResult, SharedTime, UnansweredRun, UpstreamRegistry,
     UpstreamStart,
 };
 use quickcheck::quickcheck;
@@ -19,7 +19,8 @@
     ContentReport {
         key: key(1),
         row_pools: Vec::new(),
-        lasted: Duration::from_millis(5),
+        began: Moment::ZERO,
+        ended: Moment::ZERO,
         result: RunResult::Ended(start),
         trial: None,
     }
@@ -48,11 +49,13 @@
         let result = RunResult::Ended(start);
         let row_pools = (0..4).map(|pool| format!("{pool:064}").parse().unwrap()).collect();
         exchange.report(
+            now,
             time,
             ContentReport {
                 key: key(1),
                 row_pools,
-                lasted: Duration::from_millis(5),
+                began: Moment::ZERO,
+                ended: Moment::ZERO,
                 result,
                 trial: None,
             },
@@ -70,24 +73,35 @@
     assert_eq!(receiver.suspects().count(), 1);
 }
 
-/// Returns how a content is treated after runs without an answer, given as the times in ms at which
-/// they began and were given up.
+fn at_ms(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+fn shared(millis: u64) -> SharedTime {
+    UpstreamRegistry::new().shared_time(at_ms(millis))
+}
+
+/// Returns the report of a run without an answer, by the times in ms at which it began and ended.
+fn silence(upstream: usize, began: u64, ended: u64) -> ContentReport {
+    let id = format!("u{upstream}").parse().unwrap();
+    let start = UpstreamStart { id, incarnation: Incarnation(1) };
+    let address = SocketAddr::from(([10, 0, 1, 1], 80));
+    let run = UnansweredRun { start, address, is_suspicious: true, was_proven: false };
+    ContentReport {
+        key: key(1),
+        row_pools: Vec::new(),
+        began: at_ms(began),
+        ended: at_ms(ended),
+        result: RunResult::Unanswered(run),
+        trial: None,
+    }
+}
+
+/// Returns how a content is treated after such runs.
 fn standing_after(runs: &[(u64, u64)]) -> Option<ContentStanding> {
     let mut exchange = QuarantineExchange::new(Moment::ZERO, host_name(0));
     for (upstream, (began, ended)) in runs.iter().enumerate() {
-        let now = Moment::ZERO + Duration::from_millis(*ended);
-        let id = format!("u{upstream}").parse().unwrap();
-        let start = UpstreamStart { id, incarnation: Incarnation(1) };
-        let address = SocketAddr::from(([10, 0, 1, 1], 80));
-        let run = UnansweredRun { start, address, is_suspicious: true, was_proven: false };
-        let report = ContentReport {
-            key: key(1),
-            row_pools: Vec::new(),
-            lasted: Duration::from_millis(ended - began),
-            result: RunResult::Unanswered(run),
-            trial: None,
-        };
-        exchange.report(UpstreamRegistry::new().shared_time(now), report);
+        exchange.report(at_ms(*ended), shared(*ended), silence(upstream, *began, *ended));
     }
     exchange.suspects().next().and_then(|record| record.standing(&key(1).pool))
 }
@@ -99,6 +113,19 @@
     assert!(matches!(standing, Some(ContentStanding::Held { .. })), "{standing:?}");
 }
 
+// A host short of processor time reports its runs late, after the caller's repeat has begun.
+#[test]
+fn late_reports_of_runs_count_from_when_they_were_given_up() {
+    let mut exchange = QuarantineExchange::new(Moment::ZERO, host_name(0));
+    for (upstream, (began, ended)) in
+        [(1_000, 1_400), (1_200, 1_400), (1_430, 1_830)].into_iter().enumerate()
+    {
+        exchange.report(at_ms(ended + 90), shared(ended + 90), silence(upstream, began, ended));
+    }
+    let standing = exchange.suspects().next().and_then(|known| known.standing(&key(1).pool));
+    assert!(matches!(standing, Some(ContentStanding::Held { .. })), "{standing:?}");
+}
+
 // A rack without power leaves all runs of popular content there without an answer.
 #[test]
 fn runs_beside_each_other_do_not_hold_a_content() {
@@ -113,7 +140,7 @@
         let time = UpstreamRegistry::new().shared_time(now);
         let standing = |reports: &mut dyn Iterator<Item = &u8>| {
             let mut exchange = QuarantineExchange::new(now, host_name(0));
-            reports.for_each(|upstream| exchange.report(time, ended(*upstream)));
+            reports.for_each(|upstream| exchange.report(now, time, ended(*upstream)));
             exchange.suspects().cloned().collect::<Vec<_>>()
         };
         standing(&mut upstreams.iter()) == standing(&mut upstreams.iter().rev())
--- a/crates/pulleyd/src/process/control_answer.rs
+++ b/crates/pulleyd/src/process/control_answer.rs
@@ -155,7 +155,7 @@
     fn answer_content_request(&mut self, now: Moment, request: ControlRequest) {
         match request {
             ControlRequest::ReportContent(report, reply) => {
-                self.quarantine.report(self.registry.shared_time(now), report);
+                self.quarantine.report(now, self.registry.shared_time(now), report);
                 self.flush_quarantine(now);
                 let _ = reply.map(|reply| reply.send(()));
             }
--- a/crates/pulleyd/src/request/content_run.rs
+++ b/crates/pulleyd/src/request/content_run.rs
@@ -84,8 +84,18 @@
     ) -> Self {
         let was_proven = trial.is_some();
         let began = context.clock.now();
-        let sent = SentRun { context, content, kind, target, deadline, trial, was_proven, began };
-        Self { open: Some(sent), is_sent: AtomicBool::new(false) }
+        let run = SentRun {
+            context,
+            content,
+            kind,
+            target,
+            deadline,
+            trial,
+            was_proven,
+            began,
+            ended: began,
+        };
+        Self { open: Some(run), is_sent: AtomicBool::new(false) }
     }
 
     /// Whether the run is the only one with its content over all hosts.
@@ -98,6 +108,13 @@
         self.is_sent.store(true, Ordering::Relaxed);
     }
 
+    /// Takes the run at its end.
+    fn take(&mut self) -> Option<SentRun> {
+        let mut run = self.open.take()?;
+        run.ended = run.context.clock.now().min(run.deadline);
+        Some(run)
+    }
+
     /// Ends a run that was not sent. Returns its trial.
     pub(super) fn into_trial(mut self) -> Option<ContentTrial> {
         self.open.take()?.trial
@@ -111,7 +128,7 @@
 
     /// Ends a run whose whole answer has arrived, which clears its content.
     pub(super) fn survived(mut self) {
-        if let Some(run) = self.open.take() {
+        if let Some(run) = self.take() {
             run.report_answer();
         }
     }
@@ -120,21 +137,21 @@
     /// This goes on if the caller leaves meanwhile.
     pub(super) async fn broke(mut self) -> BrokenRun {
         let unknown = BrokenRun { digest: None, finding: EndFinding::Unknown };
-        let Some(run) = self.open.take() else { return unknown };
+        let Some(run) = self.take() else { return unknown };
         tokio::spawn(run.report_break()).await.unwrap_or(unknown)
     }
 
     /// Ends a run that got no answer by its deadline. `is_silent` tells that its upstream has said
     /// nothing else meanwhile.
     pub(super) fn timed_out(mut self, is_silent: bool) {
-        if let Some(run) = self.open.take() {
+        if let Some(run) = self.take() {
             tokio::spawn(run.report_silence(is_silent));
         }
     }
 
     /// Ends a run whose answer was cut short. The caller has the head of the answer by then.
     pub(super) fn cut_short(mut self) {
-        let Some(run) = self.open.take() else { return };
+        let Some(run) = self.take() else { return };
         tokio::spawn(async move {
             let (logger, upstream) = (run.context.logger.clone(), run.target.start.id.clone());
             let broken = run.report_break().await;
@@ -148,7 +165,7 @@
 impl Drop for ContentRun {
     fn drop(&mut self) {
         let is_sent = *self.is_sent.get_mut();
-        let Some(run) = self.open.take().filter(|_| is_sent) else { return };
+        let Some(run) = self.take().filter(|_| is_sent) else { return };
         // There is none while the process shuts down.
         if let Ok(runtime) = Handle::try_current() {
             runtime.spawn(run.report_given_up());
@@ -168,6 +185,8 @@
     /// Whether the upstream answered a probe over the run's connection right before the run.
     was_proven: bool,
     began: Moment,
+    /// When it was given up, at its deadline at the latest.
+    ended: Moment,
 }
 
 impl SentRun {
@@ -262,8 +281,8 @@
     fn report(&self, digest: ContentDigest, result: RunResult) -> ContentReport {
         let row_pools = self.kind.plan.split_pools(self.kind.row());
         let trial = self.trial.as_ref().and_then(|trial| trial.number);
-        let lasted = self.context.clock.now().since(self.began);
-        ContentReport { key: self.key(digest), row_pools, lasted, result, trial }
+        let (began, ended) = (self.began, self.ended);
+        ContentReport { key: self.key(digest), row_pools, began, ended, result, trial }
     }
 
     /// Returns the last report of the run, which ends its trial.
--- a/crates/pulleyd/tests/path_support/fake_ledger.rs
+++ b/crates/pulleyd/tests/path_support/fake_ledger.rs
@@ -82,7 +82,9 @@
                 let _ = reply.send(self.relay_hosts.lock().clone());
             }
             ControlRequest::ReportContent(report, reply) => {
-                self.update_contents(|contents| contents.report(shared_time(), report));
+                self.update_contents(|contents| {
+                    contents.report(Moment::ZERO, shared_time(), report);
+                });
                 let _ = reply.map(|reply| reply.send(()));
             }
             ControlRequest::EndTrial(digest, number) => {
