--- a/crates/pulley_core/src/process/quarantine/content_report.rs
+++ b/crates/pulley_core/src/process/quarantine/content_report.rs
@@ -65,7 +65,7 @@
     pub lease: Duration,
 }
 
-/// An action for the caller of [`QuarantineExchange`] to carry out.
+/// An action for the caller of [`super::QuarantineExchange`] to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QuarantineOutput {
     /// Send a message to a host.
