--- a/review/standin.rs
+++ b/review/standin.rs
@@ -32,7 +32,8 @@
 
 impl Record {
     fn new(path: &str) -> Self {
-        let file = File::create(path).unwrap_or_else(|fault| cannot_run(&format!("{path}: {fault}")));
+        let file =
+            File::create(path).unwrap_or_else(|fault| cannot_run(&format!("{path}: {fault}")));
         Self { file: Arc::new(Mutex::new(file)), began: Instant::now() }
     }
 
@@ -416,7 +417,8 @@
     }
     let kept: Vec<bool> = clients.into_iter().map(|c| c.join().unwrap_or(true)).collect();
     let runs = endpoints.runs.lock().unwrap().clone();
-    let was_run = |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 1));
+    let was_run =
+        |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 1));
     let lost = kept.iter().enumerate().filter(|(number, kept)| !**kept && was_run(*number)).count();
     system.stop();
     record.line(&format!("downloads that were passed on and cut: {lost}"));
@@ -514,7 +516,8 @@
     }
     let kept: Vec<bool> = clients.into_iter().map(|c| c.join().unwrap_or(true)).collect();
     let runs = endpoints.runs.lock().unwrap().clone();
-    let was_run = |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 3));
+    let was_run =
+        |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 3));
     let lost = kept.iter().enumerate().filter(|(number, kept)| !**kept && was_run(*number)).count();
     system.stop();
     record.line(&format!("long orders that were passed on and lost: {lost}"));
@@ -586,7 +589,8 @@
             let is_own = own.is_some_and(|run| run.answer == answer.body);
             if signature.is_none() || !is_own {
                 broken += 1;
-                record.line(&format!("MIXED {id}: no answer that an endpoint gave to this request"));
+                record
+                    .line(&format!("MIXED {id}: no answer that an endpoint gave to this request"));
             }
             number += 1;
             rest_until = Instant::now() + PAUSE;
@@ -628,7 +632,8 @@
     thread::sleep(CALM_TIME);
     if has_trouble {
         record.line("burst: more desks open, and each begins with its order 1");
-        let more = (1..=BURST_DESKS).map(|desk| Desk { name: format!("new-{desk}"), first_number: 1 });
+        let more =
+            (1..=BURST_DESKS).map(|desk| Desk { name: format!("new-{desk}"), first_number: 1 });
         desks.extend(more.map(open));
     }
     thread::sleep(BURST_TIME);
