Let the review's scripts say that they could not run where nothing was run

Cause: without a request that was run, a script would have ended as if the rule held. Done: exit code 2 in that case.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -417,6 +417,10 @@
     }
     let kept: Vec<bool> = clients.into_iter().map(|c| c.join().unwrap_or(true)).collect();
     let runs = endpoints.runs.lock().unwrap().clone();
+    if runs.is_empty() {
+        system.stop();
+        cannot_run("no request was run");
+    }
     let was_run =
         |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 1));
     let lost = kept.iter().enumerate().filter(|(number, kept)| !**kept && was_run(*number)).count();
@@ -516,6 +520,10 @@
     }
     let kept: Vec<bool> = clients.into_iter().map(|c| c.join().unwrap_or(true)).collect();
     let runs = endpoints.runs.lock().unwrap().clone();
+    if runs.is_empty() {
+        system.stop();
+        cannot_run("no request was run");
+    }
     let was_run =
         |number: usize| runs.iter().any(|run| run.request == format!("{number:08x}{:08x}", 3));
     let lost = kept.iter().enumerate().filter(|(number, kept)| !**kept && was_run(*number)).count();
@@ -641,6 +649,9 @@
     let broken: usize = desks.into_iter().map(|desk| desk.join().unwrap_or(0)).sum();
     let runs = endpoints.runs.lock().unwrap().len();
     system.stop();
+    if runs == 0 {
+        cannot_run("no request was run");
+    }
     record.line(&format!("runs {runs}, answers that break MIXED: {broken}"));
     println!("runs {runs}, answers that break MIXED: {broken}");
     i32::from(broken > 0)
