--- /dev/null
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -0,0 +1,198 @@
+//! Upstreams whose answers are malformed. Callers get a complete answer of an upstream or none.
+
+mod path_support;
+
+use std::sync::Arc;
+
+use path_support::{
+    ANSWER, CutFleet, FakeUpstream, TestEntry, all_of, read_request, refusing_upstream,
+};
+use pulley_core::process::ProbeOutcome;
+use pulleyd::connection::UpstreamProber;
+use tokio::io::AsyncWriteExt;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+/// The body of the answers, plain and in chunks.
+const BODY: &str = "whole";
+const CHUNKS: &str = "5\r\nwhole\r\n0\r\n\r\n";
+
+/// Malformed heads without the line that ends them.
+const MALFORMED_HEADS: [&str; 4] = [
+    "HTTP/1.1 000 OK\r\nContent-Length: 0",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nno field",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX A: a",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0x",
+];
+
+/// Returns the blank and all control bytes, none of which the name of a field may hold.
+fn blank_and_control_bytes() -> impl Iterator<Item = u8> {
+    (0..=b' ').chain([0x7f])
+}
+
+/// Answers each request with raw bytes and closes the connection, which would end a body of unknown
+/// length.
+async fn closing_after(answer: impl Into<Vec<u8>>) -> FakeUpstream {
+    let answer = Arc::new(answer.into());
+    FakeUpstream::scripted(move |mut stream, _, log| {
+        let answer = Arc::clone(&answer);
+        async move {
+            read_request(&mut stream, &log).await?;
+            stream.write_all(&answer).await.ok()
+        }
+    })
+    .await
+}
+
+/// Returns an answer with these lines in its head.
+fn answer_with(lines: &[u8], body: &str) -> Vec<u8> {
+    [b"HTTP/1.1 200 OK\r\n", lines, b"\r\n\r\n", body.as_bytes()].concat()
+}
+
+/// Asserts that no caller gets an answer. A request that must not be repeated may have run, and
+/// another upstream answers one that may be repeated.
+async fn assert_refused(answer: &[u8]) {
+    let shown = String::from_utf8_lossy(answer);
+    let faulty = closing_after(answer).await;
+    let entry = TestEntry::start(&[&faulty]).await;
+    let got = entry.post("/refund", "x").await;
+    assert_eq!(got.summary(), "502 may-have-run", "{shown:?}: {:?}", got.body);
+    assert_eq!(faulty.runs(), 1, "{shown:?}");
+
+    let sound = FakeUpstream::healthy("sound").await;
+    let entry = TestEntry::start(&[&faulty, &sound]).await;
+    for _ in 0..3 {
+        let got = entry.post("/balance", "x").await;
+        assert_eq!(got.body.as_deref(), Some("sound"), "{shown:?}");
+    }
+}
+
+/// Asserts that a caller sees that the body of an answer is not whole.
+async fn assert_cut_short(answer: &[u8]) {
+    let shown = String::from_utf8_lossy(answer);
+    let faulty = closing_after(answer).await;
+    let entry = TestEntry::start(&[&faulty]).await;
+    // The head is lost as well if the fault is found before the entry has forwarded it.
+    if let Some(got) = entry.try_post("/refund", "x", &[]).await {
+        assert_eq!((got.status, got.body), (200, None), "{shown:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_whose_status_is_no_number_from_100_on_is_refused() {
+    for status in ["000", "001", "099", "00", "0200", "2000", "20x", "-200", ""] {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 5\r\n\r\n{BODY}");
+        assert_refused(answer.as_bytes()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_with_a_line_that_is_no_field_is_refused() {
+    let length = &b"Content-Length: 5"[..];
+    for line in [
+        &b"nofield"[..],
+        b"no field",
+        b": no name",
+        b" folded",
+        b"\tfolded",
+        b"Content-Length 5",
+        b"\xff\xfe",
+        b"\x01",
+        b"X-A: a\rb",
+        b"X-A: a\0b",
+    ] {
+        assert_refused(&answer_with(&[line, b"\r\n", length].concat(), BODY)).await;
+        assert_refused(&answer_with(&[length, b"\r\n", line].concat(), BODY)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_with_a_blank_or_control_byte_in_a_field_name_is_refused() {
+    for byte in blank_and_control_bytes() {
+        for field in [&b"X-A: a\r\nContent-Length: 5"[..], b"Content-Length: 5"] {
+            let middle = [&field[..2], &[byte], &field[2..]].concat();
+            assert_refused(&answer_with(&middle, BODY)).await;
+        }
+        let end = [b"Transfer-Encoding", &[byte][..], b": chunked"].concat();
+        assert_refused(&answer_with(&end, CHUNKS)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_before_a_malformed_trailer_does_not_look_complete() {
+    let mut trailers = vec![b"nofield".to_vec(), b" folded".to_vec(), b"X-A: a\0b".to_vec()];
+    trailers.extend(blank_and_control_bytes().map(|byte| [b"X-", &[byte][..], b"A: a"].concat()));
+    for trailer in trailers {
+        let body = [b"5\r\nwhole\r\n0\r\n", &trailer[..], b"\r\n\r\n"].concat();
+        let head = b"HTTP/1.1 200 OK\r\nTrailer: x-a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assert_cut_short(&[head, &body[..]].concat()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_whose_length_is_no_number_is_refused() {
+    for length in ["", "5x", "x5", "+5", "-5", "5 5", "5;5", "5.0", "0x5", "5,", "5, 6"] {
+        let line = format!("Content-Length: {length}");
+        assert_refused(&answer_with(line.as_bytes(), BODY)).await;
+    }
+    let huge = format!("Content-Length: {}", "9".repeat(30));
+    assert_refused(&answer_with(huge.as_bytes(), BODY)).await;
+    assert_refused(&answer_with(b"Content-Length: 5\r\nContent-Length: 6", BODY)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_with_malformed_chunks_does_not_look_complete() {
+    for body in [
+        "5x\r\nwhole\r\n0\r\n\r\n",
+        "\r\nwhole\r\n0\r\n\r\n",
+        "4\r\nwhole\r\n0\r\n\r\n",
+        "6\r\nwhole\r\n0\r\n\r\n",
+        "5\nwhole\r\n0\r\n\r\n",
+        "5\r\nwhole\r\n0\r\n",
+        "5\r\nwhole\r\n",
+    ] {
+        assert_cut_short(&answer_with(b"Transfer-Encoding: chunked", body)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_answer_is_refused_over_another_host() {
+    let upstreams = all_of(async || {
+        FakeUpstream::scripted(|mut stream, _, log| async move {
+            loop {
+                let request = read_request(&mut stream, &log).await?;
+                let mut heads = MALFORMED_HEADS.iter().enumerate();
+                let head = heads.find(|(number, _)| request.contains(&format!("file {number}")));
+                let Some((_, head)) = head else {
+                    stream.write_all(ANSWER.as_bytes()).await.ok()?;
+                    continue;
+                };
+                return stream.write_all(format!("{head}\r\n\r\n").as_bytes()).await.ok();
+            }
+        })
+        .await
+    });
+    let cut = CutFleet::start(all_of(refusing_upstream).await, upstreams.await).await;
+    for (number, head) in MALFORMED_HEADS.iter().enumerate() {
+        let mark = format!("file {number}");
+        assert_eq!(cut.cut().post("/refund", &mark).await.summary(), "502 may-have-run", "{head}");
+        assert_eq!(cut.arrivals(&mark), 1, "{head}");
+    }
+}
+
+// Guards against a coordinator's word for an upstream that has sent no answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_answer_is_a_failed_probe() {
+    for head in MALFORMED_HEADS {
+        let faulty = closing_after(format!("{head}\r\n\r\n")).await;
+        let entry = TestEntry::start(&[&faulty]).await;
+        let connections = Arc::clone(&entry.context.connections);
+        let prober = UpstreamProber::new(Handle::current(), connections);
+        let (sender, outcome) = oneshot::channel();
+        let target = ("pool".parse().expect("a name"), "u0".parse().expect("a name"));
+        prober.probe(target, faulty.address, move |outcome| {
+            let _ = sender.send(outcome);
+        });
+        assert_eq!(outcome.await.ok(), Some(ProbeOutcome::Failed), "{head}");
+    }
+}
