--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, upstreams and other hosts, and the state that belongs to each
 //! connection.
 
+mod answer_head;
 mod end_check;
 mod peer_datagrams;
 mod peer_frame;
@@ -17,6 +18,7 @@
 mod rest_reading;
 mod send_gate;
 
+pub use answer_head::HeadFault;
 pub use end_check::EndFinding;
 pub use peer_datagrams::{DatagramCounts, DatagramSeal, PeerDatagrams};
 pub use peer_frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameClass, InboundDatagram, InboundFrame};
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -18,9 +18,10 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
-use super::LinkMeter;
+use super::answer_head::check_head;
 use super::relay_client::RelayState;
 use super::upstream_links::UpstreamLinks;
+use super::{HeadFault, LinkMeter};
 use crate::request::RequestBody;
 
 /// Maximum body of an answer to a probe, in bytes. Most have no body.
@@ -53,6 +54,9 @@
     /// The connection closed without an answer after bytes of the request were sent.
     #[error("the connection ended without an answer")]
     Lost,
+    /// The head of the answer is malformed.
+    #[error("malformed answer: {0}")]
+    Malformed(HeadFault),
 }
 
 impl LinkFault {
@@ -66,7 +70,7 @@
     #[must_use]
     pub const fn verdict(&self) -> RequestVerdict {
         match self {
-            Self::Broken(_) | Self::Lost => RequestVerdict::MayHaveRun,
+            Self::Broken(_) | Self::Lost | Self::Malformed(_) => RequestVerdict::MayHaveRun,
             Self::Unreachable(_)
             | Self::ConnectTimeout
             | Self::ShareInUse
@@ -85,6 +89,7 @@
             Self::RelaysResting => "relays-resting",
             Self::ClosedUnsent => "closed-unsent",
             Self::Broken(_) | Self::Lost => "connection-broken",
+            Self::Malformed(_) => "malformed-answer",
         }
     }
 }
@@ -145,8 +150,8 @@
     /// request is never sent again.
     ///
     /// # Errors
-    /// `ClosedUnsent` if no byte was sent. Otherwise `Broken`, or `Lost` if the connection closed
-    /// without an error.
+    /// `ClosedUnsent` if no byte was sent. Otherwise `Broken`, `Lost` if the connection closed
+    /// without an error, or `Malformed`, which closes the connection.
     pub fn send(
         mut self,
         request: Request<RequestBody>,
@@ -158,6 +163,7 @@
             match answer_until_ended(sending, &registration.ended).await {
                 Some(Ok(response)) => {
                     registration.record_answer();
+                    check_head(&response).map_err(LinkFault::Malformed)?;
                     Ok((response, UpstreamLink { sender, registration, _state: Answering }))
                 }
                 Some(Err(fault)) => {
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -17,6 +17,7 @@
 use tokio::runtime::Handle;
 
 use super::UpstreamConnections;
+use super::answer_head::check_head;
 use crate::request::{LOAD_HEADER, read_load_report};
 
 /// The path on which upstreams answer probes, unless their pool names another. The answer is empty,
@@ -79,7 +80,8 @@
     }
 }
 
-/// Sends one probe. Returns the head of the answer, or `None` if it failed.
+/// Sends one probe. Returns the head of the answer, or `None` if it failed or the answer is
+/// malformed.
 async fn send_probe(address: SocketAddr) -> Option<Parts> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -91,7 +93,8 @@
         .ok()?;
     let answer = sender.send_request(request).await.ok();
     driver.abort();
-    Some(answer?.into_parts().0)
+    let answer = answer.filter(|answer| check_head(answer).is_ok())?;
+    Some(answer.into_parts().0)
 }
 
 /// Reads the load report of an answer, if it has one. Returns `None` if the upstream has refused the
--- a/crates/pulleyd/src/request/attempt_fault.rs
+++ b/crates/pulleyd/src/request/attempt_fault.rs
@@ -90,14 +90,16 @@
         }
     }
 
-    /// The connection failed before a response arrived.
+    /// The connection failed before a response arrived, or the response is malformed.
     pub(super) fn from_link(fault: &LinkFault) -> Self {
         let outcome = match fault {
             LinkFault::Unreachable(_) | LinkFault::ConnectTimeout => AttemptOutcome::Unreachable,
             LinkFault::ShareInUse | LinkFault::ClosedUnsent | LinkFault::RelaysResting => {
                 AttemptOutcome::Cancelled
             }
-            LinkFault::Broken(_) | LinkFault::Lost => AttemptOutcome::Broken,
+            LinkFault::Broken(_) | LinkFault::Lost | LinkFault::Malformed(_) => {
+                AttemptOutcome::Broken
+            }
         };
         let status = match fault {
             LinkFault::RelaysResting => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -438,6 +438,11 @@
     }
 
     fn link_fault(&self, fault: &LinkFault) -> AttemptFault {
+        if let LinkFault::Malformed(fault) = fault {
+            info!(self.context.logger, "answer-malformed"; "id" => self.id(),
+                "upstream" => self.last_tried().map(|upstream| upstream.to_string()),
+                "fault" => %fault);
+        }
         match self.body.caller_aborted() {
             true => AttemptFault::caller_aborted(fault.verdict()),
             false => AttemptFault::from_link(fault),
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -3,9 +3,16 @@
 mod path_support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use path_support::{
-    ANSWER, CutFleet, FakeUpstream, TestEntry, all_of, read_request, refusing_upstream,
+    ANSWER, CutFleet, EntryBuilder, FakeUpstream, TestEntry, all_of, read_request,
+    refusing_upstream, reporting,
 };
 use pulley_core::process::ProbeOutcome;
 use pulleyd::connection::UpstreamProber;
@@ -18,11 +25,25 @@
 const CHUNKS: &str = "5\r\nwhole\r\n0\r\n\r\n";
 
 /// Malformed heads without the line that ends them.
-const MALFORMED_HEADS: [&str; 4] = [
+const MALFORMED_HEADS: [&str; 5] = [
     "HTTP/1.1 000 OK\r\nContent-Length: 0",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nno field",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX A: a",
     "HTTP/1.1 200 OK\r\nContent-Length: 0x",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkex",
+];
+
+/// Transfer codings that a host doesn't read. It asks for none but `chunked`.
+const OTHER_CODINGS: [&str; 9] = [
+    "Transfer-Encoding: chunkex",
+    "Transfer-Encoding: ",
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding: gzip",
+    "Transfer-Encoding: gzip, chunked",
+    "Transfer-Encoding: chunked, gzip",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked;x",
 ];
 
 /// Returns the blank and all control bytes, none of which the name of a field may hold.
@@ -157,26 +178,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_malformed_answer_is_refused_over_another_host() {
-    let upstreams = all_of(async || {
-        FakeUpstream::scripted(|mut stream, _, log| async move {
-            loop {
-                let request = read_request(&mut stream, &log).await?;
-                let mut heads = MALFORMED_HEADS.iter().enumerate();
-                let head = heads.find(|(number, _)| request.contains(&format!("file {number}")));
-                let Some((_, head)) = head else {
+    for head in MALFORMED_HEADS {
+        let upstreams = all_of(async || {
+            FakeUpstream::scripted(move |mut stream, _, log| async move {
+                while !read_request(&mut stream, &log).await?.contains("file") {
                     stream.write_all(ANSWER.as_bytes()).await.ok()?;
-                    continue;
-                };
-                return stream.write_all(format!("{head}\r\n\r\n").as_bytes()).await.ok();
-            }
-        })
-        .await
-    });
-    let cut = CutFleet::start(all_of(refusing_upstream).await, upstreams.await).await;
-    for (number, head) in MALFORMED_HEADS.iter().enumerate() {
-        let mark = format!("file {number}");
-        assert_eq!(cut.cut().post("/refund", &mark).await.summary(), "502 may-have-run", "{head}");
-        assert_eq!(cut.arrivals(&mark), 1, "{head}");
+                }
+                stream.write_all(format!("{head}\r\n\r\n").as_bytes()).await.ok()
+            })
+            .await
+        });
+        let cut = CutFleet::start(all_of(refusing_upstream).await, upstreams.await).await;
+        let got = cut.cut().post("/refund", "file").await;
+        assert_eq!(got.summary(), "502 may-have-run", "{head}");
+        assert_eq!(cut.arrivals("file"), 1, "{head}");
     }
 }
 
@@ -196,3 +211,76 @@
         assert_eq!(outcome.await.ok(), Some(ProbeOutcome::Failed), "{head}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_in_another_transfer_coding_is_refused() {
+    for coding in OTHER_CODINGS {
+        assert_refused(&answer_with(coding.as_bytes(), CHUNKS)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_with_a_length_beside_its_transfer_coding_is_refused() {
+    for length in [3, 5, 9] {
+        let lines = format!("Transfer-Encoding: chunked\r\nContent-Length: {length}");
+        assert_refused(&answer_with(lines.as_bytes(), CHUNKS)).await;
+        let lines = format!("Content-Length: {length}\r\nTransfer-Encoding: chunkex");
+        assert_refused(&answer_with(lines.as_bytes(), BODY)).await;
+    }
+}
+
+// Guards against a malformed answer that is recorded with a key and given to every repeat.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_answer_is_not_recorded_with_a_key() {
+    let faulty = closing_after(answer_with(OTHER_CODINGS[0].as_bytes(), CHUNKS)).await;
+    let entry = TestEntry::start(&[&faulty]).await;
+    let key = [("idempotency-key", "k")];
+    assert_eq!(entry.post_with("/refund", "x", &key).await.summary(), "502 may-have-run");
+    assert_eq!(entry.post_with("/refund", "x", &key).await.summary(), "409 may-have-run");
+    assert_eq!(faulty.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_answer_is_refused_over_http2() {
+    let faulty = closing_after(answer_with(OTHER_CODINGS[0].as_bytes(), CHUNKS)).await;
+    let entry = TestEntry::start(&[&faulty]).await;
+    let mut builder = Client::builder(TokioExecutor::new());
+    let client: Client<_, Full<Bytes>> = builder.http2_only(true).build_http();
+    let request = Request::post(format!("http://{}/refund", entry.address));
+    let request = request.body(Full::default()).expect("a request");
+    let response = client.request(request).await.expect("an answer");
+    assert_eq!(response.status(), 502);
+    let body = response.into_body().collect().await.expect("whole").to_bytes();
+    assert!(!body.windows(BODY.len()).any(|part| part == BODY.as_bytes()), "{body:?}");
+}
+
+/// An upstream that reports to every probe that it is idle, in an answer in two transfer codings.
+async fn malformed_reporting() -> FakeUpstream {
+    FakeUpstream::answering(|request| {
+        let head = ANSWER.replace("Content-Length: 2\r\n\r\nok", "");
+        match request.starts_with("GET /") {
+            true => format!("{head}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n").into_bytes(),
+            false => ANSWER.as_bytes().to_vec(),
+        }
+    })
+    .await
+}
+
+// Guards against requests that are placed by a load that a malformed answer reports.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_answer_to_a_probe_is_no_reading() {
+    let (malformed, busier) = (malformed_reporting().await, reporting().await);
+    let builder = EntryBuilder::new().probing(2, 1_000);
+    let entry = builder.start(&[&malformed, &busier]).await;
+    for _ in 0..5 {
+        assert_eq!(entry.post("/refund", "x").await.status, 200);
+        // Waits until the last reading is stale, so that the next request probes again.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let is_request = |request: &String| request.starts_with("POST");
+    let count = |upstream: &FakeUpstream| {
+        upstream.log.requests.lock().iter().filter(|request| is_request(request)).count()
+    };
+    assert_eq!((count(&malformed), count(&busier)), (0, 5));
+    assert!(malformed.runs() > 0, "it was probed");
+}
