--- a/crates/pulleyd/src/connection/answer_head.rs
+++ b/crates/pulleyd/src/connection/answer_head.rs
@@ -1,7 +1,7 @@
 //! Checks the head of an upstream's answer before anything of the answer is used.
 
 use http::Response;
-use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use thiserror::Error;
 
 /// The result of checking a head.
@@ -10,31 +10,44 @@
 /// The only transfer coding that the HTTP library decodes.
 const CHUNKED: &[u8] = b"chunked";
 
+/// Separates the values of a list in one field.
+const LIST_SEPARATOR: u8 = b',';
+
 /// Why the head of an answer does not tell where its body ends.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum HeadFault {
     /// The transfer coding is not `chunked`, or not that alone.
     #[error("the transfer coding is not chunked alone")]
     TransferCoding,
+    /// The length is no number, or is told several times and differs.
+    #[error("the length is not one number")]
+    Length,
     /// The head has a length beside a transfer coding.
     #[error("there is a length beside the transfer coding")]
     LengthBesideCoding,
 }
 
-/// Checks the head of an answer.
+/// Checks the head of an answer. A length that is repeated is replaced by one.
 ///
 /// The HTTP library refuses heads that it cannot parse. It reads a body in a transfer coding that it
 /// does not know until the connection ends, and it ignores a length beside a transfer coding. Callers
-/// would get the bytes of the coding, or a part of the body, as a complete answer.
+/// would get the bytes of the coding, or a part of the body, as a complete answer. It does not check
+/// the length of an answer without a body, and callers may read a repeated length in another way.
 ///
 /// # Errors
 /// What is malformed. Nothing of the answer may be used, and its connection must be closed.
-pub(super) fn check_head<B>(response: &Response<B>) -> Result<()> {
-    let headers = response.headers();
+pub(super) fn check_head<B>(response: &mut Response<B>) -> Result<()> {
+    let headers = response.headers_mut();
     let is_coded = check_coding(headers)?;
-    if is_coded && headers.contains_key(CONTENT_LENGTH) {
+    let length = read_length(headers)?;
+    if is_coded && length.is_some() {
         return Err(HeadFault::LengthBesideCoding);
     }
+    if let Some(length) = length
+        && is_repeated(headers)
+    {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
     Ok(())
 }
 
@@ -48,3 +61,29 @@
     }
     Ok(true)
 }
+
+/// Reads the length of the body. A length may be repeated, in several fields or as a list.
+fn read_length(headers: &HeaderMap) -> Result<Option<u64>> {
+    let mut length = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        for number in value.as_bytes().split(|byte| *byte == LIST_SEPARATOR) {
+            let number = parse_number(number.trim_ascii()).ok_or(HeadFault::Length)?;
+            if *length.get_or_insert(number) != number {
+                return Err(HeadFault::Length);
+            }
+        }
+    }
+    Ok(length)
+}
+
+fn is_repeated(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(CONTENT_LENGTH).iter();
+    let is_list = values.next().is_some_and(|value| value.as_bytes().contains(&LIST_SEPARATOR));
+    is_list || values.next().is_some()
+}
+
+/// Parses a number of digits only. The parser of the standard library also takes a sign.
+fn parse_number(text: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(text).ok()?;
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
--- a/crates/pulleyd/src/connection/upstream_link.rs
+++ b/crates/pulleyd/src/connection/upstream_link.rs
@@ -161,9 +161,9 @@
         let Self { sender, registration, .. } = self;
         async move {
             match answer_until_ended(sending, &registration.ended).await {
-                Some(Ok(response)) => {
+                Some(Ok(mut response)) => {
                     registration.record_answer();
-                    check_head(&response).map_err(LinkFault::Malformed)?;
+                    check_head(&mut response).map_err(LinkFault::Malformed)?;
                     Ok((response, UpstreamLink { sender, registration, _state: Answering }))
                 }
                 Some(Err(fault)) => {
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -93,7 +93,8 @@
         .ok()?;
     let answer = sender.send_request(request).await.ok();
     driver.abort();
-    let answer = answer.filter(|answer| check_head(answer).is_ok())?;
+    let mut answer = answer?;
+    check_head(&mut answer).ok()?;
     Some(answer.into_parts().0)
 }
 
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -284,3 +284,33 @@
     assert_eq!((count(&malformed), count(&busier)), (0, 5));
     assert!(malformed.runs() > 0, "it was probed");
 }
+
+// Guards against a length that callers read in another way than this host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_body_and_with_a_malformed_length_is_refused() {
+    for lines in ["Content-Length: 5x", "Content-Length: 5\r\nContent-Length: 6"] {
+        for (method, status) in [("HEAD", "200 OK"), ("GET", "304 Not Modified")] {
+            let answer = format!("HTTP/1.1 {status}\r\n{lines}\r\n\r\n");
+            let faulty = closing_after(answer).await;
+            let entry = TestEntry::start(&[&faulty]).await;
+            let request =
+                format!("{method} /refund HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            let got = entry.raw_answer(&request).await;
+            assert!(got.starts_with("HTTP/1.1 502 "), "{method} {status} {lines}: {got}");
+        }
+    }
+}
+
+// Guards against a list of lengths in an answer, which some callers can't read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeated_length_is_passed_on_once() {
+    for lines in ["Content-Length: 5, 5", "Content-Length: 5\r\nContent-Length: 5"] {
+        let upstream = closing_after(answer_with(lines.as_bytes(), BODY)).await;
+        let entry = TestEntry::start(&[&upstream]).await;
+        let request = "GET /balance HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let got = entry.raw_answer(request).await.to_ascii_lowercase();
+        assert!(got.ends_with("\r\n\r\nwhole"), "{lines}: {got}");
+        let lengths = got.lines().filter(|line| line.starts_with("content-length"));
+        assert_eq!(lengths.collect::<Vec<_>>(), ["content-length: 5"], "{lines}");
+    }
+}
