--- a/crates/pulleyd/src/connection/answer_head.rs
+++ b/crates/pulleyd/src/connection/answer_head.rs
@@ -1,15 +1,24 @@
 //! Checks the head of an upstream's answer before anything of the answer is used.
 
 use http::Response;
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http_body::Body;
 use thiserror::Error;
 
+use crate::request::connection_options;
+
 /// The result of checking a head.
 type Result<T> = std::result::Result<T, HeadFault>;
 
 /// The only transfer coding that the HTTP library decodes.
 const CHUNKED: &[u8] = b"chunked";
 
+/// The field, and the option of a connection, by which an upstream keeps a connection open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// The option of a connection that ends with the answer.
+const CLOSE: &str = "close";
+
 /// Separates the values of a list in one field.
 const LIST_SEPARATOR: u8 = b',';
 
@@ -25,6 +34,9 @@
     /// The head has a length beside a transfer coding.
     #[error("there is a length beside the transfer coding")]
     LengthBesideCoding,
+    /// The body would end with a connection that the head says stays open.
+    #[error("there is no length and the connection stays open")]
+    NoLength,
 }
 
 /// Checks the head of an answer. A length that is repeated is replaced by one.
@@ -36,13 +48,17 @@
 ///
 /// # Errors
 /// What is malformed. Nothing of the answer may be used, and its connection must be closed.
-pub(super) fn check_head<B>(response: &mut Response<B>) -> Result<()> {
+pub(super) fn check_head<B: Body>(response: &mut Response<B>) -> Result<()> {
+    let has_body = !response.body().is_end_stream();
     let headers = response.headers_mut();
     let is_coded = check_coding(headers)?;
     let length = read_length(headers)?;
     if is_coded && length.is_some() {
         return Err(HeadFault::LengthBesideCoding);
     }
+    if has_body && !is_coded && length.is_none() && stays_open(headers) {
+        return Err(HeadFault::NoLength);
+    }
     if let Some(length) = length
         && is_repeated(headers)
     {
@@ -82,6 +98,14 @@
     is_list || values.next().is_some()
 }
 
+/// Whether the head says that its connection stays open after the answer. A field whose name is
+/// misspelt has then told the length, as a body without one ends with its connection.
+fn stays_open(headers: &HeaderMap) -> bool {
+    let options = connection_options(headers);
+    let is_kept = headers.contains_key(KEEP_ALIVE) || options.contains(&KEEP_ALIVE);
+    is_kept && !options.iter().any(|option| option.as_str() == CLOSE)
+}
+
 /// Parses a number of digits only. The parser of the standard library also takes a sign.
 fn parse_number(text: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(text).ok()?;
--- a/crates/pulleyd/src/request/mod.rs
+++ b/crates/pulleyd/src/request/mod.rs
@@ -51,6 +51,7 @@
 pub use request_body::{BodyCursor, BodySource, RequestBody, RequestFault};
 pub(crate) use request_forwarder::FirstRequestFlag;
 pub use request_forwarder::{ForwardFuture, RequestForwarder};
+pub(crate) use request_headers::connection_options;
 pub use scheduler_set::{Placement, SchedulerSet};
 pub use system_answer::SystemAnswer;
 pub use traffic_context::{TrafficContext, TrafficLimits};
--- a/crates/pulleyd/src/request/request_headers.rs
+++ b/crates/pulleyd/src/request/request_headers.rs
@@ -108,7 +108,8 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+/// Returns the options of a message's `Connection` fields, some of which name further fields.
+pub(crate) fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
     headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -314,3 +314,68 @@
         assert_eq!(lengths.collect::<Vec<_>>(), ["content-length: 5"], "{lines}");
     }
 }
+
+// Guards against chunks passed on as a body because the name of their field is misspelt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_length_on_a_connection_that_stays_open_is_refused() {
+    for kept in ["Keep-Alive: timeout=5", "Connection: keep-alive", "Connection: x, Keep-Alive"] {
+        let lines = format!("{kept}\r\nTransfer-Encodinh: chunked");
+        assert_refused(&answer_with(lines.as_bytes(), CHUNKS)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_ends_with_its_connection_is_whole() {
+    for lines in ["X-A: a", "Connection: close", "Connection: close\r\nKeep-Alive: timeout=5"] {
+        let upstream = closing_after(answer_with(lines.as_bytes(), BODY)).await;
+        let entry = TestEntry::start(&[&upstream]).await;
+        assert_eq!(entry.post("/refund", "x").await.body.as_deref(), Some(BODY), "{lines}");
+    }
+}
+
+// An answer that has no body needs no length.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_body_may_leave_the_connection_open() {
+    for (method, status) in
+        [("HEAD", "200 OK"), ("GET", "204 No Content"), ("GET", "304 Not Modified")]
+    {
+        let answer = format!("HTTP/1.1 {status}\r\nKeep-Alive: timeout=5\r\n\r\n");
+        let upstream = closing_after(answer).await;
+        let entry = TestEntry::start(&[&upstream]).await;
+        let request = format!("{method} /refund HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        let got = entry.raw_answer(&request).await;
+        assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{method}: {got}");
+    }
+}
+
+/// Returns copies of a field in which one byte is replaced, removed, or has another before it.
+fn spoilt(field: &str) -> impl Iterator<Item = Vec<u8>> {
+    const BYTES: &[u8] = b"\0\n ,:0x\xff";
+    let field = field.as_bytes();
+    (0..field.len()).flat_map(move |place| {
+        let (before, after) = field.split_at(place);
+        let changes = BYTES.iter().flat_map(move |byte| {
+            [[before, &[*byte], &after[1..]].concat(), [before, &[*byte], after].concat()]
+        });
+        changes.chain([[before, &after[1..]].concat()])
+    })
+}
+
+// Guards against a single wrong byte where the head tells the length. Another number stays a length,
+// and nothing tells that it is a wrong one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_spoilt_byte_in_the_field_of_the_length_makes_no_other_answer() {
+    for (field, body) in [("Transfer-Encoding: chunked", CHUNKS), ("Content-Length: 5", BODY)] {
+        for field in spoilt(field).filter(|field| field != b"Content-Length: 0") {
+            let lines = [b"Keep-Alive: timeout=5\r\n", &field[..]].concat();
+            let upstream = closing_after(answer_with(&lines, body)).await;
+            let entry = TestEntry::start(&[&upstream]).await;
+            let shown = String::from_utf8_lossy(&field);
+            if let Some(got) = entry.try_post("/refund", "x", &[]).await {
+                let is_failure = got.summary() == "502 may-have-run";
+                let is_whole = got.body.as_deref().is_none_or(|got| got == BODY);
+                assert!(is_failure || (got.status == 200 && is_whole), "{shown:?}: {:?}", got.body);
+            }
+        }
+    }
+}
