--- a/crates/pulleyd/src/connection/answer_head.rs
+++ b/crates/pulleyd/src/connection/answer_head.rs
@@ -1,7 +1,7 @@
 //! Checks the head of an upstream's answer before anything of the answer is used.
 
-use http::Response;
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::{Response, StatusCode};
 use http_body::Body;
 use thiserror::Error;
 
@@ -37,6 +37,9 @@
     /// The body would end with a connection that the head says stays open.
     #[error("there is no length and the connection stays open")]
     NoLength,
+    /// The head announces a body, and an answer with its status has none.
+    #[error("a body is announced that the status does not allow")]
+    ForbiddenBody,
 }
 
 /// Checks the head of an answer. A length that is repeated is replaced by one.
@@ -49,6 +52,7 @@
 /// # Errors
 /// What is malformed. Nothing of the answer may be used, and its connection must be closed.
 pub(super) fn check_head<B: Body>(response: &mut Response<B>) -> Result<()> {
+    let status = response.status();
     let has_body = !response.body().is_end_stream();
     let headers = response.headers_mut();
     let is_coded = check_coding(headers)?;
@@ -56,6 +60,9 @@
     if is_coded && length.is_some() {
         return Err(HeadFault::LengthBesideCoding);
     }
+    if status == StatusCode::NO_CONTENT && (is_coded || length.is_some_and(|length| length > 0)) {
+        return Err(HeadFault::ForbiddenBody);
+    }
     if has_body && !is_coded && length.is_none() && stays_open(headers) {
         return Err(HeadFault::NoLength);
     }
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -379,3 +379,15 @@
         }
     }
 }
+
+// Guards against an empty answer in place of a body, as a 204 has none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_has_no_body_and_announces_one_is_refused() {
+    for lines in ["Content-Length: 5", "Transfer-Encoding: chunked"] {
+        let answer = format!("HTTP/1.1 204 No Content\r\n{lines}\r\n\r\n{CHUNKS}");
+        assert_refused(answer.as_bytes()).await;
+    }
+    let empty = b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
+    let entry = TestEntry::start(&[&closing_after(*empty).await]).await;
+    assert_eq!(entry.post("/refund", "x").await.status, 204);
+}
