--- a/crates/pulleyd/src/connection/answer_head.rs
+++ b/crates/pulleyd/src/connection/answer_head.rs
@@ -1,5 +1,7 @@
 //! Checks the head of an upstream's answer before anything of the answer is used.
 
+use std::ops::RangeInclusive;
+
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body::Body;
@@ -10,6 +12,10 @@
 /// The result of checking a head.
 type Result<T> = std::result::Result<T, HeadFault>;
 
+/// The statuses of final answers. Lower ones precede another answer or end HTTP on the connection, and
+/// higher ones are not defined.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The only transfer coding that the HTTP library decodes.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -22,9 +28,12 @@
 /// Separates the values of a list in one field.
 const LIST_SEPARATOR: u8 = b',';
 
-/// Why the head of an answer does not tell where its body ends.
+/// Why the head of an answer does not tell what the answer is or where its body ends.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum HeadFault {
+    /// The status is none of a final answer.
+    #[error("the status {0} is none of a final answer")]
+    Status(u16),
     /// The transfer coding is not `chunked`, or not that alone.
     #[error("the transfer coding is not chunked alone")]
     TransferCoding,
@@ -53,6 +62,9 @@
 /// What is malformed. Nothing of the answer may be used, and its connection must be closed.
 pub(super) fn check_head<B: Body>(response: &mut Response<B>) -> Result<()> {
     let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(HeadFault::Status(status.as_u16()));
+    }
     let has_body = !response.body().is_end_stream();
     let headers = response.headers_mut();
     let is_coded = check_coding(headers)?;
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -391,3 +391,18 @@
     let entry = TestEntry::start(&[&closing_after(*empty).await]).await;
     assert_eq!(entry.post("/refund", "x").await.status, 204);
 }
+
+// Guards against callers that take the connection for another protocol's, or read no status.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_whose_status_is_none_of_a_final_answer_is_refused() {
+    for status in [101, 600, 700, 999] {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 5\r\n\r\n{BODY}");
+        assert_refused(answer.as_bytes()).await;
+    }
+    for status in [200, 299, 404, 451, 599] {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 5\r\n\r\n{BODY}");
+        let entry = TestEntry::start(&[&closing_after(answer).await]).await;
+        let got = entry.post("/refund", "x").await;
+        assert_eq!((got.status, got.body.as_deref()), (status, Some(BODY)));
+    }
+}
