--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -399,7 +399,7 @@
 
     fn answer(
         &self,
-        response: Response<Incoming>,
+        mut response: Response<Incoming>,
         link: UpstreamLink<Answering>,
         (attempt, outcome): (AttemptGuard, AttemptOutcome),
         content: ContentRun,
@@ -409,6 +409,9 @@
         let (clock, length) = (self.context.clock, response.body().size_hint().exact());
         let pacing = pacer.map(|pacer| AnswerPacing::new(pacer, clock, timer.clone(), length));
         let read_until = UpstreamAnswer::read_limit(self.row(), self.terms.deadline);
+        // The version holds for the upstream's connection only. In an older one the end of the caller's
+        // connection would end the body, so that a body that is cut short would look complete.
+        *response.version_mut() = Version::HTTP_11;
         response.map(|body| UpstreamAnswer {
             body,
             attempt,
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -406,3 +406,22 @@
         assert_eq!((got.status, got.body.as_deref()), (status, Some(BODY)));
     }
 }
+
+// Guards against part of a body that looks whole because the upstream speaks an older version, in which
+// only the end of the connection ends a body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_cut_short_in_an_older_version_does_not_look_complete() {
+    for head in ["HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n"] {
+        let upstream = FakeUpstream::scripted(move |mut stream, _, log| async move {
+            read_request(&mut stream, &log).await?;
+            stream.write_all(format!("{head}half").as_bytes()).await.ok()?;
+            // The entry has passed on the half by the time of the reset.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            stream.set_zero_linger().ok()
+        })
+        .await;
+        let entry = TestEntry::start(&[&upstream]).await;
+        let got = entry.post("/refund", "x").await;
+        assert_eq!((got.status, got.body), (200, None), "{head}");
+    }
+}
