--- a/crates/pulleyd/src/connection/link_meter.rs
+++ b/crates/pulleyd/src/connection/link_meter.rs
@@ -9,6 +9,7 @@
 struct MeterState {
     written: u64,
     request_start: u64,
+    requests: u64,
     sealed: bool,
 }
 
@@ -28,6 +29,12 @@
     pub fn begin_request(&self) {
         let mut state = self.state.lock();
         state.request_start = state.written;
+        state.requests += 1;
+    }
+
+    /// Returns the number of requests that have been started.
+    pub(super) fn requests(&self) -> u64 {
+        self.state.lock().requests
     }
 
     /// Forbids further writes. Returns whether any byte of the current request was written.
--- a/crates/pulleyd/src/connection/mod.rs
+++ b/crates/pulleyd/src/connection/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_head;
 mod end_check;
+mod head_lines;
 mod peer_datagrams;
 mod peer_frame;
 mod peer_gate;
--- a/crates/pulleyd/src/connection/upstream_prober.rs
+++ b/crates/pulleyd/src/connection/upstream_prober.rs
@@ -16,8 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 
-use super::UpstreamConnections;
 use super::answer_head::check_head;
+use super::{LinkMeter, MeteredStream, UpstreamConnections};
 use crate::request::{LOAD_HEADER, read_load_report};
 
 /// The path on which upstreams answer probes, unless their pool names another. The answer is empty,
@@ -84,6 +84,7 @@
 /// malformed.
 async fn send_probe(address: SocketAddr) -> Option<Parts> {
     let stream = TcpStream::connect(address).await.ok()?;
+    let stream = MeteredStream::new(stream, LinkMeter::default(), usize::MAX);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::spawn(connection);
     let request = Request::get(PROBE_PATH)
--- a/crates/pulleyd/tests/malformed_answers.rs
+++ b/crates/pulleyd/tests/malformed_answers.rs
@@ -25,12 +25,13 @@
 const CHUNKS: &str = "5\r\nwhole\r\n0\r\n\r\n";
 
 /// Malformed heads without the line that ends them.
-const MALFORMED_HEADS: [&str; 5] = [
+const MALFORMED_HEADS: [&str; 6] = [
     "HTTP/1.1 000 OK\r\nContent-Length: 0",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nno field",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX A: a",
     "HTTP/1.1 200 OK\r\nContent-Length: 0x",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkex",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\nX-A: a",
 ];
 
 /// Transfer codings that a host doesn't read. It asks for none but `chunked`.
@@ -348,12 +349,12 @@
     }
 }
 
-/// Returns copies of a field in which one byte is replaced, removed, or has another before it.
-fn spoilt(field: &str) -> impl Iterator<Item = Vec<u8>> {
+/// Returns copies of a line in which one byte is replaced, removed, or has another before it.
+fn spoilt(line: &str) -> impl Iterator<Item = Vec<u8>> {
     const BYTES: &[u8] = b"\0\n ,:0x\xff";
-    let field = field.as_bytes();
-    (0..field.len()).flat_map(move |place| {
-        let (before, after) = field.split_at(place);
+    let line = line.as_bytes();
+    (0..line.len()).flat_map(move |place| {
+        let (before, after) = line.split_at(place);
         let changes = BYTES.iter().flat_map(move |byte| {
             [[before, &[*byte], &after[1..]].concat(), [before, &[*byte], after].concat()]
         });
@@ -361,16 +362,18 @@
     })
 }
 
-// Guards against a single wrong byte where the head tells the length. Another number stays a length,
+// Guards against a single wrong byte in the line that tells the length. Another number stays a length,
 // and nothing tells that it is a wrong one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn one_spoilt_byte_in_the_field_of_the_length_makes_no_other_answer() {
-    for (field, body) in [("Transfer-Encoding: chunked", CHUNKS), ("Content-Length: 5", BODY)] {
-        for field in spoilt(field).filter(|field| field != b"Content-Length: 0") {
-            let lines = [b"Keep-Alive: timeout=5\r\n", &field[..]].concat();
+async fn one_spoilt_byte_in_the_line_of_the_length_makes_no_other_answer() {
+    for (line, body) in
+        [("Transfer-Encoding: chunked\r\n", CHUNKS), ("Content-Length: 5\r\n", BODY)]
+    {
+        for line in spoilt(line).filter(|line| line != b"Content-Length: 0\r\n") {
+            let lines = [b"Keep-Alive: timeout=5\r\n", &line[..], b"X-A: a"].concat();
             let upstream = closing_after(answer_with(&lines, body)).await;
             let entry = TestEntry::start(&[&upstream]).await;
-            let shown = String::from_utf8_lossy(&field);
+            let shown = String::from_utf8_lossy(&line);
             if let Some(got) = entry.try_post("/refund", "x", &[]).await {
                 let is_failure = got.summary() == "502 may-have-run";
                 let is_whole = got.body.as_deref().is_none_or(|got| got == BODY);
@@ -425,3 +428,38 @@
         assert_eq!((got.status, got.body), (200, None), "{head}");
     }
 }
+
+// Guards against a head that a single line feed ends early, so that its other lines are the body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_whose_lines_end_in_two_ways_is_refused() {
+    for head in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\n\r\nX-A: a\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\n\nX-A: a\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nX-A: a\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: a\r\n\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 5\r\nX-A: a\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 5\n\r\nX-A: a\n\n",
+        "HTTP/1.1 103 Early\r\nX-A: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\n\r\nX-A: a\r\n\r\n",
+    ] {
+        assert_refused(format!("{head}{BODY}").as_bytes()).await;
+    }
+}
+
+// Guards against line feeds in a body, or an answer before it, that are taken for those of a head.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn line_feeds_outside_a_head_refuse_no_answer() {
+    let upstream = FakeUpstream::answering(|request| {
+        let body = "\r\none\ntwo\r\n\n";
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        match request.ends_with("feeds") {
+            true => format!("{}{body}", head.replace("\r\n", "\n")).into_bytes(),
+            false => format!("HTTP/1.1 103 Early\r\n\r\n{head}{body}").into_bytes(),
+        }
+    })
+    .await;
+    let entry = TestEntry::start(&[&upstream]).await;
+    for body in ["feeds", "both", "feeds", "feeds", "both"] {
+        let got = entry.post("/refund", body).await;
+        assert_eq!(got.body.as_deref(), Some("\r\none\ntwo\r\n\n"), "{body}");
+    }
+}
