--- a/crates/pulleyd/src/request/request_attempt.rs
+++ b/crates/pulleyd/src/request/request_attempt.rs
@@ -278,17 +278,17 @@
                 Some(link) => link,
                 None => {
                     let link = self.context.connections.checkout(request).await;
-                    let link = link.map_err(|fault| self.link_fault(&fault))?;
+                    let link = link.map_err(|fault| self.link_fault(&target, &fault))?;
                     if content.is_trial() { self.prove(&target, link).await? } else { link }
                 }
             };
             match self.send_over((&target, content), link, placed_at).await {
                 Ok(Err(LinkFault::ClosedUnsent)) if self.body.can_restart() => {}
-                Ok(sent) => return sent.map_err(|fault| self.link_fault(&fault)),
+                Ok(sent) => return sent.map_err(|fault| self.link_fault(&target, &fault)),
                 Err(timed_out) => return Err(timed_out),
             }
         }
-        Err(self.link_fault(&LinkFault::ClosedUnsent))
+        Err(self.link_fault(&target, &LinkFault::ClosedUnsent))
     }
 
     /// Probes the upstream of a trial over the trial's connection. An upstream that was lost before the
@@ -440,11 +440,10 @@
         if self.row().idempotent { RepeatSafety::Repeatable } else { RepeatSafety::Once }
     }
 
-    fn link_fault(&self, fault: &LinkFault) -> AttemptFault {
-        if let LinkFault::Malformed(fault) = fault {
+    fn link_fault(&self, target: &UpstreamTarget, fault: &LinkFault) -> AttemptFault {
+        if let LinkFault::Malformed(head_fault) = fault {
             info!(self.context.logger, "answer-malformed"; "id" => self.id(),
-                "upstream" => self.last_tried().map(|upstream| upstream.to_string()),
-                "fault" => %fault);
+                "upstream" => %target.start.id, "fault" => %head_fault);
         }
         match self.body.caller_aborted() {
             true => AttemptFault::caller_aborted(fault.verdict()),
