--- a/crates/pulleyd/src/connection/metered_stream.rs
+++ b/crates/pulleyd/src/connection/metered_stream.rs
@@ -29,8 +29,8 @@
         Self { stream, meter, read_limit, head: HeadLines::default(), request: 0 }
     }
 
-    /// Checks bytes that have been read.
-    fn check_head(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Checks the lines of an answer's head in bytes that have been read.
+    fn check_lines(&mut self, bytes: &[u8]) -> io::Result<()> {
         let request = self.meter.requests();
         if self.request != request {
             self.request = request;
@@ -77,7 +77,7 @@
         let this = self.get_mut();
         let before = buffer.filled().len();
         ready!(this.poll_read_part(context, buffer))?;
-        Poll::Ready(this.check_head(&buffer.filled()[before..]))
+        Poll::Ready(this.check_lines(&buffer.filled()[before..]))
     }
 }
 
